--- /dev/null
+++ b/eslint.config.mjs
@@ -0,0 +1,47 @@
+import * as airbnb from 'eslint-config-airbnb-extended';
+import prettier from 'eslint-config-prettier';
+import * as tseslint from 'typescript-eslint';
+
+export default tseslint.config(
+  { ignores: ['**/dist/**', '**/.tap/**', 'run/**'] },
+  airbnb.plugins.stylistic,
+  airbnb.plugins.importX,
+  airbnb.plugins.node,
+  airbnb.plugins.typescriptEslint,
+  ...airbnb.extensions.base.typescript,
+  airbnb.rules.typescript.typescriptEslint ?? {},
+  {
+    files: ['packages/**/*.ts'],
+    languageOptions: { parserOptions: { projectService: true } },
+    rules: {
+      // House lines that go before Airbnb: namespace imports, generators, classes behind interfaces.
+      'import-x/no-namespace': 'off',
+      'import-x/prefer-default-export': 'off',
+      'import-x/extensions': 'off',
+      'import-x/no-extraneous-dependencies': 'off',
+      'import-x/no-unresolved': 'off',
+      'import-x/namespace': 'off',
+      'import-x/no-rename-default': 'off',
+      'no-restricted-syntax': ['error', 'ForInStatement', 'LabeledStatement', 'WithStatement'],
+      'no-await-in-loop': 'off',
+      'no-continue': 'off',
+      'class-methods-use-this': 'off',
+      '@typescript-eslint/class-methods-use-this': 'off',
+      'no-plusplus': ['error', { allowForLoopAfterthoughts: true }],
+      '@typescript-eslint/consistent-type-imports': [
+        'error',
+        { fixStyle: 'separate-type-imports' },
+      ],
+      '@typescript-eslint/no-floating-promises': 'error',
+      '@typescript-eslint/no-explicit-any': 'error',
+      '@typescript-eslint/lines-between-class-members': 'off',
+      'no-use-before-define': 'off',
+      '@typescript-eslint/no-use-before-define': [
+        'error',
+        { functions: false, variables: false, classes: false },
+      ],
+      'no-void': ['error', { allowAsStatement: true }],
+    },
+  },
+  prettier,
+);
--- /dev/null
+++ b/packages/bench/src/check-answer.ts
@@ -0,0 +1,88 @@
+import * as fakes from '@bramleyridge/fakes';
+
+/** What one request came to. */
+export interface Checked {
+  readonly kind: 'complete' | 'refused' | 'broken';
+  readonly tokens: number;
+  readonly detail: string;
+}
+
+interface StreamChunk {
+  readonly choices?: readonly { readonly text?: string; readonly delta?: { content?: string } }[];
+  readonly bramleyridge?: { readonly outcome: string; readonly tokens: number };
+  readonly error?: { readonly outcome: string; readonly message: string };
+}
+
+/** Sends a streamed completion and compares every token with what the engine says it generated. */
+export async function checkStream(
+  url: string,
+  token: string,
+  body: object,
+  headers: Readonly<Record<string, string>> = {},
+): Promise<Checked> {
+  const res = await fetch(`${url}/v1/chat/completions`, {
+    method: 'POST',
+    headers: { authorization: `Bearer ${token}`, 'content-type': 'application/json', ...headers },
+    body: JSON.stringify({ ...body, stream: true }),
+  });
+  if (res.status !== 200) {
+    return refused(res, await res.text());
+  }
+  const generation = res.headers.get('bramleyridge-generation') ?? '';
+  return checkEvents(generation, await res.text());
+}
+
+/** Compares the events of a stream with the generation that they name. */
+export function checkEvents(generation: string, text: string): Checked {
+  let expected = 0;
+  let outcome: StreamChunk['bramleyridge'];
+  for (const event of text.split('\n\n').filter((part) => part.includes('data: '))) {
+    const id = /^id: (.*):(\d+)$/m.exec(event);
+    const data = event.slice(event.indexOf('data: ') + 'data: '.length);
+    if (data === '[DONE]') {
+      continue;
+    }
+    const chunk = JSON.parse(data) as StreamChunk;
+    outcome = chunk.bramleyridge ?? outcome;
+    if (id !== null) {
+      const content = chunk.choices?.[0]?.delta?.content ?? chunk.choices?.[0]?.text ?? '';
+      const isRight = id[1] === generation && Number(id[2]) === expected;
+      const isLast = content === '';
+      if (!isRight || (!isLast && content !== fakes.getTokenText(generation, expected))) {
+        return { kind: 'broken', tokens: expected, detail: `event ${expected}: ${event}` };
+      }
+      expected += 1;
+    }
+  }
+  const tokens = Math.max(0, expected - 1);
+  const isWhole = outcome?.outcome === 'complete' && outcome.tokens === tokens;
+  return { kind: isWhole ? 'complete' : 'broken', tokens, detail: JSON.stringify(outcome) };
+}
+
+/** Sends a completion that is answered whole and compares its text. */
+export async function checkWhole(url: string, token: string, body: object): Promise<Checked> {
+  const res = await fetch(`${url}/v1/chat/completions`, {
+    method: 'POST',
+    headers: { authorization: `Bearer ${token}`, 'content-type': 'application/json' },
+    body: JSON.stringify(body),
+  });
+  const text = await res.text();
+  if (res.status !== 200) {
+    return refused(res, text);
+  }
+  const answer = JSON.parse(text) as {
+    id: string;
+    choices: { message: { content: string } }[];
+    usage: { completion_tokens: number };
+  };
+  const tokens = answer.usage.completion_tokens;
+  const isSame = answer.choices[0]?.message.content === fakes.getText(answer.id, tokens);
+  const outcome = res.headers.get('bramleyridge-outcome');
+  const isWhole = isSame && outcome === 'complete';
+  return { kind: isWhole ? 'complete' : 'broken', tokens, detail: text.slice(0, 200) };
+}
+
+function refused(res: Response, text: string): Checked {
+  const isTrue = res.headers.get('bramleyridge-outcome') === 'not-run';
+  return { kind: isTrue ? 'refused' : 'broken', tokens: 0, detail: `${res.status} ${text}` };
+}
--- /dev/null
+++ b/packages/bench/src/index.ts
@@ -0,0 +1,4 @@
+/** The bench: the quickstart, traces, replay, load and reports. */
+export * from './check-answer.js';
+export * from './child.js';
+export * from './deployment.js';
--- /dev/null
+++ b/packages/cli/src/bramleyctl.ts
@@ -0,0 +1,133 @@
+#!/usr/bin/env node
+import * as crypto from 'node:crypto';
+
+import * as schemas from '@bramleyridge/schemas';
+import * as yargs from 'yargs';
+import * as z from 'zod';
+
+import * as commands from './commands.js';
+import * as exits from './exit-codes.js';
+import * as clients from './operator-client.js';
+
+const KEY_BYTES = 32;
+
+interface Common {
+  readonly url: string[];
+  readonly token: string;
+  readonly json: boolean;
+}
+
+function getClient(args: object): clients.OperatorClient {
+  const { token, url } = args as Common;
+  return new clients.OperatorClient(url, token);
+}
+
+function getOutput(args: object): commands.Output {
+  const { json } = args as Common;
+  return { isJson: json, write: (text) => process.stdout.write(`${text}\n`) };
+}
+
+function printSchema(what: string): void {
+  const schema = what === 'settings' ? schemas.daemonConfig : schemas.declarationFile;
+  process.stdout.write(`${JSON.stringify(z.toJSONSchema(schema, { io: 'input' }), null, 2)}\n`);
+}
+
+function printKeys(): void {
+  const active = `k${Date.now().toString(36)}`;
+  const keys = { [active]: crypto.randomBytes(KEY_BYTES).toString('base64') };
+  process.stdout.write(`${JSON.stringify({ active, keys }, null, 2)}\n`);
+}
+
+function printToken(): void {
+  const token = crypto.randomBytes(KEY_BYTES).toString('base64url');
+  process.stdout.write(`${JSON.stringify({ token, sha256: schemas.getSha256(token) })}\n`);
+}
+
+async function main(): Promise<void> {
+  const folder = { type: 'string', alias: 'f', demandOption: true, describe: 'folder' } as const;
+  await yargs
+    .default(process.argv.slice(2))
+    .scriptName('bramleyctl')
+    .option('url', {
+      type: 'string',
+      array: true,
+      default: (process.env.BRAMLEYRIDGE_URL ?? '').split(',').filter((url) => url !== ''),
+      describe: 'daemons to ask, also BRAMLEYRIDGE_URL',
+    })
+    .option('token', {
+      type: 'string',
+      default: process.env.BRAMLEYRIDGE_TOKEN ?? '',
+      describe: "the operator's token, also BRAMLEYRIDGE_TOKEN",
+    })
+    .option('json', { type: 'boolean', default: false, describe: 'print JSON' })
+    .command('validate', 'check a folder of declarations', { folder }, (args) =>
+      commands.validate(getOutput(args), args.folder),
+    )
+    .command(
+      'diff',
+      'show what a folder would change',
+      { folder, 'exit-code': { type: 'boolean', default: false } },
+      (args) => commands.diff(getClient(args), getOutput(args), args.folder, args['exit-code']),
+    )
+    .command('plan', 'make a plan; nothing happens yet', { folder }, (args) =>
+      commands.plan(getClient(args), getOutput(args), args.folder),
+    )
+    .command(
+      'confirm <plan>',
+      'put a plan in force',
+      (y) => y.positional('plan', { type: 'string', demandOption: true }),
+      (args) => commands.confirm(getClient(args), getOutput(args), args.plan),
+    )
+    .command(
+      'status',
+      'show which host has what in force',
+      { wait: { type: 'number' }, timeout: { type: 'number', default: 30, describe: 'seconds' } },
+      (args) => commands.status(getClient(args), getOutput(args), args.wait, args.timeout * 1_000),
+    )
+    .command(
+      'explain <request>',
+      'show the decisions on a request',
+      (y) => y.positional('request', { type: 'string', demandOption: true }),
+      (args) => commands.explain(getClient(args), getOutput(args), args.request),
+    )
+    .command('intents', 'list the intents in force', {}, (args) =>
+      commands.listIntents(getClient(args), getOutput(args)),
+    )
+    .command(
+      'voters <action> [daemon]',
+      'add, remove or list voters',
+      (y) =>
+        y
+          .positional('action', { choices: ['add', 'remove', 'list'] as const, demandOption: true })
+          .positional('daemon', { type: 'string', default: '' }),
+      (args) => commands.voters(getClient(args), getOutput(args), args.action, args.daemon),
+    )
+    .command('drain', 'stop the daemon at --url when it has finished', {}, (args) =>
+      commands.tell(getClient(args), getOutput(args), '/drain'),
+    )
+    .command('reload-keys', 'let the daemon at --url read its keys again', {}, (args) =>
+      commands.tell(getClient(args), getOutput(args), '/keys/reload'),
+    )
+    .command(
+      'schema <what>',
+      'print a JSON Schema for editors',
+      (y) =>
+        y.positional('what', { choices: ['settings', 'declaration'] as const, demandOption: true }),
+      (args) => printSchema(args.what),
+    )
+    .command('new-keys', 'print a new file of keys for the links', {}, () => printKeys())
+    .command('new-token', 'print a new token and its hash', {}, () => printToken())
+    .demandCommand(1)
+    .strict()
+    .fail((message, err) => {
+      throw err ?? new exits.ExitError(exits.EXIT.invalid, message);
+    })
+    .parseAsync();
+}
+
+try {
+  await main();
+} catch (err) {
+  process.stderr.write(`${schemas.toError(err).message}\n`);
+  process.exitCode = err instanceof exits.ExitError ? err.code : exits.EXIT.failed;
+}
--- /dev/null
+++ b/packages/consensus/src/genesis.ts
@@ -0,0 +1,81 @@
+import * as crypto from 'node:crypto';
+
+import type * as schemas from '@bramleyridge/schemas';
+
+import * as batchFrame from './batch-frame.js';
+import type * as fileLayer from './file-layer.js';
+import type * as types from './types.js';
+
+const GENESIS_FILE = 'identity';
+
+/** How long to wait before asking the other voters again, in milliseconds. */
+const ASK_AGAIN_MS = 200;
+
+/** The number of this data folder, and the first voters, empty while they are not agreed. */
+export interface Genesis {
+  readonly voterId: string;
+  readonly voters: readonly types.VoterSeat[];
+}
+
+/** What a voter tells another that has no first voters yet. */
+export type AskGenesis = (peer: string) => Promise<Genesis>;
+
+/** Reads the identity of a data folder, or gives an empty folder a new one. */
+export async function openIdentity(files: fileLayer.FileLayer): Promise<Genesis> {
+  const bytes = await files.read(GENESIS_FILE);
+  const [known] = bytes === undefined ? [] : batchFrame.decodeFile(GENESIS_FILE, bytes).batches;
+  if (known !== undefined) {
+    return known as Genesis;
+  }
+  const fresh: Genesis = { voterId: crypto.randomUUID(), voters: [] };
+  await files.replace(GENESIS_FILE, batchFrame.encodeBatch(fresh));
+  return fresh;
+}
+
+/**
+ * Agrees on the first voters. A lost disk must not come back as a blank vote: it could elect a leader
+ * without entries that were promised. So a folder's number is random, the first voters are named by these
+ * numbers, and they are fixed once, by the lowest-named voter, after every one of them has answered.
+ * A folder that was lost and made anew has another number, finds itself not among them, and cannot vote
+ * until an operator adds it.
+ */
+export async function agreeGenesis(
+  files: fileLayer.FileLayer,
+  identity: Genesis,
+  daemonId: string,
+  firstVoters: readonly string[],
+  ask: AskGenesis,
+  clock: schemas.Clock,
+  signal: AbortSignal,
+): Promise<Genesis> {
+  if (identity.voters.length > 0) {
+    return identity;
+  }
+  const others = firstVoters.filter((peer) => peer !== daemonId);
+  const isFirst = firstVoters.every((peer) => daemonId <= peer);
+  for (;;) {
+    const answers = await Promise.all(others.map((peer) => ask(peer).catch(() => undefined)));
+    const agreed = answers.find((answer) => answer !== undefined && answer.voters.length > 0);
+    const voters =
+      agreed?.voters ?? (isFirst ? collect(daemonId, identity, others, answers) : undefined);
+    if (voters !== undefined) {
+      const genesis: Genesis = { voterId: identity.voterId, voters };
+      await files.replace(GENESIS_FILE, batchFrame.encodeBatch(genesis));
+      return genesis;
+    }
+    await clock.sleep(ASK_AGAIN_MS, signal);
+  }
+}
+
+function collect(
+  daemonId: string,
+  identity: Genesis,
+  others: readonly string[],
+  answers: readonly (Genesis | undefined)[],
+): types.VoterSeat[] | undefined {
+  const seats = others.map((peer, i) => ({ daemonId: peer, voterId: answers[i]?.voterId }));
+  const isWhole = seats.every((seat) => seat.voterId !== undefined);
+  return isWhole
+    ? [{ daemonId, voterId: identity.voterId }, ...(seats as types.VoterSeat[])]
+    : undefined;
+}
--- /dev/null
+++ b/packages/consensus/src/index.ts
@@ -0,0 +1,10 @@
+/** The replicated log of the voters. */
+export * from './batch-frame.js';
+export * from './election.js';
+export * from './entry-log.js';
+export * from './file-layer.js';
+export * from './genesis.js';
+export * from './leadership.js';
+export * from './types.js';
+export * from './voter.js';
+export * from './wal.js';
--- /dev/null
+++ b/packages/consensus/src/replicator.ts
@@ -0,0 +1,104 @@
+import type * as leaderships from './leadership.js';
+import type * as types from './types.js';
+
+/** The most entries in one message. */
+const MAX_ENTRIES = 256;
+
+/** The leader's task for one other voter: brings it up to the leader's log and keeps it there. */
+export class Replicator {
+  public match = 0;
+  /** When the last message that was answered had been sent, on the leader's clock. */
+  public ackedAt = -Infinity;
+  private next: number;
+  private stopped = false;
+
+  public constructor(
+    public readonly seat: types.VoterSeat,
+    private readonly leadership: leaderships.Leadership,
+  ) {
+    this.next = leadership.voter.entries.lastIndex + 1;
+  }
+
+  /** Runs until stopped. */
+  public async run(): Promise<void> {
+    const { voter, heartbeatMs } = this.leadership;
+    const { clock } = voter.options;
+    while (!this.stopped && this.leadership.isActive()) {
+      const isReached = await this.exchange();
+      const isBehind = this.next <= voter.entries.lastIndex;
+      if (!isReached) {
+        await clock.sleep(heartbeatMs).catch(() => {});
+      } else if (!isBehind) {
+        await this.leadership.appended.wait(clock, heartbeatMs);
+      }
+    }
+  }
+
+  /** Ends the task. */
+  public stop(): void {
+    this.stopped = true;
+  }
+
+  private async exchange(): Promise<boolean> {
+    const { voter } = this.leadership;
+    const sentAt = voter.options.clock.now();
+    try {
+      const res = await this.send();
+      if (res.term > voter.term) {
+        await voter.adoptTerm(res.term, null);
+        return false;
+      }
+      return this.take(res, sentAt);
+    } catch {
+      return false;
+    }
+  }
+
+  private send(): Promise<types.AppendRes> {
+    const { voter, term } = this.leadership;
+    const { transport } = voter.options;
+    const prevIndex = this.next - 1;
+    const prevTerm = voter.entries.findTerm(prevIndex);
+    if (prevTerm === undefined || prevIndex < voter.entries.baseIndex) {
+      return transport.snapshot(this.seat.daemonId, this.createSnapshotReq());
+    }
+    return transport.append(this.seat.daemonId, {
+      term,
+      leader: voter.daemonId,
+      prevIndex,
+      prevTerm,
+      entries: voter.entries.slice(this.next, MAX_ENTRIES),
+      commit: voter.commitIndex,
+    });
+  }
+
+  private createSnapshotReq(): types.SnapshotReq {
+    const { voter, term } = this.leadership;
+    const lastIndex = voter.appliedIndex;
+    return {
+      term,
+      leader: voter.daemonId,
+      lastIndex,
+      lastTerm: voter.entries.findTerm(lastIndex) ?? 0,
+      voters: [...voter.entries.getVotersAt(lastIndex)],
+      state: structuredClone(voter.options.machine.getSnapshot()),
+    };
+  }
+
+  private take(res: types.AppendRes, sentAt: number): boolean {
+    // A daemon that lost its disk answers at the old address with another number. What the old folder
+    // promised is gone, so the answer must not count towards a majority.
+    if (res.voterId !== this.seat.voterId) {
+      return false;
+    }
+    this.ackedAt = Math.max(this.ackedAt, sentAt);
+    if (res.ok) {
+      this.match = Math.max(this.match, res.match);
+      this.next = Math.max(this.next, res.match + 1);
+      this.leadership.advanceCommit();
+    } else {
+      this.next = Math.max(1, Math.min(this.next - 1, res.hint + 1));
+    }
+    return true;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/bramleyridged.ts
@@ -0,0 +1,54 @@
+#!/usr/bin/env node
+import * as fs from 'node:fs';
+
+import * as schemas from '@bramleyridge/schemas';
+import * as pino from 'pino';
+import * as yargs from 'yargs';
+
+import * as daemons from './daemon.js';
+
+/** The exit code for settings that are not valid. */
+const EXIT_BAD_CONFIG = 2;
+
+function readConfig(path: string): schemas.DaemonConfig {
+  const input: unknown = JSON.parse(fs.readFileSync(path, 'utf8'));
+  const result = schemas.daemonConfig.safeParse(input);
+  if (result.success) {
+    return result.data;
+  }
+  const faults = schemas.listFaults(result.error, input);
+  process.stderr.write(`${path}: the settings are not valid\n`);
+  faults.forEach((fault) => process.stderr.write(`  ${fault}\n`));
+  return process.exit(EXIT_BAD_CONFIG);
+}
+
+async function main(): Promise<void> {
+  const args = await yargs
+    .default(process.argv.slice(2))
+    .scriptName('bramleyridged')
+    .option('config', { type: 'string', demandOption: true, describe: 'the settings, a JSON file' })
+    .option('check', { type: 'boolean', default: false, describe: 'check the settings and end' })
+    .strict()
+    .parse();
+  let cfg: schemas.DaemonConfig;
+  try {
+    cfg = readConfig(args.config);
+  } catch (err) {
+    process.stderr.write(`${args.config}: ${schemas.toError(err).message}\n`);
+    process.exit(EXIT_BAD_CONFIG);
+  }
+  if (args.check) {
+    process.stdout.write(`${args.config}: valid\n`);
+    return;
+  }
+  const log = pino.pino({ level: cfg.logLevel, base: { daemon: cfg.daemonId } });
+  const daemon = new daemons.Daemon(cfg, { log });
+  const stop = () => {
+    void daemon.stop().then(() => process.exit(0));
+  };
+  process.on('SIGTERM', stop);
+  process.on('SIGINT', stop);
+  await daemon.start();
+}
+
+await main();
--- /dev/null
+++ b/packages/daemon/src/control-plane.ts
@@ -0,0 +1,223 @@
+import * as path from 'node:path';
+
+import * as consensus from '@bramleyridge/consensus';
+import * as intents from '@bramleyridge/intents';
+import type * as members from '@bramleyridge/members';
+import * as schemas from '@bramleyridge/schemas';
+
+import type * as peerMeshes from './peer-mesh.js';
+import type * as peerRouters from './peer-router.js';
+
+/** How long a command is tried before the operator is told that its fate is not known, in milliseconds. */
+const PROPOSE_MS = 8_000;
+
+/** The pause before a command is tried again, in milliseconds. */
+const PROPOSE_PAUSE_MS = 100;
+
+/** What the control plane needs. */
+export interface ControlPlaneOptions {
+  readonly cfg: schemas.DaemonConfig;
+  readonly mesh: peerMeshes.PeerMesh;
+  readonly store: members.ConfigurationStore;
+  readonly clock: schemas.Clock;
+  readonly log: schemas.Log;
+  readonly random: () => number;
+  readonly files?: consensus.FileLayer;
+}
+
+/** The part of a daemon that takes part in, or asks, the replicated log. */
+export class ControlPlane {
+  public voter: consensus.Voter | undefined;
+  public readonly state = new intents.ControlState();
+  private readonly stopping = new AbortController();
+  private identity: consensus.Genesis | undefined;
+  private leaderHint: string | undefined;
+
+  public constructor(private readonly options: ControlPlaneOptions) {}
+
+  /** Opens the data folder and, once the first voters are agreed, takes part. */
+  public async start(): Promise<void> {
+    const { cfg } = this.options;
+    if (!cfg.voter) {
+      return;
+    }
+    const files = this.options.files ?? (await this.openFolder());
+    this.identity = await consensus.openIdentity(files);
+    void this.runVoter(files).catch((err: unknown) => {
+      if (!this.stopping.signal.aborted) {
+        this.options.log.error({ step: 'voter', err: schemas.toError(err).message });
+      }
+    });
+  }
+
+  /** Ends every task; a leader gives its place up first. */
+  public stop(): void {
+    this.stopping.abort(new Error('stopping'));
+    this.voter?.stop();
+  }
+
+  /** This data folder's number and the first voters, as far as they are agreed. */
+  public getGenesis(): consensus.Genesis {
+    if (this.identity === undefined) {
+      throw new schemas.StepError({ id: 'notLeader', step: 'genesis' });
+    }
+    return this.identity;
+  }
+
+  /** The voter, or an error where this daemon is none. */
+  public getVoter(): consensus.Voter {
+    if (this.voter === undefined) {
+      throw new schemas.StepError({ id: 'notLeader', step: 'voter' });
+    }
+    return this.voter;
+  }
+
+  /** The leadership, or an error where this daemon does not lead. */
+  public getLeadership(): consensus.Leadership {
+    const leadership = this.voter?.leadership;
+    if (leadership === undefined) {
+      throw new schemas.StepError({ id: 'notLeader', step: 'leader' });
+    }
+    return leadership;
+  }
+
+  /** The leader that this daemon knows of. */
+  public findLeader(): string | undefined {
+    return this.voter?.leader ?? this.leaderHint;
+  }
+
+  /** Notes who leads, as a peer told. */
+  public noteLeader(leader: string | undefined): void {
+    this.leaderHint = leader ?? this.leaderHint;
+  }
+
+  /** Puts a command into the log, as the leader. */
+  public async proposeHere(command: schemas.Command): Promise<schemas.CommandResult> {
+    const { result } = await this.getLeadership().propose(command);
+    return result as schemas.CommandResult;
+  }
+
+  /** Asks the leader for something, wherever it is, until the time is over. */
+  public async atLeader<T>(
+    here: () => Promise<T>,
+    there: (api: peerMeshes.PeerApi) => Promise<T>,
+  ): Promise<T> {
+    const { clock, mesh } = this.options;
+    const end = clock.now() + PROPOSE_MS;
+    let last: unknown;
+    while (clock.now() < end) {
+      for (const daemonId of this.listLeaders()) {
+        try {
+          return daemonId === this.options.cfg.daemonId
+            ? await here()
+            : await there(mesh.get(daemonId));
+        } catch (err) {
+          last = err;
+        }
+      }
+      await clock.sleep(PROPOSE_PAUSE_MS);
+    }
+    throw new schemas.StepError({ id: 'notLeader', step: 'ask-leader', cause: last });
+  }
+
+  private *listLeaders(): Generator<string> {
+    const { cfg } = this.options;
+    const hint = this.findLeader();
+    if (hint !== undefined) {
+      yield hint;
+    }
+    for (const peer of cfg.peers) {
+      if (peer.voter && peer.daemonId !== hint) {
+        yield peer.daemonId;
+      }
+    }
+  }
+
+  private async openFolder(): Promise<consensus.FileLayer> {
+    const files = new consensus.FolderFiles(path.join(this.options.cfg.dataFolder ?? '', 'log'));
+    await files.open();
+    return files;
+  }
+
+  private async runVoter(files: consensus.FileLayer): Promise<void> {
+    const { cfg, clock, log, mesh, random } = this.options;
+    const { signal } = this.stopping;
+    const firstVoters = cfg.peers.filter((peer) => peer.voter).map((peer) => peer.daemonId);
+    this.identity = await consensus.agreeGenesis(
+      files,
+      this.getGenesis(),
+      cfg.daemonId,
+      firstVoters,
+      (peer) => mesh.get(peer).genesis.mutate(),
+      clock,
+      signal,
+    );
+    this.voter = await consensus.Voter.create({
+      daemonId: cfg.daemonId,
+      genesis: this.identity,
+      wal: new consensus.Wal(files),
+      machine: this.createMachine(),
+      transport: createTransport(mesh),
+      clock,
+      log,
+      timings: cfg.timings,
+      random,
+    });
+    this.feedStore();
+    await consensus.runElections(this.voter, signal);
+  }
+
+  private createMachine(): consensus.StateMachine {
+    return {
+      apply: (entry) => {
+        const result = this.state.apply(entry.data as schemas.Command, entry.index);
+        this.feedStore();
+        return result;
+      },
+      getSnapshot: () => this.state.getSnapshot(),
+      restore: (snapshot) => {
+        this.state.restore(snapshot as intents.ControlSnapshot);
+        this.feedStore();
+      },
+    };
+  }
+
+  /** Only applied entries come here, so only what a majority holds is ever put in force. */
+  private feedStore(): void {
+    const { store } = this.options;
+    const deltas = this.state.findDeltas(store.get().revision);
+    if (deltas === undefined || !store.offerDeltas(deltas)) {
+      store.offer(this.state.getConfiguration());
+    }
+  }
+
+  /** Gives a daemon a seat among the voters, or takes it away, as the leader. */
+  public async changeVoters(change: peerRouters.VoterChange): Promise<void> {
+    const leadership = this.getLeadership();
+    if (change.action === 'remove') {
+      await leadership.removeVoter(change.daemonId);
+      return;
+    }
+    const { voterId } = await this.options.mesh.get(change.daemonId).genesis.mutate();
+    await leadership.addVoter({ daemonId: change.daemonId, voterId });
+  }
+
+  /** What the leader tells operators of the voters. */
+  public describeVoters(): peerRouters.StatusReport['voters'] {
+    const leadership = this.getLeadership();
+    const own = {
+      daemonId: this.options.cfg.daemonId,
+      match: this.getVoter().commitIndex,
+      silentMs: 0,
+    };
+    return [own, ...leadership.listPeers()];
+  }
+}
+
+function createTransport(mesh: peerMeshes.PeerMesh): consensus.Transport {
+  return {
+    vote: (peer, req) => mesh.get(peer).vote.mutate(req),
+    append: (peer, req) => mesh.get(peer).append.mutate(req),
+    snapshot: (peer, req) => mesh.get(peer).snapshot.mutate(req),
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/daemon.ts
@@ -0,0 +1,313 @@
+import * as http from 'node:http';
+import type * as net from 'node:net';
+
+import * as members from '@bramleyridge/members';
+import * as peers from '@bramleyridge/peers';
+import * as requests from '@bramleyridge/requests';
+import * as schemas from '@bramleyridge/schemas';
+import * as polka from 'polka';
+
+import * as adoptions from './adoption-table.js';
+import * as callerApis from './caller-api.js';
+import * as claimDesks from './claim-desk.js';
+import * as controlPlanes from './control-plane.js';
+import * as decisionLogs from './decision-log.js';
+import * as grantClients from './grant-client.js';
+import * as leaderTasks from './leader-tasks.js';
+import * as metricSinks from './metrics.js';
+import * as operatorApis from './operator-api.js';
+import type * as parts from './parts.js';
+import * as peerMeshes from './peer-mesh.js';
+import * as peerRouters from './peer-router.js';
+import * as platformWatches from './platform-watch.js';
+import * as poolHosts from './pool-host.js';
+import * as teamAccess from './team-access.js';
+
+/** How long the balancer may still send requests after readiness fails, in milliseconds. */
+const BALANCER_LAG_MS = 1_000;
+
+/** The largest headers that are taken, in bytes. */
+const MAX_HEADER_BYTES = 16_384;
+
+/** How long a client may take over its headers, in milliseconds. */
+const HEADERS_MS = 10_000;
+
+/** What a daemon needs besides its settings. */
+export interface DaemonOptions {
+  readonly log: schemas.Log;
+  readonly clock?: schemas.Clock;
+  readonly random?: () => number;
+}
+
+/** One daemon: every role, switched on by its settings and by what its zone needs of it. */
+export class Daemon {
+  public readonly incarnation = Date.now();
+  public readonly mesh: peerMeshes.PeerMesh;
+  public readonly store: members.ConfigurationStore;
+  public readonly view: members.ZoneView;
+  public readonly control: controlPlanes.ControlPlane;
+  public readonly leader: leaderTasks.LeaderTasks;
+  public readonly poolHost: poolHosts.PoolHost;
+  public readonly parts: parts.Parts;
+  private readonly clock: schemas.Clock;
+  private readonly keyring: peers.Keyring;
+  private readonly syncServer: members.SyncServer;
+  private readonly syncClient: members.SyncClient;
+  private readonly peerServer: peers.PeerServer;
+  private readonly platform: platformWatches.PlatformWatch;
+  private readonly server: http.Server;
+  private isCut = false;
+  private stopping: Promise<void> | undefined;
+
+  public constructor(
+    private readonly cfg: schemas.DaemonConfig,
+    private readonly options: DaemonOptions,
+  ) {
+    const { log } = options;
+    const clock = options.clock ?? new schemas.SystemClock();
+    const random = options.random ?? Math.random;
+    this.clock = clock;
+    this.keyring = new peers.Keyring(cfg.keysFile);
+    this.store = new members.ConfigurationStore(clock);
+    this.view = new members.ZoneView(() => this.createBeat(), clock, cfg.timings.suspectMs);
+    this.mesh = new peerMeshes.PeerMesh(this.keyring, cfg.timings.peerDeadlineMs, (id) =>
+      this.findPlace(id),
+    );
+    const { store, view, mesh } = this;
+    const engines = new requests.EngineClient({
+      connectMs: cfg.limits.upstreamConnectMs,
+      answerMs: cfg.limits.upstreamSilenceMs,
+    });
+    this.control = new controlPlanes.ControlPlane({ cfg, mesh, store, clock, log, random });
+    this.leader = new leaderTasks.LeaderTasks({
+      cfg,
+      control: this.control,
+      store,
+      engines,
+      clock,
+      log,
+    });
+    this.poolHost = new poolHosts.PoolHost({ cfg, view, store, engines, clock, log });
+    this.parts = this.createParts(engines, clock, random);
+    this.syncServer = this.createSyncServer();
+    this.syncClient = this.createSyncClient();
+    this.platform = new platformWatches.PlatformWatch({
+      url: cfg.platformUrl,
+      availabilityZone: cfg.availabilityZone,
+      clock,
+      log,
+      isDue: () => view.isRelay(),
+      take: (list) => view.setUpstreams(list),
+    });
+    this.peerServer = new peers.PeerServer(peerRouters.createPeerRouter(this.createHandlers()), {
+      host: cfg.host,
+      port: cfg.peerPort,
+      keyring: this.keyring,
+      log,
+      isCut: () => this.isCut,
+    });
+    this.server = this.createHttpServer();
+  }
+
+  /** Listens, joins its zone and serves; gives the ports. */
+  public async start(): Promise<{ callerPort: number; peerPort: number }> {
+    const peerPort = await this.peerServer.listen();
+    await this.control.start();
+    void this.syncClient.run();
+    void this.platform.run();
+    void this.leader.run();
+    void this.poolHost.run();
+    void this.parts.grants.run();
+    void this.parts.claims.run();
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(this.cfg.callerPort, this.cfg.host, resolve);
+    });
+    const callerPort = (this.server.address() as net.AddressInfo).port;
+    this.options.log.info({ step: 'started', callerPort, peerPort, ...this.cfg.timings });
+    return { callerPort, peerPort };
+  }
+
+  /** A planned stop: everything that runs is finished first, however long it takes. */
+  public stop(): Promise<void> {
+    this.stopping ??= this.stopGracefully();
+    return this.stopping;
+  }
+
+  /** Ends at once, as a killed process does; for failure tests. */
+  public kill(): void {
+    this.end();
+    this.server.closeAllConnections();
+    this.server.close();
+  }
+
+  /** Cuts this daemon off from some of its peers; for failure tests. */
+  public cut(isCutOff: (daemonId: string) => boolean, isDeaf: boolean): void {
+    this.mesh.setCut(isCutOff);
+    this.isCut = isDeaf;
+  }
+
+  private async stopGracefully(): Promise<void> {
+    const { drain } = this.parts;
+    this.options.log.info({ decision: 'drain', reason: 'planned stop', active: drain.getActive() });
+    drain.begin();
+    // The zone hears of it with the next heartbeat, so pools move away while requests finish here.
+    this.view.refresh();
+    await drain.waitIdle(BALANCER_LAG_MS);
+    this.end();
+    await new Promise<void>((resolve) => {
+      this.server.close(() => resolve());
+      this.server.closeIdleConnections();
+      setTimeout(() => this.server.closeAllConnections(), BALANCER_LAG_MS).unref();
+    });
+    this.options.log.info({ decision: 'stopped', reason: 'planned stop' });
+  }
+
+  private end(): void {
+    this.syncClient.stop();
+    this.platform.stop();
+    this.leader.stop();
+    this.poolHost.stop();
+    this.parts.grants.stop();
+    this.parts.claims.stop();
+    this.control.stop();
+    this.peerServer.close();
+    this.mesh.close();
+    void this.parts.engines.close();
+    void this.parts.services.close();
+    this.parts.metrics.close();
+  }
+
+  private createBeat(): schemas.Beat {
+    const { daemonId, availabilityZone, host, peerPort, callerPort } = this.cfg;
+    return {
+      daemonId,
+      incarnation: this.incarnation,
+      availabilityZone,
+      host,
+      peerPort,
+      callerPort,
+      isLeaving: this.parts?.drain.isDraining() ?? false,
+      revision: this.store.get().revision,
+    };
+  }
+
+  private findPlace(daemonId: string): peerMeshes.PeerPlace | undefined {
+    const { members: listed } = this.view.getDirectory();
+    return (
+      listed.find((item) => item.daemonId === daemonId) ??
+      this.cfg.peers.find((item) => item.daemonId === daemonId)
+    );
+  }
+
+  private createParts(
+    engines: requests.EngineClient,
+    clock: schemas.Clock,
+    random: () => number,
+  ): parts.Parts {
+    const { cfg, incarnation, mesh, store, view } = this;
+    const { log } = this.options;
+    const calls = new requests.CallRegistry(clock);
+    const shared = { cfg, incarnation, clock, log, store, view, mesh, random };
+    return {
+      ...shared,
+      engines,
+      calls,
+      decisions: new decisionLogs.DecisionLog(log),
+      metrics: new metricSinks.Metrics(cfg),
+      access: new teamAccess.TeamAccess(cfg, store, () => view.entries),
+      services: new requests.ServiceClient({
+        connectMs: cfg.limits.upstreamConnectMs,
+        answerMs: cfg.limits.queueMs,
+        answerBytes: cfg.limits.bodyBytes,
+      }),
+      grants: new grantClients.GrantClient({ ...shared, host: this.poolHost }),
+      claims: new claimDesks.ClaimDesk({ ...shared, calls }),
+      adoptions: new adoptions.AdoptionTable(),
+      ids: new requests.GenerationIds(() => this.keyring.listKeys()),
+      budget: new requests.RetryBudget(clock),
+      drain: new requests.Drain(clock),
+    };
+  }
+
+  private createSyncServer(): members.SyncServer {
+    const { clock, control, leader, store, view } = this;
+    return new members.SyncServer({
+      store,
+      view,
+      clock,
+      findLeader: () => control.findLeader(),
+      findZoneStatus: () => (control.voter?.isLeader() ? leader.zones : undefined),
+      getEntries: () => this.getEntries(),
+    });
+  }
+
+  private createSyncClient(): members.SyncClient {
+    const { cfg, clock, mesh, store, view } = this;
+    return new members.SyncClient({
+      self: () => this.createBeat(),
+      isVoter: cfg.voter,
+      seeds: cfg.peers,
+      store,
+      view,
+      clock,
+      log: this.options.log,
+      heartbeatMs: cfg.timings.heartbeatMs,
+      deadlineMs: cfg.timings.peerDeadlineMs,
+      sync: async (peer, req, deadlineMs) => {
+        const res = await mesh.sync(peer, req, deadlineMs);
+        this.control.noteLeader(res.leader);
+        return res;
+      },
+    });
+  }
+
+  private getEntries(): schemas.ZoneEntries {
+    return this.control.voter?.isLeader() ? this.leader.zones.getEntries() : this.view.entries;
+  }
+
+  private createHandlers(): peerRouters.PeerHandlers {
+    const { control, leader, poolHost, parts: shared, syncServer } = this;
+    return {
+      genesis: async () => control.getGenesis(),
+      vote: (req) => control.getVoter().handleVote(req),
+      append: (req) => control.getVoter().handleAppend(req),
+      snapshot: (req) => control.getVoter().handleSnapshot(req),
+      sync: (req) => syncServer.handle(req),
+      propose: (command) => leader.propose(command),
+      status: async () => leader.describeStatus(),
+      changeVoters: (change) => control.changeVoters(change),
+      grant: ({ model, req }) => poolHost.grant(model, req),
+      pool: async (report) => poolHost.takeReport(report),
+      claim: async (req) => shared.claims.seat.handleClaim(req),
+      recover: async (req) => shared.claims.seat.handleRecover(req),
+      outcome: ({ call, waitMs }) => shared.calls.await(call, waitMs),
+      adopt: async ({ generation }) => shared.adoptions.adopt(generation),
+    };
+  }
+
+  private createHttpServer(): http.Server {
+    const server = http.createServer({
+      maxHeaderSize: MAX_HEADER_BYTES,
+      headersTimeout: HEADERS_MS,
+      requestTimeout: 0,
+      connectionsCheckingInterval: HEADERS_MS / 4,
+    });
+    const app = polka.default({ server, onNoMatch: callerApis.refuseRoute });
+    new callerApis.CallerApi(this.parts).addTo(app);
+    new operatorApis.OperatorApi({
+      cfg: this.cfg,
+      control: this.control,
+      leader: this.leader,
+      decisions: this.parts.decisions,
+      getDeclaration: () => this.store.get().declaration,
+      reloadKeys: () => this.keyring.reload(),
+      drain: () => {
+        void this.stop();
+      },
+    }).addTo(app);
+    server.on('connection', (socket) => socket.setNoDelay(true));
+    server.on('request', app.handler.bind(app) as never);
+    return server;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/http-io.ts
@@ -0,0 +1,137 @@
+import type * as http from 'node:http';
+
+import * as schemas from '@bramleyridge/schemas';
+
+/** A request with the parameters of its route. */
+export type ApiRequest = http.IncomingMessage & { readonly params: Record<string, string> };
+
+/** Reads a body whole, within its limits of size and time. */
+export function readBody(
+  req: http.IncomingMessage,
+  limits: schemas.DaemonConfig['limits'],
+): Promise<Buffer> {
+  return new Promise((resolve, reject) => {
+    const parts: Buffer[] = [];
+    let size = 0;
+    const refuse = (id: 'bodyTooLarge' | 'bodyTooSlow' | 'linkClosed', arg: number) => {
+      clearTimeout(timer);
+      req.pause();
+      const status = id === 'bodyTooLarge' ? 413 : 408;
+      reject(
+        new schemas.Refusal({ id, step: 'read-body', status, outcome: 'not-run', args: [arg] }),
+      );
+    };
+    // A client that sends a byte a second would hold its memory and its place for ever.
+    const timer = setTimeout(
+      () => refuse('bodyTooSlow', limits.bodyTimeoutMs),
+      limits.bodyTimeoutMs,
+    );
+    if (Number(req.headers['content-length'] ?? 0) > limits.bodyBytes) {
+      refuse('bodyTooLarge', limits.bodyBytes);
+      return;
+    }
+    req.on('data', (part: Buffer) => {
+      size += part.length;
+      parts.push(part);
+      if (size > limits.bodyBytes) {
+        refuse('bodyTooLarge', limits.bodyBytes);
+      }
+    });
+    req.on('end', () => {
+      clearTimeout(timer);
+      resolve(Buffer.concat(parts));
+    });
+    req.on('error', () => refuse('linkClosed', 0));
+    req.on('aborted', () => refuse('linkClosed', 0));
+  });
+}
+
+/** Parses a JSON body by a schema; a fault is a refusal that names it. */
+export function parseJson<T>(
+  schema: { safeParse(input: unknown): ParseResult<T> },
+  body: Buffer,
+): T {
+  let input: unknown;
+  try {
+    input = JSON.parse(body.toString('utf8'));
+  } catch (err) {
+    throw createBadBody(schemas.toError(err).message);
+  }
+  const result = schema.safeParse(input);
+  if (!result.success) {
+    throw createBadBody(schemas.listFaults(result.error as never, input).join('; '));
+  }
+  return result.data as T;
+}
+
+interface ParseResult<T> {
+  readonly success: boolean;
+  readonly data?: T;
+  readonly error?: unknown;
+}
+
+/** Sends a JSON answer. */
+export function sendJson(
+  res: http.ServerResponse,
+  status: number,
+  body: unknown,
+  headers: http.OutgoingHttpHeaders = {},
+): void {
+  const text = JSON.stringify(body);
+  res.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(text),
+    ...headers,
+  });
+  res.end(text);
+}
+
+/** Sends a refusal; one that came before the body was read also ends the connection. */
+export function sendRefusal(
+  req: http.IncomingMessage,
+  res: http.ServerResponse,
+  refusal: schemas.Refusal,
+): void {
+  const { outcome, retryAfterS, location, status } = refusal.options;
+  const headers: http.OutgoingHttpHeaders = { [schemas.OUTCOME_HEADER]: outcome };
+  if (retryAfterS !== undefined) {
+    headers['retry-after'] = String(retryAfterS);
+  }
+  if (location !== undefined) {
+    headers.location = location;
+  }
+  if (!req.complete) {
+    // What is left of the body must not be taken for the next request, nor taken in at all.
+    headers.connection = 'close';
+    res.once('finish', () => req.socket.destroySoon());
+  }
+  sendJson(res, status, refusal.toJson(), headers);
+}
+
+/** Turns whatever was thrown into a refusal. */
+export function toRefusal(err: unknown): schemas.Refusal {
+  if (err instanceof schemas.Refusal) {
+    return err;
+  }
+  const id = err instanceof schemas.StepError ? err.id : 'ranUnknown';
+  const outcome = id === 'claimRefused' || id === 'notLeader' ? 'not-run' : 'unknown';
+  const status = outcome === 'not-run' ? 503 : 502;
+  return new schemas.Refusal({
+    id,
+    step: 'request',
+    status,
+    outcome,
+    cause: err,
+    retryAfterS: outcome === 'not-run' ? 1 : undefined,
+  });
+}
+
+function createBadBody(fault: string): schemas.Refusal {
+  return new schemas.Refusal({
+    id: 'badBody',
+    step: 'parse-body',
+    status: 400,
+    outcome: 'not-run',
+    args: [fault.slice(0, 2_000)],
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/index.ts
@@ -0,0 +1,6 @@
+/** The daemon, for tests and the bench; the program is `bramleyridged`. */
+export * from './claim-seating.js';
+export * from './completion-body.js';
+export * from './daemon.js';
+export * from './peer-mesh.js';
+export * from './peer-router.js';
--- /dev/null
+++ b/packages/daemon/src/operator-api.ts
@@ -0,0 +1,198 @@
+import type * as http from 'node:http';
+
+import * as schemas from '@bramleyridge/schemas';
+import type * as polka from 'polka';
+import * as z from 'zod';
+
+import type * as controlPlanes from './control-plane.js';
+import type * as decisionLogs from './decision-log.js';
+import * as httpIo from './http-io.js';
+import type * as leaderTasks from './leader-tasks.js';
+import * as peerRouters from './peer-router.js';
+
+/** How long the leader may take to answer, in milliseconds. */
+const LEADER_MS = 4_000;
+
+const planBody = z.strictObject({
+  requestId: z.string().min(1).max(128),
+  files: z.array(schemas.declarationFile).max(10_000),
+});
+
+const confirmBody = z.strictObject({ requestId: z.string().min(1).max(128) });
+
+/** What the operators' API needs. */
+export interface OperatorApiOptions {
+  readonly cfg: schemas.DaemonConfig;
+  readonly control: controlPlanes.ControlPlane;
+  readonly leader: leaderTasks.LeaderTasks;
+  readonly decisions: decisionLogs.DecisionLog;
+  readonly getDeclaration: () => schemas.Declaration;
+  readonly reloadKeys: () => void;
+  readonly drain: () => void;
+}
+
+type Handler = (
+  req: httpIo.ApiRequest,
+  res: http.ServerResponse,
+  operator: string,
+) => Promise<void>;
+
+/** What operators reach over HTTP, with tokens of their own. */
+export class OperatorApi {
+  public constructor(private readonly options: OperatorApiOptions) {}
+
+  /** Adds the routes. */
+  public addTo(app: polka.Polka): void {
+    const base = '/operator/v1';
+    app.post(
+      `${base}/plans`,
+      this.serve((req, res, operator) => this.plan(req, res, operator)),
+    );
+    app.post(
+      `${base}/plans/:id/confirm`,
+      this.serve((req, res, operator) => this.confirm(req, res, operator)),
+    );
+    app.get(
+      `${base}/status`,
+      this.serve((_req, res) => this.showStatus(res)),
+    );
+    app.get(
+      `${base}/declaration`,
+      this.serve(async (_req, res) => httpIo.sendJson(res, 200, this.options.getDeclaration())),
+    );
+    app.get(
+      `${base}/explain/:request`,
+      this.serve(async (req, res) =>
+        httpIo.sendJson(res, 200, this.options.decisions.explain(req.params.request ?? '')),
+      ),
+    );
+    app.post(
+      `${base}/voters`,
+      this.serve((req, res) => this.changeVoters(req, res)),
+    );
+    app.post(
+      `${base}/keys/reload`,
+      this.serve(async (_req, res) => {
+        this.options.reloadKeys();
+        httpIo.sendJson(res, 200, {});
+      }),
+    );
+    app.post(
+      `${base}/drain`,
+      this.serve(async (_req, res) => {
+        this.options.drain();
+        httpIo.sendJson(res, 202, {});
+      }),
+    );
+  }
+
+  private serve(handle: Handler): polka.Middleware {
+    return (request, res) => {
+      const req = request as unknown as httpIo.ApiRequest;
+      res.on('error', () => {});
+      void this.run(req, res, handle).catch((err: unknown) => {
+        const refusal = httpIo.toRefusal(err);
+        if (!res.headersSent) {
+          httpIo.sendRefusal(req, res, refusal);
+        }
+      });
+    };
+  }
+
+  private async run(
+    req: httpIo.ApiRequest,
+    res: http.ServerResponse,
+    handle: Handler,
+  ): Promise<void> {
+    await handle(req, res, this.authenticate(req));
+  }
+
+  private authenticate(req: http.IncomingMessage): string {
+    const secret = /^Bearer (.+)$/i.exec(req.headers.authorization ?? '')?.[1] ?? '';
+    const found = this.options.cfg.operators.filter((item) =>
+      schemas.isSecretOf(secret, item.sha256),
+    );
+    if (found[0] === undefined) {
+      throw new schemas.Refusal({
+        id: 'operatorToken',
+        step: 'authenticate',
+        status: 401,
+        outcome: 'not-run',
+      });
+    }
+    return found[0].operator;
+  }
+
+  private async plan(
+    req: httpIo.ApiRequest,
+    res: http.ServerResponse,
+    operator: string,
+  ): Promise<void> {
+    const raw = await httpIo.readBody(req, this.options.cfg.limits);
+    const body = httpIo.parseJson(planBody, raw);
+    const { requestId, files } = body;
+    const declaration = schemas.createDeclaration(files);
+    const answer = await this.propose({
+      kind: 'plan',
+      requestId,
+      operator,
+      at: Date.now(),
+      declaration,
+    });
+    if (answer.faults.length > 0 || answer.result?.kind !== 'planned') {
+      httpIo.sendJson(res, 422, { faults: answer.faults });
+      return;
+    }
+    httpIo.sendJson(res, 200, { plan: answer.result.plan, effects: answer.effects });
+  }
+
+  private async confirm(
+    req: httpIo.ApiRequest,
+    res: http.ServerResponse,
+    operator: string,
+  ): Promise<void> {
+    const raw = await httpIo.readBody(req, this.options.cfg.limits);
+    const { requestId } = httpIo.parseJson(confirmBody, raw);
+    const planId = req.params.id ?? '';
+    const command = { kind: 'confirm' as const, requestId, operator, at: Date.now(), planId };
+    const { result } = await this.propose(command);
+    if (result?.kind === 'refused') {
+      throw new schemas.Refusal({
+        id: result.id,
+        step: 'confirm',
+        status: result.id === 'noPlan' ? 404 : 409,
+        outcome: 'not-run',
+        args: result.args,
+      });
+    }
+    httpIo.sendJson(res, 200, result);
+  }
+
+  private propose(command: schemas.Command): Promise<peerRouters.ProposeAnswer> {
+    const { control, leader } = this.options;
+    return control.atLeader(
+      () => leader.propose(command),
+      (api) => api.propose.mutate(command, { context: { deadlineMs: LEADER_MS } }),
+    );
+  }
+
+  private async showStatus(res: http.ServerResponse): Promise<void> {
+    const { control, leader } = this.options;
+    const status = await control.atLeader(
+      async () => leader.describeStatus(),
+      (api) => api.status.mutate(undefined, { context: { deadlineMs: LEADER_MS } }),
+    );
+    httpIo.sendJson(res, 200, status);
+  }
+
+  private async changeVoters(req: httpIo.ApiRequest, res: http.ServerResponse): Promise<void> {
+    const raw = await httpIo.readBody(req, this.options.cfg.limits);
+    const change = httpIo.parseJson(peerRouters.voterChange, raw);
+    const { control } = this.options;
+    await control.atLeader(
+      () => control.changeVoters(change),
+      (api) => api.changeVoters.mutate(change, { context: { deadlineMs: LEADER_MS } }),
+    );
+    httpIo.sendJson(res, 200, {});
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/parts.ts
@@ -0,0 +1,35 @@
+import type * as members from '@bramleyridge/members';
+import type * as requests from '@bramleyridge/requests';
+import type * as schemas from '@bramleyridge/schemas';
+
+import type * as adoptions from './adoption-table.js';
+import type * as claimDesks from './claim-desk.js';
+import type * as decisionLogs from './decision-log.js';
+import type * as grantClients from './grant-client.js';
+import type * as metricSinks from './metrics.js';
+import type * as peerMeshes from './peer-mesh.js';
+import type * as teamAccess from './team-access.js';
+
+/** What the flows of requests share. */
+export interface Parts {
+  readonly cfg: schemas.DaemonConfig;
+  readonly incarnation: number;
+  readonly clock: schemas.Clock;
+  readonly log: schemas.Log;
+  readonly decisions: decisionLogs.DecisionLog;
+  readonly metrics: metricSinks.Metrics;
+  readonly store: members.ConfigurationStore;
+  readonly view: members.ZoneView;
+  readonly mesh: peerMeshes.PeerMesh;
+  readonly access: teamAccess.TeamAccess;
+  readonly engines: requests.EngineClient;
+  readonly services: requests.ServiceClient;
+  readonly grants: grantClients.GrantClient;
+  readonly claims: claimDesks.ClaimDesk;
+  readonly calls: requests.CallRegistry;
+  readonly adoptions: adoptions.AdoptionTable;
+  readonly ids: requests.GenerationIds;
+  readonly budget: requests.RetryBudget;
+  readonly drain: requests.Drain;
+  readonly random: () => number;
+}
--- /dev/null
+++ b/packages/daemon/src/relay-flow.ts
@@ -0,0 +1,148 @@
+import type * as http from 'node:http';
+import type * as stream from 'node:stream';
+
+import * as requests from '@bramleyridge/requests';
+import * as schemas from '@bramleyridge/schemas';
+
+import * as callerStreams from './caller-stream.js';
+import type * as parts from './parts.js';
+
+/** A generation that is to be passed on to a caller. */
+export interface RelayTask {
+  readonly call: string;
+  readonly generation: string;
+  readonly team: string;
+  readonly model: string;
+  readonly upstream: schemas.Upstream;
+  readonly from: number;
+  readonly body: stream.Readable | undefined;
+  /** Whether this daemon answers for the generation, and stops it when its caller is gone for good. */
+  readonly mayCancel: boolean;
+}
+
+/** Passes generations on, and decides what becomes of one whose caller is gone. */
+export class RelayFlow {
+  public constructor(private readonly parts: parts.Parts) {}
+
+  /** Streams a generation to a caller. */
+  public async stream(task: RelayTask, res: http.ServerResponse): Promise<requests.RelayEnd> {
+    const { cfg } = this.parts;
+    const { generation, model } = task;
+    const caller = new callerStreams.CallerStream(res, { generation, model, limits: cfg.limits });
+    return this.run(
+      task,
+      (bytes) => caller.write(bytes),
+      () => caller.isConnected(),
+      (end) => caller.end(end),
+    );
+  }
+
+  /** Collects a generation for a caller that wants it whole. */
+  public async collect(
+    task: RelayTask,
+    res: http.ServerResponse,
+    add: (bytes: Buffer) => void,
+  ): Promise<requests.RelayEnd> {
+    return this.run(
+      task,
+      async (bytes) => add(bytes),
+      () => !res.destroyed,
+      () => {},
+    );
+  }
+
+  private async run(
+    task: RelayTask,
+    write: (bytes: Buffer) => Promise<void>,
+    isConnected: () => boolean,
+    close: (end: requests.RelayEnd) => void,
+  ): Promise<requests.RelayEnd> {
+    const { adoptions, cfg, clock, engines, grants, log } = this.parts;
+    adoptions.open(task.generation, isConnected);
+    const abort = new AbortController();
+    const relay = requests.relayGeneration(
+      {
+        engines,
+        upstream: task.upstream,
+        generation: task.generation,
+        from: task.from,
+        silenceMs: cfg.limits.upstreamSilenceMs,
+        clock,
+        log,
+        signal: abort.signal,
+        onProgress: (next) => grants.progress(task.call, next),
+      },
+      task.body,
+    );
+    try {
+      const end = await this.pump(relay, write, isConnected);
+      if (end !== undefined) {
+        close(end);
+        grants.finish(task.call, end.outcome === 'complete');
+        this.note(task, end);
+        return end;
+      }
+      await relay.return({ outcome: 'incomplete', next: 0 });
+      return await this.leaveAlone(task);
+    } finally {
+      abort.abort(new Error('over'));
+      adoptions.close(task.generation);
+      grants.finish(task.call, false);
+    }
+  }
+
+  private async pump(
+    relay: AsyncGenerator<Buffer, requests.RelayEnd>,
+    write: (bytes: Buffer) => Promise<void>,
+    isConnected: () => boolean,
+  ): Promise<requests.RelayEnd | undefined> {
+    for (;;) {
+      const step = await relay.next();
+      if (step.done) {
+        return step.value;
+      }
+      await write(step.value);
+      if (!isConnected()) {
+        return undefined;
+      }
+    }
+  }
+
+  /**
+   * The caller is gone. It may come back through any daemon within the grace, and then that daemon goes on
+   * with the generation; if nobody comes the engine is told to stop, so that it does not fill its memory
+   * for nobody.
+   */
+  private async leaveAlone(task: RelayTask): Promise<requests.RelayEnd> {
+    const { adoptions, cfg, clock, engines, log } = this.parts;
+    const { generation, upstream } = task;
+    const graceMs = cfg.limits.callerGraceMs;
+    const isAdopted = !task.mayCancel || (await adoptions.waitAdopted(generation, clock, graceMs));
+    const end: requests.RelayEnd = { outcome: 'incomplete', next: 0 };
+    if (isAdopted) {
+      return end;
+    }
+    this.note(task, end);
+    try {
+      await engines.cancel(upstream, generation);
+    } catch (err) {
+      log.warn({ step: 'cancel', peer: upstream.upstreamId, err: schemas.toError(err).message });
+    }
+    return end;
+  }
+
+  private note(task: RelayTask, end: requests.RelayEnd): void {
+    const { cfg, decisions, metrics } = this.parts;
+    metrics.count('requests', { outcome: end.outcome, team: task.team });
+    decisions.note({
+      decision: 'outcome',
+      request: task.generation,
+      team: task.team,
+      availabilityZone: cfg.availabilityZone,
+      upstream: task.upstream.upstreamId,
+      reason: end.outcome,
+      events: end.next,
+      step: end.err?.id,
+    });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/service-flow.ts
@@ -0,0 +1,247 @@
+import type * as http from 'node:http';
+
+import * as requests from '@bramleyridge/requests';
+import * as schemas from '@bramleyridge/schemas';
+
+import * as httpIo from './http-io.js';
+import type * as parts from './parts.js';
+
+/** Methods that by their definition may be sent again. */
+const IDEMPOTENT = new Set(['GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE']);
+
+interface Job {
+  readonly team: schemas.Team;
+  readonly service: string;
+  readonly call: requests.ServiceCall;
+  readonly key: string | undefined;
+  readonly requestHash: string;
+  readonly excluded: Set<string>;
+  attempt: number;
+}
+
+/** The flow of a call to a plain service. */
+export class ServiceFlow {
+  private counter = 0;
+  private readonly outstanding = new Map<string, number>();
+  private readonly leaving = new Map<string, number>();
+
+  public constructor(private readonly parts: parts.Parts) {}
+
+  /** Serves one request. */
+  public async handle(
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+    name: string,
+    path: string,
+  ): Promise<void> {
+    const { access, budget, cfg } = this.parts;
+    const team = access.authenticate(req);
+    access.checkPlace(team, `/services/${name}${path}`);
+    const service = this.findService(name);
+    const body = await httpIo.readBody(req, cfg.limits);
+    budget.noteRequest();
+    const job = createJob(req, team, service, path, body);
+    const answer = (await this.join(job)) ?? (await this.run(job));
+    res.writeHead(answer.status, {
+      ...answer.headers,
+      [schemas.OUTCOME_HEADER]: 'complete',
+      'content-length': answer.body.length,
+    });
+    res.end(answer.body);
+  }
+
+  private async run(job: Job): Promise<requests.KeptAnswer> {
+    const { budget, calls, claims, services } = this.parts;
+    for (;;) {
+      const upstream = this.choose(job);
+      const call = this.createCall();
+      if (job.key !== undefined) {
+        calls.open(call);
+        const key = claims.createKey(job.team.name, job.key, job.attempt);
+        const value = await claims.claim(key, call, upstream.upstreamId, job.requestHash);
+        if (value.call !== call) {
+          calls.set(call, { state: 'not-run' });
+          const joined = await this.join(job);
+          if (joined !== undefined) {
+            return joined;
+          }
+          continue;
+        }
+      }
+      this.note(job, call, upstream, 'chosen');
+      const release = this.enter(upstream.upstreamId);
+      try {
+        const answer = await services.send(upstream, job.call);
+        calls.set(call, { state: 'done', answer });
+        return answer;
+      } catch (err) {
+        const failure = requests.createUpstreamError(err, 'service', upstream.upstreamId);
+        this.note(job, call, upstream, failure.kind);
+        const didNotRun = failure.kind !== 'lost';
+        calls.set(call, { state: didNotRun ? 'not-run' : 'lost' });
+        if (didNotRun) {
+          this.leaving.set(upstream.upstreamId, this.parts.clock.now());
+          job.attempt += 1;
+        }
+        if (!didNotRun && !job.call.isRepeatable) {
+          throw createRefusal('ranUnknown', 'unknown', failure);
+        }
+        job.excluded.add(upstream.upstreamId);
+        if (!budget.take()) {
+          throw createRefusal(
+            didNotRun ? 'upstreamRefused' : 'ranUnknown',
+            didNotRun ? 'not-run' : 'unknown',
+            failure,
+          );
+        }
+      } finally {
+        release();
+      }
+    }
+  }
+
+  /** The answer of the call that holds this request's key; nothing when the key is free. */
+  private async join(job: Job): Promise<requests.KeptAnswer | undefined> {
+    const { claims } = this.parts;
+    while (job.key !== undefined) {
+      const key = claims.createKey(job.team.name, job.key, job.attempt);
+      const claimed = await claims.find(key, job.requestHash);
+      if (claimed === undefined) {
+        return undefined;
+      }
+      if (claimed.state.state === 'done') {
+        return claimed.state.answer;
+      }
+      // The daemon that claimed it died or lost the answer: whether the service ran it, nobody knows.
+      if (claimed.state.state !== 'not-run') {
+        throw createRefusal('claimLost', 'unknown');
+      }
+      job.attempt += 1;
+    }
+    return undefined;
+  }
+
+  /** The better of two upstreams at random, by what this daemon has outstanding there. */
+  private choose(job: Job): schemas.Upstream {
+    const { cfg, clock, random, view } = this.parts;
+    const candidates = view
+      .getDirectory()
+      .upstreams.filter((item) => item.service === job.service && item.state === 'live')
+      .filter((item) => !job.excluded.has(item.upstreamId))
+      .filter(
+        (item) =>
+          clock.now() - (this.leaving.get(item.upstreamId) ?? -Infinity) >
+          cfg.limits.upstreamSilenceMs,
+      );
+    const first = candidates[Math.floor(random() * candidates.length)];
+    const second = candidates[Math.floor(random() * candidates.length)];
+    if (first === undefined || second === undefined) {
+      throw new schemas.Refusal({
+        id: 'noUpstream',
+        step: 'choose',
+        status: 503,
+        outcome: 'not-run',
+        args: [job.service, cfg.availabilityZone],
+        retryAfterS: 1,
+      });
+    }
+    const countOf = (item: schemas.Upstream) => this.outstanding.get(item.upstreamId) ?? 0;
+    return countOf(second) < countOf(first) ? second : first;
+  }
+
+  private enter(upstreamId: string): () => void {
+    this.outstanding.set(upstreamId, (this.outstanding.get(upstreamId) ?? 0) + 1);
+    return () => {
+      this.outstanding.set(upstreamId, (this.outstanding.get(upstreamId) ?? 1) - 1);
+    };
+  }
+
+  private findService(name: string): schemas.Service {
+    const { cfg, store } = this.parts;
+    const service = store
+      .get()
+      .declaration.services.filter((item) => item.name === name)
+      .find((item) => item.availabilityZones.includes(cfg.availabilityZone));
+    if (service === undefined) {
+      throw new schemas.Refusal({
+        id: 'noService',
+        step: 'find-service',
+        status: 404,
+        outcome: 'not-run',
+        args: [name, cfg.availabilityZone],
+      });
+    }
+    return service;
+  }
+
+  private note(job: Job, call: string, upstream: schemas.Upstream, reason: string): void {
+    this.parts.decisions.note({
+      decision: 'service',
+      request: call,
+      team: job.team.name,
+      availabilityZone: this.parts.cfg.availabilityZone,
+      upstream: upstream.upstreamId,
+      reason,
+      outstanding: this.outstanding.get(upstream.upstreamId) ?? 0,
+      isRepeatable: job.call.isRepeatable,
+    });
+  }
+
+  private createCall(): string {
+    const { cfg, incarnation } = this.parts;
+    this.counter += 1;
+    const counter = `s${this.counter.toString(36)}`;
+    return [cfg.availabilityZone, cfg.daemonId, incarnation.toString(36), counter].join('.');
+  }
+}
+
+function createJob(
+  req: http.IncomingMessage,
+  team: schemas.Team,
+  service: schemas.Service,
+  path: string,
+  body: Buffer,
+): Job {
+  const method = req.method ?? 'GET';
+  const isRepeatable = isCallRepeatable(req, service, method, path);
+  const headers = Object.fromEntries(
+    Object.entries(req.headers).map(([name, value]) => [name, String(value)]),
+  );
+  return {
+    team,
+    service: service.name,
+    call: { method, path, headers, body, isRepeatable },
+    key: req.headers['idempotency-key']?.toString(),
+    requestHash: schemas.getSha256(`${method} ${path}\n${body.toString('base64')}`).slice(0, 32),
+    excluded: new Set(),
+    attempt: 0,
+  };
+}
+
+/** The caller's word goes first, then the declaration's, then the method's definition. */
+function isCallRepeatable(
+  req: http.IncomingMessage,
+  service: schemas.Service,
+  method: string,
+  path: string,
+): boolean {
+  const said = req.headers[schemas.REPEATABLE_HEADER];
+  if (said !== undefined) {
+    return said === 'yes';
+  }
+  const [bare] = path.split('?');
+  const isDeclared = service.notRepeatable.some(
+    (rule) => rule.method === method && (bare === rule.path || bare?.startsWith(`${rule.path}/`)),
+  );
+  return !isDeclared && IDEMPOTENT.has(method);
+}
+
+function createRefusal(
+  id: schemas.MessageId,
+  outcome: schemas.Outcome,
+  cause?: unknown,
+): schemas.Refusal {
+  const status = outcome === 'not-run' ? 503 : 502;
+  const retryAfterS = outcome === 'not-run' ? 1 : undefined;
+  return new schemas.Refusal({ id, step: 'service', status, outcome, cause, retryAfterS });
+}
--- /dev/null
+++ b/packages/fakes/src/fake-platform.ts
@@ -0,0 +1,50 @@
+import type * as schemas from '@bramleyridge/schemas';
+
+import * as servers from './fake-server.js';
+
+/** A small stand-in of the platform's list of hosts; what it tells is late by `lagMs`. */
+export class FakePlatform {
+  private history: { at: number; upstreams: schemas.Upstream[] }[] = [
+    { at: -Infinity, upstreams: [] },
+  ];
+  private readonly server = new servers.FakeServer({
+    'GET /v1/hosts': (req, res) => {
+      const zone = req.query.availabilityZone;
+      const upstreams = this.getLagging().filter(
+        (item) => zone === undefined || item.availabilityZone === zone,
+      );
+      servers.sendJson(res, 200, { upstreams });
+    },
+    'POST /v1/hosts': (req, res) => {
+      this.set(servers.parseBody(req) as schemas.Upstream[]);
+      servers.sendJson(res, 200, {});
+    },
+  });
+
+  public constructor(private readonly lagMs: number) {}
+
+  /** Starts to listen and gives the address. */
+  public async listen(): Promise<string> {
+    return this.server.listen(0);
+  }
+
+  /** Sets the true list. */
+  public set(upstreams: schemas.Upstream[]): void {
+    this.history.push({ at: performance.now(), upstreams });
+  }
+
+  /** The true list. */
+  public get(): schemas.Upstream[] {
+    return this.history.at(-1)?.upstreams ?? [];
+  }
+
+  /** Ends at once. */
+  public kill(): void {
+    this.server.kill();
+  }
+
+  private getLagging(): schemas.Upstream[] {
+    const then = performance.now() - this.lagMs;
+    return this.history.filter((item) => item.at <= then).at(-1)?.upstreams ?? [];
+  }
+}
--- /dev/null
+++ b/packages/fakes/src/fake-service.ts
@@ -0,0 +1,48 @@
+import type * as http from 'node:http';
+
+import * as servers from './fake-server.js';
+
+/** A small stand-in of a booking application or a caseworker portal. */
+export class FakeService {
+  /** Every confirm that ran, by booking, with how often. */
+  public readonly confirms = new Map<string, number>();
+  public readonly faults = { refuse: false, resetAfterRead: false, answerDelayMs: 0 };
+  private readonly server = new servers.FakeServer({
+    'POST /confirms': (req, res) => this.confirm(req, res),
+    'GET /slots/:slot': (req, res) =>
+      servers.sendJson(res, 200, { slot: req.params.slot, free: true }),
+    'GET /record': (_req, res) => servers.sendJson(res, 200, Object.fromEntries(this.confirms)),
+    'POST /faults': (req, res) => {
+      Object.assign(this.faults, servers.parseBody(req));
+      servers.sendJson(res, 200, this.faults);
+    },
+  });
+
+  /** Starts to listen and gives the address. */
+  public async listen(): Promise<string> {
+    return this.server.listen(0);
+  }
+
+  /** Ends at once, as a killed process does. */
+  public kill(): void {
+    this.server.kill();
+  }
+
+  private async confirm(req: servers.FakeRequest, res: http.ServerResponse): Promise<void> {
+    if (this.faults.refuse) {
+      res.setHeader('x-not-run', '1');
+      servers.sendJson(res, 503, { error: { message: 'not run' } });
+      return;
+    }
+    const { booking } = servers.parseBody(req) as { booking: string };
+    this.confirms.set(booking, (this.confirms.get(booking) ?? 0) + 1);
+    if (this.faults.resetAfterRead) {
+      req.socket.destroy();
+      return;
+    }
+    await new Promise((resolve) => {
+      setTimeout(resolve, this.faults.answerDelayMs);
+    });
+    servers.sendJson(res, 200, { booking, confirmed: true, count: this.confirms.get(booking) });
+  }
+}
--- /dev/null
+++ b/packages/fakes/src/index.ts
@@ -0,0 +1,9 @@
+/** Small stand-ins of the systems outside, for tests, the bench and the quickstart. */
+export * from './engine-model.js';
+export * from './fake-engine.js';
+export * from './fake-generation.js';
+export * from './fake-platform.js';
+export * from './fake-server.js';
+export * from './fake-service.js';
+export * from './memory-files.js';
+export * from './token-text.js';
--- /dev/null
+++ b/packages/intents/src/index.ts
@@ -0,0 +1,5 @@
+/** Intents, plans and confirmations: their rules, without input or output. */
+export * from './check.js';
+export * from './control-state.js';
+export * from './diff.js';
+export * from './plan-life.js';
--- /dev/null
+++ b/packages/members/src/index.ts
@@ -0,0 +1,9 @@
+/** Heartbeats, live and leaving hosts, pool ownership, the configuration in force. */
+export * from './configuration-store.js';
+export * from './member-life.js';
+export * from './member-table.js';
+export * from './pool-ownership.js';
+export * from './sync-client.js';
+export * from './sync-server.js';
+export * from './zone-status.js';
+export * from './zone-view.js';
--- /dev/null
+++ b/packages/peers/src/peer-client.ts
@@ -0,0 +1,196 @@
+import * as tls from 'node:tls';
+
+import * as schemas from '@bramleyridge/schemas';
+
+import * as frames from './frame.js';
+import type * as keyrings from './keyring.js';
+import * as tlsOptions from './tls-options.js';
+
+/** How often an idle link is tried, in milliseconds. */
+const PING_MS = 2_000;
+
+/** After how long without a byte a link is given up, in milliseconds. */
+const SILENCE_MS = 5_000;
+
+/** Where a peer is and how to reach it. */
+export interface PeerClientOptions {
+  readonly peer: string;
+  readonly host: string;
+  readonly port: number;
+  readonly keyring: keyrings.Keyring;
+  readonly connectMs: number;
+  /** Whether the link is cut; failure tests cut links here. */
+  readonly isCut?: () => boolean;
+}
+
+interface Waiting {
+  readonly path: string;
+  readonly resolve: (output: unknown) => void;
+  readonly reject: (err: Error) => void;
+}
+
+/** Counts of what went over a link, for the capacity page. */
+export interface LinkCounts {
+  bytesOut: number;
+  bytesIn: number;
+  calls: number;
+}
+
+/** Calls one peer over one connection, made when needed and remade when it falls silent. */
+export class PeerClient {
+  public readonly counts: LinkCounts = { bytesOut: 0, bytesIn: 0, calls: 0 };
+  private socket: tls.TLSSocket | undefined;
+  private connecting: Promise<tls.TLSSocket> | undefined;
+  private waiting = new Map<number, Waiting>();
+  private nextId = 1;
+  private closed = false;
+
+  public constructor(private readonly options: PeerClientOptions) {}
+
+  /** Calls a procedure; rejects after the deadline, and tells the peer to stop working on it. */
+  public async call(path: string, input: unknown, deadlineMs: number): Promise<unknown> {
+    const timeout = new Promise<never>((_, reject) => {
+      const timer = setTimeout(
+        () => reject(this.createError('deadline', path, [deadlineMs])),
+        deadlineMs,
+      );
+      timer.unref();
+    });
+    if (this.options.isCut?.()) {
+      return timeout;
+    }
+    const id = this.nextId;
+    this.nextId += 1;
+    this.counts.calls += 1;
+    try {
+      return await Promise.race([this.exchange(id, path, input), timeout]);
+    } finally {
+      if (this.waiting.delete(id)) {
+        this.send(['cancel', id]);
+      }
+    }
+  }
+
+  /** Ends the connection for good. */
+  public close(): void {
+    this.closed = true;
+    this.socket?.destroy();
+  }
+
+  private async exchange(id: number, path: string, input: unknown): Promise<unknown> {
+    await this.getSocket();
+    return new Promise((resolve, reject) => {
+      this.waiting.set(id, { path, resolve, reject });
+      this.send(['call', id, path, input]);
+    });
+  }
+
+  private send(frame: frames.Frame): void {
+    if (this.socket === undefined || this.socket.destroyed || this.options.isCut?.()) {
+      return;
+    }
+    const bytes = frames.encodeFrame(frame);
+    this.counts.bytesOut += bytes.length;
+    this.socket.write(bytes);
+  }
+
+  private async getSocket(): Promise<tls.TLSSocket> {
+    if (this.closed) {
+      throw this.createError('linkClosed', 'connect');
+    }
+    if (this.socket !== undefined && !this.socket.destroyed) {
+      return this.socket;
+    }
+    this.connecting ??= this.connect().finally(() => {
+      this.connecting = undefined;
+    });
+    return this.connecting;
+  }
+
+  private connect(): Promise<tls.TLSSocket> {
+    return new Promise((resolve, reject) => {
+      const socket = tls.connect({
+        ...tlsOptions.pskOptions,
+        host: this.options.host,
+        port: this.options.port,
+        pskCallback: () => this.options.keyring.getActive(),
+        checkServerIdentity: () => undefined,
+      });
+      socket.setNoDelay(true);
+      socket.setTimeout(this.options.connectMs, () => {
+        socket.destroy(this.createError('deadline', 'connect', [this.options.connectMs]));
+      });
+      socket.once('secureConnect', () => {
+        this.socket = socket;
+        this.watch(socket);
+        resolve(socket);
+      });
+      socket.once('error', (err) => reject(this.createError('linkClosed', 'connect', [], err)));
+    });
+  }
+
+  private watch(socket: tls.TLSSocket): void {
+    const reader = new frames.FrameReader();
+    // A middlebox that forgot the connection drops bytes without a reset; only silence shows it.
+    // Pings make silence suspicious, and a new connection is made for the next call.
+    socket.setTimeout(SILENCE_MS, () => socket.destroy());
+    const pinger = setInterval(() => this.send(['ping']), PING_MS);
+    pinger.unref();
+    socket.on('data', (bytes: Buffer) => {
+      this.counts.bytesIn += bytes.length;
+      try {
+        for (const frame of reader.push(bytes)) {
+          this.take(frame);
+        }
+      } catch (err) {
+        socket.destroy(schemas.toError(err));
+      }
+    });
+    socket.on('error', () => socket.destroy());
+    socket.on('close', () => {
+      clearInterval(pinger);
+      const lost = this.waiting;
+      this.waiting = new Map();
+      lost.forEach((call) => call.reject(this.createError('linkClosed', call.path)));
+    });
+  }
+
+  private take(frame: frames.Frame): void {
+    if ((frame[0] !== 'result' && frame[0] !== 'failure') || this.options.isCut?.()) {
+      return;
+    }
+    const call = this.waiting.get(frame[1]);
+    this.waiting.delete(frame[1]);
+    if (call === undefined) {
+      return;
+    }
+    if (frame[0] === 'result') {
+      call.resolve(frame[2]);
+    } else {
+      call.reject(new RemoteError(this.options.peer, call.path, frame[2], frame[3]));
+    }
+  }
+
+  private createError(
+    id: schemas.MessageId,
+    step: string,
+    args: readonly (string | number)[] = [],
+    cause?: unknown,
+  ): schemas.StepError {
+    return new schemas.StepError({ id, step, peer: this.options.peer, args, cause });
+  }
+}
+
+/** An error that the peer itself answered with. */
+export class RemoteError extends Error {
+  public override readonly name = 'RemoteError';
+
+  public constructor(
+    public readonly peer: string,
+    public readonly step: string,
+    message: string,
+    public readonly code: string,
+  ) {
+    super(message);
+  }
+}
--- /dev/null
+++ b/packages/peers/src/peer-server.ts
@@ -0,0 +1,128 @@
+import type * as net from 'node:net';
+import * as tls from 'node:tls';
+
+import * as schemas from '@bramleyridge/schemas';
+import * as trpc from '@trpc/server';
+
+import * as frames from './frame.js';
+import type * as keyrings from './keyring.js';
+import * as tlsOptions from './tls-options.js';
+
+/** What the server needs besides its router. */
+export interface PeerServerOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly keyring: keyrings.Keyring;
+  readonly log: schemas.Log;
+  /** Whether traffic from an address is let in; failure tests cut links here. */
+  readonly isCut?: () => boolean;
+}
+
+/** Serves a tRPC router to the other daemons, one task for each connection. */
+export class PeerServer {
+  private readonly server: tls.Server;
+  private readonly sockets = new Set<net.Socket>();
+
+  public constructor(
+    private readonly router: trpc.AnyTRPCRouter,
+    private readonly options: PeerServerOptions,
+  ) {
+    this.server = tls.createServer(
+      {
+        ...tlsOptions.pskOptions,
+        pskCallback: (_socket, identity) => options.keyring.findKey(identity) ?? null,
+      },
+      (socket) => this.serve(socket),
+    );
+    this.server.on('tlsClientError', (err, socket) => {
+      options.log.warn({ step: 'accept-peer', peer: socket.remoteAddress, err: err.message });
+    });
+  }
+
+  /** Starts to listen and gives the port. */
+  public async listen(): Promise<number> {
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(this.options.port, this.options.host, resolve);
+    });
+    const address = this.server.address();
+    return typeof address === 'object' && address !== null ? address.port : 0;
+  }
+
+  /** Stops listening and ends every connection. */
+  public close(): void {
+    this.server.close();
+    this.sockets.forEach((socket) => socket.destroy());
+  }
+
+  private serve(socket: tls.TLSSocket): void {
+    const reader = new frames.FrameReader();
+    const calls = new Map<number, AbortController>();
+    this.sockets.add(socket);
+    socket.setNoDelay(true);
+    socket.on('error', (err) => {
+      this.options.log.debug({ step: 'serve-peer', peer: socket.remoteAddress, err: err.message });
+    });
+    socket.on('close', () => {
+      this.sockets.delete(socket);
+      calls.forEach((call) => call.abort());
+    });
+    socket.on('data', (bytes: Buffer) => {
+      try {
+        for (const frame of reader.push(bytes)) {
+          this.take(socket, frame, calls);
+        }
+      } catch (err) {
+        this.options.log.warn({ step: 'read-frame', err: schemas.toError(err).message });
+        socket.destroy();
+      }
+    });
+  }
+
+  private take(socket: tls.TLSSocket, frame: frames.Frame, calls: Map<number, AbortController>) {
+    if (this.options.isCut?.()) {
+      return;
+    }
+    if (frame[0] === 'ping') {
+      socket.write(frames.encodeFrame(['pong']));
+    } else if (frame[0] === 'cancel') {
+      calls.get(frame[1])?.abort();
+    } else if (frame[0] === 'call') {
+      void this.answer(socket, frame, calls);
+    }
+  }
+
+  private async answer(
+    socket: tls.TLSSocket,
+    [, id, path, input]: Extract<frames.Frame, readonly ['call', ...unknown[]]>,
+    calls: Map<number, AbortController>,
+  ): Promise<void> {
+    const abort = new AbortController();
+    calls.set(id, abort);
+    const reply = await this.run(path, input, abort.signal).then(
+      (output): frames.Frame => ['result', id, output],
+      (err: unknown): frames.Frame => ['failure', id, schemas.toError(err).message, getCode(err)],
+    );
+    calls.delete(id);
+    if (!socket.destroyed && !abort.signal.aborted && !this.options.isCut?.()) {
+      socket.write(frames.encodeFrame(reply));
+    }
+  }
+
+  private async run(path: string, input: unknown, signal: AbortSignal): Promise<unknown> {
+    return (await trpc.callTRPCProcedure({
+      router: this.router,
+      path,
+      type: 'mutation',
+      ctx: {},
+      getRawInput: () => Promise.resolve(input),
+      signal,
+      batchIndex: 0,
+    })) as unknown;
+  }
+}
+
+function getCode(err: unknown): string {
+  const cause = err instanceof Error ? (err.cause ?? err) : err;
+  return cause instanceof schemas.StepError ? cause.id : 'INTERNAL';
+}
--- /dev/null
+++ b/packages/peers/src/tls-options.ts
@@ -0,0 +1,9 @@
+/**
+ * Both ends prove the key and the stream is encrypted with forward secrecy.
+ * Node offers pre-shared keys only up to TLS 1.2.
+ */
+export const pskOptions = {
+  ciphers: 'ECDHE-PSK-CHACHA20-POLY1305',
+  minVersion: 'TLSv1.2',
+  maxVersion: 'TLSv1.2',
+} as const;
--- /dev/null
+++ b/packages/placement/src/desired-state.ts
@@ -0,0 +1,99 @@
+import * as schemas from '@bramleyridge/schemas';
+
+/** A version of a model on an upstream. */
+export interface Slot {
+  readonly upstreamId: string;
+  readonly model: string;
+  readonly version: string;
+}
+
+/** What an engine was last seen to hold. */
+export interface Observed {
+  readonly upstream: schemas.Upstream;
+  readonly isLeaving: boolean;
+  readonly models: readonly { readonly model: string; readonly version: string }[];
+}
+
+/** A step towards what is desired. */
+export interface Step {
+  readonly action: schemas.Order['action'];
+  readonly slot: Slot;
+  readonly reason: string;
+}
+
+/** Where each intent's model version should be; upstreams that hold it already come first. */
+export function getDesiredSlots(
+  declaration: schemas.Declaration,
+  observed: readonly Observed[],
+): Slot[] {
+  const usable = observed.filter((item) => item.upstream.kind === 'engine' && !item.isLeaving);
+  const slots = declaration.intents.flatMap((intent) =>
+    intent.availabilityZones.flatMap((zone) => {
+      const inZone = usable.filter((item) => item.upstream.availabilityZone === zone);
+      return chooseUpstreams(intent, inZone).map((upstreamId) => ({
+        upstreamId,
+        model: intent.model,
+        version: intent.version,
+      }));
+    }),
+  );
+  const byKey = new Map(slots.map((slot) => [getSlotKey(slot), slot]));
+  return [...byKey.values()];
+}
+
+/**
+ * The steps from what is seen to what is desired. They follow from the last state alone, so a leader that
+ * comes back to hundreds of changes never sends the orders that led there. A version that is not wanted
+ * stays until the wanted one of the same model is seen in the zone, so that there is always one to serve.
+ */
+export function planSteps(desired: readonly Slot[], observed: readonly Observed[]): Step[] {
+  const wanted = new Set(desired.map(getSlotKey));
+  const seen = observed.flatMap((item) =>
+    item.models.map((held) => ({ upstreamId: item.upstream.upstreamId, ...held })),
+  );
+  const held = new Set(seen.map(getSlotKey));
+  const zones = new Map(
+    observed.map((item) => [item.upstream.upstreamId, item.upstream.availabilityZone]),
+  );
+  const loads = desired
+    .filter((slot) => !held.has(getSlotKey(slot)))
+    .map((slot) => ({ action: 'load' as const, slot, reason: 'wanted and not seen' }));
+  const unloads = seen
+    .filter((slot) => !wanted.has(getSlotKey(slot)))
+    .filter((slot) => isReplaced(slot, desired, held, zones))
+    .map((slot) => ({ action: 'unload' as const, slot, reason: 'not wanted and replaced' }));
+  return [...loads, ...unloads];
+}
+
+/** One slot as a text. */
+export function getSlotKey(slot: Slot): string {
+  return `${slot.upstreamId}/${slot.model}:${slot.version}`;
+}
+
+function chooseUpstreams(intent: schemas.Intent, inZone: readonly Observed[]): string[] {
+  const ranked = schemas.rankByKey(
+    `placement/${intent.model}`,
+    inZone.map((item) => item.upstream.upstreamId),
+  );
+  const holders = new Set(
+    inZone
+      .filter((item) => item.models.some((held) => held.model === intent.model))
+      .map((item) => item.upstream.upstreamId),
+  );
+  const first = ranked.filter((id) => holders.has(id));
+  const rest = ranked.filter((id) => !holders.has(id));
+  return [...first, ...rest].slice(0, intent.upstreamsPerZone);
+}
+
+function isReplaced(
+  slot: Slot,
+  desired: readonly Slot[],
+  held: ReadonlySet<string>,
+  zones: ReadonlyMap<string, string>,
+): boolean {
+  const zone = zones.get(slot.upstreamId);
+  const successors = desired.filter(
+    (other) => other.model === slot.model && zones.get(other.upstreamId) === zone,
+  );
+  return successors.every((other) => held.has(getSlotKey(other)));
+}
--- /dev/null
+++ b/packages/routing/src/fair-queue.ts
@@ -0,0 +1,111 @@
+import type * as types from './types.js';
+
+/** After how long in the queue a batch request is served like an interactive one, in milliseconds. */
+const AGING_MS = 20_000;
+
+/** A request that waits. */
+export interface Waiting {
+  readonly req: types.GrantRequest;
+  readonly enqueuedAt: number;
+  readonly cost: number;
+}
+
+interface TeamQueue {
+  served: number;
+  readonly waiting: Map<types.WorkClass, Waiting[]>;
+}
+
+/**
+ * What waits for room, by team and class. Interactive work goes first, aged batch work joins it; among
+ * teams the one that was served least for its weight goes first, and a team that was away starts level
+ * with the others, so that it can't save up idle time.
+ */
+export class FairQueue {
+  private readonly teams = new Map<string, TeamQueue>();
+  private level = 0;
+
+  public constructor(private readonly getWeight: (team: string) => number) {}
+
+  /** Puts a request at the end of its team's line. */
+  public push(item: Waiting): void {
+    const queue = this.getTeam(item.req.team);
+    if (this.countOf(item.req.team) === 0) {
+      queue.served = Math.max(queue.served, this.level);
+    }
+    const line = queue.waiting.get(item.req.workClass) ?? [];
+    queue.waiting.set(item.req.workClass, line);
+    line.push(item);
+  }
+
+  /** Takes a request out, granted or not. */
+  public remove(item: Waiting): void {
+    const line = this.teams.get(item.req.team)?.waiting.get(item.req.workClass);
+    const at = line?.indexOf(item) ?? -1;
+    if (at >= 0) {
+      line?.splice(at, 1);
+    }
+  }
+
+  /** Charges a team for what it was granted; a negative cost gives back what was not used. */
+  public charge(team: string, cost: number): void {
+    const queue = this.getTeam(team);
+    const before = queue.served;
+    queue.served += cost / this.getWeight(team);
+    if (cost > 0) {
+      this.level = Math.max(this.level, Math.min(before, this.getLeastServed()));
+    }
+  }
+
+  /** The first of each line, in the order in which they should be served. */
+  public *inOrder(now: number): Generator<Waiting> {
+    const heads: { item: Waiting; rank: number; served: number }[] = [];
+    this.teams.forEach((queue) => {
+      queue.waiting.forEach(([item]) => {
+        if (item !== undefined) {
+          const isUrgent = item.req.workClass === 'interactive' || this.isAged(item, now);
+          heads.push({ item, rank: isUrgent ? 0 : 1, served: queue.served });
+        }
+      });
+    });
+    heads.sort((a, b) => a.rank - b.rank || a.served - b.served);
+    for (const head of heads) {
+      yield head.item;
+    }
+  }
+
+  /** Whether a batch request has waited long enough to count as urgent. */
+  public isAged(item: Waiting, now: number): boolean {
+    return now - item.enqueuedAt + item.req.waitedMs > AGING_MS;
+  }
+
+  /** Every request whose patience is over. */
+  public listOverdue(now: number): Waiting[] {
+    return this.listAll().filter((item) => now - item.enqueuedAt >= item.req.patienceMs);
+  }
+
+  /** Everything that waits. */
+  public listAll(): Waiting[] {
+    return [...this.teams.values()].flatMap((queue) => [...queue.waiting.values()].flat());
+  }
+
+  /** How many requests of a team wait. */
+  public countOf(team: string): number {
+    const lines = this.teams.get(team)?.waiting.values() ?? [];
+    return [...lines].reduce((sum, line) => sum + line.length, 0);
+  }
+
+  private getTeam(team: string): TeamQueue {
+    const known = this.teams.get(team);
+    if (known !== undefined) {
+      return known;
+    }
+    const created: TeamQueue = { served: this.level, waiting: new Map() };
+    this.teams.set(team, created);
+    return created;
+  }
+
+  private getLeastServed(): number {
+    const busy = [...this.teams.entries()].filter(([team]) => this.countOf(team) > 0);
+    return busy.length === 0 ? Infinity : Math.min(...busy.map(([, queue]) => queue.served));
+  }
+}
--- /dev/null
+++ b/packages/routing/src/pool-owner.ts
@@ -0,0 +1,295 @@
+import type * as schemas from '@bramleyridge/schemas';
+import * as statistics from 'simple-statistics';
+
+import * as fairQueues from './fair-queue.js';
+import * as lengthModels from './length-model.js';
+import * as liveGenerations from './live-generation.js';
+import * as affinities from './prefix-affinity.js';
+import type * as types from './types.js';
+import * as choices from './upstream-choice.js';
+import * as rooms from './upstream-room.js';
+
+/** How many heads of lines are tried when the first does not fit. */
+const MAX_TRIED = 16;
+
+/** How long progress of a daemon may be missing before its generations leave the account. */
+const SILENT_MS = 10_000;
+
+/** What a refused caller is told to wait, per request of its team ahead of it, in seconds. */
+const RETRY_S_PER_WAITING = 0.05;
+
+/** What a pool owner is made of. */
+export interface PoolOwnerOptions {
+  readonly clock: schemas.Clock;
+  readonly overflowRisk: number;
+  /** Tokens of an engine's memory that the pool's intents may fill. */
+  readonly roomTokens: number;
+  readonly getShare: (team: string) => types.TeamShare;
+  readonly createChoice?: (
+    quantile: number,
+    affinity: affinities.PrefixAffinity,
+  ) => choices.UpstreamChoice;
+}
+
+interface Ticket extends fairQueues.Waiting {
+  readonly decide: (decision: types.GrantDecision) => void;
+}
+
+/** The queue and the account of room of one pool: the engines of one model in one availability zone. */
+export class PoolOwner {
+  public readonly affinity = new affinities.PrefixAffinity();
+  private readonly rooms = new Map<string, rooms.UpstreamRoom>();
+  private readonly queue: fairQueues.FairQueue;
+  private readonly lengths = new lengthModels.LengthModel();
+  private readonly choice: choices.UpstreamChoice;
+  private readonly running = new Map<string, number>();
+  private readonly heardAt = new Map<string, number>();
+  private readonly tickets = new Map<string, Ticket>();
+  private readonly costs = new Map<string, number>();
+
+  public constructor(private readonly options: PoolOwnerOptions) {
+    const quantile = statistics.probit(1 - options.overflowRisk);
+    this.queue = new fairQueues.FairQueue((team) => options.getShare(team).weight);
+    this.choice =
+      options.createChoice?.(quantile, this.affinity) ??
+      new choices.OverflowAwareChoice(quantile, this.affinity);
+  }
+
+  /** Sets which upstreams the pool has; those that left get nothing more. */
+  public setUpstreams(upstreams: readonly { upstreamId: string; isLeaving: boolean }[]): void {
+    const ids = new Set(upstreams.map((item) => item.upstreamId));
+    [...this.rooms.keys()].filter((id) => !ids.has(id)).forEach((id) => this.dropUpstream(id));
+    upstreams.forEach(({ upstreamId, isLeaving }) => {
+      const known = this.rooms.get(upstreamId);
+      const room = known ?? new rooms.UpstreamRoom(upstreamId, this.options.roomTokens);
+      room.isLeaving = isLeaving;
+      this.rooms.set(upstreamId, room);
+    });
+    this.pump();
+  }
+
+  /** Notes the first sign that an upstream is leaving, whoever saw it. */
+  public markLeaving(upstreamId: string): void {
+    const room = this.rooms.get(upstreamId);
+    if (room !== undefined) {
+      room.isLeaving = true;
+    }
+  }
+
+  /** Takes an upstream out at once: it died. */
+  public dropUpstream(upstreamId: string): void {
+    const room = this.rooms.get(upstreamId);
+    room?.generations.forEach((item) => this.finish(item.facts.generation, item.tokens, false));
+    this.rooms.delete(upstreamId);
+    this.affinity.forget(upstreamId);
+  }
+
+  /** Takes an upstream's load report. */
+  public takeReport(upstreamId: string, report: schemas.LoadReport): void {
+    this.rooms.get(upstreamId)?.takeReport(report, this.options.clock.now());
+    this.pump();
+  }
+
+  /** Asks for room; `decide` is called once, now or later. */
+  public request(req: types.GrantRequest, decide: (decision: types.GrantDecision) => void): void {
+    const share = this.options.getShare(req.team);
+    const waiting = this.queue.countOf(req.team);
+    const running = this.running.get(req.team) ?? 0;
+    if (running + waiting >= share.maxConcurrent + share.maxQueued) {
+      decide(this.refuse('too-many', req, 0));
+      return;
+    }
+    if (waiting >= share.maxQueued && waiting > 0) {
+      decide(this.refuse('queue-full', req, 0));
+      return;
+    }
+    const distribution = this.lengths.get(req.team, req.workClass);
+    const cost = req.promptTokens + distribution.getMeanRest(0, req.maxTokens);
+    const ticket: Ticket = { req, enqueuedAt: this.options.clock.now(), cost, decide };
+    this.tickets.set(req.generation, ticket);
+    this.queue.push(ticket);
+    this.pump();
+  }
+
+  /** Takes a request back, because its caller is gone. */
+  public withdraw(generation: string): void {
+    const ticket = this.tickets.get(generation);
+    if (ticket !== undefined) {
+      this.tickets.delete(generation);
+      this.queue.remove(ticket);
+    }
+  }
+
+  /** Learns a generation that a former owner granted, or a daemon alone. */
+  public register(facts: types.RunningGeneration): void {
+    const room = this.rooms.get(facts.upstreamId);
+    if (room === undefined || room.generations.has(facts.generation)) {
+      return;
+    }
+    this.heardAt.set(facts.daemonId, this.options.clock.now());
+    this.admit(room, facts, facts.promptTokens);
+  }
+
+  /** Takes the tokens so far of a daemon's generations. */
+  public progress(batch: types.ProgressBatch): void {
+    const now = this.options.clock.now();
+    const sinceMs = now - (this.heardAt.get(batch.daemonId) ?? now);
+    this.heardAt.set(batch.daemonId, now);
+    const tokens = new Map(batch.tokens);
+    this.rooms.forEach((room) => {
+      const moved = [...room.generations.values()].filter((item) =>
+        tokens.has(item.facts.generation),
+      );
+      let gained = 0;
+      moved.forEach((item) => {
+        const before = item.tokens;
+        item.advance(tokens.get(item.facts.generation) ?? 0);
+        gained += item.tokens - before;
+      });
+      if (moved.length > 0) {
+        room.rebuild();
+      }
+      if (moved.length > 0 && sinceMs > 0) {
+        room.noteSpeed((gained * 1_000) / (sinceMs * moved.length));
+      }
+    });
+  }
+
+  /** Takes a generation off the account. */
+  public finish(generation: string, tokens: number, isNatural: boolean): void {
+    const room = [...this.rooms.values()].find((item) => item.generations.has(generation));
+    const live = room?.remove(generation);
+    if (live === undefined) {
+      return;
+    }
+    live.end(tokens, isNatural);
+    const { team, promptTokens } = live.facts;
+    this.running.set(team, (this.running.get(team) ?? 1) - 1);
+    this.queue.charge(team, promptTokens + tokens - (this.costs.get(generation) ?? 0));
+    this.costs.delete(generation);
+    this.pump();
+  }
+
+  /** Drops what belongs to daemons that are gone, refuses whoever waited too long, grants what fits. */
+  public tick(): void {
+    this.dropSilentDaemons();
+    const now = this.options.clock.now();
+    this.rooms.forEach((room) => room.remember(now));
+    (this.queue.listOverdue(now) as Ticket[]).forEach((ticket) => {
+      this.settle(ticket, this.refuse('patience', ticket.req, now - ticket.enqueuedAt));
+    });
+    this.pump();
+  }
+
+  /** Gives everything that waits back to its askers, who go to the next owner. */
+  public close(): void {
+    this.tickets.forEach((ticket) =>
+      this.settle(ticket, this.refuse('no-upstream', ticket.req, 0)),
+    );
+  }
+
+  /** How the pool stands, for operators and measurements. */
+  public getSummary(): { waiting: number; running: number; pressure: Record<string, number> } {
+    const all = [...this.rooms.values()];
+    return {
+      waiting: this.tickets.size,
+      running: all.reduce((sum, room) => sum + room.generations.size, 0),
+      pressure: Object.fromEntries(all.map((room) => [room.upstreamId, room.getPressure(0)])),
+    };
+  }
+
+  private pump(): void {
+    for (let hasGranted = true; hasGranted;) {
+      hasGranted = this.grantOne();
+    }
+  }
+
+  private grantOne(): boolean {
+    const now = this.options.clock.now();
+    let tried = 0;
+    for (const waiting of this.queue.inOrder(now)) {
+      const ticket = waiting as Ticket;
+      tried += 1;
+      if (this.tryGrant(ticket, now)) {
+        return true;
+      }
+      // An aged request that does not fit holds back what comes behind it: small ones would take every
+      // bit of room as it comes free, and a large draft would never start.
+      if (tried >= MAX_TRIED || this.queue.isAged(waiting, now)) {
+        return false;
+      }
+    }
+    return false;
+  }
+
+  private tryGrant(ticket: Ticket, now: number): boolean {
+    const { req } = ticket;
+    const share = this.options.getShare(req.team);
+    if ((this.running.get(req.team) ?? 0) >= share.maxConcurrent) {
+      return false;
+    }
+    const candidates = [...this.rooms.values()].filter(
+      (room) => !room.isLeaving && !req.excluded.includes(room.upstreamId),
+    );
+    const joining = this.createLive({ ...req, upstreamId: '', tokens: 0 }, now);
+    const choice = this.choice.choose(candidates, joining, req.prefix, now);
+    if (choice === undefined) {
+      return false;
+    }
+    this.admit(choice.room, { ...req, upstreamId: choice.room.upstreamId, tokens: 0 }, ticket.cost);
+    this.affinity.note(req.prefix, choice.room.upstreamId, now);
+    this.heardAt.set(req.daemonId, this.heardAt.get(req.daemonId) ?? now);
+    this.settle(ticket, {
+      upstreamId: choice.room.upstreamId,
+      reason: choice.reason,
+      queuedMs: now - ticket.enqueuedAt,
+      pressure: choice.pressure,
+      retryAfterS: 0,
+    });
+    return true;
+  }
+
+  private admit(room: rooms.UpstreamRoom, facts: types.RunningGeneration, cost: number): void {
+    room.add(this.createLive(facts, this.options.clock.now()));
+    this.running.set(facts.team, (this.running.get(facts.team) ?? 0) + 1);
+    this.costs.set(facts.generation, cost);
+    this.queue.charge(facts.team, cost);
+  }
+
+  private createLive(facts: types.RunningGeneration, now: number): liveGenerations.LiveGeneration {
+    const distribution = this.lengths.get(facts.team, facts.workClass);
+    return new liveGenerations.LiveGeneration(facts, distribution, now);
+  }
+
+  private settle(ticket: Ticket, decision: types.GrantDecision): void {
+    this.tickets.delete(ticket.req.generation);
+    this.queue.remove(ticket);
+    ticket.decide(decision);
+  }
+
+  private refuse(
+    reason: types.GrantReason,
+    req: types.GrantRequest,
+    queuedMs: number,
+  ): types.GrantDecision {
+    const waiting = this.queue.countOf(req.team);
+    const retryAfterS = Math.max(1, Math.ceil(waiting * RETRY_S_PER_WAITING));
+    return { upstreamId: undefined, reason, queuedMs, pressure: 0, retryAfterS };
+  }
+
+  private dropSilentDaemons(): void {
+    const now = this.options.clock.now();
+    const silent = new Set(
+      [...this.heardAt].filter(([, at]) => now - at > SILENT_MS).map(([daemonId]) => daemonId),
+    );
+    if (silent.size === 0) {
+      return;
+    }
+    silent.forEach((daemonId) => this.heardAt.delete(daemonId));
+    this.rooms.forEach((room) => {
+      [...room.generations.values()]
+        .filter((item) => silent.has(item.facts.daemonId))
+        .forEach((item) => this.finish(item.facts.generation, item.tokens, false));
+    });
+  }
+}
--- /dev/null
+++ b/packages/routing/src/prefix-affinity.ts
@@ -0,0 +1,42 @@
+/** How many prefixes are remembered for a pool. */
+const MAX_PREFIXES = 10_000;
+
+/** How long an upstream is expected to keep a prefix that nobody used, in milliseconds. */
+const KEEP_MS = 120_000;
+
+/**
+ * Which upstreams probably hold a prompt's prefix in their cache. Only a hint: events come late and with
+ * gaps, so after a gap everything known of that upstream is forgotten, and a wrong hint costs one prefill.
+ */
+export class PrefixAffinity {
+  private readonly holders = new Map<string, Map<string, number>>();
+
+  /** Notes that an upstream holds a prefix as of `now`. */
+  public note(prefix: string, upstreamId: string, now: number): void {
+    if (prefix === '') {
+      return;
+    }
+    const holders = this.holders.get(prefix) ?? new Map<string, number>();
+    this.holders.delete(prefix);
+    this.holders.set(prefix, holders.set(upstreamId, now));
+    if (this.holders.size > MAX_PREFIXES) {
+      this.holders.delete(this.holders.keys().next().value as string);
+    }
+  }
+
+  /** Notes that an upstream dropped a prefix. */
+  public drop(prefix: string, upstreamId: string): void {
+    this.holders.get(prefix)?.delete(upstreamId);
+  }
+
+  /** Forgets an upstream, after a gap in its events or its end. */
+  public forget(upstreamId: string): void {
+    this.holders.forEach((holders) => holders.delete(upstreamId));
+  }
+
+  /** Whether an upstream probably holds a prefix. */
+  public isHolder(prefix: string, upstreamId: string, now: number): boolean {
+    const since = this.holders.get(prefix)?.get(upstreamId);
+    return since !== undefined && now - since < KEEP_MS;
+  }
+}
--- /dev/null
+++ b/packages/routing/src/upstream-room.ts
@@ -0,0 +1,99 @@
+import type * as schemas from '@bramleyridge/schemas';
+
+import type * as liveGenerations from './live-generation.js';
+import * as forecasts from './memory-forecast.js';
+
+/** How long the account's own past is kept to compare late reports with, in milliseconds. */
+const HISTORY_MS = 10_000;
+
+/** How much a new measure of speed weighs against the former ones. */
+const SPEED_WEIGHT = 0.2;
+
+/** The account of one upstream: what runs there, what it reported, how it is expected to fill. */
+export class UpstreamRoom {
+  public readonly generations = new Map<string, liveGenerations.LiveGeneration>();
+  public isLeaving = false;
+  public report: schemas.LoadReport | undefined;
+  /** Tokens a second and generation, smoothed; 0 while unknown. */
+  public speed = 0;
+  private readonly forecast = new forecasts.MemoryForecast();
+  private history: { readonly at: number; readonly held: number }[] = [];
+  private unaccounted = 0;
+
+  public constructor(
+    public readonly upstreamId: string,
+    private readonly assumedTokens: number,
+  ) {}
+
+  /** The memory that may be filled, in tokens. */
+  public getCapacity(): number {
+    const total = Math.min(this.report?.tokensTotal ?? Infinity, this.assumedTokens);
+    return Math.max(total - this.unaccounted, 1);
+  }
+
+  /** Adds a generation to the account. */
+  public add(generation: liveGenerations.LiveGeneration): void {
+    this.generations.set(generation.facts.generation, generation);
+    this.forecast.add(generation);
+  }
+
+  /** Takes a generation off the account. */
+  public remove(generation: string): liveGenerations.LiveGeneration | undefined {
+    const known = this.generations.get(generation);
+    if (known !== undefined) {
+      this.generations.delete(generation);
+      this.rebuild();
+    }
+    return known;
+  }
+
+  /** Works the forecast out anew, after generations moved on. */
+  public rebuild(): void {
+    this.forecast.clear();
+    this.generations.forEach((generation) => this.forecast.add(generation));
+  }
+
+  /**
+   * Takes a report. It tells of a moment that is past, so only what it shows beyond this account's own
+   * view of that moment counts: work of daemons that decided alone, or of a former owner.
+   */
+  public takeReport(report: schemas.LoadReport, now: number): void {
+    if (this.report !== undefined && report.at <= this.report.at) {
+      return;
+    }
+    this.report = report;
+    this.isLeaving ||= report.state === 'leaving';
+    this.unaccounted = Math.max(0, report.tokensUsed - this.getMostHeldSince(now - report.ageMs));
+  }
+
+  /** Keeps what is held now, for reports to come. */
+  public remember(now: number): void {
+    this.history = this.history.filter((sample) => now - sample.at < HISTORY_MS);
+    this.history.push({ at: now, held: this.forecast.getHeld() });
+  }
+
+  /** Notes how fast its generations moved on. */
+  public noteSpeed(tokensPerSecond: number): void {
+    this.speed =
+      this.speed === 0
+        ? tokensPerSecond
+        : this.speed + SPEED_WEIGHT * (tokensPerSecond - this.speed);
+  }
+
+  /** The forecast share of memory if a generation joins. */
+  public getPressure(quantile: number, joining?: liveGenerations.LiveGeneration): number {
+    return this.forecast.getPressure(this.getCapacity(), quantile, joining);
+  }
+
+  /** The mean memory in use now, in tokens. */
+  public getHeld(): number {
+    return this.forecast.getHeld() + this.unaccounted;
+  }
+
+  private getMostHeldSince(then: number): number {
+    const before = this.history.filter((sample) => sample.at <= then).at(-1);
+    const since = this.history.filter((sample) => sample.at > then);
+    const held = [before, ...since].map((sample) => sample?.held ?? 0);
+    return Math.max(this.forecast.getHeld(), ...held);
+  }
+}
--- /dev/null
+++ b/packages/schemas/src/daemon-config.ts
@@ -0,0 +1,85 @@
+import * as z from 'zod';
+
+import * as names from './names.js';
+
+/** One daemon of the deployment, as its peers find it. */
+export const daemonEntry = z.strictObject({
+  daemonId: names.name,
+  availabilityZone: names.name,
+  host: z.string().min(1),
+  peerPort: names.port,
+  callerPort: names.port,
+  voter: z.boolean().default(false),
+});
+
+/** One daemon of the deployment, as its peers find it. */
+export type DaemonEntry = z.infer<typeof daemonEntry>;
+
+const operatorToken = z.strictObject({ operator: names.name, sha256: names.sha256 });
+
+const limits = z.strictObject({
+  bodyBytes: z.int().min(1024).default(4_194_304),
+  bodyTimeoutMs: z.int().min(100).default(10_000),
+  queueMs: z.int().min(100).default(60_000),
+  callerBufferBytes: z.int().min(4096).default(1_048_576),
+  callerGraceMs: z.int().min(0).default(15_000),
+  upstreamSilenceMs: z.int().min(50).default(5_000),
+  upstreamConnectMs: z.int().min(50).default(1_000),
+});
+
+const timings = z.strictObject({
+  heartbeatMs: z.int().min(20).default(1_000),
+  suspectMs: z.int().min(50).default(3_000),
+  electionMs: z.int().min(30).default(600),
+  leaseMs: z.int().min(20).default(450),
+  reportMs: z.int().min(20).default(500),
+  peerDeadlineMs: z.int().min(20).default(1_000),
+  claimDeadlineMs: z.int().min(20).default(1_500),
+});
+
+/** The settings of one daemon. */
+export const daemonConfig = z
+  .strictObject({
+    daemonId: names.name,
+    region: names.name.default('default'),
+    availabilityZone: names.name,
+    host: z.string().min(1).default('127.0.0.1'),
+    callerPort: names.port,
+    peerPort: names.port,
+    voter: z.boolean().default(false),
+    dataFolder: z.string().min(1).optional(),
+    peers: z.array(daemonEntry).default([]),
+    claimSeats: z.array(names.name).default([]),
+    keysFile: z.string().min(1),
+    operators: z.array(operatorToken).min(1),
+    platformUrl: z.url().optional(),
+    statsd: z.strictObject({ host: z.string(), port: names.port }).optional(),
+    logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
+    limits: limits.prefault({}),
+    timings: timings.prefault({}),
+  })
+  .refine((cfg) => !cfg.voter || cfg.dataFolder !== undefined, {
+    path: ['dataFolder'],
+    message: 'a voter needs a data folder',
+  })
+  .refine((cfg) => cfg.timings.leaseMs < cfg.timings.electionMs, {
+    path: ['timings', 'leaseMs'],
+    message: 'the lease must be shorter than the election timeout',
+  });
+
+/** The settings of one daemon. */
+export type DaemonConfig = z.infer<typeof daemonConfig>;
+
+/** The pre-shared keys of the link between daemons, base64, and the one used for new connections. */
+export const keyFile = z
+  .strictObject({
+    active: names.name,
+    keys: z.record(names.name, z.base64()),
+  })
+  .refine((file) => file.keys[file.active] !== undefined, {
+    path: ['active'],
+    message: 'names no key of this file',
+  });
+
+/** The pre-shared keys of the link between daemons. */
+export type KeyFile = z.infer<typeof keyFile>;
--- /dev/null
+++ b/packages/schemas/src/messages.ts
@@ -0,0 +1,41 @@
+/** Every message that callers, operators or logs see, by id; `%s` is filled in order. */
+export const messages = {
+  badBody: 'the body is not valid: %s',
+  badConfig: 'the settings are not valid: %s',
+  bodyTooLarge: 'the body is larger than %s bytes',
+  bodyTooSlow: 'the body did not arrive within %s ms',
+  chainBroken:
+    'the log %s is damaged at byte %s, before its end; restore the data folder or remove this voter and add it anew',
+  claimLost:
+    'the claim for this key could not be settled by a majority; whether the call ran is not known',
+  claimRefused: 'the claim for this key could not be made by a majority; the call did not run',
+  conflict: 'the plan %s was made on revision %s, but revision %s is in force: %s',
+  deadline: 'no answer within %s ms',
+  draining: 'this daemon is stopping; ask another',
+  frameTooLarge: 'a frame of %s bytes is over the limit of %s',
+  generationGone: 'the generation is gone at the upstream; %s tokens were delivered',
+  generationOfAnother: 'no generation of this team has this identifier',
+  illegalMove: 'a %s cannot %s',
+  keyReused: 'this Idempotency-Key was used with another request',
+  linkClosed: 'the link to the peer is closed',
+  noModel: 'no intent serves model %s for team %s in availability zone %s',
+  noPlan: 'there is no plan %s',
+  noRoute: 'there is nothing at %s %s',
+  noRoom: 'no upstream had room within the time allowed in the queue',
+  noService: 'no service %s is declared for availability zone %s',
+  noUpstream: 'no live upstream serves %s in availability zone %s',
+  notLeader: 'this voter is not the leader',
+  notPermitted: 'team %s is not permitted in availability zone %s',
+  notReady: 'this daemon has not yet learned the configuration in force',
+  operatorToken: 'a valid operator token is needed',
+  planExpired: 'the plan %s is %s and cannot be confirmed',
+  queueFull: 'the queue of team %s is full: %s requests wait',
+  tooMany: 'team %s already has %s requests running, its limit',
+  teamToken: 'a valid team token is needed as bearer token',
+  ranUnknown: 'the upstream was lost after the call was handed to it; whether it ran is not known',
+  upstreamRefused: 'the upstream refused the call as not run',
+  upstreamUnreachable: 'the upstream could not be reached; the call did not run',
+} as const;
+
+/** The id of a message. */
+export type MessageId = keyof typeof messages;
--- /dev/null
+++ b/packages/schemas/src/parse.ts
@@ -0,0 +1,29 @@
+import type * as z from 'zod';
+
+import * as stepError from './step-error.js';
+
+/** Lists every fault of a failed parse, one a line, each with its JSON path and what is allowed. */
+export function listFaults(err: z.ZodError, input: unknown): string[] {
+  return err.issues.map((issue) => {
+    const path = issue.path.map(String).join('.') || '(root)';
+    const value = issue.path.reduce<unknown>(
+      (at, key) =>
+        typeof at === 'object' && at !== null
+          ? (at as Record<PropertyKey, unknown>)[key]
+          : undefined,
+      input,
+    );
+    const shown = JSON.stringify(value)?.slice(0, 80) ?? 'nothing';
+    return `${path}: ${issue.message} (found ${shown})`;
+  });
+}
+
+/** Parses with a schema or throws one error that lists every fault. */
+export function parse<T>(schema: z.ZodType<T>, input: unknown, step: string): T {
+  const result = schema.safeParse(input);
+  if (result.success) {
+    return result.data;
+  }
+  const faults = listFaults(result.error, input).join('; ');
+  throw new stepError.StepError({ id: 'badConfig', step, args: [faults] });
+}
