--- /dev/null
+++ b/packages/consensus/tests/support/cluster.ts
@@ -0,0 +1,217 @@
+import * as consensus from '@bramleyridge/consensus';
+import * as fakes from '@bramleyridge/fakes';
+import * as schemas from '@bramleyridge/schemas';
+import * as xoroshiro from 'pure-rand/generator/xoroshiro128plus';
+
+const TIMINGS: consensus.Timings = { electionMs: 300, leaseMs: 200 };
+
+/** How long a message may be under way, in milliseconds. */
+const DEADLINE_MS = 150;
+
+interface Node {
+  readonly daemonId: string;
+  files: fakes.MemoryFiles;
+  voter: consensus.Voter | undefined;
+  applied: string[];
+  abort: AbortController;
+}
+
+/** How bad the links are, each from 0 to 1. */
+export interface LinkFaults {
+  lost: number;
+  doubled: number;
+  maxDelayMs: number;
+}
+
+/** Voters in one process, on virtual time, over links that lose, double, delay and reorder messages. */
+export class Cluster {
+  public readonly clock = new schemas.VirtualClock();
+  public readonly nodes = new Map<string, Node>();
+  public readonly faults: LinkFaults = { lost: 0, doubled: 0, maxDelayMs: 5 };
+  public snapshotEvery = 50;
+  private readonly cuts = new Set<string>();
+  private readonly rng: ReturnType<typeof xoroshiro.xoroshiro128plus>;
+  private isBreakingSync = false;
+
+  public constructor(
+    private readonly firstVoters: readonly string[],
+    seed: number,
+  ) {
+    this.rng = xoroshiro.xoroshiro128plus(seed);
+  }
+
+  /** A number from 0 up to 1. */
+  public random(): number {
+    return (this.rng.next() >>> 0) / 2 ** 32;
+  }
+
+  /** Lets `sync` lie, to prove that the history check notices. */
+  public breakSync(): void {
+    this.isBreakingSync = true;
+  }
+
+  /** Starts every first voter. */
+  public async startAll(): Promise<void> {
+    this.firstVoters.forEach((id) => this.start(id));
+    await this.clock.advance(2_000);
+  }
+
+  /** Starts a voter on the files that it left, or on none. */
+  public start(daemonId: string): void {
+    const files = this.nodes.get(daemonId)?.files.reopen() ?? new fakes.MemoryFiles();
+    if (this.isBreakingSync) {
+      files.breakSync();
+    }
+    const node: Node = {
+      daemonId,
+      files,
+      voter: undefined,
+      applied: [],
+      abort: new AbortController(),
+    };
+    this.nodes.set(daemonId, node);
+    void this.run(node).catch(() => {
+      node.voter?.stop();
+    });
+  }
+
+  /** Ends a voter as a killed process; unsynced bytes survive in part. */
+  public kill(daemonId: string): void {
+    const node = this.nodes.get(daemonId);
+    node?.abort.abort(new Error('killed'));
+    node?.voter?.stop();
+    node?.files.crashAfter(0, this.random());
+  }
+
+  /** Ends a voter and loses its disk. */
+  public loseDisk(daemonId: string): void {
+    this.kill(daemonId);
+    this.nodes.get(daemonId)?.files.wipe();
+  }
+
+  /** Lets a voter crash at the n-th file operation from now. */
+  public crashInWrite(daemonId: string, calls: number): void {
+    this.nodes.get(daemonId)?.files.crashAfter(calls, this.random());
+  }
+
+  /** Cuts messages from one voter to another. */
+  public cut(from: string, to: string): void {
+    this.cuts.add(`${from}>${to}`);
+  }
+
+  /** Cuts a voter off both ways. */
+  public isolate(daemonId: string): void {
+    this.nodes.forEach((_, other) => {
+      this.cut(daemonId, other);
+      this.cut(other, daemonId);
+    });
+  }
+
+  /** Mends every link. */
+  public heal(): void {
+    this.cuts.clear();
+  }
+
+  /** The voters that lead now, in their own eyes. */
+  public listLeaders(): consensus.Voter[] {
+    return [...this.nodes.values()].flatMap((node) => (node.voter?.isLeader() ? [node.voter] : []));
+  }
+
+  /** The leader of the highest term. */
+  public findLeader(): consensus.Voter | undefined {
+    return this.listLeaders().sort((a, b) => b.term - a.term)[0];
+  }
+
+  /** What a voter has applied. */
+  public getApplied(daemonId: string): readonly string[] {
+    return this.nodes.get(daemonId)?.applied ?? [];
+  }
+
+  private async run(node: Node): Promise<void> {
+    const identity = await consensus.openIdentity(node.files);
+    const genesis = await consensus.agreeGenesis(
+      node.files,
+      identity,
+      node.daemonId,
+      this.firstVoters,
+      async (peer) => {
+        const answer = await this.send(node.daemonId, peer, (other) =>
+          consensus.openIdentity(other.files),
+        );
+        return answer;
+      },
+      this.clock,
+      node.abort.signal,
+    );
+    node.voter = await consensus.Voter.create({
+      daemonId: node.daemonId,
+      genesis,
+      wal: new consensus.Wal(node.files),
+      machine: {
+        apply: (entry) => {
+          node.applied.push(String(entry.data));
+          return node.applied.length;
+        },
+        getSnapshot: () => [...node.applied],
+        restore: (state) => {
+          node.applied = [...(state as string[])];
+        },
+      },
+      transport: {
+        vote: (peer, req) => this.send(node.daemonId, peer, (o) => getVoter(o).handleVote(req)),
+        append: (peer, req) =>
+          this.send(node.daemonId, peer, (o) => getVoter(o).handleAppend(structuredClone(req))),
+        snapshot: (peer, req) =>
+          this.send(node.daemonId, peer, (o) => getVoter(o).handleSnapshot(structuredClone(req))),
+      },
+      clock: this.clock,
+      log: new schemas.SilentLog(),
+      timings: TIMINGS,
+      random: () => this.random(),
+      snapshotEvery: this.snapshotEvery,
+    });
+    await consensus.runElections(node.voter, node.abort.signal);
+  }
+
+  private async send<T>(from: string, to: string, handle: (node: Node) => Promise<T>): Promise<T> {
+    const timeout = this.clock.sleep(DEADLINE_MS).then(() => {
+      throw new Error('deadline');
+    });
+    const times = this.random() < this.faults.doubled ? 2 : 1;
+    const deliveries = Array.from({ length: times }, () => this.deliver(from, to, handle));
+    return Promise.race([timeout, ...deliveries]);
+  }
+
+  private async deliver<T>(
+    from: string,
+    to: string,
+    handle: (node: Node) => Promise<T>,
+  ): Promise<T> {
+    await this.travel(from, to);
+    const node = this.nodes.get(to);
+    if (node === undefined || node.abort.signal.aborted) {
+      return this.never();
+    }
+    const answer = await handle(node).catch(() => this.never<T>());
+    await this.travel(to, from);
+    return answer;
+  }
+
+  private async travel(from: string, to: string): Promise<void> {
+    await this.clock.sleep(this.random() * this.faults.maxDelayMs);
+    if (this.cuts.has(`${from}>${to}`) || this.random() < this.faults.lost) {
+      await this.never();
+    }
+  }
+
+  private never<T>(): Promise<T> {
+    return new Promise(() => {});
+  }
+}
+
+function getVoter(node: Node): consensus.Voter {
+  if (node.voter === undefined) {
+    throw new Error('not a voter yet');
+  }
+  return node.voter;
+}
--- a/packages/schemas/src/clock.ts
+++ b/packages/schemas/src/clock.ts
@@ -54,20 +54,17 @@
         return;
       }
       this.order += 1;
-      const sleeper: Sleeper = {
-        at: this.time + Math.max(ms, 0),
-        order: this.order,
-        wake: resolve,
+      const onAbort = () => {
+        this.sleepers = this.sleepers.filter((other) => other !== sleeper);
+        reject(signal?.reason as Error);
+      };
+      const wake = () => {
+        signal?.removeEventListener('abort', onAbort);
+        resolve();
       };
+      const sleeper: Sleeper = { at: this.time + Math.max(ms, 0), order: this.order, wake };
       this.sleepers.push(sleeper);
-      signal?.addEventListener(
-        'abort',
-        () => {
-          this.sleepers = this.sleepers.filter((other) => other !== sleeper);
-          reject(signal.reason as Error);
-        },
-        { once: true },
-      );
+      signal?.addEventListener('abort', onAbort, { once: true });
     });
   }
 
