--- /dev/null
+++ b/packages/bench/src/bench.ts
@@ -0,0 +1,28 @@
+import * as yargs from 'yargs';
+
+interface Bench {
+  readonly describe: string;
+  readonly run: () => Promise<void>;
+}
+
+const BENCHES: Readonly<Record<string, Bench>> = {
+  policy: {
+    describe: 'replays of both mixes under every policy, load, dial and fault',
+    run: async () => (await import('./policy/policy-bench.js')).run(),
+  },
+};
+
+/** Runs the benches that are named. */
+async function main(): Promise<void> {
+  const args = await yargs
+    .default(process.argv.slice(2))
+    .scriptName('npm run bench --')
+    .usage('$0 NAME', 'measure', (y) =>
+      y.positional('NAME', { choices: Object.keys(BENCHES), type: 'string', demandOption: true }),
+    )
+    .parse();
+  const name = String((args as { NAME?: string }).NAME ?? args._[0]);
+  await BENCHES[name]?.run();
+}
+
+await main();
--- /dev/null
+++ b/packages/bench/src/policy/replay.ts
@@ -0,0 +1,378 @@
+import * as routing from '@bramleyridge/routing';
+import type * as schemas from '@bramleyridge/schemas';
+
+import * as baselines from './baselines.js';
+import * as measures from './measures.js';
+import * as oracles from './oracle.js';
+import * as simClocks from './sim-clock.js';
+import * as simEngines from './sim-engine.js';
+import * as traces from './trace.js';
+
+/** The time of one message between daemons, or to an engine, in milliseconds. */
+const MESSAGE_MS = 1;
+
+/** How often daemons tell the owner of progress, and the owner looks at its queue, in milliseconds. */
+const PROGRESS_MS = 500;
+const TICK_MS = 100;
+
+/** How long a moved pool is without an owner, in milliseconds. */
+const OWNER_GAP_MS = 3_000;
+
+const DAEMONS = 6;
+
+/** A fault in a replay. */
+export type ReplayFault =
+  'none' | 'engine-dies' | 'owner-dies' | 'late-reports' | 'cache-gaps' | 'mix-shifts';
+
+/** What a replay is. */
+export interface ReplayOptions {
+  readonly mix: traces.Mix;
+  readonly trace: readonly traces.TraceLine[];
+  /** Arrivals a second. */
+  readonly rate: number;
+  readonly engines: number;
+  readonly durationS: number;
+  readonly warmupS: number;
+  readonly seed: number;
+  readonly fault: ReplayFault;
+}
+
+/** How requests find engines in a replay. */
+export interface ReplayPolicy {
+  readonly name: string;
+  /** The name of a baseline; none for the pool owner. */
+  readonly baseline?: string;
+  /** Whether engines are told the class of a request, and so serve interactive work first. */
+  readonly tellsClass: boolean;
+  readonly overflowRisk?: number;
+  readonly isOracle?: boolean;
+}
+
+interface Job {
+  readonly id: string;
+  readonly line: traces.TraceLine;
+  readonly daemon: number;
+  readonly flight: measures.Flight;
+  engine: simEngines.SimEngine | undefined;
+}
+
+/** Replays a trace on virtual time against the stand-in of the engines, with the real decision classes. */
+export class Replay {
+  private readonly clock = new simClocks.SimClock();
+  private readonly recorder: measures.Recorder;
+  private readonly random: traces.Random;
+  private readonly engines: simEngines.SimEngine[];
+  private readonly seen: baselines.Seen[][];
+  private readonly jobs = new Map<string, Job>();
+  private readonly endMs: number;
+  private readonly demands = new Map<string, number>();
+  private owner: routing.PoolOwner | undefined;
+  private isOwnerAway = false;
+  private readonly baseline: baselines.Baseline | undefined;
+
+  public constructor(
+    private readonly options: ReplayOptions,
+    private readonly policy: ReplayPolicy,
+  ) {
+    this.endMs = options.durationS * 1_000;
+    this.recorder = new measures.Recorder(options.warmupS * 1_000, this.endMs);
+    this.random = new traces.Random(options.seed + 17);
+    this.engines = Array.from(
+      { length: options.engines },
+      (_, i) =>
+        new simEngines.SimEngine(`e${i}`, this.clock, (engine, report) => {
+          this.takeReport(engine, report);
+        }),
+    );
+    this.seen = Array.from({ length: DAEMONS }, () =>
+      this.engines.map(({ upstreamId }) => ({
+        upstreamId,
+        outstanding: 0,
+        report: undefined,
+        sentSince: 0,
+      })),
+    );
+    this.baseline = baselines.BASELINES[policy.baseline ?? '']?.();
+    if (this.baseline === undefined) {
+      this.createOwner();
+    }
+  }
+
+  /** Runs to the end and gives what was measured. */
+  public run(): measures.Measured {
+    const { options } = this;
+    options.trace.forEach((line, i) => {
+      const at = (line.arrival / options.rate) * 1_000;
+      if (at < this.endMs) {
+        this.clock.after(at, () => this.arrive(line, i));
+      }
+    });
+    this.injectFault();
+    this.keepProgress();
+    this.keepTicking();
+    // What arrived is followed to its end, so that slow policies can't hide what they held back.
+    const limit = 4 * this.endMs;
+    this.clock.run(() => {
+      const isDone = this.clock.now() > this.endMs && this.jobs.size === 0;
+      return isDone || this.clock.now() > limit;
+    });
+    return this.recorder.summarize((total) =>
+      measures.shareMaxMin(
+        total,
+        options.mix.teams.map(({ name, weight }) => ({
+          name,
+          weight,
+          demand: this.demands.get(name) ?? 0,
+        })),
+      ),
+    );
+  }
+
+  private arrive(line: traces.TraceLine, i: number): void {
+    const now = this.clock.now();
+    const isMeasured = now >= this.options.warmupS * 1_000;
+    const shifted = this.shift(line, now);
+    const flight: measures.Flight = {
+      team: line.team,
+      isShort: line.class === 'interactive',
+      arrivedAt: now,
+      isMeasured,
+      lastAt: now,
+      tokens: 0,
+      stallMs: 0,
+    };
+    if (isMeasured) {
+      this.demands.set(line.team, (this.demands.get(line.team) ?? 0) + shifted.outputTokens);
+    }
+    const job: Job = { id: `g${i}`, line: shifted, daemon: i % DAEMONS, flight, engine: undefined };
+    this.jobs.set(job.id, job);
+    if (this.baseline !== undefined) {
+      this.dispatchByBaseline(job, this.baseline);
+    } else {
+      this.clock.after(MESSAGE_MS, () => this.askOwner(job, 0));
+    }
+  }
+
+  private askOwner(job: Job, waitedMs: number): void {
+    if (this.isOwnerAway || this.owner === undefined) {
+      this.clock.after(PROGRESS_MS, () => this.askOwner(job, waitedMs + PROGRESS_MS));
+      return;
+    }
+    const { line } = job;
+    this.owner.request(
+      {
+        generation: job.id,
+        daemonId: `d${job.daemon}`,
+        team: line.team,
+        intent: line.model,
+        workClass: line.class,
+        promptTokens: line.promptTokens,
+        maxTokens: this.policy.isOracle ? line.outputTokens : 32_768,
+        prefix: line.prefix,
+        waitedMs,
+        patienceMs: Infinity,
+        excluded: [],
+      },
+      (decision) => {
+        const engine = this.engines.find((item) => item.upstreamId === decision.upstreamId);
+        if (engine === undefined) {
+          this.clock.after(PROGRESS_MS, () => this.askOwner(job, waitedMs));
+          return;
+        }
+        this.clock.after(2 * MESSAGE_MS, () => this.start(job, engine));
+      },
+    );
+  }
+
+  private dispatchByBaseline(job: Job, baseline: baselines.Baseline): void {
+    const alive = this.seen[job.daemon]!.filter((item) => !this.findEngine(item.upstreamId).isDead);
+    const chosen = baseline.choose(alive, this.random);
+    chosen.outstanding += 1;
+    chosen.sentSince += job.line.promptTokens;
+    const engine = this.findEngine(chosen.upstreamId);
+    this.clock.after(MESSAGE_MS, () => this.start(job, engine));
+  }
+
+  private start(job: Job, engine: simEngines.SimEngine): void {
+    if (engine.isDead) {
+      this.retry(job);
+      return;
+    }
+    job.engine = engine;
+    const { line, flight } = job;
+    engine.submit({
+      id: job.id,
+      promptTokens: line.promptTokens,
+      outputTokens: line.outputTokens,
+      priority: !this.policy.tellsClass || line.class === 'interactive' ? 0 : 1,
+      prefix: line.prefix,
+      prefixTokens: line.prefixTokens,
+      onToken: () => this.recorder.token(flight, this.clock.now()),
+      onEnd: () => this.end(job, true),
+      onPreempt: () => this.recorder.preempt(flight),
+    });
+  }
+
+  private end(job: Job, isNatural: boolean): void {
+    this.jobs.delete(job.id);
+    if (isNatural) {
+      this.recorder.end(job.flight, this.clock.now());
+    }
+    const upstreamId = job.engine?.upstreamId;
+    const seen = this.seen[job.daemon]!.find((item) => item.upstreamId === upstreamId);
+    if (seen !== undefined) {
+      seen.outstanding -= 1;
+    }
+    this.clock.after(MESSAGE_MS, () => {
+      this.owner?.finish(job.id, job.flight.tokens, isNatural);
+    });
+  }
+
+  /** A request whose engine is gone: told so when it had delivered something, else tried again. */
+  private retry(job: Job): void {
+    this.end(job, false);
+    if (job.flight.tokens > 0) {
+      this.recorder.break(job.flight);
+      return;
+    }
+    job.engine = undefined;
+    this.jobs.set(job.id, job);
+    if (this.baseline === undefined) {
+      this.clock.after(MESSAGE_MS, () => this.askOwner(job, 0));
+    } else {
+      this.dispatchByBaseline(job, this.baseline);
+    }
+  }
+
+  private takeReport(engine: simEngines.SimEngine, report: schemas.LoadReport): void {
+    this.seen.forEach((list) => {
+      const seen = list.find((item) => item.upstreamId === engine.upstreamId)!;
+      seen.report = report;
+      seen.sentSince = 0;
+    });
+    if (!this.isOwnerAway) {
+      this.owner?.takeReport(engine.upstreamId, report);
+    }
+  }
+
+  private createOwner(): void {
+    this.owner = new routing.PoolOwner({
+      clock: this.clock,
+      overflowRisk: this.policy.overflowRisk ?? 0.05,
+      roomTokens: Infinity,
+      lengths: this.policy.isOracle ? new oracles.Oracle() : undefined,
+      getShare: (name) => {
+        const team = this.options.mix.teams.find((item) => item.name === name);
+        return { weight: team?.weight ?? 1, maxConcurrent: Infinity, maxQueued: Infinity };
+      },
+    });
+    this.setUpstreams();
+  }
+
+  private setUpstreams(): void {
+    const alive = this.engines.filter((engine) => !engine.isDead);
+    this.owner?.setUpstreams(alive.map(({ upstreamId }) => ({ upstreamId, isLeaving: false })));
+  }
+
+  private keepProgress(): void {
+    if (this.owner !== undefined && !this.isOwnerAway) {
+      const { owner } = this;
+      for (let i = 0; i < DAEMONS; i += 1) {
+        const tokens = [...this.jobs.values()]
+          .filter((job) => job.daemon === i && job.engine !== undefined)
+          .map((job): [string, number] => [job.id, job.flight.tokens]);
+        this.clock.after(MESSAGE_MS, () => owner.progress({ daemonId: `d${i}`, tokens }));
+      }
+    }
+    this.clock.after(PROGRESS_MS, () => this.keepProgress());
+  }
+
+  private keepTicking(): void {
+    if (!this.isOwnerAway) {
+      this.owner?.tick();
+    }
+    this.clock.after(TICK_MS, () => this.keepTicking());
+  }
+
+  private injectFault(): void {
+    const atMs = (this.options.warmupS * 1_000 + this.endMs) / 2;
+    if (this.options.fault === 'engine-dies') {
+      this.clock.after(atMs, () => this.killEngine());
+    }
+    if (this.options.fault === 'owner-dies') {
+      this.clock.after(atMs, () => this.killOwner());
+    }
+    if (this.options.fault === 'late-reports') {
+      this.engines.filter((_, i) => i % 3 === 0).forEach((engine) => (engine.extraLagMs = 5_000));
+    }
+    if (this.options.fault === 'cache-gaps') {
+      this.keepForgetting();
+    }
+  }
+
+  private killEngine(): void {
+    const engine = this.engines[0]!;
+    const lost = engine.die();
+    this.clock.after(MESSAGE_MS, () => {
+      this.setUpstreams();
+      lost.forEach((id) => {
+        const job = this.jobs.get(id);
+        if (job !== undefined) {
+          this.retry(job);
+        }
+      });
+    });
+  }
+
+  /** The owner dies with its account; daemons register with the next one what runs and what waits. */
+  private killOwner(): void {
+    if (this.owner === undefined) {
+      return;
+    }
+    this.isOwnerAway = true;
+    const waiting = [...this.jobs.values()].filter((job) => job.engine === undefined);
+    this.clock.after(OWNER_GAP_MS, () => {
+      this.createOwner();
+      this.isOwnerAway = false;
+      this.jobs.forEach((job) => this.register(job));
+      waiting
+        .filter((job) => job.engine === undefined)
+        .forEach((job) => this.askOwner(job, OWNER_GAP_MS));
+    });
+  }
+
+  private register(job: Job): void {
+    if (job.engine === undefined) {
+      return;
+    }
+    const { line } = job;
+    this.owner?.register({
+      generation: job.id,
+      daemonId: `d${job.daemon}`,
+      upstreamId: job.engine.upstreamId,
+      team: line.team,
+      intent: line.model,
+      workClass: line.class,
+      promptTokens: line.promptTokens,
+      maxTokens: 32_768,
+      tokens: job.flight.tokens,
+    });
+  }
+
+  private keepForgetting(): void {
+    this.engines.forEach((engine) => this.owner?.affinity.forget(engine.upstreamId));
+    this.clock.after(PROGRESS_MS * this.random.between(1, 20), () => this.keepForgetting());
+  }
+
+  private shift(line: traces.TraceLine, now: number): traces.TraceLine {
+    const isShifted =
+      this.options.fault === 'mix-shifts' &&
+      line.class === 'batch' &&
+      now > (this.options.warmupS * 1_000 + this.endMs) / 2;
+    return isShifted ? { ...line, outputTokens: Math.min(24_000, line.outputTokens * 2) } : line;
+  }
+
+  private findEngine(upstreamId: string): simEngines.SimEngine {
+    return this.engines.find((item) => item.upstreamId === upstreamId)!;
+  }
+}
--- /dev/null
+++ b/packages/bench/src/policy/sim-engine.ts
@@ -0,0 +1,78 @@
+import * as fakes from '@bramleyridge/fakes';
+import type * as schemas from '@bramleyridge/schemas';
+
+import type * as simClocks from './sim-clock.js';
+
+/** How often an engine makes a load report, and how late it is read, in milliseconds. */
+const REPORT_EVERY_MS = 500;
+const REPORT_LAG_MS = 200;
+
+/** One engine on virtual time. */
+export class SimEngine {
+  public readonly model: fakes.EngineModel;
+  public isDead = false;
+  /** Extra age of reports, for the fault of late ones. */
+  public extraLagMs = 0;
+  private isStepping = false;
+  private readonly jobs = new Map<string, fakes.EngineJob>();
+
+  public constructor(
+    public readonly upstreamId: string,
+    private readonly clock: simClocks.SimClock,
+    private readonly onReport: (engine: SimEngine, report: schemas.LoadReport) => void,
+  ) {
+    this.model = new fakes.EngineModel();
+    this.keepReporting();
+  }
+
+  /** Takes in a job. */
+  public submit(job: fakes.EngineJob): void {
+    this.jobs.set(job.id, job);
+    this.model.submit({
+      ...job,
+      onEnd: () => {
+        this.jobs.delete(job.id);
+        job.onEnd();
+      },
+    });
+    this.step();
+  }
+
+  /** Ends at once; gives the jobs that were lost with it. */
+  public die(): string[] {
+    this.isDead = true;
+    return [...this.jobs.keys()];
+  }
+
+  private step(): void {
+    if (this.isStepping || this.isDead || this.model.isIdle()) {
+      return;
+    }
+    this.isStepping = true;
+    const step = this.model.step();
+    this.clock.after(step.durationMs, () => {
+      this.isStepping = false;
+      if (!this.isDead) {
+        step.finish();
+        this.step();
+      }
+    });
+  }
+
+  private keepReporting(): void {
+    const report: schemas.LoadReport = {
+      at: this.clock.now(),
+      ageMs: REPORT_LAG_MS + this.extraLagMs,
+      tokensTotal: this.model.shape.tokensTotal,
+      tokensUsed: this.model.getUsed(),
+      ...this.model.getCounts(),
+      preemptions: this.model.preemptions,
+      state: 'live',
+      models: [],
+    };
+    if (!this.isDead) {
+      this.clock.after(report.ageMs, () => this.onReport(this, report));
+      this.clock.after(REPORT_EVERY_MS, () => this.keepReporting());
+    }
+  }
+}
--- /dev/null
+++ b/packages/bench/src/worker-pool.ts
@@ -0,0 +1,28 @@
+import * as os from 'node:os';
+import * as workers from 'node:worker_threads';
+
+/** Runs jobs on a worker for each core but one; results come in the order of the jobs. */
+export async function runJobs<J, R>(program: URL, jobs: readonly J[]): Promise<R[]> {
+  const results: R[] = new Array<R>(jobs.length);
+  let next = 0;
+  const runWorker = async (): Promise<void> => {
+    const worker = new workers.Worker(program);
+    for (;;) {
+      const at = next;
+      next += 1;
+      if (at >= jobs.length) {
+        break;
+      }
+      results[at] = await new Promise<R>((resolve, reject) => {
+        worker.once('message', resolve);
+        worker.once('error', reject);
+        worker.postMessage(jobs[at]);
+      });
+      worker.removeAllListeners();
+    }
+    await worker.terminate();
+  };
+  const count = Math.min(jobs.length, Math.max(1, os.cpus().length - 1));
+  await Promise.all(Array.from({ length: count }, runWorker));
+  return results;
+}
--- a/packages/fakes/src/engine-model.ts
+++ b/packages/fakes/src/engine-model.ts
@@ -19,7 +19,7 @@
   tokensTotal: 65_536,
   blockTokens: 16,
   maxBatch: 128,
-  prefillPerStep: 2_048,
+  prefillPerStep: 512,
   baseStepMs: 6,
   stepMsPerSequence: 0.06,
   stepMsPerThousandContext: 0.1,
@@ -49,6 +49,7 @@
   held: number;
   /** Tokens that must be taken in before the next is produced. */
   toPrefill: number;
+  isRunning: boolean;
 }
 
 /** A step's work, for whoever moves time. */
@@ -63,7 +64,10 @@
   public preemptions = 0;
   public produced = 0;
   public readonly shape: EngineShape;
+  /** In order of urgency. */
   private running: Sequence[] = [];
+  private used = 0;
+  private cached = 0;
   private waiting: Sequence[] = [];
   private readonly cache = new Map<string, number>();
   private order = 0;
@@ -76,17 +80,26 @@
   /** Takes in a job. */
   public submit(job: EngineJob): void {
     this.order += 1;
-    const sequence = { job, order: this.order, produced: 0, held: 0, toPrefill: job.promptTokens };
-    this.waiting.push(sequence);
-    this.sortWaiting();
+    this.enqueue({
+      job,
+      order: this.order,
+      produced: 0,
+      held: 0,
+      toPrefill: job.promptTokens,
+      isRunning: false,
+    });
   }
 
   /** Takes a job out; false when it is not there. */
   public cancel(id: string): boolean {
-    const before = this.running.length + this.waiting.length;
-    this.running = this.running.filter((item) => item.job.id !== id);
+    const running = this.running.find((item) => item.job.id === id);
+    if (running !== undefined) {
+      this.leave(running);
+      return true;
+    }
+    const before = this.waiting.length;
     this.waiting = this.waiting.filter((item) => item.job.id !== id);
-    return this.running.length + this.waiting.length < before;
+    return this.waiting.length < before;
   }
 
   /** Makes every step slower, as a throttled accelerator does. */
@@ -101,7 +114,7 @@
 
   /** Memory in use, in tokens, whole blocks. */
   public getUsed(): number {
-    return this.running.reduce((sum, item) => sum + this.roundUp(item.held), 0);
+    return this.used;
   }
 
   /** Counts for the load report. */
@@ -115,8 +128,8 @@
     let prefillLeft = this.shape.prefillPerStep;
     let prefilled = 0;
     const producing: Sequence[] = [];
-    for (const sequence of [...this.running].sort(compareUrgency)) {
-      if (!this.running.includes(sequence)) {
+    for (const sequence of [...this.running]) {
+      if (!sequence.isRunning) {
         continue;
       }
       if (sequence.toPrefill > 0) {
@@ -132,7 +145,7 @@
         producing.push(sequence);
       }
     }
-    const alive = producing.filter((item) => this.running.includes(item));
+    const alive = producing.filter((item) => item.isRunning);
     return {
       durationMs: this.getDuration(prefilled),
       finish: () => alive.forEach((item) => this.produce(item)),
@@ -140,25 +153,24 @@
   }
 
   private getDuration(prefilled: number): number {
-    const context = this.running.reduce((sum, item) => sum + item.held, 0);
     return (
       this.speed *
       (this.shape.baseStepMs +
         this.shape.stepMsPerSequence * this.running.length +
-        (this.shape.stepMsPerThousandContext * context) / 1_000 +
+        (this.shape.stepMsPerThousandContext * this.used) / 1_000 +
         (this.shape.stepMsPerThousandPrefill * prefilled) / 1_000)
     );
   }
 
   private produce(sequence: Sequence): void {
-    if (!this.running.includes(sequence)) {
+    if (!sequence.isRunning) {
       return;
     }
     sequence.produced += 1;
     this.produced += 1;
     sequence.job.onToken(sequence.produced - 1);
     if (sequence.produced >= sequence.job.outputTokens) {
-      this.running = this.running.filter((item) => item !== sequence);
+      this.leave(sequence);
       this.keepPrefix(sequence.job);
       sequence.job.onEnd();
     }
@@ -178,8 +190,9 @@
       this.waiting.shift();
       const isCached = next.produced === 0 && this.cache.has(next.job.prefix);
       next.toPrefill = Math.max(size - (isCached ? next.job.prefixTokens : 0), 1);
-      next.held = size;
-      this.running.push(next);
+      this.hold(next, size);
+      next.isRunning = true;
+      insertByUrgency(this.running, next);
     }
   }
 
@@ -187,7 +200,7 @@
   private reserveOne(sequence: Sequence): boolean {
     const grown = this.roundUp(sequence.held + 1) - this.roundUp(sequence.held);
     while (grown > 0 && !this.makeRoom(grown)) {
-      const victim = [...this.running].sort(compareUrgency).at(-1)!;
+      const victim = this.running.at(-1)!;
       if (this.running.length === 1) {
         break;
       }
@@ -196,54 +209,73 @@
         return false;
       }
     }
-    sequence.held += 1;
+    this.hold(sequence, sequence.held + 1);
     return true;
   }
 
   private preempt(victim: Sequence): void {
     this.preemptions += 1;
-    this.running = this.running.filter((item) => item !== victim);
-    victim.held = 0;
+    this.leave(victim);
     victim.job.onPreempt?.();
-    this.waiting.push(victim);
-    this.sortWaiting();
+    this.enqueue(victim);
+  }
+
+  private leave(sequence: Sequence): void {
+    this.running = this.running.filter((item) => item !== sequence);
+    sequence.isRunning = false;
+    this.hold(sequence, 0);
+  }
+
+  private hold(sequence: Sequence, tokens: number): void {
+    this.used += this.roundUp(tokens) - this.roundUp(sequence.held);
+    sequence.held = tokens;
   }
 
   private makeRoom(tokens: number): boolean {
-    const used = this.getUsed();
-    while (this.cache.size > 0 && used + this.getCached() + tokens > this.shape.tokensTotal) {
-      this.cache.delete(this.cache.keys().next().value as string);
+    while (this.cache.size > 0 && this.used + this.cached + tokens > this.shape.tokensTotal) {
+      this.dropOldestPrefix();
     }
-    return used + tokens <= this.shape.tokensTotal;
+    return this.used + tokens <= this.shape.tokensTotal;
   }
 
   private keepPrefix(job: EngineJob): void {
     if (job.prefix === '' || job.prefixTokens === 0) {
       return;
     }
+    this.cached += job.prefixTokens - (this.cache.get(job.prefix) ?? 0);
     this.cache.delete(job.prefix);
     this.cache.set(job.prefix, job.prefixTokens);
-    while (this.getCached() > this.shape.cacheTokens) {
-      this.cache.delete(this.cache.keys().next().value as string);
+    while (this.cached > this.shape.cacheTokens) {
+      this.dropOldestPrefix();
     }
   }
 
+  private dropOldestPrefix(): void {
+    const oldest = this.cache.keys().next().value as string;
+    this.cached -= this.cache.get(oldest) ?? 0;
+    this.cache.delete(oldest);
+  }
+
   /** The prefixes that are cached now. */
   public listCached(): string[] {
     return [...this.cache.keys()];
   }
 
-  private getCached(): number {
-    return [...this.cache.values()].reduce((sum, tokens) => sum + tokens, 0);
-  }
-
   private roundUp(tokens: number): number {
     return Math.ceil(tokens / this.shape.blockTokens) * this.shape.blockTokens;
   }
 
-  private sortWaiting(): void {
-    this.waiting.sort(compareUrgency);
+  private enqueue(sequence: Sequence): void {
+    insertByUrgency(this.waiting, sequence);
+  }
+}
+
+function insertByUrgency(list: Sequence[], sequence: Sequence): void {
+  let at = list.length;
+  while (at > 0 && compareUrgency(list[at - 1]!, sequence) > 0) {
+    at -= 1;
   }
+  list.splice(at, 0, sequence);
 }
 
 function compareUrgency(a: Sequence, b: Sequence): number {
--- /dev/null
+++ b/packages/requests/tests/event-splitter.test.ts
@@ -0,0 +1,74 @@
+import * as requests from '@bramleyridge/requests';
+import * as fc from 'fast-check';
+import * as tap from 'tap';
+
+function createEvent(offset: number): string {
+  return `id: g:${offset}\ndata: {"text":"Lüderitz 🎙 ${offset}"}\n\n`;
+}
+
+function passAll(splitter: requests.EventSplitter, chunks: readonly Buffer[]) {
+  const passed: Buffer[] = [];
+  let isDone = false;
+  for (const chunk of chunks) {
+    const events = splitter.push(chunk);
+    passed.push(...events.bytes);
+    isDone = isDone || events.isDone;
+    if (events.hasGap) {
+      break;
+    }
+  }
+  return { text: Buffer.concat(passed).toString('utf8'), isDone };
+}
+
+void tap.default.test('events pass whole and once however the bytes are cut', async (t) => {
+  // Chunks end inside a character, a line or an event; events are doubled; comments come in between.
+  const whole = Array.from({ length: 12 }, (_, i) => createEvent(i)).join('');
+  const sent = `${Array.from({ length: 12 }, (_, i) => {
+    const event = createEvent(i);
+    return i % 3 === 0 ? `${event}: alive\n\n${event}` : event;
+  }).join('')}data: [DONE]\n\n`;
+  const bytes = Buffer.from(sent);
+  const property = fc.property(
+    fc.array(fc.integer({ min: 1, max: 40 }), { minLength: 1 }),
+    (cuts) => {
+      const chunks: Buffer[] = [];
+      for (let at = 0, i = 0; at < bytes.length; i += 1) {
+        const size = cuts[i % cuts.length]!;
+        chunks.push(bytes.subarray(at, at + size));
+        at += size;
+      }
+      const { text, isDone } = passAll(new requests.EventSplitter('g', 0), chunks);
+      return text === whole && isDone;
+    },
+  );
+  t.doesNotThrow(() => fc.assert(property, { seed: 1, numRuns: 300 }));
+});
+
+void tap.default.test('what must not pass does not', async (t) => {
+  const cases = [
+    {
+      name: 'events behind a gap',
+      sent: createEvent(0) + createEvent(2) + createEvent(3),
+      passed: createEvent(0),
+      next: 1,
+    },
+    {
+      name: 'events of another generation',
+      sent: createEvent(0) + createEvent(1).replace('id: g:', 'id: h:'),
+      passed: createEvent(0),
+      next: 1,
+    },
+    {
+      name: 'events before the offset that is wanted',
+      sent: createEvent(0) + createEvent(1),
+      passed: '',
+      next: 5,
+      from: 5,
+    },
+  ];
+  cases.forEach(({ name, sent, passed, next, from }) => {
+    const splitter = new requests.EventSplitter('g', from ?? 0);
+    t.equal(passAll(splitter, [Buffer.from(sent)]).text, passed, name);
+    t.equal(splitter.getNext(), next, `${name}: the next offset`);
+  });
+});
--- a/packages/routing/src/fair-queue.ts
+++ b/packages/routing/src/fair-queue.ts
@@ -1,6 +1,6 @@
 import type * as types from './types.js';
 
-/** After how long in the queue a batch request is served like an interactive one, in milliseconds. */
+/** After how long in the queue a batch request goes before other batch work, in milliseconds. */
 const AGING_MS = 20_000;
 
 /** A request that waits. */
@@ -16,8 +16,8 @@
 }
 
 /**
- * What waits for room, by team and class. Interactive work goes first, aged batch work joins it; among
- * teams the one that was served least for its weight goes first, and a team that was away starts level
+ * What waits for room, by team and class. Interactive work goes first, then aged batch work, then the rest.
+ * Among teams the one that was served least for its weight goes first, and a team that was away starts level
  * with the others, so that it can't save up idle time.
  */
 export class FairQueue {
@@ -62,8 +62,7 @@
     this.teams.forEach((queue) => {
       queue.waiting.forEach(([item]) => {
         if (item !== undefined) {
-          const isUrgent = item.req.workClass === 'interactive' || this.isAged(item, now);
-          heads.push({ item, rank: isUrgent ? 0 : 1, served: queue.served });
+          heads.push({ item, rank: this.getRank(item, now), served: queue.served });
         }
       });
     });
@@ -73,9 +72,14 @@
     }
   }
 
-  /** Whether a batch request has waited long enough to count as urgent. */
-  public isAged(item: Waiting, now: number): boolean {
-    return now - item.enqueuedAt + item.req.waitedMs > AGING_MS;
+  /** Whether a request that does not fit holds back what comes behind it. */
+  public isBlocking(item: Waiting, now: number): boolean {
+    return item.req.workClass === 'batch' && this.isAged(item, now);
+  }
+
+  /** Whether batch work waits that has waited long. */
+  public hasAgedBatch(now: number): boolean {
+    return this.listAll().some((item) => this.isBlocking(item, now));
   }
 
   /** Every request whose patience is over. */
@@ -94,6 +98,17 @@
     return [...lines].reduce((sum, line) => sum + line.length, 0);
   }
 
+  private getRank(item: Waiting, now: number): number {
+    if (item.req.workClass === 'interactive') {
+      return 0;
+    }
+    return this.isAged(item, now) ? 1 : 2;
+  }
+
+  private isAged(item: Waiting, now: number): boolean {
+    return now - item.enqueuedAt + item.req.waitedMs > AGING_MS;
+  }
+
   private getTeam(team: string): TeamQueue {
     const known = this.teams.get(team);
     if (known !== undefined) {
--- a/packages/routing/src/length-model.ts
+++ b/packages/routing/src/length-model.ts
@@ -1,8 +1,13 @@
 import * as lengths from './length-distribution.js';
 import type * as types from './types.js';
 
+/** Gives the distribution of lengths for a kind of work. */
+export interface LengthSource {
+  get(team: string, workClass: types.WorkClass): lengths.LengthDistribution;
+}
+
 /** Lengths by team and class, each falling back to its class. */
-export class LengthModel {
+export class LengthModel implements LengthSource {
   private readonly byClass = new Map<types.WorkClass, lengths.LengthDistribution>();
   private readonly byTeam = new Map<string, lengths.LengthDistribution>();
 
--- a/packages/routing/src/live-generation.ts
+++ b/packages/routing/src/live-generation.ts
@@ -1,10 +1,14 @@
 import * as lengths from './length-distribution.js';
 import type * as types from './types.js';
 
+/** The longest time for which progress that was not told is assumed, in milliseconds. */
+const MAX_AHEAD_MS = 2_000;
+
 /** A generation that was granted room, as the owner accounts for it. */
 export class LiveGeneration {
   public tokens: number;
   private counted: number;
+  private toldAt: number;
 
   public constructor(
     public readonly facts: types.RunningGeneration,
@@ -12,11 +16,13 @@
     public readonly grantedAt: number,
   ) {
     this.tokens = facts.tokens;
+    this.toldAt = grantedAt;
     this.counted = lengths.getBucket(facts.tokens);
   }
 
   /** Moves on to a number of tokens; a late message with fewer changes nothing. */
-  public advance(tokens: number): void {
+  public advance(tokens: number, now: number): void {
+    this.toldAt = now;
     this.tokens = Math.max(this.tokens, tokens);
     const bucket = lengths.getBucket(this.tokens);
     this.distribution.pass(this.counted, bucket);
@@ -24,18 +30,25 @@
   }
 
   /** Counts the end; a generation that was cut off says nothing about lengths. */
-  public end(tokens: number, isNatural: boolean): void {
-    this.advance(tokens);
+  public end(tokens: number, isNatural: boolean, now: number): void {
+    this.advance(tokens, now);
     if (isNatural) {
       this.distribution.end(this.counted);
     }
   }
 
-  /** The chance that it still holds memory after `steps` more tokens. */
-  public getChance(steps: number): number {
-    if (this.tokens + steps >= this.facts.maxTokens) {
-      return steps === 0 ? 1 : 0;
+  /** How many tokens it probably has by now, at a speed in tokens per second. */
+  public getLikelyTokens(now: number, speed: number): number {
+    const aheadMs = Math.min(Math.max(now - this.toldAt, 0), MAX_AHEAD_MS);
+    return Math.min(this.tokens + (speed * aheadMs) / 1_000, this.facts.maxTokens - 1);
+  }
+
+  /** The chance that it still holds memory after `steps` more tokens than `tokens`. */
+  public getChance(tokens: number, steps: number): number {
+    if (steps === 0) {
+      return 1;
     }
-    return this.distribution.getChance(this.tokens, this.tokens + steps);
+    const to = tokens + steps;
+    return to >= this.facts.maxTokens ? 0 : this.distribution.getChance(tokens, to);
   }
 }
--- a/packages/routing/src/pool-owner.ts
+++ b/packages/routing/src/pool-owner.ts
@@ -15,6 +15,9 @@
 /** How long progress of a daemon may be missing before its generations leave the account. */
 const SILENT_MS = 10_000;
 
+/** The share of an upstream's memory that interactive work may hold while drafts wait long. */
+const INTERACTIVE_SHARE = 0.5;
+
 /** What a refused caller is told to wait, per request of its team ahead of it, in seconds. */
 const RETRY_S_PER_WAITING = 0.05;
 
@@ -25,6 +28,8 @@
   /** Tokens of an engine's memory that the pool's intents may fill. */
   readonly roomTokens: number;
   readonly getShare: (team: string) => types.TeamShare;
+  /** Where lengths are learned; an oracle may stand in. */
+  readonly lengths?: lengthModels.LengthSource;
   readonly createChoice?: (
     quantile: number,
     affinity: affinities.PrefixAffinity,
@@ -40,15 +45,17 @@
   public readonly affinity = new affinities.PrefixAffinity();
   private readonly rooms = new Map<string, rooms.UpstreamRoom>();
   private readonly queue: fairQueues.FairQueue;
-  private readonly lengths = new lengthModels.LengthModel();
+  private readonly lengths: lengthModels.LengthSource;
   private readonly choice: choices.UpstreamChoice;
   private readonly running = new Map<string, number>();
   private readonly heardAt = new Map<string, number>();
   private readonly tickets = new Map<string, Ticket>();
   private readonly costs = new Map<string, number>();
+  private isBatchAged = false;
 
   public constructor(private readonly options: PoolOwnerOptions) {
     const quantile = statistics.probit(1 - options.overflowRisk);
+    this.lengths = options.lengths ?? new lengthModels.LengthModel();
     this.queue = new fairQueues.FairQueue((team) => options.getShare(team).weight);
     this.choice =
       options.createChoice?.(quantile, this.affinity) ??
@@ -143,12 +150,9 @@
       let gained = 0;
       moved.forEach((item) => {
         const before = item.tokens;
-        item.advance(tokens.get(item.facts.generation) ?? 0);
+        item.advance(tokens.get(item.facts.generation) ?? 0, now);
         gained += item.tokens - before;
       });
-      if (moved.length > 0) {
-        room.rebuild();
-      }
       if (moved.length > 0 && sinceMs > 0) {
         room.noteSpeed((gained * 1_000) / (sinceMs * moved.length));
       }
@@ -158,11 +162,12 @@
   /** Takes a generation off the account. */
   public finish(generation: string, tokens: number, isNatural: boolean): void {
     const room = [...this.rooms.values()].find((item) => item.generations.has(generation));
-    const live = room?.remove(generation);
+    const now = this.options.clock.now();
+    const live = room?.remove(generation, now);
     if (live === undefined) {
       return;
     }
-    live.end(tokens, isNatural);
+    live.end(tokens, isNatural, now);
     const { team, promptTokens } = live.facts;
     this.running.set(team, (this.running.get(team) ?? 1) - 1);
     this.queue.charge(team, promptTokens + tokens - (this.costs.get(generation) ?? 0));
@@ -174,7 +179,11 @@
   public tick(): void {
     this.dropSilentDaemons();
     const now = this.options.clock.now();
-    this.rooms.forEach((room) => room.remember(now));
+    this.rooms.forEach((room) => {
+      room.rebuild(now);
+      room.remember(now);
+    });
+    this.isBatchAged = this.queue.hasAgedBatch(now);
     (this.queue.listOverdue(now) as Ticket[]).forEach((ticket) => {
       this.settle(ticket, this.refuse('patience', ticket.req, now - ticket.enqueuedAt));
     });
@@ -215,7 +224,7 @@
       }
       // An aged request that does not fit holds back what comes behind it: small ones would take every
       // bit of room as it comes free, and a large draft would never start.
-      if (tried >= MAX_TRIED || this.queue.isAged(waiting, now)) {
+      if (tried >= MAX_TRIED || this.queue.isBlocking(waiting, now)) {
         return false;
       }
     }
@@ -228,9 +237,7 @@
     if ((this.running.get(req.team) ?? 0) >= share.maxConcurrent) {
       return false;
     }
-    const candidates = [...this.rooms.values()].filter(
-      (room) => !room.isLeaving && !req.excluded.includes(room.upstreamId),
-    );
+    const candidates = this.listCandidates(req);
     const joining = this.createLive({ ...req, upstreamId: '', tokens: 0 }, now);
     const choice = this.choice.choose(candidates, joining, req.prefix, now);
     if (choice === undefined) {
@@ -249,6 +256,17 @@
     return true;
   }
 
+  private listCandidates(req: types.GrantRequest): rooms.UpstreamRoom[] {
+    const usable = [...this.rooms.values()].filter(
+      (room) => !room.isLeaving && !req.excluded.includes(room.upstreamId),
+    );
+    // Interactive work passes drafts, but a flood of it must leave them room, or they would never start.
+    const isBounded = req.workClass === 'interactive' && this.isBatchAged;
+    return isBounded
+      ? usable.filter((room) => room.getInteractiveShare() < INTERACTIVE_SHARE)
+      : usable;
+  }
+
   private admit(room: rooms.UpstreamRoom, facts: types.RunningGeneration, cost: number): void {
     room.add(this.createLive(facts, this.options.clock.now()));
     this.running.set(facts.team, (this.running.get(facts.team) ?? 0) + 1);
--- a/packages/routing/src/upstream-choice.ts
+++ b/packages/routing/src/upstream-choice.ts
@@ -43,7 +43,7 @@
     const idle = candidates.find((room) => room.generations.size === 0);
     const slow = slowUpstreams.findSlow(candidates);
     const scored = candidates
-      .map((room) => ({ room, pressure: room.getPressure(this.quantile, joining) }))
+      .map((room) => ({ room, pressure: this.getPressure(room, joining) }))
       .filter((item) => item.pressure <= 1)
       .map((item) => ({
         ...item,
@@ -64,4 +64,9 @@
       ? { room: best.room, reason: 'room', pressure: best.pressure }
       : { room: holder.room, reason: 'prefix', pressure: holder.pressure };
   }
+
+  private getPressure(room: rooms.UpstreamRoom, joining: liveGenerations.LiveGeneration): number {
+    const reserve = joining.facts.workClass === 'interactive' ? 0 : room.getReserve();
+    return room.getPressure(this.quantile, joining) + reserve;
+  }
 }
--- a/packages/routing/src/upstream-room.ts
+++ b/packages/routing/src/upstream-room.ts
@@ -6,6 +6,9 @@
 /** How long the account's own past is kept to compare late reports with, in milliseconds. */
 const HISTORY_MS = 10_000;
 
+/** What is left of the peak of interactive work after each look at it, ten times a second. */
+const PEAK_DECAY = 0.997;
+
 /** How much a new measure of speed weighs against the former ones. */
 const SPEED_WEIGHT = 0.2;
 
@@ -19,6 +22,7 @@
   private readonly forecast = new forecasts.MemoryForecast();
   private history: { readonly at: number; readonly held: number }[] = [];
   private unaccounted = 0;
+  private interactivePeak = 0;
 
   public constructor(
     public readonly upstreamId: string,
@@ -34,23 +38,28 @@
   /** Adds a generation to the account. */
   public add(generation: liveGenerations.LiveGeneration): void {
     this.generations.set(generation.facts.generation, generation);
-    this.forecast.add(generation);
+    this.forecast.add(generation, generation.tokens);
   }
 
   /** Takes a generation off the account. */
-  public remove(generation: string): liveGenerations.LiveGeneration | undefined {
+  public remove(generation: string, now: number): liveGenerations.LiveGeneration | undefined {
     const known = this.generations.get(generation);
     if (known !== undefined) {
       this.generations.delete(generation);
-      this.rebuild();
+      this.rebuild(now);
     }
     return known;
   }
 
-  /** Works the forecast out anew, after generations moved on. */
-  public rebuild(): void {
+  /**
+   * Works the forecast out anew. Progress is told in batches and late; between two batches the generations
+   * of an engine grow by a few per cent of its memory, so what they probably have by now is counted.
+   */
+  public rebuild(now: number): void {
     this.forecast.clear();
-    this.generations.forEach((generation) => this.forecast.add(generation));
+    this.generations.forEach((generation) => {
+      this.forecast.add(generation, generation.getLikelyTokens(now, this.speed));
+    });
   }
 
   /**
@@ -68,6 +77,7 @@
 
   /** Keeps what is held now, for reports to come. */
   public remember(now: number): void {
+    this.interactivePeak = Math.max(this.getInteractiveHeld(), this.interactivePeak * PEAK_DECAY);
     this.history = this.history.filter((sample) => now - sample.at < HISTORY_MS);
     this.history.push({ at: now, held: this.forecast.getHeld() });
   }
@@ -85,11 +95,33 @@
     return this.forecast.getPressure(this.getCapacity(), quantile, joining);
   }
 
+  /** The share of memory that interactive work holds now. */
+  public getInteractiveShare(): number {
+    return this.getInteractiveHeld() / this.getCapacity();
+  }
+
+  /**
+   * The share of memory to keep free for interactive work that is yet to come: what it lately held at most,
+   * less what it holds now. Drafts that filled this too would be preempted by the next few checks.
+   */
+  public getReserve(): number {
+    const missing = this.interactivePeak - this.getInteractiveHeld();
+    return Math.max(0, missing) / this.getCapacity();
+  }
+
   /** The mean memory in use now, in tokens. */
   public getHeld(): number {
     return this.forecast.getHeld() + this.unaccounted;
   }
 
+  private getInteractiveHeld(): number {
+    let held = 0;
+    this.generations.forEach(({ facts, tokens }) => {
+      held += facts.workClass === 'interactive' ? facts.promptTokens + tokens : 0;
+    });
+    return held;
+  }
+
   private getMostHeldSince(then: number): number {
     const before = this.history.filter((sample) => sample.at <= then).at(-1);
     const since = this.history.filter((sample) => sample.at > then);
