--- a/packages/bench/src/bench.ts
+++ b/packages/bench/src/bench.ts
@@ -10,6 +10,18 @@
     describe: 'replays of both mixes under every policy, load, dial and fault',
     run: async () => (await import('./policy/policy-bench.js')).run(),
   },
+  relay: {
+    describe: 'one daemon on one core between an engine and callers',
+    run: async () => (await import('./relay/relay-bench.js')).run(),
+  },
+  grants: {
+    describe: "decisions a second of a pool's owner, bytes of its messages",
+    run: async () => (await import('./grants-bench.js')).run(),
+  },
+  control: {
+    describe: 'configuration into force, faults and cost, on real processes',
+    run: async () => (await import('./control/control-bench.js')).run(),
+  },
 };
 
 /** Runs the benches that are named. */
--- a/packages/bench/src/deployment.ts
+++ b/packages/bench/src/deployment.ts
@@ -2,10 +2,10 @@
 import * as fs from 'node:fs';
 import * as path from 'node:path';
 
+import * as fakes from '@bramleyridge/fakes';
 import * as schemas from '@bramleyridge/schemas';
 
 import * as children from './child.js';
-import * as freePorts from './free-ports.js';
 
 /** What a deployment on loopback looks like. */
 export interface DeploymentShape {
@@ -20,6 +20,8 @@
   readonly speed: number;
   readonly timings?: Partial<schemas.DaemonConfig['timings']>;
   readonly limits?: Partial<schemas.DaemonConfig['limits']>;
+  /** A platform that runs already, in place of the stand-ins. */
+  readonly platformUrl?: string;
   readonly logLevel?: schemas.DaemonConfig['logLevel'];
 }
 
@@ -46,7 +48,11 @@
   public async start(): Promise<void> {
     const { folder } = this.shape;
     fs.mkdirSync(folder, { recursive: true });
-    await this.startFakes();
+    if (this.shape.platformUrl === undefined) {
+      await this.startFakes();
+    } else {
+      this.platformUrl = this.shape.platformUrl;
+    }
     const entries = await this.createEntries();
     const keysFile = path.join(folder, 'keys.json');
     const secret = crypto.randomBytes(32).toString('base64');
@@ -161,7 +167,7 @@
 
   private async createEntries(): Promise<schemas.DaemonEntry[]> {
     const { daemonsPerZone, voters, zones } = this.shape;
-    const ports = await freePorts.findFreePorts(2 * zones.length * daemonsPerZone);
+    const ports = await fakes.findFreePorts(2 * zones.length * daemonsPerZone);
     return Array.from({ length: daemonsPerZone }, (_, row) =>
       zones.map((availabilityZone, column) => {
         const index = row * zones.length + column;
--- /dev/null
+++ b/packages/bench/src/grants-bench.ts
@@ -0,0 +1,186 @@
+import * as peers from '@bramleyridge/peers';
+import * as routing from '@bramleyridge/routing';
+import * as schemas from '@bramleyridge/schemas';
+
+import * as reports from './report.js';
+import * as traces from './policy/trace.js';
+
+const TLS_RECORD_BYTES = 29;
+const TCP_IP_BYTES = 52;
+
+/** Sizes at which the slopes are taken: upstreams and live generations of a pool. */
+const SIZES = [
+  { upstreams: 2, live: 68 },
+  { upstreams: 11, live: 374 },
+  { upstreams: 25, live: 850 },
+  { upstreams: 50, live: 1_700 },
+] as const;
+
+const MEASURE_MS = 1_500;
+
+/** How often a pool's account is worked out anew, per second. */
+const TICKS_PER_SECOND = 10;
+
+interface GrantRow {
+  readonly upstreams: number;
+  readonly live: number;
+  readonly decisionsPerS: number;
+  readonly usPerDecision: number;
+  readonly msPerTick: number;
+  readonly tickShareOfCore: number;
+  readonly heapKbPerGeneration: number;
+}
+
+class Pool {
+  public readonly clock = new schemas.VirtualClock();
+  public readonly owner: routing.PoolOwner;
+  public readonly live: string[] = [];
+  private readonly random = new traces.Random(7);
+  private count = 0;
+
+  public constructor(upstreams: number) {
+    this.owner = new routing.PoolOwner({
+      clock: this.clock,
+      overflowRisk: 0.3,
+      roomTokens: 200_000,
+      getShare: () => ({ weight: 1, maxConcurrent: 1e9, maxQueued: 1e9 }),
+    });
+    this.owner.setUpstreams(
+      Array.from({ length: upstreams }, (_, i) => ({ upstreamId: `e${i}`, isLeaving: false })),
+    );
+  }
+
+  /** One grant. */
+  public grant(): void {
+    this.count += 1;
+    const generation = `a.a-1.k3j2.${this.count.toString(36)}`;
+    const req: routing.GrantRequest = {
+      generation,
+      daemonId: `d${this.count % 46}`,
+      team: `t${this.count % 20}`,
+      intent: 'i',
+      workClass: this.count % 8 === 0 ? 'batch' : 'interactive',
+      promptTokens: this.random.between(80, 1_200),
+      maxTokens: 32_768,
+      prefix: `p${this.count % 100}`,
+      waitedMs: 0,
+      patienceMs: 60_000,
+      excluded: [],
+    };
+    this.owner.request(req, (decision) => {
+      if (decision.upstreamId !== undefined) {
+        this.live.push(generation);
+      }
+    });
+  }
+
+  /** One end. */
+  public finish(): void {
+    const at = this.random.between(0, this.live.length - 1);
+    const generation = this.live.splice(at, 1)[0]!;
+    this.owner.finish(generation, this.random.between(5, 60), true);
+  }
+}
+
+function measure({ upstreams, live }: (typeof SIZES)[number]): GrantRow {
+  globalThis.gc?.();
+  const heapBefore = process.memoryUsage().heapUsed;
+  const pool = new Pool(upstreams);
+  while (pool.live.length < live) {
+    pool.grant();
+  }
+  globalThis.gc?.();
+  const heapAfter = process.memoryUsage().heapUsed;
+  let decisions = 0;
+  const from = performance.now();
+  while (performance.now() - from < MEASURE_MS) {
+    pool.finish();
+    pool.grant();
+    decisions += 1;
+  }
+  const decisionMs = performance.now() - from;
+  let ticks = 0;
+  const tickFrom = performance.now();
+  while (performance.now() - tickFrom < MEASURE_MS) {
+    pool.owner.tick();
+    ticks += 1;
+  }
+  const msPerTick = (performance.now() - tickFrom) / ticks;
+  return {
+    upstreams,
+    live,
+    decisionsPerS: Math.round((1_000 * decisions) / decisionMs),
+    usPerDecision: (1_000 * decisionMs) / decisions,
+    msPerTick,
+    tickShareOfCore: (msPerTick * TICKS_PER_SECOND) / 1_000,
+    heapKbPerGeneration: Math.max(0, heapAfter - heapBefore) / 1_024 / live,
+  };
+}
+
+/** Bytes of the messages between a daemon and a pool's owner, with and without what carries them. */
+function measureBytes(): {
+  readonly message: string;
+  readonly bytes: number;
+  readonly onWire: number;
+}[] {
+  const req: routing.GrantRequest = {
+    generation: 'region-one-a.region-one-a-17.mj3k2l1a.3f2',
+    daemonId: 'region-one-a-17',
+    team: 'schedulers',
+    intent: 'spot-drafter',
+    workClass: 'batch',
+    promptTokens: 812,
+    maxTokens: 32_768,
+    prefix: '0123456789abcdef',
+    waitedMs: 0,
+    patienceMs: 60_000,
+    excluded: [],
+  };
+  const answer = {
+    isPending: false,
+    upstreamId: 'engine-region-one-a-42',
+    version: 'v1',
+    reason: 'room',
+    queuedMs: 12.5,
+    pressure: 0.873,
+    retryAfterS: 0,
+  };
+  const report = (count: number) => ({
+    model: 'spot-drafter',
+    daemonId: 'region-one-a-17',
+    tokens: Array.from({ length: count }, (_, i) => [`${req.generation}${i}`, 1_234 + i]),
+    finished: [],
+    registered: [],
+    withdrawn: [],
+    leaving: [],
+  });
+  const size = (frame: unknown) => peers.encodeFrame(frame as peers.Frame).length;
+  const rows = [
+    { message: 'grant asked', bytes: size(['call', 70_000, 'grant', { model: 'm', req }]) },
+    { message: 'grant answered', bytes: size(['result', 70_000, answer]) },
+    { message: 'progress of 1 generation', bytes: size(['call', 70_000, 'pool', report(1)]) },
+    { message: 'progress of 10 generations', bytes: size(['call', 70_000, 'pool', report(10)]) },
+    { message: 'progress answered', bytes: size(['result', 70_000, undefined]) },
+  ];
+  return rows.map((row) => ({ ...row, onWire: row.bytes + TLS_RECORD_BYTES + TCP_IP_BYTES }));
+}
+
+/** Decisions a second of a pool's owner, and the bytes of its messages. */
+export async function run(): Promise<void> {
+  const rows = SIZES.map(measure);
+  const bytes = measureBytes();
+  reports.writeResults('grants', { rows, bytes }, [
+    reports.createSection(
+      'A pool owner by size',
+      rows.map((row) => ({
+        upstreams: row.upstreams,
+        'live generations': row.live,
+        'decisions/s': row.decisionsPerS,
+        'us/decision': row.usPerDecision.toFixed(0),
+        'ms per look at the account': row.msPerTick.toFixed(2),
+        'share of a core for looks': row.tickShareOfCore.toFixed(4),
+      })),
+    ),
+    reports.createSection('Bytes of messages', bytes),
+  ]);
+}
--- a/packages/bench/src/worker-pool.ts
+++ b/packages/bench/src/worker-pool.ts
@@ -14,11 +14,14 @@
         break;
       }
       results[at] = await new Promise<R>((resolve, reject) => {
-        worker.once('message', resolve);
+        const settle = (result: R) => {
+          worker.off('error', reject);
+          resolve(result);
+        };
+        worker.once('message', settle);
         worker.once('error', reject);
         worker.postMessage(jobs[at]);
       });
-      worker.removeAllListeners();
     }
     await worker.terminate();
   };
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -178,6 +178,18 @@
     this.parts.metrics.close();
   }
 
+  private describeLinks(): object {
+    const counts = this.mesh.getCounts();
+    counts.add(this.peerServer.counts);
+    return { role: this.getRole(), ...counts };
+  }
+
+  private getRole(): string {
+    const { voter } = this.control;
+    const seat = voter?.isLeader() ? 'leader' : 'voter';
+    return `${voter === undefined ? 'daemon' : seat}${this.view.isRelay() ? '+relay' : ''}`;
+  }
+
   private createBeat(): schemas.Beat {
     const { daemonId, availabilityZone, host, peerPort, callerPort } = this.cfg;
     return {
@@ -301,6 +313,7 @@
       leader: this.leader,
       decisions: this.parts.decisions,
       getDeclaration: () => this.store.get().declaration,
+      describeLinks: () => this.describeLinks(),
       reloadKeys: () => this.keyring.reload(),
       drain: () => {
         void this.stop();
--- a/packages/daemon/src/leader-tasks.ts
+++ b/packages/daemon/src/leader-tasks.ts
@@ -139,10 +139,10 @@
   }
 
   private async round(): Promise<void> {
-    const { control, store } = this.options;
+    const { cfg, control, store } = this.options;
     await this.seat();
     const leadership = control.getLeadership();
-    if (!leadership.isLeaseHeld(placement.ORDER_DEADLINE_MS)) {
+    if (!leadership.isLeaseHeld(placement.getOrderDeadlineMs(cfg.timings.leaseMs))) {
       return;
     }
     const { revision, declaration } = store.get();
--- a/packages/daemon/src/operator-api.ts
+++ b/packages/daemon/src/operator-api.ts
@@ -27,6 +27,8 @@
   readonly leader: leaderTasks.LeaderTasks;
   readonly decisions: decisionLogs.DecisionLog;
   readonly getDeclaration: () => schemas.Declaration;
+  /** This daemon's role in control, and what its links carried. */
+  readonly describeLinks: () => object;
   readonly reloadKeys: () => void;
   readonly drain: () => void;
 }
--- a/packages/daemon/src/peer-mesh.ts
+++ b/packages/daemon/src/peer-mesh.ts
@@ -76,14 +76,10 @@
     return this.getAt(peer.daemonId, peer).sync.mutate(req, { context: { deadlineMs } });
   }
 
-  /** Bytes and calls over all links, for the capacity page. */
+  /** What this daemon's own links carried, for the capacity page. */
   public getCounts(): peers.LinkCounts {
-    const total = { bytesIn: 0, bytesOut: 0, calls: 0 };
-    this.links.forEach(({ client }) => {
-      total.bytesIn += client.counts.bytesIn;
-      total.bytesOut += client.counts.bytesOut;
-      total.calls += client.counts.calls;
-    });
+    const total = new peers.LinkCounts();
+    this.links.forEach(({ client }) => total.add(client.counts));
     return total;
   }
 
--- /dev/null
+++ b/packages/daemon/tests/control.test.ts
@@ -0,0 +1,176 @@
+import type * as schemas from '@bramleyridge/schemas';
+import * as tap from 'tap';
+
+import * as deployments from './support/small-deployment.js';
+
+interface Planned {
+  readonly plan: schemas.Plan;
+  readonly effects: string[];
+}
+
+function withWeight(files: readonly schemas.DeclarationFile[], weight: number) {
+  return files.map((file) =>
+    file.kind === 'team' && file.name === 'sales' ? { ...file, weight } : file,
+  );
+}
+
+function getWeight(deployment: deployments.SmallDeployment, index: number): number | undefined {
+  const { declaration } = deployment.running[index]!.daemon.store.get();
+  return declaration.teams.find((team) => team.name === 'sales')?.weight;
+}
+
+void tap.default.test(
+  'an accepted configuration is in force everywhere and never reverts',
+  async (t) => {
+    const deployment = new deployments.SmallDeployment(['a', 'b', 'c'], 2);
+    await deployment.start(t);
+    const files = deployment.createFiles();
+
+    await t.test('a plan shows what will change and changes nothing', async (t2) => {
+      const answer = await deployment.operate('/plans', {
+        requestId: 'p1',
+        files: withWeight(files, 5),
+      });
+      const { plan } = answer.body as Planned;
+      t2.equal(plan.changes.length, 1);
+      t2.equal(getWeight(deployment, 0), 1, 'nothing happened yet');
+      const again = await deployment.operate('/plans', {
+        requestId: 'p1',
+        files: withWeight(files, 5),
+      });
+      t2.equal((again.body as Planned).plan.planId, plan.planId, 'a resend gets the first answer');
+    });
+
+    await t.test('of two operators with equal numbers exactly one wins', async (t2) => {
+      const [one, two] = await Promise.all(
+        [2, 3].map(async (weight) => {
+          const answer = await deployment.operate('/plans', {
+            requestId: `race-${weight}`,
+            files: withWeight(files, weight),
+          });
+          return (answer.body as Planned).plan;
+        }),
+      );
+      t2.equal(one!.baseRevision, two!.baseRevision);
+      const answers = await Promise.all([
+        deployment.operate(`/plans/${one!.planId}/confirm`, { requestId: 'c-one' }, 0),
+        deployment.operate(`/plans/${two!.planId}/confirm`, { requestId: 'c-two' }, 1),
+      ]);
+      t2.same(answers.map((answer) => answer.status).sort(), [200, 409]);
+      const loser = answers.find((answer) => answer.status === 409)!;
+      t2.match(
+        JSON.stringify(loser.body),
+        /night confirmed plan-/,
+        'the other learns who and what',
+      );
+      const winner = answers.findIndex((answer) => answer.status === 200);
+      const id = winner === 0 ? one!.planId : two!.planId;
+      const resent = await deployment.operate(
+        `/plans/${id}/confirm`,
+        { requestId: winner === 0 ? 'c-one' : 'c-two' },
+        2,
+      );
+      t2.same(resent.body, answers[winner]!.body, 'a resend through another voter');
+    });
+
+    await t.test(
+      'a declaration that the deployment cannot hold is refused with its path',
+      async (t2) => {
+        const cases = [
+          {
+            name: 'unknown zone',
+            change: { availabilityZones: ['nowhere'] },
+            fault: /no availability zone/,
+          },
+          {
+            name: 'more upstreams than there are',
+            change: { upstreamsPerZone: 9 },
+            fault: /9 are wanted/,
+          },
+          { name: 'unknown team', change: { teams: ['nobody'] }, fault: /no team nobody/ },
+        ];
+        for (const { name, change, fault } of cases) {
+          const changed = files.map((file) =>
+            file.kind === 'intent' ? { ...file, ...change } : file,
+          );
+          const answer = await deployment.operate('/plans', { requestId: name, files: changed });
+          t2.equal(answer.status, 422, name);
+          t2.match(JSON.stringify(answer.body), fault, name);
+        }
+      },
+    );
+
+    await t.test(
+      'a cut-off zone serves on the last revision and takes the newest after',
+      async (t2) => {
+        deployment.cutZone('c');
+        const before = deployment.running[5]!.daemon.store.get().revision;
+        for (const weight of [11, 12, 13]) {
+          const planned = await deployment.operate(
+            '/plans',
+            { requestId: `cut-${weight}`, files: withWeight(files, weight) },
+            0,
+          );
+          const { planId } = (planned.body as Planned).plan;
+          await deployment.operate(`/plans/${planId}/confirm`, { requestId: `cut-c-${weight}` }, 0);
+        }
+        t2.equal(deployment.running[5]!.daemon.store.get().revision, before);
+        deployment.heal();
+        await deployment.until('the newest in zone c', () => getWeight(deployment, 5) === 13);
+        t2.equal(getWeight(deployment, 2), 13);
+      },
+    );
+
+    await t.test(
+      'revisions never fall while voters and daemons are killed and restarted',
+      async (t2) => {
+        const highest = deployment.running.map(() => 0);
+        let falls = 0;
+        const watch = setInterval(() => {
+          deployment.running.forEach((item, i) => {
+            const { revision } = item.daemon.store.get();
+            if (item.isUp && item.daemon.store.isReady()) {
+              falls += revision < highest[i]! ? 1 : 0;
+              highest[i] = Math.max(highest[i]!, revision);
+            }
+          });
+        }, 5);
+        for (const [round, victim] of [0, 3, 1, 4, 2].entries()) {
+          deployment.kill(victim);
+          const at = deployment.running.findIndex((item) => item.isUp);
+          const planned = await deployment.operate(
+            '/plans',
+            { requestId: `kill-${round}`, files: withWeight(files, 20 + round) },
+            at,
+          );
+          const { planId } = (planned.body as Planned).plan;
+          const done = await deployment.operate(
+            `/plans/${planId}/confirm`,
+            { requestId: `kill-c-${round}` },
+            at,
+          );
+          t2.equal(
+            done.status,
+            200,
+            `confirmed without ${deployment.running[victim]!.cfg.daemonId}`,
+          );
+          await deployment.restart(victim);
+          await deployment.until(
+            'the restarted daemon to have it',
+            () => getWeight(deployment, victim) === 20 + round,
+          );
+        }
+        clearInterval(watch);
+        t2.equal(falls, 0);
+      },
+    );
+
+    await t.test('a wrong operator token is refused', async (t2) => {
+      const res = await fetch(`${deployment.getUrl(0)}/operator/v1/status`, {
+        headers: { authorization: 'Bearer nobody' },
+      });
+      t2.equal(res.status, 401);
+      await res.text();
+    });
+  },
+);
--- /dev/null
+++ b/packages/daemon/tests/services.test.ts
@@ -0,0 +1,119 @@
+import * as tap from 'tap';
+
+import * as deployments from './support/small-deployment.js';
+
+const { sales } = deployments.TOKENS;
+
+interface Answer {
+  readonly status: number;
+  readonly outcome: string | null;
+}
+
+async function confirm(url: string, booking: string, key?: string): Promise<Answer> {
+  const res = await fetch(`${url}/services/booking/confirms`, {
+    method: 'POST',
+    headers: {
+      authorization: `Bearer ${sales}`,
+      ...(key === undefined ? {} : { 'idempotency-key': key }),
+    },
+    body: JSON.stringify({ booking }),
+  });
+  await res.text();
+  return { status: res.status, outcome: res.headers.get('bramleyridge-outcome') };
+}
+
+function countRuns(deployment: deployments.SmallDeployment, booking: string): number {
+  return deployment.services.reduce((sum, item) => sum + (item.confirms.get(booking) ?? 0), 0);
+}
+
+void tap.default.test('a confirm runs at most once, and what is told of it is true', async (t) => {
+  const deployment = new deployments.SmallDeployment(['a', 'b', 'c'], 2);
+  await deployment.start(t);
+
+  await t.test(
+    'resends through other daemons, also other zones, get the first answer',
+    async (t2) => {
+      const first = await confirm(deployment.getUrl(0), 'b1', 'k1');
+      const second = await confirm(deployment.getUrl(3), 'b1', 'k1');
+      const third = await confirm(deployment.getUrl(1), 'b1', 'k1');
+      [first, second, third].forEach((answer) => t2.equal(answer.outcome, 'complete'));
+      t2.equal(countRuns(deployment, 'b1'), 1);
+    },
+  );
+
+  await t.test('ten resends at once run it once', async (t2) => {
+    const answers = await Promise.all(
+      Array.from({ length: 10 }, (_, i) => confirm(deployment.getUrl(i % 6), 'b2', 'k2')),
+    );
+    t2.ok(answers.some((answer) => answer.outcome === 'complete'));
+    t2.equal(countRuns(deployment, 'b2'), 1);
+  });
+
+  await t.test('a key used for another call is refused', async (t2) => {
+    await confirm(deployment.getUrl(0), 'b3', 'k3');
+    const other = await confirm(deployment.getUrl(0), 'b4', 'k3');
+    t2.equal(other.status, 422);
+    t2.equal(other.outcome, 'not-run');
+    t2.equal(countRuns(deployment, 'b4'), 0);
+  });
+
+  await t.test(
+    'a service that resets after running it: unknown, and never sent again',
+    async (t2) => {
+      deployment.services.forEach((service) => (service.faults.resetAfterRead = true));
+      const lost = await confirm(deployment.getUrl(0), 'b5', 'k5');
+      deployment.services.forEach((service) => (service.faults.resetAfterRead = false));
+      const resent = await confirm(deployment.getUrl(3), 'b5', 'k5');
+      t2.equal(lost.outcome, 'unknown');
+      t2.equal(resent.outcome, 'unknown', 'the resend is not told a guess');
+      t2.equal(countRuns(deployment, 'b5'), 1);
+    },
+  );
+
+  await t.test('a service that refuses: not-run is true, and the key may run later', async (t2) => {
+    deployment.services.forEach((service) => (service.faults.refuse = true));
+    const refused = await confirm(deployment.getUrl(0), 'b6', 'k6');
+    deployment.services.forEach((service) => (service.faults.refuse = false));
+    t2.equal(refused.outcome, 'not-run');
+    t2.equal(countRuns(deployment, 'b6'), 0);
+    await deployment.until('the service to be tried again', async () => {
+      const later = await confirm(deployment.getUrl(0), 'b6', 'k6');
+      return later.outcome === 'complete';
+    });
+    t2.equal(countRuns(deployment, 'b6'), 1);
+  });
+
+  await t.test('the daemon that ran it dies: a resend elsewhere is told unknown', async (t2) => {
+    // The confirm ran and its answer was with a daemon that is dead. It may not run again.
+    await confirm(deployment.getUrl(5), 'b7', 'k7');
+    deployment.kill(5);
+    const resent = await confirm(deployment.getUrl(2), 'b7', 'k7');
+    t2.equal(resent.outcome, 'unknown');
+    t2.equal(countRuns(deployment, 'b7'), 1);
+    await deployment.restart(5);
+    await deployment.until('the restart', () => deployment.running[5]!.daemon.store.isReady());
+    const again = await confirm(deployment.getUrl(5), 'b7', 'k7');
+    t2.equal(again.outcome, 'unknown', 'also when it came back and has forgotten');
+    t2.equal(countRuns(deployment, 'b7'), 1);
+  });
+
+  await t.test('a cut-off zone serves what it can and refuses the rest as not run', async (t2) => {
+    deployment.cutZone('a');
+    const keyed = await confirm(deployment.getUrl(0), 'b8', 'k8');
+    t2.equal(keyed.outcome, 'not-run', 'no majority of the claim group is inside');
+    t2.equal(countRuns(deployment, 'b8'), 0);
+    const res = await fetch(`${deployment.getUrl(0)}/services/booking/slots/7`, {
+      headers: { authorization: `Bearer ${sales}` },
+    });
+    await res.text();
+    t2.equal(res.status, 200, 'a slot query is served');
+    const outside = await confirm(deployment.getUrl(1), 'b9', 'k9');
+    t2.equal(outside.outcome, 'complete', 'the other zones go on');
+    deployment.heal();
+    await deployment.until('the zone to claim again', async () => {
+      const healed = await confirm(deployment.getUrl(0), 'b8', 'k8');
+      return healed.outcome === 'complete';
+    });
+    t2.equal(countRuns(deployment, 'b8'), 1);
+  });
+});
--- /dev/null
+++ b/packages/daemon/tests/support/small-deployment.ts
@@ -0,0 +1,302 @@
+import * as crypto from 'node:crypto';
+import * as fs from 'node:fs';
+import * as os from 'node:os';
+import * as path from 'node:path';
+
+import * as daemons from '@bramleyridge/daemon';
+import * as fakes from '@bramleyridge/fakes';
+import * as schemas from '@bramleyridge/schemas';
+
+/** Tokens of the two teams and the operators. */
+export const TOKENS = { sales: 'token-sales', night: 'token-night', operator: 'token-operator' };
+
+/** Short times, so that failures are found while a test waits. */
+const TIMINGS = {
+  heartbeatMs: 200,
+  suspectMs: 700,
+  electionMs: 300,
+  leaseMs: 200,
+  reportMs: 100,
+  peerDeadlineMs: 500,
+  claimDeadlineMs: 500,
+};
+
+const LIMITS = {
+  upstreamSilenceMs: 1_500,
+  callerGraceMs: 1_000,
+  queueMs: 8_000,
+  bodyTimeoutMs: 700,
+  bodyBytes: 200_000,
+};
+
+/** How long a test waits for something that must come, in milliseconds. */
+const PATIENCE_MS = 20_000;
+
+interface Teardown {
+  teardown(handler: () => unknown): void;
+}
+
+/** One daemon in this process, with its settings. */
+export interface Running {
+  readonly cfg: schemas.DaemonConfig;
+  daemon: daemons.Daemon;
+  isUp: boolean;
+}
+
+/** Daemons of three zones in this process, on real sockets, with stand-ins outside. */
+export class SmallDeployment {
+  public readonly running: Running[] = [];
+  public readonly engines: fakes.FakeEngine[] = [];
+  public readonly services: fakes.FakeService[] = [];
+  public readonly platform = new fakes.FakePlatform(100);
+  public upstreams: schemas.Upstream[] = [];
+  private folder = '';
+
+  public constructor(
+    private readonly zones: readonly string[],
+    private readonly daemonsPerZone: number,
+    private readonly enginesPerZone = 1,
+  ) {}
+
+  /** Starts everything and puts the declaration of `createFiles` in force. */
+  public async start(t: Teardown): Promise<void> {
+    this.folder = fs.mkdtempSync(path.join(os.tmpdir(), 'bramleyridge-test-'));
+    t.teardown(() => this.end());
+    const platformUrl = await this.platform.listen();
+    await this.startUpstreams();
+    const keysFile = path.join(this.folder, 'keys.json');
+    const key = crypto.randomBytes(32).toString('base64');
+    fs.writeFileSync(keysFile, JSON.stringify({ active: 'k1', keys: { k1: key } }));
+    const entries = await this.createEntries();
+    for (const entry of entries) {
+      const cfg = schemas.daemonConfig.parse({
+        ...entry,
+        ...(entry.voter ? { dataFolder: path.join(this.folder, entry.daemonId) } : {}),
+        peers: entries,
+        keysFile,
+        operators: [{ operator: 'night', sha256: schemas.getSha256(TOKENS.operator) }],
+        platformUrl,
+        timings: TIMINGS,
+        limits: LIMITS,
+      });
+      this.running.push({ cfg, daemon: this.create(cfg), isUp: true });
+    }
+    await Promise.all(this.running.map((item) => item.daemon.start()));
+    await this.apply(this.createFiles());
+    await this.until('claim seats', () =>
+      this.running.every((item) => item.daemon.store.get().claimSeats.length >= 3),
+    );
+  }
+
+  /** A declaration for these zones. */
+  public createFiles(change: Partial<schemas.Team> = {}): schemas.DeclarationFile[] {
+    const zones = [...this.zones];
+    const createTeam = (name: string, token: string): schemas.Team => ({
+      kind: 'team',
+      name,
+      tokenSha256: [schemas.getSha256(token)],
+      availabilityZones: zones,
+      weight: 1,
+      maxConcurrent: 64,
+      maxQueued: 64,
+    });
+    return [
+      createTeam('sales', TOKENS.sales),
+      { ...createTeam('night', TOKENS.night), availabilityZones: [zones[0]!], ...change },
+      {
+        kind: 'intent',
+        name: 'drafts',
+        model: 'drafter',
+        version: 'v1',
+        teams: ['sales', 'night'],
+        availabilityZones: zones,
+        upstreamsPerZone: this.enginesPerZone,
+        room: 65_536,
+        overflowRisk: 0.05,
+      },
+      {
+        kind: 'service',
+        name: 'booking',
+        availabilityZones: zones,
+        notRepeatable: [{ method: 'POST', path: '/confirms' }],
+      },
+    ];
+  }
+
+  /** Plans and confirms through any daemon that is up; gives the revision. */
+  public async apply(files: readonly schemas.DeclarationFile[]): Promise<number> {
+    const planned = await this.operate('/plans', { requestId: crypto.randomUUID(), files });
+    const { plan } = planned.body as { plan: schemas.Plan };
+    const confirmed = await this.operate(`/plans/${plan.planId}/confirm`, {
+      requestId: crypto.randomUUID(),
+    });
+    const { revision } = confirmed.body as { revision: number };
+    await this.until(`revision ${revision}`, () =>
+      this.running.every((item) => !item.isUp || item.daemon.store.get().revision >= revision),
+    );
+    return revision;
+  }
+
+  /** One call of the operators' API, tried until it is answered. */
+  public async operate(
+    route: string,
+    body?: object,
+    at?: number,
+  ): Promise<{ status: number; body: unknown }> {
+    const end = Date.now() + PATIENCE_MS;
+    for (;;) {
+      const index = at ?? this.running.findIndex((item) => item.isUp);
+      const res = await fetch(`${this.getUrl(index)}/operator/v1${route}`, {
+        method: body === undefined ? 'GET' : 'POST',
+        headers: { authorization: `Bearer ${TOKENS.operator}` },
+        body: body === undefined ? undefined : JSON.stringify(body),
+      });
+      const answer = { status: res.status, body: await res.json() };
+      if ((res.status !== 503 && res.status !== 502) || Date.now() > end) {
+        return answer;
+      }
+    }
+  }
+
+  /** Where callers reach a daemon. */
+  public getUrl(index: number): string {
+    const { cfg } = this.running[index]!;
+    return `http://${cfg.host}:${cfg.callerPort}`;
+  }
+
+  /** Ends a daemon as a killed process. */
+  public kill(index: number): void {
+    const item = this.running[index]!;
+    item.isUp = false;
+    item.daemon.kill();
+  }
+
+  /** Starts a daemon again, with the disk that it had. */
+  public async restart(index: number): Promise<void> {
+    const item = this.running[index]!;
+    item.daemon = this.create(item.cfg);
+    item.isUp = true;
+    await item.daemon.start();
+  }
+
+  /** Cuts all links between one zone and the others. */
+  public cutZone(zone: string): void {
+    this.running.forEach(({ cfg, daemon }) => {
+      const isInside = cfg.availabilityZone === zone;
+      daemon.cut(
+        (id) => this.getZone(id) !== undefined && (this.getZone(id) === zone) !== isInside,
+        false,
+      );
+    });
+  }
+
+  /** Mends every link. */
+  public heal(): void {
+    this.running.forEach(({ daemon }) => daemon.cut(() => false, false));
+  }
+
+  /** The index of the daemon that leads, or -1. */
+  public findLeader(): number {
+    return this.running.findIndex((item) => item.isUp && item.daemon.control.voter?.isLeader());
+  }
+
+  /** Waits for something that must come. */
+  public async until(what: string, isThere: () => boolean | Promise<boolean>): Promise<void> {
+    const end = Date.now() + PATIENCE_MS;
+    while (!(await isThere())) {
+      if (Date.now() > end) {
+        throw new Error(`waited in vain for ${what}`);
+      }
+      await pause(20);
+    }
+  }
+
+  /** The engine or service whose record names a generation or booking. */
+  public countRuns(generation: string): number {
+    return this.engines.filter((engine) => engine.record.has(generation)).length;
+  }
+
+  private getZone(daemonId: string): string | undefined {
+    return this.running.find((item) => item.cfg.daemonId === daemonId)?.cfg.availabilityZone;
+  }
+
+  private create(cfg: schemas.DaemonConfig): daemons.Daemon {
+    return new daemons.Daemon(cfg, { log: createLog() });
+  }
+
+  private async startUpstreams(): Promise<void> {
+    for (const availabilityZone of this.zones) {
+      for (let i = 1; i <= this.enginesPerZone; i += 1) {
+        const upstreamId = `engine-${availabilityZone}-${i}`;
+        const engine = new fakes.FakeEngine({
+          upstreamId,
+          models: [],
+          checksFencing: i % 2 === 1,
+          reportLagMs: 50,
+          speed: 4,
+        });
+        this.engines.push(engine);
+        this.upstreams.push({
+          upstreamId,
+          kind: 'engine',
+          availabilityZone,
+          url: await engine.listen(),
+          state: 'live',
+          checksFencing: i % 2 === 1,
+        });
+      }
+      const service = new fakes.FakeService();
+      this.services.push(service);
+      this.upstreams.push({
+        upstreamId: `booking-${availabilityZone}`,
+        kind: 'service',
+        service: 'booking',
+        availabilityZone,
+        url: await service.listen(),
+        state: 'live',
+        checksFencing: false,
+      });
+    }
+    this.platform.set(this.upstreams);
+  }
+
+  private async createEntries(): Promise<schemas.DaemonEntry[]> {
+    const count = this.zones.length * this.daemonsPerZone;
+    const ports = await fakes.findFreePorts(2 * count);
+    return Array.from({ length: count }, (_, i) => {
+      const availabilityZone = this.zones[i % this.zones.length]!;
+      return {
+        daemonId: `${availabilityZone}-${Math.floor(i / this.zones.length) + 1}`,
+        availabilityZone,
+        host: '127.0.0.1',
+        peerPort: ports[2 * i]!,
+        callerPort: ports[2 * i + 1]!,
+        voter: i < 3,
+      };
+    });
+  }
+
+  private async end(): Promise<void> {
+    this.running.filter((item) => item.isUp).forEach((item) => item.daemon.kill());
+    this.engines.forEach((engine) => engine.kill());
+    this.services.forEach((service) => service.kill());
+    this.platform.kill();
+    await pause(50);
+    fs.rmSync(this.folder, { recursive: true, force: true });
+  }
+}
+
+/** Waits. */
+export function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
+
+function createLog(): schemas.Log {
+  if (process.env.TEST_LOG === undefined) {
+    return new schemas.SilentLog();
+  }
+  const write = (fields: object) => process.stderr.write(`${JSON.stringify(fields)}\n`);
+  return { debug: write, info: write, warn: write, error: write };
+}
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -1,6 +1,7 @@
 /** The link between daemons: tRPC over framed msgpack on TLS with pre-shared keys. */
 export * from './frame.js';
 export * from './keyring.js';
+export * from './link-counts.js';
 export * from './peer-client.js';
 export * from './peer-link.js';
 export * from './peer-server.js';
--- a/packages/peers/src/peer-client.ts
+++ b/packages/peers/src/peer-client.ts
@@ -4,6 +4,7 @@
 
 import * as frames from './frame.js';
 import type * as keyrings from './keyring.js';
+import * as linkCounts from './link-counts.js';
 import * as tlsOptions from './tls-options.js';
 
 /** How often an idle link is tried, in milliseconds. */
@@ -29,16 +30,9 @@
   readonly reject: (err: Error) => void;
 }
 
-/** Counts of what went over a link, for the capacity page. */
-export interface LinkCounts {
-  bytesOut: number;
-  bytesIn: number;
-  calls: number;
-}
-
 /** Calls one peer over one connection, made when needed and remade when it falls silent. */
 export class PeerClient {
-  public readonly counts: LinkCounts = { bytesOut: 0, bytesIn: 0, calls: 0 };
+  public readonly counts = new linkCounts.LinkCounts();
   private socket: tls.TLSSocket | undefined;
   private connecting: Promise<tls.TLSSocket> | undefined;
   private waiting = new Map<number, Waiting>();
@@ -61,7 +55,6 @@
     }
     const id = this.nextId;
     this.nextId += 1;
-    this.counts.calls += 1;
     try {
       return await Promise.race([this.exchange(id, path, input), timeout]);
     } finally {
@@ -90,7 +83,7 @@
       return;
     }
     const bytes = frames.encodeFrame(frame);
-    this.counts.bytesOut += bytes.length;
+    this.counts.noteOut(bytes.length);
     this.socket.write(bytes);
   }
 
@@ -137,7 +130,7 @@
     const pinger = setInterval(() => this.send(['ping']), PING_MS);
     pinger.unref();
     socket.on('data', (bytes: Buffer) => {
-      this.counts.bytesIn += bytes.length;
+      this.counts.noteIn(bytes.length);
       try {
         for (const frame of reader.push(bytes)) {
           this.take(frame);
--- a/packages/peers/src/peer-server.ts
+++ b/packages/peers/src/peer-server.ts
@@ -6,6 +6,7 @@
 
 import * as frames from './frame.js';
 import type * as keyrings from './keyring.js';
+import * as linkCounts from './link-counts.js';
 import * as tlsOptions from './tls-options.js';
 
 /** What the server needs besides its router. */
@@ -20,6 +21,7 @@
 
 /** Serves a tRPC router to the other daemons, one task for each connection. */
 export class PeerServer {
+  public readonly counts = new linkCounts.LinkCounts();
   private readonly server: tls.Server;
   private readonly sockets = new Set<net.Socket>();
 
@@ -68,6 +70,7 @@
       calls.forEach((call) => call.abort());
     });
     socket.on('data', (bytes: Buffer) => {
+      this.counts.noteIn(bytes.length);
       try {
         for (const frame of reader.push(bytes)) {
           this.take(socket, frame, calls);
@@ -84,7 +87,7 @@
       return;
     }
     if (frame[0] === 'ping') {
-      socket.write(frames.encodeFrame(['pong']));
+      this.send(socket, ['pong']);
     } else if (frame[0] === 'cancel') {
       calls.get(frame[1])?.abort();
     } else if (frame[0] === 'call') {
@@ -105,10 +108,16 @@
     );
     calls.delete(id);
     if (!socket.destroyed && !abort.signal.aborted && !this.options.isCut?.()) {
-      socket.write(frames.encodeFrame(reply));
+      this.send(socket, reply);
     }
   }
 
+  private send(socket: tls.TLSSocket, frame: frames.Frame): void {
+    const bytes = frames.encodeFrame(frame);
+    this.counts.noteOut(bytes.length);
+    socket.write(bytes);
+  }
+
   private async run(path: string, input: unknown, signal: AbortSignal): Promise<unknown> {
     return (await trpc.callTRPCProcedure({
       router: this.router,
--- a/packages/placement/src/desired-state.ts
+++ b/packages/placement/src/desired-state.ts
@@ -58,7 +58,12 @@
   const loads = desired
     .filter((slot) => !held.has(getSlotKey(slot)))
     .map((slot) => ({ action: 'load' as const, slot, reason: 'wanted and not seen' }));
+  // An upstream that leaves ends by itself; an order would only disturb what it still runs.
+  const leaving = new Set(
+    observed.filter((item) => item.isLeaving).map((item) => item.upstream.upstreamId),
+  );
   const unloads = seen
+    .filter((slot) => !leaving.has(slot.upstreamId))
     .filter((slot) => !wanted.has(getSlotKey(slot)))
     .filter((slot) => isReplaced(slot, desired, held, zones))
     .map((slot) => ({ action: 'unload' as const, slot, reason: 'not wanted and replaced' }));
--- a/packages/placement/src/order-sender.ts
+++ b/packages/placement/src/order-sender.ts
@@ -3,8 +3,8 @@
 import * as desiredStates from './desired-state.js';
 import * as weightBudgets from './weight-budget.js';
 
-/** The longest that an order may be under way, in milliseconds. */
-export const ORDER_DEADLINE_MS = 250;
+/** The longest that an order may be under way, as a share of the lease, so that a fresh lease outlasts it. */
+const ORDER_SHARE_OF_LEASE = 0.5;
 
 /** How long an order that was taken is not sent again, in milliseconds. */
 const REPEAT_MS = 10_000;
@@ -13,6 +13,11 @@
 const LOADS_PER_SECOND = 4;
 const LOADS_AT_ONCE = 8;
 
+/** The longest that an order may be under way, in milliseconds. */
+export function getOrderDeadlineMs(leaseMs: number): number {
+  return leaseMs * ORDER_SHARE_OF_LEASE;
+}
+
 /** The leader as the sender of orders sees it. */
 export interface OrderAuthority {
   /** Whether the lease holds for at least so long. */
@@ -39,15 +44,17 @@
 export class OrderSender {
   private readonly budget: weightBudgets.WeightBudget;
   private readonly sentAt = new Map<string, number>();
+  private readonly deadlineMs: number;
 
   public constructor(private readonly options: OrderSenderOptions) {
+    this.deadlineMs = getOrderDeadlineMs(options.leaseMs);
     this.budget = new weightBudgets.WeightBudget(options.clock, LOADS_PER_SECOND, LOADS_AT_ONCE);
   }
 
   /** Whether the former leader's lease and its longest order are over. */
   public isWaitedOut(): boolean {
     const { authority, clock, leaseMs } = this.options;
-    return clock.now() - authority.startedAt > leaseMs + ORDER_DEADLINE_MS;
+    return clock.now() - authority.startedAt > leaseMs + this.deadlineMs;
   }
 
   /** Sends what is due; gives back the upstreams that took an order. */
@@ -82,7 +89,7 @@
     this.sentAt.set(key, clock.now());
     const fields = { decision: 'order', upstream: upstream.upstreamId, ...order };
     try {
-      const status = await this.options.send(upstream, order, ORDER_DEADLINE_MS);
+      const status = await this.options.send(upstream, order, this.deadlineMs);
       log.info({ ...fields, reason: step.reason, status });
       return status === 200;
     } catch (err) {
@@ -98,7 +105,7 @@
    * outlasts the order's deadline, and a successor waits until that lease and that order are over.
    */
   private mayOrder(upstream: schemas.Upstream): boolean {
-    const isLeased = this.options.authority.isLeaseHeld(ORDER_DEADLINE_MS);
+    const isLeased = this.options.authority.isLeaseHeld(this.deadlineMs);
     return isLeased && (upstream.checksFencing || this.isWaitedOut());
   }
 }
--- a/packages/routing/src/pool-owner.ts
+++ b/packages/routing/src/pool-owner.ts
@@ -18,6 +18,9 @@
 /** The share of an upstream's memory that interactive work may hold while drafts wait long. */
 const INTERACTIVE_SHARE = 0.5;
 
+/** How long interactive work waits for room before it goes to an engine that is full, in milliseconds. */
+const URGENT_AFTER_MS = 200;
+
 /** What a refused caller is told to wait, per request of its team ahead of it, in seconds. */
 const RETRY_S_PER_WAITING = 0.05;
 
@@ -110,6 +113,11 @@
       decide(this.refuse('queue-full', req, 0));
       return;
     }
+    // Every upstream has refused it already: waiting would only put the final answer off.
+    if (this.rooms.size > 0 && [...this.rooms.keys()].every((id) => req.excluded.includes(id))) {
+      decide(this.refuse('excluded', req, 0));
+      return;
+    }
     const distribution = this.lengths.get(req.team, req.workClass);
     const cost = req.promptTokens + distribution.getMeanRest(0, req.maxTokens);
     const ticket: Ticket = { req, enqueuedAt: this.options.clock.now(), cost, decide };
@@ -239,7 +247,9 @@
     }
     const candidates = this.listCandidates(req);
     const joining = this.createLive({ ...req, upstreamId: '', tokens: 0 }, now);
-    const choice = this.choice.choose(candidates, joining, req.prefix, now);
+    const choice =
+      this.choice.choose(candidates, joining, req.prefix, now) ??
+      this.chooseUrgent(ticket, candidates, now);
     if (choice === undefined) {
       return false;
     }
@@ -256,6 +266,26 @@
     return true;
   }
 
+  /**
+   * A short check that found no room for a while goes to the emptiest engine all the same: the engine puts
+   * it first as soon as memory comes free, long before the owner would hear of it.
+   */
+  private chooseUrgent(
+    ticket: Ticket,
+    candidates: readonly rooms.UpstreamRoom[],
+    now: number,
+  ): choices.Choice | undefined {
+    const isUrgent =
+      ticket.req.workClass === 'interactive' && now - ticket.enqueuedAt >= URGENT_AFTER_MS;
+    if (!isUrgent) {
+      return undefined;
+    }
+    const [best] = candidates
+      .map((room) => ({ room, pressure: room.getPressure(0) }))
+      .sort((a, b) => a.pressure - b.pressure);
+    return best === undefined ? undefined : { ...best, reason: 'urgent' };
+  }
+
   private listCandidates(req: types.GrantRequest): rooms.UpstreamRoom[] {
     const usable = [...this.rooms.values()].filter(
       (room) => !room.isLeaving && !req.excluded.includes(room.upstreamId),
--- a/packages/routing/src/types.ts
+++ b/packages/routing/src/types.ts
@@ -57,10 +57,12 @@
   | 'room'
   | 'prefix'
   | 'idle'
+  | 'urgent'
   | 'two-choices'
   | 'queue-full'
   | 'too-many'
   | 'patience'
+  | 'excluded'
   | 'no-upstream';
 
 /** The decision on a request for room. */
