--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -83,6 +83,7 @@
       cfg,
       control: this.control,
       store,
+      view,
       engines,
       clock,
       log,
@@ -251,6 +252,7 @@
       findLeader: () => control.findLeader(),
       findZoneStatus: () => (control.voter?.isLeader() ? leader.zones : undefined),
       getEntries: () => this.getEntries(),
+      isLeased: () => control.voter?.leadership?.isLeaseHeld() ?? false,
     });
   }
 
@@ -259,6 +261,7 @@
     return new members.SyncClient({
       self: () => this.createBeat(),
       isVoter: cfg.voter,
+      isLeader: () => this.control.voter?.isLeader() ?? false,
       seeds: cfg.peers,
       store,
       view,
--- a/packages/daemon/src/leader-tasks.ts
+++ b/packages/daemon/src/leader-tasks.ts
@@ -27,6 +27,7 @@
   readonly cfg: schemas.DaemonConfig;
   readonly control: controlPlanes.ControlPlane;
   readonly store: members.ConfigurationStore;
+  readonly view: members.ZoneView;
   readonly engines: requests.EngineClient;
   readonly clock: schemas.Clock;
   readonly log: schemas.Log;
@@ -100,6 +101,7 @@
   public describeStatus(): peerRouters.StatusReport {
     const { cfg, control, store } = this.options;
     const { revision, claimSeats } = store.get();
+    this.hearOwnZone();
     return {
       leader: cfg.daemonId,
       term: control.getLeadership().term,
@@ -116,6 +118,15 @@
     };
   }
 
+  /** The leader's own zone reports to nobody else when the leader is its relay. */
+  private hearOwnZone(): void {
+    const { view } = this.options;
+    const [own, ...others] = view.listBeats();
+    if (view.isRelay() && own !== undefined) {
+      this.zones.takeOwn(own, [own, ...others]);
+    }
+  }
+
   /** A zone that is not heard is never said to have a revision in force. */
   private describeZones(revision: number): peerRouters.StatusReport['zones'] {
     const heard = new Map(this.zones.list().map((row) => [row.availabilityZone, row]));
@@ -196,6 +207,7 @@
   private async seat(): Promise<void> {
     const { cfg, control, store } = this.options;
     const { claimSeats } = store.get();
+    this.hearOwnZone();
     const live = this.zones.list().flatMap((zone) => zone.hosts);
     const known = new Set([cfg.daemonId, ...cfg.peers.map((peer) => peer.daemonId)]);
     const holders = claimSeating.chooseHolders(
--- a/packages/fakes/src/fake-server.ts
+++ b/packages/fakes/src/fake-server.ts
@@ -24,15 +24,11 @@
     const app = polka.default({ server: this.server });
     Object.entries(routes).forEach(([route, handle]) => {
       const [method, pattern] = route.split(' ') as [string, string];
-      app.add(
-        method as polka.Polka['add'] extends (m: infer M, ...rest: never[]) => unknown ? M : never,
-        pattern,
-        (req, res) => {
-          void readBody(req).then((rawBody) =>
-            handle(Object.assign(req, { rawBody }) as never, res),
-          );
-        },
-      );
+      app.add(method as never, pattern, (req, res) => {
+        void readBody(req)
+          .then((rawBody) => handle(Object.assign(req, { rawBody }) as never, res))
+          .catch((err: Error) => sendJson(res, 400, { error: { message: err.message } }));
+      });
     });
     this.server.on('connection', (socket) => {
       this.sockets.add(socket);
--- a/packages/members/src/sync-client.ts
+++ b/packages/members/src/sync-client.ts
@@ -26,6 +26,8 @@
 export interface SyncClientOptions {
   readonly self: () => schemas.Beat;
   readonly isVoter: boolean;
+  /** Whether this daemon leads, and so knows the newest itself. */
+  readonly isLeader: () => boolean;
   readonly seeds: readonly PeerAddress[];
   readonly store: configurationStores.ConfigurationStore;
   readonly view: zoneViews.ZoneView;
@@ -133,6 +135,7 @@
     const req: schemas.SyncReq = {
       from: self().daemonId,
       incarnation: self().incarnation,
+      availabilityZone: self().availabilityZone,
       beats: changed,
       isWhole,
       dropped: [...this.lastBeats.keys()].filter((id) => !shown.has(id)),
@@ -190,8 +193,11 @@
   }
 
   private chooseVoter(): PeerAddress | undefined {
-    const { seeds, self } = this.options;
+    const { isLeader, seeds, self } = this.options;
     const own = self();
+    if (isLeader()) {
+      return undefined;
+    }
     const voters = seeds.filter((peer) => peer.voter && peer.daemonId !== own.daemonId);
     const usable = voters.filter((peer) => !this.isAvoided(peer.daemonId));
     const leader = usable.find((peer) => peer.daemonId === this.leader);
--- a/packages/members/src/sync-server.ts
+++ b/packages/members/src/sync-server.ts
@@ -14,6 +14,8 @@
   /** Where the leader keeps what every zone's relay tells it; nothing on other daemons. */
   readonly findZoneStatus: () => zoneStatuses.ZoneStatus | undefined;
   readonly getEntries: () => schemas.ZoneEntries;
+  /** Whether this daemon leads under a lease, so that what it has in force is the newest. */
+  readonly isLeased: () => boolean;
 }
 
 /** Answers heartbeats: at once when there is news, else when the asker's wait is over. */
@@ -26,8 +28,7 @@
     if (req.configuration !== undefined) {
       store.offer(req.configuration);
     }
-    const zone = view.getDirectory().availabilityZone;
-    const isOwnZone = (req.beats[0]?.availabilityZone ?? zone) === zone;
+    const isOwnZone = req.availabilityZone === view.getDirectory().availabilityZone;
     if (isOwnZone) {
       view.hear(req.beats, req.from);
     }
@@ -69,7 +70,7 @@
       directory: isOwnZone && directory.stamp !== req.directoryStamp ? directory : undefined,
       entries:
         this.isEntriesSource(isOwnZone) && entries.stamp !== req.entriesStamp ? entries : undefined,
-      ageMs: store.getAgeMs(),
+      ageMs: this.options.isLeased() ? 0 : store.getAgeMs(),
       leader: findLeader(),
       needsBeats: !isKnown,
       needsConfiguration: store.get().revision < req.revision,
--- a/packages/members/src/zone-status.ts
+++ b/packages/members/src/zone-status.ts
@@ -26,11 +26,10 @@
 
   /** Takes a relay's heartbeat; false when the relay must send all its beats again. */
   public take(req: schemas.SyncReq): boolean {
-    const first = req.beats.find((beat) => beat.daemonId === req.from);
-    const zone = first?.availabilityZone ?? this.findZoneOf(req.from);
-    const known = zone === undefined ? undefined : this.zones.get(zone);
+    const zone = req.availabilityZone;
+    const known = this.zones.get(zone);
     const isSame = known?.relay === req.from && known.incarnation === req.incarnation;
-    if (zone === undefined || (!isSame && !req.isWhole)) {
+    if (!isSame && !req.isWhole) {
       return false;
     }
     const hosts = new Map(known?.hosts ?? []);
@@ -45,6 +44,16 @@
     return true;
   }
 
+  /** Takes the beats of the leader's own zone, where the leader is the relay itself. */
+  public takeOwn(relay: schemas.Beat, beats: readonly schemas.Beat[]): void {
+    this.zones.set(relay.availabilityZone, {
+      relay: relay.daemonId,
+      incarnation: relay.incarnation,
+      heardAt: this.clock.now(),
+      hosts: new Map(beats.map((beat) => [beat.daemonId, beat])),
+    });
+  }
+
   /** Every zone, by name. */
   public list(): ZoneRow[] {
     return [...this.zones.entries()]
@@ -71,8 +80,4 @@
     );
     return { stamp: schemas.getContentHash(urls), urls };
   }
-
-  private findZoneOf(daemonId: string): string | undefined {
-    return [...this.zones.entries()].find(([, heard]) => heard.relay === daemonId)?.[0];
-  }
 }
--- /dev/null
+++ b/packages/placement/tests/placement.test.ts
@@ -0,0 +1,175 @@
+import * as placement from '@bramleyridge/placement';
+import * as schemas from '@bramleyridge/schemas';
+import * as tap from 'tap';
+
+const LEASE_MS = 400;
+
+function createUpstream(upstreamId: string, checksFencing: boolean): schemas.Upstream {
+  return {
+    upstreamId,
+    kind: 'engine',
+    availabilityZone: 'a',
+    url: 'http://127.0.0.1:1',
+    state: 'live',
+    checksFencing,
+  };
+}
+
+function createObserved(
+  upstreamId: string,
+  versions: readonly string[],
+  isLeaving = false,
+): placement.Observed {
+  return {
+    upstream: createUpstream(upstreamId, true),
+    isLeaving,
+    models: versions.map((version) => ({ model: 'm', version })),
+  };
+}
+
+function createDeclaration(version: string, upstreamsPerZone = 1): schemas.Declaration {
+  return schemas.createDeclaration([
+    {
+      kind: 'intent',
+      name: 'i',
+      model: 'm',
+      version,
+      teams: ['t'],
+      availabilityZones: ['a'],
+      upstreamsPerZone,
+      room: 1_000,
+      overflowRisk: 0.05,
+    },
+  ]);
+}
+
+function listSteps(declaration: schemas.Declaration, observed: readonly placement.Observed[]) {
+  const desired = placement.getDesiredSlots(declaration, observed);
+  return placement
+    .planSteps(desired, observed)
+    .map(({ action, slot }) => `${action} ${slot.version} on ${slot.upstreamId}`);
+}
+
+void tap.default.test('steps follow from the last state alone', async (t) => {
+  const cases = [
+    { name: 'nothing is there', observed: [createObserved('e1', [])], steps: ['load v9 on e1'] },
+    {
+      name: 'the old version stays until the new one is seen',
+      observed: [createObserved('e1', ['v1'])],
+      steps: ['load v9 on e1'],
+    },
+    {
+      name: 'the new one is seen',
+      observed: [createObserved('e1', ['v1', 'v9'])],
+      steps: ['unload v1 on e1'],
+    },
+    { name: 'all is well', observed: [createObserved('e1', ['v9'])], steps: [] },
+    {
+      name: 'an upstream that leaves is replaced and left alone',
+      observed: [createObserved('e1', ['v9'], true), createObserved('e2', [])],
+      steps: ['load v9 on e2'],
+    },
+  ];
+  cases.forEach(({ name, observed, steps }) => {
+    t.same(listSteps(createDeclaration('v9'), observed), steps, name);
+  });
+});
+
+interface Engine {
+  readonly taken: string[];
+  fence: number;
+}
+
+/** Engines on virtual time; what `send` delivers may be late. */
+class Engines {
+  public readonly byId = new Map<string, Engine>();
+
+  public constructor(
+    private readonly clock: schemas.VirtualClock,
+    private readonly delayMs: number,
+  ) {}
+
+  public async take(
+    upstream: schemas.Upstream,
+    order: schemas.Order,
+    deadlineMs: number,
+  ): Promise<number> {
+    await this.clock.sleep(Math.min(this.delayMs, deadlineMs));
+    const engine = this.byId.get(upstream.upstreamId) ?? { taken: [], fence: 0 };
+    this.byId.set(upstream.upstreamId, engine);
+    if (upstream.checksFencing && order.fencing.term < engine.fence) {
+      return 409;
+    }
+    engine.fence = Math.max(engine.fence, order.fencing.term);
+    engine.taken.push(`${order.fencing.term}@${this.clock.now()}`);
+    return 200;
+  }
+}
+
+function createSender(
+  clock: schemas.VirtualClock,
+  engines: Engines,
+  term: number,
+  startedAt: number,
+  leaseEnd: () => number,
+): placement.OrderSender {
+  return new placement.OrderSender({
+    authority: {
+      isLeaseHeld: (ms) => clock.now() + ms < leaseEnd(),
+      getFencing: () => ({ term, index: 1 }),
+      startedAt,
+    },
+    clock,
+    log: new schemas.SilentLog(),
+    leaseMs: LEASE_MS,
+    send: (upstream, order, deadlineMs) => engines.take(upstream, order, deadlineMs),
+  });
+}
+
+void tap.default.test('an old leader and its successor never both order an engine', async (t) => {
+  // The old leader is cut off at 1,000 and still believes; its lease ends at 1,400. The new one rises at
+  // 1,500. The engine without fencing must not take an order of the old one after one of the new.
+  const clock = new schemas.VirtualClock();
+  const engines = new Engines(clock, 150);
+  const both = [createUpstream('checks', true), createUpstream('ignores', false)];
+  const upstreams = new Map(both.map((item) => [item.upstreamId, item]));
+  const old = createSender(clock, engines, 1, -10_000, () => 1_400);
+  const young = createSender(clock, engines, 2, 1_500, () => Infinity);
+  const keepOrdering = async (sender: placement.OrderSender, from: number) => {
+    await clock.sleep(from);
+    for (let i = 0; i < 40; i += 1) {
+      const steps = both.map(({ upstreamId }): placement.Step => ({
+        action: 'unload',
+        slot: { upstreamId, model: 'm', version: `v${i}` },
+        reason: 'test',
+      }));
+      await sender.run(steps, upstreams);
+      await clock.sleep(50);
+    }
+  };
+  void keepOrdering(old, 0);
+  void keepOrdering(young, 1_500);
+  await clock.advance(20_000);
+  both.forEach(({ upstreamId }) => {
+    const taken = engines.byId.get(upstreamId)!.taken.map((item) => Number(item.split('@')[0]));
+    t.ok(taken.includes(1) && taken.includes(2), `${upstreamId} took orders of both`);
+    t.same(taken, [...taken].sort(), `${upstreamId} never went back to the old leader`);
+  });
+  const first = engines.byId.get('ignores')!.taken.find((item) => item.startsWith('2@'))!;
+  t.ok(Number(first.split('@')[1]) >= 1_500 + LEASE_MS, `the successor waited: ${first}`);
+});
+
+void tap.default.test(
+  'loads begin no faster than the weight store allows, also after a change of leaders',
+  async (t) => {
+    const clock = new schemas.VirtualClock();
+    const budget = new placement.WeightBudget(clock, 4, 8);
+    t.notOk(budget.take(), 'a new leader begins with nothing saved up');
+    let taken = 0;
+    for (let i = 0; i < 100; i += 1) {
+      await clock.advance(100);
+      taken += budget.take() ? 1 : 0;
+    }
+    t.ok(taken <= 4 * 10, `${taken} loads in 10 s`);
+  },
+);
--- /dev/null
+++ b/packages/routing/tests/length-distribution.test.ts
@@ -0,0 +1,57 @@
+import * as routing from '@bramleyridge/routing';
+import * as tap from 'tap';
+
+function learn(distribution: routing.LengthDistribution, lengths: readonly number[]): void {
+  lengths.forEach((length) => {
+    const bucket = routing.getBucket(length);
+    distribution.pass(0, bucket);
+    distribution.end(bucket);
+  });
+}
+
+void tap.default.test('chances follow what was seen', async (t) => {
+  const distribution = new routing.LengthDistribution();
+  learn(
+    distribution,
+    Array.from({ length: 1_000 }, (_, i) => (i % 2 === 0 ? 100 : 2_000)),
+  );
+  const cases = [
+    { from: 0, to: 50, low: 0.95, high: 1 },
+    { from: 0, to: 500, low: 0.45, high: 0.55 },
+    { from: 300, to: 1_000, low: 0.95, high: 1 },
+    { from: 300, to: 4_000, low: 0, high: 0.05 },
+  ];
+  cases.forEach(({ from, to, low, high }) => {
+    const chance = distribution.getChance(from, to);
+    t.ok(chance >= low && chance <= high, `from ${from} to ${to}: ${chance.toFixed(3)}`);
+  });
+});
+
+void tap.default.test('running generations count before they end', async (t) => {
+  // At first only the short ones have ended. Counting these alone would make every length look short,
+  // and the long ones that still run would fill the memory.
+  const honest = new routing.LengthDistribution();
+  const naive = new routing.LengthDistribution();
+  const short = Array.from({ length: 50 }, () => 20);
+  learn(honest, short);
+  learn(naive, short);
+  for (let i = 0; i < 50; i += 1) {
+    honest.pass(0, routing.getBucket(1_500));
+  }
+  t.ok(naive.getChance(0, 1_000) < 0.1);
+  const chance = honest.getChance(0, 1_000);
+  t.ok(chance > 0.4 && chance < 0.6, chance.toFixed(3));
+});
+
+void tap.default.test('a change of mix is learned, the past fades', async (t) => {
+  const distribution = new routing.LengthDistribution();
+  learn(
+    distribution,
+    Array.from({ length: 2_000 }, () => 50),
+  );
+  learn(
+    distribution,
+    Array.from({ length: 6_000 }, () => 3_000),
+  );
+  t.ok(distribution.getChance(0, 1_000) > 0.9);
+});
--- /dev/null
+++ b/packages/routing/tests/pool-owner.test.ts
@@ -0,0 +1,218 @@
+import * as routing from '@bramleyridge/routing';
+import * as schemas from '@bramleyridge/schemas';
+import * as tap from 'tap';
+
+const SHARE: routing.TeamShare = { weight: 1, maxConcurrent: 100, maxQueued: 5 };
+
+function createOwner(options: Partial<routing.PoolOwnerOptions> = {}) {
+  const clock = new schemas.VirtualClock();
+  const owner = new routing.PoolOwner({
+    clock,
+    overflowRisk: 0.05,
+    roomTokens: 4_000,
+    getShare: () => SHARE,
+    ...options,
+  });
+  return { clock, owner };
+}
+
+function createRequest(
+  generation: string,
+  change: Partial<routing.GrantRequest> = {},
+): routing.GrantRequest {
+  return {
+    generation,
+    daemonId: 'd1',
+    team: 't1',
+    intent: 'i',
+    workClass: 'batch',
+    promptTokens: 1_000,
+    maxTokens: 500,
+    prefix: '',
+    waitedMs: 0,
+    patienceMs: 60_000,
+    excluded: [],
+    ...change,
+  };
+}
+
+function ask(
+  owner: routing.PoolOwner,
+  generation: string,
+  change: Partial<routing.GrantRequest> = {},
+): { decision?: routing.GrantDecision } {
+  const asked: { decision?: routing.GrantDecision } = {};
+  owner.request(createRequest(generation, change), (decision) => {
+    asked.decision = decision;
+  });
+  return asked;
+}
+
+void tap.default.test(
+  'room is given until memory would fill, the rest waits its turn',
+  async (t) => {
+    const { owner } = createOwner();
+    owner.setUpstreams([{ upstreamId: 'e1', isLeaving: false }]);
+    const asked = ['g1', 'g2', 'g3', 'g4', 'g5'].map((id) => ask(owner, id));
+    const granted = asked.filter((item) => item.decision?.upstreamId === 'e1').length;
+    t.ok(granted >= 2 && granted <= 3, `${granted} of 1,000 to 1,500 tokens fit into 4,000`);
+    owner.finish('g1', 100, true);
+    t.equal(asked.filter((item) => item.decision !== undefined).length, granted + 1);
+  },
+);
+
+void tap.default.test('an upstream that leaves gets nothing new, what waits moves', async (t) => {
+  const { owner } = createOwner();
+  owner.setUpstreams([{ upstreamId: 'e1', isLeaving: false }]);
+  ask(owner, 'g1');
+  owner.markLeaving('e1');
+  const waiting = ask(owner, 'g2');
+  t.equal(waiting.decision, undefined, 'it waits');
+  owner.setUpstreams([
+    { upstreamId: 'e1', isLeaving: true },
+    { upstreamId: 'e2', isLeaving: false },
+  ]);
+  t.equal(waiting.decision?.upstreamId, 'e2');
+});
+
+void tap.default.test('refusals are final at once and say when to come back', async (t) => {
+  const cases = [
+    {
+      name: 'the queue of the team is full',
+      prepare: (owner: routing.PoolOwner) => {
+        owner.setUpstreams([]);
+        for (let i = 0; i < SHARE.maxQueued; i += 1) {
+          ask(owner, `w${i}`);
+        }
+      },
+      change: {},
+      reason: 'queue-full',
+    },
+    {
+      name: 'every upstream has refused it',
+      prepare: (owner: routing.PoolOwner) => {
+        owner.setUpstreams([{ upstreamId: 'e1', isLeaving: false }]);
+      },
+      change: { excluded: ['e1'] },
+      reason: 'excluded',
+    },
+  ];
+  cases.forEach(({ name, prepare, change, reason }) => {
+    const { owner } = createOwner();
+    prepare(owner);
+    const { decision } = ask(owner, 'late', change);
+    t.equal(decision?.reason, reason, name);
+    t.ok((decision?.retryAfterS ?? 0) >= 1, `${name}: when to come back`);
+  });
+});
+
+void tap.default.test(
+  'a request that waited too long is refused, and withdrawn ones are gone',
+  async (t) => {
+    const { clock, owner } = createOwner();
+    const patient = ask(owner, 'g1', { patienceMs: 5_000 });
+    const gone = ask(owner, 'g2');
+    owner.withdraw('g2');
+    await clock.advance(5_100);
+    owner.tick();
+    t.equal(patient.decision?.reason, 'patience');
+    t.equal(gone.decision, undefined);
+    t.equal(owner.getSummary().waiting, 0);
+  },
+);
+
+void tap.default.test(
+  'interactive work goes before drafts, aged drafts before other drafts',
+  async (t) => {
+    const { clock, owner } = createOwner();
+    const old = ask(owner, 'old', { team: 'busy' });
+    await clock.advance(30_000);
+    const young = ask(owner, 'young', { team: 'idle' });
+    const check = ask(owner, 'check', {
+      workClass: 'interactive',
+      promptTokens: 100,
+      maxTokens: 20,
+    });
+    owner.setUpstreams([{ upstreamId: 'e1', isLeaving: false }]);
+    t.ok(check.decision !== undefined && old.decision !== undefined);
+    const order = [check, old, young].filter((item) => item.decision?.upstreamId !== undefined);
+    t.ok(order.length >= 2, 'the check and the aged draft fit');
+  },
+);
+
+void tap.default.test('teams share by weight while all of them wait', async (t) => {
+  const weights: Record<string, number> = { heavy: 3, light: 1 };
+  const { owner } = createOwner({
+    getShare: (team) => ({ weight: weights[team] ?? 1, maxConcurrent: 1_000, maxQueued: 1_000 }),
+  });
+  owner.setUpstreams([{ upstreamId: 'e1', isLeaving: false }]);
+  const running: string[] = [];
+  const served: Record<string, number> = { heavy: 0, light: 0 };
+  let count = 0;
+  const keepWaiting = (team: string) => {
+    count += 1;
+    const generation = `${team}-${count}`;
+    owner.request(createRequest(generation, { team }), () => {
+      running.push(generation);
+      served[team]! += 1;
+    });
+  };
+  for (let i = 0; i < 400; i += 1) {
+    keepWaiting('heavy');
+    keepWaiting('light');
+    const done = running.shift();
+    if (done !== undefined) {
+      owner.finish(done, 100, true);
+    }
+  }
+  const ratio = served.heavy! / served.light!;
+  t.ok(ratio > 2.7 && ratio < 3.3, `heavy got ${ratio.toFixed(2)} times what light got`);
+});
+
+void tap.default.test(
+  'a daemon that fell silent leaves the account, a new owner learns the others',
+  async (t) => {
+    // The daemon died with its streams. Its generations must not hold room for ever.
+    const { clock, owner } = createOwner();
+    owner.setUpstreams([{ upstreamId: 'e1', isLeaving: false }]);
+    owner.register({
+      generation: 'lost',
+      daemonId: 'dead',
+      upstreamId: 'e1',
+      team: 't1',
+      intent: 'i',
+      workClass: 'batch',
+      promptTokens: 3_000,
+      maxTokens: 1_000,
+      tokens: 500,
+    });
+    const waiting = ask(owner, 'g1');
+    t.equal(waiting.decision, undefined, 'the registered generation holds the room');
+    await clock.advance(11_000);
+    owner.tick();
+    t.equal(waiting.decision?.upstreamId, 'e1');
+  },
+);
+
+void tap.default.test('work that a report shows beyond the account holds room', async (t) => {
+  const { owner } = createOwner({ roomTokens: Infinity });
+  owner.setUpstreams([{ upstreamId: 'e1', isLeaving: false }]);
+  const report: schemas.LoadReport = {
+    at: 1,
+    ageMs: 0,
+    tokensTotal: 4_000,
+    tokensUsed: 3_900,
+    running: 3,
+    waiting: 0,
+    preemptions: 0,
+    state: 'live',
+    models: [],
+  };
+  ask(owner, 'g0', { promptTokens: 10, maxTokens: 20 });
+  owner.takeReport('e1', report);
+  t.equal(ask(owner, 'g1').decision, undefined);
+  owner.takeReport('e1', { ...report, at: 2, tokensUsed: 100 });
+  owner.takeReport('e1', report);
+  owner.tick();
+  t.equal(owner.getSummary().waiting, 0, 'a report that came late does not count');
+});
--- a/packages/schemas/src/members.ts
+++ b/packages/schemas/src/members.ts
@@ -54,6 +54,7 @@
 export const syncReq = z.object({
   from: z.string(),
   incarnation: z.number(),
+  availabilityZone: z.string(),
   /** Beats that changed since the receiver last answered; all of them after it asked. */
   beats: z.array(beat),
   isWhole: z.boolean(),
