--- /dev/null
+++ b/packages/bench/src/capacity/rows.ts
@@ -0,0 +1,302 @@
+import * as fits from './fit.js';
+import type * as slopesFile from './slopes.js';
+
+/** The sizes of a deployment. */
+export interface Sizes {
+  readonly daemons: number;
+  readonly zones: number;
+  readonly voters: number;
+  readonly claimSeats: number;
+  readonly runners: number;
+  readonly models: number;
+  readonly teams: number;
+  readonly intents: number;
+  readonly requestsPerS: number;
+  readonly tokensPerS: number;
+  readonly msBetweenTokens: number;
+  readonly changesPerDay: number;
+  readonly failuresPerDay: number;
+  readonly restartsPerDay: number;
+  readonly keyedShare: number;
+  readonly claimsKeptS: number;
+}
+
+/** What a row is held against. */
+export interface Budget {
+  readonly coreShare: number;
+  readonly memoryMb: number;
+  readonly bytesPerS: number;
+  readonly hostsSetAside: number;
+  readonly inForceS: number;
+  readonly firstTokenS: number;
+  readonly msBetweenTokens: number;
+}
+
+/** One figure of one role. */
+export interface CapacityRow {
+  readonly role: string;
+  readonly what: 'core share' | 'memory MB' | 'bytes/s' | 'messages/s';
+  readonly formula: string;
+  readonly command: string;
+  readonly mechanism: string;
+  /** Control counts against the budget; data is what callers ask for. */
+  readonly isControl: boolean;
+  readonly value: number;
+  readonly isExtrapolated: boolean;
+}
+
+interface Derived {
+  readonly daemonsPerZone: number;
+  readonly pools: number;
+  readonly enginesPerPool: number;
+  readonly livePerPool: number;
+  readonly livePerDaemon: number;
+  readonly grantsPerPool: number;
+  readonly grantsPerDaemon: number;
+  readonly claimsPerS: number;
+}
+
+/** How often owners read reports of their engines, and of the zone's others, per second. */
+const READS_PER_ENGINE = 2;
+const READS_PER_OTHER = 0.5;
+
+/** How often daemons tell owners of progress, per second. */
+const PROGRESS_PER_S = 2;
+
+/** What follows from the sizes. */
+export function derive(sizes: Sizes): Derived {
+  const pools = sizes.models * sizes.zones;
+  const live = (sizes.tokensPerS * sizes.msBetweenTokens) / 1_000;
+  return {
+    daemonsPerZone: sizes.daemons / sizes.zones,
+    pools,
+    enginesPerPool: sizes.runners / pools,
+    livePerPool: live / pools,
+    livePerDaemon: live / sizes.daemons,
+    grantsPerPool: sizes.requestsPerS / pools,
+    grantsPerDaemon: sizes.requestsPerS / sizes.daemons,
+    claimsPerS: sizes.requestsPerS * sizes.keyedShare,
+  };
+}
+
+/** Every row of the page at some sizes. */
+export function createRows(slopes: slopesFile.Slopes, sizes: Sizes): CapacityRow[] {
+  return [
+    ...createDaemonRows(slopes, sizes),
+    ...createOwnerRows(slopes, sizes),
+    ...createClaimRows(slopes, sizes),
+    ...createRelayRows(slopes, sizes),
+    ...createLeaderRows(slopes, sizes),
+  ];
+}
+
+function getBytes(slopes: slopesFile.Slopes, message: string): number {
+  const bytes = slopes.bytes.get(message);
+  if (bytes === undefined) {
+    throw new Error(`no measured bytes of: ${message}`);
+  }
+  return bytes;
+}
+
+function createDaemonRows(slopes: slopesFile.Slopes, sizes: Sizes): CapacityRow[] {
+  const { grantsPerDaemon, livePerDaemon } = derive(sizes);
+  const tokens = sizes.tokensPerS / sizes.daemons;
+  const items = sizes.teams + sizes.intents;
+  const role = 'caller-facing daemon';
+  const perModel = Math.min(sizes.models, livePerDaemon);
+  const one = getBytes(slopes, 'progress of 1 generation');
+  const ten = getBytes(slopes, 'progress of 10 generations');
+  const perGeneration = (ten - one) / 9;
+  const progress =
+    PROGRESS_PER_S *
+    (perModel * (one - perGeneration + getBytes(slopes, 'progress answered')) +
+      livePerDaemon * perGeneration);
+  const grants =
+    grantsPerDaemon * (getBytes(slopes, 'grant asked') + getBytes(slopes, 'grant answered'));
+  return [
+    {
+      role,
+      what: 'core share',
+      formula: 'tokens/s and daemon × slope',
+      command: 'relay',
+      mechanism: 'relay of bytes at event borders',
+      isControl: false,
+      value: fits.predict(slopes.relayCpu, tokens),
+      isExtrapolated: fits.isExtrapolated(slopes.relayCpu, tokens),
+    },
+    {
+      role,
+      what: 'memory MB',
+      formula: 'base + streams × slope + items declared × slope',
+      command: 'relay, control',
+      mechanism: 'one chunk and the socket buffer for each stream',
+      isControl: true,
+      value:
+        fits.predict(slopes.relayMemory, livePerDaemon) + slopes.declaredMemory.perUnit * items,
+      isExtrapolated:
+        fits.isExtrapolated(slopes.relayMemory, livePerDaemon) ||
+        fits.isExtrapolated(slopes.declaredMemory, items),
+    },
+    {
+      role,
+      what: 'core share',
+      formula: 'idle, heartbeats only',
+      command: 'control',
+      mechanism: 'one heartbeat a second to the relay',
+      isControl: true,
+      value: fits.predict(slopes.daemonCpu, sizes.daemons),
+      isExtrapolated: fits.isExtrapolated(slopes.daemonCpu, sizes.daemons),
+    },
+    {
+      role,
+      what: 'bytes/s',
+      formula: 'heartbeats + grants/s × bytes + 2/s × (models × head + live × entry)',
+      command: 'control, grants',
+      mechanism: 'heartbeats; grants; progress in batches',
+      isControl: true,
+      value: fits.predict(slopes.daemonBytes, sizes.daemons) + grants + progress,
+      isExtrapolated: fits.isExtrapolated(slopes.daemonBytes, sizes.daemons),
+    },
+  ];
+}
+
+function createOwnerRows(slopes: slopesFile.Slopes, sizes: Sizes): CapacityRow[] {
+  const { daemonsPerZone, enginesPerPool, grantsPerPool, livePerPool } = derive(sizes);
+  const role = 'pool owner';
+  const perGrant = fits.predict(slopes.grantUs, enginesPerPool) / 1e6;
+  const others = sizes.runners / sizes.zones - enginesPerPool;
+  const reads = READS_PER_ENGINE * enginesPerPool + READS_PER_OTHER * others;
+  const one = getBytes(slopes, 'progress of 1 generation');
+  const perGeneration = (getBytes(slopes, 'progress of 10 generations') - one) / 9;
+  const senders = Math.min(daemonsPerZone, livePerPool);
+  const messages = 2 * grantsPerPool + 2 * PROGRESS_PER_S * senders;
+  const bytes =
+    grantsPerPool * (getBytes(slopes, 'grant asked') + getBytes(slopes, 'grant answered')) +
+    PROGRESS_PER_S *
+      (senders * (one - perGeneration + getBytes(slopes, 'progress answered')) +
+        livePerPool * perGeneration);
+  const isExtrapolated =
+    fits.isExtrapolated(slopes.grantUs, enginesPerPool) ||
+    fits.isExtrapolated(slopes.accountCpu, livePerPool);
+  return [
+    {
+      role,
+      what: 'core share',
+      formula: 'grants/s × µs + looks at the account + reports read × µs',
+      command: 'grants',
+      mechanism: 'forecast kept for each engine; a grant looks at 18 moments of each',
+      isControl: true,
+      value:
+        grantsPerPool * perGrant +
+        fits.predict(slopes.accountCpu, livePerPool) +
+        reads * slopes.watchCpuS.perUnit,
+      isExtrapolated,
+    },
+    {
+      role,
+      what: 'messages/s',
+      formula: '2 × grants + 4 × daemons of the zone',
+      command: 'arithmetic',
+      mechanism: 'progress in batches, twice a second and daemon',
+      isControl: true,
+      value: messages,
+      isExtrapolated: false,
+    },
+    {
+      role,
+      what: 'bytes/s',
+      formula: 'grants × bytes + 2/s × (daemons × head + live × entry)',
+      command: 'grants',
+      mechanism: 'msgpack frames; identifiers as text',
+      isControl: true,
+      value: bytes,
+      isExtrapolated: false,
+    },
+  ];
+}
+
+function createClaimRows(slopes: slopesFile.Slopes, sizes: Sizes): CapacityRow[] {
+  const { claimsPerS } = derive(sizes);
+  const kept = claimsPerS * sizes.claimsKeptS;
+  const role = 'claim group member';
+  return [
+    {
+      role,
+      what: 'core share',
+      formula: 'claims/s × (µs + two messages in and out)',
+      command: 'grants',
+      mechanism: 'write-once register, two rounds',
+      isControl: true,
+      value: (claimsPerS * fits.predict(slopes.claimUs, kept)) / 1e6,
+      isExtrapolated: fits.isExtrapolated(slopes.claimUs, kept),
+    },
+    {
+      role,
+      what: 'memory MB',
+      formula: 'claims/s × time kept × slope',
+      command: 'grants',
+      mechanism: 'claims in memory, forgotten after an hour',
+      isControl: true,
+      value: fits.predict(slopes.claimMemory, kept),
+      isExtrapolated: fits.isExtrapolated(slopes.claimMemory, kept),
+    },
+    {
+      role,
+      what: 'bytes/s',
+      formula: 'claims/s × 4 × bytes of a claim message',
+      command: 'grants',
+      mechanism: 'one group for the whole deployment',
+      isControl: true,
+      value: claimsPerS * 4 * getBytes(slopes, 'claim asked'),
+      isExtrapolated: false,
+    },
+  ];
+}
+
+function createRelayRows(slopes: slopesFile.Slopes, sizes: Sizes): CapacityRow[] {
+  const { daemonsPerZone } = derive(sizes);
+  const role = 'zone relay';
+  const common = { role, command: 'control', isControl: true };
+  return [
+    {
+      ...common,
+      what: 'core share',
+      formula: 'base + daemons of the zone × slope',
+      mechanism: 'one heartbeat a second and daemon, held open until there is news',
+      value: fits.predict(slopes.zoneRelayCpu, daemonsPerZone),
+      isExtrapolated: fits.isExtrapolated(slopes.zoneRelayCpu, daemonsPerZone),
+    },
+    {
+      ...common,
+      what: 'bytes/s',
+      formula: 'base + daemons of the zone × slope',
+      mechanism: 'only what changed is sent',
+      value: fits.predict(slopes.zoneRelayBytes, daemonsPerZone),
+      isExtrapolated: fits.isExtrapolated(slopes.zoneRelayBytes, daemonsPerZone),
+    },
+  ];
+}
+
+function createLeaderRows(slopes: slopesFile.Slopes, sizes: Sizes): CapacityRow[] {
+  const role = 'leader (a voter)';
+  const looks = (sizes.runners / 10) * slopes.watchCpuS.perUnit;
+  const common = { role, command: 'control, grants', isControl: true };
+  return [
+    {
+      ...common,
+      what: 'core share',
+      formula: 'base + daemons × slope + runners looked at every 10 s × µs',
+      mechanism: 'relays report for their zones; log heartbeats to the voters',
+      value: fits.predict(slopes.leaderCpu, sizes.daemons) + looks,
+      isExtrapolated: fits.isExtrapolated(slopes.leaderCpu, sizes.daemons),
+    },
+    {
+      ...common,
+      what: 'bytes/s',
+      formula: 'base + daemons × slope',
+      mechanism: 'log heartbeats five times an election timeout to each voter',
+      value: fits.predict(slopes.leaderBytes, sizes.daemons),
+      isExtrapolated: fits.isExtrapolated(slopes.leaderBytes, sizes.daemons),
+    },
+  ];
+}
--- /dev/null
+++ b/packages/bench/src/capacity/slopes.ts
@@ -0,0 +1,146 @@
+import * as reports from '../report.js';
+import * as fits from './fit.js';
+
+interface RelayResults {
+  readonly rows: readonly {
+    readonly path: string;
+    readonly offeredPerS: number;
+    readonly tokensPerS: number;
+    readonly cpuShare: number;
+    readonly cpuUsPerToken: number;
+    readonly memoryMb: number;
+    readonly load: string;
+    readonly p99Ms: number;
+  }[];
+}
+
+interface GrantsResults {
+  readonly rows: readonly {
+    readonly upstreams: number;
+    readonly live: number;
+    readonly usPerDecision: number;
+    readonly tickShareOfCore: number;
+  }[];
+  readonly bytes: readonly { readonly message: string; readonly onWire: number }[];
+  readonly claims: readonly {
+    readonly claims: number;
+    readonly heapMb: number;
+    readonly usPerClaim: number;
+  }[];
+  readonly watch: readonly { readonly reports: number; readonly cpuUsPerReport: number }[];
+}
+
+interface Load {
+  readonly role: string;
+  readonly cpuShare: number;
+  readonly memoryMb: number;
+  readonly bytesPerS: number;
+}
+
+interface ControlResults {
+  readonly sized: readonly {
+    readonly daemons: number;
+    readonly inForce: { readonly p50Ms: number; readonly p99Ms: number };
+    readonly idle: readonly Load[];
+    readonly changing: readonly Load[];
+  }[];
+  readonly counted: readonly { readonly intents: number; readonly load: readonly Load[] }[];
+  readonly faults: {
+    readonly leaderLoss: { readonly p50Ms: number; readonly p99Ms: number };
+    readonly backlog: { readonly voterMs: number; readonly daemonMs: number };
+  };
+}
+
+/** Every slope that the page is worked out from. */
+export interface Slopes {
+  /** Share of a core of the relaying daemon, by tokens a second. */
+  readonly relayCpu: fits.Slope;
+  /** Memory of the relaying daemon in MB, by open streams. */
+  readonly relayMemory: fits.Slope;
+  /** Microseconds for a grant with its end, by upstreams of the pool. */
+  readonly grantUs: fits.Slope;
+  /** Share of a core for looks at the account, by live generations of the pool. */
+  readonly accountCpu: fits.Slope;
+  /** Share of a core of a zone's relay, and bytes a second, by daemons of the zone. */
+  readonly zoneRelayCpu: fits.Slope;
+  readonly zoneRelayBytes: fits.Slope;
+  /** The same of the leader, by daemons in all. */
+  readonly leaderCpu: fits.Slope;
+  readonly leaderBytes: fits.Slope;
+  /** The same of a daemon without a role, by daemons in all. */
+  readonly daemonCpu: fits.Slope;
+  readonly daemonBytes: fits.Slope;
+  /** Memory of a daemon without a role in MB, by items declared. */
+  readonly declaredMemory: fits.Slope;
+  /** Memory in MB and microseconds, by claims remembered. */
+  readonly claimMemory: fits.Slope;
+  readonly claimUs: fits.Slope;
+  /** Processor seconds for reports read. */
+  readonly watchCpuS: fits.Slope;
+  /** Milliseconds from confirmed to in force, p99, by daemons. */
+  readonly inForceMs: fits.Slope;
+  readonly bytes: ReadonlyMap<string, number>;
+  readonly leaderLossMs: number;
+  readonly backlogMs: number;
+}
+
+/** Reads the measured results; fails where one is missing. */
+export function readSlopes(): Slopes {
+  const relay = need<RelayResults>('relay').rows.filter((row) => row.path === 'daemon');
+  const grants = need<GrantsResults>('grants');
+  const control = need<ControlResults>('control');
+  const steady = relay.filter((row) => row.tokensPerS > 0.95 * row.offeredPerS);
+  const streamsOf = (load: string) =>
+    ({
+      '2,600 tokens/s': 100,
+      '10,000 tokens/s': 200,
+      '20,000 tokens/s': 400,
+      '30,000 tokens/s': 600,
+      '2,000 open streams': 2_000,
+    })[load] ?? 0;
+  const ofRole = (pattern: RegExp, pick: (load: Load) => number) =>
+    control.sized.flatMap(({ daemons, idle }) =>
+      idle.filter((load) => pattern.test(load.role)).map((load) => ({ x: daemons, y: pick(load) })),
+    );
+  const zones = 4;
+  const relayPoints = (pick: (load: Load) => number) =>
+    ofRole(/\+relay$/, pick).map(({ x, y }) => ({ x: x / zones, y }));
+  return {
+    relayCpu: fits.fitSlope(steady.map((row) => ({ x: row.tokensPerS, y: row.cpuShare }))),
+    relayMemory: fits.fitSlope(relay.map((row) => ({ x: streamsOf(row.load), y: row.memoryMb }))),
+    grantUs: fits.fitSlope(grants.rows.map((row) => ({ x: row.upstreams, y: row.usPerDecision }))),
+    accountCpu: fits.fitSlope(grants.rows.map((row) => ({ x: row.live, y: row.tickShareOfCore }))),
+    zoneRelayCpu: fits.fitSlope(relayPoints((load) => load.cpuShare)),
+    zoneRelayBytes: fits.fitSlope(relayPoints((load) => load.bytesPerS)),
+    leaderCpu: fits.fitSlope(ofRole(/^leader/, (load) => load.cpuShare)),
+    leaderBytes: fits.fitSlope(ofRole(/^leader/, (load) => load.bytesPerS)),
+    daemonCpu: fits.fitSlope(ofRole(/^daemon$/, (load) => load.cpuShare)),
+    daemonBytes: fits.fitSlope(ofRole(/^daemon$/, (load) => load.bytesPerS)),
+    declaredMemory: fits.fitSlope(
+      control.counted.flatMap(({ intents, load }) =>
+        load
+          .filter(({ role }) => role.startsWith('daemon'))
+          .map((item) => ({ x: intents, y: item.memoryMb })),
+      ),
+    ),
+    claimMemory: fits.fitSlope(grants.claims.map((row) => ({ x: row.claims, y: row.heapMb }))),
+    claimUs: fits.fitSlope(grants.claims.map((row) => ({ x: row.claims, y: row.usPerClaim }))),
+    watchCpuS: fits.fitSlope(
+      grants.watch.map((row) => ({ x: row.reports, y: (row.reports * row.cpuUsPerReport) / 1e6 })),
+    ),
+    inForceMs: fits.fitSlope(
+      control.sized.map((item) => ({ x: item.daemons, y: item.inForce.p99Ms })),
+    ),
+    bytes: new Map(grants.bytes.map((row) => [row.message, row.onWire])),
+    leaderLossMs: control.faults.leaderLoss.p99Ms,
+    backlogMs: Math.max(control.faults.backlog.voterMs, control.faults.backlog.daemonMs),
+  };
+}
+
+function need<T>(name: string): T {
+  const found = reports.findResults<T>(name);
+  if (found === undefined) {
+    throw new Error(`no measured slopes: run npm run bench -- ${name} first`);
+  }
+  return found;
+}
--- a/packages/bench/src/grants-bench.ts
+++ b/packages/bench/src/grants-bench.ts
@@ -1,9 +1,12 @@
 import * as peers from '@bramleyridge/peers';
+import type * as requests from '@bramleyridge/requests';
 import * as routing from '@bramleyridge/routing';
 import * as schemas from '@bramleyridge/schemas';
 
-import * as reports from './report.js';
+import * as claimsMeasure from './claims-measure.js';
 import * as traces from './policy/trace.js';
+import * as reports from './report.js';
+import * as watchMeasure from './watch-measure.js';
 
 const TLS_RECORD_BYTES = 29;
 const TCP_IP_BYTES = 52;
@@ -161,15 +164,35 @@
     { message: 'progress of 1 generation', bytes: size(['call', 70_000, 'pool', report(1)]) },
     { message: 'progress of 10 generations', bytes: size(['call', 70_000, 'pool', report(10)]) },
     { message: 'progress answered', bytes: size(['result', 70_000, undefined]) },
+    { message: 'claim asked', bytes: size(['call', 70_000, 'claim', createClaim()]) },
   ];
   return rows.map((row) => ({ ...row, onWire: row.bytes + TLS_RECORD_BYTES + TCP_IP_BYTES }));
 }
 
+function createClaim(): requests.ClaimReq {
+  return {
+    key: '0123456789abcdef0123456789abcdef01234567',
+    ballot: [70_000, 'region-one-a-17@1796235983971'],
+    since: [1, 1, 1, 1, 1],
+    value: {
+      call: 'region-one-a.region-one-a-17.mj3k2l1a.3f2.engine-region-one-a-42.0123456789ab',
+      daemonId: 'region-one-a-17',
+      incarnation: 1_796_235_983_971,
+      host: '10.0.0.17',
+      peerPort: 7_000,
+      upstreamId: 'engine-region-one-a-42',
+      requestHash: '0123456789abcdef0123456789abcdef',
+    },
+  };
+}
+
 /** Decisions a second of a pool's owner, and the bytes of its messages. */
 export async function run(): Promise<void> {
   const rows = SIZES.map(measure);
   const bytes = measureBytes();
-  reports.writeResults('grants', { rows, bytes }, [
+  const claims = claimsMeasure.measureClaims();
+  const watch = await watchMeasure.measureWatch();
+  reports.writeResults('grants', { rows, bytes, claims, watch }, [
     reports.createSection(
       'A pool owner by size',
       rows.map((row) => ({
@@ -182,5 +205,17 @@
       })),
     ),
     reports.createSection('Bytes of messages', bytes),
+    reports.createSection(
+      'A seat of the claim group by claims remembered',
+      claims.map((row) => ({
+        claims: row.claims,
+        'heap MB': row.heapMb.toFixed(1),
+        'us/claim, both rounds': row.usPerClaim.toFixed(1),
+      })),
+    ),
+    reports.createSection(
+      'Reading load reports',
+      watch.map((row) => ({ reports: row.reports, 'us/report': row.cpuUsPerReport.toFixed(0) })),
+    ),
   ]);
 }
--- /dev/null
+++ b/packages/bench/src/watch-measure.ts
@@ -0,0 +1,48 @@
+import * as os from 'node:os';
+import * as path from 'node:path';
+
+import * as requests from '@bramleyridge/requests';
+import * as schemas from '@bramleyridge/schemas';
+
+import * as children from './child.js';
+
+const POLL_COUNTS = [500, 1_000, 2_000] as const;
+const AT_ONCE = 10;
+
+/** What reading load reports costs the reader. */
+export interface WatchRow {
+  readonly reports: number;
+  readonly cpuUsPerReport: number;
+}
+
+/** Processor time for each load report that a pool owner reads, from a server in another process. */
+export async function measureWatch(): Promise<WatchRow[]> {
+  const log = path.join(os.tmpdir(), `bramleyridge-watch-${process.pid}.log`);
+  const source = new children.Child([children.getProgram('bench', 'relay/source-main.js')], log);
+  const { port } = JSON.parse(await source.getFirstLine()) as { port: number };
+  const engines = new requests.EngineClient({ connectMs: 1_000, answerMs: 5_000 });
+  const upstream: schemas.Upstream = {
+    upstreamId: 'source',
+    kind: 'engine',
+    availabilityZone: 'a',
+    url: `http://127.0.0.1:${port}`,
+    state: 'live',
+    checksFencing: true,
+  };
+  const poll = async () => {
+    schemas.parse(schemas.loadReport, await engines.getJson(upstream, '/load'), 'load-report');
+  };
+  const rows: WatchRow[] = [];
+  await Promise.all(Array.from({ length: 200 }, poll));
+  for (const reports of POLL_COUNTS) {
+    const before = process.cpuUsage();
+    for (let i = 0; i < reports; i += AT_ONCE) {
+      await Promise.all(Array.from({ length: AT_ONCE }, poll));
+    }
+    const used = process.cpuUsage(before);
+    rows.push({ reports, cpuUsPerReport: (used.user + used.system) / reports });
+  }
+  await engines.close();
+  await source.kill();
+  return rows;
+}
--- a/packages/members/tests/members.test.ts
+++ b/packages/members/tests/members.test.ts
@@ -162,7 +162,7 @@
 void tap.default.test('a late heartbeat of a former incarnation changes nothing', async (t) => {
   const clock = new schemas.VirtualClock();
   const table = new members.MemberTable(clock, 3_000);
-  const beat = new Zone(['d1']).hosts.get('d1')!.beat;
+  const { beat } = new Zone(['d1']).hosts.get('d1')!;
   table.hear({ ...beat, incarnation: 2 });
   table.hear({ ...beat, incarnation: 1, isLeaving: true });
   t.match(table.list(), [{ incarnation: 2, state: 'live' }]);
--- a/scripts/bench.mjs
+++ b/scripts/bench.mjs
@@ -6,4 +6,8 @@
   if (status !== 0) process.exit(status ?? 1);
 };
 run('npx', ['tsc', '-b']);
-run(process.execPath, ['packages/bench/dist/src/bench.js', ...process.argv.slice(2)]);
+run(process.execPath, [
+  '--expose-gc',
+  'packages/bench/dist/src/bench.js',
+  ...process.argv.slice(2),
+]);
