--- a/packages/bench/src/bench.ts
+++ b/packages/bench/src/bench.ts
@@ -22,6 +22,17 @@
     describe: 'configuration into force, faults and cost, on real processes',
     run: async () => (await import('./control/control-bench.js')).run(),
   },
+  capacity: {
+    describe: 'writes docs/CAPACITY.md from the figures; with --check fails where they disagree',
+    run: async () =>
+      (await import('./capacity/capacity-bench.js')).run(process.argv.includes('--check')),
+  },
+  all: {
+    describe: 'one table of every headline figure that was measured, with its aim',
+    run: async () => {
+      process.stdout.write(`${(await import('./headline.js')).createHeadlines()}\n`);
+    },
+  },
 };
 
 /** Runs the benches that are named. */
--- a/packages/consensus/src/leadership.ts
+++ b/packages/consensus/src/leadership.ts
@@ -5,7 +5,7 @@
 import type * as voters from './voter.js';
 
 /** Heartbeats in one election timeout. */
-const HEARTBEATS_PER_ELECTION = 5;
+const HEARTBEATS_PER_ELECTION = 3;
 
 /** How far a new voter may be behind when it is seated, in entries. */
 const CAUGHT_UP_WITHIN = 10;
--- a/packages/daemon/src/completion-flow.ts
+++ b/packages/daemon/src/completion-flow.ts
@@ -416,10 +416,8 @@
   }
 
   private createCall(): string {
-    const { cfg, incarnation } = this.parts;
     this.counter += 1;
-    const counter = this.counter.toString(36);
-    return [cfg.availabilityZone, cfg.daemonId, incarnation.toString(36), counter].join('.');
+    return `${this.parts.callPrefix}${this.counter.toString(36)}`;
   }
 }
 
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -221,7 +221,8 @@
     const { cfg, incarnation, mesh, store, view } = this;
     const { log } = this.options;
     const calls = new requests.CallRegistry(clock);
-    const shared = { cfg, incarnation, clock, log, store, view, mesh, random };
+    const callPrefix = `${cfg.availabilityZone}.${cfg.daemonId}.${incarnation.toString(36)}.`;
+    const shared = { cfg, incarnation, callPrefix, clock, log, store, view, mesh, random };
     return {
       ...shared,
       engines,
--- a/packages/daemon/src/grant-client.ts
+++ b/packages/daemon/src/grant-client.ts
@@ -7,7 +7,7 @@
 import type * as poolHosts from './pool-host.js';
 
 /** How often owners are told of progress, in milliseconds. */
-const PROGRESS_MS = 500;
+const PROGRESS_MS = 2_000;
 
 /** How long an ask may be under way: the owner's slice and a margin, in milliseconds. */
 const ASK_MS = 2_000;
@@ -48,12 +48,14 @@
   readonly clock: schemas.Clock;
   readonly log: schemas.Log;
   readonly random: () => number;
+  /** What the name of every call of this process begins with. */
+  readonly callPrefix: string;
 }
 
 /** Asks the pools' owners for room, tells them how this daemon's generations go on, decides alone if it must. */
 export class GrantClient {
   private readonly live = new Map<string, Live>();
-  private readonly finished = new Map<string, [string, number, boolean][]>();
+  private readonly finished = new Map<string, number[]>();
   private readonly leaving = new Map<string, Set<string>>();
   private readonly news = new schemas.ChangeSignal();
   private isStopped = false;
@@ -120,7 +122,7 @@
     }
     this.live.delete(generation);
     const list = this.finished.get(live.model) ?? [];
-    list.push([generation, live.tokens, isNatural]);
+    list.push(getNumber(generation), live.tokens, isNatural ? 1 : 0);
     this.finished.set(live.model, list);
     this.news.notify();
   }
@@ -252,10 +254,10 @@
     const report: peerRouters.PoolReport = {
       model,
       daemonId: cfg.daemonId,
-      tokens: moved.map((item) => [item.facts.generation, item.tokens]),
+      prefix: this.options.callPrefix,
+      tokens: moved.flatMap((item) => [getNumber(item.facts.generation), item.tokens]),
       finished,
       registered: unknown.map((item) => ({ ...item.facts, tokens: item.tokens })),
-      withdrawn: [],
       leaving,
     };
     try {
@@ -304,3 +306,8 @@
     args: [team],
   });
 }
+
+/** The number of a call, the last part of its name. */
+function getNumber(call: string): number {
+  return Number.parseInt(call.slice(call.lastIndexOf('.') + 1), 36);
+}
--- a/packages/daemon/src/parts.ts
+++ b/packages/daemon/src/parts.ts
@@ -14,6 +14,8 @@
 export interface Parts {
   readonly cfg: schemas.DaemonConfig;
   readonly incarnation: number;
+  /** What the name of every call of this process begins with; a number follows. */
+  readonly callPrefix: string;
   readonly clock: schemas.Clock;
   readonly log: schemas.Log;
   readonly decisions: decisionLogs.DecisionLog;
--- a/packages/daemon/src/peer-router.ts
+++ b/packages/daemon/src/peer-router.ts
@@ -29,10 +29,13 @@
 export const poolReport = z.object({
   model: z.string(),
   daemonId: z.string(),
-  tokens: z.array(z.tuple([z.string(), z.int()])),
-  finished: z.array(z.tuple([z.string(), z.int(), z.boolean()])),
+  /** What every call of this process begins with; the rest is its number. */
+  prefix: z.string(),
+  /** For each call its number and its tokens so far, one after the other. */
+  tokens: z.array(z.int()),
+  /** For each call that ended its number, its tokens, and 1 if it came to its own end. */
+  finished: z.array(z.int()),
   registered: z.array(routing.runningGeneration),
-  withdrawn: z.array(z.string()),
   /** Upstreams that this daemon found leaving or dead. */
   leaving: z.array(z.string()),
 });
--- a/packages/daemon/src/pool-host.ts
+++ b/packages/daemon/src/pool-host.ts
@@ -109,16 +109,21 @@
 
   /** What a daemon tells of its generations. */
   public takeReport(report: peerRouters.PoolReport): void {
-    const { model, daemonId, tokens } = report;
+    const { daemonId, finished, model, prefix, tokens } = report;
     const { owner, refusedAt } = this.getPool(model);
     report.registered.forEach((item) => owner.register(item));
     report.leaving.forEach((id) => {
       refusedAt.set(id, this.options.clock.now());
       owner.markLeaving(id);
     });
-    report.withdrawn.forEach((generation) => owner.withdraw(generation));
-    report.finished.forEach(([id, count, isNatural]) => owner.finish(id, count, isNatural));
-    owner.progress({ daemonId, tokens });
+    for (const [number = 0, count = 0, isNatural = 0] of takeGroups(finished, 3)) {
+      owner.finish(`${prefix}${number.toString(36)}`, count, isNatural === 1);
+    }
+    const told = [...takeGroups(tokens, 2)].map(([number = 0, count = 0]): [string, number] => [
+      `${prefix}${number.toString(36)}`,
+      count,
+    ]);
+    owner.progress({ daemonId, tokens: told });
   }
 
   /** How the pools stand, for operators. */
@@ -261,3 +266,9 @@
   );
   return wanted.length > 0 ? wanted : holders;
 }
+
+function* takeGroups(flat: readonly number[], size: number): Generator<readonly number[]> {
+  for (let at = 0; at < flat.length; at += size) {
+    yield flat.slice(at, at + size);
+  }
+}
--- a/packages/daemon/src/service-flow.ts
+++ b/packages/daemon/src/service-flow.ts
@@ -188,10 +188,8 @@
   }
 
   private createCall(): string {
-    const { cfg, incarnation } = this.parts;
     this.counter += 1;
-    const counter = `s${this.counter.toString(36)}`;
-    return [cfg.availabilityZone, cfg.daemonId, incarnation.toString(36), counter].join('.');
+    return `${this.parts.callPrefix}s${this.counter.toString(36)}`;
   }
 }
 
--- a/packages/routing/src/live-generation.ts
+++ b/packages/routing/src/live-generation.ts
@@ -2,7 +2,7 @@
 import type * as types from './types.js';
 
 /** The longest time for which progress that was not told is assumed, in milliseconds. */
-const MAX_AHEAD_MS = 2_000;
+const MAX_AHEAD_MS = 5_000;
 
 /** A generation that was granted room, as the owner accounts for it. */
 export class LiveGeneration {
