--- /dev/null
+++ b/packages/cli/tests/cli.test.ts
@@ -0,0 +1,64 @@
+import * as childProcess from 'node:child_process';
+import * as fs from 'node:fs';
+import * as os from 'node:os';
+import * as path from 'node:path';
+import * as url from 'node:url';
+
+import * as tap from 'tap';
+
+const PROGRAM = url.fileURLToPath(new URL('../src/bramleyctl.js', import.meta.url));
+const EXAMPLES = url.fileURLToPath(new URL('../../../../examples/kalahari', import.meta.url));
+
+function run(...args: string[]) {
+  return childProcess.spawnSync(process.execPath, [PROGRAM, ...args], { encoding: 'utf8' });
+}
+
+function writeFolder(t: { teardown(handler: () => unknown): void }, files: Record<string, string>) {
+  const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'bramleyridge-cli-'));
+  t.teardown(() => fs.rmSync(folder, { recursive: true }));
+  Object.entries(files).forEach(([name, text]) => fs.writeFileSync(path.join(folder, name), text));
+  return folder;
+}
+
+void tap.default.test('the examples are valid', async (t) => {
+  const done = run('validate', '-f', EXAMPLES);
+  t.equal(done.status, 0);
+  t.match(done.stdout, /4 declarations are valid/);
+});
+
+void tap.default.test(
+  'faults are told all at once with file and path, and the exit code is 2',
+  async (t) => {
+    const folder = writeFolder(t, {
+      'broken.json': '{',
+      'team.json':
+        '{"kind":"team","name":"UPPER","tokenSha256":[],"availabilityZones":["a"],"colour":1}',
+      'intent.json': JSON.stringify({
+        kind: 'intent',
+        name: 'i',
+        model: 'm',
+        version: 'v',
+        teams: ['nobody'],
+        availabilityZones: ['a'],
+        room: 1,
+      }),
+    });
+    const done = run('validate', '-f', folder);
+    t.equal(done.status, 2);
+    [/broken\.json: /, /team\.json: name: /, /team\.json: .*colour/, /no team nobody/].forEach(
+      (fault) => {
+        t.match(done.stderr, fault);
+      },
+    );
+  },
+);
+
+void tap.default.test('exit codes tell a pipeline what happened', async (t) => {
+  const cases = [
+    { name: 'no command', args: [], status: 2 },
+    { name: 'an unknown command', args: ['fly'], status: 2 },
+    { name: 'nobody answers', args: ['status', '--url', 'http://127.0.0.1:9'], status: 1 },
+    { name: 'the schema', args: ['schema', 'settings'], status: 0 },
+  ];
+  cases.forEach(({ name, args, status }) => t.equal(run(...args).status, status, name));
+});
--- a/packages/daemon/src/operator-api.ts
+++ b/packages/daemon/src/operator-api.ts
@@ -68,6 +68,10 @@
         httpIo.sendJson(res, 200, this.options.decisions.explain(req.params.request ?? '')),
       ),
     );
+    app.get(
+      `${base}/links`,
+      this.serve(async (_req, res) => httpIo.sendJson(res, 200, this.options.describeLinks())),
+    );
     app.post(
       `${base}/voters`,
       this.serve((req, res) => this.changeVoters(req, res)),
--- a/packages/requests/src/relay.ts
+++ b/packages/requests/src/relay.ts
@@ -2,6 +2,7 @@
 
 import type * as schemas from '@bramleyridge/schemas';
 
+import * as chunkReaders from './chunk-reader.js';
 import type * as engineClients from './engine-client.js';
 import * as splitters from './event-splitter.js';
 import * as upstreamErrors from './upstream-error.js';
@@ -99,10 +100,15 @@
       ),
     options.silenceMs,
   );
+  const chunks = new chunkReaders.ChunkReader(body);
   try {
-    for await (const chunk of body) {
+    for (;;) {
+      const chunk = await chunks.next();
+      if (chunk === undefined) {
+        return undefined;
+      }
       watchdog.refresh();
-      const events = splitter.push(chunk as Buffer);
+      const events = splitter.push(chunk);
       if (events.count > 0) {
         options.onProgress(splitter.getNext());
       }
@@ -119,8 +125,8 @@
         return undefined;
       }
     }
-    return undefined;
   } finally {
     clearTimeout(watchdog);
+    body.destroy();
   }
 }
