Replace silent links after one lost call; shorter messages; close idle links; split the completion's flow

Cause: (1) a call that ran into its deadline left the link in use, so on a connection that something in between had forgotten every call was lost until the pings noticed, up to 5 s. (3) A lost message about the end of a generation held its room for ever. Change: a deadline without a byte since the call ends the connection; field names travel once for each connection; links unused for 10 s are closed; heartbeats every 2 s (changes are pushed, so only failure detection waits for them); owners drop what a daemon no longer names. Test: a forgotten connection fails without the safeguard (seen).

--- a/packages/bench/src/capacity/capacity-bench.ts
+++ b/packages/bench/src/capacity/capacity-bench.ts
@@ -97,7 +97,7 @@
     state: 'live',
   });
   const members = Array.from({ length: Math.round(daemons) }, (_, i) => member(i));
-  return peers.encodeFrame(['result', 1, { members }]).length;
+  return new peers.FrameWriter().encode(['result', 1, { members }]).length;
 }
 
 function createPage(sizes: SizesFile, slopes: slopesFile.Slopes): string {
--- a/packages/bench/src/grants-bench.ts
+++ b/packages/bench/src/grants-bench.ts
@@ -157,7 +157,12 @@
     registered: [],
     leaving: [],
   });
-  const size = (frame: unknown) => peers.encodeFrame(frame as peers.Frame).length;
+  // The names of fields travel with the first message only, so the second of each is measured.
+  const size = (frame: unknown) => {
+    const writer = new peers.FrameWriter();
+    writer.encode(frame as peers.Frame);
+    return writer.encode(frame as peers.Frame).length;
+  };
   const rows = [
     { message: 'grant asked', bytes: size(['call', 70_000, 'grant', { model: 'm', req }]) },
     { message: 'grant answered', bytes: size(['result', 70_000, answer]) },
--- a/packages/cli/tests/cli.test.ts
+++ b/packages/cli/tests/cli.test.ts
@@ -62,3 +62,13 @@
   ];
   cases.forEach(({ name, args, status }) => t.equal(run(...args).status, status, name));
 });
+
+void tap.default.test('the JSON Schemas for editors are those of the program', async (t) => {
+  const folder = url.fileURLToPath(new URL('../../../../docs/schemas', import.meta.url));
+  ['settings', 'declaration'].forEach((what) => {
+    const kept: unknown = JSON.parse(
+      fs.readFileSync(path.join(folder, `${what}.schema.json`), 'utf8'),
+    );
+    t.same(JSON.parse(run('schema', what).stdout), kept, what);
+  });
+});
--- /dev/null
+++ b/packages/daemon/src/completion-job.ts
@@ -0,0 +1,65 @@
+import type * as http from 'node:http';
+
+import * as schemas from '@bramleyridge/schemas';
+
+import * as completionBodies from './completion-body.js';
+import type * as parts from './parts.js';
+
+/** The longest Idempotency-Key that is taken. */
+const MAX_KEY_CHARS = 255;
+
+/** A completion on its way. */
+export interface CompletionJob {
+  readonly team: schemas.Team;
+  readonly intent: schemas.Intent;
+  readonly body: completionBodies.CompletionBody;
+  readonly measured: completionBodies.Measured;
+  readonly path: string;
+  readonly isChat: boolean;
+  readonly key: string | undefined;
+  readonly requestHash: string;
+  readonly isRepeatable: boolean;
+  readonly excluded: string[];
+  attempt: number;
+}
+
+/** Makes the job of a request, with the intent that serves it. */
+export function createJob(
+  { cfg, store }: parts.Parts,
+  req: http.IncomingMessage,
+  team: schemas.Team,
+  body: completionBodies.CompletionBody,
+  raw: Buffer,
+  path: string,
+): CompletionJob {
+  const intent = store
+    .get()
+    .declaration.intents.filter((item) => item.model === body.model)
+    .filter((item) => item.availabilityZones.includes(cfg.availabilityZone))
+    .find((item) => item.teams.includes(team.name));
+  if (intent === undefined) {
+    throw new schemas.Refusal({
+      id: 'noModel',
+      step: 'find-intent',
+      status: 404,
+      outcome: 'not-run',
+      args: [body.model, team.name, cfg.availabilityZone],
+      param: 'model',
+    });
+  }
+  const wantedClass = req.headers[schemas.CLASS_HEADER];
+  const measured = completionBodies.measureBody(body, wantedClass?.toString());
+  return {
+    team,
+    intent,
+    body,
+    measured,
+    path,
+    isChat: path.includes('/chat/'),
+    key: req.headers['idempotency-key']?.toString().slice(0, MAX_KEY_CHARS),
+    requestHash: schemas.getSha256(raw.toString('utf8')).slice(0, 32),
+    isRepeatable: req.headers[schemas.REPEATABLE_HEADER] !== 'no',
+    excluded: [],
+    attempt: 0,
+  };
+}
--- a/packages/daemon/src/grant-client.ts
+++ b/packages/daemon/src/grant-client.ts
@@ -34,7 +34,6 @@
   readonly model: string;
   readonly facts: routing.RunningGeneration;
   tokens: number;
-  told: number;
   owner: string | undefined;
 }
 
@@ -220,7 +219,7 @@
     owner: string | undefined,
   ): void {
     const facts: routing.RunningGeneration = { ...req, upstreamId, tokens: 0 };
-    this.live.set(req.generation, { model, facts, tokens: 0, told: 0, owner });
+    this.live.set(req.generation, { model, facts, tokens: 0, owner });
   }
 
   private countOn(upstreamId: string): number {
@@ -246,7 +245,6 @@
     // The account of room dies with its owner. Each daemon tells the next one what it relays, so the new
     // account is whole after one round and no upstream is filled twice.
     const unknown = mine.filter((item) => item.owner !== owner.daemonId);
-    const moved = mine.filter((item) => item.tokens !== item.told);
     const finished = this.finished.get(model) ?? [];
     const leaving = [...(this.leaving.get(model) ?? [])];
     this.finished.delete(model);
@@ -255,7 +253,7 @@
       model,
       daemonId: cfg.daemonId,
       prefix: this.options.callPrefix,
-      tokens: moved.flatMap((item) => [getNumber(item.facts.generation), item.tokens]),
+      tokens: mine.flatMap((item) => [getNumber(item.facts.generation), item.tokens]),
       finished,
       registered: unknown.map((item) => ({ ...item.facts, tokens: item.tokens })),
       leaving,
@@ -268,9 +266,9 @@
       }
       mine.forEach((item) => {
         item.owner = owner.daemonId;
-        item.told = item.tokens;
       });
     } catch (err) {
+      this.finished.set(model, [...finished, ...(this.finished.get(model) ?? [])]);
       log.debug({ step: 'tell-owner', peer: owner.daemonId, err: schemas.toError(err).message });
     }
   }
--- a/packages/peers/src/frame.ts
+++ b/packages/peers/src/frame.ts
@@ -17,18 +17,30 @@
   | readonly [kind: 'ping']
   | readonly [kind: 'pong'];
 
-const packr = new msgpackr.Packr({ useRecords: false });
-
-/** Encodes one frame with its length before it. */
-export function encodeFrame(frame: Frame): Buffer {
-  const body = packr.pack(frame);
-  const head = Buffer.allocUnsafe(LENGTH_BYTES);
-  head.writeUInt32BE(body.length);
-  return Buffer.concat([head, body]);
+/**
+ * The names of an object's fields travel once for each connection and direction; later objects of the same
+ * shape refer to them. Names were the larger part of heartbeats and grants.
+ */
+function createPackr(): msgpackr.Packr {
+  return new msgpackr.Packr({ useRecords: true, sequential: true });
+}
+
+/** Encodes the frames of one direction of one connection, in order. */
+export class FrameWriter {
+  private readonly packr = createPackr();
+
+  /** Encodes one frame with its length before it. */
+  public encode(frame: Frame): Buffer {
+    const body = this.packr.pack(frame);
+    const head = Buffer.allocUnsafe(LENGTH_BYTES);
+    head.writeUInt32BE(body.length);
+    return Buffer.concat([head, body]);
+  }
 }
 
 /** Collects the bytes of a connection and gives back whole frames. */
 export class FrameReader {
+  private readonly packr = createPackr();
   private pending: Buffer = Buffer.alloc(0);
 
   /** Adds bytes and yields every frame that is now whole. */
@@ -48,7 +60,7 @@
       }
       const body = this.pending.subarray(LENGTH_BYTES, LENGTH_BYTES + length);
       this.pending = this.pending.subarray(LENGTH_BYTES + length);
-      yield packr.unpack(body) as Frame;
+      yield this.packr.unpack(body) as Frame;
     }
   }
 }
--- a/packages/peers/src/peer-client.ts
+++ b/packages/peers/src/peer-client.ts
@@ -8,10 +8,13 @@
 import * as tlsOptions from './tls-options.js';
 
 /** How often an idle link is tried, in milliseconds. */
-const PING_MS = 2_000;
+const PING_MS = 4_000;
+
+/** After how long without a call a link is ended, in milliseconds. */
+const IDLE_MS = 10_000;
 
 /** After how long without a byte a link is given up, in milliseconds. */
-const SILENCE_MS = 5_000;
+const SILENCE_MS = 9_000;
 
 /** Where a peer is and how to reach it. */
 export interface PeerClientOptions {
@@ -25,6 +28,7 @@
 }
 
 interface Waiting {
+  readonly askedAt: number;
   readonly path: string;
   readonly resolve: (output: unknown) => void;
   readonly reject: (err: Error) => void;
@@ -34,6 +38,9 @@
 export class PeerClient {
   public readonly counts = new linkCounts.LinkCounts();
   private socket: tls.TLSSocket | undefined;
+  private writer = new frames.FrameWriter();
+  private usedAt = 0;
+  private heardAt = 0;
   private connecting: Promise<tls.TLSSocket> | undefined;
   private waiting = new Map<number, Waiting>();
   private nextId = 1;
@@ -43,11 +50,12 @@
 
   /** Calls a procedure; rejects after the deadline, and tells the peer to stop working on it. */
   public async call(path: string, input: unknown, deadlineMs: number): Promise<unknown> {
+    const askedAt = performance.now();
     const timeout = new Promise<never>((_, reject) => {
-      const timer = setTimeout(
-        () => reject(this.createError('deadline', path, [deadlineMs])),
-        deadlineMs,
-      );
+      const timer = setTimeout(() => {
+        this.suspect(askedAt);
+        reject(this.createError('deadline', path, [deadlineMs]));
+      }, deadlineMs);
       timer.unref();
     });
     if (this.options.isCut?.()) {
@@ -55,8 +63,9 @@
     }
     const id = this.nextId;
     this.nextId += 1;
+    this.usedAt = performance.now();
     try {
-      return await Promise.race([this.exchange(id, path, input), timeout]);
+      return await Promise.race([this.exchange(id, path, input, askedAt), timeout]);
     } finally {
       if (this.waiting.delete(id)) {
         this.send(['cancel', id]);
@@ -70,10 +79,15 @@
     this.socket?.destroy();
   }
 
-  private async exchange(id: number, path: string, input: unknown): Promise<unknown> {
+  private async exchange(
+    id: number,
+    path: string,
+    input: unknown,
+    askedAt: number,
+  ): Promise<unknown> {
     await this.getSocket();
     return new Promise((resolve, reject) => {
-      this.waiting.set(id, { path, resolve, reject });
+      this.waiting.set(id, { askedAt, path, resolve, reject });
       this.send(['call', id, path, input]);
     });
   }
@@ -82,7 +96,7 @@
     if (this.socket === undefined || this.socket.destroyed || this.options.isCut?.()) {
       return;
     }
-    const bytes = frames.encodeFrame(frame);
+    const bytes = this.writer.encode(frame);
     this.counts.noteOut(bytes.length);
     this.socket.write(bytes);
   }
@@ -115,6 +129,7 @@
       });
       socket.once('secureConnect', () => {
         this.socket = socket;
+        this.writer = new frames.FrameWriter();
         this.watch(socket);
         resolve(socket);
       });
@@ -127,10 +142,11 @@
     // A middlebox that forgot the connection drops bytes without a reset; only silence shows it.
     // Pings make silence suspicious, and a new connection is made for the next call.
     socket.setTimeout(SILENCE_MS, () => socket.destroy());
-    const pinger = setInterval(() => this.send(['ping']), PING_MS);
+    const pinger = setInterval(() => this.keep(socket), PING_MS);
     pinger.unref();
     socket.on('data', (bytes: Buffer) => {
       this.counts.noteIn(bytes.length);
+      this.heardAt = performance.now();
       try {
         for (const frame of reader.push(bytes)) {
           this.take(frame);
@@ -148,6 +164,26 @@
     });
   }
 
+  /**
+   * A connection on which nothing came since the call went out may be forgotten by something in between,
+   * for good. The next call makes a new one, which works; waiting for pings would lose more calls first.
+   */
+  private suspect(askedAt: number): void {
+    const isPending = [...this.waiting.values()].some((call) => call.askedAt === askedAt);
+    if (isPending && this.heardAt < askedAt) {
+      this.socket?.destroy();
+    }
+  }
+
+  /** Tries a link that is used, and ends one that is not: pings over idle links add up. */
+  private keep(socket: tls.TLSSocket): void {
+    if (this.waiting.size === 0 && performance.now() - this.usedAt > IDLE_MS) {
+      socket.destroy();
+      return;
+    }
+    this.send(['ping']);
+  }
+
   private take(frame: frames.Frame): void {
     if ((frame[0] !== 'result' && frame[0] !== 'failure') || this.options.isCut?.()) {
       return;
--- a/packages/peers/src/peer-server.ts
+++ b/packages/peers/src/peer-server.ts
@@ -19,6 +19,12 @@
   readonly isCut?: () => boolean;
 }
 
+interface Connection {
+  readonly socket: tls.TLSSocket;
+  readonly writer: frames.FrameWriter;
+  readonly calls: Map<number, AbortController>;
+}
+
 /** Serves a tRPC router to the other daemons, one task for each connection. */
 export class PeerServer {
   public readonly counts = new linkCounts.LinkCounts();
@@ -59,7 +65,9 @@
 
   private serve(socket: tls.TLSSocket): void {
     const reader = new frames.FrameReader();
-    const calls = new Map<number, AbortController>();
+    const writer = new frames.FrameWriter();
+    const connection: Connection = { socket, writer, calls: new Map() };
+    const { calls } = connection;
     this.sockets.add(socket);
     socket.setNoDelay(true);
     socket.on('error', (err) => {
@@ -73,7 +81,7 @@
       this.counts.noteIn(bytes.length);
       try {
         for (const frame of reader.push(bytes)) {
-          this.take(socket, frame, calls);
+          this.take(connection, frame);
         }
       } catch (err) {
         this.options.log.warn({ step: 'read-frame', err: schemas.toError(err).message });
@@ -82,24 +90,24 @@
     });
   }
 
-  private take(socket: tls.TLSSocket, frame: frames.Frame, calls: Map<number, AbortController>) {
+  private take(connection: Connection, frame: frames.Frame): void {
     if (this.options.isCut?.()) {
       return;
     }
     if (frame[0] === 'ping') {
-      this.send(socket, ['pong']);
+      this.send(connection, ['pong']);
     } else if (frame[0] === 'cancel') {
-      calls.get(frame[1])?.abort();
+      connection.calls.get(frame[1])?.abort();
     } else if (frame[0] === 'call') {
-      void this.answer(socket, frame, calls);
+      void this.answer(connection, frame);
     }
   }
 
   private async answer(
-    socket: tls.TLSSocket,
+    connection: Connection,
     [, id, path, input]: Extract<frames.Frame, readonly ['call', ...unknown[]]>,
-    calls: Map<number, AbortController>,
   ): Promise<void> {
+    const { calls, socket } = connection;
     const abort = new AbortController();
     calls.set(id, abort);
     const reply = await this.run(path, input, abort.signal).then(
@@ -108,12 +116,12 @@
     );
     calls.delete(id);
     if (!socket.destroyed && !abort.signal.aborted && !this.options.isCut?.()) {
-      this.send(socket, reply);
+      this.send(connection, reply);
     }
   }
 
-  private send(socket: tls.TLSSocket, frame: frames.Frame): void {
-    const bytes = frames.encodeFrame(frame);
+  private send({ socket, writer }: Connection, frame: frames.Frame): void {
+    const bytes = writer.encode(frame);
     this.counts.noteOut(bytes.length);
     socket.write(bytes);
   }
--- a/packages/peers/tests/link.test.ts
+++ b/packages/peers/tests/link.test.ts
@@ -111,13 +111,46 @@
   t.equal(await client.call('echo', 3, 2_000), 3);
 });
 
+void tap.default.test(
+  'a connection that went silent is replaced after the first lost call',
+  async (t) => {
+    // Something in between has forgotten the connection: bytes vanish, nothing is reset, new ones work.
+    const keyring = new peers.Keyring(writeKeys(t, { active: 'k1', keys: { k1: createKey() } }));
+    const target = await listen(t, keyring);
+    let isForgetting = false;
+    const sockets: net.Socket[] = [];
+    const middle = net.createServer((socket) => {
+      const upstream = net.connect(target, '127.0.0.1');
+      const isOld = sockets.length === 0;
+      sockets.push(socket, upstream);
+      socket.on('data', (bytes) => (isOld && isForgetting ? undefined : upstream.write(bytes)));
+      upstream.on('data', (bytes) => (isOld && isForgetting ? undefined : socket.write(bytes)));
+      [socket, upstream].forEach((side) => side.on('error', () => {}));
+    });
+    await new Promise<void>((resolve) => {
+      middle.listen(0, '127.0.0.1', resolve);
+    });
+    t.teardown(() => {
+      sockets.forEach((socket) => socket.destroy());
+      middle.close();
+    });
+    const client = connect(t, keyring, (middle.address() as net.AddressInfo).port);
+    t.equal(await client.call('echo', 1, 2_000), 1);
+    isForgetting = true;
+    await t.rejects(client.call('echo', 2, 150), /no answer/);
+    t.equal(await client.call('echo', 3, 2_000), 3, 'the next call goes over a new connection');
+  },
+);
+
 void tap.default.test('frames survive any cutting, and too large ones are refused', async (t) => {
   const frames: peers.Frame[] = [
     ['call', 1, 'echo', { text: 'Lüderitz', bytes: Buffer.from([1, 2, 3]) }],
+    ['call', 2, 'echo', { text: 'the same shape', bytes: Buffer.from([4]) }],
     ['result', 1, undefined],
     ['ping'],
   ];
-  const bytes = Buffer.concat(frames.map(peers.encodeFrame));
+  const writer = new peers.FrameWriter();
+  const bytes = Buffer.concat(frames.map((frame) => writer.encode(frame)));
   const property = fc.property(
     fc.array(fc.integer({ min: 1, max: 20 }), { minLength: 1 }),
     (cuts) => {
--- a/packages/routing/src/pool-owner.ts
+++ b/packages/routing/src/pool-owner.ts
@@ -15,6 +15,9 @@
 /** How long progress of a daemon may be missing before its generations leave the account. */
 const SILENT_MS = 10_000;
 
+/** How long after its grant a generation that its daemon does not name is still expected, in milliseconds. */
+const FORGOTTEN_MS = 5_000;
+
 /** The share of an upstream's memory that interactive work may hold while drafts wait long. */
 const INTERACTIVE_SHARE = 0.5;
 
@@ -145,7 +148,7 @@
     this.admit(room, facts, facts.promptTokens);
   }
 
-  /** Takes the tokens so far of a daemon's generations. */
+  /** Takes the tokens so far of all generations of a daemon. */
   public progress(batch: types.ProgressBatch): void {
     const now = this.options.clock.now();
     const sinceMs = now - (this.heardAt.get(batch.daemonId) ?? now);
@@ -165,6 +168,7 @@
         room.noteSpeed((gained * 1_000) / (sinceMs * moved.length));
       }
     });
+    this.dropForgotten(batch.daemonId, tokens, now);
   }
 
   /** Takes a generation off the account. */
@@ -325,6 +329,16 @@
     return { upstreamId: undefined, reason, queuedMs, pressure: 0, retryAfterS };
   }
 
+  /** A message that told of an end may be lost; the generation would hold room for ever. */
+  private dropForgotten(daemonId: string, told: ReadonlyMap<string, number>, now: number): void {
+    this.rooms.forEach((room) => {
+      [...room.generations.values()]
+        .filter((item) => item.facts.daemonId === daemonId && !told.has(item.facts.generation))
+        .filter((item) => now - item.grantedAt > FORGOTTEN_MS)
+        .forEach((item) => this.finish(item.facts.generation, item.tokens, false));
+    });
+  }
+
   private dropSilentDaemons(): void {
     const now = this.options.clock.now();
     const silent = new Set(
--- a/packages/routing/tests/pool-owner.test.ts
+++ b/packages/routing/tests/pool-owner.test.ts
@@ -216,3 +216,19 @@
   owner.tick();
   t.equal(owner.getSummary().waiting, 0, 'a report that came late does not count');
 });
+
+void tap.default.test(
+  'a generation whose end was not heard does not hold room for ever',
+  async (t) => {
+    // The message that told of the end was lost; the daemon lives and no longer names the generation.
+    const { clock, owner } = createOwner();
+    owner.setUpstreams([{ upstreamId: 'e1', isLeaving: false }]);
+    ask(owner, 'g1', { promptTokens: 3_000 });
+    const waiting = ask(owner, 'g2', { promptTokens: 3_000 });
+    for (let i = 0; i < 4; i += 1) {
+      await clock.advance(2_000);
+      owner.progress({ daemonId: 'd1', tokens: [] });
+    }
+    t.equal(waiting.decision?.upstreamId, 'e1');
+  },
+);
--- a/packages/schemas/src/daemon-config.ts
+++ b/packages/schemas/src/daemon-config.ts
@@ -28,8 +28,8 @@
 });
 
 const timings = z.strictObject({
-  heartbeatMs: z.int().min(20).default(1_000),
-  suspectMs: z.int().min(50).default(3_000),
+  heartbeatMs: z.int().min(20).default(2_000),
+  suspectMs: z.int().min(50).default(5_000),
   electionMs: z.int().min(30).default(1_000),
   leaseMs: z.int().min(20).default(750),
   reportMs: z.int().min(20).default(500),
