Prove a backlog of versions at an engine that was away, and the reseating of a lost disk over the operators' API

Change: 30 versions are confirmed while the platform does not list an engine: it then gets only the last version's load (and the unload of what it held). A voter loses its disk, holds no seat, is added through the API and takes part.

--- a/packages/daemon/tests/control.test.ts
+++ b/packages/daemon/tests/control.test.ts
@@ -19,6 +19,29 @@
   return declaration.teams.find((team) => team.name === 'sales')?.weight;
 }
 
+function hasEngine(deployment: deployments.SmallDeployment, index: number, id: string): boolean {
+  const { upstreams } = deployment.running[index]!.daemon.view.getDirectory();
+  return upstreams.some((item) => item.upstreamId === id);
+}
+
+/** Plans, until the plan is accepted where `isStubborn`, and confirms. */
+async function confirm(
+  deployment: deployments.SmallDeployment,
+  requestId: string,
+  files: readonly schemas.DeclarationFile[],
+  isStubborn = false,
+): Promise<void> {
+  for (let i = 0; ; i += 1) {
+    const planned = await deployment.operate('/plans', { requestId: `${requestId}-${i}`, files });
+    if (planned.status === 200 || !isStubborn) {
+      const { planId } = (planned.body as Planned).plan;
+      await deployment.operate(`/plans/${planId}/confirm`, { requestId: `${requestId}-confirm` });
+      return;
+    }
+    await deployments.pause(100);
+  }
+}
+
 void tap.default.test(
   'an accepted configuration is in force everywhere and never reverts',
   async (t) => {
@@ -165,6 +188,63 @@
       },
     );
 
+    await t.test('an engine that was away gets orders of the last state only', async (t2) => {
+      // 30 versions are confirmed while the platform does not list the engine; then it is back.
+      const engine = deployment.engines[0]!;
+      const all = deployment.platform.get();
+      deployment.platform.set(all.filter((item) => item.upstreamId !== 'engine-a-1'));
+      await deployment.until('the list to be read', () =>
+        [0, 3].every((i) => !hasEngine(deployment, i, 'engine-a-1')),
+      );
+      const before = engine.orders.length;
+      const zones = files.map((file) => {
+        const isTeam = file.kind === 'team';
+        return isTeam || file.kind === 'intent' ? { ...file, availabilityZones: ['b', 'c'] } : file;
+      });
+      await deployment.apply(zones);
+      for (let i = 2; i <= 31; i += 1) {
+        const version = `v${i}`;
+        const next = zones.map((file) => (file.kind === 'intent' ? { ...file, version } : file));
+        await confirm(deployment, `version-${i}`, next);
+      }
+      deployment.platform.set(all);
+      const last = files.map((file) =>
+        file.kind === 'intent' ? { ...file, version: 'v31' } : file,
+      );
+      await deployment.until('the engine to be listed', () =>
+        hasEngine(deployment, 0, 'engine-a-1'),
+      );
+      await confirm(deployment, 'version-last', last, true);
+      const ordered = () =>
+        engine.orders.slice(before).map(({ order }) => `${order.action} ${order.version}`);
+      await deployment.until('the last version to be ordered', () =>
+        ordered().includes('load v31'),
+      );
+      const wrong = ordered().filter((item) => item !== 'load v31' && item !== 'unload v1');
+      t2.same(wrong, [], 'no order of a superseded state');
+    });
+
+    await t.test('a voter that lost its disk is seated again by the operator', async (t2) => {
+      const victim = deployment.running.findIndex(
+        ({ cfg }, i) => cfg.voter && i !== deployment.findLeader(),
+      );
+      const { daemonId } = deployment.running[victim]!.cfg;
+      deployment.kill(victim);
+      await deployment.restartWithoutDisk(victim);
+      const voter = () => deployment.running[victim]!.daemon.control.voter;
+      await deployment.until('the new folder to follow', () => voter() !== undefined);
+      t2.notOk(voter()!.isSeated(), 'it holds no seat');
+      const added = await deployment.operate('/voters', { action: 'add', daemonId });
+      t2.equal(added.status, 200);
+      await deployment.until('the seat', () => voter()!.isSeated());
+      await confirm(deployment, 'after-repair', withWeight(files, 77));
+      await deployment.until(
+        'the change at the repaired voter',
+        () => getWeight(deployment, victim) === 77,
+      );
+      t2.pass('and it takes part');
+    });
+
     await t.test('a wrong operator token is refused', async (t2) => {
       const res = await fetch(`${deployment.getUrl(0)}/operator/v1/status`, {
         headers: { authorization: 'Bearer nobody' },
--- a/packages/daemon/tests/support/small-deployment.ts
+++ b/packages/daemon/tests/support/small-deployment.ts
@@ -179,6 +179,12 @@
     await item.daemon.start();
   }
 
+  /** Starts a voter again on an empty disk. */
+  public async restartWithoutDisk(index: number): Promise<void> {
+    fs.rmSync(this.running[index]!.cfg.dataFolder!, { recursive: true });
+    await this.restart(index);
+  }
+
   /** Cuts all links between one zone and the others. */
   public cutZone(zone: string): void {
     this.running.forEach(({ cfg, daemon }) => {
