--- a/packages/bench/src/capacity/capacity-bench.ts
+++ b/packages/bench/src/capacity/capacity-bench.ts
@@ -25,16 +25,6 @@
   readonly limit: number | undefined;
 }
 
-function getLimit(row: rowsFile.CapacityRow, budget: rowsFile.Budget): number | undefined {
-  const limits = {
-    'core share': row.isControl ? budget.coreShare : 1,
-    'memory MB': budget.memoryMb,
-    'bytes/s': budget.bytesPerS,
-    'messages/s': undefined,
-  };
-  return limits[row.what];
-}
-
 function isBroken({ limit, row }: Held): boolean {
   return limit !== undefined && row.value > limit;
 }
@@ -105,7 +95,7 @@
   const held = rowsFile.createRows(slopes, sizes.target).map((row, i) => ({
     row,
     today: today[i]!,
-    limit: getLimit(row, sizes.budget),
+    limit: rowsFile.findLimit(row, sizes.budget),
   }));
   const broken = held.filter(isBroken);
   const listBytes = getListBytes(sizes.target.daemons / sizes.target.zones);
--- a/packages/bench/src/capacity/outcomes.ts
+++ b/packages/bench/src/capacity/outcomes.ts
@@ -74,7 +74,7 @@
     ['caller-facing daemon/memory MB', 'smaller socket buffers for each stream'],
   ]);
   const byGain = broken
-    .map((row) => ({ row, times: row.value / getBudget(row, budget) }))
+    .map((row) => ({ row, times: row.value / (rowsFile.findLimit(row, budget) ?? Infinity) }))
     .sort((a, b) => b.times - a.times);
   const { claimsPerS, grantsPerPool } = rowsFile.derive(target);
   return [
@@ -89,16 +89,6 @@
   ];
 }
 
-function getBudget(row: rowsFile.CapacityRow, budget: rowsFile.Budget): number {
-  const limits = {
-    'core share': row.isControl ? budget.coreShare : 1,
-    'memory MB': budget.memoryMb,
-    'bytes/s': budget.bytesPerS,
-    'messages/s': Infinity,
-  };
-  return limits[row.what];
-}
-
 /** What callers and operators get at the target's size. */
 export function createOutcomes(
   target: rowsFile.Sizes,
--- a/packages/bench/src/capacity/rows.ts
+++ b/packages/bench/src/capacity/rows.ts
@@ -63,6 +63,17 @@
 /** How often daemons tell owners of progress, per second. */
 const PROGRESS_PER_S = 0.5;
 
+/** What a row is held against; nothing where there is no limit. */
+export function findLimit(row: CapacityRow, budget: Budget): number | undefined {
+  const limits = {
+    'core share': row.isControl ? budget.coreShare : 1,
+    'memory MB': budget.memoryMb,
+    'bytes/s': budget.bytesPerS,
+    'messages/s': undefined,
+  };
+  return limits[row.what];
+}
+
 /** What follows from the sizes. */
 export function derive(sizes: Sizes): Derived {
   const pools = sizes.models * sizes.zones;
--- a/packages/bench/src/claims-measure.ts
+++ b/packages/bench/src/claims-measure.ts
@@ -11,7 +11,8 @@
   readonly usPerClaim: number;
 }
 
-function createValue(i: number): requests.ClaimValue {
+/** A claim's value of the size that it has in a large deployment. */
+export function createClaimValue(i: number): requests.ClaimValue {
   return {
     call: `region-one-a.region-one-a-17.mj3k2l1a.${i.toString(36)}.engine-region-one-a-42.0123456789ab`,
     daemonId: 'region-one-a-17',
@@ -49,7 +50,7 @@
     const key = schemas.getSha256(`key-${i}`).slice(0, 40);
     const since = [1, 1, 1, 1, 1];
     seat.handleClaim({ key, ballot: [1, 'd1@1'], since });
-    seat.handleClaim({ key, ballot: [1, 'd1@1'], value: createValue(i), since });
+    seat.handleClaim({ key, ballot: [1, 'd1@1'], value: createClaimValue(i), since });
   }
   const ms = performance.now() - from;
   globalThis.gc?.();
--- a/packages/bench/src/grants-bench.ts
+++ b/packages/bench/src/grants-bench.ts
@@ -181,15 +181,7 @@
     key: '0123456789abcdef0123456789abcdef01234567',
     ballot: [70_000, 'region-one-a-17@1796235983971'],
     since: [1, 1, 1, 1, 1],
-    value: {
-      call: 'region-one-a.region-one-a-17.mj3k2l1a.3f2.engine-region-one-a-42.0123456789ab',
-      daemonId: 'region-one-a-17',
-      incarnation: 1_796_235_983_971,
-      host: '10.0.0.17',
-      peerPort: 7_000,
-      upstreamId: 'engine-region-one-a-42',
-      requestHash: '0123456789abcdef0123456789abcdef',
-    },
+    value: claimsMeasure.createClaimValue(70_000),
   };
 }
 
--- a/packages/bench/src/policy/oracle.ts
+++ b/packages/bench/src/policy/oracle.ts
@@ -6,6 +6,10 @@
     return 1;
   }
 
+  public override fillChances(_from: number, _steps: readonly number[], out: Float64Array): void {
+    out.fill(1);
+  }
+
   public override getMeanRest(from: number, most: number): number {
     return Math.max(0, most - from);
   }
--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -16,31 +16,14 @@
   readonly write: (text: string) => void;
 }
 
-interface Status {
-  readonly leader: string;
-  readonly revision: number;
-  readonly claimSeats: readonly { readonly daemonId: string }[];
-  readonly voters: readonly {
-    readonly daemonId: string;
-    readonly match: number;
-    readonly silentMs: number;
-  }[];
-  readonly zones: readonly {
-    readonly availabilityZone: string;
-    readonly silentMs: number;
-    readonly isInForce: boolean;
-    readonly hosts: readonly {
-      readonly daemonId: string;
-      readonly revision: number;
-      readonly url: string;
-    }[];
-  }[];
-}
-
 function show(output: Output, value: unknown, lines: readonly string[]): void {
   output.write(output.isJson ? JSON.stringify(value) : lines.join('\n'));
 }
 
+async function getStatus(client: clients.OperatorClient): Promise<schemas.StatusReport> {
+  return schemas.parse(schemas.statusReport, await client.get('/status'), 'status');
+}
+
 /** Checks a folder of declarations without asking anyone. */
 export function validate(output: Output, folder: string): void {
   const files = folders.readDeclarationFolder(folder);
@@ -112,7 +95,7 @@
 ): Promise<void> {
   const end = Date.now() + timeoutMs;
   for (;;) {
-    const found = (await client.get('/status')) as Status;
+    const found = await getStatus(client);
     const isThere =
       wait === undefined || (found.revision >= wait && found.zones.every((zone) => zone.isInForce));
     if (isThere || Date.now() >= end) {
@@ -131,7 +114,7 @@
   }
 }
 
-function describeStatus(found: Status): string[] {
+function describeStatus(found: schemas.StatusReport): string[] {
   const seats = found.claimSeats.map((seat) => seat.daemonId).join(', ') || 'none yet';
   return [
     `revision ${found.revision}, leader ${found.leader}, claim seats: ${seats}`,
@@ -153,7 +136,7 @@
   request: string,
 ): Promise<void> {
   const daemonId = request.split('.')[1];
-  const found = (await client.get('/status')) as Status;
+  const found = await getStatus(client);
   const host = found.zones.flatMap((zone) => zone.hosts).find((item) => item.daemonId === daemonId);
   const path = `/explain/${encodeURIComponent(request)}`;
   const answer =
@@ -195,7 +178,7 @@
       throw clients.createFailure(answer);
     }
   }
-  const found = (await client.get('/status')) as Status;
+  const found = await getStatus(client);
   show(
     output,
     found.voters,
--- a/packages/daemon/src/completion-dispatch.ts
+++ b/packages/daemon/src/completion-dispatch.ts
@@ -84,7 +84,8 @@
       upstream: grant.upstream,
       from: 0,
       body,
-      mayCancel: true,
+      // Who sends a key means to ask again; the answer is kept for that, also when nobody listens now.
+      mayCancel: job.key === undefined,
     };
   }
 
--- a/packages/daemon/src/control-plane.ts
+++ b/packages/daemon/src/control-plane.ts
@@ -203,7 +203,7 @@
   }
 
   /** What the leader tells operators of the voters. */
-  public describeVoters(): peerRouters.StatusReport['voters'] {
+  public describeVoters(): schemas.StatusReport['voters'] {
     const leadership = this.getLeadership();
     const own = {
       daemonId: this.options.cfg.daemonId,
--- a/packages/daemon/src/leader-tasks.ts
+++ b/packages/daemon/src/leader-tasks.ts
@@ -98,7 +98,7 @@
   }
 
   /** What operators are told. */
-  public describeStatus(): peerRouters.StatusReport {
+  public describeStatus(): schemas.StatusReport {
     const { cfg, control, store } = this.options;
     const { revision, claimSeats } = store.get();
     this.hearOwnZone();
@@ -128,7 +128,7 @@
   }
 
   /** A zone that is not heard is never said to have a revision in force. */
-  private describeZones(revision: number): peerRouters.StatusReport['zones'] {
+  private describeZones(revision: number): schemas.StatusReport['zones'] {
     const heard = new Map(this.zones.list().map((row) => [row.availabilityZone, row]));
     return this.listZoneNames().map((availabilityZone) => {
       const row = heard.get(availabilityZone);
--- a/packages/daemon/src/peer-router.ts
+++ b/packages/daemon/src/peer-router.ts
@@ -58,36 +58,6 @@
   readonly result?: schemas.CommandResult;
 }
 
-/** What the leader tells operators. */
-export interface StatusReport {
-  readonly leader: string;
-  readonly term: number;
-  readonly revision: number;
-  readonly claimSeats: readonly schemas.ClaimSeat[];
-  readonly voters: readonly {
-    readonly daemonId: string;
-    readonly match: number;
-    readonly silentMs: number;
-  }[];
-  readonly zones: readonly {
-    readonly availabilityZone: string;
-    readonly silentMs: number;
-    readonly isInForce: boolean;
-    readonly hosts: readonly {
-      readonly daemonId: string;
-      readonly revision: number;
-      readonly url: string;
-      readonly isLeaving: boolean;
-    }[];
-  }[];
-  readonly plans: readonly schemas.Plan[];
-  readonly upstreams: readonly {
-    readonly upstreamId: string;
-    readonly availabilityZone: string;
-    readonly models: readonly string[];
-  }[];
-}
-
 /** What this daemon does for its peers. */
 export interface PeerHandlers {
   genesis(): Promise<consensus.Genesis>;
@@ -96,7 +66,7 @@
   snapshot(req: consensus.SnapshotReq): Promise<consensus.AppendRes>;
   sync(req: schemas.SyncReq): Promise<schemas.SyncRes>;
   propose(command: schemas.Command): Promise<ProposeAnswer>;
-  status(): Promise<StatusReport>;
+  status(): Promise<schemas.StatusReport>;
   changeVoters(change: VoterChange): Promise<void>;
   refoundClaims(): Promise<void>;
   grant(ask: z.infer<typeof grantAsk>): Promise<GrantAnswer>;
--- a/packages/members/src/sync-client.ts
+++ b/packages/members/src/sync-client.ts
@@ -10,8 +10,8 @@
 /** How many heartbeats without a voter's word a starting daemon waits before it serves its cut-off zone. */
 const ALONE_BEATS = 3;
 
-/** The shortest time between two heartbeats, in heartbeats. */
-const MIN_GAP = 0.05;
+/** The shortest time between two heartbeats, in milliseconds. */
+const MIN_GAP_MS = 20;
 
 /** A daemon that can be asked. */
 export interface PeerAddress {
@@ -81,7 +81,7 @@
       const res = await this.exchange(target, heartbeatMs);
       this.take(target, res);
       // Two peers that each think the other has news must not answer each other without pause.
-      await clock.sleep(Math.max(0, heartbeatMs * MIN_GAP - (clock.now() - askedAt)));
+      await clock.sleep(Math.max(0, MIN_GAP_MS - (clock.now() - askedAt)));
     } catch (err) {
       this.failedAt.set(target.daemonId, clock.now());
       const { message } = schemas.toError(err);
--- a/packages/routing/src/length-distribution.ts
+++ b/packages/routing/src/length-distribution.ts
@@ -72,6 +72,15 @@
     return Math.exp(this.getLogSurvival(to) - this.getLogSurvival(from));
   }
 
+  /** The same for many moments at once, each so many tokens on from `from`. */
+  public fillChances(from: number, steps: readonly number[], out: Float64Array): void {
+    this.refresh();
+    const now = this.getLogSurvival(from);
+    for (let i = 0; i < steps.length; i += 1) {
+      out[i] = Math.exp(this.getLogSurvival(from + steps[i]!) - now);
+    }
+  }
+
   /** The mean number of tokens that a generation of `from` tokens still produces, up to `most` in all. */
   public getMeanRest(from: number, most: number): number {
     let mean = 0;
--- a/packages/routing/src/live-generation.ts
+++ b/packages/routing/src/live-generation.ts
@@ -43,12 +43,15 @@
     return Math.min(this.tokens + (speed * aheadMs) / 1_000, this.facts.maxTokens - 1);
   }
 
-  /** The chance that it still holds memory after `steps` more tokens than `tokens`. */
-  public getChance(tokens: number, steps: number): number {
-    if (steps === 0) {
-      return 1;
+  /** The chances that it still holds memory so many tokens on from `tokens`; none beyond its limit. */
+  public fillChances(tokens: number, steps: readonly number[], out: Float64Array): void {
+    this.distribution.fillChances(tokens, steps, out);
+    for (let i = 0; i < steps.length; i += 1) {
+      if (steps[i] === 0) {
+        out[i] = 1;
+      } else if (tokens + steps[i]! >= this.facts.maxTokens) {
+        out[i] = 0;
+      }
     }
-    const to = tokens + steps;
-    return to >= this.facts.maxTokens ? 0 : this.distribution.getChance(tokens, to);
   }
 }
--- a/packages/routing/src/memory-forecast.ts
+++ b/packages/routing/src/memory-forecast.ts
@@ -15,28 +15,55 @@
 /** Below which chance of still running a joining generation does not count at a moment. */
 const NEGLIGIBLE = 0.02;
 
+const chances = new Float64Array(HORIZON.length);
+
+/** What one generation is expected to hold at each moment, in tokens. */
+export class Expected {
+  public readonly mean = new Float64Array(HORIZON.length);
+  public readonly variance = new Float64Array(HORIZON.length);
+  /** How many moments it will probably live to see. */
+  public readonly moments: number;
+
+  public constructor(generation: liveGenerations.LiveGeneration, tokens: number) {
+    const held = generation.facts.promptTokens + tokens + BLOCK_TOKENS;
+    generation.fillChances(tokens, HORIZON, chances);
+    let moments = 0;
+    for (let i = 0; i < HORIZON.length; i += 1) {
+      const size = held + HORIZON[i]!;
+      const chance = chances[i]!;
+      this.mean[i] = size * chance;
+      this.variance[i] = size * size * chance * (1 - chance);
+      moments = chance >= NEGLIGIBLE && moments === i ? i + 1 : moments;
+    }
+    this.moments = moments;
+  }
+}
+
 /** Mean and variance of the memory in use at each moment of the horizon, in tokens. */
 export class MemoryForecast {
   private readonly mean = new Float64Array(HORIZON.length);
   private readonly variance = new Float64Array(HORIZON.length);
+  private readonly parts = new Map<string, Expected>();
 
-  /** Starts anew. */
+  /** Starts anew, which also drops what rounding has left behind. */
   public clear(): void {
     this.mean.fill(0);
     this.variance.fill(0);
+    this.parts.clear();
   }
 
-  /** Adds what one generation of so many tokens is expected to hold. */
-  public add(generation: liveGenerations.LiveGeneration, tokens: number): void {
-    const held = generation.facts.promptTokens + tokens + BLOCK_TOKENS;
-    for (let i = 0; i < HORIZON.length; i += 1) {
-      const size = held + HORIZON[i]!;
-      const chance = generation.getChance(tokens, HORIZON[i]!);
-      this.mean[i]! += size * chance;
-      this.variance[i]! += size * size * chance * (1 - chance);
-      if (chance === 0) {
-        return;
-      }
+  /** Adds one generation. */
+  public add(generation: string, part: Expected): void {
+    this.parts.set(generation, part);
+    this.sum(part, 1);
+  }
+
+  /** Takes one generation away. */
+  public remove(generation: string): void {
+    const part = this.parts.get(generation);
+    if (part !== undefined) {
+      this.parts.delete(generation);
+      this.sum(part, -1);
     }
   }
 
@@ -46,24 +73,12 @@
    * the sum of means would overflow every other time. Only moments at which the joining one probably still
    * runs are looked at: a short check must not wait for a peak that it will not live to see.
    */
-  public getPressure(
-    capacity: number,
-    quantile: number,
-    joining?: liveGenerations.LiveGeneration,
-  ): number {
+  public getPressure(capacity: number, quantile: number, joining?: Expected): number {
+    const moments = joining?.moments ?? HORIZON.length;
     let worst = 0;
-    for (let i = 0; i < HORIZON.length; i += 1) {
-      let mean = this.mean[i]!;
-      let variance = this.variance[i]!;
-      if (joining !== undefined) {
-        const size = joining.facts.promptTokens + joining.tokens + BLOCK_TOKENS + HORIZON[i]!;
-        const chance = joining.getChance(joining.tokens, HORIZON[i]!);
-        if (chance < NEGLIGIBLE && i > 0) {
-          break;
-        }
-        mean += size * chance;
-        variance += size * size * chance * (1 - chance);
-      }
+    for (let i = 0; i < moments; i += 1) {
+      const mean = this.mean[i]! + (joining?.mean[i] ?? 0);
+      const variance = Math.max(0, this.variance[i]! + (joining?.variance[i] ?? 0));
       worst = Math.max(worst, (mean + quantile * Math.sqrt(variance)) / capacity);
     }
     return worst;
@@ -73,4 +88,11 @@
   public getHeld(): number {
     return this.mean[0]!;
   }
+
+  private sum(part: Expected, sign: 1 | -1): void {
+    for (let i = 0; i < HORIZON.length; i += 1) {
+      this.mean[i]! += sign * part.mean[i]!;
+      this.variance[i]! += sign * part.variance[i]!;
+    }
+  }
 }
--- a/packages/routing/src/pool-account.ts
+++ b/packages/routing/src/pool-account.ts
@@ -124,7 +124,7 @@
   public finish(generation: string, tokens: number, isNatural: boolean): boolean {
     const room = this.listRooms().find((item) => item.generations.has(generation));
     const now = this.options.clock.now();
-    const live = room?.remove(generation, now);
+    const live = room?.remove(generation);
     if (live === undefined) {
       return false;
     }
--- a/packages/routing/src/upstream-choice.ts
+++ b/packages/routing/src/upstream-choice.ts
@@ -1,4 +1,5 @@
 import type * as liveGenerations from './live-generation.js';
+import * as forecasts from './memory-forecast.js';
 import type * as affinities from './prefix-affinity.js';
 import * as slowUpstreams from './slow-upstreams.js';
 import type * as types from './types.js';
@@ -42,8 +43,14 @@
   ): Choice | undefined {
     const idle = candidates.find((room) => room.generations.size === 0);
     const slow = slowUpstreams.findSlow(candidates);
+    const expected = new forecasts.Expected(joining, joining.tokens);
+    const isInteractive = joining.facts.workClass === 'interactive';
     const scored = candidates
-      .map((room) => ({ room, pressure: this.getPressure(room, joining) }))
+      .map((room) => {
+        // Drafts leave free what interactive work lately used.
+        const reserve = isInteractive ? 0 : room.getReserve();
+        return { room, pressure: room.getPressure(this.quantile, expected) + reserve };
+      })
       .filter((item) => item.pressure <= 1)
       .map((item) => ({
         ...item,
@@ -64,9 +71,4 @@
       ? { room: best.room, reason: 'room', pressure: best.pressure }
       : { room: holder.room, reason: 'prefix', pressure: holder.pressure };
   }
-
-  private getPressure(room: rooms.UpstreamRoom, joining: liveGenerations.LiveGeneration): number {
-    const reserve = joining.facts.workClass === 'interactive' ? 0 : room.getReserve();
-    return room.getPressure(this.quantile, joining) + reserve;
-  }
 }
--- a/packages/routing/src/upstream-room.ts
+++ b/packages/routing/src/upstream-room.ts
@@ -23,6 +23,7 @@
   private history: { readonly at: number; readonly held: number }[] = [];
   private unaccounted = 0;
   private interactivePeak = 0;
+  private interactiveHeld = 0;
 
   public constructor(
     public readonly upstreamId: string,
@@ -38,15 +39,20 @@
   /** Adds a generation to the account. */
   public add(generation: liveGenerations.LiveGeneration): void {
     this.generations.set(generation.facts.generation, generation);
-    this.forecast.add(generation, generation.tokens);
+    this.forecast.add(
+      generation.facts.generation,
+      new forecasts.Expected(generation, generation.tokens),
+    );
+    this.interactiveHeld += getInteractiveTokens(generation);
   }
 
   /** Takes a generation off the account. */
-  public remove(generation: string, now: number): liveGenerations.LiveGeneration | undefined {
+  public remove(generation: string): liveGenerations.LiveGeneration | undefined {
     const known = this.generations.get(generation);
     if (known !== undefined) {
       this.generations.delete(generation);
-      this.rebuild(now);
+      this.forecast.remove(generation);
+      this.interactiveHeld = Math.max(0, this.interactiveHeld - getInteractiveTokens(known));
     }
     return known;
   }
@@ -57,8 +63,11 @@
    */
   public rebuild(now: number): void {
     this.forecast.clear();
-    this.generations.forEach((generation) => {
-      this.forecast.add(generation, generation.getLikelyTokens(now, this.speed));
+    this.interactiveHeld = 0;
+    this.generations.forEach((generation, id) => {
+      const tokens = generation.getLikelyTokens(now, this.speed);
+      this.forecast.add(id, new forecasts.Expected(generation, tokens));
+      this.interactiveHeld += getInteractiveTokens(generation);
     });
   }
 
@@ -77,7 +86,7 @@
 
   /** Keeps what is held now, for reports to come. */
   public remember(now: number): void {
-    this.interactivePeak = Math.max(this.getInteractiveHeld(), this.interactivePeak * PEAK_DECAY);
+    this.interactivePeak = Math.max(this.interactiveHeld, this.interactivePeak * PEAK_DECAY);
     this.history = this.history.filter((sample) => now - sample.at < HISTORY_MS);
     this.history.push({ at: now, held: this.forecast.getHeld() });
   }
@@ -91,13 +100,13 @@
   }
 
   /** The forecast share of memory if a generation joins. */
-  public getPressure(quantile: number, joining?: liveGenerations.LiveGeneration): number {
+  public getPressure(quantile: number, joining?: forecasts.Expected): number {
     return this.forecast.getPressure(this.getCapacity(), quantile, joining);
   }
 
   /** The share of memory that interactive work holds now. */
   public getInteractiveShare(): number {
-    return this.getInteractiveHeld() / this.getCapacity();
+    return this.interactiveHeld / this.getCapacity();
   }
 
   /**
@@ -105,7 +114,7 @@
    * less what it holds now. Drafts that filled this too would be preempted by the next few checks.
    */
   public getReserve(): number {
-    const missing = this.interactivePeak - this.getInteractiveHeld();
+    const missing = this.interactivePeak - this.interactiveHeld;
     return Math.max(0, missing) / this.getCapacity();
   }
 
@@ -114,14 +123,6 @@
     return this.forecast.getHeld() + this.unaccounted;
   }
 
-  private getInteractiveHeld(): number {
-    let held = 0;
-    this.generations.forEach(({ facts, tokens }) => {
-      held += facts.workClass === 'interactive' ? facts.promptTokens + tokens : 0;
-    });
-    return held;
-  }
-
   private getMostHeldSince(then: number): number {
     const before = this.history.filter((sample) => sample.at <= then).at(-1);
     const since = this.history.filter((sample) => sample.at > then);
@@ -129,3 +130,7 @@
     return Math.max(this.forecast.getHeld(), ...held);
   }
 }
+
+function getInteractiveTokens({ facts, tokens }: liveGenerations.LiveGeneration): number {
+  return facts.workClass === 'interactive' ? facts.promptTokens + tokens : 0;
+}
--- a/packages/schemas/src/index.ts
+++ b/packages/schemas/src/index.ts
@@ -13,5 +13,6 @@
 export * from './outcome.js';
 export * from './parse.js';
 export * from './rendezvous.js';
+export * from './status.js';
 export * from './step-error.js';
 export * from './upstream.js';
--- /dev/null
+++ b/packages/schemas/src/status.ts
@@ -0,0 +1,46 @@
+import * as z from 'zod';
+
+import * as control from './control.js';
+
+const voterStatus = z.object({
+  daemonId: z.string(),
+  match: z.int(),
+  /** How long ago the voter answered, in milliseconds. */
+  silentMs: z.number(),
+});
+
+const hostStatus = z.object({
+  daemonId: z.string(),
+  revision: z.int(),
+  url: z.string(),
+  isLeaving: z.boolean(),
+});
+
+const zoneStatus = z.object({
+  availabilityZone: z.string(),
+  /** How long ago the zone's relay was heard, in milliseconds; -1 for never. */
+  silentMs: z.number(),
+  isInForce: z.boolean(),
+  hosts: z.array(hostStatus),
+});
+
+/** What the leader tells operators. */
+export const statusReport = z.object({
+  leader: z.string(),
+  term: z.int(),
+  revision: z.int(),
+  claimSeats: z.array(control.claimSeat),
+  voters: z.array(voterStatus),
+  zones: z.array(zoneStatus),
+  plans: z.array(control.plan),
+  upstreams: z.array(
+    z.object({
+      upstreamId: z.string(),
+      availabilityZone: z.string(),
+      models: z.array(z.string()),
+    }),
+  ),
+});
+
+/** What the leader tells operators. */
+export type StatusReport = z.infer<typeof statusReport>;
