Let resumed streams live beyond the limit on their first answer

Cause: found on reading: the time limit for an engine's answer was an abort signal that stayed with the stream, so every resumed or joined stream was cut after upstreamSilenceMs (5 s) and resumed again, for ever. Nothing was lost, since the relay resumed, but each cut cost a connection and a pause. Change: the limit is on the answer's headers only. Ruled out: the limit of start(), which was cleared after the answer.

--- a/packages/daemon/src/completion-dispatch.ts
+++ b/packages/daemon/src/completion-dispatch.ts
@@ -123,10 +123,9 @@
    * the generation we go on with it; if not, it is made to promise that it never will.
    */
   public async findOut(upstream: schemas.Upstream, generation: string): Promise<stream.Readable> {
-    const { cfg, engines } = this.parts;
-    const signal = AbortSignal.timeout(cfg.limits.upstreamSilenceMs);
+    const { engines } = this.parts;
     try {
-      return await engines.resume(upstream, generation, 0, signal);
+      return await engines.resume(upstream, generation, 0);
     } catch (err) {
       const failure = requests.createUpstreamError(err, 'find-out', upstream.upstreamId);
       if (failure.kind === 'gone') {
@@ -197,24 +196,17 @@
     grant: grantClients.Grant,
     generation: string,
   ): Promise<stream.Readable> {
-    const { cfg, engines } = this.parts;
+    const { engines } = this.parts;
     const { upstream } = grant;
     const body = completionBodies.createEngineBody(job.body, grant.version, job.measured.workClass);
-    const gone = new AbortController();
-    const limit = setTimeout(
-      () => gone.abort(new Error('no answer')),
-      cfg.limits.upstreamSilenceMs,
-    );
     try {
-      return await engines.start(upstream, job.path, generation, body, gone.signal);
+      return await engines.start(upstream, job.path, generation, body);
     } catch (err) {
       const failure = requests.createUpstreamError(err, 'start', upstream.upstreamId);
       if (failure.kind !== 'lost') {
         throw failure;
       }
-      return await this.findOut(upstream, generation);
-    } finally {
-      clearTimeout(limit);
+      return this.findOut(upstream, generation);
     }
   }
 
--- a/packages/daemon/src/resume-flow.ts
+++ b/packages/daemon/src/resume-flow.ts
@@ -19,7 +19,7 @@
     res: http.ServerResponse,
     generation: string,
   ): Promise<void> {
-    const { access, cfg, engines, grants, ids } = this.parts;
+    const { access, engines, grants, ids } = this.parts;
     const path = `/v1/generations/${generation}/events`;
     const team = access.authenticate(req);
     access.checkPlace(team, path);
@@ -34,8 +34,7 @@
     }
     const from = getOffset(req, generation);
     const mayCancel = !(await this.takeOver(id.daemonId, generation));
-    const signal = AbortSignal.timeout(cfg.limits.upstreamSilenceMs);
-    const body = await engines.resume(upstream, generation, from, signal).catch((err: unknown) => {
+    const body = await engines.resume(upstream, generation, from).catch((err: unknown) => {
       const failure = requests.createUpstreamError(err, 'resume', upstream.upstreamId);
       throw failure.kind === 'gone' ? createUnknown(410) : failure;
     });
--- a/packages/fakes/src/fake-engine.ts
+++ b/packages/fakes/src/fake-engine.ts
@@ -48,6 +48,8 @@
   };
   /** Everything that was ever begun here, by generation. */
   public readonly record = new Map<string, generations.FakeGeneration>();
+  /** How many streams were opened here. */
+  public streams = 0;
   public readonly orders: { order: schemas.Order; status: number }[] = [];
   private readonly tombstones = new Set<string>();
   private readonly server: servers.FakeServer;
@@ -56,7 +58,6 @@
   private reports: schemas.LoadReport[] = [];
   private isStepping = false;
   private isClosed = false;
-  private connections = 0;
   private readonly reporter: NodeJS.Timeout;
 
   public constructor(private readonly options: FakeEngineOptions) {
@@ -80,7 +81,7 @@
 
   /** Lets every stream that is open now fall silent. */
   public silence(): void {
-    this.faults.silentBefore = this.connections;
+    this.faults.silentBefore = this.streams;
   }
 
   private createRoutes(): servers.Routes {
@@ -185,8 +186,8 @@
     res: http.ServerResponse,
     from: number,
   ): void {
-    this.connections += 1;
-    const connection = this.connections;
+    this.streams += 1;
+    const connection = this.streams;
     const isSilent = () => connection <= this.faults.silentBefore;
     res.writeHead(200, { 'content-type': 'text/event-stream', 'cache-control': 'no-store' });
     res.flushHeaders();
--- a/packages/requests/src/engine-client.ts
+++ b/packages/requests/src/engine-client.ts
@@ -45,14 +45,12 @@
     path: string,
     generation: string,
     body: string,
-    signal: AbortSignal,
   ): Promise<stream.Readable> {
     const res = await this.request('start', upstream, {
       path,
       method: 'POST',
       body,
       headers: { 'content-type': 'application/json', 'x-request-id': generation },
-      signal,
     });
     if (res.statusCode === 200) {
       return res.body;
@@ -71,7 +69,6 @@
     upstream: schemas.Upstream,
     generation: string,
     offset: number,
-    signal: AbortSignal,
   ): Promise<stream.Readable> {
     const res = await this.request('resume', upstream, {
       path: `/v1/generations/${generation}/events`,
@@ -79,7 +76,6 @@
       headers: { 'last-event-id': `${generation}:${offset - 1}` },
       // The former connection may be silently dead, and so may others of the pool.
       reset: true,
-      signal,
       isFresh: true,
     });
     if (res.statusCode === 200) {
@@ -144,7 +140,13 @@
     const client = isFresh ? this.createFresh(upstream) : this.agent;
     try {
       const { origin } = new URL(upstream.url);
-      return await client.request({ ...options, origin } as undici.Dispatcher.RequestOptions);
+      // A limit on the answer only: a signal with a time would go on to cut the stream behind it.
+      const limits = { headersTimeout: this.timings.answerMs };
+      return await client.request({
+        ...limits,
+        ...options,
+        origin,
+      } as undici.Dispatcher.RequestOptions);
     } catch (err) {
       throw upstreamErrors.createUpstreamError(err, step, upstream.upstreamId);
     } finally {
--- a/packages/requests/src/relay.ts
+++ b/packages/requests/src/relay.ts
@@ -81,9 +81,8 @@
   splitter: splitters.EventSplitter,
 ): Promise<stream.Readable> {
   splitter.restart();
-  const { engines, generation, signal, silenceMs, upstream } = options;
-  const limit = AbortSignal.any([signal, AbortSignal.timeout(silenceMs)]);
-  return engines.resume(upstream, generation, splitter.getNext(), limit);
+  const { engines, generation, upstream } = options;
+  return engines.resume(upstream, generation, splitter.getNext());
 }
 
 async function* passOn(
--- a/packages/requests/tests/relay.test.ts
+++ b/packages/requests/tests/relay.test.ts
@@ -11,13 +11,13 @@
   readonly upstream: schemas.Upstream;
 }
 
-async function setUp(t: { teardown(handler: () => unknown): void }): Promise<Setting> {
+async function setUp(t: { teardown(handler: () => unknown): void }, speed = 4): Promise<Setting> {
   const engine = new fakes.FakeEngine({
     upstreamId: 'e1',
     models: [{ model: 'm', version: 'v1' }],
     checksFencing: true,
     reportLagMs: 0,
-    speed: 4,
+    speed,
   });
   const url = await engine.listen();
   const engines = new requests.EngineClient({ connectMs: 500, answerMs: 1_000 });
@@ -38,8 +38,7 @@
 
 function start({ engines, upstream }: Setting, generation: string) {
   const body = JSON.stringify({ model: 'm:v1', prompt: 'x', fake_output_tokens: TOKENS });
-  const { signal } = new AbortController();
-  return engines.start(upstream, '/v1/completions', generation, body, signal);
+  return engines.start(upstream, '/v1/completions', generation, body);
 }
 
 /** Relays a generation, calling `act` after each chunk, and checks every token that comes. */
@@ -162,3 +161,19 @@
     t.equal(setting.engine.record.size, 0);
   },
 );
+
+void tap.default.test(
+  'a resumed stream lives on beyond the time allowed for its first answer',
+  async (t) => {
+    // The limit on the answer once went on to cut the stream itself, every 700 ms here, every 5 s in use.
+    const setting = await setUp(t, 0.2);
+    const { end, text } = await relay(setting, 'g4', (next) => {
+      if (next >= 5 && setting.engine.faults.silentBefore === 0) {
+        setting.engine.silence();
+      }
+    });
+    t.equal(end.outcome, 'complete');
+    t.equal(text, fakes.getText('g4', TOKENS));
+    t.equal(setting.engine.streams, 2, 'the first stream and one resumed');
+  },
+);
