--- a/packages/consensus/src/replicator.ts
+++ b/packages/consensus/src/replicator.ts
@@ -97,7 +97,7 @@
       this.next = Math.max(this.next, res.match + 1);
       this.leadership.advanceCommit();
     } else {
-      this.next = Math.max(1, Math.min(this.next - 1, res.hint + 1));
+      this.next = Math.max(1, res.hint + 1);
     }
     return true;
   }
--- a/packages/consensus/src/voter.ts
+++ b/packages/consensus/src/voter.ts
@@ -119,8 +119,10 @@
       const hint = Math.min(req.prevIndex - 1, this.entries.lastIndex);
       return this.createAppendRes(false, Math.max(hint, this.commitIndex));
     }
-    const news = req.entries.filter((entry) => this.entries.findTerm(entry.index) !== entry.term);
-    const fresh = news[0] === undefined ? [] : req.entries.filter((e) => e.index >= news[0]!.index);
+    const firstNew = req.entries.findIndex(
+      (entry) => this.entries.findTerm(entry.index) !== entry.term,
+    );
+    const fresh = firstNew < 0 ? [] : req.entries.slice(firstNew);
     if (fresh[0] !== undefined && fresh[0].index <= this.commitIndex) {
       return this.createAppendRes(false, this.commitIndex);
     }
--- a/packages/daemon/src/completion-body.ts
+++ b/packages/daemon/src/completion-body.ts
@@ -58,16 +58,17 @@
   };
 }
 
-/** The body as the engine gets it: always streamed, with the version and the priority set. */
+/** The body as the engine gets it: always streamed, with the version, the priority and the prefix set. */
 export function createEngineBody(
   body: CompletionBody,
   version: string,
-  workClass: Measured['workClass'],
+  { prefix, workClass }: Measured,
 ): string {
   return JSON.stringify({
     ...body,
     model: `${body.model}:${version}`,
     stream: true,
     priority: workClass === 'interactive' ? 0 : 1,
+    prefix_id: prefix,
   });
 }
--- a/packages/daemon/src/completion-dispatch.ts
+++ b/packages/daemon/src/completion-dispatch.ts
@@ -198,7 +198,7 @@
   ): Promise<stream.Readable> {
     const { engines } = this.parts;
     const { upstream } = grant;
-    const body = completionBodies.createEngineBody(job.body, grant.version, job.measured.workClass);
+    const body = completionBodies.createEngineBody(job.body, grant.version, job.measured);
     try {
       return await engines.start(upstream, job.path, generation, body);
     } catch (err) {
--- a/packages/daemon/src/pool-host.ts
+++ b/packages/daemon/src/pool-host.ts
@@ -34,6 +34,8 @@
   readonly tickets: Map<string, Ticket>;
   readonly serving: Map<string, readonly string[]>;
   readonly lost: Map<string, number>;
+  /** The number of the next cache event of each upstream. */
+  readonly cacheNext: Map<string, number>;
   /** When each upstream last refused work or said that it leaves. */
   readonly refusedAt: Map<string, number>;
   firstRound: Promise<void>;
@@ -143,6 +145,7 @@
       tickets: new Map(),
       serving: new Map(),
       lost: new Map(),
+      cacheNext: new Map(),
       refusedAt: new Map(),
       firstRound: Promise.resolve(),
       rounds: 0,
@@ -208,7 +211,7 @@
     try {
       const report = schemas.parse(
         schemas.loadReport,
-        await engines.getJson(upstream, '/load'),
+        await engines.getJson(upstream, `/load?cacheSince=${pool.cacheNext.get(upstreamId) ?? 0}`),
         'load-report',
       );
       const held = report.models.filter((item) => item.model === model);
@@ -220,6 +223,7 @@
       if (report.state === 'leaving') {
         pool.refusedAt.set(upstreamId, this.options.clock.now());
       }
+      this.takeCacheEvents(pool, upstreamId, report.cache);
       pool.owner.takeReport(upstreamId, report);
     } catch (err) {
       pool.lost.set(upstreamId, (pool.lost.get(upstreamId) ?? 0) + 1);
@@ -228,6 +232,29 @@
     }
   }
 
+  private takeCacheEvents(
+    pool: Pool,
+    upstreamId: string,
+    cache: schemas.LoadReport['cache'],
+  ): void {
+    if (cache === undefined) {
+      return;
+    }
+    const { affinity } = pool.owner;
+    // After a gap a prefix may have been dropped without a word, so everything known is unknown again.
+    if (cache.first > (pool.cacheNext.get(upstreamId) ?? 0)) {
+      affinity.forget(upstreamId);
+    }
+    pool.cacheNext.set(upstreamId, cache.first + cache.events.length);
+    cache.events.forEach(({ isStored, prefix }) => {
+      if (isStored) {
+        affinity.note(prefix, upstreamId, this.options.clock.now());
+      } else {
+        affinity.drop(prefix, upstreamId);
+      }
+    });
+  }
+
   private createAnswer(
     model: string,
     pool: Pool,
--- a/packages/fakes/src/engine-model.ts
+++ b/packages/fakes/src/engine-model.ts
@@ -61,6 +61,8 @@
 
 /** A model of an engine that batches continuously, without time of its own. */
 export class EngineModel {
+  /** Told of each prefix that is stored or dropped. */
+  public onCacheChange: (prefix: string, isStored: boolean) => void = () => {};
   public preemptions = 0;
   public produced = 0;
   public readonly shape: EngineShape;
@@ -242,6 +244,9 @@
     if (job.prefix === '' || job.prefixTokens === 0) {
       return;
     }
+    if (!this.cache.has(job.prefix)) {
+      this.onCacheChange(job.prefix, true);
+    }
     this.cached += job.prefixTokens - (this.cache.get(job.prefix) ?? 0);
     this.cache.delete(job.prefix);
     this.cache.set(job.prefix, job.prefixTokens);
@@ -254,6 +259,7 @@
     const oldest = this.cache.keys().next().value as string;
     this.cached -= this.cache.get(oldest) ?? 0;
     this.cache.delete(oldest);
+    this.onCacheChange(oldest, false);
   }
 
   /** The prefixes that are cached now. */
--- a/packages/fakes/src/fake-engine.ts
+++ b/packages/fakes/src/fake-engine.ts
@@ -10,6 +10,12 @@
 /** How often an engine says that a stream is alive, in milliseconds. */
 const COMMENT_MS = 500;
 
+/** How many changes of its prefix cache an engine remembers. */
+const MAX_CACHE_EVENTS = 1_000;
+
+/** How many tokens of a prompt a prefix stands for. */
+const PREFIX_TOKENS = 128;
+
 /** How a fake engine is made. */
 export interface FakeEngineOptions {
   readonly upstreamId: string;
@@ -33,6 +39,12 @@
   doubles: boolean;
   /** Bytes are sent in pieces of this size, 0 for whole events. */
   pieceBytes: number;
+  /** Changes of the prefix cache are counted and not told. */
+  losesCacheEvents: boolean;
+  /** Ends like a killed process. */
+  die: boolean;
+  /** Leaves now and ends after so many milliseconds, 0 for never. */
+  reclaimAfterMs: number;
 }
 
 /** A small stand-in of a model engine behind its published protocol. */
@@ -45,6 +57,9 @@
     leaving: false,
     doubles: false,
     pieceBytes: 0,
+    losesCacheEvents: false,
+    die: false,
+    reclaimAfterMs: 0,
   };
   /** Everything that was ever begun here, by generation. */
   public readonly record = new Map<string, generations.FakeGeneration>();
@@ -56,6 +71,8 @@
   private models: { model: string; version: string }[];
   private fence: schemas.Fencing = { term: 0, index: 0 };
   private reports: schemas.LoadReport[] = [];
+  private cacheEvents: { prefix: string; isStored: boolean }[] = [];
+  private cacheFirst = 0;
   private isStepping = false;
   private isClosed = false;
   private readonly reporter: NodeJS.Timeout;
@@ -63,6 +80,7 @@
   public constructor(private readonly options: FakeEngineOptions) {
     this.model = new engineModels.EngineModel(options.shape);
     this.models = [...options.models];
+    this.model.onCacheChange = (prefix, isStored) => this.noteCache(prefix, isStored);
     this.server = new servers.FakeServer(this.createRoutes());
     this.reporter = setInterval(() => this.keepReport(), 50);
   }
@@ -91,11 +109,12 @@
       'GET /v1/generations/:id/events': (req, res) => this.attach(req, res),
       'DELETE /v1/generations/:id': (req, res) => this.cancel(req, res),
       'POST /orders': (req, res) => this.takeOrder(req, res),
-      'GET /load': (_req, res) => servers.sendJson(res, 200, this.getReport()),
+      'GET /load': (req, res) => servers.sendJson(res, 200, this.getReport(req)),
       'GET /record': (_req, res) => servers.sendJson(res, 200, this.listRecord()),
       'POST /faults': (req, res) => {
         Object.assign(this.faults, servers.parseBody(req));
         servers.sendJson(res, 200, this.faults);
+        this.applyFaults();
       },
     };
   }
@@ -143,8 +162,8 @@
       promptTokens: Math.max(1, Math.ceil(prompt.length / 4)),
       outputTokens,
       priority: body.priority ?? 0,
-      prefix: '',
-      prefixTokens: 0,
+      prefix: body.prefix_id ?? '',
+      prefixTokens: PREFIX_TOKENS,
       onToken: () => generation.produce(),
       onEnd: () => generation.end('stop'),
     });
@@ -286,12 +305,36 @@
     }
   }
 
-  private getReport(): schemas.LoadReport {
+  private getReport(req: servers.FakeRequest): schemas.LoadReport {
     if (this.reports.length === 0) {
       this.keepReport();
     }
     const report = this.reports[0]!;
-    return { ...report, ageMs: performance.now() - report.at };
+    const since = Math.max(Number(req.query.cacheSince ?? 0), this.cacheFirst);
+    const events = this.cacheEvents.slice(since - this.cacheFirst);
+    const ageMs = performance.now() - report.at;
+    return { ...report, ageMs, cache: { first: since, events } };
+  }
+
+  private noteCache(prefix: string, isStored: boolean): void {
+    this.cacheEvents.push({ prefix, isStored });
+    const lost = this.faults.losesCacheEvents
+      ? this.cacheEvents.length
+      : this.cacheEvents.length - MAX_CACHE_EVENTS;
+    if (lost > 0) {
+      this.cacheEvents = this.cacheEvents.slice(lost);
+      this.cacheFirst += lost;
+    }
+  }
+
+  private applyFaults(): void {
+    if (this.faults.die) {
+      this.kill();
+    }
+    if (this.faults.reclaimAfterMs > 0) {
+      this.faults.leaving = true;
+      setTimeout(() => this.kill(), this.faults.reclaimAfterMs);
+    }
   }
 
   private listRecord(): object[] {
--- a/packages/fakes/src/fake-generation.ts
+++ b/packages/fakes/src/fake-generation.ts
@@ -10,6 +10,7 @@
   readonly messages?: readonly { readonly content: unknown }[];
   readonly max_tokens?: number;
   readonly priority?: number;
+  readonly prefix_id?: string;
   readonly fake_output_tokens?: number;
 }
 
--- a/packages/schemas/src/upstream.ts
+++ b/packages/schemas/src/upstream.ts
@@ -32,6 +32,14 @@
   preemptions: z.int(),
   state: z.enum(['live', 'leaving']),
   models: z.array(z.object({ model: z.string(), version: z.string() })),
+  /** Changes of the prefix cache, asked for with `cacheSince`; late, and with gaps. */
+  cache: z
+    .object({
+      /** The number of the first of these events; a higher one than asked for is a gap. */
+      first: z.int(),
+      events: z.array(z.object({ prefix: z.string(), isStored: z.boolean() })),
+    })
+    .optional(),
 });
 
 /** The load report of an engine. */
