--- a/packages/bench/src/relay/source-main.ts
+++ b/packages/bench/src/relay/source-main.ts
@@ -72,7 +72,7 @@
 }
 
 const server = http.createServer((req, res) => {
-  if (req.url === '/load') {
+  if (req.url?.startsWith('/load')) {
     res.end(
       JSON.stringify({
         at: performance.now(),
