--- a/packages/bench/src/relay/relay-bench.ts
+++ b/packages/bench/src/relay/relay-bench.ts
@@ -73,6 +73,9 @@
   const sum = (pick: (result: LoadResult) => number) =>
     results.reduce((total, result) => total + pick(result), 0);
   const tokensPerS = sum((result) => result.tokens) / (MEASURE_MS / 1_000);
+  if (tokensPerS === 0) {
+    throw new Error(`${load.name} through ${name}: no token arrived`);
+  }
   const cpuS = (after?.cpuS ?? 0) - (before?.cpuS ?? 0);
   return {
     load: load.name,
