--- a/packages/consensus/tests/voter.test.ts
+++ b/packages/consensus/tests/voter.test.ts
@@ -170,3 +170,22 @@
   t.notOk(isAccepted, 'the command is not accepted');
   t.notOk(await askVote(cluster, second, false), 'and the folder gives no vote');
 });
+
+void tap.default.test(
+  'a voter that was cut off does not unseat the leader on its return',
+  async (t) => {
+    // Alone it stands for election again and again. If it raised its term each time, the leader would hear
+    // of the higher term after the heal and step down, though a majority had heard it all along.
+    const cluster = new clusters.Cluster(THREE, 31);
+    await cluster.startAll();
+    const leader = cluster.findLeader()!;
+    const away = THREE.find((id) => id !== leader.daemonId)!;
+    const { term } = leader;
+    cluster.isolate(away);
+    await cluster.clock.advance(10_000);
+    cluster.heal();
+    await cluster.clock.advance(3_000);
+    t.equal(cluster.findLeader()?.daemonId, leader.daemonId);
+    t.equal(leader.term, term);
+  },
+);
