--- a/packages/bench/src/capacity/outcomes.ts
+++ b/packages/bench/src/capacity/outcomes.ts
@@ -65,8 +65,14 @@
       'relays that report to the nearest voter, which passes on what changed; longer election timeouts',
     ],
     ['leader (a voter)/core share', 'relays that report only what changed, and less often'],
-    ['zone relay/bytes/s', 'two levels of relays in a zone, or heartbeats every four seconds'],
-    ['zone relay/core share', 'two levels of relays in a zone, or heartbeats every four seconds'],
+    [
+      'zone relay/bytes/s',
+      'heartbeats every three or four seconds (a setting; changes are pushed at once all the same), later two levels of relays in a zone',
+    ],
+    [
+      'zone relay/core share',
+      'heartbeats every three or four seconds (a setting; changes are pushed at once all the same), later two levels of relays in a zone',
+    ],
     ['caller-facing daemon/bytes/s', 'grants asked in batches, and shorter names on the wire'],
     ['caller-facing daemon/memory MB', 'smaller socket buffers for each stream'],
   ]);
--- a/packages/bench/src/headline.ts
+++ b/packages/bench/src/headline.ts
@@ -50,7 +50,12 @@
       fewer >= 10,
     );
     const kept = get('goodputPerS') / goodput;
-    yield createRow(`${where}: goodput, of the best`, kept.toFixed(3), 'at least 1', kept >= 0.995);
+    yield createRow(
+      `${where}: goodput, of the best`,
+      kept.toFixed(3),
+      'at least 0.995',
+      kept >= 0.995,
+    );
     const short = get('shortP99Ms') / best('shortP99Ms');
     yield createRow(
       `${where}: short p99, of the best`,
