Take relaying out of what leading costs in the page of capacity

Change: where the leader relays, what relaying costs is taken off; relays are measured on daemons that are nothing else.

--- a/packages/bench/src/capacity/slopes.ts
+++ b/packages/bench/src/capacity/slopes.ts
@@ -104,7 +104,7 @@
     );
   const zones = 4;
   const relayPoints = (pick: (load: Load) => number) =>
-    ofRole(/\+relay$/, pick).map(({ x, y }) => ({ x: x / zones, y }));
+    ofRole(/^daemon\+relay$/, pick).map(({ x, y }) => ({ x: x / zones, y }));
   return {
     relayCpu: fits.fitSlope(steady.map((row) => ({ x: row.tokensPerS, y: row.cpuShare }))),
     relayMemory: fits.fitSlope(relay.map((row) => ({ x: streamsOf(row.load), y: row.memoryMb }))),
@@ -112,8 +112,8 @@
     accountCpu: fits.fitSlope(grants.rows.map((row) => ({ x: row.live, y: row.tickShareOfCore }))),
     zoneRelayCpu: fits.fitSlope(relayPoints((load) => load.cpuShare)),
     zoneRelayBytes: fits.fitSlope(relayPoints((load) => load.bytesPerS)),
-    leaderCpu: fits.fitSlope(ofRole(/^leader/, (load) => load.cpuShare)),
-    leaderBytes: fits.fitSlope(ofRole(/^leader/, (load) => load.bytesPerS)),
+    leaderCpu: fits.fitSlope(control.sized.map((size) => getLeader(size, (l) => l.cpuShare))),
+    leaderBytes: fits.fitSlope(control.sized.map((size) => getLeader(size, (l) => l.bytesPerS))),
     daemonCpu: fits.fitSlope(ofRole(/^daemon$/, (load) => load.cpuShare)),
     daemonBytes: fits.fitSlope(ofRole(/^daemon$/, (load) => load.bytesPerS)),
     declaredMemory: fits.fitSlope(
@@ -137,6 +137,20 @@
   };
 }
 
+/** What leading costs; where the leader was its zone's relay as well, without what relaying costs. */
+function getLeader(
+  { daemons, idle }: ControlResults['sized'][number],
+  pick: (load: Load) => number,
+): fits.Point {
+  const of = (role: string) => {
+    const load = idle.find((item) => item.role === role);
+    return load === undefined ? undefined : pick(load);
+  };
+  const relaying = (of('daemon+relay') ?? 0) - (of('daemon') ?? 0);
+  const y = of('leader') ?? (of('leader+relay') ?? 0) - relaying;
+  return { x: daemons, y };
+}
+
 function need<T>(name: string): T {
   const found = reports.findResults<T>(name);
   if (found === undefined) {
