Add voters, watchers and memory to the page of capacity

Cause: the page lacked rows for the voter, the watcher of upstreams and of the list, and the leader's memory. Conclusion: the page has a row for every role.

--- a/packages/bench/src/capacity/outcomes.ts
+++ b/packages/bench/src/capacity/outcomes.ts
@@ -64,6 +64,12 @@
       'leader (a voter)/bytes/s',
       'relays that report to the nearest voter, which passes on what changed; longer election timeouts',
     ],
+    [
+      'leader (a voter)/memory MB',
+      'fewer answers kept for resends, shorter logs behind a snapshot',
+    ],
+    ['voter/core share', 'longer election timeouts'],
+    ['voter/bytes/s', 'longer election timeouts'],
     ['leader (a voter)/core share', 'relays that report only what changed, and less often'],
     [
       'zone relay/bytes/s',
--- a/packages/bench/src/capacity/rows.ts
+++ b/packages/bench/src/capacity/rows.ts
@@ -97,7 +97,9 @@
     ...createOwnerRows(slopes, sizes),
     ...createClaimRows(slopes, sizes),
     ...createRelayRows(slopes, sizes),
+    ...createVoterRows(slopes, sizes),
     ...createLeaderRows(slopes, sizes),
+    ...createWatcherRows(slopes, sizes),
   ];
 }
 
@@ -293,6 +295,59 @@
   ];
 }
 
+function createVoterRows(slopes: slopesFile.Slopes, sizes: Sizes): CapacityRow[] {
+  const common = {
+    role: 'voter',
+    command: 'control',
+    isControl: true,
+    formula: 'base + daemons × slope',
+  };
+  return [
+    {
+      ...common,
+      what: 'core share',
+      mechanism: 'answers three heartbeats of the log a second; syncs before it promises',
+      value: fits.predict(slopes.voterCpu, sizes.daemons),
+      isExtrapolated: fits.isExtrapolated(slopes.voterCpu, sizes.daemons),
+    },
+    {
+      ...common,
+      what: 'bytes/s',
+      mechanism: 'heartbeats of the log and its own to the relay',
+      value: fits.predict(slopes.voterBytes, sizes.daemons),
+      isExtrapolated: fits.isExtrapolated(slopes.voterBytes, sizes.daemons),
+    },
+  ];
+}
+
+/** Reading the platform's list once a second is one more answer read, as large as the zone's upstreams. */
+function createWatcherRows(slopes: slopesFile.Slopes, sizes: Sizes): CapacityRow[] {
+  const { enginesPerPool } = derive(sizes);
+  const others = sizes.runners / sizes.zones - enginesPerPool;
+  const reads = READS_PER_ENGINE * enginesPerPool + READS_PER_OTHER * others + 1;
+  const common = { role: 'watcher of upstreams and of the list', isControl: true };
+  return [
+    {
+      ...common,
+      what: 'messages/s',
+      formula: '2 × (2 × engines of the pool + 0.5 × the zone’s others + 1)',
+      command: 'arithmetic',
+      mechanism: 'a pool’s owner reads its engines; a zone’s relay reads the list',
+      value: 2 * reads,
+      isExtrapolated: false,
+    },
+    {
+      ...common,
+      what: 'core share',
+      formula: 'answers read/s × µs',
+      command: 'grants',
+      mechanism: 'kept connections, one answer each',
+      value: reads * slopes.watchCpuS.perUnit,
+      isExtrapolated: false,
+    },
+  ];
+}
+
 function createLeaderRows(slopes: slopesFile.Slopes, sizes: Sizes): CapacityRow[] {
   const role = 'leader (a voter)';
   const looks = (sizes.runners / 10) * slopes.watchCpuS.perUnit;
@@ -306,6 +361,16 @@
       value: fits.predict(slopes.leaderCpu, sizes.daemons) + looks,
       isExtrapolated: fits.isExtrapolated(slopes.leaderCpu, sizes.daemons),
     },
+    {
+      ...common,
+      what: 'memory MB',
+      formula: 'base + daemons × slope + items declared × slope',
+      mechanism: 'the log behind the last snapshot, plans, answers kept for resends',
+      value:
+        fits.predict(slopes.leaderMemory, sizes.daemons) +
+        slopes.declaredMemory.perUnit * (sizes.teams + sizes.intents),
+      isExtrapolated: fits.isExtrapolated(slopes.leaderMemory, sizes.daemons),
+    },
     {
       ...common,
       what: 'bytes/s',
--- a/packages/bench/src/capacity/slopes.ts
+++ b/packages/bench/src/capacity/slopes.ts
@@ -67,6 +67,11 @@
   /** The same of the leader, by daemons in all. */
   readonly leaderCpu: fits.Slope;
   readonly leaderBytes: fits.Slope;
+  /** The same of a voter that does not lead and is no relay, by daemons in all. */
+  readonly voterCpu: fits.Slope;
+  readonly voterBytes: fits.Slope;
+  /** Memory of a leader in MB, by daemons in all; no other role holds more. */
+  readonly leaderMemory: fits.Slope;
   /** The same of a daemon without a role, by daemons in all. */
   readonly daemonCpu: fits.Slope;
   readonly daemonBytes: fits.Slope;
@@ -114,6 +119,9 @@
     zoneRelayBytes: fits.fitSlope(relayPoints((load) => load.bytesPerS)),
     leaderCpu: fits.fitSlope(control.sized.map((size) => getLeader(size, (l) => l.cpuShare))),
     leaderBytes: fits.fitSlope(control.sized.map((size) => getLeader(size, (l) => l.bytesPerS))),
+    voterCpu: fits.fitSlope(ofRole(/^voter$/, (load) => load.cpuShare)),
+    voterBytes: fits.fitSlope(ofRole(/^voter$/, (load) => load.bytesPerS)),
+    leaderMemory: fits.fitSlope(ofRole(/^leader/, (load) => load.memoryMb)),
     daemonCpu: fits.fitSlope(ofRole(/^daemon$/, (load) => load.cpuShare)),
     daemonBytes: fits.fitSlope(ofRole(/^daemon$/, (load) => load.bytesPerS)),
     declaredMemory: fits.fitSlope(
