--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -28,6 +28,7 @@
 function run(file) {
   return new Promise((resolve) => {
     const child = spawn(process.execPath, ['--enable-source-maps', file], {
+      env: { ...process.env, TAP_TIMEOUT: String(FILE_TIMEOUT_MS / 1_000) },
       stdio: ['ignore', 'pipe', 'pipe'],
     });
     let stdout = '';
