Take out what nothing used: a setting, a signal, two methods

Cause: found on the last reading: limits.callerBufferBytes had no effect (what waits for a slow caller is bounded by waiting for the socket), the relay's abort signal was only ever aborted after the relay had ended, and two methods had no caller.

--- a/packages/daemon/src/pool-host.ts
+++ b/packages/daemon/src/pool-host.ts
@@ -130,11 +130,6 @@
     }
   }
 
-  /** How the pools stand, for operators. */
-  public getSummaries(): Record<string, ReturnType<routing.PoolOwner['getSummary']>> {
-    return Object.fromEntries([...this.pools].map(([id, pool]) => [id, pool.owner.getSummary()]));
-  }
-
   private getPool(model: string): Pool {
     const known = this.pools.get(model);
     if (known !== undefined) {
--- a/packages/daemon/src/relay-flow.ts
+++ b/packages/daemon/src/relay-flow.ts
@@ -59,7 +59,6 @@
   ): Promise<requests.RelayEnd> {
     const { adoptions, cfg, clock, engines, grants, log } = this.parts;
     adoptions.open(task.generation, isConnected);
-    const abort = new AbortController();
     const relay = requests.relayGeneration(
       {
         engines,
@@ -69,7 +68,6 @@
         silenceMs: cfg.limits.upstreamSilenceMs,
         clock,
         log,
-        signal: abort.signal,
         onProgress: (next) => grants.progress(task.call, next),
       },
       task.body,
@@ -85,7 +83,6 @@
       await relay.return({ outcome: 'incomplete', next: 0 });
       return await this.leaveAlone(task);
     } finally {
-      abort.abort(new Error('over'));
       adoptions.close(task.generation);
       grants.finish(task.call, false);
     }
--- a/packages/members/src/member-table.ts
+++ b/packages/members/src/member-table.ts
@@ -56,11 +56,6 @@
       .forEach((member) => this.hear(member));
   }
 
-  /** Forgets a member at once. */
-  public drop(daemonId: string): void {
-    this.rows.delete(daemonId);
-  }
-
   /** Everyone, with states as of now; those silent for long are dropped. */
   public list(): schemas.Member[] {
     const now = this.clock.now();
--- a/packages/requests/src/relay.ts
+++ b/packages/requests/src/relay.ts
@@ -30,7 +30,6 @@
   readonly silenceMs: number;
   readonly clock: schemas.Clock;
   readonly log: schemas.Log;
-  readonly signal: AbortSignal;
   /** Told how many events have passed, for the account of room. */
   readonly onProgress: (next: number) => void;
 }
@@ -58,7 +57,7 @@
     } catch (err) {
       const failure = upstreamErrors.createUpstreamError(err, 'relay', options.upstream.upstreamId);
       const isOver = failure.kind === 'gone' || failures >= MAX_RESUMES_IN_A_ROW;
-      if (options.signal.aborted || isOver) {
+      if (isOver) {
         return { outcome: 'incomplete', next: splitter.getNext(), err: failure };
       }
       options.log.warn({
--- a/packages/requests/tests/relay.test.ts
+++ b/packages/requests/tests/relay.test.ts
@@ -56,7 +56,6 @@
       silenceMs: 700,
       clock: new schemas.SystemClock(),
       log: new schemas.SilentLog(),
-      signal: new AbortController().signal,
       onProgress: (next) => {
         reached = next;
       },
--- a/packages/schemas/src/daemon-config.ts
+++ b/packages/schemas/src/daemon-config.ts
@@ -21,7 +21,6 @@
   bodyBytes: z.int().min(1024).default(4_194_304),
   bodyTimeoutMs: z.int().min(100).default(10_000),
   queueMs: z.int().min(100).default(60_000),
-  callerBufferBytes: z.int().min(4096).default(1_048_576),
   callerGraceMs: z.int().min(0).default(15_000),
   upstreamSilenceMs: z.int().min(50).default(5_000),
   upstreamConnectMs: z.int().min(50).default(1_000),
