--- a/packages/daemon/src/caller-api.ts
+++ b/packages/daemon/src/caller-api.ts
@@ -1,17 +1,17 @@
 import type * as http from 'node:http';
 
 import type * as schemasTypes from '@bramleyridge/schemas';
+import * as requests from '@bramleyridge/requests';
 import * as schemas from '@bramleyridge/schemas';
 import type * as polka from 'polka';
 
 import * as completionFlows from './completion-flow.js';
-import * as httpIo from './http-io.js';
 import type * as parts from './parts.js';
 import * as relayFlows from './relay-flow.js';
 import * as resumeFlows from './resume-flow.js';
 import * as serviceFlows from './service-flow.js';
 
-type Handler = (req: httpIo.ApiRequest, res: http.ServerResponse) => Promise<void>;
+type Handler = (req: requests.ApiRequest, res: http.ServerResponse) => Promise<void>;
 
 /** What callers and the balancer reach over HTTP. */
 export class CallerApi {
@@ -47,14 +47,14 @@
       '/services/:name/*',
       this.serve((req, res) => this.callService(req, res)),
     );
-    app.get('/healthz', (_req, res) => httpIo.sendJson(res, 200, { ok: true }));
+    app.get('/healthz', (_req, res) => requests.sendJson(res, 200, { ok: true }));
     app.get('/readyz', (_req, res) => this.showReady(res));
   }
 
   /** Counts a request while it runs and turns what it throws into one answer. */
   private serve(handle: Handler): polka.Middleware {
     return (request, res) => {
-      const req = request as unknown as httpIo.ApiRequest;
+      const req = request as unknown as requests.ApiRequest;
       const leave = this.parts.drain.enter();
       // Without this a client that vanishes in the wrong moment would end the process.
       res.on('error', () => {});
@@ -70,7 +70,7 @@
   }
 
   private refuse(req: http.IncomingMessage, res: http.ServerResponse, err: unknown): void {
-    const refusal = httpIo.toRefusal(err);
+    const refusal = requests.toRefusal(err);
     this.parts.metrics.count('refusals', { reason: refusal.id });
     this.parts.log.info({
       decision: 'refuse',
@@ -84,7 +84,7 @@
       res.destroy();
       return;
     }
-    httpIo.sendRefusal(req, res, refusal);
+    requests.sendRefusal(req, res, refusal);
   }
 
   private listModels(req: http.IncomingMessage, res: http.ServerResponse): void {
@@ -99,10 +99,10 @@
       created: 0,
       owned_by: 'bramleyridge',
     }));
-    httpIo.sendJson(res, 200, { object: 'list', data });
+    requests.sendJson(res, 200, { object: 'list', data });
   }
 
-  private async callService(req: httpIo.ApiRequest, res: http.ServerResponse): Promise<void> {
+  private async callService(req: requests.ApiRequest, res: http.ServerResponse): Promise<void> {
     const { name } = req.params;
     const path = (req.url ?? '').slice(`/services/${name}`.length);
     await this.services.handle(req, res, name ?? '', path);
@@ -111,7 +111,7 @@
   private showReady(res: http.ServerResponse): void {
     const { drain, store } = this.parts;
     const isReady = store.isReady() && !drain.isDraining();
-    httpIo.sendJson(res, isReady ? 200 : 503, {
+    requests.sendJson(res, isReady ? 200 : 503, {
       isReady,
       isDraining: drain.isDraining(),
       revision: store.get().revision,
@@ -129,5 +129,5 @@
     outcome: 'not-run',
     args: [req.method ?? '', (req.url ?? '').slice(0, 200)],
   });
-  httpIo.sendRefusal(req, res, refusal);
+  requests.sendRefusal(req, res, refusal);
 }
--- a/packages/daemon/src/completion-flow.ts
+++ b/packages/daemon/src/completion-flow.ts
@@ -6,7 +6,6 @@
 import * as completionBodies from './completion-body.js';
 import * as dispatches from './completion-dispatch.js';
 import * as completionJobs from './completion-job.js';
-import * as httpIo from './http-io.js';
 import type * as parts from './parts.js';
 import type * as relayFlows from './relay-flow.js';
 import * as wholeAnswers from './whole-answer.js';
@@ -36,8 +35,8 @@
     const { access, budget, cfg } = this.parts;
     const team = access.authenticate(req);
     access.checkPlace(team, path);
-    const raw = await httpIo.readBody(req, cfg.limits);
-    const body = httpIo.parseJson(completionBodies.completionBody, raw);
+    const raw = await requests.readBody(req, cfg.limits);
+    const body = requests.parseJson(completionBodies.completionBody, raw);
     const job = completionJobs.createJob(this.parts, req, team, body, raw, path);
     budget.noteRequest();
     if (job.key !== undefined && (await this.join(job, res))) {
@@ -81,7 +80,7 @@
     const headers = { [schemas.GENERATION_HEADER]: generation };
     if (end.outcome === 'complete') {
       const outcome = { [schemas.OUTCOME_HEADER]: 'complete' };
-      httpIo.sendJson(res, 200, answer.create(end), { ...headers, ...outcome });
+      requests.sendJson(res, 200, answer.create(end), { ...headers, ...outcome });
       return true;
     }
     // Nothing was delivered, so a new generation is no splice; but only when the former can't still run.
--- a/packages/daemon/src/operator-api.ts
+++ b/packages/daemon/src/operator-api.ts
@@ -1,12 +1,12 @@
 import type * as http from 'node:http';
 
+import * as requests from '@bramleyridge/requests';
 import * as schemas from '@bramleyridge/schemas';
 import type * as polka from 'polka';
 import * as z from 'zod';
 
 import type * as controlPlanes from './control-plane.js';
 import type * as decisionLogs from './decision-log.js';
-import * as httpIo from './http-io.js';
 import type * as leaderTasks from './leader-tasks.js';
 import * as peerRouters from './peer-router.js';
 
@@ -34,7 +34,7 @@
 }
 
 type Handler = (
-  req: httpIo.ApiRequest,
+  req: requests.ApiRequest,
   res: http.ServerResponse,
   operator: string,
 ) => Promise<void>;
@@ -60,12 +60,12 @@
     );
     app.get(
       `${base}/declaration`,
-      this.serve(async (_req, res) => httpIo.sendJson(res, 200, this.options.getDeclaration())),
+      this.serve(async (_req, res) => requests.sendJson(res, 200, this.options.getDeclaration())),
     );
     app.get(
       `${base}/explain/:request`,
       this.serve(async (req, res) =>
-        httpIo.sendJson(res, 200, this.options.decisions.explain(req.params.request ?? '')),
+        requests.sendJson(res, 200, this.options.decisions.explain(req.params.request ?? '')),
       ),
     );
     app.post(
@@ -74,7 +74,7 @@
     );
     app.get(
       `${base}/links`,
-      this.serve(async (_req, res) => httpIo.sendJson(res, 200, this.options.describeLinks())),
+      this.serve(async (_req, res) => requests.sendJson(res, 200, this.options.describeLinks())),
     );
     app.post(
       `${base}/voters`,
@@ -84,33 +84,33 @@
       `${base}/keys/reload`,
       this.serve(async (_req, res) => {
         this.options.reloadKeys();
-        httpIo.sendJson(res, 200, {});
+        requests.sendJson(res, 200, {});
       }),
     );
     app.post(
       `${base}/drain`,
       this.serve(async (_req, res) => {
         this.options.drain();
-        httpIo.sendJson(res, 202, {});
+        requests.sendJson(res, 202, {});
       }),
     );
   }
 
   private serve(handle: Handler): polka.Middleware {
     return (request, res) => {
-      const req = request as unknown as httpIo.ApiRequest;
+      const req = request as unknown as requests.ApiRequest;
       res.on('error', () => {});
       void this.run(req, res, handle).catch((err: unknown) => {
-        const refusal = httpIo.toRefusal(err);
+        const refusal = requests.toRefusal(err);
         if (!res.headersSent) {
-          httpIo.sendRefusal(req, res, refusal);
+          requests.sendRefusal(req, res, refusal);
         }
       });
     };
   }
 
   private async run(
-    req: httpIo.ApiRequest,
+    req: requests.ApiRequest,
     res: http.ServerResponse,
     handle: Handler,
   ): Promise<void> {
@@ -134,12 +134,12 @@
   }
 
   private async plan(
-    req: httpIo.ApiRequest,
+    req: requests.ApiRequest,
     res: http.ServerResponse,
     operator: string,
   ): Promise<void> {
-    const raw = await httpIo.readBody(req, this.options.cfg.limits);
-    const body = httpIo.parseJson(planBody, raw);
+    const raw = await requests.readBody(req, this.options.cfg.limits);
+    const body = requests.parseJson(planBody, raw);
     const { requestId, files } = body;
     const declaration = schemas.createDeclaration(files);
     const answer = await this.propose({
@@ -150,19 +150,19 @@
       declaration,
     });
     if (answer.faults.length > 0 || answer.result?.kind !== 'planned') {
-      httpIo.sendJson(res, 422, { faults: answer.faults });
+      requests.sendJson(res, 422, { faults: answer.faults });
       return;
     }
-    httpIo.sendJson(res, 200, { plan: answer.result.plan, effects: answer.effects });
+    requests.sendJson(res, 200, { plan: answer.result.plan, effects: answer.effects });
   }
 
   private async confirm(
-    req: httpIo.ApiRequest,
+    req: requests.ApiRequest,
     res: http.ServerResponse,
     operator: string,
   ): Promise<void> {
-    const raw = await httpIo.readBody(req, this.options.cfg.limits);
-    const { requestId } = httpIo.parseJson(confirmBody, raw);
+    const raw = await requests.readBody(req, this.options.cfg.limits);
+    const { requestId } = requests.parseJson(confirmBody, raw);
     const planId = req.params.id ?? '';
     const command = { kind: 'confirm' as const, requestId, operator, at: Date.now(), planId };
     const { result } = await this.propose(command);
@@ -175,7 +175,7 @@
         args: result.args,
       });
     }
-    httpIo.sendJson(res, 200, result);
+    requests.sendJson(res, 200, result);
   }
 
   private propose(command: schemas.Command): Promise<peerRouters.ProposeAnswer> {
@@ -192,7 +192,7 @@
       async () => leader.describeStatus(),
       (api) => api.status.mutate(undefined, { context: { deadlineMs: LEADER_MS } }),
     );
-    httpIo.sendJson(res, 200, status);
+    requests.sendJson(res, 200, status);
   }
 
   private async refoundClaims(res: http.ServerResponse): Promise<void> {
@@ -201,17 +201,17 @@
       () => leader.refoundClaims(),
       (api) => api.refoundClaims.mutate(undefined, { context: { deadlineMs: LEADER_MS } }),
     );
-    httpIo.sendJson(res, 200, {});
+    requests.sendJson(res, 200, {});
   }
 
-  private async changeVoters(req: httpIo.ApiRequest, res: http.ServerResponse): Promise<void> {
-    const raw = await httpIo.readBody(req, this.options.cfg.limits);
-    const change = httpIo.parseJson(peerRouters.voterChange, raw);
+  private async changeVoters(req: requests.ApiRequest, res: http.ServerResponse): Promise<void> {
+    const raw = await requests.readBody(req, this.options.cfg.limits);
+    const change = requests.parseJson(peerRouters.voterChange, raw);
     const { control } = this.options;
     await control.atLeader(
       () => control.changeVoters(change),
       (api) => api.changeVoters.mutate(change, { context: { deadlineMs: LEADER_MS } }),
     );
-    httpIo.sendJson(res, 200, {});
+    requests.sendJson(res, 200, {});
   }
 }
--- a/packages/daemon/src/peer-mesh.ts
+++ b/packages/daemon/src/peer-mesh.ts
@@ -1,35 +1,28 @@
 import type * as members from '@bramleyridge/members';
 import * as peers from '@bramleyridge/peers';
 import * as schemas from '@bramleyridge/schemas';
-import * as trpcClient from '@trpc/client';
 
 import type * as peerRouters from './peer-router.js';
 
 /** A typed client of one peer. */
-export type PeerApi = ReturnType<typeof trpcClient.createTRPCClient<peerRouters.PeerRouter>>;
+export type PeerApi = peers.PeerApi<peerRouters.PeerRouter>;
 
 /** Where a peer listens. */
-export interface PeerPlace {
-  readonly host: string;
-  readonly peerPort: number;
-}
-
-interface Link {
-  readonly client: peers.PeerClient;
-  readonly api: PeerApi;
-  readonly place: string;
-}
+export type PeerPlace = peers.PeerPlace;
 
-/** The links to other daemons, one a peer, made when first needed. */
+/** The links to other daemons, found by their names. */
 export class PeerMesh {
-  private readonly links = new Map<string, Link>();
   private isCutOff: (daemonId: string) => boolean = () => false;
+  private readonly links: peers.PeerMesh<peerRouters.PeerRouter>;
 
   public constructor(
-    private readonly keyring: peers.Keyring,
-    private readonly deadlineMs: number,
+    keyring: peers.Keyring,
+    deadlineMs: number,
     private readonly findPlace: (daemonId: string) => PeerPlace | undefined,
-  ) {}
+  ) {
+    const isCutOff = (daemonId: string) => this.isCutOff(daemonId);
+    this.links = new peers.PeerMesh({ keyring, deadlineMs, isCutOff });
+  }
 
   /** Cuts links, for failure tests. */
   public setCut(isCutOff: (daemonId: string) => boolean): void {
@@ -46,25 +39,8 @@
   }
 
   /** The client of a peer at a known place. */
-  public getAt(daemonId: string, { host, peerPort }: PeerPlace): PeerApi {
-    const place = `${host}:${peerPort}`;
-    const known = this.links.get(daemonId);
-    if (known?.place === place) {
-      return known.api;
-    }
-    known?.client.close();
-    const client = new peers.PeerClient({
-      peer: daemonId,
-      host,
-      port: peerPort,
-      keyring: this.keyring,
-      connectMs: this.deadlineMs,
-      isCut: () => this.isCutOff(daemonId),
-    });
-    const link = peers.createPeerLink<peerRouters.PeerRouter>(client, this.deadlineMs);
-    const api = trpcClient.createTRPCClient<peerRouters.PeerRouter>({ links: [link] });
-    this.links.set(daemonId, { client, api, place });
-    return api;
+  public getAt(daemonId: string, place: PeerPlace): PeerApi {
+    return this.links.getAt(daemonId, place);
   }
 
   /** One heartbeat to a peer. */
@@ -78,13 +54,11 @@
 
   /** What this daemon's own links carried, for the capacity page. */
   public getCounts(): peers.LinkCounts {
-    const total = new peers.LinkCounts();
-    this.links.forEach(({ client }) => total.add(client.counts));
-    return total;
+    return this.links.getCounts();
   }
 
   /** Ends every link. */
   public close(): void {
-    this.links.forEach(({ client }) => client.close());
+    this.links.close();
   }
 }
--- a/packages/daemon/src/service-flow.ts
+++ b/packages/daemon/src/service-flow.ts
@@ -3,7 +3,6 @@
 import * as requests from '@bramleyridge/requests';
 import * as schemas from '@bramleyridge/schemas';
 
-import * as httpIo from './http-io.js';
 import type * as parts from './parts.js';
 
 /** Methods that by their definition may be sent again. */
@@ -38,7 +37,7 @@
     const team = access.authenticate(req);
     access.checkPlace(team, `/services/${name}${path}`);
     const service = this.findService(name);
-    const body = await httpIo.readBody(req, cfg.limits);
+    const body = await requests.readBody(req, cfg.limits);
     budget.noteRequest();
     const job = createJob(req, team, service, path, body);
     const answer = (await this.join(job)) ?? (await this.run(job));
@@ -51,53 +50,68 @@
   }
 
   private async run(job: Job): Promise<requests.KeptAnswer> {
-    const { budget, calls, claims, services } = this.parts;
-    for (;;) {
-      const upstream = this.choose(job);
-      const call = this.createCall();
-      if (job.key !== undefined) {
-        calls.open(call);
-        const key = claims.createKey(job.team.name, job.key, job.attempt);
-        const value = await claims.claim(key, call, upstream.upstreamId, job.requestHash);
-        if (value.call !== call) {
-          calls.set(call, { state: 'not-run' });
-          const joined = await this.join(job);
-          if (joined !== undefined) {
-            return joined;
-          }
-          continue;
-        }
-      }
-      this.note(job, call, upstream, 'chosen');
-      const release = this.enter(upstream.upstreamId);
-      try {
-        const answer = await services.send(upstream, job.call);
-        calls.set(call, { state: 'done', answer });
-        return answer;
-      } catch (err) {
-        const failure = requests.createUpstreamError(err, 'service', upstream.upstreamId);
-        this.note(job, call, upstream, failure.kind);
-        const didNotRun = failure.kind !== 'lost';
-        calls.set(call, { state: didNotRun ? 'not-run' : 'lost' });
-        if (didNotRun) {
-          this.leaving.set(upstream.upstreamId, this.parts.clock.now());
-          job.attempt += 1;
-        }
-        if (!didNotRun && !job.call.isRepeatable) {
-          throw createRefusal('ranUnknown', 'unknown', failure);
-        }
-        job.excluded.add(upstream.upstreamId);
-        if (!budget.take()) {
-          throw createRefusal(
-            didNotRun ? 'upstreamRefused' : 'ranUnknown',
-            didNotRun ? 'not-run' : 'unknown',
-            failure,
-          );
-        }
-      } finally {
-        release();
-      }
+    const { budget } = this.parts;
+    const { isRepeatable } = job.call;
+    return requests.runAttempts(
+      { isRepeatable, maxRuns: Infinity, budget },
+      {
+        choose: () => this.choose(job),
+        attempt: (upstream) => this.attempt(job, upstream),
+        isFailure: () => false,
+        noteFailure: (upstream) => job.excluded.add(upstream.upstreamId),
+      },
+    );
+  }
+
+  /** One attempt; nothing when another call holds the key but did not run. */
+  private async attempt(
+    job: Job,
+    upstream: schemas.Upstream,
+  ): Promise<requests.KeptAnswer | undefined> {
+    const { calls, services } = this.parts;
+    const call = this.createCall();
+    if (job.key !== undefined && !(await this.claim(job, call, upstream))) {
+      return this.join(job);
+    }
+    this.note(job, call, upstream, 'chosen');
+    const release = this.enter(upstream.upstreamId);
+    try {
+      const answer = await services.send(upstream, job.call);
+      calls.set(call, { state: 'done', answer });
+      return answer;
+    } catch (err) {
+      throw this.settleFailure(job, call, upstream, err);
+    } finally {
+      release();
+    }
+  }
+
+  private async claim(job: Job, call: string, upstream: schemas.Upstream): Promise<boolean> {
+    const { calls, claims } = this.parts;
+    calls.open(call);
+    const key = claims.createKey(job.team.name, job.key ?? '', job.attempt);
+    const value = await claims.claim(key, call, upstream.upstreamId, job.requestHash);
+    if (value.call !== call) {
+      calls.set(call, { state: 'not-run' });
+    }
+    return value.call === call;
+  }
+
+  private settleFailure(
+    job: Job,
+    call: string,
+    upstream: schemas.Upstream,
+    err: unknown,
+  ): requests.UpstreamError {
+    const failure = requests.createUpstreamError(err, 'service', upstream.upstreamId);
+    this.note(job, call, upstream, failure.kind);
+    const didNotRun = failure.kind !== 'lost';
+    this.parts.calls.set(call, { state: didNotRun ? 'not-run' : 'lost' });
+    if (didNotRun) {
+      this.leaving.set(upstream.upstreamId, this.parts.clock.now());
+      job.attempt += 1;
     }
+    return failure;
   }
 
   /** The answer of the call that holds this request's key; nothing when the key is free. */
--- a/packages/intents/src/index.ts
+++ b/packages/intents/src/index.ts
@@ -3,3 +3,5 @@
 export * from './control-state.js';
 export * from './diff.js';
 export * from './plan-life.js';
+export * from './check-routed-config.js';
+export * from './declared-state.js';
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -4,4 +4,5 @@
 export * from './link-counts.js';
 export * from './peer-client.js';
 export * from './peer-link.js';
+export * from './peer-mesh.js';
 export * from './peer-server.js';
--- a/packages/peers/src/peer-client.ts
+++ b/packages/peers/src/peer-client.ts
@@ -1,3 +1,4 @@
+import * as net from 'node:net';
 import * as tls from 'node:tls';
 
 import * as schemas from '@bramleyridge/schemas';
@@ -21,7 +22,8 @@
   readonly peer: string;
   readonly host: string;
   readonly port: number;
-  readonly keyring: keyrings.Keyring;
+  /** The keys of the link; nothing where the network is trusted and the link is plain TCP. */
+  readonly keyring: keyrings.Keyring | undefined;
   readonly connectMs: number;
   /** Whether the link is cut; failure tests cut links here. */
   readonly isCut?: () => boolean;
@@ -37,11 +39,11 @@
 /** Calls one peer over one connection, made when needed and remade when it falls silent. */
 export class PeerClient {
   public readonly counts = new linkCounts.LinkCounts();
-  private socket: tls.TLSSocket | undefined;
+  private socket: net.Socket | undefined;
   private writer = new frames.FrameWriter();
   private usedAt = 0;
   private heardAt = 0;
-  private connecting: Promise<tls.TLSSocket> | undefined;
+  private connecting: Promise<net.Socket> | undefined;
   private waiting = new Map<number, Waiting>();
   private nextId = 1;
   private closed = false;
@@ -101,7 +103,7 @@
     this.socket.write(bytes);
   }
 
-  private async getSocket(): Promise<tls.TLSSocket> {
+  private async getSocket(): Promise<net.Socket> {
     if (this.closed) {
       throw this.createError('linkClosed', 'connect');
     }
@@ -114,20 +116,14 @@
     return this.connecting;
   }
 
-  private connect(): Promise<tls.TLSSocket> {
+  private connect(): Promise<net.Socket> {
     return new Promise((resolve, reject) => {
-      const socket = tls.connect({
-        ...tlsOptions.pskOptions,
-        host: this.options.host,
-        port: this.options.port,
-        pskCallback: () => this.options.keyring.getActive(),
-        checkServerIdentity: () => undefined,
-      });
+      const socket = this.openSocket();
       socket.setNoDelay(true);
       socket.setTimeout(this.options.connectMs, () => {
         socket.destroy(this.createError('deadline', 'connect', [this.options.connectMs]));
       });
-      socket.once('secureConnect', () => {
+      socket.once(this.options.keyring === undefined ? 'connect' : 'secureConnect', () => {
         this.socket = socket;
         this.writer = new frames.FrameWriter();
         this.watch(socket);
@@ -137,7 +133,21 @@
     });
   }
 
-  private watch(socket: tls.TLSSocket): void {
+  private openSocket(): net.Socket {
+    const { host, port, keyring } = this.options;
+    if (keyring === undefined) {
+      return net.connect({ host, port });
+    }
+    return tls.connect({
+      ...tlsOptions.pskOptions,
+      host,
+      port,
+      pskCallback: () => keyring.getActive(),
+      checkServerIdentity: () => undefined,
+    });
+  }
+
+  private watch(socket: net.Socket): void {
     const reader = new frames.FrameReader();
     // A middlebox that forgot the connection drops bytes without a reset; only silence shows it.
     // Pings make silence suspicious, and a new connection is made for the next call.
@@ -176,7 +186,7 @@
   }
 
   /** Tries a link that is used, and ends one that is not: pings over idle links add up. */
-  private keep(socket: tls.TLSSocket): void {
+  private keep(socket: net.Socket): void {
     if (this.waiting.size === 0 && performance.now() - this.usedAt > IDLE_MS) {
       socket.destroy();
       return;
--- a/packages/peers/src/peer-server.ts
+++ b/packages/peers/src/peer-server.ts
@@ -1,4 +1,4 @@
-import type * as net from 'node:net';
+import * as net from 'node:net';
 import * as tls from 'node:tls';
 
 import * as schemas from '@bramleyridge/schemas';
@@ -13,14 +13,15 @@
 export interface PeerServerOptions {
   readonly host: string;
   readonly port: number;
-  readonly keyring: keyrings.Keyring;
+  /** The keys of the link; nothing where the network is trusted and the link is plain TCP. */
+  readonly keyring: keyrings.Keyring | undefined;
   readonly log: schemas.Log;
   /** Whether traffic from an address is let in; failure tests cut links here. */
   readonly isCut?: () => boolean;
 }
 
 interface Connection {
-  readonly socket: tls.TLSSocket;
+  readonly socket: net.Socket;
   readonly writer: frames.FrameWriter;
   readonly calls: Map<number, AbortController>;
 }
@@ -28,23 +29,14 @@
 /** Serves a tRPC router to the other daemons, one task for each connection. */
 export class PeerServer {
   public readonly counts = new linkCounts.LinkCounts();
-  private readonly server: tls.Server;
+  private readonly server: net.Server;
   private readonly sockets = new Set<net.Socket>();
 
   public constructor(
     private readonly router: trpc.AnyTRPCRouter,
     private readonly options: PeerServerOptions,
   ) {
-    this.server = tls.createServer(
-      {
-        ...tlsOptions.pskOptions,
-        pskCallback: (_socket, identity) => options.keyring.findKey(identity) ?? null,
-      },
-      (socket) => this.serve(socket),
-    );
-    this.server.on('tlsClientError', (err, socket) => {
-      options.log.warn({ step: 'accept-peer', peer: socket.remoteAddress, err: err.message });
-    });
+    this.server = this.createServer();
   }
 
   /** Starts to listen and gives the port. */
@@ -63,7 +55,22 @@
     this.sockets.forEach((socket) => socket.destroy());
   }
 
-  private serve(socket: tls.TLSSocket): void {
+  private createServer(): net.Server {
+    const { keyring, log } = this.options;
+    const serve = (socket: net.Socket) => this.serve(socket);
+    if (keyring === undefined) {
+      return net.createServer(serve);
+    }
+    const pskCallback = (_socket: tls.TLSSocket, identity: string) =>
+      keyring.findKey(identity) ?? null;
+    const server = tls.createServer({ ...tlsOptions.pskOptions, pskCallback }, serve);
+    server.on('tlsClientError', (err, socket) => {
+      log.warn({ step: 'accept-peer', peer: socket.remoteAddress, err: err.message });
+    });
+    return server;
+  }
+
+  private serve(socket: net.Socket): void {
     const reader = new frames.FrameReader();
     const writer = new frames.FrameWriter();
     const connection: Connection = { socket, writer, calls: new Map() };
--- a/packages/daemon/src/http-io.ts
+++ b/packages/requests/src/http-io.ts
@@ -5,11 +5,14 @@
 /** A request with the parameters of its route. */
 export type ApiRequest = http.IncomingMessage & { readonly params: Record<string, string> };
 
+/** What a body may take: its bytes, and the time for all of them. */
+export interface BodyLimits {
+  readonly bodyBytes: number;
+  readonly bodyTimeoutMs: number;
+}
+
 /** Reads a body whole, within its limits of size and time. */
-export function readBody(
-  req: http.IncomingMessage,
-  limits: schemas.DaemonConfig['limits'],
-): Promise<Buffer> {
+export function readBody(req: http.IncomingMessage, limits: BodyLimits): Promise<Buffer> {
   return new Promise((resolve, reject) => {
     const parts: Buffer[] = [];
     let size = 0;
--- a/packages/requests/src/index.ts
+++ b/packages/requests/src/index.ts
@@ -1,4 +1,6 @@
 /** The life of a request: claims, relay, resume, shutdown. */
+export * from './answer-body.js';
+export * from './attempts.js';
 export * from './call-registry.js';
 export * from './claim-proposer.js';
 export * from './claim-seat.js';
@@ -7,8 +9,11 @@
 export * from './engine-client.js';
 export * from './event-splitter.js';
 export * from './generation-id.js';
+export * from './hop-headers.js';
+export * from './http-io.js';
 export * from './relay.js';
 export * from './request-life.js';
 export * from './retry-budget.js';
 export * from './service-client.js';
+export * from './upstream-client.js';
 export * from './upstream-error.js';
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -7,6 +7,7 @@
 export * from './pool-account.js';
 export * from './pool-owner.js';
 export * from './prefix-affinity.js';
+export * from './route-table.js';
 export * from './slow-upstreams.js';
 export * from './two-choices.js';
 export * from './types.js';
--- /dev/null
+++ b/packages/routing/src/route-table.ts
@@ -0,0 +1,55 @@
+import type * as schemas from '@bramleyridge/schemas';
+
+/** A team as a call's key names it. */
+export type KeyOwner = schemas.KeyedTeam;
+
+/** The routes, services and keys of one configuration, indexed for every call to look up. */
+export class RouteTable {
+  private readonly byHost = new Map<string, schemas.Route[]>();
+  private readonly byKey = new Map<string, schemas.KeyedTeam>();
+  private readonly services = new Map<string, schemas.RoutedService>();
+
+  public constructor(public readonly config: schemas.RoutedConfig) {
+    config.routes.forEach((route) => {
+      const host = route.host.toLowerCase();
+      this.byHost.set(host, [...(this.byHost.get(host) ?? []), route]);
+    });
+    // The longest prefix comes first, so the first that fits is the one that counts.
+    this.byHost.forEach((routes) =>
+      routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length),
+    );
+    config.teams?.forEach((team) => team.keys.forEach((key) => this.byKey.set(key, team)));
+    config.services.forEach((service) => this.services.set(service.name, service));
+  }
+
+  /** The route of a call: among those of its host, the one with the longest prefix of its path. */
+  public findRoute(host: string, path: string): schemas.Route | undefined {
+    return this.byHost.get(host)?.find((route) => path.startsWith(route.pathPrefix));
+  }
+
+  /** The team that holds a key. */
+  public findTeam(key: string): schemas.KeyedTeam | undefined {
+    return this.byKey.get(key);
+  }
+
+  /** Whether calls of a route must carry the key of a team. */
+  public needsKey(route: schemas.Route): boolean {
+    return this.config.teams !== undefined && !route.isPublic;
+  }
+
+  /** A service that the configuration names. */
+  public findService(name: string): schemas.RoutedService | undefined {
+    return this.services.get(name);
+  }
+}
+
+/** Draws the service of one call by the weights of its route. */
+export function drawService(route: schemas.Route, random: () => number): string {
+  const total = route.targets.reduce((sum, target) => sum + target.weight, 0);
+  let rest = random() * total;
+  const drawn = route.targets.find((target) => {
+    rest -= target.weight;
+    return rest < 0;
+  });
+  return (drawn ?? route.targets[0]!).service;
+}
--- a/packages/schemas/src/index.ts
+++ b/packages/schemas/src/index.ts
@@ -16,3 +16,5 @@
 export * from './status.js';
 export * from './step-error.js';
 export * from './upstream.js';
+export * from './listed-upstream.js';
+export * from './routed-config.js';
