--- a/packages/consensus/src/genesis.ts
+++ b/packages/consensus/src/genesis.ts
@@ -15,19 +15,38 @@
 export interface Genesis {
   readonly voterId: string;
   readonly voters: readonly types.VoterSeat[];
+  /** Who may found the log together; kept, since a host that restarts before it is founded still may. */
+  readonly founders?: readonly string[];
+}
+
+/** What agreeing on the first voters needs. */
+export interface GenesisOptions {
+  readonly files: fileLayer.FileLayer;
+  readonly identity: Genesis;
+  readonly daemonId: string;
+  /** Who founds the log; nobody on a host that can only join one that stands. */
+  readonly founders: readonly string[];
+  /** Whom to ask, as far as they are known now. */
+  readonly listPeers: () => readonly string[];
+  readonly ask: AskGenesis;
+  readonly clock: schemas.Clock;
+  readonly signal: AbortSignal;
 }
 
 /** What a voter tells another that has no first voters yet. */
 export type AskGenesis = (peer: string) => Promise<Genesis>;
 
 /** Reads the identity of a data folder, or gives an empty folder a new one. */
-export async function openIdentity(files: fileLayer.FileLayer): Promise<Genesis> {
+export async function openIdentity(
+  files: fileLayer.FileLayer,
+  founders: readonly string[] = [],
+): Promise<Genesis> {
   const bytes = await files.read(GENESIS_FILE);
   const [known] = bytes === undefined ? [] : batchFrame.decodeFile(GENESIS_FILE, bytes).batches;
   if (known !== undefined) {
     return known as Genesis;
   }
-  const fresh: Genesis = { voterId: crypto.randomUUID(), voters: [] };
+  const fresh: Genesis = { voterId: crypto.randomUUID(), voters: [], founders };
   await files.replace(GENESIS_FILE, batchFrame.encodeBatch(fresh));
   return fresh;
 }
@@ -37,27 +56,22 @@
  * without entries that were promised. So a folder's number is random, the first voters are named by these
  * numbers, and they are fixed once, by the lowest-named voter, after every one of them has answered.
  * A folder that was lost and made anew has another number, finds itself not among them, and cannot vote
- * until an operator adds it.
+ * until it is added. Who is no founder only ever joins: three empty hosts that know just each other would
+ * otherwise found a second log beside the first.
  */
-export async function agreeGenesis(
-  files: fileLayer.FileLayer,
-  identity: Genesis,
-  daemonId: string,
-  firstVoters: readonly string[],
-  ask: AskGenesis,
-  clock: schemas.Clock,
-  signal: AbortSignal,
-): Promise<Genesis> {
+export async function agreeGenesis(options: GenesisOptions): Promise<Genesis> {
+  const { files, identity, daemonId, founders, listPeers, ask, clock, signal } = options;
   if (identity.voters.length > 0) {
     return identity;
   }
-  const others = firstVoters.filter((peer) => peer !== daemonId);
-  const isFirst = firstVoters.every((peer) => daemonId <= peer);
+  const isFirst = founders.includes(daemonId) && founders.every((peer) => daemonId <= peer);
+  const partners = founders.filter((peer) => peer !== daemonId);
   for (;;) {
+    const others = [...new Set([...partners, ...listPeers()])].filter((peer) => peer !== daemonId);
     const answers = await Promise.all(others.map((peer) => ask(peer).catch(() => undefined)));
     const agreed = answers.find((answer) => answer !== undefined && answer.voters.length > 0);
     const voters =
-      agreed?.voters ?? (isFirst ? collect(daemonId, identity, others, answers) : undefined);
+      agreed?.voters ?? (isFirst ? collect(daemonId, identity, partners, answers) : undefined);
     if (voters !== undefined) {
       const genesis: Genesis = { voterId: identity.voterId, voters };
       await files.replace(GENESIS_FILE, batchFrame.encodeBatch(genesis));
--- a/packages/consensus/src/index.ts
+++ b/packages/consensus/src/index.ts
@@ -8,3 +8,4 @@
 export * from './types.js';
 export * from './voter.js';
 export * from './wal.js';
+export * from './seat-repair.js';
--- a/packages/consensus/src/leadership.ts
+++ b/packages/consensus/src/leadership.ts
@@ -10,6 +10,9 @@
 /** How far a new voter may be behind when it is seated, in entries. */
 const CAUGHT_UP_WITHIN = 10;
 
+/** How long a new voter may take to catch up before it is given up for now, in election timeouts. */
+const CATCH_UP_ELECTIONS = 10;
+
 /** What a voter does while it leads, and what it knows of the others. */
 export class Leadership {
   public readonly term: number;
@@ -91,7 +94,13 @@
       return;
     }
     const learner = this.startPeer(seat);
-    await this.awaitCaughtUp(learner);
+    try {
+      await this.awaitCaughtUp(learner);
+    } catch (err) {
+      learner.stop();
+      this.peers.delete(seat.voterId);
+      throw err;
+    }
     await this.removeVoter(seat.daemonId);
     // One step at a time: two changes at once could make two majorities that share no voter.
     await this.changeVoters((seats) => [...seats, seat]);
@@ -186,11 +195,18 @@
   }
 
   private async awaitCaughtUp(peer: replicators.Replicator): Promise<void> {
+    const { clock, timings } = this.voter.options;
+    const end = clock.now() + CATCH_UP_ELECTIONS * timings.electionMs;
     while (peer.match < this.voter.commitIndex - CAUGHT_UP_WITHIN || peer.match === 0) {
       if (!this.active) {
         throw createNotLeader();
       }
-      await this.voter.changed.wait(this.voter.options.clock, this.heartbeatMs);
+      // A newcomer that dies while it catches up must not hold up the seating of others for ever.
+      if (clock.now() > end) {
+        const peerName = peer.seat.daemonId;
+        throw new schemas.StepError({ id: 'linkClosed', step: 'catch-up', peer: peerName });
+      }
+      await this.voter.changed.wait(clock, this.heartbeatMs);
     }
   }
 
--- a/packages/consensus/src/wal.ts
+++ b/packages/consensus/src/wal.ts
@@ -49,6 +49,9 @@
     if (wholeBytes < bytes.length) {
       await this.files.truncate(WAL_FILE, wholeBytes);
     }
+    // A process that was killed between a write and its sync leaves entries that are read back but would not
+    // survive a power loss. They count as held from here on, so they are synced before anything is said.
+    await this.files.sync(WAL_FILE);
     (batches as WalRecord[][]).flat().forEach((record) => replay(found, record));
     const base = found.snapshot?.lastIndex ?? 0;
     found.entries = found.entries.filter((entry) => entry.index > base);
--- a/packages/consensus/tests/support/cluster.ts
+++ b/packages/consensus/tests/support/cluster.ts
@@ -129,20 +129,16 @@
 
   private async run(node: Node): Promise<void> {
     const identity = await consensus.openIdentity(node.files);
-    const genesis = await consensus.agreeGenesis(
-      node.files,
+    const genesis = await consensus.agreeGenesis({
+      files: node.files,
       identity,
-      node.daemonId,
-      this.firstVoters,
-      async (peer) => {
-        const answer = await this.send(node.daemonId, peer, (other) =>
-          consensus.openIdentity(other.files),
-        );
-        return answer;
-      },
-      this.clock,
-      node.abort.signal,
-    );
+      daemonId: node.daemonId,
+      founders: this.firstVoters,
+      listPeers: () => this.firstVoters,
+      ask: (peer) => this.send(node.daemonId, peer, (other) => consensus.openIdentity(other.files)),
+      clock: this.clock,
+      signal: node.abort.signal,
+    });
     node.voter = await consensus.Voter.create({
       daemonId: node.daemonId,
       genesis,
--- a/packages/consensus/tests/wal.test.ts
+++ b/packages/consensus/tests/wal.test.ts
@@ -66,3 +66,22 @@
     }
   }
 });
+
+void tap.default.test(
+  'what a killed process wrote and did not sync is synced before it counts',
+  async (t) => {
+    // The voter is killed between a write and its sync; the machine goes on, so the next process reads the
+    // entry back and tells the leader that it holds it. Then the machine loses power. Without a sync at the
+    // restart the entry is gone, although a majority was counted with it.
+    const files = new fakes.MemoryFiles();
+    const wal = new consensus.Wal(files);
+    await wal.append({ kind: 'entries', entries: [createEntry(1)] });
+    files.crashAfter(2, 0);
+    await t.rejects(wal.append({ kind: 'entries', entries: [createEntry(2)] }));
+    const restarted = files.restart();
+    const read = await new consensus.Wal(restarted).recover();
+    t.equal(read.entries.length, 2, 'the entry is read back');
+    const afterPowerLoss = await new consensus.Wal(restarted.reopen()).recover();
+    t.equal(afterPowerLoss.entries.length, 2, 'and it survives the loss of power');
+  },
+);
--- a/packages/daemon/src/control-plane.ts
+++ b/packages/daemon/src/control-plane.ts
@@ -143,15 +143,16 @@
     const { cfg, clock, log, mesh, random } = this.options;
     const { signal } = this.stopping;
     const firstVoters = cfg.peers.filter((peer) => peer.voter).map((peer) => peer.daemonId);
-    this.identity = await consensus.agreeGenesis(
+    this.identity = await consensus.agreeGenesis({
       files,
-      this.getGenesis(),
-      cfg.daemonId,
-      firstVoters,
-      (peer) => mesh.get(peer).genesis.mutate(),
+      identity: this.getGenesis(),
+      daemonId: cfg.daemonId,
+      founders: firstVoters,
+      listPeers: () => firstVoters,
+      ask: (peer) => mesh.get(peer).genesis.mutate(),
       clock,
       signal,
-    );
+    });
     this.voter = await consensus.Voter.create({
       daemonId: cfg.daemonId,
       genesis: this.identity,
--- a/packages/fakes/src/memory-files.ts
+++ b/packages/fakes/src/memory-files.ts
@@ -43,6 +43,13 @@
     return next;
   }
 
+  /** What a new process finds after this one was killed on a machine that goes on: nothing is lost yet. */
+  public restart(): MemoryFiles {
+    const next = new MemoryFiles();
+    this.files.forEach((file, name) => next.files.set(name, { ...file }));
+    return next;
+  }
+
   /** Loses everything. */
   public wipe(): void {
     this.files.clear();
--- a/packages/peers/src/peer-mesh.ts
+++ b/packages/peers/src/peer-mesh.ts
@@ -54,7 +54,7 @@
       isCut: () => isCutOff?.(daemonId) ?? false,
     });
     const link = peerLinks.createPeerLink<TRouter>(client, deadlineMs);
-    const api = trpcClient.createTRPCClient<TRouter>({ links: [link] } as never);
+    const api = trpcClient.createTRPCClient<TRouter>({ links: [link] });
     this.links.set(daemonId, { client, api, place });
     return api;
   }
--- a/packages/requests/src/upstream-client.ts
+++ b/packages/requests/src/upstream-client.ts
@@ -86,7 +86,9 @@
       const answer = await this.request(own ?? this.agent, target, call);
       this.checkHead(target, answer, judge);
       if (own !== undefined) {
-        answer.body.once('close', () => void own.destroy());
+        answer.body.once('close', () => {
+          void own.destroy();
+        });
       }
       return answer;
     } catch (err) {
@@ -116,7 +118,7 @@
     const res = await dispatcher.request({
       origin: target.url,
       path: call.path,
-      method: call.method as undici.Dispatcher.HttpMethod,
+      method: call.method,
       headers: call.headers,
       body: call.body.length > 0 ? call.body : undefined,
       reset: !call.isRepeatable,
