--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -3,7 +3,7 @@
 import * as tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  { ignores: ['**/dist/**', '**/.tap/**', 'run/**'] },
+  { ignores: ['**/dist/**', '**/.tap/**', 'run/**', 'target/**', 'journal/**'] },
   airbnb.plugins.stylistic,
   airbnb.plugins.importX,
   airbnb.plugins.node,
@@ -11,7 +11,7 @@
   ...airbnb.extensions.base.typescript,
   airbnb.rules.typescript.typescriptEslint ?? {},
   {
-    files: ['packages/**/*.ts'],
+    files: ['packages/**/*.ts', 'platform/**/*.ts'],
     languageOptions: { parserOptions: { projectService: true } },
     rules: {
       // House lines that go before Airbnb: namespace imports, generators, classes behind interfaces.
--- a/packages/consensus/src/file-layer.ts
+++ b/packages/consensus/src/file-layer.ts
@@ -10,6 +10,8 @@
   truncate(name: string, length: number): Promise<void>;
   /** Writes a file whole, synced, so that after a crash it is the old or the new one. */
   replace(name: string, bytes: Buffer): Promise<void>;
+  /** Lets go of open files; there may be none. */
+  close?(): Promise<void>;
 }
 
 /** Files below one data folder. */
--- a/packages/consensus/src/leadership.ts
+++ b/packages/consensus/src/leadership.ts
@@ -64,6 +64,11 @@
     return this.active && this.voter.options.clock.now() + ms < this.getLeaseEnd();
   }
 
+  /** Whether everything of earlier terms is applied here, which a new leader can't tell at once. */
+  public isSettled(): boolean {
+    return this.voter.entries.findTerm(this.voter.commitIndex) === this.term;
+  }
+
   /** Puts a command into the log and resolves with its result once a majority holds it. */
   public async propose(data: unknown): Promise<{ index: number; result: unknown }> {
     if (!this.active) {
--- a/packages/consensus/src/voter.ts
+++ b/packages/consensus/src/voter.ts
@@ -38,6 +38,8 @@
   public appliedIndex: number;
   public stopped = false;
   public heardAt: number;
+  /** When everything that the leader then called committed was last applied here. */
+  public caughtUpAt = -Infinity;
   private votedFor: string | null;
   private compacting = false;
   private readonly results = new Map<number, (result: unknown) => void>();
@@ -134,6 +136,9 @@
       return this.createAppendRes(false, this.entries.lastIndex);
     }
     this.commitTo(Math.min(req.commit, match));
+    if (this.commitIndex >= req.commit) {
+      this.caughtUpAt = this.options.clock.now();
+    }
     return { ...this.createAppendRes(true, match), match };
   }
 
--- /dev/null
+++ b/packages/gateway/src/core-group.ts
@@ -0,0 +1,206 @@
+import * as consensus from '@bramleyridge/consensus';
+import * as intents from '@bramleyridge/intents';
+import * as schemas from '@bramleyridge/schemas';
+
+import type * as coreMeshes from './core-mesh.js';
+import type * as coreTables from './core-table.js';
+
+/**
+ * The election timeout, in milliseconds. The group has a new leader within about twice that, so an order sent
+ * while the leader dies is acknowledged well inside the 4 s that the deployments allow; a sync of a slow disk
+ * (150 ms) between two heartbeats does not unseat a leader.
+ */
+const ELECTION_MS = 600;
+
+/** How long a leader is sure to be the only one after a majority's answer, in milliseconds. */
+const LEASE_MS = 400;
+
+/** How many entries are kept before a snapshot takes their place; each may hold a document of 100 KB. */
+const SNAPSHOT_EVERY = 256;
+
+/** The pause before a voter whose disk failed is tried anew, in milliseconds. */
+const REOPEN_MS = 500;
+
+/** How often the leader looks the seats over, in milliseconds. */
+const SEATS_MS = 300;
+
+/** How long a holder of a seat may be silent before a spare host takes it, in milliseconds. */
+const SEAT_PATIENCE_MS = 8_000;
+
+/** Within which a host counts as live when seats are filled, in milliseconds. */
+const SEAT_LIVE_MS = 1_200;
+
+/** What takes part in the log needs. */
+export interface CoreGroupOptions {
+  readonly coreId: string;
+  readonly founders: readonly string[];
+  readonly wantedSeats: number;
+  readonly openFiles: () => Promise<consensus.FileLayer>;
+  readonly mesh: coreMeshes.CoreMesh;
+  readonly table: coreTables.CoreTable;
+  readonly clock: schemas.Clock;
+  readonly log: schemas.Log;
+  readonly random: () => number;
+}
+
+/** This host's part in the replicated log: its identity, its voter, and as the leader the seats. */
+export class CoreGroup {
+  public readonly state = new intents.DeclaredState();
+  public voter: consensus.Voter | undefined;
+  private identity: consensus.Genesis | undefined;
+  private readonly stopping = new AbortController();
+
+  public constructor(private readonly options: CoreGroupOptions) {}
+
+  /** Takes part until stopped; a voter whose disk failed is opened anew from what the disk holds. */
+  public async run(): Promise<void> {
+    void this.keepSeats();
+    const { signal } = this.stopping;
+    while (!signal.aborted) {
+      try {
+        await this.runVoter();
+      } catch (err) {
+        const { message } = schemas.toError(err);
+        this.options.log.warn({ event: 'disk-lost', step: 'open-log', err: message });
+      }
+      await this.options.clock.sleep(REOPEN_MS, signal).catch(() => {});
+    }
+  }
+
+  /** Ends every task. */
+  public stop(): void {
+    this.stopping.abort(new Error('stopping'));
+    this.voter?.stop();
+  }
+
+  /** This data folder's number and the first voters, as far as they are agreed. */
+  public getIdentity(): consensus.Genesis {
+    if (this.identity === undefined) {
+      throw new schemas.StepError({ id: 'notLeader', step: 'identity' });
+    }
+    return this.identity;
+  }
+
+  /** This host's voter, or an error before the log is open. */
+  public getVoter(): consensus.Voter {
+    if (this.voter === undefined) {
+      throw new schemas.StepError({ id: 'notLeader', step: 'voter' });
+    }
+    return this.voter;
+  }
+
+  /** The leadership, or an error where this host does not lead. */
+  public getLeadership(): consensus.Leadership {
+    const leadership = this.voter?.leadership;
+    if (leadership === undefined) {
+      throw new schemas.StepError({ id: 'notLeader', step: 'leader' });
+    }
+    return leadership;
+  }
+
+  /** Whether this host leads and a majority has lately confirmed it. */
+  public isLeading(): boolean {
+    const leadership = this.voter?.leadership;
+    return leadership !== undefined && leadership.isLeaseHeld() && leadership.isSettled();
+  }
+
+  /** Whether what is applied here is the newest, as far as a leader's word of late vouches for it. */
+  public isCurrent(): boolean {
+    const { voter } = this;
+    if (voter === undefined || voter.stopped || !voter.isSeated()) {
+      return false;
+    }
+    const behindMs = this.options.clock.now() - voter.caughtUpAt;
+    return this.isLeading() || (voter.leader !== undefined && behindMs < ELECTION_MS);
+  }
+
+  private async runVoter(): Promise<void> {
+    const { clock, coreId, founders, log, mesh, random, table } = this.options;
+    const { signal } = this.stopping;
+    const files = await this.options.openFiles();
+    const identity = await consensus.openIdentity(files, founders);
+    this.identity = identity;
+    this.identity = await consensus.agreeGenesis({
+      files,
+      identity,
+      daemonId: coreId,
+      founders: identity.founders ?? [],
+      listPeers: () => table.listOthers(),
+      ask: (peer) => mesh.get(peer).genesis.mutate(),
+      clock,
+      signal,
+    });
+    const voter = await consensus.Voter.create({
+      daemonId: coreId,
+      genesis: this.identity,
+      wal: new consensus.Wal(files),
+      machine: this.createMachine(),
+      transport: createTransport(mesh),
+      clock,
+      log,
+      timings: { electionMs: ELECTION_MS, leaseMs: LEASE_MS },
+      random,
+      snapshotEvery: SNAPSHOT_EVERY,
+    });
+    this.voter = voter;
+    log.info({
+      event: 'log-opened',
+      term: voter.term,
+      lastIndex: voter.entries.lastIndex,
+      isSeated: voter.isSeated(),
+    });
+    await consensus.runElections(voter, signal);
+    await files.close?.();
+  }
+
+  private createMachine(): consensus.StateMachine {
+    return {
+      apply: (entry) => this.state.apply(entry.data as intents.DeclaredDocument),
+      getSnapshot: () => this.state.getSnapshot(),
+      restore: (snapshot) => this.state.restore(snapshot as intents.DeclaredDocument | null),
+    };
+  }
+
+  private async keepSeats(): Promise<void> {
+    const { clock, log } = this.options;
+    const { signal } = this.stopping;
+    while (!signal.aborted) {
+      if (this.isLeading()) {
+        await this.repairSeats().catch((err: unknown) => {
+          log.warn({ event: 'seat-repair-failed', err: schemas.toError(err).message });
+        });
+      }
+      await clock.sleep(SEATS_MS, signal).catch(() => {});
+    }
+  }
+
+  private async repairSeats(): Promise<void> {
+    const { coreId, log, table, wantedSeats } = this.options;
+    const voter = this.getVoter();
+    const own = { daemonId: coreId, voterId: voter.voterId, silentMs: 0 };
+    const repair = consensus.planSeatRepair({
+      seats: voter.entries.getVoters(),
+      candidates: [own, ...table.listCandidates()],
+      wanted: wantedSeats,
+      patienceMs: SEAT_PATIENCE_MS,
+      liveMs: SEAT_LIVE_MS,
+    });
+    if (repair === undefined) {
+      return;
+    }
+    log.info({ decision: 'seat', peer: repair.add.daemonId, instead: repair.remove });
+    const leadership = this.getLeadership();
+    await leadership.addVoter(repair.add);
+    if (repair.remove !== undefined) {
+      await leadership.removeVoter(repair.remove);
+    }
+  }
+}
+
+function createTransport(mesh: coreMeshes.CoreMesh): consensus.Transport {
+  return {
+    vote: (peer, req) => mesh.get(peer).vote.mutate(req),
+    append: (peer, req) => mesh.get(peer).append.mutate(req),
+    snapshot: (peer, req) => mesh.get(peer).snapshot.mutate(req),
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/core-host.ts
@@ -0,0 +1,220 @@
+import * as path from 'node:path';
+
+import * as consensus from '@bramleyridge/consensus';
+import * as peers from '@bramleyridge/peers';
+import * as schemas from '@bramleyridge/schemas';
+
+import * as coreGroups from './core-group.js';
+import * as coreMeshes from './core-mesh.js';
+import * as procedures from './core-procedures.js';
+import * as coreTables from './core-table.js';
+import * as entryTables from './entry-table.js';
+import * as hostSettings from './host-settings.js';
+import * as listReaders from './list-reader.js';
+import * as operatorDesks from './operator-desk.js';
+import type * as ports from './ports.js';
+import type * as settingsWatches from './settings-watch.js';
+
+/** How long a core host may take to answer another, in milliseconds; a slow disk's sync of 150 ms is in it. */
+const PEER_DEADLINE_MS = 500;
+
+/** How often core hosts greet each other, in milliseconds. */
+const HELLO_MS = 400;
+
+/**
+ * How often the leader reads the list of upstreams, in milliseconds. An engine that is reclaimed at short notice
+ * is listed as leaving for one to two seconds; each call costs as much as a third of a short answer earns.
+ */
+const LIST_MS = 500;
+
+/** The share of the allowed calls to the list that the leader uses at most. */
+const LIST_SHARE = 0.5;
+
+/** What a core host needs besides its settings. */
+export interface CoreHostOptions {
+  readonly settings: settingsWatches.SettingsWatch;
+  readonly codec: ports.DocumentCodec;
+  readonly source: ports.UpstreamSource;
+  readonly clock: schemas.Clock;
+  readonly log: schemas.Log;
+  readonly random: () => number;
+}
+
+/** A core host: keeps what operators declare, and as the leader tells entry hosts what is new. */
+export class CoreHost {
+  public readonly desk: operatorDesks.OperatorDesk;
+  private readonly coreId: string;
+  private readonly mesh = new coreMeshes.CoreMesh(PEER_DEADLINE_MS);
+  private readonly table: coreTables.CoreTable;
+  private readonly entries: entryTables.EntryTable;
+  private readonly group: coreGroups.CoreGroup;
+  private readonly reader: listReaders.ListReader;
+  private readonly server: peers.PeerServer;
+  private readonly listChanged = new schemas.ChangeSignal();
+  private list: procedures.UpstreamList | undefined;
+  private listReadAt = -Infinity;
+  private isStopped = false;
+
+  public constructor(private readonly options: CoreHostOptions) {
+    const { clock, codec, log, random, source } = options;
+    const settings = options.settings.get();
+    this.coreId = hostSettings.getCoreId(settings.ipAddress, settings.peerPort);
+    this.table = new coreTables.CoreTable(this.coreId, clock);
+    this.entries = new entryTables.EntryTable(clock);
+    this.group = new coreGroups.CoreGroup({
+      coreId: this.coreId,
+      founders: settings.isFirstStart ? hostSettings.listSeedIds(settings) : [],
+      wantedSeats: 2 * settings.lossesToBear + 1,
+      openFiles: () => openFolder(settings.dataFolder ?? ''),
+      mesh: this.mesh,
+      table: this.table,
+      clock,
+      log,
+      random,
+    });
+    this.desk = new operatorDesks.OperatorDesk({
+      coreId: this.coreId,
+      group: this.group,
+      table: this.table,
+      mesh: this.mesh,
+      codec,
+      clock,
+      log,
+      acknowledgeMs: settings.bounds.acknowledgeMs,
+    });
+    this.reader = new listReaders.ListReader({
+      source,
+      clock,
+      log,
+      getAddress: () => options.settings.get().listAddress,
+      isDue: () => this.group.isLeading(),
+      getPauseMs: (calls) => this.getListPauseMs(calls),
+      take: (list) => this.takeList(list),
+    });
+    this.server = new peers.PeerServer(procedures.createCoreRouter(this.createHandlers()), {
+      host: settings.ipAddress,
+      port: settings.peerPort,
+      keyring: undefined,
+      log,
+    });
+  }
+
+  /** Listens to peers and takes part in the log. */
+  public async start(): Promise<void> {
+    this.table.learn(hostSettings.listSeedIds(this.options.settings.get()));
+    await this.server.listen();
+    void this.group.run();
+    void this.reader.run();
+    void this.greet();
+    this.options.log.info({ event: 'started', role: 'core', peer: this.coreId });
+  }
+
+  /** Ends every task; a leader gives its place up, and the others elect another. */
+  public stop(): void {
+    this.options.log.info({ event: 'stopping', role: 'core', isLeading: this.group.isLeading() });
+    this.isStopped = true;
+    this.reader.stop();
+    this.group.stop();
+    this.server.close();
+    this.mesh.close();
+  }
+
+  private createHandlers(): procedures.CoreHandlers {
+    const { desk, group, table } = this;
+    return {
+      genesis: async () => group.getIdentity(),
+      vote: (req) => group.getVoter().handleVote(req),
+      append: (req) => group.getVoter().handleAppend(req),
+      snapshot: (req) => group.getVoter().handleSnapshot(req),
+      hello: async ({ coreId, known, voterId }) => {
+        table.hear(coreId, voterId);
+        table.learn(known);
+        return { known: table.listAll(), leader: group.voter?.leader };
+      },
+      news: (req) => this.answerNews(req),
+      declare: (document) => desk.declareHere(document),
+      read: () => desk.readHere(),
+    };
+  }
+
+  /** Answers an entry host: at once when there is news, else when its wait is over. */
+  private async answerNews(req: procedures.NewsReq): Promise<procedures.NewsRes> {
+    const { clock } = this.options;
+    this.entries.hear(req.hostId, req.incarnation);
+    const end = clock.now() + req.waitMs;
+    while (!this.hasNews(req) && clock.now() < end) {
+      await Promise.race([
+        this.group.state.changed.wait(clock, end - clock.now()),
+        this.listChanged.wait(clock, end - clock.now()),
+      ]);
+    }
+    return this.createNews(req);
+  }
+
+  private hasNews(req: procedures.NewsReq): boolean {
+    const version = this.group.state.get()?.version ?? -1;
+    return version > req.version || this.findNewList(req) !== undefined;
+  }
+
+  private createNews(req: procedures.NewsReq): procedures.NewsRes {
+    const document = this.group.state.get();
+    const isLeading = this.group.isLeading();
+    const hasList = isLeading && this.list !== undefined;
+    return {
+      document: document !== undefined && document.version > req.version ? document : undefined,
+      list: this.findNewList(req),
+      listAgeMs: hasList ? this.options.clock.now() - this.listReadAt : undefined,
+      isCurrent: this.group.isCurrent(),
+      leader: this.group.voter?.leader,
+      cores: this.table.listAll(),
+      entryHosts: isLeading ? this.entries.count() : undefined,
+    };
+  }
+
+  private findNewList(req: procedures.NewsReq): procedures.UpstreamList | undefined {
+    const isNew = this.group.isLeading() && this.list?.stamp !== req.listStamp;
+    return isNew ? this.list : undefined;
+  }
+
+  private takeList(list: procedures.UpstreamList): void {
+    this.listReadAt = this.options.clock.now();
+    if (list.stamp !== this.list?.stamp) {
+      this.list = list;
+      this.listChanged.notify();
+    }
+  }
+
+  private getListPauseMs(calls: number): number {
+    const { listCallsPerS } = this.options.settings.get();
+    return Math.max(LIST_MS, (calls * 1_000) / (listCallsPerS * LIST_SHARE));
+  }
+
+  private async greet(): Promise<void> {
+    const { clock, settings } = this.options;
+    while (!this.isStopped) {
+      this.table.learn(hostSettings.listSeedIds(settings.get()));
+      this.table.listOthers().forEach((coreId) => {
+        void this.greetOne(coreId);
+      });
+      await clock.sleep(HELLO_MS);
+    }
+  }
+
+  private async greetOne(coreId: string): Promise<void> {
+    try {
+      const { voterId } = this.group.getIdentity();
+      const known = this.table.listAll();
+      const res = await this.mesh.get(coreId).hello.mutate({ coreId: this.coreId, voterId, known });
+      this.table.learn(res.known);
+      this.table.leaderHint = res.leader ?? this.table.leaderHint;
+    } catch (err) {
+      this.options.log.debug({ step: 'greet', peer: coreId, err: schemas.toError(err).message });
+    }
+  }
+}
+
+async function openFolder(folder: string): Promise<consensus.FileLayer> {
+  const files = new consensus.FolderFiles(path.join(folder, 'log'));
+  await files.open();
+  return files;
+}
--- /dev/null
+++ b/packages/gateway/src/core-link.ts
@@ -0,0 +1,128 @@
+import * as schemas from '@bramleyridge/schemas';
+
+import type * as coreMeshes from './core-mesh.js';
+import type * as procedures from './core-procedures.js';
+
+/**
+ * How long a core host keeps a question open while it has no news, in milliseconds. Together with the time for the
+ * answer it is under a third of the 3 s within which a healed host must work by its rules again, so a
+ * connection that fell silent is found out and replaced in time.
+ */
+const WAIT_MS = 500;
+
+/** How long the answer may take beyond that, in milliseconds. */
+const ANSWER_MS = 400;
+
+/** How long a core host that failed is passed over, in milliseconds. */
+const AVOID_MS = 1_000;
+
+/** The pause after a question that failed at once, in milliseconds. */
+const PAUSE_MS = 50;
+
+/** The shortest time between two questions, in milliseconds; a stream of news must not fill the link. */
+const MIN_GAP_MS = 10;
+
+/**
+ * How long an entry host that has just started waits for a core host whose word is current, in milliseconds, before
+ * it serves by the best that it could get. In a zone that is cut off nothing better will come.
+ */
+const ALONE_MS = 3_000;
+
+/** What the link needs. */
+export interface CoreLinkOptions {
+  readonly mesh: coreMeshes.CoreMesh;
+  readonly listSeeds: () => readonly string[];
+  readonly clock: schemas.Clock;
+  readonly log: schemas.Log;
+  readonly random: () => number;
+  readonly createAsk: (waitMs: number) => procedures.NewsReq;
+  /** Takes an answer; `isTrusted` tells that it may be served by. */
+  readonly take: (news: procedures.NewsRes, isTrusted: boolean) => void;
+}
+
+/** The task that keeps an entry host up to date: one open question at the leader, or at whom answers. */
+export class CoreLink {
+  private readonly failedAt = new Map<string, number>();
+  private cores: readonly string[] = [];
+  private leader: string | undefined;
+  private lastTarget: string | undefined;
+  private isLost = false;
+  private isStopped = false;
+  private readonly startedAt: number;
+
+  public constructor(private readonly options: CoreLinkOptions) {
+    this.startedAt = options.clock.now();
+  }
+
+  /** Asks until stopped. */
+  public async run(): Promise<void> {
+    const { clock } = this.options;
+    while (!this.isStopped) {
+      const askedAt = clock.now();
+      const isAnswered = await this.askOne();
+      const pauseMs = isAnswered ? MIN_GAP_MS : PAUSE_MS;
+      await clock.sleep(Math.max(0, pauseMs - (clock.now() - askedAt)));
+    }
+  }
+
+  /** Ends the task. */
+  public stop(): void {
+    this.isStopped = true;
+  }
+
+  private async askOne(): Promise<boolean> {
+    const { clock, createAsk, log, mesh } = this.options;
+    const target = this.chooseTarget();
+    if (target === undefined) {
+      return false;
+    }
+    try {
+      const ask = createAsk(target === this.lastTarget ? WAIT_MS : 0);
+      const context = { deadlineMs: ask.waitMs + ANSWER_MS };
+      this.take(target, await mesh.get(target).news.mutate(ask, { context }));
+      return true;
+    } catch (err) {
+      this.failedAt.set(target, clock.now());
+      if (!this.isLost) {
+        log.warn({ event: 'core-lost', peer: target, err: schemas.toError(err).message });
+      }
+      this.isLost = true;
+      this.lastTarget = undefined;
+      return false;
+    }
+  }
+
+  private take(target: string, news: procedures.NewsRes): void {
+    const { clock, log } = this.options;
+    if (this.isLost || this.lastTarget !== target) {
+      log.info({ event: 'core-regained', peer: target, isCurrent: news.isCurrent });
+    }
+    this.isLost = false;
+    this.lastTarget = target;
+    this.cores = news.cores;
+    this.leader = news.leader;
+    // What a core host says that hears no leader may be old; another may know better.
+    if (!news.isCurrent) {
+      this.failedAt.set(target, clock.now());
+    }
+    const isAlone = clock.now() - this.startedAt > ALONE_MS;
+    this.options.take(news, news.isCurrent || isAlone);
+  }
+
+  /** The leader while it answers, then the one that answered last, then any that did not just fail. */
+  private chooseTarget(): string | undefined {
+    const { clock, listSeeds, random } = this.options;
+    const all = [...new Set([...this.cores, ...listSeeds()])];
+    const isUsable = (coreId: string) =>
+      clock.now() - (this.failedAt.get(coreId) ?? -Infinity) > AVOID_MS;
+    const usable = all.filter(isUsable);
+    if (this.leader !== undefined && usable.includes(this.leader)) {
+      return this.leader;
+    }
+    if (this.lastTarget !== undefined && usable.includes(this.lastTarget)) {
+      return this.lastTarget;
+    }
+    const pool = usable.length > 0 ? usable : all;
+    return pool[Math.floor(random() * pool.length)];
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/core-mesh.ts
@@ -0,0 +1,28 @@
+import * as peers from '@bramleyridge/peers';
+
+import type * as procedures from './core-procedures.js';
+import * as hostSettings from './host-settings.js';
+
+/** A typed client of one core host. */
+export type CoreApi = peers.PeerApi<procedures.CoreRouter>;
+
+/** The links to core hosts, whose names say where they listen. */
+export class CoreMesh {
+  private readonly links: peers.PeerMesh<procedures.CoreRouter>;
+
+  public constructor(deadlineMs: number) {
+    // The platform gives the hosts no secret that they share, so links between them are plain TCP.
+    this.links = new peers.PeerMesh({ keyring: undefined, deadlineMs });
+  }
+
+  /** The client of a core host. */
+  public get(coreId: string): CoreApi {
+    const { host, port } = hostSettings.splitAddress(coreId);
+    return this.links.getAt(coreId, { host, peerPort: port });
+  }
+
+  /** Ends every link. */
+  public close(): void {
+    this.links.close();
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/core-procedures.ts
@@ -0,0 +1,94 @@
+import * as consensus from '@bramleyridge/consensus';
+import * as intents from '@bramleyridge/intents';
+import * as schemas from '@bramleyridge/schemas';
+import * as trpc from '@trpc/server';
+import * as z from 'zod';
+
+/** What a core host says of itself to the others, and whom it knows. */
+export const helloReq = z.object({
+  coreId: z.string(),
+  /** The number of its data folder. */
+  voterId: z.string(),
+  known: z.array(z.string()),
+});
+
+/** What a core host answers another. */
+export const helloRes = z.object({ known: z.array(z.string()), leader: z.string().optional() });
+
+/** An entry host's open question: what is newer than this? */
+export const newsReq = z.object({
+  hostId: z.string(),
+  incarnation: z.number(),
+  version: z.int(),
+  /** Changes with the content of the list of upstreams. */
+  listStamp: z.string(),
+  waitMs: z.number(),
+});
+
+/** The list of upstreams as the leader read it. */
+export const upstreamList = z.object({
+  stamp: z.string(),
+  upstreams: z.array(schemas.listedUpstream),
+});
+
+/** What an entry host is told: only what it lacks. */
+export const newsRes = z.object({
+  document: intents.declaredDocument.optional(),
+  list: upstreamList.optional(),
+  /** How long ago the list was read, in milliseconds; nothing where it is not read. */
+  listAgeMs: z.number().optional(),
+  /** Whether what this core host has is the newest, as far as a leader's heartbeat vouches for it. */
+  isCurrent: z.boolean(),
+  leader: z.string().optional(),
+  cores: z.array(z.string()),
+  /** How many entry hosts the leader hears. */
+  entryHosts: z.int().optional(),
+});
+
+/** What a core host says of itself to the others. */
+export type HelloReq = z.infer<typeof helloReq>;
+/** What a core host answers another. */
+export type HelloRes = z.infer<typeof helloRes>;
+/** An entry host's open question. */
+export type NewsReq = z.infer<typeof newsReq>;
+/** The list of upstreams as the leader read it. */
+export type UpstreamList = z.infer<typeof upstreamList>;
+/** What an entry host is told. */
+export type NewsRes = z.infer<typeof newsRes>;
+
+/** What a core host does for its peers and for entry hosts. */
+export interface CoreHandlers {
+  genesis(): Promise<consensus.Genesis>;
+  vote(req: consensus.VoteReq): Promise<consensus.VoteRes>;
+  append(req: consensus.AppendReq): Promise<consensus.AppendRes>;
+  snapshot(req: consensus.SnapshotReq): Promise<consensus.AppendRes>;
+  hello(req: HelloReq): Promise<HelloRes>;
+  news(req: NewsReq): Promise<NewsRes>;
+  /** Takes a document as the leader. */
+  declare(document: intents.DeclaredDocument): Promise<intents.DeclareResult>;
+  /** The newest document, as the leader. */
+  read(): Promise<intents.DeclaredDocument | null>;
+}
+
+const t = trpc.initTRPC.create();
+
+/** The procedures of a core host; every one has a deadline on the asking side. */
+export function createCoreRouter(handlers: CoreHandlers) {
+  return t.router({
+    genesis: t.procedure.mutation(() => handlers.genesis()),
+    vote: t.procedure.input(consensus.voteReq).mutation(({ input }) => handlers.vote(input)),
+    append: t.procedure.input(consensus.appendReq).mutation(({ input }) => handlers.append(input)),
+    snapshot: t.procedure
+      .input(consensus.snapshotReq)
+      .mutation(({ input }) => handlers.snapshot(input)),
+    hello: t.procedure.input(helloReq).mutation(({ input }) => handlers.hello(input)),
+    news: t.procedure.input(newsReq).mutation(({ input }) => handlers.news(input)),
+    declare: t.procedure
+      .input(intents.declaredDocument)
+      .mutation(({ input }) => handlers.declare(input)),
+    read: t.procedure.mutation(() => handlers.read()),
+  });
+}
+
+/** The type of the router, for typed clients. */
+export type CoreRouter = ReturnType<typeof createCoreRouter>;
--- /dev/null
+++ b/packages/gateway/src/entry-host.ts
@@ -0,0 +1,236 @@
+import type * as http from 'node:http';
+
+import * as requests from '@bramleyridge/requests';
+import type * as schemas from '@bramleyridge/schemas';
+
+import * as callAdmissions from './call-admission.js';
+import * as coreLinks from './core-link.js';
+import * as coreMeshes from './core-mesh.js';
+import type * as procedures from './core-procedures.js';
+import * as faceServers from './face-server.js';
+import * as hostSettings from './host-settings.js';
+import * as listReaders from './list-reader.js';
+import type * as ports from './ports.js';
+import * as retryShares from './retry-shares.js';
+import * as routedFlows from './routed-flow.js';
+import * as routedStores from './routed-store.js';
+import type * as settingsWatches from './settings-watch.js';
+import * as upstreamDirectories from './upstream-directory.js';
+import * as upstreamPickers from './upstream-picker.js';
+
+/** How long a connection to an upstream may take to be made, in milliseconds; the farthest takes under 10. */
+const CONNECT_MS = 150;
+
+/** How long a core host may take to answer, in milliseconds, where the question does not say. */
+const PEER_DEADLINE_MS = 500;
+
+/** Connections that are kept to one upstream at most; calls beyond wait for one, a few milliseconds. */
+const KEPT_CONNECTIONS = 16;
+
+/** Beyond which age the list of upstreams is read by this host itself, in milliseconds: no leader hands it on. */
+const LIST_STALE_MS = 2_000;
+
+/** The share of the allowed calls to the list that all entry hosts together use when they read it themselves. */
+const LIST_SHARE = 0.4;
+
+/** How many entry hosts there are taken to be before the leader has told. */
+const ASSUMED_ENTRY_HOSTS = 16;
+
+/**
+ * How long the balancer may still send new connections after readiness fails, in milliseconds: it asks once a
+ * second and takes a host out after two misses.
+ */
+const BALANCER_LAG_MS = 3_000;
+
+/** How long connections that are not idle may take to end after the last call, in milliseconds. */
+const CLOSE_MS = 200;
+
+/** What an entry host needs besides its settings. */
+export interface EntryHostOptions {
+  readonly settings: settingsWatches.SettingsWatch;
+  readonly wire: ports.CallWire;
+  readonly codec: ports.DocumentCodec;
+  readonly source: ports.UpstreamSource;
+  /** The path at which the balancer asks whether this host is ready. */
+  readonly readyPath: string;
+  readonly clock: schemas.Clock;
+  readonly log: schemas.Log;
+  readonly random: () => number;
+}
+
+/** An entry host: admits, sends and delivers the calls of its callers. */
+export class EntryHost {
+  public readonly store: routedStores.RoutedStore;
+  public readonly directory: upstreamDirectories.UpstreamDirectory;
+  private readonly mesh = new coreMeshes.CoreMesh(PEER_DEADLINE_MS);
+  private readonly link: coreLinks.CoreLink;
+  private readonly reader: listReaders.ListReader;
+  private readonly client: requests.UpstreamClient;
+  private readonly shares: retryShares.RetryShares;
+  private readonly flow: routedFlows.RoutedFlow;
+  private readonly drain: requests.Drain;
+  private readonly callers: faceServers.FaceServer;
+  private readonly readiness: faceServers.FaceServer;
+  private entryHosts = ASSUMED_ENTRY_HOSTS;
+  private stopping: Promise<void> | undefined;
+
+  public constructor(private readonly options: EntryHostOptions) {
+    const { clock, codec, log, random, source, wire } = options;
+    const settings = options.settings.get();
+    const { availabilityZone } = settings;
+    this.store = new routedStores.RoutedStore(codec, log);
+    this.directory = new upstreamDirectories.UpstreamDirectory(clock, log);
+    this.shares = new retryShares.RetryShares(clock, () => ({
+      ...options.settings.get().bounds,
+      entryHosts: this.entryHosts,
+    }));
+    this.client = new requests.UpstreamClient({
+      connectMs: CONNECT_MS,
+      connections: KEPT_CONNECTIONS,
+    });
+    this.drain = new requests.Drain(clock);
+    this.flow = new routedFlows.RoutedFlow({
+      wire,
+      admission: new callAdmissions.CallAdmission(this.store, wire, clock, random),
+      directory: this.directory,
+      picker: new upstreamPickers.UpstreamPicker(this.directory, availabilityZone, clock, random),
+      client: this.client,
+      findBudget: (service) => this.shares.find(service),
+      availabilityZone,
+      clock,
+      log,
+    });
+    this.link = this.createLink();
+    this.reader = new listReaders.ListReader({
+      source,
+      clock,
+      log,
+      getAddress: () => options.settings.get().listAddress,
+      isDue: () => this.directory.getAgeMs() > LIST_STALE_MS,
+      getPauseMs: (calls) => this.getListPauseMs(calls),
+      take: (list) => this.directory.take(list, 0),
+    });
+    this.callers = new faceServers.FaceServer((req, res) => this.serve(req, res));
+    this.readiness = new faceServers.FaceServer((req, res) => this.showReady(req, res));
+  }
+
+  /** Listens and serves as soon as it knows what is in force; gives the callers' port. */
+  public async start(): Promise<number> {
+    const settings = this.options.settings.get();
+    void this.link.run();
+    void this.reader.run();
+    await this.readiness.listen(settings.readyAddress ?? `${settings.ipAddress}:0`);
+    const port = await this.callers.listen(settings.callerAddress ?? `${settings.ipAddress}:0`);
+    this.options.log.info({ event: 'started', role: 'entry', peer: settings.hostId });
+    return port;
+  }
+
+  /** Whether the balancer may send callers here. */
+  public isReady(): boolean {
+    const isStopping = this.drain.isDraining();
+    return this.store.findTable() !== undefined && this.directory.isKnown() && !isStopping;
+  }
+
+  /** A planned stop: readiness fails first, and every call is finished. */
+  public stop(): Promise<void> {
+    this.stopping ??= this.stopGracefully();
+    return this.stopping;
+  }
+
+  /** Ends at once, as a killed process does; for failure tests. */
+  public kill(): void {
+    this.end();
+    this.callers.kill();
+    this.readiness.kill();
+  }
+
+  private async stopGracefully(): Promise<void> {
+    const { log } = this.options;
+    log.info({ event: 'stopping', role: 'entry', active: this.drain.getActive() });
+    this.drain.begin();
+    await this.drain.waitIdle(BALANCER_LAG_MS);
+    await this.callers.close(CLOSE_MS);
+    this.readiness.kill();
+    this.end();
+    log.info({ event: 'stopped', role: 'entry' });
+  }
+
+  private end(): void {
+    this.link.stop();
+    this.reader.stop();
+    this.mesh.close();
+    void this.client.close();
+  }
+
+  private serve(req: http.IncomingMessage, res: http.ServerResponse): void {
+    const leave = this.drain.enter();
+    if (this.drain.isDraining()) {
+      res.setHeader('connection', 'close');
+    }
+    void this.flow
+      .handle(req, res)
+      .catch((err: unknown) => this.refuse(req, res, err))
+      .finally(() => (res.writableFinished || res.destroyed ? leave() : res.once('close', leave)));
+  }
+
+  private refuse(req: http.IncomingMessage, res: http.ServerResponse, err: unknown): void {
+    const refusal = requests.toRefusal(err);
+    if (res.headersSent) {
+      res.destroy();
+      return;
+    }
+    const mayReadRest = refusal.id !== 'bodyTooLarge' && refusal.id !== 'bodyTooSlow';
+    requests.sendRefusal(req, res, refusal, mayReadRest);
+  }
+
+  private showReady(req: http.IncomingMessage, res: http.ServerResponse): void {
+    const isPath = req.url === this.options.readyPath;
+    const status = this.isReady() ? 200 : 503;
+    requests.sendJson(res, isPath ? status : 404, { version: this.store.getVersion() });
+  }
+
+  private createLink(): coreLinks.CoreLink {
+    const { clock, log, random, settings } = this.options;
+    const incarnation = Date.now();
+    return new coreLinks.CoreLink({
+      mesh: this.mesh,
+      listSeeds: () => hostSettings.listSeedIds(settings.get()),
+      clock,
+      log,
+      random,
+      createAsk: (waitMs) => ({
+        hostId: settings.get().hostId,
+        incarnation,
+        version: this.store.getVersion(),
+        listStamp: this.directory.getStamp(),
+        waitMs,
+      }),
+      take: (news, isTrusted) => this.takeNews(news, isTrusted),
+    });
+  }
+
+  private takeNews(news: procedures.NewsRes, isTrusted: boolean): void {
+    if (news.document !== undefined) {
+      this.store.offer(news.document);
+    }
+    if (isTrusted) {
+      this.store.markReady();
+    }
+    if (news.list !== undefined) {
+      this.directory.take(news.list, news.listAgeMs ?? 0);
+    } else if (news.listAgeMs !== undefined) {
+      this.directory.vouch(news.listAgeMs);
+    }
+    this.entryHosts = Math.max(news.entryHosts ?? this.entryHosts, 1);
+    const limits = this.store.findTable()?.config.limits;
+    if (limits !== undefined) {
+      this.callers.setTimeouts(limits.headerTimeoutMs, limits.idleTimeoutMs);
+    }
+  }
+
+  private getListPauseMs(calls: number): number {
+    const { listCallsPerS } = this.options.settings.get();
+    const shareMs = (this.entryHosts * calls * 1_000) / (listCallsPerS * LIST_SHARE);
+    return Math.max(LIST_STALE_MS / 4, shareMs);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/list-reader.ts
@@ -0,0 +1,65 @@
+import * as schemas from '@bramleyridge/schemas';
+
+import type * as procedures from './core-procedures.js';
+import type * as ports from './ports.js';
+
+/** How long one reading of the list may take, in milliseconds. */
+const READ_MS = 1_500;
+
+/** What a reader of the list needs. */
+export interface ListReaderOptions {
+  readonly source: ports.UpstreamSource;
+  readonly getAddress: () => string;
+  readonly clock: schemas.Clock;
+  readonly log: schemas.Log;
+  /** Whether this host is the one that should read. */
+  readonly isDue: () => boolean;
+  /** The pause between two readings, in milliseconds, after one that took so many calls. */
+  readonly getPauseMs: (calls: number) => number;
+  readonly take: (list: procedures.UpstreamList) => void;
+}
+
+/** Reads the platform's list of upstreams again and again while this host is the one that should. */
+export class ListReader {
+  private isStopped = false;
+  private isFailing = false;
+  private calls = 1;
+
+  public constructor(private readonly options: ListReaderOptions) {}
+
+  /** Reads until stopped. */
+  public async run(): Promise<void> {
+    const { clock, getPauseMs, isDue } = this.options;
+    while (!this.isStopped) {
+      if (isDue()) {
+        await this.readOnce();
+      }
+      await clock.sleep(getPauseMs(this.calls));
+    }
+  }
+
+  /** Ends the task. */
+  public stop(): void {
+    this.isStopped = true;
+  }
+
+  /** Reads once; a platform that does not answer leaves what was known. */
+  private async readOnce(): Promise<void> {
+    const { getAddress, log, source, take } = this.options;
+    const peer = getAddress();
+    try {
+      const read = await source.list(peer, AbortSignal.timeout(READ_MS));
+      this.calls = read.calls;
+      take({ stamp: schemas.getContentHash(read.upstreams), upstreams: read.upstreams });
+      if (this.isFailing) {
+        log.info({ event: 'list-regained', peer });
+      }
+      this.isFailing = false;
+    } catch (err) {
+      if (!this.isFailing) {
+        log.warn({ event: 'list-lost', peer, err: schemas.toError(err).message });
+      }
+      this.isFailing = true;
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/ports.ts
@@ -0,0 +1,65 @@
+import type * as http from 'node:http';
+
+import type * as requests from '@bramleyridge/requests';
+import type * as routing from '@bramleyridge/routing';
+import type * as schemas from '@bramleyridge/schemas';
+
+/** What a caller tells of a generation before it runs. */
+export interface GenerationFacts {
+  readonly promptTokens: number;
+  readonly maxTokens: number;
+  /** The caller's estimate of the answer's tokens; right at the median, often far off. */
+  readonly hintTokens: number | undefined;
+  /** The parts of the prompt in order; the last one belongs to the call or its session. */
+  readonly prefixParts: readonly { readonly partId: string; readonly tokens: number }[];
+}
+
+/** What the head of a call says. */
+export interface CallFacts {
+  readonly requestId: string;
+  /** How long the caller waits, in milliseconds. */
+  readonly patienceMs: number | undefined;
+  readonly key: string | undefined;
+  readonly generation: GenerationFacts | undefined;
+  /** The headers that go on to the upstream as they came. */
+  readonly passedOn: Readonly<Record<string, string | string[]>>;
+}
+
+/** What goes out with one attempt, beside what the caller sent. */
+export interface AttemptFacts {
+  readonly upstreamId: string;
+  readonly team: string | undefined;
+  /** How much time is left, in milliseconds. */
+  readonly leftMs: number;
+}
+
+/** What an upstream tells in passing with an answer. */
+export interface AnswerFacts {
+  readonly load: routing.ReportedLoad | undefined;
+}
+
+/** How callers and upstreams of one side speak. */
+export interface CallWire {
+  /** The identifier that a call brings, for logs of calls that are refused. */
+  findRequestId(headers: http.IncomingHttpHeaders): string | undefined;
+  /** Decodes a call's head; throws a refusal when it is no call. */
+  readCall(headers: http.IncomingHttpHeaders): CallFacts;
+  createHeaders(call: CallFacts, attempt: AttemptFacts): Record<string, string | string[]>;
+  judge(call: CallFacts): requests.JudgeHead;
+  readAnswer(head: requests.AnswerHead): AnswerFacts;
+}
+
+/** Decodes documents of operators. */
+export interface DocumentCodec {
+  /** The configuration that a document declares; throws an error that lists what is wrong with it. */
+  decode(text: string): schemas.RoutedConfig;
+}
+
+/** Where the list of upstreams is read. */
+export interface UpstreamSource {
+  /** The whole list, all of its pages. */
+  list(
+    listAddress: string,
+    signal: AbortSignal,
+  ): Promise<{ readonly upstreams: schemas.ListedUpstream[]; readonly calls: number }>;
+}
--- /dev/null
+++ b/packages/gateway/src/upstream-directory.ts
@@ -0,0 +1,118 @@
+import * as routing from '@bramleyridge/routing';
+import type * as schemas from '@bramleyridge/schemas';
+
+import type * as procedures from './core-procedures.js';
+
+/** How long an upstream at which nobody listened is passed over, in milliseconds; the list lags by seconds. */
+const UNREACHABLE_MS = 1_000;
+
+/** An upstream as this host sees it. */
+export interface KnownUpstream {
+  readonly upstreamId: string;
+  readonly url: string;
+  readonly listed: schemas.ListedUpstream;
+  readonly load: routing.UpstreamLoad;
+  /** Until when it is still slow after its start, on this host's clock. */
+  readonly coldUntil: number;
+}
+
+interface Entry extends KnownUpstream {
+  isLeaving: boolean;
+  isGone: boolean;
+  avoidUntil: number;
+}
+
+/** The upstreams that the platform lists, and what calls to them have shown meanwhile. */
+export class UpstreamDirectory {
+  private entries = new Map<string, Entry>();
+  private stamp = '';
+  private readAt = -Infinity;
+
+  public constructor(
+    private readonly clock: schemas.Clock,
+    private readonly log: schemas.Log,
+  ) {}
+
+  /** What the list in force is known by. */
+  public getStamp(): string {
+    return this.stamp;
+  }
+
+  /** Whether a list was ever read. */
+  public isKnown(): boolean {
+    return this.stamp !== '';
+  }
+
+  /** How old the list in force is, in milliseconds. */
+  public getAgeMs(): number {
+    return this.clock.now() - this.readAt;
+  }
+
+  /** Notes that the list in force was still true so long ago. */
+  public vouch(ageMs: number): void {
+    this.readAt = Math.max(this.readAt, this.clock.now() - ageMs);
+  }
+
+  /** Takes a list; what calls have shown of an upstream stays known. */
+  public take(list: procedures.UpstreamList, ageMs: number): void {
+    this.vouch(ageMs);
+    if (list.stamp === this.stamp) {
+      return;
+    }
+    const former = this.entries;
+    this.stamp = list.stamp;
+    this.entries = new Map(
+      list.upstreams.map((listed) => [
+        listed.upstreamId,
+        this.createEntry(listed, former.get(listed.upstreamId)),
+      ]),
+    );
+    this.log.info({
+      event: 'upstreams-listed',
+      count: this.entries.size,
+      leaving: list.upstreams.filter((item) => item.isLeaving).length,
+      ageMs: Math.round(ageMs),
+    });
+  }
+
+  /** The upstreams of a service that take calls now. */
+  public listLive(service: string): KnownUpstream[] {
+    const now = this.clock.now();
+    return [...this.entries.values()].filter(
+      (item) =>
+        item.listed.service === service &&
+        !item.isLeaving &&
+        !item.isGone &&
+        item.avoidUntil <= now,
+    );
+  }
+
+  /** Notes that another process has an upstream's address, so the upstream is gone for good. */
+  public noteGone(upstreamId: string): void {
+    const entry = this.entries.get(upstreamId);
+    if (entry !== undefined) {
+      entry.isGone = true;
+    }
+  }
+
+  /** Notes that nobody listened at an upstream's address. */
+  public noteUnreachable(upstreamId: string): void {
+    const entry = this.entries.get(upstreamId);
+    if (entry !== undefined) {
+      entry.avoidUntil = this.clock.now() + UNREACHABLE_MS;
+    }
+  }
+
+  private createEntry(listed: schemas.ListedUpstream, former: Entry | undefined): Entry {
+    return {
+      upstreamId: listed.upstreamId,
+      url: `http://${listed.address}`,
+      listed,
+      load: former?.load ?? new routing.UpstreamLoad(),
+      coldUntil: former?.coldUntil ?? this.clock.now() + listed.coldMs,
+      isLeaving: listed.isLeaving || (former?.isLeaving ?? false),
+      isGone: former?.isGone ?? false,
+      avoidUntil: former?.avoidUntil ?? -Infinity,
+    };
+  }
+}
--- a/packages/intents/src/declared-state.ts
+++ b/packages/intents/src/declared-state.ts
@@ -39,9 +39,10 @@
     return this.document ?? null;
   }
 
-  /** Replaces everything by a snapshot. */
+  /** Takes a snapshot; what was applied here was committed, so a log that is read anew takes nothing back. */
   public restore(snapshot: DeclaredDocument | null): void {
-    this.document = snapshot ?? undefined;
-    this.changed.notify();
+    if (snapshot !== null) {
+      this.apply(snapshot);
+    }
   }
 }
--- a/packages/requests/src/http-io.ts
+++ b/packages/requests/src/http-io.ts
@@ -89,11 +89,15 @@
   res.end(text);
 }
 
-/** Sends a refusal; one that came before the body was read also ends the connection. */
+/**
+ * Sends a refusal; one that came before the body was read also ends the connection, unless the rest of the body
+ * may be read and thrown away. Ending it with bytes unread resets it, and the caller may never see the refusal.
+ */
 export function sendRefusal(
   req: http.IncomingMessage,
   res: http.ServerResponse,
   refusal: schemas.Refusal,
+  mayReadRest = false,
 ): void {
   const { outcome, retryAfterS, location, status } = refusal.options;
   const headers: http.OutgoingHttpHeaders = { [schemas.OUTCOME_HEADER]: outcome };
@@ -103,7 +107,7 @@
   if (location !== undefined) {
     headers.location = location;
   }
-  if (!req.complete) {
+  if (!req.complete && !mayReadRest) {
     // What is left of the body must not be taken for the next request, nor taken in at all.
     headers.connection = 'close';
     res.once('finish', () => req.socket.destroySoon());
--- a/packages/requests/src/upstream-client.ts
+++ b/packages/requests/src/upstream-client.ts
@@ -38,10 +38,13 @@
 }
 
 /**
- * What the head of an answer says: an answer to this call, the upstream's word that the call did not run, or
- * bytes that belong to something else.
+ * What the head of an answer says: an answer to this call, the upstream's word that the call did not run, that
+ * another process now has the address, or bytes that belong to something else.
  */
-export type HeadVerdict = 'answer' | 'not-run' | 'foreign';
+export type HeadVerdict = 'answer' | 'not-run' | 'moved' | 'foreign';
+
+/** What is known of a call by a head that is no answer to it. */
+const FAILURES = { 'not-run': 'refused', moved: 'gone', foreign: 'lost' } as const;
 
 /** Judges heads by the protocol that the upstreams of one side speak. */
 export type JudgeHead = (head: AnswerHead) => HeadVerdict;
@@ -137,7 +140,6 @@
     // A late answer to an earlier call may stand where this one's is due; ending the connection is enough,
     // since the next call then gets one on which nothing can be left over.
     answer.body.destroy();
-    const kind = verdict === 'not-run' ? 'refused' : 'lost';
-    throw new upstreamErrors.UpstreamError(kind, verdict, target.upstreamId);
+    throw new upstreamErrors.UpstreamError(FAILURES[verdict], verdict, target.upstreamId);
   }
 }
--- a/packages/schemas/src/messages.ts
+++ b/packages/schemas/src/messages.ts
@@ -2,6 +2,7 @@
 export const messages = {
   badBody: 'the body is not valid: %s',
   badConfig: 'the settings are not valid: %s',
+  badHead: 'the head lacks %s, or has it in a form that cannot be read',
   bodyTooLarge: 'the body is larger than %s bytes',
   bodyTooSlow: 'the body did not arrive within %s ms',
   chainBroken:
@@ -15,9 +16,12 @@
   frameTooLarge: 'a frame of %s bytes is over the limit of %s',
   generationGone: 'the generation is gone at the upstream; %s tokens were delivered',
   generationOfAnother: 'no generation of this team has this identifier',
+  headersTooLarge: 'the headers are larger than %s bytes',
   illegalMove: 'a %s cannot %s',
   keyReused: 'this Idempotency-Key was used with another request',
   linkClosed: 'the link to the peer is closed',
+  listRefused: 'the list of upstreams was refused with status %s',
+  listTooLong: 'the list of upstreams has more than %s pages',
   noModel: 'no intent serves model %s for team %s in availability zone %s',
   noPlan: 'there is no plan %s',
   noRoute: 'there is nothing at %s %s',
@@ -31,8 +35,12 @@
   planExpired: 'the plan %s is %s and cannot be confirmed',
   queueFull: 'the queue of team %s is full: %s requests wait',
   tooMany: 'team %s already has %s requests running, its limit',
+  teamKey: 'the key of a team is needed',
   teamToken: 'a valid team token is needed as bearer token',
   ranUnknown: 'the upstream was lost after the call was handed to it; whether it ran is not known',
+  timeOver:
+    'the answer was not complete within the time allowed; whether the call ran is not known',
+  timeOverNotRun: 'no upstream could take the call within the time allowed; it did not run',
   upstreamRefused: 'the upstream refused the call as not run',
   upstreamUnreachable: 'the upstream could not be reached; the call did not run',
 } as const;
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -43,9 +43,12 @@
   });
 }
 
-const files = fs
-  .readdirSync('packages')
-  .flatMap((name) => listTests(path.join('packages', name, 'dist', 'tests')))
+const folders = [
+  ...fs.readdirSync('packages').map((name) => path.join('packages', name)),
+  'platform',
+];
+const files = folders
+  .flatMap((folder) => listTests(path.join(folder, 'dist', 'tests')))
   .filter((file) => file.includes(only))
   .filter((file) => fs.existsSync(file.replace('/dist/tests/', '/tests/').replace(/\.js$/, '.ts')))
   .sort();
