Never hand out half of an answer that has no length and was reset

Change: connections are watched from their first byte; an answer without a length counts only when no connection to its upstream was reset since. Also: what is said of a lost call no longer claims that it did not run.

--- a/packages/requests/src/answer-body.ts
+++ b/packages/requests/src/answer-body.ts
@@ -63,7 +63,21 @@
 }
 
 /** Waits for the next bytes, or for the end of the body. */
-function readPart({ body }: upstreamClients.UpstreamAnswer): Promise<Buffer | undefined> {
+async function readPart(answer: upstreamClients.UpstreamAnswer): Promise<Buffer | undefined> {
+  const part = await readNext(answer);
+  // The HTTP library takes a reset for the end of an answer that has no length, and half of it would look whole.
+  // The reset may have been that of another connection to the same upstream; then a whole answer is given up.
+  if (part === undefined && hasNoLength(answer) && answer.wasReset()) {
+    throw new Error('the answer was reset');
+  }
+  return part;
+}
+
+function hasNoLength({ headers }: upstreamClients.UpstreamAnswer): boolean {
+  return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+}
+
+function readNext({ body }: upstreamClients.UpstreamAnswer): Promise<Buffer | undefined> {
   const ready = body.read() as Buffer | null;
   if (ready !== null) {
     return Promise.resolve(ready);
--- a/packages/requests/src/index.ts
+++ b/packages/requests/src/index.ts
@@ -13,6 +13,7 @@
 export * from './http-io.js';
 export * from './relay.js';
 export * from './request-life.js';
+export * from './reset-watch.js';
 export * from './retry-budget.js';
 export * from './service-client.js';
 export * from './upstream-client.js';
--- a/packages/requests/src/upstream-client.ts
+++ b/packages/requests/src/upstream-client.ts
@@ -3,6 +3,7 @@
 
 import * as undici from 'undici';
 
+import * as resetWatches from './reset-watch.js';
 import * as upstreamErrors from './upstream-error.js';
 
 /** How long an idle connection to an upstream is kept, in milliseconds; upstreams say when it is less. */
@@ -35,6 +36,8 @@
 /** An upstream's answer while its body is still coming. */
 export interface UpstreamAnswer extends AnswerHead {
   readonly body: stream.Readable;
+  /** Whether a connection to its upstream was reset since the call went out. */
+  readonly wasReset: () => boolean;
 }
 
 /**
@@ -59,10 +62,11 @@
 /** Sends every call to upstreams: one attempt on one connection, and the judgement of its head. */
 export class UpstreamClient {
   private readonly agent: undici.Agent;
+  private readonly resets = new resetWatches.ResetWatch();
 
   public constructor(private readonly limits: UpstreamClientLimits) {
     this.agent = new undici.Agent({
-      connect: { timeout: limits.connectMs },
+      connect: this.resets.createConnector(limits.connectMs),
       connections: limits.connections ?? null,
       pipelining: 1,
       keepAliveTimeout: KEEP_ALIVE_MS,
@@ -107,7 +111,7 @@
 
   private createOwn(target: UpstreamTarget): undici.Client {
     return new undici.Client(target.url, {
-      connect: { timeout: this.limits.connectMs },
+      connect: this.resets.createConnector(this.limits.connectMs),
       bodyTimeout: 0,
       headersTimeout: 0,
     });
@@ -118,6 +122,7 @@
     target: UpstreamTarget,
     call: OutgoingCall,
   ): Promise<UpstreamAnswer> {
+    const resetsBefore = this.resets.count(target.url);
     const res = await dispatcher.request({
       origin: target.url,
       path: call.path,
@@ -129,7 +134,8 @@
     });
     // An error between two reads would otherwise end the process; the next read finds it.
     res.body.on('error', () => {});
-    return { status: res.statusCode, headers: res.headers, body: res.body };
+    const wasReset = () => this.resets.count(target.url) !== resetsBefore;
+    return { status: res.statusCode, headers: res.headers, body: res.body, wasReset };
   }
 
   private checkHead(target: UpstreamTarget, answer: UpstreamAnswer, judge: JudgeHead): void {
--- a/packages/requests/src/upstream-error.ts
+++ b/packages/requests/src/upstream-error.ts
@@ -14,6 +14,14 @@
   'UND_ERR_CLOSED',
 ]);
 
+/** What is said of each kind. */
+const MESSAGES = {
+  unreachable: 'upstreamUnreachable',
+  refused: 'upstreamRefused',
+  lost: 'ranUnknown',
+  gone: 'upstreamUnreachable',
+} as const;
+
 /** A call to an upstream failed. */
 export class UpstreamError extends schemas.StepError {
   public constructor(
@@ -23,7 +31,7 @@
     cause?: unknown,
   ) {
     super({
-      id: kind === 'refused' ? 'upstreamRefused' : 'upstreamUnreachable',
+      id: MESSAGES[kind],
       step,
       peer,
       cause,
@@ -41,10 +49,16 @@
   if (err instanceof UpstreamError) {
     return err;
   }
-  const kind = CONNECT_CODES.has(getCode(err)) ? 'unreachable' : 'lost';
+  const kind = isConnectFailure(err) ? 'unreachable' : 'lost';
   return new UpstreamError(kind, step, peer, err);
 }
 
+/** A host may become unreachable while a call is under way; only a connection that was never made proves it. */
+function isConnectFailure(err: unknown): boolean {
+  const { syscall } = (err ?? {}) as { syscall?: string };
+  return CONNECT_CODES.has(getCode(err)) && (syscall === undefined || syscall === 'connect');
+}
+
 function getCode(err: unknown): string {
   return String((err as { code?: unknown } | undefined)?.code ?? '');
 }
