Let generations go on at another engine when theirs breaks off

Change: while a long generation runs, a second engine with memory to spare keeps a copy; when the stream breaks off it goes on there behind the last whole event. Ruled out: moves on notice alone; the list shows a leaving engine 0.8 s late, of 1.4 to 2.1 s.

--- a/packages/gateway/src/core-group.ts
+++ b/packages/gateway/src/core-group.ts
@@ -194,6 +194,7 @@
     if (repair.remove !== undefined) {
       await leadership.removeVoter(repair.remove);
     }
+    log.info({ event: 'seated', peer: repair.add.daemonId, instead: repair.remove });
   }
 }
 
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -31,6 +31,17 @@
   readonly team: string | undefined;
   /** How much time is left, in milliseconds. */
   readonly leftMs: number;
+  /** The address of the engine that is to keep a copy of the generation while it runs. */
+  readonly copyHolder: string | undefined;
+  /** Where a generation that broke off goes on. */
+  readonly resume: ResumeFacts | undefined;
+}
+
+/** Where a generation that broke off goes on: from a copy, behind the last event that the caller has. */
+export interface ResumeFacts {
+  /** The address of the engine that holds the copy. */
+  readonly holder: string;
+  readonly lastEventId: string | undefined;
 }
 
 /** What an upstream tells in passing with an answer. */
--- a/packages/gateway/src/retry-shares.ts
+++ b/packages/gateway/src/retry-shares.ts
@@ -7,6 +7,9 @@
  */
 const SAFE_PART = 0.7;
 
+/** How much of a host's part is saved up; the rest comes back over a window. */
+const SAVED_PART = 0.8;
+
 /** What the shares follow from. */
 export interface RetryBounds {
   readonly retryRatio: number;
@@ -17,8 +20,8 @@
 
 /**
  * This host's share of the retries that all hosts together may make, one budget for each service. The ratio holds
- * on each host by itself; of what is allowed beyond it each takes an equal part, half saved up and half coming back
- * over a window. So the sum stays within the whole also while no host can ask another.
+ * on each host by itself; of what is allowed beyond it each takes an equal part, most of it saved up, since
+ * an engine that is lost breaks several generations off at once, and the rest coming back over a window. So the sum stays within the whole also while no host can ask another.
  */
 export class RetryShares {
   private readonly budgets = new Map<string, requests.RetryBudget>();
@@ -46,8 +49,8 @@
     const ownSlack = (retrySlack * SAFE_PART) / entryHosts;
     return {
       perRequest: retryRatio * SAFE_PART,
-      maxSaved: Math.max(1, ownSlack / 2),
-      perSecond: ownSlack / 2 / (retryWindowMs / 1_000),
+      maxSaved: Math.max(1, ownSlack * SAVED_PART),
+      perSecond: (ownSlack * (1 - SAVED_PART)) / (retryWindowMs / 1_000),
     };
   }
 }
--- a/packages/gateway/src/routed-answer.ts
+++ b/packages/gateway/src/routed-answer.ts
@@ -3,16 +3,27 @@
 import * as requests from '@bramleyridge/requests';
 
 /** An answer that was read whole, or one whose body is still coming. */
-export type RoutedAnswer =
-  | { readonly kind: 'whole'; readonly head: requests.AnswerHead; readonly bytes: Buffer }
-  | {
-      readonly kind: 'coming';
-      readonly answer: requests.UpstreamAnswer;
-      /** What was read of the body already. */
-      readonly bytes: Buffer;
-      /** To be called when the body has ended, either way. */
-      readonly release: () => void;
-    };
+export type RoutedAnswer = WholeAnswer | ComingAnswer;
+
+/** An answer that was read whole. */
+export interface WholeAnswer {
+  readonly kind: 'whole';
+  readonly head: requests.AnswerHead;
+  readonly bytes: Buffer;
+}
+
+/** An answer whose body is still coming. */
+export interface ComingAnswer {
+  readonly kind: 'coming';
+  readonly answer: requests.UpstreamAnswer;
+  readonly upstreamId: string;
+  /** What was read of the body already. */
+  readonly bytes: Buffer;
+  /** To be called when the body has ended, either way. */
+  readonly release: () => void;
+  /** Goes on behind an event where the upstream broke off; nothing when that can't be done. */
+  readonly resume: (lastEventId: string | undefined) => Promise<ComingAnswer | undefined>;
+}
 
 /** Statuses whose answers have no body, and no length either. */
 const BODILESS = new Set([204, 304]);
@@ -22,7 +33,6 @@
   res: http.ServerResponse,
   routed: RoutedAnswer,
   isStream: boolean,
-  peer: string,
 ): Promise<void> {
   if (routed.kind === 'whole') {
     const { head, bytes } = routed;
@@ -31,37 +41,58 @@
     res.end(bytes);
     return;
   }
-  try {
-    await relay(res, routed.answer, routed.bytes, isStream, peer);
-  } finally {
-    routed.release();
-  }
-}
-
-async function relay(
-  res: http.ServerResponse,
-  answer: requests.UpstreamAnswer,
-  first: Buffer,
-  isStream: boolean,
-  peer: string,
-): Promise<void> {
-  const length = answer.headers['content-length'];
-  res.writeHead(answer.status, {
-    ...requests.pickEndToEnd(answer.headers),
+  const { headers, status } = routed.answer;
+  const length = headers['content-length'];
+  res.writeHead(status, {
+    ...requests.pickEndToEnd(headers),
     ...(length === undefined ? {} : { 'content-length': length }),
   });
   try {
-    await write(res, first);
-    for await (const part of requests.relayAnswer(answer, isStream, peer)) {
-      await write(res, part);
-    }
+    await (isStream ? relayEvents(res, routed) : relayBytes(res, routed));
     res.end();
   } catch (err) {
     // An answer that ends early must not look complete, so the connection ends without its last chunk.
     res.destroy();
     throw err;
+  }
+}
+
+async function relayBytes(res: http.ServerResponse, coming: ComingAnswer): Promise<void> {
+  await write(res, coming.bytes);
+  await relayLeg(coming, false, (bytes) => write(res, bytes));
+}
+
+/** Passes whole events on; where one upstream breaks off, another goes on behind the last event. */
+async function relayEvents(res: http.ServerResponse, first: ComingAnswer): Promise<void> {
+  const cutter = new requests.EventCutter();
+  let coming = first;
+  for (;;) {
+    try {
+      await relayLeg(coming, true, (bytes) => write(res, cutter.push(bytes)));
+      return;
+    } catch (err) {
+      const next = res.destroyed ? undefined : await coming.resume(cutter.getLastId());
+      if (next === undefined) {
+        throw err;
+      }
+      cutter.restart();
+      coming = next;
+    }
+  }
+}
+
+async function relayLeg(
+  { answer, release, upstreamId }: ComingAnswer,
+  isStream: boolean,
+  pass: (bytes: Buffer) => Promise<void>,
+): Promise<void> {
+  try {
+    for await (const part of requests.relayAnswer(answer, isStream, upstreamId)) {
+      await pass(part);
+    }
   } finally {
     answer.body.destroy();
+    release();
   }
 }
 
--- /dev/null
+++ b/packages/gateway/src/routed-attempts.ts
@@ -0,0 +1,232 @@
+import * as requests from '@bramleyridge/requests';
+import * as schemas from '@bramleyridge/schemas';
+
+import type * as ports from './ports.js';
+import type * as routedAnswers from './routed-answer.js';
+import type * as routedJobs from './routed-job.js';
+import type * as upstreamDirectories from './upstream-directory.js';
+import * as upstreamPickers from './upstream-picker.js';
+
+/**
+ * The longest answer that is read whole before the caller gets any of it, in bytes; it can still be replaced
+ * when the upstream breaks off. Longer ones are passed on as they come, so that they don't pile up in memory.
+ */
+const READ_WHOLE_BYTES = 64 * 1024;
+
+/** How often one generation goes on at another engine at most; engines are reclaimed one after the other. */
+const MAX_RESUMES = 6;
+
+/** The first status that is no success. */
+const FIRST_NO_SUCCESS = 300;
+
+/** The status by which an upstream says that it failed. */
+export const FIRST_FAILURE_STATUS = 500;
+
+/** What attempts need. */
+export interface RoutedAttemptsOptions {
+  readonly wire: ports.CallWire;
+  readonly directory: upstreamDirectories.UpstreamDirectory;
+  readonly picker: upstreamPickers.UpstreamPicker;
+  readonly client: requests.UpstreamClient;
+  readonly findBudget: (service: string) => requests.RetryBudget;
+  readonly availabilityZone: string;
+  readonly clock: schemas.Clock;
+  readonly log: schemas.Log;
+}
+
+/** One run of a call at one upstream, with what it holds there and at the engine that keeps its copy. */
+interface Leg {
+  readonly picked: upstreamPickers.PickedUpstream;
+  readonly holder: upstreamPickers.PickedUpstream | undefined;
+  readonly release: () => void;
+}
+
+type Coming = routedAnswers.ComingAnswer;
+
+/** The attempts of routed calls: each sends a call once, and goes on elsewhere when its engine breaks off. */
+export class RoutedAttempts {
+  public constructor(private readonly options: RoutedAttemptsOptions) {}
+
+  /** One attempt at an upstream. */
+  public async attempt(
+    job: routedJobs.RoutedJob,
+    picked: upstreamPickers.PickedUpstream,
+  ): Promise<routedAnswers.RoutedAnswer> {
+    const leg = this.begin(job, picked);
+    this.noteChoice(job, leg);
+    try {
+      return await this.receive(job, leg, await this.send(job, leg, undefined));
+    } catch (err) {
+      leg.release();
+      return this.recover(job, leg, err);
+    }
+  }
+
+  /** Notes what a failure shows of its upstream. */
+  public noteFailure(
+    job: routedJobs.RoutedJob,
+    { known, upstreamId }: upstreamPickers.PickedUpstream,
+    failure: requests.UpstreamError,
+  ): void {
+    const { clock, directory, log } = this.options;
+    known.load.noteFailure(clock.now());
+    if (failure.kind === 'unreachable') {
+      directory.noteUnreachable(upstreamId);
+    } else if (failure.kind === 'gone') {
+      directory.noteGone(upstreamId);
+    }
+    log.info({
+      decision: 'upstream-failed',
+      request: job.call.facts.requestId,
+      upstream: upstreamId,
+      reason: failure.kind,
+      err: failure.message,
+    });
+  }
+
+  private begin(job: routedJobs.RoutedJob, picked: upstreamPickers.PickedUpstream): Leg {
+    const { picker } = this.options;
+    const { call, tried } = job;
+    tried.add(picked.upstreamId);
+    job.upstreamId = picked.upstreamId;
+    const holder = picker.pickCopyHolder(call, picked.upstreamId);
+    const tokens = upstreamPickers.getExpectedTokens(call);
+    const leave = picked.known.load.enter(tokens);
+    const drop = holder?.known.load.reserve(tokens);
+    const release = () => {
+      leave();
+      drop?.();
+    };
+    return { picked, holder, release };
+  }
+
+  private send(
+    job: routedJobs.RoutedJob,
+    leg: Leg,
+    resume: ports.ResumeFacts | undefined,
+  ): Promise<requests.UpstreamAnswer> {
+    const { client, clock, wire } = this.options;
+    const { call, body, abort } = job;
+    const headers = wire.createHeaders(call.facts, {
+      upstreamId: leg.picked.upstreamId,
+      team: call.team?.name,
+      leftMs: call.endsAt - clock.now(),
+      copyHolder: leg.holder?.known.listed.address,
+      resume,
+    });
+    const isRepeatable = call.route.repeatability === 'idempotent';
+    const { method, path } = call;
+    return client.open(
+      leg.picked.known,
+      { method, path, headers, body, isRepeatable, signal: abort.signal },
+      wire.judge(call.facts),
+    );
+  }
+
+  private async receive(
+    job: routedJobs.RoutedJob,
+    leg: Leg,
+    answer: requests.UpstreamAnswer,
+  ): Promise<routedAnswers.RoutedAnswer> {
+    const { clock, wire } = this.options;
+    const { known, upstreamId } = leg.picked;
+    const { load } = wire.readAnswer(answer);
+    if (load !== undefined) {
+      known.load.takeReport(load, clock.now());
+    }
+    if (answer.status >= FIRST_FAILURE_STATUS) {
+      known.load.noteFailure(clock.now());
+    }
+    if (job.call.route.isStream && answer.status < FIRST_NO_SUCCESS) {
+      return this.createComing(job, leg, answer, Buffer.alloc(0));
+    }
+    const read = await requests.readAnswer(answer, READ_WHOLE_BYTES, upstreamId);
+    if (!read.isWhole) {
+      return this.createComing(job, leg, answer, read.bytes);
+    }
+    leg.release();
+    return { kind: 'whole', head: answer, bytes: read.bytes };
+  }
+
+  private createComing(
+    job: routedJobs.RoutedJob,
+    leg: Leg,
+    answer: requests.UpstreamAnswer,
+    bytes: Buffer,
+  ): Coming {
+    return {
+      kind: 'coming',
+      answer,
+      upstreamId: leg.picked.upstreamId,
+      bytes,
+      release: leg.release,
+      resume: (lastEventId) => this.resume(job, leg, lastEventId),
+    };
+  }
+
+  /** A generation that was lost before its first event may have a copy all the same. */
+  private async recover(
+    job: routedJobs.RoutedJob,
+    leg: Leg,
+    err: unknown,
+  ): Promise<routedAnswers.RoutedAnswer> {
+    const { upstreamId } = leg.picked;
+    const failure = requests.createUpstreamError(err, 'attempt', upstreamId);
+    const resumed = failure.kind === 'lost' ? await this.resume(job, leg, undefined) : undefined;
+    if (resumed === undefined) {
+      throw err;
+    }
+    return resumed;
+  }
+
+  /** Goes on from the copy of a generation; the engine refuses when it holds none, and nothing has run there. */
+  private async resume(
+    job: routedJobs.RoutedJob,
+    former: Leg,
+    lastEventId: string | undefined,
+  ): Promise<Coming | undefined> {
+    const { findBudget, log } = this.options;
+    const { abort, call } = job;
+    const { holder } = former;
+    const mayResume = holder !== undefined && job.resumes < MAX_RESUMES && !abort.signal.aborted;
+    if (!mayResume || !findBudget(call.service.name).take()) {
+      return undefined;
+    }
+    job.resumes += 1;
+    const leg = this.begin(job, holder);
+    const request = call.facts.requestId;
+    const details = { request, upstream: holder.upstreamId, former: former.picked.upstreamId };
+    log.info({ decision: 'resume', ...details, lastEventId, copyAt: leg.holder?.upstreamId });
+    try {
+      const resume = { holder: holder.known.listed.address, lastEventId };
+      const answer = await this.send(job, leg, resume);
+      if (answer.status >= FIRST_NO_SUCCESS) {
+        answer.body.destroy();
+        throw new requests.UpstreamError('lost', 'resume', holder.upstreamId);
+      }
+      return this.createComing(job, leg, answer, Buffer.alloc(0));
+    } catch (err) {
+      leg.release();
+      log.info({ decision: 'resume-failed', ...details, err: schemas.toError(err).message });
+      return undefined;
+    }
+  }
+
+  private noteChoice(job: routedJobs.RoutedJob, { holder, picked }: Leg): void {
+    const { availabilityZone, clock, directory, log } = this.options;
+    const { call } = job;
+    log.info({
+      decision: 'route',
+      request: call.facts.requestId,
+      route: call.route.name,
+      team: call.team?.name,
+      availabilityZone,
+      upstream: picked.upstreamId,
+      copyAt: holder?.upstreamId,
+      share: Number(picked.share.toFixed(2)),
+      attempt: job.tried.size,
+      leftMs: Math.round(call.endsAt - clock.now()),
+      listAgeMs: Math.round(directory.getAgeMs()),
+    });
+  }
+}
--- a/packages/gateway/src/routed-flow.ts
+++ b/packages/gateway/src/routed-flow.ts
@@ -4,43 +4,16 @@
 import * as schemas from '@bramleyridge/schemas';
 
 import type * as callAdmissions from './call-admission.js';
-import type * as ports from './ports.js';
 import * as routedAnswers from './routed-answer.js';
-import type * as upstreamDirectories from './upstream-directory.js';
-import * as upstreamPickers from './upstream-picker.js';
-
-/**
- * The longest answer that is read whole before the caller gets any of it, in bytes; it can still be replaced
- * when the upstream breaks off. Longer ones are passed on as they come, so that they don't pile up in memory.
- */
-const READ_WHOLE_BYTES = 64 * 1024;
+import * as routedAttempts from './routed-attempts.js';
+import type * as routedJobs from './routed-job.js';
 
 /** What a caller whose time ran out before its call was sent is told to wait, in seconds. */
 const RETRY_AFTER_S = 1;
 
-/** The status by which an upstream says that it failed. */
-const FIRST_FAILURE_STATUS = 500;
-
 /** What the flow needs. */
-export interface RoutedFlowOptions {
-  readonly wire: ports.CallWire;
+export interface RoutedFlowOptions extends routedAttempts.RoutedAttemptsOptions {
   readonly admission: callAdmissions.CallAdmission;
-  readonly directory: upstreamDirectories.UpstreamDirectory;
-  readonly picker: upstreamPickers.UpstreamPicker;
-  readonly client: requests.UpstreamClient;
-  readonly findBudget: (service: string) => requests.RetryBudget;
-  readonly availabilityZone: string;
-  readonly clock: schemas.Clock;
-  readonly log: schemas.Log;
-}
-
-interface Job {
-  readonly call: callAdmissions.AdmittedCall;
-  readonly body: Buffer;
-  readonly abort: AbortController;
-  readonly tried: Set<string>;
-  /** The upstream of the last attempt, once there was one. */
-  upstreamId: string | undefined;
 }
 
 /** The reason for which an attempt ends when its caller has left. */
@@ -50,14 +23,25 @@
 
 /** The flow of a routed call: admit, choose, send, judge, deliver. */
 export class RoutedFlow {
-  public constructor(private readonly options: RoutedFlowOptions) {}
+  private readonly attempts: routedAttempts.RoutedAttempts;
+
+  public constructor(private readonly options: RoutedFlowOptions) {
+    this.attempts = new routedAttempts.RoutedAttempts(options);
+  }
 
   /** Serves one call. */
   public async handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
     const { clock, findBudget } = this.options;
     const { call, body } = await this.admit(req);
     const abort = new AbortController();
-    const job: Job = { call, body, abort, tried: new Set(), upstreamId: undefined };
+    const job: routedJobs.RoutedJob = {
+      call,
+      body,
+      abort,
+      tried: new Set(),
+      upstreamId: undefined,
+      resumes: 0,
+    };
     findBudget(call.service.name).noteRequest();
     const timer = setTimeout(
       () => abort.abort(createTimeOver(job.upstreamId !== undefined)),
@@ -98,15 +82,15 @@
     }
   }
 
-  private async serve(job: Job, res: http.ServerResponse): Promise<void> {
-    const { call } = job;
+  private async serve(job: routedJobs.RoutedJob, res: http.ServerResponse): Promise<void> {
+    const { isStream } = job.call.route;
     try {
       const answer = await this.obtain(job);
       const status = answer.kind === 'whole' ? answer.head.status : answer.answer.status;
-      await routedAnswers.deliverAnswer(res, answer, call.route.isStream, job.upstreamId ?? '');
+      await routedAnswers.deliverAnswer(res, answer, isStream);
       this.noteOutcome(job, 'complete', { status });
     } catch (err) {
-      if (err instanceof CallerGone || job.abort.signal.reason instanceof CallerGone) {
+      if (job.abort.signal.reason instanceof CallerGone) {
         this.noteOutcome(job, 'caller-left', {});
         return;
       }
@@ -122,7 +106,7 @@
     }
   }
 
-  private obtain(job: Job): Promise<routedAnswers.RoutedAnswer> {
+  private obtain(job: routedJobs.RoutedJob): Promise<routedAnswers.RoutedAnswer> {
     const { findBudget, picker } = this.options;
     const { call } = job;
     return requests.runAttempts(
@@ -134,112 +118,22 @@
       },
       {
         choose: () => picker.pick(call, job.tried),
-        attempt: (picked) => this.attempt(job, picked),
+        attempt: (picked) => this.attempts.attempt(job, picked),
         isFailure: (answer) =>
-          answer.kind === 'whole' && answer.head.status >= FIRST_FAILURE_STATUS,
-        noteFailure: (picked, failure) => this.noteFailure(job, picked, failure),
+          answer.kind === 'whole' && answer.head.status >= routedAttempts.FIRST_FAILURE_STATUS,
+        noteFailure: (picked, failure) => this.attempts.noteFailure(job, picked, failure),
       },
     );
   }
 
-  private async attempt(
-    job: Job,
-    picked: upstreamPickers.PickedUpstream,
-  ): Promise<routedAnswers.RoutedAnswer> {
-    const { client, clock, wire } = this.options;
-    const { call, body, abort, tried } = job;
-    const { known, upstreamId } = picked;
-    tried.add(upstreamId);
-    job.upstreamId = upstreamId;
-    this.noteChoice(job, picked);
-    const leftMs = call.endsAt - clock.now();
-    const release = known.load.enter(upstreamPickers.getExpectedTokens(call));
-    try {
-      const headers = wire.createHeaders(call.facts, { upstreamId, team: call.team?.name, leftMs });
-      const isRepeatable = call.route.repeatability === 'idempotent';
-      const { method, path } = call;
-      const answer = await client.open(
-        known,
-        { method, path, headers, body, isRepeatable, signal: abort.signal },
-        wire.judge(call.facts),
-      );
-      return await this.receive(job, picked, answer, release);
-    } catch (err) {
-      release();
-      throw err;
-    }
-  }
-
-  private async receive(
-    job: Job,
-    { known, upstreamId }: upstreamPickers.PickedUpstream,
-    answer: requests.UpstreamAnswer,
-    release: () => void,
-  ): Promise<routedAnswers.RoutedAnswer> {
-    const { clock, wire } = this.options;
-    const { load } = wire.readAnswer(answer);
-    if (load !== undefined) {
-      known.load.takeReport(load, clock.now());
-    }
-    if (answer.status >= FIRST_FAILURE_STATUS) {
-      known.load.noteFailure(clock.now());
-    }
-    if (job.call.route.isStream && answer.status < 300) {
-      return { kind: 'coming', answer, bytes: Buffer.alloc(0), release };
-    }
-    const read = await requests.readAnswer(answer, READ_WHOLE_BYTES, upstreamId);
-    if (!read.isWhole) {
-      return { kind: 'coming', answer, bytes: read.bytes, release };
-    }
-    release();
-    return { kind: 'whole', head: answer, bytes: read.bytes };
-  }
-
-  private noteFailure(
-    job: Job,
-    { known, upstreamId }: upstreamPickers.PickedUpstream,
-    failure: requests.UpstreamError,
-  ): void {
-    const { clock, directory, log } = this.options;
-    known.load.noteFailure(clock.now());
-    if (failure.kind === 'unreachable') {
-      directory.noteUnreachable(upstreamId);
-    } else if (failure.kind === 'gone') {
-      directory.noteGone(upstreamId);
-    }
-    log.info({
-      decision: 'upstream-failed',
-      request: job.call.facts.requestId,
-      upstream: upstreamId,
-      reason: failure.kind,
-      err: failure.message,
-    });
-  }
-
-  private noteChoice(job: Job, picked: upstreamPickers.PickedUpstream): void {
-    const { availabilityZone, clock, directory, log } = this.options;
-    const { call } = job;
-    log.info({
-      decision: 'route',
-      request: call.facts.requestId,
-      route: call.route.name,
-      team: call.team?.name,
-      availabilityZone,
-      upstream: picked.upstreamId,
-      share: Number(picked.share.toFixed(2)),
-      attempt: job.tried.size,
-      leftMs: Math.round(call.endsAt - clock.now()),
-      listAgeMs: Math.round(directory.getAgeMs()),
-    });
-  }
-
-  private noteOutcome(job: Job, outcome: string, details: object): void {
+  private noteOutcome(job: routedJobs.RoutedJob, outcome: string, details: object): void {
     const { clock, log } = this.options;
     log.info({
       decision: 'outcome',
       request: job.call.facts.requestId,
       upstream: job.upstreamId,
       outcome,
+      resumes: job.resumes,
       tookMs: Math.round(clock.now() - job.call.arrivedAt),
       ...details,
     });
--- /dev/null
+++ b/packages/gateway/src/routed-job.ts
@@ -0,0 +1,15 @@
+import type * as callAdmissions from './call-admission.js';
+
+/** A call under way. */
+export interface RoutedJob {
+  readonly call: callAdmissions.AdmittedCall;
+  readonly body: Buffer;
+  /** Ends every attempt: the caller left, or the time is over. */
+  readonly abort: AbortController;
+  /** The upstreams to which it was sent. */
+  readonly tried: Set<string>;
+  /** The upstream of the last attempt, once there was one. */
+  upstreamId: string | undefined;
+  /** How often it went on at another engine. */
+  resumes: number;
+}
--- a/packages/gateway/src/upstream-picker.ts
+++ b/packages/gateway/src/upstream-picker.ts
@@ -33,11 +33,10 @@
   /** Picks an upstream that was not tried yet, or refuses. */
   public pick(call: callAdmissions.AdmittedCall, tried: ReadonlySet<string>): PickedUpstream {
     const now = this.clock.now();
-    const candidates = this.directory
-      .listLive(call.service.name)
-      .filter((item) => !tried.has(item.upstreamId))
-      .map((known) => this.createCandidate(known, call.service, now));
-    const isEngine = call.facts.generation !== undefined && call.service.engine !== undefined;
+    const candidates = this.listCandidates(call.service, now).filter(
+      (item) => !tried.has(item.upstreamId),
+    );
+    const isEngine = isGeneration(call);
     const choose = isEngine ? routing.chooseByMemory : routing.chooseByCalls;
     const chosen = choose(candidates, now, this.random);
     if (chosen === undefined) {
@@ -50,6 +49,35 @@
     return { upstreamId, known, share };
   }
 
+  /** Picks the engine that keeps a copy of a call's generation while another runs it. */
+  public pickCopyHolder(
+    call: callAdmissions.AdmittedCall,
+    runnerId: string,
+  ): PickedUpstream | undefined {
+    if (!isGeneration(call) || call.service.engine?.canBackUp !== true) {
+      return undefined;
+    }
+    const now = this.clock.now();
+    const totalTokens = getExpectedTokens(call);
+    const answerTokens = totalTokens - (call.facts.generation?.promptTokens ?? 0);
+    const candidates = this.listCandidates(call.service, now);
+    const need = { answerTokens, totalTokens };
+    const holder = routing.chooseCopyHolder(candidates, runnerId, need, now);
+    return (
+      holder && {
+        upstreamId: holder.upstreamId,
+        known: holder.known,
+        share: routing.getMemoryShare(holder, now),
+      }
+    );
+  }
+
+  private listCandidates(service: schemas.RoutedService, now: number) {
+    return this.directory
+      .listLive(service.name)
+      .map((known) => this.createCandidate(known, service, now));
+  }
+
   private createCandidate(
     known: upstreamDirectories.KnownUpstream,
     service: schemas.RoutedService,
@@ -79,6 +107,10 @@
   }
 }
 
+function isGeneration({ facts, service }: callAdmissions.AdmittedCall): boolean {
+  return facts.generation !== undefined && service.engine !== undefined;
+}
+
 /** The memory that a call is expected to fill on an engine, in tokens; 0 for calls that are no generations. */
 export function getExpectedTokens({ facts }: callAdmissions.AdmittedCall): number {
   if (facts.generation === undefined) {
--- /dev/null
+++ b/packages/gateway/tests/declare.test.ts
@@ -0,0 +1,79 @@
+import * as tap from 'tap';
+
+import * as sites from './support/small-site.js';
+
+void tap.default.test('what an operator declared stays declared through losses', async (t) => {
+  // Three core hosts found the log and a fourth stands by. The operator's documents are acknowledged at any of
+  // them while one host is down, while one comes back with an empty disk, and the entry host obeys each within
+  // moments; an older document that arrives again changes nothing.
+  const site = new sites.SmallSite(t);
+  await site.start(4);
+  await site.declare({});
+  await site.until('in force', () => site.entry.store.getVersion() === 1);
+
+  await t.test('a lower version is acknowledged and changes nothing', async (t2) => {
+    await site.declare({});
+    const old = JSON.stringify(sites.createConfig(1));
+    t2.same(await site.getDesk().declare(old), { version: 2 });
+    const newest = await site.getDesk('127.0.1.4').read();
+    t2.equal(newest?.version, 2, 'and a host without a seat reads the newest too');
+  });
+
+  await t.test('other content under the version held is never read back', async (t2) => {
+    const other = JSON.stringify({ ...sites.createConfig(2), routes: [] });
+    t2.same(await site.getDesk().declare(other), { version: 2 });
+    const newest = await site.getDesk().read();
+    t2.equal(newest?.text, JSON.stringify(sites.createConfig(2)));
+  });
+
+  await t.test('documents that are not valid are refused whatever their number', async (t2) => {
+    const config = sites.createConfig(9);
+    const [route] = config.routes;
+    const cases = {
+      'cut short': '{"version":9,"routes":[',
+      'an unknown service': {
+        ...config,
+        routes: [{ ...route, targets: [{ service: 'nobody', weight: 1 }] }],
+      },
+      'two routes at one place': { ...config, routes: [route, { ...route, name: 'other' }] },
+      'no weight at all': {
+        ...config,
+        routes: [{ ...route, targets: [{ service: 'app', weight: 0 }] }],
+      },
+      'a key of two teams': { ...config, teams: [...config.teams!, { name: 'b', keys: ['k1'] }] },
+    };
+    for (const [name, document] of Object.entries(cases)) {
+      const text = typeof document === 'string' ? document : JSON.stringify(document);
+      await t2.rejects(site.getDesk().declare(text), { options: { status: 400 } } as never, name);
+    }
+    t2.equal((await site.getDesk().read())?.version, 2);
+  });
+
+  await t.test(
+    'a host that lost its disk is seated anew, and then another may be lost',
+    async (t2) => {
+      site.stopCore('127.0.1.1', true);
+      await site.startCore('127.0.1.1');
+      await site.until('seated anew', () =>
+        site.lines.some(
+          (line) => line.event === 'seated' && String(line.peer).startsWith('127.0.1.1'),
+        ),
+      );
+      await site.declare({});
+      site.stopCore('127.0.1.2');
+      const version = await site.declare({});
+      await site.until('in force', () => site.entry.store.getVersion() === version);
+      t2.equal((await site.getDesk().read())?.version, version);
+    },
+  );
+
+  await t.test('a host that stays away is replaced by the one that stands by', async (t2) => {
+    await site.until('replaced', () =>
+      site.lines.some(
+        (line) => line.event === 'seated' && String(line.peer).startsWith('127.0.1.4'),
+      ),
+    );
+    const version = await site.declare({});
+    t2.equal((await site.getDesk().read())?.version, version);
+  });
+});
--- /dev/null
+++ b/packages/gateway/tests/routed-calls.test.ts
@@ -0,0 +1,216 @@
+import type * as http from 'node:http';
+
+import * as tap from 'tap';
+
+import * as sites from './support/small-site.js';
+
+interface Teardown {
+  teardown(handler: () => unknown): void;
+}
+
+/** Answers a call as the upstream that was meant. */
+function reply(req: http.IncomingMessage, res: http.ServerResponse, status: number, body: string) {
+  res.writeHead(status, { 'call-id': req.headers['call-id'], 'content-length': body.length });
+  res.end(body);
+}
+
+async function createSite(t: Teardown): Promise<sites.SmallSite> {
+  const site = new sites.SmallSite(t);
+  await site.start(3);
+  return site;
+}
+
+async function declareAndList(site: sites.SmallSite): Promise<void> {
+  const version = await site.declare({});
+  await site.until('in force', () => site.entry.store.getVersion() === version);
+  const count = site.list.upstreams.length;
+  await site.until(
+    'listed',
+    () =>
+      site.entry.isReady() &&
+      site.entry.directory.listLive('app').length +
+        site.entry.directory.listLive('engines').length ===
+        count,
+  );
+}
+
+void tap.default.test('routed calls are admitted, sent and judged', async (t) => {
+  const site = await createSite(t);
+  const seen: http.IncomingHttpHeaders[] = [];
+  const answers: { status: number; body: string }[] = [];
+  await site.addUpstream('app-1', 'app', (req, res) => {
+    seen.push(req.headers);
+    const next = answers.shift() ?? { status: 200, body: 'ok' };
+    reply(req, res, next.status, next.body);
+  });
+
+  await t.test('before anything is declared a call is told that it has not run', async (t2) => {
+    const res = await site.call('/plain/x');
+    t2.equal(res.status, 503);
+    t2.ok(Number(res.headers['retry-after']) > 0, 'and when to come back');
+  });
+  await declareAndList(site);
+
+  await t.test('a call reaches an upstream under its identity and its team', async (t2) => {
+    const res = await site.call('/plain/x', { patience: '900', 'call-id': 'c7' });
+    t2.same([res.status, res.body], [200, 'ok']);
+    const head = seen.at(-1)!;
+    t2.same([head['meant-for'], head.team, head['call-id']], ['app-1', 'sales', 'c7']);
+    t2.ok(Number(head['left-ms']) <= 900, 'with the time that is left');
+    t2.equal(head.key, undefined, 'and without the key');
+  });
+
+  await t.test('what may not pass is refused from the head', async (t2) => {
+    const cases = [
+      { name: 'no such path', path: '/none/x', headers: {}, status: 404 },
+      { name: 'no such host', path: '/plain/x', headers: { host: 'other.example' }, status: 404 },
+      { name: 'an unknown key', path: '/plain/x', headers: { key: 'stolen' }, status: 401 },
+      {
+        name: 'headers too large',
+        path: '/plain/x',
+        headers: { a: 'b'.repeat(9_000) },
+        status: 431,
+      },
+    ];
+    for (const { name, path, headers, status } of cases) {
+      t2.equal((await site.call(path, headers)).status, status, name);
+    }
+    const large = await site.call('/plain/x', {}, 'x'.repeat(20_000));
+    t2.equal(large.status, 413, 'a body too large');
+  });
+
+  await t.test(
+    'an upstream failure is passed on unchanged where nothing else may be tried',
+    async (t2) => {
+      answers.push({ status: 500, body: 'broken' });
+      const res = await site.call('/once/x', {}, 'book');
+      t2.same([res.status, res.body], [500, 'broken']);
+    },
+  );
+});
+
+void tap.default.test(
+  'a call that runs once is never told to have not run when it may have',
+  async (t) => {
+    // The upstream reads the call and resets the connection; the caller must not be told 503, which means that
+    // it may send the call again without harm.
+    const site = await createSite(t);
+    let runs = 0;
+    await site.addUpstream('app-1', 'app', (req) => {
+      runs += 1;
+      req.socket.resetAndDestroy();
+    });
+    await site.addUpstream('app-2', 'app', (req) => {
+      runs += 1;
+      req.socket.resetAndDestroy();
+    });
+    await declareAndList(site);
+    const once = await site.call('/once/x', {}, 'book');
+    t.same([once.status, runs], [502, 1], 'sent once, outcome unknown');
+    const plain = await site.call('/plain/x');
+    t.same(
+      [plain.status, runs],
+      [502, 3],
+      'a call that may be repeated is tried at two, and not at more',
+    );
+  },
+);
+
+void tap.default.test(
+  'what an upstream refused is tried elsewhere, and an address used again is found out',
+  async (t) => {
+    const site = await createSite(t);
+    let refusals = 0;
+    await site.addUpstream('app-1', 'app', (_req, res) => {
+      refusals += 1;
+      res.writeHead(421, { 'not-run': 'moved' });
+      res.end();
+    });
+    await site.addUpstream('app-2', 'app', (req, res) => reply(req, res, 200, 'ok'));
+    await declareAndList(site);
+    for (let i = 0; i < 10; i += 1) {
+      t.equal((await site.call('/once/x', {}, 'book')).status, 200);
+    }
+    t.ok(refusals <= 1, 'a process that is not the one that was listed gets nothing more');
+  },
+);
+
+void tap.default.test('a stream whose engine dies goes on from its copy', async (t) => {
+  // The caller gets events 1 to 6, each once and in order. The engine dies inside event 4; another holds a copy
+  // of the generation and goes on behind event 3, the last one that came whole.
+  const site = await createSite(t);
+  const event = (n: number) => `id: ${n}\ndata: part ${n}\n\n`;
+  const resumedFrom: (string | undefined)[] = [];
+  const serve = (req: http.IncomingMessage, res: http.ServerResponse) => {
+    res.writeHead(200, { 'call-id': req.headers['call-id'], 'content-type': 'text/event-stream' });
+    if (req.headers['resume-from'] === undefined) {
+      res.write(`${event(1)}${event(2)}${event(3)}id: 4\nda`);
+      setTimeout(() => req.socket.resetAndDestroy(), 50);
+      return;
+    }
+    resumedFrom.push(req.headers['last-event-id']?.toString());
+    res.end([4, 5, 6].map(event).join(''));
+  };
+  await site.addUpstream('e-1', 'engines', serve);
+  await site.addUpstream('e-2', 'engines', serve);
+  await declareAndList(site);
+  const res = await site.call('/drafts/x', { tokens: '400' }, 'write');
+  t.equal(res.body, [1, 2, 3, 4, 5, 6].map(event).join(''));
+  t.same(resumedFrom, ['3']);
+});
+
+void tap.default.test('a stream without a copy ends broken, never complete', async (t) => {
+  const site = await createSite(t);
+  await site.addUpstream('e-1', 'engines', (req, res) => {
+    res.writeHead(200, { 'call-id': req.headers['call-id'] });
+    res.write('id: 1\ndata: a\n\n');
+    setTimeout(() => req.socket.resetAndDestroy(), 50);
+  });
+  await declareAndList(site);
+  await t.rejects(site.call('/drafts/x', { tokens: '400' }, 'write'));
+});
+
+void tap.default.test('a caller that leaves ends the work for it at once', async (t) => {
+  const site = await createSite(t);
+  let isClosed = false;
+  await site.addUpstream('e-1', 'engines', (req, res) => {
+    res.writeHead(200, { 'call-id': req.headers['call-id'] });
+    res.write('id: 1\ndata: a\n\n');
+    req.socket.on('close', () => {
+      isClosed = true;
+    });
+  });
+  await declareAndList(site);
+  const left = site.call('/drafts/x', { tokens: '400' }, 'write').catch(() => 'left');
+  await site.until('under way', () => site.lines.some((line) => line.decision === 'route'));
+  site.leaveAll();
+  t.equal(await left, 'left');
+  await site.until('ended at the engine', () => isClosed);
+});
+
+void tap.default.test(
+  'an answer that does not come in time gets its final answer then',
+  async (t) => {
+    const site = await createSite(t);
+    await site.addUpstream('app-1', 'app', () => {});
+    await declareAndList(site);
+    const res = await site.call('/once/x', { patience: '300' }, 'book');
+    t.equal(res.status, 504);
+  },
+);
+
+void tap.default.test('a planned stop finishes what runs', async (t) => {
+  const site = await createSite(t);
+  let finish = () => {};
+  await site.addUpstream('app-1', 'app', (req, res) => {
+    finish = () => reply(req, res, 200, 'late');
+  });
+  await declareAndList(site);
+  const call = site.call('/once/x', {}, 'book');
+  await site.until('at the upstream', () => site.lines.some((line) => line.decision === 'route'));
+  const stopped = site.entry.stop();
+  t.equal(site.entry.isReady(), false, 'readiness fails first');
+  setTimeout(() => finish(), 300);
+  t.equal((await call).body, 'late');
+  await stopped;
+});
--- /dev/null
+++ b/packages/gateway/tests/support/small-site.ts
@@ -0,0 +1,305 @@
+import * as fs from 'node:fs';
+import * as http from 'node:http';
+import type * as net from 'node:net';
+import * as os from 'node:os';
+import * as path from 'node:path';
+
+import * as fakes from '@bramleyridge/fakes';
+import * as gateway from '@bramleyridge/gateway';
+import * as schemas from '@bramleyridge/schemas';
+
+import * as testWires from './test-wire.js';
+
+/** How long anything that should happen may take before the test gives up, in milliseconds. */
+const PATIENCE_MS = 20_000;
+
+interface Teardown {
+  teardown(handler: () => unknown): void;
+}
+
+type Answer = (req: http.IncomingMessage, res: http.ServerResponse) => void;
+
+interface CoreSlot {
+  readonly settings: gateway.HostSettings;
+  host: gateway.CoreHost | undefined;
+  watch: gateway.SettingsWatch;
+}
+
+/** Core hosts and one entry host in this process, over real sockets on loopback addresses of their own. */
+export class SmallSite {
+  public readonly list = new testWires.TestList();
+  public readonly lines: Record<string, unknown>[] = [];
+  public entry!: gateway.EntryHost;
+  public entryPort = 0;
+  private readonly clock = new schemas.SystemClock();
+  private readonly cores = new Map<string, CoreSlot>();
+  private readonly folder = fs.mkdtempSync(path.join(os.tmpdir(), 'bramleyridge-site-'));
+  private peerPort = 0;
+  private version = 0;
+  private readonly open = new Set<http.ClientRequest>();
+
+  public constructor(private readonly t: Teardown) {}
+
+  /** Starts so many core hosts, of which the first three found the log, and an entry host. */
+  public async start(coreCount: number): Promise<void> {
+    const [port] = await fakes.findFreePorts(1);
+    this.peerPort = port!;
+    for (let i = 1; i <= coreCount; i += 1) {
+      this.addCore(`127.0.1.${i}`, true);
+    }
+    await Promise.all([...this.cores.keys()].map((ip) => this.startCore(ip)));
+    this.entry = this.createEntry();
+    this.entryPort = await this.entry.start();
+    this.t.teardown(() => {
+      this.entry.kill();
+      this.cores.forEach(({ host }) => host?.stop());
+      fs.rmSync(this.folder, { recursive: true, force: true });
+    });
+  }
+
+  /** Adds a core host that is not started yet. */
+  public addCore(ip: string, isFirstStart: boolean): void {
+    const settings = this.createSettings(ip, isFirstStart);
+    this.cores.set(ip, { settings, host: undefined, watch: this.createWatch(settings) });
+  }
+
+  /** Starts a core host on the folder that it left, or on none. */
+  public async startCore(ip: string): Promise<void> {
+    const slot = this.cores.get(ip)!;
+    slot.host = new gateway.CoreHost({
+      settings: slot.watch,
+      codec: new testWires.TestCodec(),
+      source: this.list,
+      clock: this.clock,
+      log: this.createLog(ip),
+      random: Math.random,
+    });
+    await slot.host.start();
+  }
+
+  /** Ends a core host; with `isWiped` its disk is lost too. */
+  public stopCore(ip: string, isWiped = false): void {
+    const slot = this.cores.get(ip)!;
+    slot.host?.stop();
+    slot.host = undefined;
+    // Only the very first start of all hosts is one.
+    slot.watch = this.createWatch({ ...slot.settings, isFirstStart: false });
+    if (isWiped) {
+      fs.rmSync(slot.settings.dataFolder!, { recursive: true, force: true });
+    }
+  }
+
+  /** The operators' desk of the first core host that runs, or of a certain one. */
+  public getDesk(ip?: string): gateway.OperatorDesk {
+    const slots = ip === undefined ? [...this.cores.values()] : [this.cores.get(ip)!];
+    return slots.find(({ host }) => host !== undefined)!.host!.desk;
+  }
+
+  /** Declares routes under the next version, until it is acknowledged. */
+  public async declare(change: Partial<schemas.RoutedConfig>): Promise<number> {
+    this.version += 1;
+    const text = JSON.stringify({ ...createConfig(this.version), ...change });
+    await this.until('acknowledged', async () => {
+      await this.getDesk().declare(text);
+      return true;
+    });
+    return this.version;
+  }
+
+  /** Waits until something is so; attempts that fail are tried again. */
+  public async until(what: string, isSo: () => boolean | Promise<boolean>): Promise<void> {
+    const end = this.clock.now() + PATIENCE_MS;
+    let last: unknown;
+    while (this.clock.now() < end) {
+      try {
+        if (await isSo()) {
+          return;
+        }
+      } catch (err) {
+        last = err;
+      }
+      await this.clock.sleep(20);
+    }
+    throw new Error(`not ${what} within ${PATIENCE_MS} ms: ${schemas.toError(last).message}`);
+  }
+
+  /** Starts an upstream and lists it. */
+  public async addUpstream(upstreamId: string, service: string, answer: Answer): Promise<string> {
+    const server = http.createServer(answer);
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    this.t.teardown(() => {
+      server.closeAllConnections();
+      server.close();
+    });
+    const address = `127.0.0.1:${(server.address() as net.AddressInfo).port}`;
+    this.list.upstreams.push({
+      upstreamId,
+      service,
+      address,
+      availabilityZone: 'a',
+      isLeaving: false,
+      slots: 4,
+      coldMs: 0,
+    });
+    return address;
+  }
+
+  /** Makes a call and gives its answer; a connection that breaks is an error. */
+  public call(
+    target: string,
+    headers: http.OutgoingHttpHeaders = {},
+    body = '',
+  ): Promise<{ status: number; headers: http.IncomingHttpHeaders; body: string }> {
+    return new Promise((resolve, reject) => {
+      const req = http.request(
+        {
+          host: '127.0.0.1',
+          port: this.entryPort,
+          path: target,
+          method: body === '' ? 'GET' : 'POST',
+          headers: { host: 'site.example', 'call-id': 'c1', key: 'k1', ...headers },
+          agent: false,
+        },
+        (res) => {
+          let text = '';
+          res.on('data', (part: Buffer) => {
+            text += part.toString();
+          });
+          res.on('error', reject);
+          res.on('end', () =>
+            resolve({ status: res.statusCode ?? 0, headers: res.headers, body: text }),
+          );
+        },
+      );
+      this.open.add(req);
+      req.on('close', () => this.open.delete(req));
+      req.on('error', reject);
+      req.end(body);
+    });
+  }
+
+  /** Lets every caller leave. */
+  public leaveAll(): void {
+    this.open.forEach((req) => req.destroy());
+  }
+
+  private createEntry(): gateway.EntryHost {
+    return new gateway.EntryHost({
+      settings: this.createWatch({
+        ...this.createSettings('127.0.0.1', false),
+        callerAddress: '127.0.0.1:0',
+        readyAddress: '127.0.0.1:0',
+      }),
+      wire: new testWires.TestWire(),
+      codec: new testWires.TestCodec(),
+      source: this.list,
+      readyPath: '/ready',
+      clock: this.clock,
+      log: this.createLog('entry'),
+      random: Math.random,
+    });
+  }
+
+  private createSettings(ip: string, isFirstStart: boolean): gateway.HostSettings {
+    return {
+      hostId: ip,
+      availabilityZone: 'a',
+      ipAddress: ip,
+      peerPort: this.peerPort,
+      seeds: ['127.0.1.1:1', '127.0.1.2:1', '127.0.1.3:1'],
+      isFirstStart,
+      dataFolder: path.join(this.folder, ip),
+      lossesToBear: 1,
+      listAddress: '127.0.0.1:1',
+      listCallsPerS: 40,
+      bounds: {
+        reachMs: 3_000,
+        acknowledgeMs: 4_000,
+        leavingMs: 3_000,
+        stopMs: 8_000,
+        retryRatio: 0.2,
+        retrySlack: 50,
+        retryWindowMs: 10_000,
+      },
+    };
+  }
+
+  private createWatch(settings: gateway.HostSettings): gateway.SettingsWatch {
+    return new gateway.SettingsWatch({ read: () => settings }, this.clock, new schemas.SilentLog());
+  }
+
+  private createLog(host: string): schemas.Log {
+    const add = (fields: object) => {
+      this.lines.push({ host, ...fields });
+    };
+    return { debug: () => {}, info: add, warn: add, error: add };
+  }
+}
+
+/** A configuration with one route for plain calls, one for calls that run once and one for generations. */
+export function createConfig(version: number): schemas.RoutedConfig {
+  const common = {
+    host: 'site.example',
+    timeoutMs: 4_000,
+    targetMs: 100,
+    urgency: 0,
+    isPublic: false,
+    isStream: false,
+    isGeneration: false,
+  };
+  return {
+    version,
+    routes: [
+      {
+        ...common,
+        name: 'plain',
+        pathPrefix: '/plain/',
+        repeatability: 'idempotent',
+        maxRuns: 2,
+        targets: [{ service: 'app', weight: 1 }],
+      },
+      {
+        ...common,
+        name: 'once',
+        pathPrefix: '/once/',
+        repeatability: 'once',
+        maxRuns: 1,
+        targets: [{ service: 'app', weight: 1 }],
+      },
+      {
+        ...common,
+        name: 'drafts',
+        pathPrefix: '/drafts/',
+        repeatability: 'once',
+        isStream: true,
+        isGeneration: true,
+        maxRuns: 1,
+        targets: [{ service: 'engines', weight: 1 }],
+      },
+    ],
+    services: [
+      { name: 'app', healthPath: '/health', connectionLimit: 100 },
+      {
+        name: 'engines',
+        healthPath: '/health',
+        connectionLimit: 100,
+        engine: {
+          slots: 4,
+          memoryTokens: 10_000,
+          tokensPerEvent: 4,
+          canMove: true,
+          canBackUp: true,
+        },
+      },
+    ],
+    limits: {
+      headerBytes: 8_192,
+      bodyBytes: 10_000,
+      headerTimeoutMs: 3_000,
+      idleTimeoutMs: 5_000,
+    },
+    teams: [{ name: 'sales', keys: ['k1'] }],
+  };
+}
--- /dev/null
+++ b/packages/gateway/tests/support/test-wire.ts
@@ -0,0 +1,77 @@
+import type * as http from 'node:http';
+
+import type * as gateway from '@bramleyridge/gateway';
+import type * as requests from '@bramleyridge/requests';
+import type * as schemas from '@bramleyridge/schemas';
+
+/** A wire of the tests' own: the smallest that has everything the ports ask for. */
+export class TestWire implements gateway.CallWire {
+  public findRequestId(headers: http.IncomingHttpHeaders): string | undefined {
+    return headers['call-id']?.toString();
+  }
+
+  public readCall(headers: http.IncomingHttpHeaders): gateway.CallFacts {
+    const tokens = headers.tokens === undefined ? undefined : Number(headers.tokens);
+    return {
+      requestId: headers['call-id']?.toString() ?? '',
+      patienceMs: headers.patience === undefined ? undefined : Number(headers.patience),
+      key: headers.key?.toString(),
+      generation:
+        tokens === undefined
+          ? undefined
+          : { promptTokens: 100, maxTokens: tokens, hintTokens: tokens, prefixParts: [] },
+      passedOn: { 'call-id': headers['call-id']?.toString() ?? '' },
+    };
+  }
+
+  public createHeaders(
+    call: gateway.CallFacts,
+    attempt: gateway.AttemptFacts,
+  ): Record<string, string | string[]> {
+    const { copyHolder, resume, team, upstreamId } = attempt;
+    return {
+      ...call.passedOn,
+      'meant-for': upstreamId,
+      'left-ms': String(Math.floor(attempt.leftMs)),
+      ...(team === undefined ? {} : { team }),
+      ...(copyHolder === undefined ? {} : { 'copy-at': copyHolder }),
+      ...(resume === undefined ? {} : { 'resume-from': resume.holder }),
+      ...(resume?.lastEventId === undefined ? {} : { 'last-event-id': resume.lastEventId }),
+    };
+  }
+
+  public judge(call: gateway.CallFacts): requests.JudgeHead {
+    return ({ headers }) => {
+      if (headers['not-run'] !== undefined) {
+        return headers['not-run'] === 'moved' ? 'moved' : 'not-run';
+      }
+      return headers['call-id'] === call.requestId ? 'answer' : 'foreign';
+    };
+  }
+
+  public readAnswer(): gateway.AnswerFacts {
+    return { load: undefined };
+  }
+}
+
+/** Documents that are the configuration itself as JSON. */
+export class TestCodec implements gateway.DocumentCodec {
+  public decode(text: string): schemas.RoutedConfig {
+    return JSON.parse(text) as schemas.RoutedConfig;
+  }
+}
+
+/** A list of upstreams that the test sets. */
+export class TestList implements gateway.UpstreamSource {
+  public upstreams: schemas.ListedUpstream[] = [];
+  public isDown = false;
+  public calls = 0;
+
+  public async list(): Promise<{ upstreams: schemas.ListedUpstream[]; calls: number }> {
+    this.calls += 1;
+    if (this.isDown) {
+      throw new Error('the list is down');
+    }
+    return Promise.resolve({ upstreams: [...this.upstreams], calls: 1 });
+  }
+}
--- a/packages/requests/src/index.ts
+++ b/packages/requests/src/index.ts
@@ -7,6 +7,7 @@
 export * from './claim-types.js';
 export * from './drain.js';
 export * from './engine-client.js';
+export * from './event-cutter.js';
 export * from './event-splitter.js';
 export * from './generation-id.js';
 export * from './hop-headers.js';
