Place generations by one account at the leader

Change: EngineLedger (routing, no network) forecasts each engine's memory 3 s ahead and the prompts that wait to be read; the leader of the log holds it, entry hosts ask it, wait for room at most 0.4 of the aim, and choose alone without copies when it does not answer. Short answers go before long ones of the same rank at an engine.

--- a/packages/gateway/src/core-host.ts
+++ b/packages/gateway/src/core-host.ts
@@ -12,7 +12,9 @@
 import * as hostSettings from './host-settings.js';
 import * as listReaders from './list-reader.js';
 import * as operatorDesks from './operator-desk.js';
+import * as poolDesks from './pool-desk.js';
 import type * as ports from './ports.js';
+import * as routedStores from './routed-store.js';
 import type * as settingsWatches from './settings-watch.js';
 
 /** How long a core host may take to answer another, in milliseconds; a slow disk's sync of 150 ms is in it. */
@@ -48,6 +50,8 @@
   private readonly table: coreTables.CoreTable;
   private readonly entries: entryTables.EntryTable;
   private readonly group: coreGroups.CoreGroup;
+  private readonly pools: poolDesks.PoolDesk;
+  private readonly store: routedStores.RoutedStore;
   private readonly reader: listReaders.ListReader;
   private readonly server: peers.PeerServer;
   private readonly listChanged = new schemas.ChangeSignal();
@@ -82,6 +86,14 @@
       log,
       acknowledgeMs: settings.bounds.acknowledgeMs,
     });
+    this.store = new routedStores.RoutedStore(codec, log);
+    this.store.markReady();
+    this.pools = new poolDesks.PoolDesk({
+      clock,
+      log,
+      findService: (name) => this.findService(name),
+      listUpstreams: () => this.list?.upstreams ?? [],
+    });
     this.reader = new listReaders.ListReader({
       source,
       clock,
@@ -132,11 +144,30 @@
         return { known: table.listAll(), leader: group.voter?.leader };
       },
       news: (req) => this.answerNews(req),
+      place: (req) => this.place(req),
+      release: async (req) => this.pools.release(req),
       declare: (document) => desk.declareHere(document),
       read: () => desk.readHere(),
     };
   }
 
+  /** Only the leader keeps the account; what a former one knew is told anew by the entry hosts. */
+  private async place(req: procedures.PlaceReq): Promise<procedures.PlaceRes> {
+    if (!this.group.isLeading()) {
+      this.pools.clear();
+      throw new schemas.StepError({ id: 'notLeader', step: 'place' });
+    }
+    return this.pools.place(req);
+  }
+
+  private findService(name: string): schemas.RoutedService | undefined {
+    const document = this.group.state.get();
+    if (document !== undefined) {
+      this.store.offer(document);
+    }
+    return this.store.findTable()?.findService(name);
+  }
+
   /** Answers an entry host: at once when there is news, else when its wait is over. */
   private async answerNews(req: procedures.NewsReq): Promise<procedures.NewsRes> {
     const { clock } = this.options;
--- a/packages/gateway/src/core-link.ts
+++ b/packages/gateway/src/core-link.ts
@@ -65,6 +65,11 @@
     }
   }
 
+  /** The leader, as the last answer named it. */
+  public findLeader(): string | undefined {
+    return this.isLost ? undefined : this.leader;
+  }
+
   /** Ends the task. */
   public stop(): void {
     this.isStopped = true;
--- a/packages/gateway/src/core-procedures.ts
+++ b/packages/gateway/src/core-procedures.ts
@@ -45,6 +45,47 @@
   entryHosts: z.int().optional(),
 });
 
+/** A generation that is to be placed, or that runs already and is only entered. */
+export const placeReq = z.object({
+  service: z.string(),
+  need: z.object({
+    callId: z.string(),
+    hostId: z.string(),
+    promptTokens: z.number(),
+    answerTokens: z.number(),
+    leftMs: z.number(),
+    excluded: z.array(z.string()).readonly(),
+    fixedEngineId: z.string().optional(),
+    wantsCopy: z.boolean(),
+    ranMs: z.number(),
+  }),
+  /** How long it may wait for room, in milliseconds. */
+  patienceMs: z.number(),
+});
+
+/** Where a generation was placed, and how full its pool is. */
+export const placeRes = z.object({
+  placed: z
+    .object({ engineId: z.string(), copyAt: z.string().optional(), share: z.number() })
+    .optional(),
+  waitedMs: z.number(),
+  running: z.number(),
+  poolShare: z.number(),
+});
+
+/** A generation that runs no longer. */
+export const releaseReq = z.object({
+  service: z.string(),
+  callId: z.string(),
+  hasFailed: z.boolean(),
+});
+
+/** A generation that is to be placed. */
+export type PlaceReq = z.infer<typeof placeReq>;
+/** Where a generation was placed. */
+export type PlaceRes = z.infer<typeof placeRes>;
+/** A generation that runs no longer. */
+export type ReleaseReq = z.infer<typeof releaseReq>;
 /** What a core host says of itself to the others. */
 export type HelloReq = z.infer<typeof helloReq>;
 /** What a core host answers another. */
@@ -66,6 +107,9 @@
   news(req: NewsReq): Promise<NewsRes>;
   /** Takes a document as the leader. */
   declare(document: intents.DeclaredDocument): Promise<intents.DeclareResult>;
+  /** Places a generation, as the leader. */
+  place(req: PlaceReq): Promise<PlaceRes>;
+  release(req: ReleaseReq): Promise<void>;
   /** The newest document, as the leader. */
   read(): Promise<intents.DeclaredDocument | null>;
 }
@@ -86,6 +130,8 @@
     declare: t.procedure
       .input(intents.declaredDocument)
       .mutation(({ input }) => handlers.declare(input)),
+    place: t.procedure.input(placeReq).mutation(({ input }) => handlers.place(input)),
+    release: t.procedure.input(releaseReq).mutation(({ input }) => handlers.release(input)),
     read: t.procedure.mutation(() => handlers.read()),
   });
 }
--- a/packages/gateway/src/entry-host.ts
+++ b/packages/gateway/src/entry-host.ts
@@ -10,6 +10,7 @@
 import * as faceServers from './face-server.js';
 import * as hostSettings from './host-settings.js';
 import * as listReaders from './list-reader.js';
+import * as poolClients from './pool-client.js';
 import type * as ports from './ports.js';
 import * as retryShares from './retry-shares.js';
 import * as routedFlows from './routed-flow.js';
@@ -67,6 +68,7 @@
   private readonly reader: listReaders.ListReader;
   private readonly client: requests.UpstreamClient;
   private readonly shares: retryShares.RetryShares;
+  private readonly picker: upstreamPickers.UpstreamPicker;
   private readonly flow: routedFlows.RoutedFlow;
   private readonly drain: requests.Drain;
   private readonly callers: faceServers.FaceServer;
@@ -89,18 +91,19 @@
       connections: KEPT_CONNECTIONS,
     });
     this.drain = new requests.Drain(clock);
+    this.link = this.createLink();
+    this.picker = this.createPicker();
     this.flow = new routedFlows.RoutedFlow({
       wire,
       admission: new callAdmissions.CallAdmission(this.store, wire, clock, random),
       directory: this.directory,
-      picker: new upstreamPickers.UpstreamPicker(this.directory, availabilityZone, clock, random),
+      picker: this.picker,
       client: this.client,
       findBudget: (service) => this.shares.find(service),
       availabilityZone,
       clock,
       log,
     });
-    this.link = this.createLink();
     this.reader = new listReaders.ListReader({
       source,
       clock,
@@ -189,6 +192,25 @@
     requests.sendJson(res, isPath ? status : 404, { version: this.store.getVersion() });
   }
 
+  private createPicker(): upstreamPickers.UpstreamPicker {
+    const { clock, log, random, settings } = this.options;
+    const { availabilityZone, hostId } = settings.get();
+    const pools = new poolClients.PoolClient({
+      mesh: this.mesh,
+      findLeader: () => this.link.findLeader(),
+      hostId,
+      clock,
+      log,
+    });
+    return new upstreamPickers.UpstreamPicker(
+      this.directory,
+      pools,
+      availabilityZone,
+      clock,
+      random,
+    );
+  }
+
   private createLink(): coreLinks.CoreLink {
     const { clock, log, random, settings } = this.options;
     const incarnation = Date.now();
--- /dev/null
+++ b/packages/gateway/src/pool-desk.ts
@@ -0,0 +1,83 @@
+import * as routing from '@bramleyridge/routing';
+import type * as schemas from '@bramleyridge/schemas';
+
+import type * as procedures from './core-procedures.js';
+
+/** How often generations that wait are looked at again, in milliseconds. */
+const RETRY_MS = 20;
+
+/** Where the desk learns what it needs. */
+export interface PoolDeskOptions {
+  readonly clock: schemas.Clock;
+  readonly log: schemas.Log;
+  /** The services in force, with what is known of their engines. */
+  readonly findService: (name: string) => schemas.RoutedService | undefined;
+  readonly listUpstreams: () => readonly schemas.ListedUpstream[];
+}
+
+interface Pool {
+  readonly ledger: routing.EngineLedger;
+  listed: readonly schemas.ListedUpstream[] | undefined;
+}
+
+/** The leader's account of every pool of engines: where generations are placed, in one place for all hosts. */
+export class PoolDesk {
+  private readonly pools = new Map<string, Pool>();
+
+  public constructor(private readonly options: PoolDeskOptions) {}
+
+  /** Places a generation; waits for room as long as its caller can, and says so when there is none. */
+  public async place(req: procedures.PlaceReq): Promise<procedures.PlaceRes> {
+    const { clock } = this.options;
+    const askedAt = clock.now();
+    const end = askedAt + req.patienceMs;
+    for (;;) {
+      const pool = this.findPool(req.service);
+      const placed = pool?.ledger.place(req.need, clock.now());
+      if (placed !== undefined || clock.now() >= end) {
+        const waitedMs = Math.round(clock.now() - askedAt);
+        const { running, share } = pool?.ledger.getSummary(clock.now()) ?? { running: 0, share: 1 };
+        return { placed, waitedMs, running, poolShare: Number(share.toFixed(3)) };
+      }
+      await clock.sleep(RETRY_MS);
+    }
+  }
+
+  /** Takes generations off the account. */
+  public release(req: procedures.ReleaseReq): void {
+    const pool = this.pools.get(req.service);
+    pool?.ledger.release(req.callId, req.hasFailed, this.options.clock.now());
+  }
+
+  /** Forgets everything, because another host leads. */
+  public clear(): void {
+    this.pools.clear();
+  }
+
+  private findPool(service: string): Pool | undefined {
+    const engine = this.options.findService(service)?.engine;
+    if (engine === undefined) {
+      return undefined;
+    }
+    const pool = this.pools.get(service) ?? {
+      ledger: new routing.EngineLedger(),
+      listed: undefined,
+    };
+    this.pools.set(service, pool);
+    const listed = this.options.listUpstreams();
+    if (pool.listed !== listed) {
+      pool.listed = listed;
+      pool.ledger.setEngines(
+        listed
+          .filter((item) => item.service === service && !item.isLeaving)
+          .map((item) => ({
+            engineId: item.upstreamId,
+            memoryTokens: engine.memoryTokens,
+            slots: engine.slots,
+            availabilityZone: item.availabilityZone,
+          })),
+      );
+    }
+    return pool;
+  }
+}
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -31,6 +31,8 @@
   readonly team: string | undefined;
   /** How much time is left, in milliseconds. */
   readonly leftMs: number;
+  /** The rank among generations that wait at an engine; 0 goes first. */
+  readonly urgency: number | undefined;
   /** The address of the engine that is to keep a copy of the generation while it runs. */
   readonly copyHolder: string | undefined;
   /** Where a generation that broke off goes on. */
--- a/packages/gateway/src/routed-answer.ts
+++ b/packages/gateway/src/routed-answer.ts
@@ -19,8 +19,8 @@
   readonly upstreamId: string;
   /** What was read of the body already. */
   readonly bytes: Buffer;
-  /** To be called when the body has ended, either way. */
-  readonly release: () => void;
+  /** To be called when the body has ended, with whether the upstream broke off. */
+  readonly release: (hasFailed: boolean) => void;
   /** Goes on behind an event where the upstream broke off; nothing when that can't be done. */
   readonly resume: (lastEventId: string | undefined) => Promise<ComingAnswer | undefined>;
 }
@@ -86,13 +86,15 @@
   isStream: boolean,
   pass: (bytes: Buffer) => Promise<void>,
 ): Promise<void> {
+  let hasFailed = true;
   try {
     for await (const part of requests.relayAnswer(answer, isStream, upstreamId)) {
       await pass(part);
     }
+    hasFailed = false;
   } finally {
     answer.body.destroy();
-    release();
+    release(hasFailed);
   }
 }
 
--- a/packages/gateway/src/routed-attempts.ts
+++ b/packages/gateway/src/routed-attempts.ts
@@ -37,8 +37,8 @@
 /** One run of a call at one upstream, with what it holds there and at the engine that keeps its copy. */
 interface Leg {
   readonly picked: upstreamPickers.PickedUpstream;
-  readonly holder: upstreamPickers.PickedUpstream | undefined;
-  readonly release: () => void;
+  /** Takes it off every account; only the first call counts. */
+  readonly release: (hasFailed: boolean) => void;
 }
 
 type Coming = routedAnswers.ComingAnswer;
@@ -57,7 +57,7 @@
     try {
       return await this.receive(job, leg, await this.send(job, leg, undefined));
     } catch (err) {
-      leg.release();
+      leg.release(true);
       return this.recover(job, leg, err);
     }
   }
@@ -89,15 +89,16 @@
     const { call, tried } = job;
     tried.add(picked.upstreamId);
     job.upstreamId = picked.upstreamId;
-    const holder = picker.pickCopyHolder(call, picked.upstreamId);
-    const tokens = upstreamPickers.getExpectedTokens(call);
-    const leave = picked.known.load.enter(tokens);
-    const drop = holder?.known.load.reserve(tokens);
-    const release = () => {
-      leave();
-      drop?.();
+    const leave = picked.known.load.enter(upstreamPickers.getExpectedTokens(call));
+    let isOpen = true;
+    const release = (hasFailed: boolean) => {
+      if (isOpen) {
+        isOpen = false;
+        leave();
+        picker.release(call, hasFailed);
+      }
     };
-    return { picked, holder, release };
+    return { picked, release };
   }
 
   private send(
@@ -111,7 +112,8 @@
       upstreamId: leg.picked.upstreamId,
       team: call.team?.name,
       leftMs: call.endsAt - clock.now(),
-      copyHolder: leg.holder?.known.listed.address,
+      urgency: upstreamPickers.getUrgency(call),
+      copyHolder: leg.picked.copyAt?.listed.address,
       resume,
     });
     const isRepeatable = call.route.repeatability === 'idempotent';
@@ -144,7 +146,7 @@
     if (!read.isWhole) {
       return this.createComing(job, leg, answer, read.bytes);
     }
-    leg.release();
+    leg.release(false);
     return { kind: 'whole', head: answer, bytes: read.bytes };
   }
 
@@ -185,20 +187,25 @@
     former: Leg,
     lastEventId: string | undefined,
   ): Promise<Coming | undefined> {
-    const { findBudget, log } = this.options;
+    const { findBudget, log, picker } = this.options;
     const { abort, call } = job;
-    const { holder } = former;
+    const holder = former.picked.copyAt;
     const mayResume = holder !== undefined && job.resumes < MAX_RESUMES && !abort.signal.aborted;
     if (!mayResume || !findBudget(call.service.name).take()) {
       return undefined;
     }
     job.resumes += 1;
-    const leg = this.begin(job, holder);
+    const leg = this.begin(job, await picker.pickResumed(call, holder));
     const request = call.facts.requestId;
     const details = { request, upstream: holder.upstreamId, former: former.picked.upstreamId };
-    log.info({ decision: 'resume', ...details, lastEventId, copyAt: leg.holder?.upstreamId });
+    log.info({
+      decision: 'resume',
+      ...details,
+      lastEventId,
+      copyAt: leg.picked.copyAt?.upstreamId,
+    });
     try {
-      const resume = { holder: holder.known.listed.address, lastEventId };
+      const resume = { holder: holder.listed.address, lastEventId };
       const answer = await this.send(job, leg, resume);
       if (answer.status >= FIRST_NO_SUCCESS) {
         answer.body.destroy();
@@ -206,13 +213,13 @@
       }
       return this.createComing(job, leg, answer, Buffer.alloc(0));
     } catch (err) {
-      leg.release();
+      leg.release(true);
       log.info({ decision: 'resume-failed', ...details, err: schemas.toError(err).message });
       return undefined;
     }
   }
 
-  private noteChoice(job: routedJobs.RoutedJob, { holder, picked }: Leg): void {
+  private noteChoice(job: routedJobs.RoutedJob, { picked }: Leg): void {
     const { availabilityZone, clock, directory, log } = this.options;
     const { call } = job;
     log.info({
@@ -222,7 +229,8 @@
       team: call.team?.name,
       availabilityZone,
       upstream: picked.upstreamId,
-      copyAt: holder?.upstreamId,
+      copyAt: picked.copyAt?.upstreamId,
+      waitedMs: picked.waitedMs,
       share: Number(picked.share.toFixed(2)),
       attempt: job.tried.size,
       leftMs: Math.round(call.endsAt - clock.now()),
--- a/packages/gateway/src/upstream-directory.ts
+++ b/packages/gateway/src/upstream-directory.ts
@@ -87,6 +87,11 @@
     );
   }
 
+  /** An upstream that is listed, whether or not it takes calls. */
+  public find(upstreamId: string): KnownUpstream | undefined {
+    return this.entries.get(upstreamId);
+  }
+
   /** Notes that another process has an upstream's address, so the upstream is gone for good. */
   public noteGone(upstreamId: string): void {
     const entry = this.entries.get(upstreamId);
--- /dev/null
+++ b/packages/routing/src/engine-ledger.ts
@@ -0,0 +1,227 @@
+/** Tokens that a running generation makes in a second: one a step of 8 to 16 ms, as the engines' sheets state. */
+const TOKENS_PER_S = 85;
+
+/** Prompt tokens that an engine reads in a millisecond while it also serves others: a chunk of 112 every 16 ms. */
+const PROMPT_TOKENS_PER_MS = 7;
+
+/**
+ * How far ahead memory is forecast, in milliseconds. What is placed now grows for some ten seconds while others
+ * end; further ahead the ends outweigh the growth.
+ */
+const HORIZON_MS = 3_000;
+
+/** The forecast share of memory up to which generations are placed; the rest is for answers longer than told. */
+const PLACE_LIMIT = 0.92;
+
+/**
+ * The forecast share of memory up to which copies are kept. A copy that fills the last of it would have running
+ * work preempted, whose prompts are then read again, 3,000 tokens each.
+ */
+const COPY_LIMIT = 0.66;
+
+/** How much an answer turns out longer than its caller's estimate on average; the estimate is the median. */
+const MEAN_OVER_HINT = 1.15;
+
+/** How many milliseconds of prompts that wait to be read weigh as much as all of an engine's memory. */
+const BACKLOG_SCALE_MS = 1_500;
+
+/** How much a failure weighs as a share of memory, and after which time half of that, in milliseconds. */
+const FAILURE_WEIGHT = 0.4;
+const FAILURE_HALF_LIFE_MS = 3_000;
+
+/** How long after its end a generation that nobody took off the ledger still counts, in milliseconds. */
+const OVERDUE_MS = 2_000;
+
+/**
+ * Up to how many tokens an answer is short. Short ones take under half a second: few are hit by the loss of an
+ * engine, and copies arrive only several times a second, so none is kept.
+ */
+export const SHORT_ANSWER_TOKENS = 60;
+
+/** An engine that may be given work. */
+export interface LedgerEngine {
+  readonly engineId: string;
+  readonly memoryTokens: number;
+  readonly slots: number;
+  readonly availabilityZone: string;
+}
+
+/** A generation that is to be placed. */
+export interface PlaceNeed {
+  readonly callId: string;
+  readonly hostId: string;
+  readonly promptTokens: number;
+  /** The estimate of the answer's tokens. */
+  readonly answerTokens: number;
+  /** The most time that it may still take, in milliseconds. */
+  readonly leftMs: number;
+  readonly excluded: readonly string[];
+  /** The engine on which it goes on or runs already; it is entered there whatever the room. */
+  readonly fixedEngineId?: string | undefined;
+  readonly wantsCopy: boolean;
+  /** How long it has run already, in milliseconds. */
+  readonly ranMs: number;
+}
+
+/** Where a generation was placed, and who keeps its copy. */
+export interface Placement {
+  readonly engineId: string;
+  readonly copyAt: string | undefined;
+  /** The forecast share of the engine's memory, with this generation. */
+  readonly share: number;
+}
+
+interface Entry {
+  readonly need: PlaceNeed;
+  readonly startedAt: number;
+  readonly endsAt: number;
+  readonly engineId: string;
+  readonly copyAt: string | undefined;
+}
+
+interface EngineState {
+  readonly engine: LedgerEngine;
+  /** Until when the prompts that were placed there are probably read. */
+  readUntil: number;
+  failures: number;
+  failedAt: number;
+}
+
+/**
+ * The account of one pool of engines: every generation with its size and every copy, in one place. Hosts that
+ * choose alone see a seventh of the load each and reports that are half a second old; they overfill one engine
+ * while another has room, and keep copies where there is none.
+ */
+export class EngineLedger {
+  private engines = new Map<string, EngineState>();
+  private readonly entries = new Map<string, Entry>();
+
+  /** Sets which engines may be given work; what is known of those that stay is kept. */
+  public setEngines(engines: readonly LedgerEngine[]): void {
+    const former = this.engines;
+    this.engines = new Map(
+      engines.map((engine) => [
+        engine.engineId,
+        { readUntil: 0, failures: 0, failedAt: 0, ...former.get(engine.engineId), engine },
+      ]),
+    );
+  }
+
+  /** Places a generation, or gives nothing while no engine has room for it. */
+  public place(need: PlaceNeed, now: number): Placement | undefined {
+    this.dropOverdue(now);
+    const state = this.choose(need, now);
+    const engineId = state?.engine.engineId ?? need.fixedEngineId;
+    if (engineId === undefined) {
+      return undefined;
+    }
+    const copyAt = this.chooseCopy(need, engineId, now);
+    const startedAt = now - need.ranMs;
+    this.entries.set(need.callId, {
+      need,
+      startedAt,
+      endsAt: now + need.leftMs,
+      engineId,
+      copyAt,
+    });
+    if (state !== undefined && need.fixedEngineId === undefined) {
+      state.readUntil = Math.max(state.readUntil, now) + need.promptTokens / PROMPT_TOKENS_PER_MS;
+    }
+    return { engineId, copyAt, share: state === undefined ? 0 : this.getShare(state, now) };
+  }
+
+  /** Takes a generation off; a failure counts against its engine for a while. */
+  public release(callId: string, hasFailed: boolean, now: number): void {
+    const entry = this.entries.get(callId);
+    const state = entry && this.engines.get(entry.engineId);
+    this.entries.delete(callId);
+    if (hasFailed && state !== undefined) {
+      state.failures = getFailures(state, now) + 1;
+      state.failedAt = now;
+    }
+  }
+
+  /** How full the pool is, as the forecast share of all its memory, and how much runs. */
+  public getSummary(now: number): { running: number; share: number } {
+    const states = [...this.engines.values()];
+    const total = states.reduce((sum, { engine }) => sum + engine.memoryTokens, 0);
+    const held = states.reduce((sum, state) => sum + this.getHeld(state.engine.engineId, now), 0);
+    return { running: this.entries.size, share: total === 0 ? 1 : held / total };
+  }
+
+  private choose(need: PlaceNeed, now: number): EngineState | undefined {
+    if (need.fixedEngineId !== undefined) {
+      return this.engines.get(need.fixedEngineId);
+    }
+    const size = getSizeAhead(need, 0);
+    return [...this.engines.values()]
+      .filter(({ engine }) => !need.excluded.includes(engine.engineId))
+      .map((state) => {
+        const share = this.getShare(state, now) + size / state.engine.memoryTokens;
+        const backlogMs = Math.max(0, state.readUntil - now);
+        const penalty = getFailures(state, now) * FAILURE_WEIGHT;
+        return { state, share, score: share + penalty + backlogMs / BACKLOG_SCALE_MS };
+      })
+      .filter(({ share, state }) => share <= PLACE_LIMIT && this.hasSlot(state))
+      .sort((a, b) => a.score - b.score)[0]?.state;
+  }
+
+  private chooseCopy(need: PlaceNeed, engineId: string, now: number): string | undefined {
+    if (!need.wantsCopy || need.answerTokens <= SHORT_ANSWER_TOKENS) {
+      return undefined;
+    }
+    const size = getSizeAhead(need, need.ranMs);
+    return [...this.engines.values()]
+      .filter(({ engine }) => engine.engineId !== engineId)
+      .map((state) => ({
+        id: state.engine.engineId,
+        share: this.getShare(state, now) + size / state.engine.memoryTokens,
+      }))
+      .filter(({ share }) => share <= COPY_LIMIT)
+      .sort((a, b) => a.share - b.share)[0]?.id;
+  }
+
+  private getShare(state: EngineState, now: number): number {
+    const { engineId, memoryTokens } = state.engine;
+    return this.getHeld(engineId, now) / memoryTokens;
+  }
+
+  /** Memory that an engine's generations and copies will fill at the horizon, in tokens. */
+  private getHeld(engineId: string, now: number): number {
+    let held = 0;
+    this.entries.forEach((entry) => {
+      if (entry.engineId === engineId || entry.copyAt === engineId) {
+        held += getSizeAhead(entry.need, now - entry.startedAt);
+      }
+    });
+    return held;
+  }
+
+  private hasSlot({ engine }: EngineState): boolean {
+    let running = 0;
+    this.entries.forEach((entry) => {
+      running += entry.engineId === engine.engineId ? 1 : 0;
+    });
+    return running < engine.slots;
+  }
+
+  /** A host that died took nothing off; its generations must not hold room for ever. */
+  private dropOverdue(now: number): void {
+    this.entries.forEach((entry, callId) => {
+      if (now > entry.endsAt + OVERDUE_MS) {
+        this.entries.delete(callId);
+      }
+    });
+  }
+}
+
+/** What a generation will hold at the horizon, in tokens, when it has run for so long. */
+function getSizeAhead(need: PlaceNeed, ranMs: number): number {
+  const expected = need.answerTokens * MEAN_OVER_HINT;
+  const made = ((ranMs + HORIZON_MS) / 1_000) * TOKENS_PER_S;
+  return need.promptTokens + Math.min(expected, made);
+}
+
+function getFailures(state: EngineState, now: number): number {
+  return state.failures * 0.5 ** ((now - state.failedAt) / FAILURE_HALF_LIFE_MS);
+}
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,5 +1,5 @@
 /** Room, queue, choice of upstream and fairness: the decision logic. */
-export * from './backup-choice.js';
+export * from './engine-ledger.js';
 export * from './fair-queue.js';
 export * from './length-distribution.js';
 export * from './length-model.js';
--- a/packages/routing/src/upstream-load.ts
+++ b/packages/routing/src/upstream-load.ts
@@ -35,16 +35,6 @@
     };
   }
 
-  /** Counts the memory of a copy that is kept there until the function that it gives is called. */
-  public reserve(tokens: number): () => void {
-    let isOpen = true;
-    this.tokens += tokens;
-    return () => {
-      this.tokens -= isOpen ? tokens : 0;
-      isOpen = false;
-    };
-  }
-
   /** Takes what the upstream said; this host's own calls are known exactly, so only the others' are kept. */
   public takeReport(report: ReportedLoad, now: number): void {
     this.othersCalls = Math.max(0, report.running + report.waiting - this.calls);
