--- a/packages/gateway/src/upstream-directory.ts
+++ b/packages/gateway/src/upstream-directory.ts
@@ -75,16 +75,18 @@
     });
   }
 
-  /** The upstreams of a service that take calls now. */
+  /**
+   * The upstreams of a service that take calls now. Where all of them lately refused a connection they are tried all
+   * the same: a zone that is cut off has one or two of its own, and passing them over refused 100 calls in a row
+   * that the next connection would have taken.
+   */
   public listLive(service: string): KnownUpstream[] {
     const now = this.clock.now();
-    return [...this.entries.values()].filter(
-      (item) =>
-        item.listed.service === service &&
-        !item.isLeaving &&
-        !item.isGone &&
-        item.avoidUntil <= now,
+    const listed = [...this.entries.values()].filter(
+      (item) => item.listed.service === service && !item.isLeaving && !item.isGone,
     );
+    const reachable = listed.filter((item) => item.avoidUntil <= now);
+    return reachable.length > 0 ? reachable : listed;
   }
 
   /** An upstream that is listed, whether or not it takes calls. */
--- a/packages/gateway/tests/routed-calls.test.ts
+++ b/packages/gateway/tests/routed-calls.test.ts
@@ -135,6 +135,23 @@
   },
 );
 
+void tap.default.test(
+  'the last upstream of a service is not passed over for one refused connection',
+  async (t) => {
+    // It restarts: one call finds nobody listening and is told that it has not run; the next one, half a second
+    // later, is served, although the list and the upstream's name are still the same.
+    const site = await createSite(t);
+    const address = await site.addUpstream('app-1', 'app', (req, res) =>
+      reply(req, res, 200, 'ok'),
+    );
+    await declareAndList(site);
+    site.closeUpstream(address);
+    t.equal((await site.call('/once/x', {}, 'book')).status, 503);
+    await site.reopenUpstream(address, (req, res) => reply(req, res, 200, 'back'));
+    t.equal((await site.call('/once/x', {}, 'book')).body, 'back');
+  },
+);
+
 void tap.default.test('a stream whose engine dies goes on from its copy', async (t) => {
   // The caller gets events 1 to 6, each once and in order. The engine dies inside event 4; another holds a copy
   // of the generation and goes on behind event 3, the last one that came whole.
--- a/packages/gateway/tests/support/small-site.ts
+++ b/packages/gateway/tests/support/small-site.ts
@@ -37,6 +37,7 @@
   private readonly folder = fs.mkdtempSync(path.join(os.tmpdir(), 'bramleyridge-site-'));
   private peerPort = 0;
   private version = 0;
+  private readonly upstreams = new Map<string, http.Server>();
   private readonly open = new Set<http.ClientRequest>();
 
   public constructor(private readonly t: Teardown) {}
@@ -126,15 +127,7 @@
 
   /** Starts an upstream and lists it. */
   public async addUpstream(upstreamId: string, service: string, answer: Answer): Promise<string> {
-    const server = http.createServer(answer);
-    await new Promise<void>((resolve) => {
-      server.listen(0, '127.0.0.1', resolve);
-    });
-    this.t.teardown(() => {
-      server.closeAllConnections();
-      server.close();
-    });
-    const address = `127.0.0.1:${(server.address() as net.AddressInfo).port}`;
+    const address = await this.listen(0, answer);
     this.list.upstreams.push({
       upstreamId,
       service,
@@ -147,6 +140,18 @@
     return address;
   }
 
+  /** Ends an upstream's process; it stays listed. */
+  public closeUpstream(address: string): void {
+    const server = this.upstreams.get(address);
+    server?.closeAllConnections();
+    server?.close();
+  }
+
+  /** Starts it again at its address. */
+  public async reopenUpstream(address: string, answer: Answer): Promise<void> {
+    await this.listen(Number(address.split(':')[1]), answer);
+  }
+
   /** Makes a call and gives its answer; a connection that breaks is an error. */
   public call(
     target: string,
@@ -181,6 +186,17 @@
     });
   }
 
+  private async listen(port: number, answer: Answer): Promise<string> {
+    const server = http.createServer(answer);
+    await new Promise<void>((resolve) => {
+      server.listen(port, '127.0.0.1', resolve);
+    });
+    const address = `127.0.0.1:${(server.address() as net.AddressInfo).port}`;
+    this.upstreams.set(address, server);
+    this.t.teardown(() => this.closeUpstream(address));
+    return address;
+  }
+
   /** Lets every caller leave. */
   public leaveAll(): void {
     this.open.forEach((req) => req.destroy());
