Refuse what arrives late in a planned stop

Kept connections bypass the balancer. Ruled out: new connections; in all four traces the host was out of rotation for 3 s and more. Change: 3 s after the signal calls are refused as not run, with a time to come back and the connection's end.

--- a/packages/gateway/src/entry-host.ts
+++ b/packages/gateway/src/entry-host.ts
@@ -1,7 +1,7 @@
 import type * as http from 'node:http';
 
 import * as requests from '@bramleyridge/requests';
-import type * as schemas from '@bramleyridge/schemas';
+import * as schemas from '@bramleyridge/schemas';
 
 import * as callAdmissions from './call-admission.js';
 import * as coreLinks from './core-link.js';
@@ -43,6 +43,9 @@
  */
 const BALANCER_LAG_MS = 3_000;
 
+/** What a caller is told to wait before it goes to another host, in seconds. */
+const STOPPING_RETRY_S = 0.1;
+
 /** How long connections that are not idle may take to end after the last call, in milliseconds. */
 const CLOSE_MS = 200;
 
@@ -74,6 +77,8 @@
   private readonly drain: requests.Drain;
   private readonly callers: faceServers.FaceServer;
   private readonly readiness: faceServers.FaceServer;
+  /** Until when calls are taken, on this host's clock. */
+  private takesUntil = Infinity;
   private entryHosts = ASSUMED_ENTRY_HOSTS;
   private stopping: Promise<void> | undefined;
 
@@ -153,6 +158,7 @@
     const { log } = this.options;
     log.info({ event: 'stopping', role: 'entry', active: this.drain.getActive() });
     this.drain.begin();
+    this.takesUntil = this.options.clock.now() + BALANCER_LAG_MS;
     await this.drain.waitIdle(BALANCER_LAG_MS);
     await this.callers.close(CLOSE_MS);
     this.readiness.kill();
@@ -168,10 +174,16 @@
   }
 
   private serve(req: http.IncomingMessage, res: http.ServerResponse): void {
-    const leave = this.drain.enter();
     if (this.drain.isDraining()) {
       res.setHeader('connection', 'close');
     }
+    // A caller on a kept connection does not see the balancer. A draft that it sends late in the stop would be cut
+    // when the stop's time is over; told that it has not run, the caller goes to another host at once.
+    if (this.options.clock.now() > this.takesUntil) {
+      this.refuse(req, res, createStopping());
+      return;
+    }
+    const leave = this.drain.enter();
     void this.flow
       .handle(req, res)
       .catch((err: unknown) => this.refuse(req, res, err))
@@ -258,3 +270,13 @@
     return Math.max(LIST_STALE_MS / 4, shareMs);
   }
 }
+
+function createStopping(): schemas.Refusal {
+  return new schemas.Refusal({
+    id: 'draining',
+    step: 'admit',
+    status: 503,
+    outcome: 'not-run',
+    retryAfterS: STOPPING_RETRY_S,
+  });
+}
--- a/packages/gateway/tests/routed-calls.test.ts
+++ b/packages/gateway/tests/routed-calls.test.ts
@@ -282,3 +282,29 @@
   t.equal((await call).body, 'late');
   await stopped;
 });
+
+void tap.default.test(
+  'late in a planned stop nothing new is taken that the end would cut',
+  async (t) => {
+    // The host is told to stop while a long call runs. A caller on a kept connection sends another when the balancer
+    // has long gone elsewhere; it is told that this one has not run, and the long one is finished.
+    const site = await createSite(t);
+    const finish: (() => void)[] = [];
+    await site.addUpstream('app-1', 'app', (req, res) => {
+      finish.push(() => reply(req, res, 200, 'long'));
+    });
+    await declareAndList(site);
+    const long = site.call('/once/x', {}, 'book');
+    await site.until('at the upstream', () => finish.length === 1);
+    const stopped = site.entry.stop();
+    await new Promise((resolve) => {
+      setTimeout(resolve, 3_100);
+    });
+    const late = await site.call('/once/x', { 'call-id': 'c2' }, 'book');
+    t.same([late.status, late.headers.connection], [503, 'close']);
+    t.equal(finish.length, 1, 'and it truly did not run');
+    finish[0]!();
+    t.equal((await long).body, 'long');
+    await stopped;
+  },
+);
