--- a/packages/gateway/tests/routed-calls.test.ts
+++ b/packages/gateway/tests/routed-calls.test.ts
@@ -254,6 +254,9 @@
   site.leaveAll();
   t.equal(await left, 'left');
   await site.until('ended at the engine', () => isClosed);
+  // The route's own time would end it too, only much later.
+  await site.until('told', () => site.lines.some((line) => line.decision === 'outcome'));
+  t.equal(site.lines.find((line) => line.decision === 'outcome')?.outcome, 'caller-left');
 });
 
 void tap.default.test(
