Keep the account of engines true when lists differ, runs end and leaders change

Cause: three defects of the account, found by reading. A generation placed on an engine that the entry host's list lacks was refused and stayed on the account for up to 39 s; a run that ended while its copy was being ordered was entered again after its end; what a host placed without a leader was not told to the next. Ruled out: refusing in the first case with the account corrected, since other engines are known and have room. Fields that nobody read are gone; the refusal for want of room now logs how full the pool was.

--- a/packages/gateway/src/copy-keeper.ts
+++ b/packages/gateway/src/copy-keeper.ts
@@ -65,7 +65,7 @@
   private async order(job: routedJobs.RoutedJob, run: KeptRun): Promise<boolean> {
     const { engines, log, picker } = this.options;
     const { requestId } = job.call.facts;
-    const at = (await picker.pickResumed(job.call, run.engine)).copyAt;
+    const at = await picker.pickCopy(job.call, run.engine.upstreamId);
     if (at === undefined || !run.isOpen) {
       return false;
     }
--- a/packages/gateway/src/core-host.ts
+++ b/packages/gateway/src/core-host.ts
@@ -91,7 +91,6 @@
     this.store.markReady();
     this.pools = new poolDesks.PoolDesk({
       clock,
-      log,
       findService: (name) => this.findService(name),
       listUpstreams: () => this.list?.upstreams ?? [],
     });
@@ -146,6 +145,10 @@
       },
       news: (req) => this.answerNews(req),
       place: (req) => this.place(req),
+      renewCopy: async (req) => {
+        this.checkLeading('renew-copy');
+        return this.pools.renewCopy(req);
+      },
       release: async (req) => this.pools.release(req),
       declare: (document) => desk.declareHere(document),
       read: () => desk.readHere(),
@@ -154,11 +157,15 @@
 
   /** Only the leader keeps the account; what a former one knew is told anew by the entry hosts. */
   private async place(req: procedures.PlaceReq): Promise<procedures.PlaceRes> {
+    this.checkLeading('place');
+    return this.pools.place(req);
+  }
+
+  private checkLeading(step: string): void {
     if (!this.group.isLeading()) {
       this.pools.clear();
-      throw new schemas.StepError({ id: 'notLeader', step: 'place' });
+      throw new schemas.StepError({ id: 'notLeader', step });
     }
-    return this.pools.place(req);
   }
 
   private findService(name: string): schemas.RoutedService | undefined {
@@ -172,7 +179,7 @@
   /** Answers an entry host: at once when there is news, else when its wait is over. */
   private async answerNews(req: procedures.NewsReq): Promise<procedures.NewsRes> {
     const { clock } = this.options;
-    this.entries.hear(req.hostId, req.incarnation);
+    this.entries.hear(req.hostId);
     const end = clock.now() + req.waitMs;
     while (!this.hasNews(req) && clock.now() < end) {
       await Promise.race([
--- a/packages/gateway/src/core-procedures.ts
+++ b/packages/gateway/src/core-procedures.ts
@@ -18,7 +18,6 @@
 /** An entry host's open question: what is newer than this? */
 export const newsReq = z.object({
   hostId: z.string(),
-  incarnation: z.number(),
   version: z.int(),
   /** Changes with the content of the list of upstreams. */
   listStamp: z.string(),
@@ -50,7 +49,6 @@
   service: z.string(),
   need: z.object({
     callId: z.string(),
-    hostId: z.string(),
     promptTokens: z.number(),
     answerTokens: z.number(),
     leftMs: z.number(),
@@ -63,14 +61,24 @@
   patienceMs: z.number(),
 });
 
-/** Where a generation was placed, and how full its pool is. */
+/** A generation whose copy was lost while it runs on an engine. */
+export const renewCopyReq = z.object({
+  service: z.string(),
+  callId: z.string(),
+  engineId: z.string(),
+});
+
+/** Who is to keep its copy now; nothing when it no longer runs there or no engine has room. */
+export const renewCopyRes = z.object({ copyAt: z.string().optional() });
+
+/** Where a generation was placed, or how full its pool is when it was not. */
 export const placeRes = z.object({
   placed: z
     .object({ engineId: z.string(), copyAt: z.string().optional(), share: z.number() })
     .optional(),
   waitedMs: z.number(),
-  running: z.number(),
-  poolShare: z.number(),
+  /** Generations under way and the forecast share of all memory, for the log of a refusal. */
+  full: z.object({ running: z.int(), share: z.number() }).optional(),
 });
 
 /** A generation that runs no longer. */
@@ -82,6 +90,10 @@
 
 /** A generation that is to be placed. */
 export type PlaceReq = z.infer<typeof placeReq>;
+/** A generation whose copy was lost. */
+export type RenewCopyReq = z.infer<typeof renewCopyReq>;
+/** Who is to keep its copy now. */
+export type RenewCopyRes = z.infer<typeof renewCopyRes>;
 /** Where a generation was placed. */
 export type PlaceRes = z.infer<typeof placeRes>;
 /** A generation that runs no longer. */
@@ -109,6 +121,8 @@
   declare(document: intents.DeclaredDocument): Promise<intents.DeclareResult>;
   /** Places a generation, as the leader. */
   place(req: PlaceReq): Promise<PlaceRes>;
+  /** Picks who keeps the copy of a generation that runs already, as the leader. */
+  renewCopy(req: RenewCopyReq): Promise<RenewCopyRes>;
   release(req: ReleaseReq): Promise<void>;
   /** The newest document, as the leader. */
   read(): Promise<intents.DeclaredDocument | null>;
@@ -131,6 +145,7 @@
       .input(intents.declaredDocument)
       .mutation(({ input }) => handlers.declare(input)),
     place: t.procedure.input(placeReq).mutation(({ input }) => handlers.place(input)),
+    renewCopy: t.procedure.input(renewCopyReq).mutation(({ input }) => handlers.renewCopy(input)),
     release: t.procedure.input(releaseReq).mutation(({ input }) => handlers.release(input)),
     read: t.procedure.mutation(() => handlers.read()),
   });
--- a/packages/gateway/src/entry-host.ts
+++ b/packages/gateway/src/entry-host.ts
@@ -208,26 +208,25 @@
 
   private createPicker(): upstreamPickers.UpstreamPicker {
     const { clock, log, random, settings } = this.options;
-    const { availabilityZone, hostId } = settings.get();
+    const { availabilityZone } = settings.get();
     const pools = new poolClients.PoolClient({
       mesh: this.mesh,
       findLeader: () => this.link.findLeader(),
-      hostId,
       clock,
       log,
     });
-    return new upstreamPickers.UpstreamPicker(
-      this.directory,
+    return new upstreamPickers.UpstreamPicker({
+      directory: this.directory,
       pools,
       availabilityZone,
       clock,
+      log,
       random,
-    );
+    });
   }
 
   private createLink(): coreLinks.CoreLink {
     const { clock, log, random, settings } = this.options;
-    const incarnation = Date.now();
     return new coreLinks.CoreLink({
       mesh: this.mesh,
       listSeeds: () => hostSettings.listSeedIds(settings.get()),
@@ -236,7 +235,6 @@
       random,
       createAsk: (waitMs) => ({
         hostId: settings.get().hostId,
-        incarnation,
         version: this.store.getVersion(),
         listStamp: this.directory.getStamp(),
         waitMs,
--- a/packages/gateway/src/pool-client.ts
+++ b/packages/gateway/src/pool-client.ts
@@ -3,6 +3,7 @@
 
 import type * as coreMeshes from './core-mesh.js';
 import type * as procedures from './core-procedures.js';
+import type * as upstreamPickers from './upstream-picker.js';
 
 /**
  * How long the leader's answer may take beyond the time that it may hold the question, in milliseconds: some ten
@@ -17,7 +18,6 @@
 export interface PoolClientOptions {
   readonly mesh: coreMeshes.CoreMesh;
   readonly findLeader: () => string | undefined;
-  readonly hostId: string;
   readonly clock: schemas.Clock;
   readonly log: schemas.Log;
 }
@@ -30,7 +30,7 @@
 }
 
 /** Asks the leader where generations go, and keeps it informed of what runs here. */
-export class PoolClient {
+export class PoolClient implements upstreamPickers.GenerationPlacer {
   private readonly running = new Map<string, Running>();
   private aloneUntil = -Infinity;
   private informed: string | undefined;
@@ -40,32 +40,33 @@
   /** Where a generation goes; nothing when the leader does not answer, and this host has to choose alone. */
   public async place(
     service: string,
-    need: Omit<routing.PlaceNeed, 'hostId'>,
+    need: routing.PlaceNeed,
     patienceMs: number,
   ): Promise<procedures.PlaceRes | undefined> {
-    const { clock, findLeader, hostId, log, mesh } = this.options;
-    const leader = findLeader();
-    if (leader === undefined || clock.now() < this.aloneUntil) {
-      return undefined;
-    }
-    this.inform(leader);
-    try {
-      const context = { deadlineMs: patienceMs + ANSWER_MS };
-      const req = { service, need: { ...need, hostId }, patienceMs };
-      return await mesh.get(leader).place.mutate(req, { context });
-    } catch (err) {
-      this.aloneUntil = clock.now() + ALONE_MS;
-      this.informed = undefined;
-      log.warn({ event: 'pool-owner-lost', peer: leader, err: schemas.toError(err).message });
-      return undefined;
-    }
+    return this.ask((api) =>
+      api.place.mutate(
+        { service, need, patienceMs },
+        { context: { deadlineMs: patienceMs + ANSWER_MS } },
+      ),
+    );
+  }
+
+  /** Which engine is to keep a copy of a generation that runs already; nothing when there is none. */
+  public async renewCopy(
+    service: string,
+    callId: string,
+    engineId: string,
+  ): Promise<string | undefined> {
+    const res = await this.ask((api) =>
+      api.renewCopy.mutate({ service, callId, engineId }, { context: { deadlineMs: ANSWER_MS } }),
+    );
+    return res?.copyAt;
   }
 
   /** Notes that a generation runs here, wherever that was decided. */
-  public enter(service: string, need: Omit<routing.PlaceNeed, 'hostId'>, engineId: string): void {
-    const { clock, hostId } = this.options;
-    const startedAt = clock.now() - need.ranMs;
-    this.running.set(need.callId, { service, need: { ...need, hostId }, engineId, startedAt });
+  public enter(service: string, need: routing.PlaceNeed, engineId: string): void {
+    const startedAt = this.options.clock.now() - need.ranMs;
+    this.running.set(need.callId, { service, need, engineId, startedAt });
   }
 
   /** Notes that it runs no longer. */
@@ -82,6 +83,24 @@
     }
   }
 
+  /** Asks the leader; one that does not answer is left alone for a while. */
+  private async ask<T>(question: (api: coreMeshes.CoreApi) => Promise<T>): Promise<T | undefined> {
+    const { clock, findLeader, log, mesh } = this.options;
+    const leader = findLeader();
+    if (leader === undefined || clock.now() < this.aloneUntil) {
+      return undefined;
+    }
+    this.inform(leader);
+    try {
+      return await question(mesh.get(leader));
+    } catch (err) {
+      this.aloneUntil = clock.now() + ALONE_MS;
+      this.informed = undefined;
+      log.warn({ event: 'pool-owner-lost', peer: leader, err: schemas.toError(err).message });
+      return undefined;
+    }
+  }
+
   /** Tells a leader that has just risen, or was lost for a while, what runs here. */
   private inform(leader: string): void {
     const { clock, mesh } = this.options;
--- a/packages/gateway/src/pool-desk.ts
+++ b/packages/gateway/src/pool-desk.ts
@@ -9,7 +9,6 @@
 /** Where the desk learns what it needs. */
 export interface PoolDeskOptions {
   readonly clock: schemas.Clock;
-  readonly log: schemas.Log;
   /** The services in force, with what is known of their engines. */
   readonly findService: (name: string) => schemas.RoutedService | undefined;
   readonly listUpstreams: () => readonly schemas.ListedUpstream[];
@@ -36,13 +35,19 @@
       const placed = pool?.ledger.place(req.need, clock.now());
       if (placed !== undefined || clock.now() >= end) {
         const waitedMs = Math.round(clock.now() - askedAt);
-        const { running, share } = pool?.ledger.getSummary(clock.now()) ?? { running: 0, share: 1 };
-        return { placed, waitedMs, running, poolShare: Number(share.toFixed(3)) };
+        const full = placed === undefined ? pool?.ledger.getSummary(clock.now()) : undefined;
+        return { placed, waitedMs, full };
       }
       await clock.sleep(RETRY_MS);
     }
   }
 
+  /** Picks who keeps the copy of a generation that runs already. */
+  public renewCopy(req: procedures.RenewCopyReq): procedures.RenewCopyRes {
+    const ledger = this.findPool(req.service)?.ledger;
+    return { copyAt: ledger?.renewCopy(req.callId, req.engineId, this.options.clock.now()) };
+  }
+
   /** Takes generations off the account. */
   public release(req: procedures.ReleaseReq): void {
     const pool = this.pools.get(req.service);
@@ -74,7 +79,6 @@
             engineId: item.upstreamId,
             memoryTokens: engine.memoryTokens,
             slots: engine.slots,
-            availabilityZone: item.availabilityZone,
           })),
       );
     }
--- a/packages/gateway/src/routed-attempts.ts
+++ b/packages/gateway/src/routed-attempts.ts
@@ -201,7 +201,7 @@
     }
     job.resumes += 1;
     const holder = copy.at;
-    const leg = this.begin(job, await picker.pickResumed(call, holder));
+    const leg = this.begin(job, await picker.pickAt(call, holder));
     const request = call.facts.requestId;
     const details = { request, upstream: holder.upstreamId, former: former.picked.upstreamId };
     log.info({
--- a/packages/gateway/src/upstream-picker.ts
+++ b/packages/gateway/src/upstream-picker.ts
@@ -3,7 +3,6 @@
 
 import type * as callAdmissions from './call-admission.js';
 import type * as procedures from './core-procedures.js';
-import type * as poolClients from './pool-client.js';
 import type * as upstreamDirectories from './upstream-directory.js';
 
 /** What a caller is told to wait when no upstream of the service is known to live, in seconds. */
@@ -36,15 +35,35 @@
   readonly waitedMs: number;
 }
 
+/** The account of what runs on the engines, as this host asks and informs it. */
+export interface GenerationPlacer {
+  /** Where a generation goes; nothing when nobody answers and this host has to choose alone. */
+  place(
+    service: string,
+    need: routing.PlaceNeed,
+    patienceMs: number,
+  ): Promise<procedures.PlaceRes | undefined>;
+  /** Which engine is to keep a copy of a generation that runs already. */
+  renewCopy(service: string, callId: string, engineId: string): Promise<string | undefined>;
+  /** Notes that a generation runs here, wherever that was decided. */
+  enter(service: string, need: routing.PlaceNeed, engineId: string): void;
+  /** Notes that it runs no longer. */
+  leave(callId: string, hasFailed: boolean): void;
+}
+
+/** What the picker needs. */
+export interface UpstreamPickerOptions {
+  readonly directory: upstreamDirectories.UpstreamDirectory;
+  readonly pools: GenerationPlacer;
+  readonly availabilityZone: string;
+  readonly clock: schemas.Clock;
+  readonly log: schemas.Log;
+  readonly random: () => number;
+}
+
 /** Picks the upstream of each attempt: engines as the leader's account says, all else by what this host knows. */
 export class UpstreamPicker {
-  public constructor(
-    private readonly directory: upstreamDirectories.UpstreamDirectory,
-    private readonly pools: poolClients.PoolClient,
-    private readonly availabilityZone: string,
-    private readonly clock: schemas.Clock,
-    private readonly random: () => number,
-  ) {}
+  public constructor(private readonly options: UpstreamPickerOptions) {}
 
   /** Picks an upstream that was not tried yet, or refuses. */
   public async pick(
@@ -56,33 +75,55 @@
     }
     const patienceMs = Math.min(
       call.route.targetMs * PATIENCE_SHARE,
-      call.endsAt - this.clock.now(),
+      call.endsAt - this.options.clock.now(),
     );
     const need = this.createNeed(call, [...tried]);
-    const res = await this.pools.place(call.service.name, need, patienceMs);
-    if (res === undefined) {
-      return this.pickAlone(call, tried);
+    const res = await this.options.pools.place(call.service.name, need, patienceMs);
+    if (res !== undefined && res.placed === undefined) {
+      const { full, waitedMs } = res;
+      this.options.log.info({
+        decision: 'no-room',
+        request: call.facts.requestId,
+        service: call.service.name,
+        waitedMs,
+        ...full,
+      });
+      throw this.refuse('noRoom', call.service.name, FULL_RETRY_S);
     }
     const picked = this.resolve(res);
-    if (picked === undefined) {
-      throw this.refuse('noRoom', call.service.name, FULL_RETRY_S);
+    if (picked === undefined && res !== undefined) {
+      // The leader has read of an engine that this host's list lacks. The account is told where it goes instead;
+      // otherwise it would count on the new engine, for up to its whole time, what never ran there.
+      return this.pickAt(call, this.pickAlone(call, tried).known);
     }
-    this.pools.enter(call.service.name, need, picked.upstreamId);
-    return picked;
+    const chosen = picked ?? this.pickAlone(call, tried);
+    this.options.pools.enter(call.service.name, need, chosen.upstreamId);
+    return chosen;
+  }
+
+  /** Picks who keeps a copy of a generation that runs on an engine; nothing when it no longer runs or none has room. */
+  public async pickCopy(
+    call: callAdmissions.AdmittedCall,
+    engineId: string,
+  ): Promise<upstreamDirectories.KnownUpstream | undefined> {
+    const { requestId } = call.facts;
+    return this.findHolder(
+      await this.options.pools.renewCopy(call.service.name, requestId, engineId),
+    );
   }
 
-  /** Enters a generation that goes on at the engine of its copy, and picks who keeps the next copy. */
-  public async pickResumed(
+  /** Enters a generation at a certain engine, such as that of its copy, and picks who keeps the next copy. */
+  public async pickAt(
     call: callAdmissions.AdmittedCall,
     holder: upstreamDirectories.KnownUpstream,
   ): Promise<PickedUpstream> {
     const need = {
       ...this.createNeed(call, []),
       fixedEngineId: holder.upstreamId,
-      ranMs: this.clock.now() - call.arrivedAt,
+      ranMs: this.options.clock.now() - call.arrivedAt,
     };
-    const res = await this.pools.place(call.service.name, need, 0);
-    this.pools.enter(call.service.name, need, holder.upstreamId);
+    const res = await this.options.pools.place(call.service.name, need, 0);
+    this.options.pools.enter(call.service.name, need, holder.upstreamId);
     const copyAt = this.findHolder(res?.placed?.copyAt);
     return { upstreamId: holder.upstreamId, known: holder, share: 0, copyAt, waitedMs: 0 };
   }
@@ -90,19 +131,21 @@
   /** Notes that a call runs no longer. */
   public release(call: callAdmissions.AdmittedCall, hasFailed: boolean): void {
     if (isGeneration(call)) {
-      this.pools.leave(call.facts.requestId, hasFailed);
+      this.options.pools.leave(call.facts.requestId, hasFailed);
     }
   }
 
-  private resolve({ placed, waitedMs }: procedures.PlaceRes): PickedUpstream | undefined {
-    const known = placed && this.directory.find(placed.engineId);
+  /** The engine that the leader chose; nothing when this host's list does not have it yet. */
+  private resolve(res: procedures.PlaceRes | undefined): PickedUpstream | undefined {
+    const placed = res?.placed;
+    const known = placed && this.options.directory.find(placed.engineId);
     return (
       known && {
         upstreamId: known.upstreamId,
         known,
         share: placed.share,
         copyAt: this.findHolder(placed.copyAt),
-        waitedMs,
+        waitedMs: res.waitedMs,
       }
     );
   }
@@ -110,16 +153,15 @@
   private findHolder(
     upstreamId: string | undefined,
   ): upstreamDirectories.KnownUpstream | undefined {
-    return upstreamId === undefined ? undefined : this.directory.find(upstreamId);
+    return upstreamId === undefined ? undefined : this.options.directory.find(upstreamId);
   }
 
   private createNeed(call: callAdmissions.AdmittedCall, excluded: string[]) {
-    const promptTokens = call.facts.generation?.promptTokens ?? 0;
     return {
       callId: call.facts.requestId,
-      promptTokens,
-      answerTokens: getExpectedTokens(call) - promptTokens,
-      leftMs: call.endsAt - this.clock.now(),
+      promptTokens: call.facts.generation?.promptTokens ?? 0,
+      answerTokens: getAnswerTokens(call),
+      leftMs: call.endsAt - this.options.clock.now(),
       excluded,
       wantsCopy: call.service.engine?.canBackUp === true,
       ranMs: 0,
@@ -131,13 +173,13 @@
    * where is not known, and a copy too many costs more than it saves.
    */
   private pickAlone(call: callAdmissions.AdmittedCall, tried: ReadonlySet<string>): PickedUpstream {
-    const now = this.clock.now();
+    const now = this.options.clock.now();
     const candidates = this.listCandidates(call.service, now).filter(
       (item) => !tried.has(item.upstreamId),
     );
     const isEngine = isGeneration(call);
     const choose = isEngine ? routing.chooseByMemory : routing.chooseByCalls;
-    const chosen = choose(candidates, now, this.random);
+    const chosen = choose(candidates, now, this.options.random);
     if (chosen === undefined) {
       throw this.refuse('noUpstream', call.service.name, RETRY_AFTER_S);
     }
@@ -149,7 +191,7 @@
   }
 
   private listCandidates(service: schemas.RoutedService, now: number) {
-    return this.directory
+    return this.options.directory
       .listLive(service.name)
       .map((known) => this.createCandidate(known, service, now));
   }
@@ -162,7 +204,7 @@
     return {
       upstreamId: known.upstreamId,
       known,
-      isNear: known.listed.availabilityZone === this.availabilityZone,
+      isNear: known.listed.availabilityZone === this.options.availabilityZone,
       isCold: known.coldUntil > now,
       slots: known.listed.slots,
       load: known.load,
@@ -181,7 +223,7 @@
       step: 'pick',
       status: 503,
       outcome: 'not-run',
-      args: [service, this.availabilityZone],
+      args: [service, this.options.availabilityZone],
       retryAfterS,
     });
   }
@@ -189,10 +231,9 @@
 
 /** Whether a copy of a call's generation is worth keeping while it runs. */
 export function wantsCopy(call: callAdmissions.AdmittedCall): boolean {
-  const answerTokens = getExpectedTokens(call) - (call.facts.generation?.promptTokens ?? 0);
   const { engine } = call.service;
   const canCopy = isGeneration(call) && engine?.canBackUp === true && engine.canMove;
-  return canCopy && answerTokens > routing.SHORT_ANSWER_TOKENS;
+  return canCopy && getAnswerTokens(call) > routing.SHORT_ANSWER_TOKENS;
 }
 
 function isGeneration({ facts, service }: callAdmissions.AdmittedCall): boolean {
@@ -200,12 +241,17 @@
 }
 
 /** The memory that a call is expected to fill on an engine, in tokens; 0 for calls that are no generations. */
-export function getExpectedTokens({ facts }: callAdmissions.AdmittedCall): number {
+export function getExpectedTokens(call: callAdmissions.AdmittedCall): number {
+  return (call.facts.generation?.promptTokens ?? 0) + getAnswerTokens(call);
+}
+
+/** The tokens that a call's answer is expected to have; 0 for calls that are no generations. */
+function getAnswerTokens({ facts }: callAdmissions.AdmittedCall): number {
   if (facts.generation === undefined) {
     return 0;
   }
-  const { hintTokens, maxTokens, promptTokens } = facts.generation;
-  return promptTokens + Math.min(hintTokens ?? maxTokens * MEAN_SHARE_OF_MOST, maxTokens);
+  const { hintTokens, maxTokens } = facts.generation;
+  return Math.min(hintTokens ?? maxTokens * MEAN_SHARE_OF_MOST, maxTokens);
 }
 
 /**
@@ -218,6 +264,5 @@
     return undefined;
   }
   const rank = call.team?.urgency ?? call.route.urgency;
-  const answerTokens = getExpectedTokens(call) - (call.facts.generation?.promptTokens ?? 0);
-  return rank * 2 + (answerTokens > routing.SHORT_ANSWER_TOKENS ? 1 : 0);
+  return rank * 2 + (getAnswerTokens(call) > routing.SHORT_ANSWER_TOKENS ? 1 : 0);
 }
--- a/packages/gateway/tests/core-link.test.ts
+++ b/packages/gateway/tests/core-link.test.ts
@@ -15,7 +15,7 @@
     clock,
     log: new schemas.SilentLog(),
     random: () => 0,
-    createAsk: (waitMs) => ({ hostId: 'h', incarnation: 1, version: -1, listStamp: '', waitMs }),
+    createAsk: (waitMs) => ({ hostId: 'h', version: -1, listStamp: '', waitMs }),
     take: (_news, isTrusted) => {
       trusted.push(isTrusted);
     },
--- /dev/null
+++ b/packages/gateway/tests/upstream-picker.test.ts
@@ -0,0 +1,109 @@
+import type * as routing from '@bramleyridge/routing';
+import * as schemas from '@bramleyridge/schemas';
+import * as tap from 'tap';
+
+import type * as callAdmissions from '../src/call-admission.js';
+import * as upstreamDirectories from '../src/upstream-directory.js';
+import * as upstreamPickers from '../src/upstream-picker.js';
+import * as sites from './support/small-site.js';
+
+/** A leader that places every generation on one engine, or does not answer, and what it is told. */
+class FixedPlacer implements upstreamPickers.GenerationPlacer {
+  public readonly entered: string[] = [];
+  public readonly fixed: (string | undefined)[] = [];
+
+  public constructor(private readonly engineId: string | undefined) {}
+
+  public async place(_service: string, need: routing.PlaceNeed) {
+    this.fixed.push(need.fixedEngineId);
+    if (this.engineId === undefined) {
+      return Promise.resolve(undefined);
+    }
+    const placed: routing.Placement = { engineId: this.engineId, copyAt: undefined, share: 0.1 };
+    return Promise.resolve({ placed, waitedMs: 0 });
+  }
+
+  public async renewCopy() {
+    return Promise.resolve(undefined);
+  }
+
+  public enter(_service: string, need: routing.PlaceNeed): void {
+    this.entered.push(need.callId);
+  }
+
+  public leave(): void {}
+}
+
+function createDirectory(clock: schemas.Clock, engineIds: readonly string[]) {
+  const directory = new upstreamDirectories.UpstreamDirectory(clock, new schemas.SilentLog());
+  const upstreams = engineIds.map((upstreamId) => ({
+    upstreamId,
+    service: 'engines',
+    address: '127.0.0.1:1',
+    availabilityZone: 'a',
+    isLeaving: false,
+    slots: 4,
+    coldMs: 0,
+  }));
+  directory.take({ stamp: 's1', upstreams }, 0);
+  return directory;
+}
+
+/** A host whose list has one engine. */
+function createPicker(clock: schemas.Clock, pools: upstreamPickers.GenerationPlacer) {
+  return new upstreamPickers.UpstreamPicker({
+    directory: createDirectory(clock, ['e-1']),
+    pools,
+    availabilityZone: 'a',
+    clock,
+    log: new schemas.SilentLog(),
+    random: () => 0,
+  });
+}
+
+function createCall(): callAdmissions.AdmittedCall {
+  const config = sites.createConfig(1);
+  return {
+    facts: {
+      requestId: 'c1',
+      patienceMs: 4_000,
+      key: 'k1',
+      generation: { promptTokens: 100, maxTokens: 400, hintTokens: 400, prefixParts: [] },
+      passedOn: {},
+    },
+    route: config.routes[2]!,
+    service: config.services[1]!,
+    team: undefined,
+    method: 'POST',
+    path: '/drafts/x',
+    limits: config.limits,
+    arrivedAt: 0,
+    endsAt: 4_000,
+  };
+}
+
+void tap.default.test(
+  'a generation placed on an engine not listed here goes elsewhere',
+  async (t) => {
+    // An engine has just started. The leader has read it in the list and places a generation there; this host's copy
+    // of the list is older and has no address for it. The caller must not be refused while other engines are
+    // known, and the leader must not count for 39 s what never ran.
+    const clock = new schemas.VirtualClock();
+    const placer = new FixedPlacer('e-new');
+    const picker = createPicker(clock, placer);
+    const picked = await picker.pick(createCall(), new Set());
+    t.equal(picked.upstreamId, 'e-1', 'it runs on one that is known');
+    t.same(placer.fixed, [undefined, 'e-1'], 'and the account is told which');
+  },
+);
+
+void tap.default.test('a generation that this host places alone stays known to it', async (t) => {
+  // A new leader is told what runs; what this host placed while it had none must be among it, or the new
+  // leader fills the same engine a second time.
+  const clock = new schemas.VirtualClock();
+  const placer = new FixedPlacer(undefined);
+  const picker = createPicker(clock, placer);
+  const picked = await picker.pick(createCall(), new Set());
+  t.equal(picked.upstreamId, 'e-1');
+  t.same(placer.entered, ['c1']);
+});
--- a/packages/routing/src/engine-ledger.ts
+++ b/packages/routing/src/engine-ledger.ts
@@ -49,13 +49,11 @@
   readonly engineId: string;
   readonly memoryTokens: number;
   readonly slots: number;
-  readonly availabilityZone: string;
 }
 
 /** A generation that is to be placed. */
 export interface PlaceNeed {
   readonly callId: string;
-  readonly hostId: string;
   readonly promptTokens: number;
   /** The estimate of the answer's tokens. */
   readonly answerTokens: number;
@@ -121,7 +119,7 @@
     if (engineId === undefined) {
       return undefined;
     }
-    const copyAt = this.chooseCopy(need, engineId, now);
+    const copyAt = need.wantsCopy ? this.chooseCopy(need, engineId, need.ranMs, now) : undefined;
     const startedAt = now - need.ranMs;
     this.entries.set(need.callId, {
       need,
@@ -136,6 +134,17 @@
     return { engineId, copyAt, share: state === undefined ? 0 : this.getShare(state, now) };
   }
 
+  /** Picks another holder of a running generation's copy; nothing when it no longer runs on that engine. */
+  public renewCopy(callId: string, engineId: string, now: number): string | undefined {
+    const entry = this.entries.get(callId);
+    if (entry === undefined || entry.engineId !== engineId) {
+      return undefined;
+    }
+    const copyAt = this.chooseCopy(entry.need, engineId, now - entry.startedAt, now);
+    this.entries.set(callId, { ...entry, copyAt });
+    return copyAt;
+  }
+
   /** Takes a generation off; a failure counts against its engine for a while. */
   public release(callId: string, hasFailed: boolean, now: number): void {
     const entry = this.entries.get(callId);
@@ -172,14 +181,19 @@
       .sort((a, b) => a.score - b.score)[0]?.state;
   }
 
-  private chooseCopy(need: PlaceNeed, engineId: string, now: number): string | undefined {
-    if (!need.wantsCopy || need.answerTokens <= SHORT_ANSWER_TOKENS) {
+  private chooseCopy(
+    need: PlaceNeed,
+    engineId: string,
+    ranMs: number,
+    now: number,
+  ): string | undefined {
+    if (need.answerTokens <= SHORT_ANSWER_TOKENS) {
       return undefined;
     }
     if (this.getSummary(now).share > POOL_COPY_LIMIT) {
       return undefined;
     }
-    const size = getSizeAhead(need, need.ranMs);
+    const size = getSizeAhead(need, ranMs);
     return [...this.engines.values()]
       .filter(({ engine }) => engine.engineId !== engineId)
       .map((state) => ({
--- a/packages/routing/src/route-table.ts
+++ b/packages/routing/src/route-table.ts
@@ -1,8 +1,5 @@
 import type * as schemas from '@bramleyridge/schemas';
 
-/** A team as a call's key names it. */
-export type KeyOwner = schemas.KeyedTeam;
-
 /** The routes, services and keys of one configuration, indexed for every call to look up. */
 export class RouteTable {
   private readonly byHost = new Map<string, schemas.Route[]>();
--- a/packages/routing/tests/engine-ledger.test.ts
+++ b/packages/routing/tests/engine-ledger.test.ts
@@ -7,7 +7,6 @@
 function createNeed(callId: string, more: Partial<routing.PlaceNeed> = {}): routing.PlaceNeed {
   return {
     callId,
-    hostId: 'h1',
     promptTokens: 3_000,
     answerTokens: 900,
     leftMs: 39_000,
@@ -25,7 +24,6 @@
       engineId: `e${i}`,
       memoryTokens: MEMORY,
       slots: 24,
-      availabilityZone: 'a',
     })),
   );
   return ledger;
@@ -100,3 +98,16 @@
     t.equal(placed?.copyAt, 'e0');
   },
 );
+
+void tap.default.test('a copy is renewed only for what still runs on that engine', async (t) => {
+  // An engine leaves, and a host asks who is to keep the copy of a run there. Meanwhile the run ends, or goes on at
+  // the engine of its former copy. Entered again it would hold room for its whole time, up to 39 s.
+  const ledger = createLedger(3);
+  const placed = ledger.place(createNeed('c1'), 0)!;
+  const renewed = ledger.renewCopy('c1', placed.engineId, 1_000);
+  t.ok(renewed !== undefined && renewed !== placed.engineId, 'another engine keeps it');
+  t.equal(ledger.renewCopy('c1', 'e9', 1_000), undefined, 'not of a run that is elsewhere');
+  ledger.release('c1', false, 2_000);
+  t.equal(ledger.renewCopy('c1', placed.engineId, 2_000), undefined, 'nor of one that has ended');
+  t.equal(ledger.getSummary(2_000).running, 0, 'and nothing is entered by asking');
+});
