Add telemetry: one catalogue of metrics, text exposition, bounded logs, calls explained from log files

Cause: engineers on call had StatsD only, logs without a bound on volume, and no way from a request's id to its cause but reading. Ruled out: a second set of names for the text exposition; the catalogue feeds both it and StatsD, whose names stay as they were. Before: a flood of one kind of line was written in full.

--- a/packages/cli/src/bramleyctl.ts
+++ b/packages/cli/src/bramleyctl.ts
@@ -87,8 +87,16 @@
     .command(
       'explain <request>',
       'show the decisions on a request',
-      (y) => y.positional('request', { type: 'string', demandOption: true }),
-      (args) => commands.explain(getClient(args), getOutput(args), args.request),
+      (y) =>
+        y.positional('request', { type: 'string', demandOption: true }).option('logs', {
+          type: 'string',
+          array: true,
+          describe: 'log files to look in, instead of asking the daemons',
+        }),
+      (args) =>
+        args.logs === undefined
+          ? commands.explain(getClient(args), getOutput(args), args.request)
+          : commands.explainFromLogs(getOutput(args), args.logs, args.request),
     )
     .command('intents', 'list the intents in force', {}, (args) =>
       commands.listIntents(getClient(args), getOutput(args)),
--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -2,9 +2,11 @@
 
 import * as intents from '@bramleyridge/intents';
 import * as schemas from '@bramleyridge/schemas';
+import * as telemetry from '@bramleyridge/telemetry';
 
 import * as folders from './declaration-folder.js';
 import * as exits from './exit-codes.js';
+import * as logFiles from './log-files.js';
 import * as clients from './operator-client.js';
 
 /** How often `status --wait` looks, in milliseconds. */
@@ -151,6 +153,20 @@
   );
 }
 
+/** Shows why a call ended as it did, from the log files of any processes: the cause on top, then its lines. */
+export async function explainFromLogs(
+  output: Output,
+  files: readonly string[],
+  request: string,
+): Promise<void> {
+  const found = await logFiles.readLinesOn(files, request);
+  const trail = telemetry.explainCall(found, request);
+  show(output, trail, [trail.cause, ...trail.lines.map((line) => JSON.stringify(line))]);
+  if (trail.lines.length === 0) {
+    throw new exits.ExitError(exits.EXIT.failed, `no line on ${request}`);
+  }
+}
+
 /** Lists the intents in force. */
 export async function listIntents(client: clients.OperatorClient, output: Output): Promise<void> {
   const { intents: list } = (await client.get('/declaration')) as schemas.Declaration;
--- a/packages/cli/tests/cli.test.ts
+++ b/packages/cli/tests/cli.test.ts
@@ -72,3 +72,22 @@
     t.same(JSON.parse(run('schema', what).stdout), kept, what);
   });
 });
+
+void tap.default.test('a call is explained from log files, with the cause on top', async (t) => {
+  // The files of two hosts are at hand, one of them with a time before each line and half a line at its end.
+  const folder = writeFolder(t, {
+    'a.log':
+      '12.5 {"time":1,"host":"a","decision":"route","request":"c1","upstream":"e1"}\n{"time":3,"ho',
+    'b.log': [
+      '{"time":2,"host":"a","decision":"outcome","request":"c1","upstream":"e1","outcome":"incomplete"}',
+      '{"time":2,"host":"b","decision":"outcome","request":"c2","outcome":"complete"}',
+    ].join('\n'),
+  });
+  const files = [path.join(folder, 'a.log'), path.join(folder, 'b.log')];
+  const done = run('explain', 'c1', '--logs', ...files);
+  t.equal(done.status, 0);
+  const [cause, ...lines] = done.stdout.trim().split('\n');
+  t.equal(cause, 'engine e1 broke off, and there was no copy');
+  t.equal(lines.length, 2);
+  t.equal(run('explain', 'c9', '--logs', ...files).status, 1, 'an identifier that is nowhere');
+});
--- /dev/null
+++ b/packages/telemetry/src/metric-catalog.ts
@@ -0,0 +1,116 @@
+/** How a metric is kept. */
+export type MetricKind = 'counter' | 'histogram' | 'gauge';
+
+/** What a metric is called, and what it says. */
+export interface MetricFacts {
+  readonly kind: MetricKind;
+  readonly name: string;
+  readonly help: string;
+  readonly labels: readonly string[];
+}
+
+/** Every metric of this system, by id; names end in their unit. */
+export const METRICS = {
+  calls: {
+    kind: 'counter',
+    name: 'calls_total',
+    help: 'Calls that ended, by route, outcome and what decided it',
+    labels: ['route', 'outcome', 'reason'],
+  },
+  requests: {
+    kind: 'counter',
+    name: 'requests_total',
+    help: 'Generations of the OpenAI API that ended',
+    labels: ['outcome', 'team'],
+  },
+  refusals: {
+    kind: 'counter',
+    name: 'refusals_total',
+    help: 'Calls that were refused before they were sent',
+    labels: ['reason'],
+  },
+  attempts: {
+    kind: 'counter',
+    name: 'attempts_total',
+    help: 'Sends to upstreams, by service and how they ended',
+    labels: ['service', 'result'],
+  },
+  retries: {
+    kind: 'counter',
+    name: 'retries_total',
+    help: 'Retries by where they came from: own share, lent by the leader, or denied',
+    labels: ['service', 'source'],
+  },
+  resumes: {
+    kind: 'counter',
+    name: 'resumes_total',
+    help: 'Streams that broke off, by whether they went on elsewhere',
+    labels: ['result'],
+  },
+  callMs: {
+    kind: 'histogram',
+    name: 'call_duration_ms',
+    help: 'From the head of a call to the end of its answer',
+    labels: ['route'],
+  },
+  firstEventMs: {
+    kind: 'histogram',
+    name: 'first_event_ms',
+    help: 'From the head of a call to the first event of its stream',
+    labels: ['route'],
+  },
+  eventGapMs: {
+    kind: 'histogram',
+    name: 'event_gap_ms',
+    help: 'Between two events of a stream, as they were passed on',
+    labels: ['route'],
+  },
+  queued: {
+    kind: 'histogram',
+    name: 'queued_ms',
+    help: 'How long a generation waited for room',
+    labels: ['class'],
+  },
+  activeCalls: { kind: 'gauge', name: 'active_calls', help: 'Calls under way', labels: [] },
+  configurationVersion: {
+    kind: 'gauge',
+    name: 'configuration_version',
+    help: 'The version of the configuration in force on this host; -1 for none',
+    labels: [],
+  },
+  listAgeMs: {
+    kind: 'gauge',
+    name: 'upstream_list_age_ms',
+    help: 'How long ago the list of upstreams in use was true',
+    labels: [],
+  },
+  upstreamsLive: {
+    kind: 'gauge',
+    name: 'upstreams_live',
+    help: 'Upstreams that are listed and take work',
+    labels: [],
+  },
+  isLeading: { kind: 'gauge', name: 'is_leading', help: 'Whether this host leads', labels: [] },
+  term: { kind: 'gauge', name: 'term', help: 'The term of the replicated log', labels: [] },
+  entryHosts: {
+    kind: 'gauge',
+    name: 'entry_hosts',
+    help: 'Entry hosts that this leader hears',
+    labels: [],
+  },
+  generationsPlaced: {
+    kind: 'counter',
+    name: 'generations_placed_total',
+    help: 'Generations that the leader was asked to place',
+    labels: ['result'],
+  },
+  logLinesLeftOut: {
+    kind: 'counter',
+    name: 'log_lines_left_out_total',
+    help: 'Log lines beyond the budget of their kind',
+    labels: ['kind'],
+  },
+} as const satisfies Record<string, MetricFacts>;
+
+/** The id of a metric. */
+export type MetricId = keyof typeof METRICS;
--- /dev/null
+++ b/packages/telemetry/tests/call-trail.test.ts
@@ -0,0 +1,122 @@
+import * as telemetry from '@bramleyridge/telemetry';
+import * as tap from 'tap';
+
+const route = {
+  time: 1,
+  host: 'h1',
+  decision: 'route',
+  request: 'c1',
+  upstream: 'e1',
+  waitedMs: 0,
+};
+const incomplete = {
+  time: 9,
+  decision: 'outcome',
+  request: 'c1',
+  upstream: 'e1',
+  outcome: 'incomplete',
+};
+
+void tap.default.test('each way in which a call fails has its cause', async (t) => {
+  const cases = [
+    {
+      name: 'refused from the head',
+      lines: [{ decision: 'refuse', request: 'c1', reason: 'teamKey', status: 401, version: 7 }],
+      cause: /status 401: teamKey \(configuration 7/,
+    },
+    {
+      name: 'no room',
+      lines: [
+        {
+          decision: 'no-room',
+          request: 'c1',
+          service: 's',
+          share: 0.888,
+          running: 44,
+          waitedMs: 739,
+        },
+        { decision: 'outcome', request: 'c1', outcome: 'not-run', status: 503 },
+      ],
+      cause: /want of room at s: 44 generations .* 89% .* 739 ms/,
+    },
+    {
+      name: 'the copy cannot be used',
+      lines: [
+        route,
+        {
+          time: 5,
+          decision: 'resume-failed',
+          request: 'c1',
+          former: 'e1',
+          upstream: 'e2',
+          err: 'no',
+        },
+        incomplete,
+      ],
+      cause: /e1 broke off and the copy at e2 could not be used: no/,
+    },
+    {
+      name: 'the retry budget is used up',
+      lines: [route, { time: 5, decision: 'resume-refused', request: 'c1' }, incomplete],
+      cause: /the retry budget allowed no other/,
+    },
+    {
+      name: 'no copy could be made',
+      lines: [route, { time: 5, decision: 'copy-failed', request: 'c1', err: 'full' }, incomplete],
+      cause: /e1 broke off, and no copy was made: full/,
+    },
+    {
+      name: 'the host was killed',
+      lines: [route, { time: 4, host: 'h1', event: 'started' }],
+      cause: /host h1 ended while the call ran/,
+    },
+    { name: 'still running', lines: [route], cause: /no end in these lines/ },
+    {
+      name: 'the upstream was lost',
+      lines: [
+        route,
+        { time: 2, decision: 'upstream-failed', request: 'c1', upstream: 'e1', reason: 'lost' },
+        {
+          time: 3,
+          decision: 'outcome',
+          request: 'c1',
+          outcome: 'unknown',
+          status: 502,
+          reason: 'ranUnknown',
+        },
+      ],
+      cause: /unknown with status 502: ranUnknown after e1: lost/,
+    },
+    {
+      name: 'the caller left',
+      lines: [
+        route,
+        {
+          time: 3,
+          decision: 'outcome',
+          request: 'c1',
+          outcome: 'caller-left',
+          tookMs: 7200,
+          upstream: 'e1',
+        },
+      ],
+      cause: /left after 7200 ms, while it was at e1/,
+    },
+    {
+      name: 'another call',
+      lines: [{ decision: 'route', request: 'c2' }],
+      cause: /no line has this/,
+    },
+  ];
+  cases.forEach(({ name, lines, cause }) => {
+    t.match(telemetry.explainCall(lines, 'c1').cause, cause, name);
+  });
+});
+
+void tap.default.test('lines of several processes come in order of time', async (t) => {
+  const { lines } = telemetry.explainCall([incomplete, route], 'c1');
+  t.same(
+    lines.map((line) => line.time),
+    [1, 9],
+  );
+});
--- /dev/null
+++ b/packages/telemetry/tests/text-metrics.test.ts
@@ -0,0 +1,49 @@
+import * as telemetry from '@bramleyridge/telemetry';
+import * as tap from 'tap';
+
+void tap.default.test('what is counted, timed and watched is in the text', async (t) => {
+  const metrics = new telemetry.TextMetrics();
+  metrics.count('calls', { route: 'r1', outcome: 'complete', reason: 'none' });
+  metrics.count('calls', { route: 'r1', outcome: 'complete', reason: 'none' });
+  metrics.time('callMs', 42, { route: 'r1' });
+  let level = 1;
+  metrics.watch('activeCalls', () => level);
+  level = 7;
+  const text = await metrics.render();
+  t.match(
+    text,
+    /bramleyridge_calls_total\{route="r1",outcome="complete",reason="none"\} 2/,
+    'a counter',
+  );
+  t.match(text, /bramleyridge_call_duration_ms_bucket\{le="50",route="r1"\} 1/, 'a histogram');
+  t.match(text, /bramleyridge_active_calls 7/, 'a level as it is when it is read');
+  t.match(text, /# HELP bramleyridge_active_calls /, 'with what it says');
+});
+
+void tap.default.test('label sets are bounded', async (t) => {
+  // An operator declares thousands of routes, or their names change with every version. Memory must not grow with
+  // them; the sum stays right.
+  const metrics = new telemetry.TextMetrics();
+  for (let i = 0; i < 2_000; i += 1) {
+    metrics.count('calls', { route: `r${i}`, outcome: 'complete', reason: 'none' });
+  }
+  const lines = (await metrics.render())
+    .split('\n')
+    .filter((line) => line.startsWith('bramleyridge_calls_total{'));
+  t.ok(lines.length <= 501, `${lines.length} sets`);
+  const sum = lines.reduce((total, line) => total + Number(line.split(' ').at(-1)), 0);
+  t.equal(sum, 2_000);
+});
+
+void tap.default.test(
+  'every metric of the catalogue is of one name and says what it is',
+  async (t) => {
+    const all = Object.values(telemetry.METRICS);
+    t.equal(new Set(all.map(({ name }) => name)).size, all.length);
+    all.forEach(({ help, kind, name }) => {
+      t.ok(help.length > 10, name);
+      t.equal(kind === 'counter', name.endsWith('_total'), `${name} ends as counters do`);
+      t.ok(kind !== 'histogram' || name.endsWith('_ms'), `${name} has its unit`);
+    });
+  },
+);
