--- a/packages/gateway/src/core-host.ts
+++ b/packages/gateway/src/core-host.ts
@@ -109,6 +109,7 @@
       listUpstreams: () => this.list?.upstreams ?? [],
       retryPot: {
         most: Math.floor(settings.bounds.retrySlack * retryShares.LENT_PART),
+        mostAtFirst: Math.floor(settings.bounds.retrySlack * retryShares.LENT_AT_FIRST_PART),
         windowMs: settings.bounds.retryWindowMs,
       },
     });
@@ -190,7 +191,8 @@
       release: async (req) => this.pools.release(req),
       borrowRetry: async ({ service }) => {
         this.checkLeading('borrow-retry');
-        return { isLent: this.pools.lendRetry(service, group.getLeadership().term) };
+        const { startedAt, term } = group.getLeadership();
+        return { isLent: this.pools.lendRetry(service, { term, since: startedAt }) };
       },
       declare: (document) => desk.declareHere(document),
       read: () => desk.readHere(),
--- a/packages/gateway/src/pool-desk.ts
+++ b/packages/gateway/src/pool-desk.ts
@@ -59,11 +59,11 @@
     pool?.ledger.release(req.callId, req.hasFailed, this.options.clock.now());
   }
 
-  /** Lends a retry at a service; `term` is the one in which this host leads. */
-  public lendRetry(service: string, term: number): boolean {
+  /** Lends a retry at a service. */
+  public lendRetry(service: string, lender: requests.RetryLender): boolean {
     const pot = this.pots.get(service) ?? new requests.RetryPot(this.options.retryPot);
     this.pots.set(service, pot);
-    return pot.lend(term, this.options.clock.now());
+    return pot.lend(lender, this.options.clock.now());
   }
 
   /** Forgets everything, because another host leads. */
--- a/packages/gateway/src/retry-shares.ts
+++ b/packages/gateway/src/retry-shares.ts
@@ -11,9 +11,15 @@
 /** The part of the retries beyond the ratio that the hosts share out among themselves. */
 const SHARED_PART = 0.35;
 
-/** The part that the leader lends to those that need more. Together with the shared part it leaves a quarter unused. */
+/** The part that the leader lends to those that need more. */
 export const LENT_PART = 0.4;
 
+/**
+ * The part that a leader lends in its first window, when it does not know what the one before it lent. With two new
+ * leaders in one window the parts add up to 0.99.
+ */
+export const LENT_AT_FIRST_PART = 0.12;
+
 /** How much of a host's part is saved up; the rest comes back over a window. */
 const SAVED_PART = 0.8;
 
--- a/packages/requests/src/retry-pot.ts
+++ b/packages/requests/src/retry-pot.ts
@@ -1,9 +1,17 @@
 /** How many retries the hosts may borrow, over a sliding window. */
 export interface RetryPotBounds {
   readonly most: number;
+  /** The same while what a former lender lent may still be in the window. */
+  readonly mostAtFirst: number;
   readonly windowMs: number;
 }
 
+/** Who lends: the term in which a host leads, and since when. */
+export interface RetryLender {
+  readonly term: number;
+  readonly since: number;
+}
+
 /**
  * Retries that hosts borrow when their own share is used up. Retries are needed in bursts, at the one or two hosts
  * whose callers were on an engine that is lost; an equal share for each of eight hosts allowed them four in ten seconds
@@ -11,24 +19,23 @@
  */
 export class RetryPot {
   private lentAt: number[] = [];
-  private lender: number | undefined;
-  private lenderSince = 0;
+  private term: number | undefined;
 
   public constructor(private readonly bounds: RetryPotBounds) {}
 
   /**
-   * Lends one retry, or refuses. `lender` is the term in which this host leads: a leader that has just risen does not
-   * know what the one before it lent, so it lends nothing until that is out of the window.
+   * Lends one retry, or refuses. A leader that has just risen does not know what the one before it lent, so it lends
+   * little until that is out of the window.
    */
-  public lend(lender: number, now: number): boolean {
-    const { most, windowMs } = this.bounds;
-    if (lender !== this.lender) {
-      this.lender = lender;
-      this.lenderSince = now;
+  public lend(lender: RetryLender, now: number): boolean {
+    const { most, mostAtFirst, windowMs } = this.bounds;
+    if (lender.term !== this.term) {
+      this.term = lender.term;
       this.lentAt = [];
     }
     this.lentAt = this.lentAt.filter((at) => now - at < windowMs);
-    if (now - this.lenderSince < windowMs || this.lentAt.length >= most) {
+    const isFirst = now - lender.since < windowMs;
+    if (this.lentAt.length >= (isFirst ? mostAtFirst : most)) {
       return false;
     }
     this.lentAt.push(now);
