Tell an engine without the run from one without room when a copy is ordered

A holder that refused also counted the refused copy as its load. Before: the new test failed twice, the second time showing the refused copy on the account. After: it passes.

--- a/packages/gateway/src/copy-keeper.ts
+++ b/packages/gateway/src/copy-keeper.ts
@@ -100,8 +100,9 @@
       if (at === undefined) {
         return false;
       }
-      if (run.isOpen && (await this.order(job, run, at))) {
-        return true;
+      const kind = run.isOpen ? await this.order(job, run, at) : 'no-run';
+      if (kind !== 'no-room') {
+        return kind === 'made';
       }
       full.push(at.upstreamId);
     }
@@ -112,20 +113,24 @@
     job: routedJobs.RoutedJob,
     run: KeptRun,
     at: upstreamDirectories.KnownUpstream,
-  ): Promise<boolean> {
+  ): Promise<ports.CopyResult['kind']> {
     const { engines, log } = this.options;
     const { requestId } = job.call.facts;
     const runner = run.engine.listed.address;
     const details = { request: requestId, upstream: run.engine.upstreamId, copyAt: at.upstreamId };
     try {
       const signal = AbortSignal.timeout(COPY_MS);
-      const handle = await engines.copy(runner, requestId, at.listed.address, signal);
-      run.copy = { at, reference: { kind: 'ordered', runner, handle } };
-      log.info({ decision: 'copy', ...details });
-      return true;
+      const result = await engines.copy(runner, requestId, at.listed.address, signal);
+      if (result.kind === 'made') {
+        run.copy = { at, reference: { kind: 'ordered', runner, handle: result.handle } };
+        log.info({ decision: 'copy', ...details });
+      } else {
+        log.info({ decision: 'copy-failed', ...details, err: result.kind });
+      }
+      return result.kind;
     } catch (err) {
       log.info({ decision: 'copy-failed', ...details, err: schemas.toError(err).message });
-      return false;
+      return 'no-run';
     }
   }
 
@@ -143,8 +148,10 @@
     const runner = run.engine.listed.address;
     try {
       const signal = AbortSignal.timeout(COPY_MS);
-      const handle = await engines.copy(runner, requestId, at.listed.address, signal);
-      run.copy = { at, reference: { kind: 'ordered', runner, handle } };
+      const result = await engines.copy(runner, requestId, at.listed.address, signal);
+      if (result.kind === 'made') {
+        run.copy = { at, reference: { kind: 'ordered', runner, handle: result.handle } };
+      }
     } catch (err) {
       log.debug({ step: 'refresh-copy', request: requestId, err: schemas.toError(err).message });
     }
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -50,10 +50,18 @@
   | { readonly kind: 'kept'; readonly holder: string }
   | { readonly kind: 'ordered'; readonly runner: string; readonly handle: string };
 
+/** What became of an order to copy a run. */
+export type CopyResult =
+  | { readonly kind: 'made'; readonly handle: string }
+  /** The other engine has no room, or cannot be reached from there. */
+  | { readonly kind: 'no-room' }
+  /** The engine does not run it, or not yet: its prompt waits to be read. */
+  | { readonly kind: 'no-run' };
+
 /** Orders to engines about generations that run there; addresses say which engine. */
 export interface EngineOrders {
   /** Has an engine copy a run's memory to another while it goes on; gives what the copy is known by. */
-  copy(runner: string, requestId: string, holder: string, signal: AbortSignal): Promise<string>;
+  copy(runner: string, requestId: string, holder: string, signal: AbortSignal): Promise<CopyResult>;
   /** Has an engine let go of a copy that was made on order and is not needed, at both ends. */
   drop(runner: string, handle: string, signal: AbortSignal): Promise<void>;
 }
--- a/packages/gateway/tests/routed-calls.test.ts
+++ b/packages/gateway/tests/routed-calls.test.ts
@@ -208,6 +208,30 @@
   t.equal(resumedFrom, `${copy!.runner}/copy-1`);
 });
 
+void tap.default.test('a copy goes where there is room, once the run has begun', async (t) => {
+  // An engine leaves. At first it has not begun with the run, which is no reason to ask for another holder; then the
+  // holder has no room, and another takes the copy before the engine is gone.
+  const site = await createSite(t);
+  const serve = (req: http.IncomingMessage, res: http.ServerResponse) => {
+    res.writeHead(200, { 'call-id': req.headers['call-id'] });
+    res.write('id: 1\ndata: a\n\n');
+  };
+  await site.addUpstream('e-1', 'engines', serve);
+  await declareAndList(site);
+  site.engines.refusals.push('no-run', 'no-room');
+  const answer = site.call('/drafts/x', { tokens: '400' }, 'write').catch(() => 'left');
+  await site.until('under way', () => site.lines.some((line) => line.decision === 'route'));
+  site.list.upstreams = site.list.upstreams.map((item) => ({ ...item, isLeaving: true }));
+  await site.addUpstream('e-2', 'engines', serve);
+  await site.addUpstream('e-3', 'engines', serve);
+  await site.until('copied', () => site.lines.some((line) => line.decision === 'copy'));
+  const [early, full] = site.engines.refused;
+  t.equal(full, early, 'the same holder is asked again');
+  t.not(site.engines.copies[0]!.holder, full, 'and another one when it is full');
+  site.leaveAll();
+  await answer;
+});
+
 void tap.default.test('a copy that was made on order and not needed is freed', async (t) => {
   // An engine leaves and its run is copied, but ends before the engine is gone. The copy would take the room of
   // another draft for five seconds more, on days when every place counts.
--- a/packages/gateway/tests/support/test-wire.ts
+++ b/packages/gateway/tests/support/test-wire.ts
@@ -60,12 +60,24 @@
 
 /** Orders to engines, kept for the test to look at. */
 export class TestEngines implements gateway.EngineOrders {
+  /** What the next orders are refused with, and which engines were asked for then. */
+  public readonly refusals: ('no-room' | 'no-run')[] = [];
+  public readonly refused: string[] = [];
   public readonly dropped: string[] = [];
   public readonly copies: { runner: string; requestId: string; holder: string }[] = [];
 
-  public async copy(runner: string, requestId: string, holder: string): Promise<string> {
+  public async copy(
+    runner: string,
+    requestId: string,
+    holder: string,
+  ): Promise<gateway.CopyResult> {
+    const refusal = this.refusals.shift();
+    if (refusal !== undefined) {
+      this.refused.push(holder);
+      return Promise.resolve({ kind: refusal });
+    }
     this.copies.push({ runner, requestId, holder });
-    return Promise.resolve(`copy-${this.copies.length}`);
+    return Promise.resolve({ kind: 'made', handle: `copy-${this.copies.length}` });
   }
 
   public async drop(runner: string, handle: string): Promise<void> {
--- a/packages/routing/src/engine-ledger.ts
+++ b/packages/routing/src/engine-ledger.ts
@@ -174,6 +174,8 @@
     if (entry === undefined || entry.engineId !== engineId) {
       return undefined;
     }
+    // The copy that was lost, or that a holder refused, takes no room any more.
+    this.entries.set(callId, { ...entry, copyAt: undefined });
     const barred = new Set([...excluded, engineId]);
     // Runs of one engine come to their new ones at the same moment, so they are spread.
     const takers = [...this.entries.values()]
