Prove that retries are borrowed and that engines that say they leave are left

Cause: neither had a test above its own module. Before: with either safeguard taken out all tests passed. Code unchanged.

--- /dev/null
+++ b/packages/gateway/tests/retry-shares.test.ts
@@ -0,0 +1,35 @@
+import * as schemas from '@bramleyridge/schemas';
+import * as telemetry from '@bramleyridge/telemetry';
+import * as tap from 'tap';
+
+import * as retryShares from '../src/retry-shares.js';
+
+void tap.default.test('a host borrows when its own share is used up, and only then', async (t) => {
+  // An engine is lost with nine streams of this host, whose share of the deployment's retries is two. The leader lends
+  // the others; a host that hears no leader has only its own.
+  const bounds = { retryRatio: 0.2, retrySlack: 56, retryWindowMs: 10_000, entryHosts: 8 };
+  const metrics = new telemetry.TextMetrics();
+  let asked = 0;
+  let isLent = true;
+  const shares = new retryShares.RetryShares(
+    new schemas.VirtualClock(),
+    () => bounds,
+    async () => {
+      asked += 1;
+      return Promise.resolve(isLent);
+    },
+    metrics,
+  );
+  const take = async () => shares.find('engines').take();
+  t.ok(await take());
+  t.equal(asked, 0, 'its own first');
+  const rest = [];
+  for (let i = 0; i < 8; i += 1) {
+    rest.push(await take());
+  }
+  t.notOk(rest.includes(false), 'all nine go on');
+  t.ok(asked >= 7, `${asked} of them lent`);
+  isLent = false;
+  t.notOk(await take(), 'none without a lender');
+  t.match(await metrics.render(), /retries_total\{service="engines",source="denied"\} 1/);
+});
--- a/packages/gateway/tests/routed-calls.test.ts
+++ b/packages/gateway/tests/routed-calls.test.ts
@@ -208,6 +208,34 @@
   t.equal(resumedFrom, `${copy!.runner}/copy-1`);
 });
 
+void tap.default.test(
+  'an engine that says that it leaves is left before the list shows it',
+  async (t) => {
+    // It has two seconds from its notice, and the list is a second late. Its run is copied at once, and no new work goes
+    // there meanwhile; the list never changes here.
+    const site = await createSite(t);
+    const serve = (req: http.IncomingMessage, res: http.ServerResponse) => {
+      res.writeHead(200, { 'call-id': req.headers['call-id'] });
+      res.write('id: 1\ndata: a\n\n');
+    };
+    const leaving = await site.addUpstream('e-1', 'engines', serve);
+    await declareAndList(site);
+    const answer = site.call('/drafts/x', { tokens: '400' }, 'write').catch(() => 'left');
+    await site.until('under way', () => site.lines.some((line) => line.decision === 'route'));
+    const holder = await site.addUpstream('e-2', 'engines', serve);
+    site.sayLeaving.add(leaving);
+    await site.until('copied', () => site.lines.some((line) => line.decision === 'copy'));
+    t.equal(site.engines.copies[0]!.holder, holder);
+    t.same(
+      site.entry.directory.listLive('engines').map(({ upstreamId }) => upstreamId),
+      ['e-2'],
+      'and new work goes elsewhere',
+    );
+    site.leaveAll();
+    await answer;
+  },
+);
+
 void tap.default.test('a copy goes where there is room, once the run has begun', async (t) => {
   // An engine leaves. At first it has not begun with the run, which is no reason to ask for another holder; then the
   // holder has no room, and another takes the copy before the engine is gone.
--- a/packages/gateway/tests/support/small-site.ts
+++ b/packages/gateway/tests/support/small-site.ts
@@ -30,6 +30,8 @@
 export class SmallSite {
   public readonly list = new testWires.TestList();
   public readonly engines = new testWires.TestEngines();
+  /** The addresses of engines that say themselves that they leave. */
+  public readonly sayLeaving = new Set<string>();
   /** Of the entry host; core hosts keep theirs apart, as processes of their own do. */
   public readonly metrics = new telemetry.TextMetrics();
   public readonly lines: Record<string, unknown>[] = [];
@@ -75,7 +77,7 @@
       settings: slot.watch,
       codec: new testWires.TestCodec(),
       source: this.list,
-      probe: { isLeaving: async () => Promise.resolve(false) },
+      probe: { isLeaving: async (address) => Promise.resolve(this.sayLeaving.has(address)) },
       clock: this.clock,
       log: this.createLog(ip),
       metrics: new telemetry.TextMetrics(),
