Let no check preempt a running draft where the leader has placed both

Checks rank before drafts, and an engine whose memory runs out preempts the least urgent: a check of 13 tokens had 3,000 tokens of a running draft read again, whose caller sees a pause of half a second and more. What the leader has placed carries no rank; ranks order those that wait at the leader and are late anyway, and engines where hosts choose alone.

--- a/packages/gateway/src/core-procedures.ts
+++ b/packages/gateway/src/core-procedures.ts
@@ -62,6 +62,8 @@
   patienceMs: z.number(),
   /** In how many milliseconds its first event is due; negative when that is over. */
   dueInMs: z.number(),
+  /** Its rank; 0 goes first. */
+  rank: z.int(),
 });
 
 /** What became of a generation: its first event was seen, or it does not use its turn to be handed over. */
--- a/packages/gateway/src/pool-client.ts
+++ b/packages/gateway/src/pool-client.ts
@@ -136,7 +136,7 @@
     const now = clock.now();
     this.running.forEach(({ engineId, need, service, startedAt }) => {
       const known = { ...need, fixedEngineId: engineId, wantsCopy: false, ranMs: now - startedAt };
-      const req = { service, need: known, patienceMs: 0, dueInMs: 0 };
+      const req = { service, need: known, patienceMs: 0, dueInMs: 0, rank: 0 };
       this.tell(mesh.get(leader).place.mutate(req), 'inform');
     });
   }
--- a/packages/gateway/src/pool-desk.ts
+++ b/packages/gateway/src/pool-desk.ts
@@ -55,6 +55,7 @@
       pool.queue.add({
         need: { ...req.need, wantsCopy },
         dueAt: askedAt + req.dueInMs,
+        rank: req.rank,
         endsAt: askedAt + req.patienceMs,
         settle: resolve,
       });
--- a/packages/gateway/src/routed-attempts.ts
+++ b/packages/gateway/src/routed-attempts.ts
@@ -4,11 +4,12 @@
 
 import type * as callAdmissions from './call-admission.js';
 import * as copyKeepers from './copy-keeper.js';
+import * as generationCalls from './generation-calls.js';
 import type * as ports from './ports.js';
 import * as rebornWatches from './reborn-watch.js';
 import type * as routedAnswers from './routed-answer.js';
 import type * as routedJobs from './routed-job.js';
-import * as upstreamPickers from './upstream-picker.js';
+import type * as upstreamPickers from './upstream-picker.js';
 
 /**
  * The longest answer that is read whole before the caller gets any of it, in bytes; it can still be replaced
@@ -94,7 +95,7 @@
     const { call, tried } = job;
     tried.add(picked.upstreamId);
     job.upstreamId = picked.upstreamId;
-    const leave = picked.known.load.enter(upstreamPickers.getExpectedTokens(call));
+    const leave = picked.known.load.enter(generationCalls.getExpectedTokens(call));
     const run = createRun(picked);
     const release = (hasFailed: boolean) => {
       if (run.isOpen) {
@@ -118,7 +119,7 @@
       upstreamId: leg.picked.upstreamId,
       team: call.team?.name,
       leftMs: call.endsAt - clock.now(),
-      urgency: upstreamPickers.getUrgency(call),
+      urgency: generationCalls.getUrgency(call, leg.picked.isAlone),
       copyHolder: leg.picked.copyAt?.listed.address,
       resume,
     });
@@ -168,7 +169,7 @@
     answer: requests.UpstreamAnswer,
     bytes: Buffer,
   ): Coming {
-    if (upstreamPickers.wantsCopy(job.call)) {
+    if (generationCalls.wantsCopy(job.call)) {
       void this.keeper.run(job, leg.run);
     }
     void rebornWatches.watchReborn(this.options, leg.run, answer);
--- a/packages/gateway/src/upstream-picker.ts
+++ b/packages/gateway/src/upstream-picker.ts
@@ -3,6 +3,7 @@
 
 import type * as callAdmissions from './call-admission.js';
 import type * as procedures from './core-procedures.js';
+import * as generationCalls from './generation-calls.js';
 import type * as upstreamDirectories from './upstream-directory.js';
 
 /** What a caller is told to wait when no upstream of the service is known to live, in seconds. */
@@ -20,9 +21,6 @@
 /** What a generation is taken to fill on average where nothing is known of it, in tokens. */
 const MEAN_TOKENS = 3_000;
 
-/** The share of the most tokens that an answer has on average, where the caller gives no estimate. */
-const MEAN_SHARE_OF_MOST = 0.5;
-
 /** The upstream of one attempt. */
 export interface PickedUpstream {
   readonly upstreamId: string;
@@ -33,6 +31,8 @@
   readonly copyAt: upstreamDirectories.KnownUpstream | undefined;
   /** How long it waited for room, in milliseconds. */
   readonly waitedMs: number;
+  /** Whether this host chose by what it knows, without the account of all hosts. */
+  readonly isAlone: boolean;
 }
 
 /** What the leader said of a run that can be handed over. */
@@ -48,6 +48,8 @@
   readonly patienceMs: number;
   /** In how many milliseconds its first event is due. */
   readonly dueInMs: number;
+  /** Its rank; 0 goes first. */
+  readonly rank: number;
 }
 
 /** The account of what runs on the engines, as this host asks and informs it. */
@@ -90,14 +92,14 @@
     call: callAdmissions.AdmittedCall,
     tried: ReadonlySet<string>,
   ): Promise<PickedUpstream> {
-    if (!isGeneration(call)) {
+    if (!generationCalls.isGeneration(call)) {
       return this.pickAlone(call, tried);
     }
     const now = this.options.clock.now();
     const patienceMs = Math.min(call.route.targetMs * PATIENCE_SHARE, call.endsAt - now);
     const dueInMs = call.arrivedAt + call.route.targetMs - now;
     const need = this.createNeed(call, [...tried]);
-    const wait = { patienceMs, dueInMs };
+    const wait = { patienceMs, dueInMs, rank: generationCalls.getRank(call) };
     const res = await this.options.pools.place(call.service.name, need, wait);
     if (res !== undefined && res.placed === undefined) {
       const { full, waitedMs } = res;
@@ -142,7 +144,7 @@
 
   /** Notes what became of a generation. */
   public noteRun(call: callAdmissions.AdmittedCall, event: procedures.RunNote['event']): void {
-    if (isGeneration(call)) {
+    if (generationCalls.isGeneration(call)) {
       this.options.pools.noteRun(call.facts.requestId, event);
     }
   }
@@ -159,16 +161,23 @@
       wantsCopy: false,
       ranMs: this.options.clock.now() - call.arrivedAt,
     };
-    const wait = { patienceMs: 0, dueInMs: 0 };
+    const wait = { patienceMs: 0, dueInMs: 0, rank: generationCalls.getRank(call) };
     const res = await this.options.pools.place(call.service.name, need, wait);
     this.options.pools.enter(call.service.name, need, holder.upstreamId);
     const copyAt = this.findHolder(res?.placed?.copyAt);
-    return { upstreamId: holder.upstreamId, known: holder, share: 0, copyAt, waitedMs: 0 };
+    return {
+      upstreamId: holder.upstreamId,
+      known: holder,
+      share: 0,
+      copyAt,
+      waitedMs: 0,
+      isAlone: false,
+    };
   }
 
   /** Notes that a call runs no longer. */
   public release(call: callAdmissions.AdmittedCall, hasFailed: boolean): void {
-    if (isGeneration(call)) {
+    if (generationCalls.isGeneration(call)) {
       this.options.pools.leave(call.facts.requestId, hasFailed);
     }
   }
@@ -184,6 +193,7 @@
         share: placed.share,
         copyAt: this.findHolder(placed.copyAt),
         waitedMs: res.waitedMs,
+        isAlone: false,
       }
     );
   }
@@ -199,7 +209,7 @@
       callId: call.facts.requestId,
       availabilityZone: this.options.availabilityZone,
       promptTokens: call.facts.generation?.promptTokens ?? 0,
-      answerTokens: getAnswerTokens(call),
+      answerTokens: generationCalls.getAnswerTokens(call),
       leftMs: call.endsAt - this.options.clock.now(),
       excluded,
       wantsCopy: call.service.engine?.canBackUp === true,
@@ -216,7 +226,7 @@
     const candidates = this.listCandidates(call.service, now).filter(
       (item) => !tried.has(item.upstreamId),
     );
-    const isEngine = isGeneration(call);
+    const isEngine = generationCalls.isGeneration(call);
     const choose = isEngine ? routing.chooseByMemory : routing.chooseByCalls;
     const chosen = choose(candidates, now, this.options.random);
     if (chosen === undefined) {
@@ -226,7 +236,7 @@
     const share = isEngine
       ? routing.getMemoryShare(chosen, now)
       : known.load.getBusy(now) / chosen.slots;
-    return { upstreamId, known, share, copyAt: undefined, waitedMs: 0 };
+    return { upstreamId, known, share, copyAt: undefined, waitedMs: 0, isAlone: true };
   }
 
   private listCandidates(service: schemas.RoutedService, now: number) {
@@ -267,41 +277,3 @@
     });
   }
 }
-
-/** Whether a copy of a call's generation is worth keeping while it runs. */
-export function wantsCopy(call: callAdmissions.AdmittedCall): boolean {
-  const { engine } = call.service;
-  const canCopy = isGeneration(call) && engine?.canBackUp === true && engine.canMove;
-  return canCopy && getAnswerTokens(call) > routing.SHORT_ANSWER_TOKENS;
-}
-
-function isGeneration({ facts, service }: callAdmissions.AdmittedCall): boolean {
-  return facts.generation !== undefined && service.engine !== undefined;
-}
-
-/** The memory that a call is expected to fill on an engine, in tokens; 0 for calls that are no generations. */
-export function getExpectedTokens(call: callAdmissions.AdmittedCall): number {
-  return (call.facts.generation?.promptTokens ?? 0) + getAnswerTokens(call);
-}
-
-/** The tokens that a call's answer is expected to have; 0 for calls that are no generations. */
-function getAnswerTokens({ facts }: callAdmissions.AdmittedCall): number {
-  if (facts.generation === undefined) {
-    return 0;
-  }
-  const { hintTokens, maxTokens } = facts.generation;
-  return Math.min(hintTokens ?? maxTokens * MEAN_SHARE_OF_MOST, maxTokens);
-}
-
-/**
- * The rank of a generation at its engine: the team's or the route's, and short answers before long ones of the
- * same rank. A check of a few tokens that waits behind the reading of long prompts is late for its whole length,
- * while a draft of ten seconds loses a tenth of a second to it.
- */
-export function getUrgency(call: callAdmissions.AdmittedCall): number | undefined {
-  if (!isGeneration(call)) {
-    return undefined;
-  }
-  const rank = call.team?.urgency ?? call.route.urgency;
-  return rank * 2 + (getAnswerTokens(call) > routing.SHORT_ANSWER_TOKENS ? 1 : 0);
-}
--- a/packages/gateway/tests/routed-calls.test.ts
+++ b/packages/gateway/tests/routed-calls.test.ts
@@ -206,7 +206,9 @@
   // of the generation and goes on behind event 3, the last one that came whole.
   const site = await createSite(t);
   const resumedFrom: (string | undefined)[] = [];
+  const ranks: (string | undefined)[] = [];
   const serve = (req: http.IncomingMessage, res: http.ServerResponse) => {
+    ranks.push(req.headers.urgency?.toString());
     res.writeHead(200, { 'call-id': req.headers['call-id'], 'content-type': 'text/event-stream' });
     if (req.headers['resume-from'] === undefined) {
       res.write(`${event(1)}${event(2)}${event(3)}id: 4\nda`);
@@ -222,6 +224,7 @@
   const res = await site.call('/drafts/x', { tokens: '400' }, 'write');
   t.equal(res.body, [1, 2, 3, 4, 5, 6].map(event).join(''));
   t.same(resumedFrom, ['3']);
+  t.same(ranks, [undefined, undefined], 'placed by the leader, it preempts nobody');
 });
 
 void tap.default.test('a stream whose copy is lost first gets another', async (t) => {
--- a/packages/gateway/tests/support/test-wire.ts
+++ b/packages/gateway/tests/support/test-wire.ts
@@ -28,12 +28,13 @@
     call: gateway.CallFacts,
     attempt: gateway.AttemptFacts,
   ): Record<string, string | string[]> {
-    const { copyHolder, resume, team, upstreamId } = attempt;
+    const { copyHolder, resume, team, upstreamId, urgency } = attempt;
     return {
       ...call.passedOn,
       'meant-for': upstreamId,
       'left-ms': String(Math.floor(attempt.leftMs)),
       ...(team === undefined ? {} : { team }),
+      ...(urgency === undefined ? {} : { urgency: String(urgency) }),
       ...(copyHolder === undefined ? {} : { 'copy-at': copyHolder }),
       ...(resume?.copy === undefined ? {} : { 'resume-from': describeCopy(resume.copy) }),
       ...(resume?.lastEventId === undefined ? {} : { 'last-event-id': resume.lastEventId }),
--- a/packages/routing/src/place-queue.ts
+++ b/packages/routing/src/place-queue.ts
@@ -6,6 +6,8 @@
   readonly need: placeNeeds.PlaceNeed;
   /** When its first event is due. */
   readonly dueAt: number;
+  /** Its rank; 0 goes first among those that are late anyway. */
+  readonly rank: number;
   /** Until when it may wait. */
   readonly endsAt: number;
 }
@@ -58,6 +60,9 @@
     const startBy = (queued: Q) =>
       queued.dueAt - this.ledger.getReadingMs(queued.need.promptTokens);
     const isLate = (queued: Q) => Number(startBy(queued) < now);
-    return this.waiting.sort((a, b) => isLate(a) - isLate(b) || startBy(a) - startBy(b));
+    const lateRank = (queued: Q) => isLate(queued) * queued.rank;
+    return this.waiting.sort(
+      (a, b) => isLate(a) - isLate(b) || lateRank(a) - lateRank(b) || startBy(a) - startBy(b),
+    );
   }
 }
--- a/packages/routing/tests/place-queue.test.ts
+++ b/packages/routing/tests/place-queue.test.ts
@@ -71,7 +71,7 @@
         const need = createNeed(`c${dueAt.size}`);
         if (dueAt.size < 8) {
           dueAt.set(need.callId, now + AIM_MS);
-          queue.add({ need, dueAt: now + AIM_MS, endsAt: now + 0.4 * AIM_MS });
+          queue.add({ need, dueAt: now + AIM_MS, rank: 0, endsAt: now + 0.4 * AIM_MS });
         }
       }
       // After a while runs end, three a second.
@@ -99,21 +99,26 @@
 void tap.default.test('who is due first is placed first', async (t) => {
   const ledger = new routing.EngineLedger();
   const queue = new routing.PlaceQueue(ledger);
-  const add = (callId: string, dueAt: number, more: Partial<routing.PlaceNeed> = {}) =>
-    queue.add({ need: createNeed(callId, more), dueAt, endsAt: 5_000 });
+  const add = (callId: string, dueAt: number, more: Partial<routing.PlaceNeed> = {}, rank = 1) =>
+    queue.add({ need: createNeed(callId, more), dueAt, rank, endsAt: 5_000 });
   add('late', 300);
+  add('late, high rank', 350, {}, 0);
   add('later', 2_500);
   add('long', 2_000, { promptTokens: 6_000 });
   add('short', 2_000, { promptTokens: 1_000 });
   t.equal(queue.serve(900).length, 0, 'no engine is there');
-  ledger.setEngines(listEngines('e1', 'e2', 'e3', 'e4'));
+  ledger.setEngines(listEngines('e1', 'e2', 'e3', 'e4', 'e5'));
   const order = queue.serve(1_000).map(({ queued }) => queued.need.callId);
-  t.same(order, ['long', 'short', 'later', 'late'], 'one that is late anyway delays nobody');
+  t.same(
+    order,
+    ['long', 'short', 'later', 'late, high rank', 'late'],
+    'one that is late anyway delays nobody',
+  );
 });
 
 void tap.default.test('who cannot be placed is told when its wait is over', async (t) => {
   const queue = new routing.PlaceQueue(new routing.EngineLedger());
-  queue.add({ need: createNeed('c1'), dueAt: 1_800, endsAt: 700 });
+  queue.add({ need: createNeed('c1'), dueAt: 1_800, rank: 0, endsAt: 700 });
   t.equal(queue.serve(699).length, 0);
   t.same(
     queue.serve(700).map(({ placed }) => placed),
@@ -129,7 +134,7 @@
   ledger.setEngines(listEngines('e1'));
   const queue = new routing.PlaceQueue(ledger);
   ['c1', 'c2', 'c3'].forEach((callId) => {
-    queue.add({ need: createNeed(callId), dueAt: 1_800, endsAt: 200 });
+    queue.add({ need: createNeed(callId), dueAt: 1_800, rank: 0, endsAt: 200 });
   });
   t.equal(queue.serve(0).length, 1, 'the others wait');
   const settled = queue.serve(200);
