--- a/packages/gateway/tests/retry-shares.test.ts
+++ b/packages/gateway/tests/retry-shares.test.ts
@@ -33,3 +33,24 @@
   t.notOk(await take(), 'none without a lender');
   t.match(await metrics.render(), /retries_total\{service="engines",source="denied"\} 1/);
 });
+
+void tap.default.test('what can be planned is paid from what is lent', async (t) => {
+  // An engine leaves and eight of this host's runs are handed over. Paid from the host's own share, nothing is left of
+  // that when its zone is cut off a moment later: streams that have a copy in the zone then ended for want of a retry.
+  const bounds = { retryRatio: 0.2, retrySlack: 56, retryWindowMs: 10_000, entryHosts: 8 };
+  let isReached = true;
+  const shares = new retryShares.RetryShares(
+    new schemas.VirtualClock(),
+    () => bounds,
+    async () => Promise.resolve(isReached),
+    new telemetry.TextMetrics(),
+  );
+  const source = shares.find('engines');
+  for (let i = 0; i < 8; i += 1) {
+    t.ok(await source.takeLent());
+  }
+  isReached = false;
+  t.ok(await source.takeLent(), 'its own share is still there, where nobody lends');
+  t.notOk(await source.takeLent(), 'as long as it lasts');
+  t.notOk(await source.take());
+});
--- a/packages/gateway/tests/routed-calls.test.ts
+++ b/packages/gateway/tests/routed-calls.test.ts
@@ -405,6 +405,8 @@
   site.list.upstreams = site.list.upstreams.map((item) => ({ ...item, bornMs: 2_000 }));
   await refused;
   t.ok(site.lines.some((line) => line.event === 'upstream-reborn'));
+  const outcome = site.lines.find((line) => line.decision === 'outcome');
+  t.match(outcome?.err, /started again/, 'and not because its time is over');
 });
 
 void tap.default.test('a silent stream with a copy goes on elsewhere', async (t) => {
--- a/packages/routing/tests/engine-ledger.test.ts
+++ b/packages/routing/tests/engine-ledger.test.ts
@@ -222,3 +222,42 @@
   t.equal(first, 'e1', 'the emptiest takes the first');
   t.not(second, 'e1', 'and another the second');
 });
+
+void tap.default.test('an engine that started again holds nothing of before', async (t) => {
+  // It crashed and came back under its name. Its former runs and copies are gone; counted on, they would keep an empty
+  // engine idle, and a run whose copy it had would be taken for safe when its own engine leaves.
+  const ledger = new routing.EngineLedger();
+  const list = (bornMs: number | undefined) => [
+    { engineId: 'e0', bornMs, memoryTokens: MEMORY, slots: 24, availabilityZone: 'a' },
+    { engineId: 'e1', bornMs: 1, memoryTokens: MEMORY, slots: 24, availabilityZone: 'a' },
+  ];
+  ledger.setEngines(list(1_000));
+  ledger.place(createNeed('there', { fixedEngineId: 'e0', wantsCopy: false }), 0);
+  ledger.place(createNeed('copied', { fixedEngineId: 'e1', wantsCopy: true }), 0);
+  ledger.release('failed', true, 0);
+  t.ok(ledger.hasCopy('copied'));
+  ledger.setEngines(list(1_000));
+  t.equal(ledger.getSummary(0).running, 2, 'the same start changes nothing');
+  t.ok(ledger.hasCopy('copied'));
+  ledger.setEngines(list(2_000));
+  t.equal(ledger.getSummary(0).running, 1, 'its runs are gone');
+  t.notOk(ledger.hasCopy('copied'), 'and the copies that it had');
+  t.equal(ledger.place(createNeed('next', { wantsCopy: false }), 0)?.engineId, 'e0');
+});
+
+void tap.default.test('a short answer finds room where a draft does not', async (t) => {
+  // Nine drafts run on each of two engines, and the growth that they have still to come fills them. A check is over in a
+  // second, before they have grown. Sent to the one engine that is empty, it would queue with every other prompt there.
+  const ledger = createLedger(2);
+  let n = 0;
+  while (ledger.place(createNeed(`c${n}`, { wantsCopy: false }), 0) !== undefined) {
+    ledger.noteBegun(`c${n}`, 0);
+    n += 1;
+  }
+  const check = { promptTokens: 2_200, answerTokens: 13, wantsCopy: false };
+  t.ok(ledger.place(createNeed('check', check), 0), 'the check is placed');
+  t.equal(
+    ledger.place(createNeed('draft', { promptTokens: 2_200, wantsCopy: false }), 0),
+    undefined,
+  );
+});
--- a/packages/routing/tests/hand-over-plan.test.ts
+++ b/packages/routing/tests/hand-over-plan.test.ts
@@ -90,6 +90,19 @@
   },
 );
 
+void tap.default.test('that holds for a run whose caller is in neither zone', async (t) => {
+  const ledger = new routing.EngineLedger();
+  const stay = [createEngine('near', 'a'), createEngine('far', 'b')];
+  ledger.setEngines([createEngine('leaves', 'a'), ...stay]);
+  const need = { ...createNeed('c1', 3_000), availabilityZone: 'c' };
+  ledger.place({ ...need, fixedEngineId: 'leaves' }, 0);
+  ledger.place({ ...createNeed('other', 3_000), fixedEngineId: 'near' }, 0);
+  ledger.setEngines(stay);
+  const plan = new routing.HandOverPlan(ledger);
+  plan.offer({ callId: 'c1', engineId: 'leaves', excluded: [], endsAt: Infinity });
+  t.equal(plan.serve(10)[0]?.takerId, 'near');
+});
+
 void tap.default.test(
   'a run that another engine keeps a copy of leaves the link to the others',
   async (t) => {
--- a/packages/routing/tests/prompt-backlog.test.ts
+++ b/packages/routing/tests/prompt-backlog.test.ts
@@ -40,10 +40,12 @@
 });
 
 void tap.default.test('a host that died does not bar an engine for good', async (t) => {
-  // Its prompt is never told to have begun. Without a bound the engine would get no work for as long as it lives.
+  // Its prompts are never told to have begun. Without a bound the engine would get no work for as long as it lives.
   const speed = new routing.ReadingSpeed();
   const backlog = new routing.PromptBacklog(speed);
-  backlog.add('lost', 3_000, 0);
-  t.ok(backlog.getMs(10) > 0);
-  t.equal(backlog.getMs(5 * speed.getMs(3_000)), 0);
+  const one = speed.getMs(3_000);
+  ['lost-1', 'lost-2', 'lost-3'].forEach((callId) => backlog.add(callId, 3_000, 0));
+  t.ok(backlog.getMs(3 * one) > one, 'for a while they count');
+  const later = Array.from({ length: 20 }, (_, n) => backlog.getMs(n * one));
+  t.equal(later.at(-1), 0);
 });
