--- a/packages/gateway/src/generation-calls.ts
+++ b/packages/gateway/src/generation-calls.ts
@@ -39,7 +39,7 @@
 /**
  * The rank of a generation at its engine, where no leader has put it in its place. Where one has, all generations have
  * the same: an engine whose memory runs out preempts the less urgent ones, so that a check of a few tokens had the 3,000
- * of a running draft read again. Without ranks a third as many were preempted, 31 instead of 94 at 31 engines.
+ * of a running draft read again. Without ranks half as many were preempted, 16 instead of 34 in eight days at six engines.
  */
 export function getUrgency(
   call: callAdmissions.AdmittedCall,
--- a/packages/gateway/src/list-desk.ts
+++ b/packages/gateway/src/list-desk.ts
@@ -16,8 +16,8 @@
 /**
  * How often the leader asks each engine whether it leaves, in milliseconds. It then knows 0.1 s after the notice on
  * average, of the 1.5 to 2 s for which a reclaimed engine still serves; by the list it takes 0.9 s. A tenth of a second
- * is a third of a run's way to another engine: asked every 0.4 s, 51 of 1,210 drafts were lost with their engines, at
- * 0.2 s 45. The questions cost 0.2% of what a day's calls earn.
+ * is a third of a run's way to another engine. The questions cost 0.5% of what a day's calls earn, twice as much as every
+ * 0.4 s; that they earn it back is not shown (+1.4% with a standard error of 1.3%, eight pairs of days).
  */
 const PROBE_PAUSE_MS = 200;
 
