Log who votes, which voters are silent, and that no majority answers

Ruled out: telling it from the metrics (version and term only) and from `log-opened` (a flag, not the seats). Change, no logic: `seats` on every core host whose log names other voters, `seats-silent` at the leader with the losses that the log still bears, `no-majority` every 5 s from a voter that stands in vain, the seats in `log-opened`; metrics `seats`, `seats_silent`, `losses_borne`.

--- a/packages/consensus/src/election.ts
+++ b/packages/consensus/src/election.ts
@@ -1,9 +1,20 @@
 import type * as types from './types.js';
 import type * as voters from './voter.js';
 
+/** How often a voter says that no majority of the seats answers, in milliseconds. */
+const NO_MAJORITY_LOG_MS = 5_000;
+
+/** What became of asking for votes. */
+interface Poll {
+  readonly isWon: boolean;
+  /** The seats that had given their vote when it was decided, this voter's own included. */
+  readonly granted: readonly string[];
+}
+
 /** One task for the life of a voter: waits for the leader to fall silent, then stands for election. */
 export async function runElections(voter: voters.Voter, signal: AbortSignal): Promise<void> {
   const { clock, random, timings } = voter.options;
+  let toldAt = -Infinity;
   while (!voter.stopped && !signal.aborted) {
     // Random timeouts keep two voters from standing against each other again and again.
     const timeoutMs = voter.getSilenceMs() * (1 + random());
@@ -13,29 +24,42 @@
       await clock.sleep(Math.max(restMs, timings.electionMs / 10), signal).catch(() => {});
       continue;
     }
-    await stand(voter);
+    const poll = await stand(voter);
+    if (!poll.isWon && clock.now() - toldAt > NO_MAJORITY_LOG_MS) {
+      toldAt = clock.now();
+      noteNoMajority(voter, poll);
+    }
     // After a lost election the others get their turn first.
     const pauseMs = timings.electionMs * (0.1 + random() / 2);
     await clock.sleep(pauseMs, signal).catch(() => {});
   }
 }
 
-async function stand(voter: voters.Voter): Promise<void> {
+/** A log without a majority stays so until somebody acts; no other line would say it. */
+function noteNoMajority(voter: voters.Voter, { granted }: Poll): void {
+  const seats = voter.entries.getVoters().map((seat) => seat.daemonId);
+  const { term } = voter;
+  voter.options.log.warn({ event: 'no-majority', term, seats, granted });
+}
+
+async function stand(voter: voters.Voter): Promise<Poll> {
   const term = voter.term + 1;
   // Without asking first, a voter behind a one-way partition would raise the term for ever
   // and unseat a leader that the majority hears.
-  if (!(await collectVotes(voter, term, true)) || voter.term + 1 !== term || voter.stopped) {
-    return;
+  const foreseen = await collectVotes(voter, term, true);
+  if (!foreseen.isWon || voter.term + 1 !== term || voter.stopped) {
+    return foreseen;
   }
   await voter.adoptTerm(term, voter.voterId);
-  const isElected = await collectVotes(voter, term, false);
-  if (isElected && voter.term === term && !voter.stopped) {
+  const poll = await collectVotes(voter, term, false);
+  if (poll.isWon && voter.term === term && !voter.stopped) {
     voter.lead();
   }
+  return poll;
 }
 
 /** Asks every other voter at once; resolves as soon as a majority is for it or it can't be any more. */
-function collectVotes(voter: voters.Voter, term: number, pre: boolean): Promise<boolean> {
+function collectVotes(voter: voters.Voter, term: number, pre: boolean): Promise<Poll> {
   const seats = voter.entries.getVoters();
   const needed = Math.floor(seats.length / 2) + 1;
   const req: types.VoteReq = {
@@ -46,13 +70,13 @@
     lastTerm: voter.entries.lastTerm,
   };
   return new Promise((resolve) => {
-    let granted = 1;
+    const granted = [voter.daemonId];
     let open = seats.length - 1;
     const close = () => {
-      if (granted >= needed) {
-        resolve(true);
-      } else if (granted + open < needed) {
-        resolve(false);
+      if (granted.length >= needed) {
+        resolve({ isWon: true, granted });
+      } else if (granted.length + open < needed) {
+        resolve({ isWon: false, granted });
       }
     };
     close();
@@ -61,7 +85,7 @@
       .forEach((seat) => {
         void askVote(voter, seat, req).then((isGranted) => {
           open -= 1;
-          granted += isGranted ? 1 : 0;
+          granted.push(...(isGranted ? [seat.daemonId] : []));
           close();
         });
       });
--- a/packages/consensus/src/leadership.ts
+++ b/packages/consensus/src/leadership.ts
@@ -151,10 +151,28 @@
     }));
   }
 
+  /** Who holds a seat and has not answered of late. */
+  public listSilentSeats(): string[] {
+    const { clock, timings } = this.voter.options;
+    const since = clock.now() - 2 * timings.electionMs;
+    return this.voter.entries
+      .getVoters()
+      .filter((seat) => seat.voterId !== this.voter.voterId)
+      .filter((seat) => (this.peers.get(seat.voterId)?.ackedAt ?? -Infinity) < since)
+      .map((seat) => seat.daemonId);
+  }
+
+  /** How many more voters may be lost before the log stands still. */
+  public countLossesBorne(): number {
+    const { length } = this.voter.entries.getVoters();
+    return length - this.listSilentSeats().length - (Math.floor(length / 2) + 1);
+  }
+
   private append(kind: types.Entry['kind'], data: unknown): types.Entry {
     const index = this.voter.entries.lastIndex + 1;
     const entry: types.Entry = { index, term: this.term, kind, data };
     this.voter.entries.append([entry]);
+    this.voter.noteSeats();
     this.appended.notify();
     this.voter.persist({ kind: 'entries', entries: [entry] }).then(
       () => {
--- a/packages/consensus/src/voter.ts
+++ b/packages/consensus/src/voter.ts
@@ -44,6 +44,7 @@
   public caughtUpAt = -Infinity;
   private votedFor: string | null;
   private compacting = false;
+  private notedSeats = '';
   private readonly results = new Map<number, (result: unknown) => void>();
 
   public constructor(
@@ -131,6 +132,7 @@
       return this.createAppendRes(false, this.commitIndex);
     }
     this.entries.append(fresh);
+    this.noteSeats();
     const match = req.prevIndex + req.entries.length;
     // Syncing even when nothing is new: an earlier copy of these entries may still be on its way to disk.
     await this.persist(...(fresh.length > 0 ? [{ kind: 'entries', entries: fresh } as const] : []));
@@ -155,6 +157,7 @@
     }
     const snapshot: wals.Snapshot = req;
     this.entries.resetTo(snapshot);
+    this.noteSeats();
     this.options.machine.restore(req.state);
     this.commitIndex = req.lastIndex;
     this.appliedIndex = req.lastIndex;
@@ -200,6 +203,17 @@
     void this.maybeCompact();
   }
 
+  /** Logs who votes when that has changed in this log: of a change that was cut short only this line tells how far it came. */
+  public noteSeats(): void {
+    const seats = this.entries.getVoters().map((seat) => seat.daemonId);
+    if (seats.join() === this.notedSeats) {
+      return;
+    }
+    this.notedSeats = seats.join();
+    const { lastIndex: index } = this.entries;
+    this.options.log.info({ event: 'seats', seats, index, isSeated: this.isSeated() });
+  }
+
   /** Resolves with the result of an entry when it is applied here. */
   public awaitResult(index: number): Promise<unknown> {
     return new Promise((resolve) => {
--- a/packages/gateway/src/core-group.ts
+++ b/packages/gateway/src/core-group.ts
@@ -48,6 +48,7 @@
   public readonly state = new intents.DeclaredState();
   public voter: consensus.Voter | undefined;
   private identity: consensus.Genesis | undefined;
+  private notedSilent = '';
   private readonly stopping = new AbortController();
 
   public constructor(private readonly options: CoreGroupOptions) {}
@@ -148,6 +149,7 @@
       term: voter.term,
       lastIndex: voter.entries.lastIndex,
       isSeated: voter.isSeated(),
+      seats: voter.entries.getVoters().map((seat) => seat.daemonId),
     });
     await consensus.runElections(voter, signal);
     await files.close?.();
@@ -166,6 +168,7 @@
     const { signal } = this.stopping;
     while (!signal.aborted) {
       if (this.isLeading()) {
+        this.noteSilentSeats();
         await this.repairSeats().catch((err: unknown) => {
           log.warn({ event: 'seat-repair-failed', err: schemas.toError(err).message });
         });
@@ -174,6 +177,22 @@
     }
   }
 
+  /** While a seat is silent the log bears one loss less; how many are left is what somebody on call needs first. */
+  private noteSilentSeats(): void {
+    const leadership = this.getLeadership();
+    const silent = leadership.listSilentSeats();
+    if (silent.join() === this.notedSilent) {
+      return;
+    }
+    this.notedSilent = silent.join();
+    const seats = this.getVoter().entries.getVoters().length;
+    const hostsHeard = this.options.table
+      .listCandidates()
+      .filter((host) => host.silentMs <= SEAT_LIVE_MS).length;
+    const lossesBorne = leadership.countLossesBorne();
+    this.options.log.warn({ event: 'seats-silent', silent, seats, lossesBorne, hostsHeard });
+  }
+
   private async repairSeats(): Promise<void> {
     const { coreId, log, table, wantedSeats } = this.options;
     const voter = this.getVoter();
--- a/packages/gateway/src/core-host.ts
+++ b/packages/gateway/src/core-host.ts
@@ -114,10 +114,17 @@
     const { metrics } = this.options;
     metrics.watch('isLeading', () => Number(this.group.isLeading()));
     metrics.watch('term', () => this.group.voter?.term ?? 0);
+    metrics.watch('seats', () => this.group.voter?.entries.getVoters().length ?? 0);
+    metrics.watch('seatsSilent', () => this.findLeadership()?.listSilentSeats().length ?? -1);
+    metrics.watch('lossesBorne', () => this.findLeadership()?.countLossesBorne() ?? -1);
     metrics.watch('entryHosts', () => this.entries.count());
     metrics.watch('configurationVersion', () => this.group.state.get()?.version ?? -1);
   }
 
+  private findLeadership(): consensus.Leadership | undefined {
+    return this.group.voter?.leadership;
+  }
+
   /** Listens to peers and takes part in the log. */
   public async start(): Promise<void> {
     this.watchLevels();
--- a/packages/telemetry/src/metric-catalog.ts
+++ b/packages/telemetry/src/metric-catalog.ts
@@ -92,6 +92,24 @@
   },
   isLeading: { kind: 'gauge', name: 'is_leading', help: 'Whether this host leads', labels: [] },
   term: { kind: 'gauge', name: 'term', help: 'The term of the replicated log', labels: [] },
+  seats: {
+    kind: 'gauge',
+    name: 'seats',
+    help: 'Seats of the replicated log, as this host has it',
+    labels: [],
+  },
+  seatsSilent: {
+    kind: 'gauge',
+    name: 'seats_silent',
+    help: 'Seats whose holder this leader does not hear; -1 where this host does not lead',
+    labels: [],
+  },
+  lossesBorne: {
+    kind: 'gauge',
+    name: 'losses_borne',
+    help: 'Voters that may still be lost before the log stands still; -1 where this host does not lead',
+    labels: [],
+  },
   entryHosts: {
     kind: 'gauge',
     name: 'entry_hosts',
