Prove that a loss which the deployment bears stops the log; known red

Cause shown, not mended here: a core host is gone for good and an empty one stands in for it a second later. The leader gives its vote away only 8 s after the loss, and does so by seating a fourth voter first and removing the dead one after. A further loss before that, which the deployment allows 4 s after the stand-in started, or the loss of the stand-in itself while four votes stand, leaves two of three or two of four votes gone for good: nobody leads any more, and what was acknowledged cannot be read. A leader that takes over a half-done change leaves it half done. Ruled out: that the stand-in could not take part sooner (it is heard from 0.6 s after its start on), that lost disks took the configuration (it also happens with none lost). Change: `seat-losses` plays the core hosts' parts in the log on virtual time and places losses that the deployment bears before, during (every 5 ms) and after a change of votes, for 3 and 4 hosts with one loss and 6 with two. For it the greeting of core hosts is a class of its own, moved without change.

--- a/packages/gateway/src/core-group.ts
+++ b/packages/gateway/src/core-group.ts
@@ -36,7 +36,7 @@
   readonly founders: readonly string[];
   readonly wantedSeats: number;
   readonly openFiles: () => Promise<consensus.FileLayer>;
-  readonly mesh: coreMeshes.CoreMesh;
+  readonly mesh: coreMeshes.CorePeers;
   readonly table: coreTables.CoreTable;
   readonly clock: schemas.Clock;
   readonly log: schemas.Log;
@@ -217,7 +217,7 @@
   }
 }
 
-function createTransport(mesh: coreMeshes.CoreMesh): consensus.Transport {
+function createTransport(mesh: coreMeshes.CorePeers): consensus.Transport {
   return {
     vote: (peer, req) => mesh.get(peer).vote.mutate(req),
     append: (peer, req) => mesh.get(peer).append.mutate(req),
--- a/packages/gateway/src/core-host.ts
+++ b/packages/gateway/src/core-host.ts
@@ -5,6 +5,7 @@
 import * as schemas from '@bramleyridge/schemas';
 import type * as telemetry from '@bramleyridge/telemetry';
 
+import * as coreGreeters from './core-greeter.js';
 import * as coreGroups from './core-group.js';
 import * as coreMeshes from './core-mesh.js';
 import * as procedures from './core-procedures.js';
@@ -22,9 +23,6 @@
 /** How long a core host may take to answer another, in milliseconds; a slow disk's sync of 150 ms is in it. */
 const PEER_DEADLINE_MS = 500;
 
-/** How often core hosts greet each other, in milliseconds. */
-const HELLO_MS = 400;
-
 /** What is known before a list was read. */
 const NO_UPSTREAMS: readonly schemas.ListedUpstream[] = [];
 
@@ -48,11 +46,11 @@
   private readonly table: coreTables.CoreTable;
   private readonly entries: entryTables.EntryTable;
   private readonly group: coreGroups.CoreGroup;
+  private readonly greeter: coreGreeters.CoreGreeter;
   private readonly pools: poolDesks.PoolDesk;
   private readonly store: routedStores.RoutedStore;
   private readonly lists: listDesks.ListDesk;
   private readonly server: peers.PeerServer;
-  private isStopped = false;
 
   public constructor(private readonly options: CoreHostOptions) {
     const { clock, codec, log, random, source } = options;
@@ -71,6 +69,15 @@
       log,
       random,
     });
+    this.greeter = new coreGreeters.CoreGreeter({
+      coreId: this.coreId,
+      group: this.group,
+      table: this.table,
+      mesh: this.mesh,
+      listSeeds: () => hostSettings.listSeedIds(options.settings.get()),
+      clock,
+      log,
+    });
     this.desk = new operatorDesks.OperatorDesk({
       coreId: this.coreId,
       group: this.group,
@@ -128,18 +135,17 @@
   /** Listens to peers and takes part in the log. */
   public async start(): Promise<void> {
     this.watchLevels();
-    this.table.learn(hostSettings.listSeedIds(this.options.settings.get()));
     await this.server.listen();
+    void this.greeter.run();
     void this.group.run();
     this.lists.run();
-    void this.greet();
     this.options.log.info({ event: 'started', role: 'core', peer: this.coreId });
   }
 
   /** Ends every task; a leader gives its place up, and the others elect another. */
   public stop(): void {
     this.options.log.info({ event: 'stopping', role: 'core', isLeading: this.group.isLeading() });
-    this.isStopped = true;
+    this.greeter.stop();
     this.lists.stop();
     this.group.stop();
     this.server.close();
@@ -147,17 +153,13 @@
   }
 
   private createHandlers(): procedures.CoreHandlers {
-    const { desk, group, table } = this;
+    const { desk, group } = this;
     return {
       genesis: async () => group.getIdentity(),
       vote: (req) => group.getVoter().handleVote(req),
       append: (req) => group.getVoter().handleAppend(req),
       snapshot: (req) => group.getVoter().handleSnapshot(req),
-      hello: async ({ coreId, known, voterId }) => {
-        table.hear(coreId, voterId);
-        table.learn(known);
-        return { known: table.listAll(), leader: group.voter?.leader };
-      },
+      hello: async (req) => this.greeter.answer(req),
       news: (req) => this.answerNews(req),
       place: (req) => this.place(req),
       awaitHandOver: async (req) => {
@@ -238,29 +240,6 @@
     const isNew = this.group.isLeading() && list?.stamp !== req.listStamp;
     return isNew ? list : undefined;
   }
-
-  private async greet(): Promise<void> {
-    const { clock, settings } = this.options;
-    while (!this.isStopped) {
-      this.table.learn(hostSettings.listSeedIds(settings.get()));
-      this.table.listOthers().forEach((coreId) => {
-        void this.greetOne(coreId);
-      });
-      await clock.sleep(HELLO_MS);
-    }
-  }
-
-  private async greetOne(coreId: string): Promise<void> {
-    try {
-      const { voterId } = this.group.getIdentity();
-      const known = this.table.listAll();
-      const res = await this.mesh.get(coreId).hello.mutate({ coreId: this.coreId, voterId, known });
-      this.table.learn(res.known);
-      this.table.leaderHint = res.leader ?? this.table.leaderHint;
-    } catch (err) {
-      this.options.log.debug({ step: 'greet', peer: coreId, err: schemas.toError(err).message });
-    }
-  }
 }
 
 async function openFolder(folder: string): Promise<consensus.FileLayer> {
--- a/packages/gateway/src/core-mesh.ts
+++ b/packages/gateway/src/core-mesh.ts
@@ -6,8 +6,14 @@
 /** A typed client of one core host. */
 export type CoreApi = peers.PeerApi<procedures.CoreRouter>;
 
+/** How a core host reaches another. */
+export interface CorePeers {
+  /** The client of a core host. */
+  get(coreId: string): CoreApi;
+}
+
 /** The links to core hosts, whose names say where they listen. */
-export class CoreMesh {
+export class CoreMesh implements CorePeers {
   private readonly links: peers.PeerMesh<procedures.CoreRouter>;
 
   public constructor(deadlineMs: number) {
@@ -15,7 +21,6 @@
     this.links = new peers.PeerMesh({ keyring: undefined, deadlineMs });
   }
 
-  /** The client of a core host. */
   public get(coreId: string): CoreApi {
     const { host, port } = hostSettings.splitAddress(coreId);
     return this.links.getAt(coreId, { host, peerPort: port });
--- /dev/null
+++ b/packages/gateway/tests/support/core-site.ts
@@ -0,0 +1,271 @@
+import type * as consensus from '@bramleyridge/consensus';
+import * as fakes from '@bramleyridge/fakes';
+import * as schemas from '@bramleyridge/schemas';
+import * as xoroshiro from 'pure-rand/generator/xoroshiro128plus';
+
+import * as coreGreeters from '../../src/core-greeter.js';
+import * as coreGroups from '../../src/core-group.js';
+import type * as coreMeshes from '../../src/core-mesh.js';
+import * as coreTables from '../../src/core-table.js';
+
+/** How long a message is under way at most, in milliseconds. */
+const MAX_DELAY_MS = 3;
+
+/** How long a core host may take to answer another, in milliseconds. */
+const DEADLINE_MS = 500;
+
+/** How long a disk takes for a sync, in milliseconds. */
+const SYNC_MS = 5;
+
+/** How long an operator goes on asking for an acknowledgment, in milliseconds. */
+const OPERATOR_MS = 10_000;
+
+/** The pause before an operator asks again, in milliseconds. */
+const ASK_AGAIN_MS = 50;
+
+/** One log line with when it came. */
+export interface LogLine {
+  readonly at: number;
+  readonly coreId: string;
+  readonly fields: Record<string, unknown>;
+}
+
+interface Host {
+  readonly coreId: string;
+  readonly group: coreGroups.CoreGroup;
+  readonly greeter: coreGreeters.CoreGreeter;
+  readonly files: fakes.MemoryFiles;
+  isUp: boolean;
+}
+
+/** A disk whose syncs take their time, so that changes come between them. */
+class SlowFiles implements consensus.FileLayer {
+  public constructor(
+    private readonly files: fakes.MemoryFiles,
+    private readonly clock: schemas.Clock,
+  ) {}
+
+  public read(name: string): Promise<Buffer | undefined> {
+    return this.files.read(name);
+  }
+
+  public append(name: string, bytes: Buffer): Promise<void> {
+    return this.files.append(name, bytes);
+  }
+
+  public async sync(name: string): Promise<void> {
+    await this.clock.sleep(SYNC_MS);
+    await this.files.sync(name);
+  }
+
+  public truncate(name: string, length: number): Promise<void> {
+    return this.files.truncate(name, length);
+  }
+
+  public async replace(name: string, bytes: Buffer): Promise<void> {
+    await this.clock.sleep(SYNC_MS);
+    await this.files.replace(name, bytes);
+  }
+}
+
+/** Core hosts' parts in the replicated log, in one process on virtual time, over links that lose nothing but hosts. */
+export class CoreSite {
+  public readonly clock = new schemas.VirtualClock();
+  public readonly lines: LogLine[] = [];
+  /** The highest version that an operator was told is acknowledged. */
+  public acknowledged = 0;
+  private readonly hosts = new Map<string, Host>();
+  private readonly rng: ReturnType<typeof xoroshiro.xoroshiro128plus>;
+  private founders: readonly string[] = [];
+  private version = 0;
+
+  public constructor(
+    seed: number,
+    private readonly lossesToBear: number,
+  ) {
+    this.rng = xoroshiro.xoroshiro128plus(seed);
+  }
+
+  /** Starts all hosts for the first time; the first three found the log. */
+  public async start(coreIds: readonly string[]): Promise<void> {
+    this.founders = coreIds.slice(0, 3);
+    coreIds.forEach((coreId) => this.startHost(coreId, new fakes.MemoryFiles(), this.founders));
+    await this.clock.advance(4_000);
+    await this.declare();
+  }
+
+  /** Adds a host with an empty disk. */
+  public add(coreId: string): void {
+    this.startHost(coreId, new fakes.MemoryFiles(), []);
+  }
+
+  /** Takes a host's power away. */
+  public kill(coreId: string): void {
+    const host = this.hosts.get(coreId);
+    if (host === undefined) {
+      return;
+    }
+    host.isUp = false;
+    host.greeter.stop();
+    host.group.stop();
+    host.files.crashAfter(0, 0);
+  }
+
+  /** Starts a host that lost its power, on the disk that it had or on an empty one. */
+  public restart(coreId: string, isWiped = false): void {
+    const files = isWiped ? new fakes.MemoryFiles() : this.hosts.get(coreId)!.files.reopen();
+    this.startHost(coreId, files, []);
+  }
+
+  /** The hosts that run. */
+  public listUp(): string[] {
+    return [...this.hosts.values()].filter((host) => host.isUp).map((host) => host.coreId);
+  }
+
+  /** Who leads and is confirmed by a majority. */
+  public findLeader(): string | undefined {
+    return [...this.hosts.values()].find((host) => host.isUp && host.group.isLeading())?.coreId;
+  }
+
+  /** Declares the next version; gives back whether it was acknowledged in time. */
+  public async declare(): Promise<boolean> {
+    this.version += 1;
+    const { version } = this;
+    const result = await this.ask(async (group) => {
+      await group.getLeadership().propose({ version, text: `v${version}` });
+      return true;
+    });
+    if (result === true) {
+      this.acknowledged = Math.max(this.acknowledged, version);
+    }
+    return result ?? false;
+  }
+
+  /** Reads the version in force back; nothing where nobody can tell. */
+  public read(): Promise<number | undefined> {
+    return this.ask(async (group) => {
+      await group.getLeadership().barrier();
+      return group.state.get()?.version ?? 0;
+    });
+  }
+
+  /** When a line first came, on the clock; nothing when it never did. */
+  public findAt(isIt: (fields: Record<string, unknown>) => boolean): number | undefined {
+    return this.lines.find(({ fields }) => isIt(fields))?.at;
+  }
+
+  /** Ends every host. */
+  public stop(): void {
+    [...this.hosts.keys()].forEach((coreId) => this.kill(coreId));
+  }
+
+  /** Asks whoever leads, again and again, while time moves on. */
+  private async ask<T>(work: (group: coreGroups.CoreGroup) => Promise<T>): Promise<T | undefined> {
+    const end = this.clock.now() + OPERATOR_MS;
+    const answers: T[] = [];
+    while (answers.length === 0 && this.clock.now() < end) {
+      const leader = this.findLeader();
+      if (leader !== undefined) {
+        void work(this.hosts.get(leader)!.group).then(
+          (value) => answers.push(value),
+          () => {},
+        );
+      }
+      await this.clock.advance(ASK_AGAIN_MS);
+    }
+    return answers[0];
+  }
+
+  private startHost(coreId: string, files: fakes.MemoryFiles, founders: readonly string[]): void {
+    const { clock } = this;
+    const log = this.createLog(coreId);
+    const table = new coreTables.CoreTable(coreId, clock);
+    const mesh = this.createPeers(coreId);
+    const group = new coreGroups.CoreGroup({
+      coreId,
+      founders,
+      wantedSeats: 2 * this.lossesToBear + 1,
+      openFiles: async () => Promise.resolve(new SlowFiles(files, clock)),
+      mesh,
+      table,
+      clock,
+      log,
+      random: () => this.random(),
+    });
+    const listSeeds = () => this.founders;
+    const greeter = new coreGreeters.CoreGreeter({
+      coreId,
+      group,
+      table,
+      mesh,
+      listSeeds,
+      clock,
+      log,
+    });
+    this.hosts.set(coreId, { coreId, group, greeter, files, isUp: true });
+    void greeter.run();
+    void group.run();
+  }
+
+  private createPeers(from: string): coreMeshes.CorePeers {
+    const call = <Req, Res>(to: string, handle: (host: Host, req: Req) => Promise<Res> | Res) => ({
+      mutate: (req: Req) => this.send(from, to, async (host) => handle(host, structuredClone(req))),
+    });
+    const get = (to: string) => ({
+      genesis: call(to, ({ group }) => group.getIdentity()),
+      vote: call(to, ({ group }, req: consensus.VoteReq) => group.getVoter().handleVote(req)),
+      append: call(to, ({ group }, req: consensus.AppendReq) => group.getVoter().handleAppend(req)),
+      snapshot: call(to, ({ group }, req: consensus.SnapshotReq) =>
+        group.getVoter().handleSnapshot(req),
+      ),
+      hello: call(to, ({ greeter }, req: Parameters<typeof greeter.answer>[0]) =>
+        greeter.answer(req),
+      ),
+    });
+    return { get: (to) => get(to) as unknown as coreMeshes.CoreApi };
+  }
+
+  private async send<T>(from: string, to: string, handle: (host: Host) => Promise<T>): Promise<T> {
+    const sender = this.hosts.get(from)!;
+    const late = new AbortController();
+    const timeout = this.clock.sleep(DEADLINE_MS, late.signal).then(() => {
+      throw new Error('deadline');
+    });
+    try {
+      return await Promise.race([timeout, this.deliver(sender, to, handle)]);
+    } finally {
+      late.abort(new Error('answered'));
+    }
+  }
+
+  private async deliver<T>(
+    sender: Host,
+    to: string,
+    handle: (host: Host) => Promise<T>,
+  ): Promise<T> {
+    await this.clock.sleep(this.random() * MAX_DELAY_MS);
+    const host = this.hosts.get(to);
+    if (host === undefined || !areUp(host, sender)) {
+      return new Promise(() => {});
+    }
+    const answer = await handle(host);
+    await this.clock.sleep(this.random() * MAX_DELAY_MS);
+    return areUp(host, sender) ? answer : new Promise(() => {});
+  }
+
+  private createLog(coreId: string): schemas.Log {
+    const note = (fields: object) => {
+      const at = this.clock.now();
+      this.lines.push({ at, coreId, fields: fields as Record<string, unknown> });
+    };
+    return { debug: () => {}, info: note, warn: note, error: note };
+  }
+
+  private random(): number {
+    return (this.rng.next() >>> 0) / 2 ** 32;
+  }
+}
+
+function areUp(...hosts: readonly Host[]): boolean {
+  return hosts.every((host) => host.isUp);
+}
