Change seats by two majorities, early, and finish what was begun

Cause: a seat was given away 8 s after its holder fell silent, though a deployment may lose the next host 4 s after the stand-in of the former started; the change went from three seats by way of four, one of them dead, so it needed the newcomer that was not needed before; and a leader that rose in the middle left four seats, since it looked only for hosts to add. Class: a change of who votes that bears fewer losses on its way than before and after it. Ruled out: that stand-ins are not heard (0.6 s after their start); seating one more first and waiting less (a loss of the stand-in in the middle still stops the log, "a stand-in is lost while it gets its vote"); removing first (two of two). Change: `SeatChange` writes former and next voters in one entry, both of which must agree, and the next alone once every newcomer holds that entry; one that falls silent on the way takes the change back. A new leader finishes what it finds. `planSeats` names the whole next group: odd, no zone with more than may be lost, hosts that are away or leave last. A holder is silent when it has not held what is committed for 1.5 s (a stuck disk counts), measured from its last greeting where the leader is new. A core host that is told to stop hands its seat to a spare first. The harness of `seat-losses` was wrong in one thing: hosts started in the third round knew only the first three hosts, all gone by then, and were never heard. Now they know three that serve when they start, as the platform's settings do.

--- a/packages/consensus/src/election.ts
+++ b/packages/consensus/src/election.ts
@@ -7,8 +7,8 @@
 /** What became of asking for votes. */
 interface Poll {
   readonly isWon: boolean;
-  /** The seats that had given their vote when it was decided, this voter's own included. */
-  readonly granted: readonly string[];
+  /** Who had given a vote when it was decided, by the number of the folder, this voter included. */
+  readonly granted: ReadonlySet<string>;
 }
 
 /** One task for the life of a voter: waits for the leader to fall silent, then stands for election. */
@@ -37,9 +37,14 @@
 
 /** A log without a majority stays so until somebody acts; no other line would say it. */
 function noteNoMajority(voter: voters.Voter, { granted }: Poll): void {
-  const seats = voter.entries.getVoters().map((seat) => seat.daemonId);
+  const seats = voter.entries.getVoters();
   const { term } = voter;
-  voter.options.log.warn({ event: 'no-majority', term, seats, granted });
+  voter.options.log.warn({
+    event: 'no-majority',
+    term,
+    seats: seats.map((seat) => seat.daemonId),
+    granted: seats.filter((seat) => granted.has(seat.voterId)).map((seat) => seat.daemonId),
+  });
 }
 
 async function stand(voter: voters.Voter): Promise<Poll> {
@@ -60,8 +65,7 @@
 
 /** Asks every other voter at once; resolves as soon as a majority is for it or it can't be any more. */
 function collectVotes(voter: voters.Voter, term: number, pre: boolean): Promise<Poll> {
-  const seats = voter.entries.getVoters();
-  const needed = Math.floor(seats.length / 2) + 1;
+  const quorum = voter.entries.getQuorum();
   const req: types.VoteReq = {
     pre,
     term,
@@ -70,22 +74,21 @@
     lastTerm: voter.entries.lastTerm,
   };
   return new Promise((resolve) => {
-    const granted = [voter.daemonId];
-    let open = seats.length - 1;
+    const granted = new Set([voter.voterId]);
+    const refused = new Set<string>();
     const close = () => {
-      if (granted.length >= needed) {
-        resolve({ isWon: true, granted });
-      } else if (granted.length + open < needed) {
-        resolve({ isWon: false, granted });
+      const isWon = quorum.isReached((seat) => granted.has(seat.voterId));
+      if (isWon || !quorum.isReached((seat) => !refused.has(seat.voterId))) {
+        resolve({ isWon, granted });
       }
     };
     close();
-    seats
+    quorum
+      .listVoters()
       .filter((seat) => seat.voterId !== voter.voterId)
       .forEach((seat) => {
         void askVote(voter, seat, req).then((isGranted) => {
-          open -= 1;
-          granted.push(...(isGranted ? [seat.daemonId] : []));
+          (isGranted ? granted : refused).add(seat.voterId);
           close();
         });
       });
--- a/packages/consensus/src/entry-log.ts
+++ b/packages/consensus/src/entry-log.ts
@@ -1,17 +1,18 @@
+import * as quorums from './quorum.js';
 import type * as types from './types.js';
 import type * as wal from './wal.js';
 
 /** The entries that a voter holds in memory, behind the snapshot that they follow. */
 export class EntryLog {
   private entries: types.Entry[];
-  private base: { index: number; term: number; voters: readonly types.VoterSeat[] };
+  private base: { index: number; term: number; seating: types.Seating };
 
   public constructor(recovered: wal.Recovered, genesis: readonly types.VoterSeat[]) {
     const { snapshot } = recovered;
     this.base = {
       index: snapshot?.lastIndex ?? 0,
       term: snapshot?.lastTerm ?? 0,
-      voters: snapshot?.voters ?? genesis,
+      seating: snapshot === undefined ? { seats: [...genesis] } : getSnapshotSeating(snapshot),
     };
     this.entries = recovered.entries;
   }
@@ -65,15 +66,26 @@
     this.entries.push(...entries);
   }
 
-  /** The voters that count now: a change counts from the moment it stands in the log. */
-  public getVoters(): readonly types.VoterSeat[] {
-    return this.getVotersAt(this.lastIndex);
+  /** Who votes now: a change counts from the moment it stands in the log. */
+  public getSeating(): types.Seating {
+    return this.getSeatingAt(this.lastIndex);
   }
 
-  /** The voters as of an index. */
-  public getVotersAt(index: number): readonly types.VoterSeat[] {
+  /** Who votes as of an index. */
+  public getSeatingAt(index: number): types.Seating {
     const changes = this.entries.filter((item) => item.kind === 'voters' && item.index <= index);
-    return (changes.at(-1)?.data as types.VoterSeat[] | undefined) ?? this.base.voters;
+    const last = changes.at(-1);
+    return last === undefined ? this.base.seating : readSeating(last.data);
+  }
+
+  /** The majorities that count now. */
+  public getQuorum(): quorums.Quorum {
+    return new quorums.Quorum(this.getSeating());
+  }
+
+  /** Everyone who votes now. */
+  public getVoters(): readonly types.VoterSeat[] {
+    return this.getQuorum().listVoters();
   }
 
   /** The index of the last change of voters in the log, or 0. */
@@ -84,14 +96,29 @@
   /** Drops the entries that a snapshot now stands for. */
   public compactTo(index: number): void {
     const term = this.findTerm(index) ?? this.base.term;
-    const voters = this.getVotersAt(index);
+    const seating = this.getSeatingAt(index);
     this.entries = this.entries.filter((item) => item.index > index);
-    this.base = { index, term, voters };
+    this.base = { index, term, seating };
   }
 
   /** Replaces everything by a snapshot from the leader. */
   public resetTo(snapshot: wal.Snapshot): void {
     this.entries = [];
-    this.base = { index: snapshot.lastIndex, term: snapshot.lastTerm, voters: snapshot.voters };
+    this.base = {
+      index: snapshot.lastIndex,
+      term: snapshot.lastTerm,
+      seating: getSnapshotSeating(snapshot),
+    };
   }
 }
+
+function getSnapshotSeating({ voters, formerVoters }: wal.Snapshot): types.Seating {
+  return formerVoters === undefined
+    ? { seats: [...voters] }
+    : { seats: [...voters], former: [...formerVoters] };
+}
+
+/** Logs of earlier versions hold the bare list of voters. */
+function readSeating(data: unknown): types.Seating {
+  return Array.isArray(data) ? { seats: data as types.VoterSeat[] } : (data as types.Seating);
+}
--- a/packages/consensus/src/leadership.ts
+++ b/packages/consensus/src/leadership.ts
@@ -1,25 +1,27 @@
 import * as schemas from '@bramleyridge/schemas';
 
 import * as replicators from './replicator.js';
+import * as seatChanges from './seat-change.js';
 import type * as types from './types.js';
 import type * as voters from './voter.js';
 
 /** Heartbeats in one election timeout. */
 const HEARTBEATS_PER_ELECTION = 3;
 
-/** How far a new voter may be behind when it is seated, in entries. */
-const CAUGHT_UP_WITHIN = 10;
+/** How many election timeouts a voter may not hold what is committed before it counts as silent. */
+const SILENT_ELECTIONS = 2;
 
-/** How long a new voter may take to catch up before it is given up for now, in election timeouts. */
-const CATCH_UP_ELECTIONS = 10;
+/** For how many election timeouts a host whose seat was taken away is still told of it. */
+const RETIRE_ELECTIONS = 2;
 
 /** What a voter does while it leads, and what it knows of the others. */
-export class Leadership {
+export class Leadership implements seatChanges.SeatLog {
   public readonly term: number;
   public readonly appended = new schemas.ChangeSignal();
   public readonly heartbeatMs: number;
   public readonly startedAt: number;
   private readonly peers = new Map<string, replicators.Replicator>();
+  private readonly seatChange = new seatChanges.SeatChange(this);
   private active = true;
   private durableIndex = 0;
   private waiting: { entry: types.Entry; reject: (err: Error) => void }[] = [];
@@ -35,6 +37,7 @@
     this.syncPeers();
     this.append('noop', null);
     void this.watchQuorum();
+    void this.finishSeatChange();
     this.voter.options.log.info({ decision: 'lead', term: this.term, peer: this.voter.daemonId });
   }
 
@@ -93,40 +96,68 @@
     throw createNotLeader();
   }
 
-  /** Seats a voter once it is caught up; an older folder of the same daemon loses its seat first. */
-  public async addVoter(seat: types.VoterSeat): Promise<void> {
-    if (this.voter.entries.getVoters().some((other) => other.voterId === seat.voterId)) {
-      return;
-    }
-    const learner = this.startPeer(seat);
-    try {
-      await this.awaitCaughtUp(learner);
-    } catch (err) {
-      learner.stop();
-      this.peers.delete(seat.voterId);
-      throw err;
-    }
-    await this.removeVoter(seat.daemonId);
-    // One step at a time: two changes at once could make two majorities that share no voter.
-    await this.changeVoters((seats) => [...seats, seat]);
+  /** Changes the voters as planned upon those of the moment; newcomers must be up and catch up first. */
+  public seat(getNext: seatChanges.GetNextSeats): Promise<void> {
+    return this.seatChange.change(getNext);
+  }
+
+  /** Seats a voter; an older folder of the same daemon loses its seat by that. */
+  public addVoter(seat: types.VoterSeat): Promise<void> {
+    return this.seatChange.change((seats) =>
+      seats.some((other) => other.voterId === seat.voterId)
+        ? undefined
+        : [...seats.filter((other) => other.daemonId !== seat.daemonId), seat],
+    );
   }
 
   /** Takes a voter's seat away. */
-  public async removeVoter(daemonId: string): Promise<void> {
-    if (this.voter.entries.getVoters().some((seat) => seat.daemonId === daemonId)) {
-      await this.changeVoters((seats) => seats.filter((seat) => seat.daemonId !== daemonId));
+  public removeVoter(daemonId: string): Promise<void> {
+    return this.seatChange.change((seats) => seats.filter((seat) => seat.daemonId !== daemonId));
+  }
+
+  /** Puts who votes into the log. */
+  public appendSeating(seating: types.Seating): types.Entry {
+    const entry = this.append('voters', seating);
+    this.syncPeers();
+    return entry;
+  }
+
+  /** Resolves once a majority holds everything up to an index. */
+  public async awaitCommitted(index: number): Promise<void> {
+    while (this.voter.commitIndex < index) {
+      if (!this.active) {
+        throw createNotLeader();
+      }
+      await this.voter.changed.wait(this.voter.options.clock, this.heartbeatMs);
     }
   }
 
+  /** Replicates to a host, also to one that has no seat yet. */
+  public startPeer(seat: types.VoterSeat): replicators.Replicator {
+    const known = this.peers.get(seat.voterId);
+    if (known?.isRunning() === true && !known.isRetiring()) {
+      return known;
+    }
+    known?.stop();
+    const peer = new replicators.Replicator(seat, this);
+    this.peers.set(seat.voterId, peer);
+    void peer.run();
+    return peer;
+  }
+
+  /** Replicates no more to hosts that have no seat. */
+  public dropLearners(): void {
+    const voters = this.voter.entries.getVoters();
+    [...this.peers.values()]
+      .filter((peer) => !voters.some((seat) => seat.voterId === peer.seat.voterId))
+      .forEach((peer) => this.drop(peer));
+  }
+
   /** Counts what a majority holds durably; only an entry of this term commits by counting. */
   public advanceCommit(): void {
-    const seats = this.voter.entries.getVoters();
-    const matches = seats
-      .map((seat) =>
-        seat.voterId === this.voter.voterId ? this.durableIndex : this.getMatch(seat),
-      )
-      .sort((a, b) => b - a);
-    const index = matches[Math.floor(seats.length / 2)] ?? 0;
+    const index = this.voter.entries
+      .getQuorum()
+      .getReached((seat) => (this.isOwn(seat) ? this.durableIndex : this.getMatch(seat)));
     if (
       this.active &&
       index > this.voter.commitIndex &&
@@ -144,28 +175,51 @@
   /** How far each voter is, for operators. */
   public listPeers(): { daemonId: string; match: number; silentMs: number }[] {
     const now = this.voter.options.clock.now();
-    return [...this.peers.values()].map((peer) => ({
+    const running = [...this.peers.values()].filter((peer) => !peer.isRetiring());
+    return running.map((peer) => ({
       daemonId: peer.seat.daemonId,
       match: peer.match,
       silentMs: Math.round(now - peer.ackedAt),
     }));
   }
 
-  /** Who holds a seat and has not answered of late. */
-  public listSilentSeats(): string[] {
-    const { clock, timings } = this.voter.options;
-    const since = clock.now() - 2 * timings.electionMs;
-    return this.voter.entries
-      .getVoters()
-      .filter((seat) => seat.voterId !== this.voter.voterId)
-      .filter((seat) => (this.peers.get(seat.voterId)?.ackedAt ?? -Infinity) < since)
-      .map((seat) => seat.daemonId);
+  /** For how long a voter has not held everything that was committed, in milliseconds. */
+  public getSilentMs(seat: types.VoterSeat): number {
+    const since = this.peers.get(seat.voterId)?.heldAt ?? -Infinity;
+    const now = this.voter.options.clock.now();
+    return this.isOwn(seat) ? 0 : now - Math.max(since, this.startedAt);
+  }
+
+  /** Whether a voter has held all that was committed since this leadership began. */
+  public hasHeld(seat: types.VoterSeat): boolean {
+    return this.isOwn(seat) || (this.peers.get(seat.voterId)?.heldAt ?? -Infinity) > -Infinity;
+  }
+
+  /** The voters that do not answer, or hold nothing new. */
+  public listSilentSeats(): types.VoterSeat[] {
+    return this.voter.entries.getVoters().filter((seat) => !this.isHeard(seat));
   }
 
   /** How many more voters may be lost before the log stands still. */
   public countLossesBorne(): number {
-    const { length } = this.voter.entries.getVoters();
-    return length - this.listSilentSeats().length - (Math.floor(length / 2) + 1);
+    return this.voter.entries.getQuorum().countLossesBorne((seat) => this.isHeard(seat));
+  }
+
+  private isHeard(seat: types.VoterSeat): boolean {
+    return this.getSilentMs(seat) <= SILENT_ELECTIONS * this.voter.options.timings.electionMs;
+  }
+
+  private isOwn(seat: types.VoterSeat): boolean {
+    return seat.voterId === this.voter.voterId;
+  }
+
+  private async finishSeatChange(): Promise<void> {
+    try {
+      await this.seatChange.finish();
+    } catch (err) {
+      const { message } = schemas.toError(err);
+      this.voter.options.log.warn({ event: 'seat-change-unfinished', err: message });
+    }
   }
 
   private append(kind: types.Entry['kind'], data: unknown): types.Entry {
@@ -198,62 +252,18 @@
     });
   }
 
-  private async changeVoters(
-    change: (seats: readonly types.VoterSeat[]) => types.VoterSeat[],
-  ): Promise<void> {
-    await this.awaitCommitted(this.voter.entries.getLastChangeIndex());
-    await this.barrier();
-    const entry = this.append('voters', change(this.voter.entries.getVoters()));
-    this.syncPeers();
-    await this.awaitCommitted(entry.index);
-  }
-
-  private async awaitCommitted(index: number): Promise<void> {
-    while (this.voter.commitIndex < index) {
-      if (!this.active) {
-        throw createNotLeader();
-      }
-      await this.voter.changed.wait(this.voter.options.clock, this.heartbeatMs);
-    }
-  }
-
-  private async awaitCaughtUp(peer: replicators.Replicator): Promise<void> {
-    const { clock, timings } = this.voter.options;
-    const end = clock.now() + CATCH_UP_ELECTIONS * timings.electionMs;
-    while (peer.match < this.voter.commitIndex - CAUGHT_UP_WITHIN || peer.match === 0) {
-      if (!this.active) {
-        throw createNotLeader();
-      }
-      // A newcomer that dies while it catches up must not hold up the seating of others for ever.
-      if (clock.now() > end) {
-        const peerName = peer.seat.daemonId;
-        throw new schemas.StepError({ id: 'linkClosed', step: 'catch-up', peer: peerName });
-      }
-      await this.voter.changed.wait(clock, this.heartbeatMs);
-    }
-  }
-
   private syncPeers(): void {
-    const seats = this.voter.entries.getVoters();
-    const others = seats.filter((seat) => seat.voterId !== this.voter.voterId);
-    others.filter((seat) => !this.peers.has(seat.voterId)).forEach((seat) => this.startPeer(seat));
-    [...this.peers.values()]
-      .filter((peer) => !others.some((seat) => seat.voterId === peer.seat.voterId))
-      .forEach((peer) => {
-        peer.stop();
-        this.peers.delete(peer.seat.voterId);
-      });
+    const others = this.voter.entries.getVoters().filter((seat) => !this.isOwn(seat));
+    others.forEach((seat) => this.startPeer(seat));
+    this.dropLearners();
   }
 
-  private startPeer(seat: types.VoterSeat): replicators.Replicator {
-    const known = this.peers.get(seat.voterId);
-    if (known !== undefined) {
-      return known;
+  private drop(peer: replicators.Replicator): void {
+    if (!peer.isRunning()) {
+      this.peers.delete(peer.seat.voterId);
+      return;
     }
-    const peer = new replicators.Replicator(seat, this);
-    this.peers.set(seat.voterId, peer);
-    void peer.run();
-    return peer;
+    peer.retire(RETIRE_ELECTIONS * this.voter.options.timings.electionMs);
   }
 
   private getMatch(seat: types.VoterSeat): number {
@@ -262,15 +272,11 @@
 
   private getMajorityAckedAt(): number {
     const now = this.voter.options.clock.now();
-    const seats = this.voter.entries.getVoters();
-    const times = seats
-      .map((seat) =>
-        seat.voterId === this.voter.voterId
-          ? now
-          : (this.peers.get(seat.voterId)?.ackedAt ?? -Infinity),
-      )
-      .sort((a, b) => b - a);
-    return times[Math.floor(seats.length / 2)] ?? -Infinity;
+    return this.voter.entries
+      .getQuorum()
+      .getReached((seat) =>
+        this.isOwn(seat) ? now : (this.peers.get(seat.voterId)?.ackedAt ?? -Infinity),
+      );
   }
 
   /** A leader that a majority no longer answers steps down, so that its callers look for the new one. */
--- a/packages/consensus/src/replicator.ts
+++ b/packages/consensus/src/replicator.ts
@@ -9,8 +9,11 @@
   public match = 0;
   /** When the last message that was answered had been sent, on the leader's clock. */
   public ackedAt = -Infinity;
+  /** When a message was sent upon which it held everything that was committed then, on the leader's clock. */
+  public heldAt = -Infinity;
   private next: number;
   private stopped = false;
+  private retiresAt = Infinity;
 
   public constructor(
     public readonly seat: types.VoterSeat,
@@ -23,7 +26,7 @@
   public async run(): Promise<void> {
     const { voter, heartbeatMs } = this.leadership;
     const { clock } = voter.options;
-    while (!this.stopped && this.leadership.isActive()) {
+    while (!this.stopped && this.leadership.isActive() && clock.now() < this.retiresAt) {
       const isReached = await this.exchange();
       const isBehind = this.next <= voter.entries.lastIndex;
       if (!isReached) {
@@ -39,16 +42,32 @@
     this.stopped = true;
   }
 
+  /** Whether the task goes on. */
+  public isRunning(): boolean {
+    return !this.stopped && this.leadership.voter.options.clock.now() < this.retiresAt;
+  }
+
+  /** Whether it only goes on for a little. */
+  public isRetiring(): boolean {
+    return this.retiresAt < Infinity;
+  }
+
+  /** Ends the task a little later, so that a host whose seat was taken away hears of it and does not stand for election. */
+  public retire(afterMs: number): void {
+    this.retiresAt = Math.min(this.retiresAt, this.leadership.voter.options.clock.now() + afterMs);
+  }
+
   private async exchange(): Promise<boolean> {
     const { voter } = this.leadership;
     const sentAt = voter.options.clock.now();
+    const committed = voter.commitIndex;
     try {
       const res = await this.send();
       if (res.term > voter.term) {
         await voter.adoptTerm(res.term, null);
         return false;
       }
-      return this.take(res, sentAt);
+      return this.take(res, sentAt, committed);
     } catch {
       return false;
     }
@@ -75,17 +94,19 @@
   private createSnapshotReq(): types.SnapshotReq {
     const { voter, term } = this.leadership;
     const lastIndex = voter.appliedIndex;
+    const seating = voter.entries.getSeatingAt(lastIndex);
     return {
       term,
       leader: voter.daemonId,
       lastIndex,
       lastTerm: voter.entries.findTerm(lastIndex) ?? 0,
-      voters: [...voter.entries.getVotersAt(lastIndex)],
+      voters: seating.seats,
+      formerVoters: seating.former,
       state: structuredClone(voter.options.machine.getSnapshot()),
     };
   }
 
-  private take(res: types.AppendRes, sentAt: number): boolean {
+  private take(res: types.AppendRes, sentAt: number, committed: number): boolean {
     // A daemon that lost its disk answers at the old address with another number. What the old folder
     // promised is gone, so the answer must not count towards a majority.
     if (res.voterId !== this.seat.voterId) {
@@ -95,6 +116,8 @@
     if (res.ok) {
       this.match = Math.max(this.match, res.match);
       this.next = Math.max(this.next, res.match + 1);
+      // A voter whose disk is stuck or full still answers, but holds nothing new.
+      this.heldAt = res.match >= committed ? Math.max(this.heldAt, sentAt) : this.heldAt;
       this.leadership.advanceCommit();
     } else {
       this.next = Math.max(1, res.hint + 1);
--- a/packages/consensus/src/types.ts
+++ b/packages/consensus/src/types.ts
@@ -6,6 +6,15 @@
 /** A voter. */
 export type VoterSeat = z.infer<typeof voterSeat>;
 
+/** Who votes. While seats change hands the former voters must agree too, by a majority of their own. */
+export const seating = z.object({
+  seats: z.array(voterSeat),
+  former: z.array(voterSeat).optional(),
+});
+
+/** Who votes. */
+export type Seating = z.infer<typeof seating>;
+
 /** One entry of the replicated log. */
 export const entry = z.object({
   index: z.int(),
@@ -55,6 +64,8 @@
   lastIndex: z.int(),
   lastTerm: z.int(),
   voters: z.array(voterSeat),
+  /** Set while seats change hands. */
+  formerVoters: z.array(voterSeat).optional(),
   state: z.unknown(),
 });
 
--- a/packages/consensus/src/voter.ts
+++ b/packages/consensus/src/voter.ts
@@ -205,13 +205,16 @@
 
   /** Logs who votes when that has changed in this log: of a change that was cut short only this line tells how far it came. */
   public noteSeats(): void {
-    const seats = this.entries.getVoters().map((seat) => seat.daemonId);
-    if (seats.join() === this.notedSeats) {
+    const seating = this.entries.getSeating();
+    const seats = seating.seats.map((seat) => seat.daemonId);
+    const former = seating.former?.map((seat) => seat.daemonId);
+    const noted = JSON.stringify([seating.seats, seating.former]);
+    if (noted === this.notedSeats) {
       return;
     }
-    this.notedSeats = seats.join();
+    this.notedSeats = noted;
     const { lastIndex: index } = this.entries;
-    this.options.log.info({ event: 'seats', seats, index, isSeated: this.isSeated() });
+    this.options.log.info({ event: 'seats', seats, former, index, isSeated: this.isSeated() });
   }
 
   /** Resolves with the result of an entry when it is applied here. */
@@ -296,10 +299,12 @@
     }
     this.compacting = true;
     const lastIndex = this.appliedIndex;
+    const seating = this.entries.getSeatingAt(lastIndex);
     const snapshot: wals.Snapshot = {
       lastIndex,
       lastTerm: this.entries.findTerm(lastIndex) ?? 0,
-      voters: this.entries.getVotersAt(lastIndex),
+      voters: seating.seats,
+      formerVoters: seating.former,
       state: structuredClone(this.options.machine.getSnapshot()),
     };
     try {
--- a/packages/consensus/src/wal.ts
+++ b/packages/consensus/src/wal.ts
@@ -17,6 +17,8 @@
   readonly lastIndex: number;
   readonly lastTerm: number;
   readonly voters: readonly types.VoterSeat[];
+  /** Set while seats change hands. */
+  readonly formerVoters?: readonly types.VoterSeat[] | undefined;
   readonly state: unknown;
 }
 
--- a/packages/consensus/tests/support/schedule.ts
+++ b/packages/consensus/tests/support/schedule.ts
@@ -120,17 +120,18 @@
         ? []
         : [{ daemonId, voterId: voter.voterId, silentMs: 0 }],
     );
-    const repair = consensus.planSeatRepair({
-      seats: leader.entries.getVoters(),
-      candidates,
-      wanted: VOTERS.length,
-      patienceMs: Infinity,
-      liveMs: 1_000,
-    });
-    if (repair !== undefined) {
-      // One that is cut short is planned again at the next step.
-      await leader.leadership.addVoter(repair.add).catch(() => {});
-    }
+    // One that is cut short is planned again at the next step.
+    await leader.leadership
+      .seat((seats) =>
+        consensus.planSeats({
+          seats: seats.map((seat) => ({ ...seat, silentMs: 0 })),
+          candidates,
+          wanted: VOTERS.length,
+          patienceMs: Infinity,
+          liveMs: 1_000,
+        }),
+      )
+      .catch(() => {});
   }
 
   /** Loses a disk, unless that would be one more than may be lost before the others are made good. */
--- a/packages/gateway/src/core-greeter.ts
+++ b/packages/gateway/src/core-greeter.ts
@@ -11,6 +11,7 @@
 /** What greeting needs. */
 export interface CoreGreeterOptions {
   readonly coreId: string;
+  readonly availabilityZone: string;
   readonly group: coreGroups.CoreGroup;
   readonly table: coreTables.CoreTable;
   readonly mesh: coreMeshes.CorePeers;
@@ -30,32 +31,39 @@
     const { clock, listSeeds, table } = this.options;
     while (!this.isStopped) {
       table.learn(listSeeds());
-      table.listOthers().forEach((coreId) => {
-        void this.greet(coreId);
-      });
+      this.greetAll();
       await clock.sleep(HELLO_MS);
     }
   }
 
+  /** Greets everyone at once. */
+  public greetAll(): void {
+    this.options.table.listOthers().forEach((coreId) => {
+      void this.greet(coreId);
+    });
+  }
+
   /** Ends the task. */
   public stop(): void {
     this.isStopped = true;
   }
 
   /** Answers another core host. */
-  public answer({ coreId, known, voterId }: procedures.HelloReq): procedures.HelloRes {
+  public answer(req: procedures.HelloReq): procedures.HelloRes {
     const { group, table } = this.options;
-    table.hear(coreId, voterId);
-    table.learn(known);
+    table.hear(req);
+    table.learn(req.known);
     return { known: table.listAll(), leader: group.voter?.leader };
   }
 
   private async greet(peer: string): Promise<void> {
-    const { coreId, group, log, mesh, table } = this.options;
+    const { availabilityZone, coreId, group, log, mesh, table } = this.options;
     try {
       const { voterId } = group.getIdentity();
+      const { isLeaving } = group.seats;
       const known = table.listAll();
-      const res = await mesh.get(peer).hello.mutate({ coreId, voterId, known });
+      const greeting = { coreId, voterId, availabilityZone, isLeaving, known };
+      const res = await mesh.get(peer).hello.mutate(greeting);
       table.learn(res.known);
       table.leaderHint = res.leader ?? table.leaderHint;
     } catch (err) {
--- a/packages/gateway/src/core-group.ts
+++ b/packages/gateway/src/core-group.ts
@@ -4,6 +4,7 @@
 
 import type * as coreMeshes from './core-mesh.js';
 import type * as coreTables from './core-table.js';
+import * as seatKeepers from './seat-keeper.js';
 
 /**
  * The election timeout, in milliseconds. The group has a new leader within about twice that, so an order sent
@@ -21,18 +22,10 @@
 /** The pause before a voter whose disk failed is tried anew, in milliseconds. */
 const REOPEN_MS = 500;
 
-/** How often the leader looks the seats over, in milliseconds. */
-const SEATS_MS = 300;
-
-/** How long a holder of a seat may be silent before a spare host takes it, in milliseconds. */
-const SEAT_PATIENCE_MS = 8_000;
-
-/** Within which a host counts as live when seats are filled, in milliseconds. */
-const SEAT_LIVE_MS = 1_200;
-
 /** What takes part in the log needs. */
 export interface CoreGroupOptions {
   readonly coreId: string;
+  readonly availabilityZone: string;
   readonly founders: readonly string[];
   readonly wantedSeats: number;
   readonly openFiles: () => Promise<consensus.FileLayer>;
@@ -46,17 +39,23 @@
 /** This host's part in the replicated log: its identity, its voter, and as the leader the seats. */
 export class CoreGroup {
   public readonly state = new intents.DeclaredState();
+  public readonly seats: seatKeepers.SeatKeeper;
   public voter: consensus.Voter | undefined;
   private identity: consensus.Genesis | undefined;
-  private notedSilent = '';
   private readonly stopping = new AbortController();
 
-  public constructor(private readonly options: CoreGroupOptions) {}
+  public constructor(private readonly options: CoreGroupOptions) {
+    this.seats = new seatKeepers.SeatKeeper({
+      ...options,
+      findVoter: () => this.voter,
+      isLeading: () => this.isLeading(),
+    });
+  }
 
   /** Takes part until stopped; a voter whose disk failed is opened anew from what the disk holds. */
   public async run(): Promise<void> {
-    void this.keepSeats();
     const { signal } = this.stopping;
+    void this.seats.run(signal);
     while (!signal.aborted) {
       try {
         await this.runVoter();
@@ -162,59 +161,6 @@
       restore: (snapshot) => this.state.restore(snapshot as intents.DeclaredDocument | null),
     };
   }
-
-  private async keepSeats(): Promise<void> {
-    const { clock, log } = this.options;
-    const { signal } = this.stopping;
-    while (!signal.aborted) {
-      if (this.isLeading()) {
-        this.noteSilentSeats();
-        await this.repairSeats().catch((err: unknown) => {
-          log.warn({ event: 'seat-repair-failed', err: schemas.toError(err).message });
-        });
-      }
-      await clock.sleep(SEATS_MS, signal).catch(() => {});
-    }
-  }
-
-  /** While a seat is silent the log bears one loss less; how many are left is what somebody on call needs first. */
-  private noteSilentSeats(): void {
-    const leadership = this.getLeadership();
-    const silent = leadership.listSilentSeats();
-    if (silent.join() === this.notedSilent) {
-      return;
-    }
-    this.notedSilent = silent.join();
-    const seats = this.getVoter().entries.getVoters().length;
-    const hostsHeard = this.options.table
-      .listCandidates()
-      .filter((host) => host.silentMs <= SEAT_LIVE_MS).length;
-    const lossesBorne = leadership.countLossesBorne();
-    this.options.log.warn({ event: 'seats-silent', silent, seats, lossesBorne, hostsHeard });
-  }
-
-  private async repairSeats(): Promise<void> {
-    const { coreId, log, table, wantedSeats } = this.options;
-    const voter = this.getVoter();
-    const own = { daemonId: coreId, voterId: voter.voterId, silentMs: 0 };
-    const repair = consensus.planSeatRepair({
-      seats: voter.entries.getVoters(),
-      candidates: [own, ...table.listCandidates()],
-      wanted: wantedSeats,
-      patienceMs: SEAT_PATIENCE_MS,
-      liveMs: SEAT_LIVE_MS,
-    });
-    if (repair === undefined) {
-      return;
-    }
-    log.info({ decision: 'seat', peer: repair.add.daemonId, instead: repair.remove });
-    const leadership = this.getLeadership();
-    await leadership.addVoter(repair.add);
-    if (repair.remove !== undefined) {
-      await leadership.removeVoter(repair.remove);
-    }
-    log.info({ event: 'seated', peer: repair.add.daemonId, instead: repair.remove });
-  }
 }
 
 function createTransport(mesh: coreMeshes.CorePeers): consensus.Transport {
--- a/packages/gateway/src/core-host.ts
+++ b/packages/gateway/src/core-host.ts
@@ -60,6 +60,7 @@
     this.entries = new entryTables.EntryTable(clock);
     this.group = new coreGroups.CoreGroup({
       coreId: this.coreId,
+      availabilityZone: settings.availabilityZone,
       founders: settings.isFirstStart ? hostSettings.listSeedIds(settings) : [],
       wantedSeats: 2 * settings.lossesToBear + 1,
       openFiles: () => openFolder(settings.dataFolder ?? ''),
@@ -71,6 +72,7 @@
     });
     this.greeter = new coreGreeters.CoreGreeter({
       coreId: this.coreId,
+      availabilityZone: settings.availabilityZone,
       group: this.group,
       table: this.table,
       mesh: this.mesh,
@@ -142,9 +144,17 @@
     this.options.log.info({ event: 'started', role: 'core', peer: this.coreId });
   }
 
-  /** Ends every task; a leader gives its place up, and the others elect another. */
-  public stop(): void {
+  /** Gives the seat away where a spare host can take it, then ends every task; a leader's place goes to another. */
+  public async stop(): Promise<void> {
     this.options.log.info({ event: 'stopping', role: 'core', isLeading: this.group.isLeading() });
+    const left = this.group.seats.leave();
+    this.greeter.greetAll();
+    await left;
+    this.kill();
+  }
+
+  /** Ends every task at once. */
+  public kill(): void {
     this.greeter.stop();
     this.lists.stop();
     this.group.stop();
--- a/packages/gateway/src/core-procedures.ts
+++ b/packages/gateway/src/core-procedures.ts
@@ -9,6 +9,9 @@
   coreId: z.string(),
   /** The number of its data folder. */
   voterId: z.string(),
+  availabilityZone: z.string().optional(),
+  /** Set when it is about to stop and wants to give its seat away. */
+  isLeaving: z.boolean().optional(),
   known: z.array(z.string()),
 });
 
--- a/packages/gateway/src/core-table.ts
+++ b/packages/gateway/src/core-table.ts
@@ -4,10 +4,17 @@
 /** After how long without a word a core host is no longer asked, in milliseconds. */
 const FORGET_MS = 60_000;
 
-interface Heard {
-  readonly daemonId: string;
+/** What a core host says of itself when it greets. */
+export interface CoreGreeting {
+  readonly coreId: string;
   readonly voterId: string;
-  at: number;
+  readonly availabilityZone?: string | undefined;
+  readonly isLeaving?: boolean | undefined;
+}
+
+interface Heard {
+  readonly greeting: CoreGreeting;
+  readonly at: number;
 }
 
 /** The core hosts that this one knows of: by name from the settings and the others, and as heard itself. */
@@ -31,10 +38,10 @@
   }
 
   /** Notes that a core host spoke, and with which data folder. */
-  public hear(daemonId: string, voterId: string): void {
-    const now = this.clock.now();
-    this.known.set(daemonId, now);
-    this.heard.set(voterId, { daemonId, voterId, at: now });
+  public hear(greeting: CoreGreeting): void {
+    const at = this.clock.now();
+    this.known.set(greeting.coreId, at);
+    this.heard.set(greeting.voterId, { greeting, at });
   }
 
   /** The other core hosts, by name. */
@@ -55,9 +62,11 @@
   /** Who could hold a seat, with how long they have been silent. */
   public listCandidates(): consensus.SeatCandidate[] {
     const now = this.clock.now();
-    return [...this.heard.values()].map(({ daemonId, voterId, at }) => ({
-      daemonId,
-      voterId,
+    return [...this.heard.values()].map(({ greeting, at }) => ({
+      daemonId: greeting.coreId,
+      voterId: greeting.voterId,
+      availabilityZone: greeting.availabilityZone,
+      isLeaving: greeting.isLeaving,
       silentMs: now - at,
     }));
   }
--- a/packages/gateway/tests/support/core-site.ts
+++ b/packages/gateway/tests/support/core-site.ts
@@ -23,6 +23,9 @@
 /** The pause before an operator asks again, in milliseconds. */
 const ASK_AGAIN_MS = 50;
 
+/** How many hosts the settings of one name. */
+const SEEDS = 3;
+
 /** One log line with when it came. */
 export interface LogLine {
   readonly at: number;
@@ -88,7 +91,7 @@
 
   /** Starts all hosts for the first time; the first three found the log. */
   public async start(coreIds: readonly string[]): Promise<void> {
-    this.founders = coreIds.slice(0, 3);
+    this.founders = coreIds.slice(0, SEEDS);
     coreIds.forEach((coreId) => this.startHost(coreId, new fakes.MemoryFiles(), this.founders));
     await this.clock.advance(4_000);
     await this.declare();
@@ -181,8 +184,11 @@
     const log = this.createLog(coreId);
     const table = new coreTables.CoreTable(coreId, clock);
     const mesh = this.createPeers(coreId);
+    // A stand-in is in the zone of the host that it stands in for.
+    const availabilityZone = coreId.charAt(0);
     const group = new coreGroups.CoreGroup({
       coreId,
+      availabilityZone,
       founders,
       wantedSeats: 2 * this.lossesToBear + 1,
       openFiles: async () => Promise.resolve(new SlowFiles(files, clock)),
@@ -192,9 +198,14 @@
       log,
       random: () => this.random(),
     });
-    const listSeeds = () => this.founders;
+    // The settings of a host name others that serve when they are written, not the first ones for ever: in the third
+    // round of losses none of those is left, and a host that knew only them would never be heard.
+    const others = this.listUp().filter((other) => other !== coreId);
+    const seeds = founders.length > 0 ? founders : others.slice(0, SEEDS);
+    const listSeeds = () => seeds;
     const greeter = new coreGreeters.CoreGreeter({
       coreId,
+      availabilityZone,
       group,
       table,
       mesh,
--- a/packages/gateway/tests/support/small-site.ts
+++ b/packages/gateway/tests/support/small-site.ts
@@ -59,7 +59,7 @@
     this.entryPort = await this.entry.start();
     this.t.teardown(() => {
       this.entry.kill();
-      this.cores.forEach(({ host }) => host?.stop());
+      this.cores.forEach(({ host }) => host?.kill());
       fs.rmSync(this.folder, { recursive: true, force: true });
     });
   }
@@ -89,7 +89,7 @@
   /** Ends a core host; with `isWiped` its disk is lost too. */
   public stopCore(ip: string, isWiped = false): void {
     const slot = this.cores.get(ip)!;
-    slot.host?.stop();
+    slot.host?.kill();
     slot.host = undefined;
     // Only the very first start of all hosts is one.
     slot.watch = this.createWatch({ ...slot.settings, isFirstStart: false });
