Prove that a change of seats needs both majorities, and play losses in the middle of drawn schedules

Cause: the mend of how seats change hands rests on four things that had no test of their own. Ruled out: proving them by the core hosts' test alone, which sees only that the log goes on.

A seat that is kept for a host that is away is kept for the one heard last.

--- a/packages/consensus/src/seat-plan.ts
+++ b/packages/consensus/src/seat-plan.ts
@@ -47,7 +47,7 @@
   private readonly chosen: types.VoterSeat[] = [];
   private readonly spares: readonly SeatCandidate[];
   private readonly staying: readonly HeldSeat[];
-  /** Holders that may come back: better than an empty seat, worse than a live host. */
+  /** Holders that may come back, the last heard first: better than an empty seat, worse than a live host. */
   private readonly away: readonly HeldSeat[];
 
   public constructor(private readonly facts: SeatFacts) {
@@ -56,7 +56,7 @@
     // A folder that was lost does not come back, so its seat is not kept for it.
     const kept = seats.filter(({ daemonId }) => !this.isRemade(daemonId));
     this.staying = kept.filter((seat) => !this.isAway(seat));
-    this.away = kept.filter((seat) => this.isAway(seat));
+    this.away = kept.filter((seat) => this.isAway(seat)).sort((a, b) => a.silentMs - b.silentMs);
   }
 
   public choose(): readonly types.VoterSeat[] {
--- a/packages/consensus/tests/history.test.ts
+++ b/packages/consensus/tests/history.test.ts
@@ -4,6 +4,13 @@
 import * as histories from './support/history.js';
 import * as schedules from './support/schedule.js';
 
+/** How long a seat may be silent before another host takes it, in milliseconds: two elections of these voters. */
+const SEAT_PATIENCE_MS = 600;
+
+/** How many schedules with replaced hosts are drawn, and from which seed; more and others in a long run. */
+const SEAT_RUNS = Number(process.env.SEAT_RUNS ?? 60);
+const SEAT_SEED = Number(process.env.SEAT_SEED ?? 20261204);
+
 void tap.default.test('what was accepted stays, whatever dies and is cut', async (t) => {
   // The operator sees: an accepted command is in every later read, in one order, once.
   // Voters are killed (also inside a write), cut off one way and both ways, healed and restarted, in
@@ -71,3 +78,43 @@
   await t.resolves(fc.assert(property, { numRuns: 60, seed: 20261203 }));
   t.ok(wipes > 150, `${wipes} disks were lost`);
 });
+
+void tap.default.test(
+  'what was accepted stays when hosts are replaced in the middle of it',
+  async (t) => {
+    // The operator sees: an accepted command is in every later read, and a command is accepted again once all is mended.
+    // Hosts go for good, two seats at a time at most, and empty ones stand in for them under other names; seats of hosts
+    // that are silent for a little change hands, also of hosts that come back; meanwhile voters are killed, cut off and
+    // restarted, the leader in the middle of a change too.
+    let replaced = 0;
+    const replace = fc.record({
+      kind: fc.constant('replace' as const),
+      at: fc.nat(schedules.VOTERS.length - 1),
+    });
+    const property = fc.asyncProperty(
+      fc.nat(1_000_000),
+      fc.array(
+        fc.oneof(
+          { arbitrary: schedules.faultArbitrary, weight: 1 },
+          { arbitrary: replace, weight: 1 },
+        ),
+        { minLength: 8, maxLength: 40 },
+      ),
+      async (seed, faults) => {
+        const run = await schedules.runSchedule(seed, faults, () => {}, SEAT_PATIENCE_MS);
+        replaced += run.replaced;
+        const violations = histories.findViolations(run.history);
+        const isAlive = run.history.some(
+          (op) => op.kind === 'write' && op.accepted && op.from > run.mendedAt,
+        );
+        if (violations.length > 0 || run.leasesBroken > 0 || !isAlive) {
+          throw new Error(
+            `${violations.join('; ')}; leases held twice: ${run.leasesBroken}; alive: ${isAlive}`,
+          );
+        }
+      },
+    );
+    await t.resolves(fc.assert(property, { numRuns: SEAT_RUNS, seed: SEAT_SEED }));
+    t.ok(replaced > 2 * SEAT_RUNS, `${replaced} hosts were replaced`);
+  },
+);
--- /dev/null
+++ b/packages/consensus/tests/seat-change.test.ts
@@ -0,0 +1,208 @@
+import * as consensus from '@bramleyridge/consensus';
+import * as fakes from '@bramleyridge/fakes';
+import * as tap from 'tap';
+
+import * as clusters from './support/cluster.js';
+
+const THREE = ['v1', 'v2', 'v3'];
+
+/** One moment after another at which something happens in the middle of a change, in milliseconds. */
+const MOMENTS_MS = Array.from({ length: 30 }, (_, i) => i * 2);
+
+interface Roles {
+  readonly cluster: clusters.Cluster;
+  readonly leader: consensus.Voter;
+  /** The two other first voters. */
+  readonly others: readonly [string, string];
+}
+
+/** Three voters, one of which leads, and a host without a seat. */
+async function start(seed: number): Promise<Roles> {
+  const cluster = new clusters.Cluster(THREE, seed);
+  await cluster.startAll();
+  cluster.start('spare');
+  await cluster.clock.advance(500);
+  const leader = cluster.findLeader()!;
+  const [one, two] = THREE.filter((id) => id !== leader.daemonId);
+  return { cluster, leader, others: [one!, two!] };
+}
+
+function getSeat(cluster: clusters.Cluster, daemonId: string): consensus.VoterSeat {
+  return { daemonId, voterId: cluster.nodes.get(daemonId)!.voter!.voterId };
+}
+
+/** Gives one voter's seat to the spare host. */
+function swap({ cluster, leader }: Roles, gone: string): Promise<void> {
+  return leader.leadership!.seat((seats) => [
+    ...seats.filter((seat) => seat.daemonId !== gone),
+    getSeat(cluster, 'spare'),
+  ]);
+}
+
+/** Whether a command is accepted by whoever leads, in time. */
+async function isAccepted(cluster: clusters.Cluster, id: string): Promise<boolean> {
+  const accepted: string[] = [];
+  for (let i = 0; i < 100 && accepted.length === 0; i += 1) {
+    cluster.listLeaders().forEach((leader) => {
+      leader.leadership!.propose(id).then(
+        () => accepted.push(id),
+        () => {},
+      );
+    });
+    await cluster.clock.advance(50);
+  }
+  return accepted.length > 0;
+}
+
+function listSeats(voter: consensus.Voter | undefined): string[] {
+  return (
+    voter?.entries
+      .getVoters()
+      .map((seat) => seat.daemonId)
+      .sort() ?? []
+  );
+}
+
+void tap.default.test(
+  'a stand-in with the leader is no majority of the former voters',
+  async (t) => {
+    // Callers would be served by two leaders at once, each with configurations of its own.
+    // The leader and the stand-in are cut off from the two other voters in the middle of the change. The stand-in's vote and
+    // the leader's are two of the next three; the two others are two of the former three, and elect another.
+    for (const at of MOMENTS_MS) {
+      const roles = await start(41);
+      const { cluster, leader, others } = roles;
+      const [gone, stays] = others;
+      swap(roles, gone).catch(() => {});
+      await cluster.clock.advance(at);
+      others.forEach((other) => {
+        [leader.daemonId, 'spare'].forEach((id) => {
+          cluster.cut(id, other);
+          cluster.cut(other, id);
+        });
+      });
+      let leased = 0;
+      for (let i = 0; i < 200; i += 1) {
+        await cluster.clock.advance(20);
+        const held = cluster.listLeaders().filter((voter) => voter.leadership?.isLeaseHeld());
+        leased = Math.max(leased, held.length);
+      }
+      cluster.heal();
+      const isAlive = await isAccepted(cluster, 'healed');
+      await cluster.clock.advance(1_000);
+      t.ok(leased <= 1, `after ${at} ms: ${leased} leases at once`);
+      t.ok(isAlive, `after ${at} ms: the log goes on once healed`);
+      t.ok(
+        cluster.getApplied(stays).includes('healed'),
+        `after ${at} ms: and the voter that stays has it`,
+      );
+    }
+  },
+);
+
+void tap.default.test('a stand-in that dies on the way costs nothing', async (t) => {
+  // Operators could change nothing any more. A voter is dead, and its stand-in dies while it gets the seat: the two
+  // voters that are left were enough before, and must be at every step.
+  for (const at of MOMENTS_MS) {
+    const roles = await start(43);
+    const { cluster, others } = roles;
+    cluster.kill(others[0]);
+    swap(roles, others[0]).catch(() => {});
+    await cluster.clock.advance(at);
+    cluster.kill('spare');
+    t.ok(await isAccepted(cluster, 'after'), `after ${at} ms`);
+  }
+});
+
+void tap.default.test('whoever leads next finishes the change, or takes it back', async (t) => {
+  // A change of configuration would need the majorities of both groups for ever, and the next loss would stop the log.
+  // The leader dies in the middle of the change and comes back; the voter whose seat was to be given away stays dead.
+  for (const at of MOMENTS_MS) {
+    const roles = await start(47);
+    const { cluster, leader, others } = roles;
+    const [gone, stays] = others;
+    cluster.kill(gone);
+    swap(roles, gone).catch(() => {});
+    await cluster.clock.advance(at);
+    cluster.kill(leader.daemonId);
+    await cluster.clock.advance(700);
+    cluster.start(leader.daemonId);
+    t.ok(await isAccepted(cluster, 'after'), `after ${at} ms: the log goes on`);
+    await cluster.clock.advance(2_000);
+    const seating = cluster.findLeader()!.entries.getSeating();
+    t.equal(seating.former, undefined, `after ${at} ms: one group votes`);
+    const seats = listSeats(cluster.findLeader());
+    const wanted = [[leader.daemonId, stays, 'spare'].sort(), [...THREE]];
+    t.ok(
+      wanted.some((item) => item.join() === seats.join()),
+      `after ${at} ms: ${seats}`,
+    );
+  }
+});
+
+void tap.default.test('a host whose seat was taken away hears of it', async (t) => {
+  // It would stand for election again and again, and say to its operators that it has a seat.
+  const roles = await start(53);
+  const { cluster, others } = roles;
+  const changed = swap(roles, others[0]);
+  await cluster.clock.advance(1_500);
+  await changed;
+  t.notOk(cluster.nodes.get(others[0])!.voter!.isSeated());
+  t.ok(cluster.nodes.get('spare')!.voter!.isSeated());
+  t.ok(await isAccepted(cluster, 'after'));
+});
+
+void tap.default.test('a leader gives its own seat away and another leads', async (t) => {
+  const roles = await start(59);
+  const { cluster, leader } = roles;
+  const changed = swap(roles, leader.daemonId).catch(() => {});
+  await cluster.clock.advance(3_000);
+  await changed;
+  t.notOk(leader.isLeader());
+  t.notOk(leader.isSeated());
+  t.not(cluster.findLeader()?.daemonId, leader.daemonId);
+  t.ok(await isAccepted(cluster, 'after'));
+});
+
+void tap.default.test('a plan is made upon the seats of its turn', async (t) => {
+  // Two changes overlap: the second, planned upon the seats before the first, would give back what the first took.
+  const { cluster, leader, others } = await start(61);
+  const seen: string[][] = [];
+  const drop = (gone: string) =>
+    leader.leadership!.seat((seats) => {
+      seen.push(seats.map((seat) => seat.daemonId).sort());
+      return seats.filter((seat) => seat.daemonId !== gone);
+    });
+  const both = Promise.all([drop(others[0]), drop(others[1])]);
+  await cluster.clock.advance(2_000);
+  await both;
+  t.same(seen, [[...THREE], [leader.daemonId, others[1]].sort()]);
+  t.same(listSeats(leader), [leader.daemonId]);
+});
+
+void tap.default.test(
+  'who votes is read back from disk, in the middle of a change too',
+  async (t) => {
+    const former = THREE.map((id) => ({ daemonId: id, voterId: id }));
+    const seats = [...former.slice(1), { daemonId: 'spare', voterId: 'spare' }];
+    const files = new fakes.MemoryFiles();
+    const wal = new consensus.Wal(files);
+    const rest = { term: 1, votedFor: null, entries: [] };
+    const snapshot = {
+      lastIndex: 4,
+      lastTerm: 1,
+      voters: seats,
+      formerVoters: former,
+      state: null,
+    };
+    await wal.compact(snapshot, () => rest);
+    const open = async () =>
+      new consensus.EntryLog(await new consensus.Wal(files.reopen()).recover(), former);
+    t.same((await open()).getSeating(), { seats, former }, 'from a snapshot');
+    const entry = { index: 5, term: 1, kind: 'voters' as const, data: { seats } };
+    await wal.append({ kind: 'entries', entries: [entry] });
+    t.same((await open()).getSeating(), { seats }, 'from an entry');
+    await wal.append({ kind: 'entries', entries: [{ ...entry, index: 6, data: former }] });
+    t.same((await open()).getSeating(), { seats: former }, 'from an entry of an earlier version');
+  },
+);
--- a/packages/consensus/tests/seat-plan.test.ts
+++ b/packages/consensus/tests/seat-plan.test.ts
@@ -141,6 +141,13 @@
       wanted: 5,
       next: ['a1', 'c1', 'd1', 'e1', 'f1'],
     },
+    {
+      name: 'two of five are away, and the one that was heard last keeps its seat',
+      seats: [held('a', 90_000), held('b', 7_000), held('c'), held('d'), held('e')],
+      candidates: [...FIVE.slice(2).map((name) => heard(name, `${name}1`)), heard('f', 'f1')],
+      wanted: 5,
+      next: ['b1', 'c1', 'd1', 'e1', 'f1'],
+    },
   ];
   cases.forEach((item) => check(t, item));
 });
--- a/packages/consensus/tests/support/schedule.ts
+++ b/packages/consensus/tests/support/schedule.ts
@@ -13,7 +13,10 @@
 
 /** What may happen between two steps of a schedule. */
 export type Fault =
-  | { readonly kind: 'kill' | 'isolate' | 'crash-in-write' | 'wipe'; readonly at: number }
+  | {
+      readonly kind: 'kill' | 'isolate' | 'crash-in-write' | 'wipe' | 'replace';
+      readonly at: number;
+    }
   | { readonly kind: 'one-way'; readonly at: number; readonly to: number }
   | { readonly kind: 'kill-leader' | 'isolate-leader' | 'heal' | 'restart' | 'none' };
 
@@ -44,24 +47,33 @@
   public readonly history: histories.Op[] = [];
   public leasesBroken = 0;
   public wipes = 0;
+  public replaced = 0;
+  /** When the last fault was over and everything was up again. */
+  public mendedAt = 0;
+  /** Of those that are not gone for good. */
+  private readonly names = [...VOTERS];
   private readonly down = new Set<string>();
   /** Hosts that lost their disk and were not yet seen to be seated anew. */
   private readonly wiped = new Set<string>();
   private count = 0;
 
-  public constructor(public readonly cluster: clusters.Cluster) {}
+  public constructor(
+    public readonly cluster: clusters.Cluster,
+    /** How long a seat may be silent before another host takes it, in milliseconds. */
+    private readonly patienceMs: number,
+  ) {}
 
   public inject(fault: Fault): void {
     const leader = this.cluster.findLeader()?.daemonId;
     switch (fault.kind) {
       case 'kill':
-        this.kill(VOTERS[fault.at]);
+        this.kill(this.names[fault.at]);
         break;
       case 'kill-leader':
         this.kill(leader);
         break;
       case 'isolate':
-        this.cluster.isolate(VOTERS[fault.at]!);
+        this.cluster.isolate(this.names[fault.at]!);
         break;
       case 'isolate-leader':
         if (leader !== undefined) {
@@ -69,14 +81,17 @@
         }
         break;
       case 'crash-in-write':
-        this.cluster.crashInWrite(VOTERS[fault.at]!, 1 + (fault.at % 3));
-        this.down.add(VOTERS[fault.at]!);
+        this.cluster.crashInWrite(this.names[fault.at]!, 1 + (fault.at % 3));
+        this.down.add(this.names[fault.at]!);
         break;
       case 'one-way':
-        this.cluster.cut(VOTERS[fault.at]!, VOTERS[fault.to]!);
+        this.cluster.cut(this.names[fault.at]!, this.names[fault.to]!);
         break;
       case 'wipe':
-        this.wipe(VOTERS[fault.at]!);
+        this.wipe(this.names[fault.at]!);
+        break;
+      case 'replace':
+        this.replace(fault.at);
         break;
       case 'heal':
         this.cluster.heal();
@@ -112,7 +127,8 @@
   /** Has the leader look the seats over, as a core host does; a host that lost its disk is seated anew. */
   public async repairSeats(): Promise<void> {
     const leader = this.cluster.findLeader();
-    if (leader?.leadership === undefined || !leader.leadership.isSettled()) {
+    const leadership = leader?.leadership;
+    if (leadership === undefined || !leadership.isSettled()) {
       return;
     }
     const candidates = [...this.cluster.nodes.values()].flatMap(({ daemonId, voter }) =>
@@ -121,13 +137,13 @@
         : [{ daemonId, voterId: voter.voterId, silentMs: 0 }],
     );
     // One that is cut short is planned again at the next step.
-    await leader.leadership
+    await leadership
       .seat((seats) =>
         consensus.planSeats({
-          seats: seats.map((seat) => ({ ...seat, silentMs: 0 })),
+          seats: seats.map((seat) => ({ ...seat, silentMs: leadership.getSilentMs(seat) })),
           candidates,
           wanted: VOTERS.length,
-          patienceMs: Infinity,
+          patienceMs: this.patienceMs,
           liveMs: 1_000,
         }),
       )
@@ -150,6 +166,27 @@
     }
   }
 
+  /**
+   * Has a host go for good and an empty one stand in for it, unless that would be one disk more than may be lost: every
+   * seat whose folder is gone counts until somebody else has it.
+   */
+  private replace(at: number): void {
+    const folders = new Set(
+      this.names.map((name) => this.cluster.nodes.get(name)?.voter?.voterId).filter(Boolean),
+    );
+    const seated = this.cluster.findLeader()?.entries.getVoters() ?? [];
+    const lost = seated.filter((seat) => !folders.has(seat.voterId)).length;
+    const isSettled = folders.size === this.names.length;
+    if (seated.length === 0 || !isSettled || lost >= MOST_WIPED) {
+      return;
+    }
+    this.cluster.kill(this.names[at]!);
+    this.down.delete(this.names[at]!);
+    this.replaced += 1;
+    this.names[at] = `w${this.replaced}`;
+    this.cluster.start(this.names[at]);
+  }
+
   private kill(id: string | undefined): void {
     if (id !== undefined) {
       this.cluster.kill(id);
@@ -195,6 +232,7 @@
   seed: number,
   faults: readonly Fault[],
   prepare: (cluster: clusters.Cluster) => void = () => {},
+  patienceMs = Infinity,
 ): Promise<Run> {
   const cluster = new clusters.Cluster(VOTERS, seed);
   prepare(cluster);
@@ -202,7 +240,7 @@
   cluster.faults.lost = 0.02;
   cluster.faults.doubled = 0.05;
   cluster.faults.maxDelayMs = 40;
-  const run = new Run(cluster);
+  const run = new Run(cluster, patienceMs);
   for (const fault of faults) {
     run.inject(fault);
     void run.repairSeats();
@@ -210,6 +248,7 @@
   }
   cluster.heal();
   run.restartAll();
+  run.mendedAt = cluster.clock.now();
   for (let i = 0; i < 20; i += 1) {
     void run.repairSeats();
     await run.act();
