Let a host that stops leave only when its seat is given away for good; prove what the seat keeper does

Cause: a leader that was told to stop looked only whether its own log still named it. Gone in the moment in which its last entry was written, it left the others in the middle of the change, four votes of which the next loss took the second. Ruled out: waiting until its own log has it (that is what failed), and waiting for a spare that is seated already. Change: it waits until the entry that unseats it is committed, or nobody is there to take the seat, 2.5 s at most. `seat-keeper` proves the planned stop of a follower and of the leader with the next loss in the same moment, a stand-in that comes before the stop, a host that returns and stands by, and the lines for a silent seat and a log without majority.

--- a/packages/gateway/src/seat-keeper.ts
+++ b/packages/gateway/src/seat-keeper.ts
@@ -77,19 +77,20 @@
     while (clock.now() - startedAt < LEAVE_MS && this.canGiveSeat()) {
       await clock.sleep(LEAVE_POLL_MS);
     }
-    const isSeated = this.options.findVoter()?.isSeated() ?? false;
+    const voter = this.options.findVoter();
+    const isSeated = voter !== undefined && isNeeded(voter);
     log.info({ event: 'seat-left', isSeated, tookMs: Math.round(clock.now() - startedAt) });
   }
 
   private canGiveSeat(): boolean {
     const voter = this.options.findVoter();
-    if (voter === undefined || voter.stopped || voter.leader === undefined || !voter.isSeated()) {
+    if (voter === undefined || voter.stopped || voter.leader === undefined || !isNeeded(voter)) {
       return false;
     }
-    const voters = voter.entries.getVoters();
-    return this.listLive().some(
-      (host) => host.isLeaving !== true && !voters.some((seat) => seat.voterId === host.voterId),
-    );
+    const { former, seats } = voter.entries.getSeating();
+    const isUnderWay = former !== undefined || !isIn(seats, voter);
+    const spare = this.listLive().find((host) => host.isLeaving !== true && !isIn(seats, host));
+    return isUnderWay || spare !== undefined;
   }
 
   private listLive(): consensus.SeatCandidate[] {
@@ -183,6 +184,19 @@
   }
 }
 
+/**
+ * Whether the others still need this voter. A change that stands in its log alone, or is half done, may not be finished
+ * by those that are left: gone in that moment, a leader left them with four votes of which two were lost.
+ */
+function isNeeded(voter: consensus.Voter): boolean {
+  const { former = [], seats } = voter.entries.getSeatingAt(voter.commitIndex);
+  return isIn([...seats, ...former], voter);
+}
+
+function isIn(seats: readonly consensus.VoterSeat[], { voterId }: { readonly voterId: string }) {
+  return seats.some((seat) => seat.voterId === voterId);
+}
+
 function isOf(some: consensus.VoterSeat, other: consensus.VoterSeat): boolean {
   return some.voterId === other.voterId;
 }
@@ -191,5 +205,5 @@
   seats: readonly consensus.VoterSeat[],
   others: readonly consensus.VoterSeat[],
 ): consensus.VoterSeat[] {
-  return seats.filter((seat) => !others.some((other) => isOf(seat, other)));
+  return seats.filter((seat) => !isIn(others, seat));
 }
--- a/packages/gateway/tests/support/core-site.ts
+++ b/packages/gateway/tests/support/core-site.ts
@@ -114,6 +114,27 @@
     host.files.crashAfter(0, 0);
   }
 
+  /** Stops a host as an operator does; gives back how long that took, in milliseconds. */
+  public async stopHost(coreId: string): Promise<number> {
+    const { greeter, group } = this.hosts.get(coreId)!;
+    const startedAt = this.clock.now();
+    const done: number[] = [];
+    void group.seats.leave().then(() => done.push(this.clock.now() - startedAt));
+    greeter.greetAll();
+    while (done.length === 0) {
+      await this.clock.advance(1);
+    }
+    this.kill(coreId);
+    return done[0]!;
+  }
+
+  /** Who votes, as the leader has it. */
+  public listSeats(): string[] {
+    const leader = this.hosts.get(this.findLeader() ?? '');
+    const voters = leader?.group.getVoter().entries.getVoters() ?? [];
+    return voters.map((seat) => seat.daemonId).sort();
+  }
+
   /** Starts a host that lost its power, on the disk that it had or on an empty one. */
   public restart(coreId: string, isWiped = false): void {
     const files = isWiped ? new fakes.MemoryFiles() : this.hosts.get(coreId)!.files.reopen();
