--- a/packages/daemon/src/claim-seating.ts
+++ b/packages/daemon/src/claim-seating.ts
@@ -35,6 +35,35 @@
   return seats.map((seat) => show(seat === lost ? next.daemonId : seat.daemonId));
 }
 
+/** What is known when the seats of the claim group are looked over. */
+export interface ClaimSeatingFacts {
+  readonly seats: readonly schemas.ClaimSeat[];
+  readonly live: readonly schemas.Beat[];
+  /** The daemons that may hold seats; all when it is empty. */
+  readonly wanted: readonly string[];
+  /** Asks a daemon whether it holds what its seat has promised; fails where it does not answer. */
+  readonly holdsClaims: (daemonId: string) => Promise<boolean>;
+}
+
+/**
+ * Who is to hold the seats next; nothing while a new holder is still copying. The memory of a holder that is silent for a
+ * moment is gone with its seat, and it may be just what the other needs to be complete: then neither ever is, and calls
+ * with a key are refused until the group is founded anew.
+ */
+export async function chooseNextHolders(facts: ClaimSeatingFacts): Promise<string[] | undefined> {
+  const { holdsClaims, live, seats, wanted } = facts;
+  const holders = chooseHolders(seats, live, wanted);
+  if (holders === undefined) {
+    return undefined;
+  }
+  const present = seats.filter((seat) => live.some((host) => host.daemonId === seat.daemonId));
+  const answers = await Promise.all(
+    // One that does not answer can't be copying now, and is taken for lost as soon as its heartbeats stay away.
+    present.map((seat) => holdsClaims(seat.daemonId).catch(() => true)),
+  );
+  return answers.includes(false) ? undefined : holders;
+}
+
 /** The daemons in an order that takes one of each zone in turn. */
 function spread(live: readonly schemas.Beat[], wanted: readonly string[]): schemas.Beat[] {
   const allowed = live.filter((host) => wanted.length === 0 || wanted.includes(host.daemonId));
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -85,6 +85,10 @@
       store,
       view,
       engines,
+      holdsClaims: async (daemonId) =>
+        daemonId === cfg.daemonId
+          ? this.parts.claims.seat.isComplete()
+          : mesh.get(daemonId).holdsClaims.mutate(),
       clock,
       log,
     });
@@ -298,6 +302,7 @@
       pool: async (report) => poolHost.takeReport(report),
       claim: async (req) => shared.claims.seat.handleClaim(req),
       recover: async (req) => shared.claims.seat.handleRecover(req),
+      holdsClaims: async () => shared.claims.seat.isComplete(),
       outcome: ({ call, waitMs }) => shared.calls.await(call, waitMs),
       adopt: async ({ generation }) => shared.adoptions.adopt(generation),
     };
--- a/packages/daemon/src/leader-tasks.ts
+++ b/packages/daemon/src/leader-tasks.ts
@@ -29,6 +29,8 @@
   readonly store: members.ConfigurationStore;
   readonly view: members.ZoneView;
   readonly engines: requests.EngineClient;
+  /** Asks a daemon whether it holds what its seat in the claim group has promised. */
+  readonly holdsClaims: (daemonId: string) => Promise<boolean>;
   readonly clock: schemas.Clock;
   readonly log: schemas.Log;
 }
@@ -218,12 +220,27 @@
     const { cfg, store } = this.options;
     const { claimSeats } = store.get();
     this.hearOwnZone();
-    const holders = claimSeating.chooseHolders(claimSeats, this.listLive(), cfg.claimSeats);
+    const holders = await claimSeating.chooseNextHolders({
+      seats: claimSeats,
+      live: this.listLive(),
+      wanted: cfg.claimSeats,
+      holdsClaims: (daemonId) => this.askHoldsClaims(daemonId),
+    });
     if (holders !== undefined) {
       await this.proposeSeats(holders, false);
     }
   }
 
+  private async askHoldsClaims(daemonId: string): Promise<boolean> {
+    try {
+      return await this.options.holdsClaims(daemonId);
+    } catch (err) {
+      const { message } = schemas.toError(err);
+      this.options.log.warn({ step: 'ask-claim-seat', peer: daemonId, err: message });
+      throw err;
+    }
+  }
+
   /** The daemons that every other one can find: those in the settings. */
   private listLive(): schemas.Beat[] {
     const { cfg } = this.options;
--- a/packages/daemon/src/peer-router.ts
+++ b/packages/daemon/src/peer-router.ts
@@ -73,6 +73,8 @@
   pool(report: PoolReport): Promise<void>;
   claim(req: requests.ClaimReq): Promise<requests.ClaimRes>;
   recover(req: requests.RecoverReq): Promise<requests.RecoverRes>;
+  /** Whether this daemon holds what its seat in the claim group has promised. */
+  holdsClaims(): Promise<boolean>;
   outcome(req: { call: string; waitMs: number }): Promise<requests.CallState>;
   adopt(req: { generation: string }): Promise<adoptions.AdoptAnswer>;
 }
@@ -101,6 +103,7 @@
     recover: t.procedure
       .input(requests.recoverReq)
       .mutation(({ input }) => handlers.recover(input)),
+    holdsClaims: t.procedure.mutation(() => handlers.holdsClaims()),
     outcome: t.procedure
       .input(z.object({ call: z.string(), waitMs: z.int() }))
       .mutation(({ input }) => handlers.outcome(input)),
