Say ready only when a daemon has learned its zone's upstreams

Traced: all ten were refused as not run by the daemon that had just restarted. It said that it was ready when it had the configuration, but its directory was empty, since the relay that was to tell it was the very host that stopped next. Change: `/readyz` also asks whether the zone's upstreams were learned, from the relay or, as the relay, from the platform's list. The test waits for what the balancer waits for before it sends callers there; before it sent them to a host that no balancer would have chosen. Nothing is asked for less.

--- a/packages/daemon/src/caller-api.ts
+++ b/packages/daemon/src/caller-api.ts
@@ -109,8 +109,8 @@
   }
 
   private showReady(res: http.ServerResponse): void {
-    const { drain, store } = this.parts;
-    const isReady = store.isReady() && !drain.isDraining();
+    const { drain, store, view } = this.parts;
+    const isReady = store.isReady() && view.isInformed() && !drain.isDraining();
     requests.sendJson(res, isReady ? 200 : 503, {
       isReady,
       isDraining: drain.isDraining(),
--- a/packages/daemon/tests/shutdown.test.ts
+++ b/packages/daemon/tests/shutdown.test.ts
@@ -27,8 +27,7 @@
     t2.equal(seen.filter((item) => callers.isWhole(item, 400)).length, 12, 'none is cut');
     t2.ok(callers.isWhole(await late, 50), 'nor the late one');
     await stopped;
-    await deployment.restart(3);
-    await deployment.until('the restart', () => deployment.running[3]!.daemon.store.isReady());
+    await deployment.restartUntilReady(3);
   });
 
   await t.test('the owner of a pool stops while requests wait and run', async (t2) => {
@@ -43,8 +42,7 @@
     const seen = await Promise.all(streams);
     t2.equal(seen.filter((item) => callers.isWhole(item, 300)).length, 10);
     await stopped;
-    await deployment.restart(index);
-    await deployment.until('the restart', () => deployment.running[index]!.daemon.store.isReady());
+    await deployment.restartUntilReady(index);
   });
 
   await t.test(
@@ -62,10 +60,7 @@
       const next = await callers.stream(deployment.getUrl(other), sales, 60);
       t2.ok(callers.isWhole(next, 60), 'a new request');
       t2.ok(callers.isWhole(await running, 400), 'the one that ran');
-      await deployment.restart(index);
-      await deployment.until('the restart', () =>
-        deployment.running[index]!.daemon.store.isReady(),
-      );
+      await deployment.restartUntilReady(index);
     },
   );
 
--- a/packages/daemon/tests/support/small-deployment.ts
+++ b/packages/daemon/tests/support/small-deployment.ts
@@ -179,6 +179,15 @@
     await item.daemon.start();
   }
 
+  /** Starts a daemon again and waits until the balancer would send callers to it. */
+  public async restartUntilReady(index: number): Promise<void> {
+    await this.restart(index);
+    await this.until('the restart', async () => {
+      const { status } = await fetch(`${this.getUrl(index)}/readyz`);
+      return status === 200;
+    });
+  }
+
   /** Starts a voter again on an empty disk. */
   public async restartWithoutDisk(index: number): Promise<void> {
     fs.rmSync(this.running[index]!.cfg.dataFolder!, { recursive: true });
--- a/packages/members/src/zone-view.ts
+++ b/packages/members/src/zone-view.ts
@@ -12,6 +12,7 @@
   private own: schemas.Directory;
   private upstreams: readonly schemas.Upstream[] = [];
   private relaying = false;
+  private hasList = false;
 
   public constructor(
     private readonly self: () => schemas.Beat,
@@ -33,6 +34,7 @@
   public setRelay(isRelay: boolean): void {
     if (isRelay && !this.relaying) {
       this.table.adopt(this.received.members);
+      this.hasList ||= isReceived(this.received);
       this.upstreams = this.upstreams.length > 0 ? this.upstreams : this.received.upstreams;
     }
     this.relaying = isRelay;
@@ -60,9 +62,18 @@
   /** Takes the platform's list of this zone's upstreams. */
   public setUpstreams(upstreams: readonly schemas.Upstream[]): void {
     this.upstreams = upstreams;
+    this.hasList = true;
     this.refresh();
   }
 
+  /**
+   * Whether it has learned the zone's upstreams. A daemon that has just started and has not would refuse every call, so
+   * callers must not be sent to it yet.
+   */
+  public isInformed(): boolean {
+    return this.relaying ? this.hasList : isReceived(this.received);
+  }
+
   /** The zone's daemons and upstreams. */
   public getDirectory(): schemas.Directory {
     return this.relaying ? this.own : this.received;
@@ -100,3 +111,7 @@
     }
   }
 }
+
+function isReceived(directory: schemas.Directory): boolean {
+  return directory.stamp !== '';
+}
--- a/packages/members/tests/members.test.ts
+++ b/packages/members/tests/members.test.ts
@@ -222,3 +222,30 @@
   await zone.clock.advance(5_000);
   t.ok(zone.hosts.get('d3')!.store.isReady(), 'a voter’s word is enough');
 });
+
+void tap.default.test(
+  'a daemon that has just started knows no upstreams until its relay tells',
+  async (t) => {
+    // Callers were refused as not run: a restarted daemon said that it was ready when it had the configuration, while its
+    // zone's relay stopped in that moment and the list of upstreams came from the next one only.
+    const zone = new Zone(NAMES);
+    await zone.clock.advance(10_000);
+    const relay = zone.list().find((host) => host.view.isRelay())!;
+    relay.view.setUpstreams([]);
+    t.ok(relay.view.isInformed(), 'the relay has read the list');
+    const beat = relay.view.listBeats()[0]!;
+    const view = new members.ZoneView(
+      () => ({ ...beat, daemonId: 'new' }),
+      zone.clock,
+      HEARTBEAT_MS,
+    );
+    t.notOk(view.isInformed(), 'nothing was told yet');
+    view.setRelay(true);
+    t.notOk(view.isInformed(), 'nor read, where it must be the relay itself');
+    view.setRelay(false);
+    view.receive(relay.view.getDirectory());
+    t.ok(view.isInformed(), 'the relay has told');
+    view.setRelay(true);
+    t.ok(view.isInformed(), 'and what it told is known when it takes over');
+  },
+);
