Prove that a stuck disk loses its seat and keeps no other host from one

Cause: two safeguards of the seat keeper had no test: a seat is judged by what its holder holds, not by whether it is heard, and a newcomer that fails to catch up lets others go before. Ruled out: a test of the plan alone, which is told how long a seat was silent. Change: the harness can have a disk hang; `seat-keeper` does it to the holder of a seat and to a spare.

--- a/packages/gateway/tests/seat-keeper.test.ts
+++ b/packages/gateway/tests/seat-keeper.test.ts
@@ -115,3 +115,37 @@
   t.ok(await isServing(site));
   site.stop();
 });
+
+void tap.default.test('a host whose disk hangs loses its seat though it is heard', async (t) => {
+  // It greets and answers, but holds nothing new: with one loss more no majority would be left.
+  const site = await startSite(FOUR);
+  const leader = site.findLeader()!;
+  const [stuck, other] = site.listSeats().filter((coreId) => coreId !== leader) as [string, string];
+  site.stickDisk(stuck);
+  await site.declare();
+  await site.clock.advance(4_000);
+  t.notOk(site.listSeats().includes(stuck));
+  site.kill(other);
+  t.ok(await isServing(site), 'and the next loss is borne');
+  site.stop();
+});
+
+void tap.default.test(
+  'a spare that cannot catch up does not keep another from the seat',
+  async (t) => {
+    // It greets, but its disk hangs. Were it tried again and again, the seat would stay empty.
+    const site = await startSite([...FOUR, 'e'], 11);
+    const leader = site.findLeader()!;
+    const seated = site.listSeats();
+    const spares = site.listUp().filter((coreId) => !seated.includes(coreId));
+    t.equal(spares.length, 2);
+    site.stickDisk(spares[0]!);
+    const [gone, other] = seated.filter((coreId) => coreId !== leader) as [string, string];
+    site.kill(gone);
+    await site.clock.advance(6_000);
+    t.ok(site.listSeats().includes(spares[1]!), 'the other one has it');
+    site.kill(other);
+    t.ok(await isServing(site), 'and the next loss is borne');
+    site.stop();
+  },
+);
--- a/packages/gateway/tests/support/core-site.ts
+++ b/packages/gateway/tests/support/core-site.ts
@@ -38,11 +38,14 @@
   readonly group: coreGroups.CoreGroup;
   readonly greeter: coreGreeters.CoreGreeter;
   readonly files: fakes.MemoryFiles;
+  readonly disk: SlowFiles;
   isUp: boolean;
 }
 
-/** A disk whose syncs take their time, so that changes come between them. */
+/** A disk whose syncs take their time, so that changes come between them; a stuck one never ends any. */
 class SlowFiles implements consensus.FileLayer {
+  public isStuck = false;
+
   public constructor(
     private readonly files: fakes.MemoryFiles,
     private readonly clock: schemas.Clock,
@@ -57,7 +60,7 @@
   }
 
   public async sync(name: string): Promise<void> {
-    await this.clock.sleep(SYNC_MS);
+    await this.wait();
     await this.files.sync(name);
   }
 
@@ -66,9 +69,13 @@
   }
 
   public async replace(name: string, bytes: Buffer): Promise<void> {
-    await this.clock.sleep(SYNC_MS);
+    await this.wait();
     await this.files.replace(name, bytes);
   }
+
+  private wait(): Promise<void> {
+    return this.isStuck ? new Promise(() => {}) : this.clock.sleep(SYNC_MS);
+  }
 }
 
 /** Core hosts' parts in the replicated log, in one process on virtual time, over links that lose nothing but hosts. */
@@ -114,6 +121,11 @@
     host.files.crashAfter(0, 0);
   }
 
+  /** Has a host's disk hang from now on; the host itself goes on. */
+  public stickDisk(coreId: string): void {
+    this.hosts.get(coreId)!.disk.isStuck = true;
+  }
+
   /** Stops a host as an operator does; gives back how long that took, in milliseconds. */
   public async stopHost(coreId: string): Promise<number> {
     const { greeter, group } = this.hosts.get(coreId)!;
@@ -203,6 +215,7 @@
   private startHost(coreId: string, files: fakes.MemoryFiles, founders: readonly string[]): void {
     const { clock } = this;
     const log = this.createLog(coreId);
+    const disk = new SlowFiles(files, clock);
     const table = new coreTables.CoreTable(coreId, clock);
     const mesh = this.createPeers(coreId);
     // A stand-in is in the zone of the host that it stands in for.
@@ -212,7 +225,7 @@
       availabilityZone,
       founders,
       wantedSeats: 2 * this.lossesToBear + 1,
-      openFiles: async () => Promise.resolve(new SlowFiles(files, clock)),
+      openFiles: async () => Promise.resolve(disk),
       mesh,
       table,
       clock,
@@ -234,7 +247,7 @@
       clock,
       log,
     });
-    this.hosts.set(coreId, { coreId, group, greeter, files, isUp: true });
+    this.hosts.set(coreId, { coreId, group, greeter, files, disk, isUp: true });
     void greeter.run();
     void group.run();
   }
