Hold the ports that tests and quickstart name in settings

Cause: settings name ports before anything listens there. `findFreePorts` closed what it had found, and another run could be given the same number: EADDRINUSE in 2 of 64 runs of daemon/tests/shutdown, six at once. Change: the number stays taken on one loopback address while it is used on others. Ruled out: port 0, since peers must know each other's ports before they start; one address for each process, since pids may repeat modulo what fits in an address.

--- a/packages/bench/src/deployment.ts
+++ b/packages/bench/src/deployment.ts
@@ -41,6 +41,7 @@
   public upstreams: schemas.Upstream[] = [];
   public platformUrl = '';
   private fakes: children.Child | undefined;
+  private held: fakes.HeldPorts | undefined;
 
   public constructor(private readonly shape: DeploymentShape) {}
 
@@ -137,6 +138,7 @@
     const left = this.daemons.filter((daemon) => !daemon.child.isEnded());
     await Promise.all(left.map((daemon) => daemon.child.kill()));
     await this.fakes?.kill();
+    this.held?.release();
   }
 
   private async startFakes(): Promise<void> {
@@ -167,14 +169,15 @@
 
   private async createEntries(): Promise<schemas.DaemonEntry[]> {
     const { daemonsPerZone, voters, zones } = this.shape;
-    const ports = await fakes.findFreePorts(2 * zones.length * daemonsPerZone);
+    this.held = await fakes.HeldPorts.take(2 * zones.length * daemonsPerZone);
+    const ports = this.held.list();
     return Array.from({ length: daemonsPerZone }, (_, row) =>
       zones.map((availabilityZone, column) => {
         const index = row * zones.length + column;
         return {
           daemonId: `${availabilityZone}-${row + 1}`,
           availabilityZone,
-          host: '127.0.0.1',
+          host: fakes.HELD_PORT_HOST,
           peerPort: ports[2 * index]!,
           callerPort: ports[2 * index + 1]!,
           voter: index < voters,
--- a/packages/daemon/tests/support/small-deployment.ts
+++ b/packages/daemon/tests/support/small-deployment.ts
@@ -51,6 +51,7 @@
   public readonly platform = new fakes.FakePlatform(100);
   public upstreams: schemas.Upstream[] = [];
   private folder = '';
+  private held: fakes.HeldPorts | undefined;
 
   public constructor(
     private readonly zones: readonly string[],
@@ -277,13 +278,14 @@
 
   private async createEntries(): Promise<schemas.DaemonEntry[]> {
     const count = this.zones.length * this.daemonsPerZone;
-    const ports = await fakes.findFreePorts(2 * count);
+    this.held = await fakes.HeldPorts.take(2 * count);
+    const ports = this.held.list();
     return Array.from({ length: count }, (_, i) => {
       const availabilityZone = this.zones[i % this.zones.length]!;
       return {
         daemonId: `${availabilityZone}-${Math.floor(i / this.zones.length) + 1}`,
         availabilityZone,
-        host: '127.0.0.1',
+        host: fakes.HELD_PORT_HOST,
         peerPort: ports[2 * i]!,
         callerPort: ports[2 * i + 1]!,
         voter: i < 3,
@@ -296,6 +298,7 @@
     this.engines.forEach((engine) => engine.kill());
     this.services.forEach((service) => service.kill());
     this.platform.kill();
+    this.held?.release();
     await pause(50);
     fs.rmSync(this.folder, { recursive: true, force: true });
   }
--- a/packages/gateway/tests/support/small-site.ts
+++ b/packages/gateway/tests/support/small-site.ts
@@ -49,8 +49,9 @@
 
   /** Starts so many core hosts, of which the first three found the log, and an entry host. */
   public async start(coreCount: number): Promise<void> {
-    const [port] = await fakes.findFreePorts(1);
-    this.peerPort = port!;
+    const held = await fakes.HeldPorts.take(1);
+    this.t.teardown(() => held.release());
+    this.peerPort = held.list()[0]!;
     for (let i = 1; i <= coreCount; i += 1) {
       this.addCore(`127.0.1.${i}`, true);
     }
