Keep the account of engines by engine, so that a placement costs the same at any number of runs

Cause: one placement walked every run for every engine, some three times; each generation that waits was placed anew every 20 ms and at each release, and each of these also looked at every run that could be handed over. Change: runs, copies and the forecast are kept by engine, the forecast as a line that holds until something changes; runs that can be handed over are kept by engine and by the end of their wait; what has just found no room speaks for all that need as much. Ruled out: a heap of engines by score, since the score depends on the caller's zone and on the prompt.

--- a/packages/bench/src/bench.ts
+++ b/packages/bench/src/bench.ts
@@ -18,6 +18,11 @@
     describe: "decisions a second of a pool's owner, bytes of its messages",
     run: async () => (await import('./grants-bench.js')).run(),
   },
+  decisions: {
+    describe:
+      "what a placement, a release and a hand-over cost the leader's account, by engines and runs",
+    run: async () => (await import('./decisions-bench.js')).run(),
+  },
   control: {
     describe: 'configuration into force, faults and cost, on real processes',
     run: async () => (await import('./control/control-bench.js')).run(),
--- a/packages/routing/src/engine-ledger.ts
+++ b/packages/routing/src/engine-ledger.ts
@@ -1,14 +1,11 @@
 import * as engineStates from './engine-state.js';
+import * as holderChoices from './holder-choice.js';
 import * as memoryGrowth from './memory-growth.js';
+import * as placeLimits from './place-limits.js';
 import * as placeNeeds from './place-need.js';
 import * as promptBacklogs from './prompt-backlog.js';
 import * as runAccounts from './run-account.js';
-
-/**
- * How far ahead memory is forecast, in milliseconds. What is placed now grows for some ten seconds while others
- * end; further ahead the ends outweigh the growth.
- */
-const HORIZON_MS = 3_000;
+import * as zoneWeights from './zone-weight.js';
 
 /**
  * How far ahead memory is forecast for a short answer, in milliseconds. It is over by then, so the growth that drafts
@@ -23,32 +20,9 @@
  */
 const BACKLOG_LIMIT_MS = 300;
 
-/** The forecast share of memory up to which generations are placed; the rest is for answers longer than told. */
-const PLACE_LIMIT = 0.92;
-
-/**
- * The forecast share of memory up to which copies are kept. A copy that fills the last of it would have running
- * work preempted, whose prompts are then read again, 3,000 tokens each.
- */
-const COPY_LIMIT = 0.76;
-
-/**
- * The forecast share of all engines' memory up to which copies are kept. Beyond it the day is heavy, and what the
- * next seconds bring needs the room: copies that took it kept eight drafts at once waiting too long.
- */
-const POOL_COPY_LIMIT = 0.62;
-
 /** How many milliseconds of prompts that wait to be read weigh as much as all of an engine's memory. */
 const BACKLOG_SCALE_MS = 1_500;
 
-/**
- * How much an engine or a copy in another availability zone than the caller's entry host weighs, as a share of
- * memory. A zone that is cut off takes with it every stream that crosses its border: 13 of 36 drafts under way, when
- * they were placed by load alone over three zones. Engines of one zone are left for others when they are this
- * much fuller, so a zone whose engines are few does not starve its callers.
- */
-const FAR_WEIGHT = 0.5;
-
 /**
  * How much each generation that runs on an engine weighs, as a share of memory. By memory alone a run and a copy weigh
  * the same, and of two engines one ran eight drafts while the other kept their copies. A step takes 7 ms and 0.12 ms
@@ -56,23 +30,6 @@
  */
 const RUN_WEIGHT = 0.01;
 
-/** How much each run that an engine takes over from the same leaving engine weighs, as a share of memory. */
-const TAKER_WEIGHT = 0.1;
-
-/**
- * How much a taker in another availability zone than the leaving engine weighs, as a share of memory. Memory takes twice
- * as long between zones, 0.4 s a run, and the notice of 1.5 to 2 s is over after four runs instead of seven.
- */
-const FAR_LINK_WEIGHT = 0.2;
-
-/** An engine that could take or keep the memory of a run. */
-interface Holder {
-  readonly id: string;
-  readonly zone: string;
-  readonly share: number;
-  readonly score: number;
-}
-
 /**
  * The account of one pool of engines: every generation with its size and every copy, in one place. Hosts that
  * choose alone see a seventh of the load each and reports that are half a second old; they overfill one engine
@@ -82,6 +39,7 @@
   private engines = new Map<string, engineStates.EngineState>();
   private readonly runs = new runAccounts.RunAccount();
   private readonly speed = new promptBacklogs.ReadingSpeed();
+  private readonly holders = new holderChoices.HolderChoice(this.runs, () => this.engines.values());
 
   /** Sets which engines may be given work; what is known of those that stay is kept. */
   public setEngines(engines: readonly placeNeeds.LedgerEngine[]): void {
@@ -93,9 +51,11 @@
       engines.map((engine) => {
         const known = former.get(engine.engineId);
         const kept = isReborn(known?.engine, engine) ? undefined : known;
-        return [engine.engineId, new engineStates.EngineState(engine, this.speed, kept)];
+        const holdings = this.runs.getHoldings(engine.engineId);
+        return [engine.engineId, new engineStates.EngineState(engine, holdings, this.speed, kept)];
       }),
     );
+    this.runs.keepListed((engineId) => this.isListed(engineId));
   }
 
   /**
@@ -170,24 +130,16 @@
     }
     // The copy that was lost, or that a holder refused, takes no room any more.
     this.runs.setCopy(callId, undefined);
-    const barred = new Set([...excluded, engineId]);
-    // Runs of one engine come to their new ones at the same moment, so they are spread.
-    const takers = this.runs
-      .list()
-      .filter((other) => other.engineId === engineId && other.need.callId !== callId)
-      .map((other) => other.copyAt);
-    const copyAt = this.rankHolders(run, barred, now)
-      .filter(({ share }) => share <= PLACE_LIMIT)
-      .map(({ id, score, zone }) => {
-        const taken = takers.filter((taker) => taker === id).length;
-        const farWeight = zone === run.zone ? 0 : FAR_LINK_WEIGHT;
-        return { id, score: score + taken * TAKER_WEIGHT + farWeight };
-      })
-      .sort((a, b) => a.score - b.score)[0]?.id;
+    const copyAt = this.holders.findTaker(run, excluded, now);
     this.runs.setCopy(callId, copyAt);
     return copyAt;
   }
 
+  /** The memory that a generation needs when it is placed, in tokens; one that needs more finds no room where it finds none. */
+  public getTokensNeeded(need: placeNeeds.PlaceNeed): number {
+    return memoryGrowth.getSizeAhead(need, 0, getHorizonMs(need));
+  }
+
   /** Whether an engine may be given work. */
   public isListed(engineId: string): boolean {
     return this.engines.has(engineId);
@@ -217,12 +169,12 @@
 
   /** How full the pool is, as the forecast share of all its memory, and how much runs. */
   public getSummary(now: number): { running: number; share: number } {
-    const states = [...this.engines.values()];
-    const total = states.reduce((sum, { engine }) => sum + engine.memoryTokens, 0);
-    const held = states.reduce(
-      (sum, state) => sum + this.getShare(state, now) * state.engine.memoryTokens,
-      0,
-    );
+    let total = 0;
+    let held = 0;
+    for (const { engine, holdings } of this.engines.values()) {
+      total += engine.memoryTokens;
+      held += holdings.getHeld(now, placeLimits.HORIZON_MS);
+    }
     return { running: this.runs.size, share: total === 0 ? 1 : held / total };
   }
 
@@ -234,23 +186,25 @@
     if (need.fixedEngineId !== undefined) {
       return this.engines.get(need.fixedEngineId);
     }
-    const horizonMs = placeNeeds.isShort(need) ? SHORT_HORIZON_MS : HORIZON_MS;
+    const horizonMs = getHorizonMs(need);
     const size = memoryGrowth.getSizeAhead(need, 0, horizonMs);
-    return [...this.engines.values()]
-      .filter(({ engine }) => !need.excluded.includes(engine.engineId))
-      .map((state) => {
-        const { engineId, memoryTokens } = state.engine;
-        const share = (this.runs.getHeld(engineId, now, horizonMs) + size) / memoryTokens;
-        const backlogMs = state.backlog.getMs(now);
-        const running = this.runs.countRunning(engineId);
-        const penalty =
-          state.getFailureWeight(now) + getFarWeight(state, need) + running * RUN_WEIGHT;
-        const score = share + penalty + backlogMs / BACKLOG_SCALE_MS;
-        return { state, running, share, score, backlogMs };
-      })
-      .filter(({ running, share, state }) => share <= PLACE_LIMIT && running < state.engine.slots)
-      .filter(({ backlogMs }) => !mayWait || backlogMs <= BACKLOG_LIMIT_MS)
-      .sort((a, b) => a.score - b.score)[0]?.state;
+    let best: engineStates.EngineState | undefined;
+    let bestScore = Infinity;
+    for (const state of this.engines.values()) {
+      const { engineId, memoryTokens, slots } = state.engine;
+      const share = (state.holdings.getHeld(now, horizonMs) + size) / memoryTokens;
+      const { running } = state.holdings;
+      const backlogMs = state.backlog.getMs(now);
+      const hasRoom = share <= placeLimits.PLACE_LIMIT && running < slots;
+      const isInTime = !mayWait || backlogMs <= BACKLOG_LIMIT_MS;
+      const penalty = state.getFailureWeight(now) + zoneWeights.getFarWeight(state.engine, need);
+      const score = share + penalty + running * RUN_WEIGHT + backlogMs / BACKLOG_SCALE_MS;
+      if (hasRoom && isInTime && score < bestScore && !need.excluded.includes(engineId)) {
+        best = state;
+        bestScore = score;
+      }
+    }
+    return best;
   }
 
   private chooseCopy(callId: string, now: number): string | undefined {
@@ -258,33 +212,16 @@
     if (run === undefined || placeNeeds.isShort(run.need)) {
       return undefined;
     }
-    if (this.getSummary(now).share > POOL_COPY_LIMIT) {
-      return undefined;
-    }
-    const holders = this.rankHolders(run, new Set([run.engineId]), now);
-    return holders.find(({ share }) => share <= COPY_LIMIT)?.id;
+    return this.holders.findCopyHolder(run, this.getSummary(now).share, now);
   }
 
-  /** The engines that could keep a copy, the best first. */
-  private rankHolders(
-    run: runAccounts.PlacedRun,
-    barred: ReadonlySet<string>,
-    now: number,
-  ): Holder[] {
-    const size = memoryGrowth.getSizeAhead(run.need, now - run.startedAt, HORIZON_MS);
-    return [...this.engines.values()]
-      .filter(({ engine }) => !barred.has(engine.engineId))
-      .map((state) => {
-        const { availabilityZone: zone, engineId: id, memoryTokens } = state.engine;
-        const share = (this.runs.getHeld(id, now, HORIZON_MS) + size) / memoryTokens;
-        return { id, zone, share, score: share + getFarWeight(state, run.need) };
-      })
-      .sort((a, b) => a.score - b.score);
+  private getShare({ engine, holdings }: engineStates.EngineState, now: number): number {
+    return holdings.getHeld(now, placeLimits.HORIZON_MS) / engine.memoryTokens;
   }
+}
 
-  private getShare({ engine }: engineStates.EngineState, now: number): number {
-    return this.runs.getHeld(engine.engineId, now, HORIZON_MS) / engine.memoryTokens;
-  }
+function getHorizonMs(need: placeNeeds.PlaceNeed): number {
+  return placeNeeds.isShort(need) ? SHORT_HORIZON_MS : placeLimits.HORIZON_MS;
 }
 
 function isReborn(
@@ -294,7 +231,3 @@
   const { bornMs } = engine;
   return former?.bornMs !== undefined && bornMs !== undefined && bornMs > former.bornMs;
 }
-
-function getFarWeight({ engine }: engineStates.EngineState, need: placeNeeds.PlaceNeed): number {
-  return engine.availabilityZone === need.availabilityZone ? 0 : FAR_WEIGHT;
-}
--- a/packages/routing/src/engine-state.ts
+++ b/packages/routing/src/engine-state.ts
@@ -1,3 +1,4 @@
+import type * as engineHoldings from './engine-holdings.js';
 import type * as placeNeeds from './place-need.js';
 import * as promptBacklogs from './prompt-backlog.js';
 
@@ -15,6 +16,8 @@
   /** An engine as it is listed now; what was known of it before is kept. */
   public constructor(
     public readonly engine: placeNeeds.LedgerEngine,
+    /** What runs and is kept there. */
+    public readonly holdings: engineHoldings.EngineHoldings,
     speed: promptBacklogs.ReadingSpeed,
     former: EngineState | undefined,
   ) {
@@ -35,6 +38,9 @@
   }
 
   private getFailures(now: number): number {
+    if (this.failures === 0) {
+      return 0;
+    }
     return this.failures * 0.5 ** ((now - this.failedAt) / FAILURE_HALF_LIFE_MS);
   }
 }
--- a/packages/routing/src/hand-over-plan.ts
+++ b/packages/routing/src/hand-over-plan.ts
@@ -37,7 +37,9 @@
  * copies of the others: pauses of 0.3 to 0.7 s. In turn each takes its own time only, and the pause is a few events.
  */
 export class HandOverPlan<R extends OfferedRun = OfferedRun> {
+  /** In the order in which their waits end. */
   private readonly offered = new Map<string, R>();
+  private readonly byEngine = new Map<string, Map<string, R>>();
   private readonly turns = new Map<string, Turn>();
 
   public constructor(private readonly ledger: engineLedgers.EngineLedger) {}
@@ -47,9 +49,12 @@
     return this.offered.size;
   }
 
-  /** Offers a run, or the same run anew. */
+  /** Offers a run, or the same run anew; all hosts wait equally long, so the last offer's wait ends last. */
   public offer(run: R): void {
+    this.drop(run.callId);
     this.offered.set(run.callId, run);
+    const known = this.byEngine.get(run.engineId) ?? new Map<string, R>();
+    this.byEngine.set(run.engineId, known.set(run.callId, run));
   }
 
   /** Ends a run's turn: it was handed over, or is not. */
@@ -59,10 +64,8 @@
 
   /** Takes a run back that is over; gives it when its host still waits for an answer. */
   public withdraw(callId: string): R | undefined {
-    const run = this.offered.get(callId);
-    this.offered.delete(callId);
     this.turns.delete(callId);
-    return run;
+    return this.drop(callId);
   }
 
   /** Whether some run is being handed over now. */
@@ -84,14 +87,10 @@
 
   /** Of each engine that leaves, one run at a time. */
   private leaveEngines(now: number): SettledRun<R>[] {
-    const byEngine = new Map<string, R[]>();
-    this.offered.forEach((run) => {
-      const isDue = !this.ledger.isListed(run.engineId) && !this.ledger.hasCopy(run.callId);
-      if (isDue && !this.isSending(run.engineId)) {
-        byEngine.set(run.engineId, [...(byEngine.get(run.engineId) ?? []), run]);
-      }
-    });
-    return [...byEngine.values()].flatMap((runs) => this.leaveFirst(runs, now));
+    return [...this.byEngine]
+      .filter(([engineId]) => !this.ledger.isListed(engineId) && !this.isSending(engineId))
+      .map(([, runs]) => [...runs.values()].filter(({ callId }) => !this.ledger.hasCopy(callId)))
+      .flatMap((runs) => this.leaveFirst(runs, now));
   }
 
   /**
@@ -116,17 +115,37 @@
   }
 
   private endWaits(now: number): SettledRun<R>[] {
-    const overdue = [...this.offered.values()].filter(({ endsAt }) => now >= endsAt);
-    overdue.forEach(({ callId }) => this.offered.delete(callId));
-    return overdue.map((run) => ({ run, takerId: undefined }));
+    const settled: SettledRun<R>[] = [];
+    for (const run of this.offered.values()) {
+      if (now < run.endsAt) {
+        break;
+      }
+      this.drop(run.callId);
+      settled.push({ run, takerId: undefined });
+    }
+    return settled;
   }
 
   private begin(run: R, takerId: string, now: number): SettledRun<R> {
-    this.offered.delete(run.callId);
+    this.drop(run.callId);
     this.turns.set(run.callId, { engineId: run.engineId, endsAt: now + TURN_MS });
     return { run, takerId };
   }
 
+  private drop(callId: string): R | undefined {
+    const run = this.offered.get(callId);
+    if (run === undefined) {
+      return undefined;
+    }
+    this.offered.delete(callId);
+    const others = this.byEngine.get(run.engineId);
+    others?.delete(callId);
+    if (others?.size === 0) {
+      this.byEngine.delete(run.engineId);
+    }
+    return run;
+  }
+
   private isSending(engineId: string): boolean {
     return [...this.turns.values()].some((turn) => turn.engineId === engineId);
   }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,4 +1,5 @@
 /** Room, queue, choice of upstream and fairness: the decision logic. */
+export * from './engine-holdings.js';
 export * from './engine-ledger.js';
 export * from './fair-queue.js';
 export * from './hand-over-plan.js';
@@ -10,6 +11,7 @@
 export * from './memory-growth.js';
 export * from './place-need.js';
 export * from './place-queue.js';
+export * from './placed-run.js';
 export * from './pool-account.js';
 export * from './pool-owner.js';
 export * from './prefix-affinity.js';
--- a/packages/routing/src/place-queue.ts
+++ b/packages/routing/src/place-queue.ts
@@ -1,5 +1,5 @@
 import type * as engineLedgers from './engine-ledger.js';
-import type * as placeNeeds from './place-need.js';
+import * as placeNeeds from './place-need.js';
 
 /** A generation that waits for a place. */
 export interface QueuedNeed {
@@ -43,13 +43,16 @@
   public serve(now: number): SettledNeed<Q>[] {
     const settled: SettledNeed<Q>[] = [];
     const left: Q[] = [];
+    const tooLarge = new TooLarge(this.ledger);
     [...this.sort(now)].forEach((queued) => {
       const isOver = now >= queued.endsAt;
-      const placed = this.ledger.place(queued.need, now, !isOver);
+      const isHopeless = !isOver && tooLarge.has(queued.need);
+      const placed = isHopeless ? undefined : this.ledger.place(queued.need, now, !isOver);
       if (placed !== undefined || isOver) {
         settled.push({ queued, placed });
       } else {
         left.push(queued);
+        tooLarge.note(queued.need);
       }
     });
     this.waiting = left;
@@ -66,3 +69,32 @@
     );
   }
 }
+
+/**
+ * What has just found no room: whatever needs as much finds none at that moment either. With hundreds that wait, each
+ * looking at every engine every few milliseconds, the account would do nothing else.
+ */
+class TooLarge {
+  private readonly byKind = new Map<boolean, number>();
+
+  public constructor(private readonly ledger: engineLedgers.EngineLedger) {}
+
+  /** Whether a generation needs as much as one that found no room. */
+  public has(need: placeNeeds.PlaceNeed): boolean {
+    if (need.fixedEngineId !== undefined) {
+      return false;
+    }
+    const least = this.byKind.get(placeNeeds.isShort(need)) ?? Infinity;
+    return this.ledger.getTokensNeeded(need) >= least;
+  }
+
+  /** Notes one that found no room; where engines are excluded for it that says nothing of others. */
+  public note(need: placeNeeds.PlaceNeed): void {
+    if (need.excluded.length > 0) {
+      return;
+    }
+    const kind = placeNeeds.isShort(need);
+    const least = this.byKind.get(kind) ?? Infinity;
+    this.byKind.set(kind, Math.min(least, this.ledger.getTokensNeeded(need)));
+  }
+}
--- a/packages/routing/src/prompt-backlog.ts
+++ b/packages/routing/src/prompt-backlog.ts
@@ -39,6 +39,8 @@
  */
 export class PromptBacklog {
   private readonly unread = new Map<string, Unread>();
+  /** The tokens of all of them. */
+  private unreadTokens = 0;
   /** Since when the prompt that came first is being read. */
   private headSince = 0;
 
@@ -49,6 +51,7 @@
     if (this.unread.size === 0) {
       this.headSince = now;
     }
+    this.unreadTokens += tokens - (this.unread.get(callId)?.tokens ?? 0);
     this.unread.set(callId, { tokens });
   }
 
@@ -66,24 +69,28 @@
 
   /** Takes a prompt off, whatever became of it. */
   public remove(callId: string, now: number): void {
-    if (!this.unread.has(callId)) {
+    const prompt = this.unread.get(callId);
+    if (prompt === undefined) {
       return;
     }
     // What was placed before it and is not told to have begun has been passed, or will be told in a moment.
     this.headSince = this.isHead(callId) ? now : this.headSince;
     this.unread.delete(callId);
+    this.unreadTokens -= prompt.tokens;
   }
 
   /** How long a prompt that comes now waits until it is read, in milliseconds. */
   public getMs(now: number): number {
+    if (this.unread.size === 0) {
+      return 0;
+    }
     this.dropUntold(now);
     const [head] = this.unread.values();
     if (head === undefined) {
       return 0;
     }
-    const total = [...this.unread.values()].reduce((sum, { tokens }) => sum + tokens, 0);
     const headMs = this.speed.getMs(head.tokens);
-    return this.speed.getMs(total) - Math.min(headMs, now - this.headSince);
+    return this.speed.getMs(this.unreadTokens) - Math.min(headMs, now - this.headSince);
   }
 
   private isHead(callId: string): boolean {
--- a/packages/routing/src/run-account.ts
+++ b/packages/routing/src/run-account.ts
@@ -1,89 +1,106 @@
-import * as memoryGrowth from './memory-growth.js';
-import type * as placeNeeds from './place-need.js';
+import * as engineHoldings from './engine-holdings.js';
+import type * as placedRuns from './placed-run.js';
 
 /** How long after its end a generation that nobody took off still counts, in milliseconds. */
 const OVERDUE_MS = 2_000;
 
-/** A generation that was placed. */
-export interface PlacedRun {
-  readonly need: placeNeeds.PlaceNeed;
-  readonly startedAt: number;
-  readonly endsAt: number;
-  readonly engineId: string;
-  /** The availability zone of its engine, which may no longer be listed when it leaves. */
-  readonly zone: string | undefined;
-  /** The engine that keeps a copy of its memory. */
-  readonly copyAt: string | undefined;
-}
+/** How often such generations are looked for, in milliseconds; a tenth of the time for which they count anyway. */
+const OVERDUE_CHECK_MS = 200;
 
-/** Every generation of one pool with its size and its copy. */
+/** Every generation of one pool with its size and its copy, by engine. */
 export class RunAccount {
-  private readonly runs = new Map<string, PlacedRun>();
+  private readonly runs = new Map<string, placedRuns.PlacedRun>();
+  private readonly byEngine = new Map<string, engineHoldings.EngineHoldings>();
+  private checkedAt = -Infinity;
 
   /** How many generations there are. */
   public get size(): number {
     return this.runs.size;
   }
 
-  /** Enters a generation, or what has changed of it. */
-  public set(run: PlacedRun): void {
+  /** Enters a generation; what was known of it before no longer counts. */
+  public set(run: placedRuns.PlacedRun): void {
+    this.remove(run.need.callId);
     this.runs.set(run.need.callId, run);
+    this.getHoldings(run.engineId).addRun(run);
+    if (run.copyAt !== undefined) {
+      this.getHoldings(run.copyAt).addCopy(run);
+    }
   }
 
   /** A generation, unless it is over. */
-  public find(callId: string): PlacedRun | undefined {
+  public find(callId: string): placedRuns.PlacedRun | undefined {
     return this.runs.get(callId);
   }
 
-  /** All generations. */
-  public list(): PlacedRun[] {
-    return [...this.runs.values()];
+  /** The generations that run on an engine. */
+  public listAt(engineId: string): placedRuns.PlacedRun[] {
+    return this.byEngine.get(engineId)?.listRuns() ?? [];
   }
 
   /** Takes a generation off. */
   public remove(callId: string): void {
+    const run = this.runs.get(callId);
+    if (run === undefined) {
+      return;
+    }
+    this.setCopy(callId, undefined);
     this.runs.delete(callId);
+    this.getHoldings(run.engineId).removeRun(callId);
   }
 
   /** Notes which engine has a copy of a generation, or that none has. */
   public setCopy(callId: string, copyAt: string | undefined): void {
     const run = this.runs.get(callId);
-    if (run !== undefined) {
-      this.runs.set(callId, { ...run, copyAt });
+    if (run === undefined || run.copyAt === copyAt) {
+      return;
+    }
+    if (run.copyAt !== undefined) {
+      this.getHoldings(run.copyAt).removeCopy(callId);
+    }
+    run.copyAt = copyAt;
+    if (copyAt !== undefined) {
+      this.getHoldings(copyAt).addCopy(run);
     }
   }
 
-  /** Memory that an engine's generations and copies will fill at a horizon, in tokens. */
-  public getHeld(engineId: string, now: number, horizonMs: number): number {
-    let held = 0;
-    this.runs.forEach((run) => {
-      if (run.engineId === engineId || run.copyAt === engineId) {
-        held += memoryGrowth.getSizeAhead(run.need, now - run.startedAt, horizonMs);
-      }
-    });
-    return held;
+  /** What runs and is kept on an engine; the same object for as long as the engine is listed. */
+  public getHoldings(engineId: string): engineHoldings.EngineHoldings {
+    const known = this.byEngine.get(engineId);
+    if (known !== undefined) {
+      return known;
+    }
+    const created = new engineHoldings.EngineHoldings();
+    this.byEngine.set(engineId, created);
+    return created;
   }
 
-  /** How many generations run on an engine. */
-  public countRunning(engineId: string): number {
-    return this.list().filter((run) => run.engineId === engineId).length;
+  /** Forgets engines that are no longer listed and on which nothing runs any more. */
+  public keepListed(isListed: (engineId: string) => boolean): void {
+    this.byEngine.forEach((holdings, engineId) => {
+      if (holdings.isEmpty && !isListed(engineId)) {
+        this.byEngine.delete(engineId);
+      }
+    });
   }
 
   /** An engine that started again has none of the runs and copies that were there. */
   public forgetWorkAt(engineId: string): void {
-    this.list().forEach(({ copyAt, engineId: at, need }) => {
-      if (at === engineId) {
-        this.runs.delete(need.callId);
-      } else if (copyAt === engineId) {
-        this.setCopy(need.callId, undefined);
-      }
-    });
+    const holdings = this.byEngine.get(engineId);
+    holdings?.listRuns().forEach(({ need }) => this.remove(need.callId));
+    holdings?.listCopied().forEach(({ need }) => this.setCopy(need.callId, undefined));
   }
 
   /** A host that died took nothing off; its generations must not hold room for ever. */
   public dropOverdue(now: number): void {
-    this.list()
-      .filter(({ endsAt }) => now > endsAt + OVERDUE_MS)
-      .forEach(({ need }) => this.runs.delete(need.callId));
+    if (now - this.checkedAt < OVERDUE_CHECK_MS) {
+      return;
+    }
+    this.checkedAt = now;
+    this.runs.forEach(({ endsAt, need }) => {
+      if (now > endsAt + OVERDUE_MS) {
+        this.remove(need.callId);
+      }
+    });
   }
 }
