Say ready only behind a relay that has read the list; wait for readiness in the tests' deployment

Cause: a relay hands its directory on before it has read the platform's list, and the others took that for the zone's upstreams: ready, and refusing every call as not run. A relay read the list up to a second after it became the relay. The tests' deployment waited for claim seats only, and its stand-in listed upstreams 0.1 s after daemons had started. Shown by a run: what each daemon knows when the start ends, 40 starts, five at once beside other load: 10 with a zone or all zones without upstreams for 0.4 s, six of six daemons, three of which said ready. Ruled out: that waiting for readiness alone is enough (three say ready), and claim seats (all there). Change: the directory says whether the list was read; a new relay reads at once; the deployment waits for readiness, and lists its upstreams before daemons start.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -102,6 +102,7 @@
       clock,
       log,
       isDue: () => view.isRelay(),
+      dueChanged: view.changed,
       take: (list) => view.setUpstreams(list),
     });
     this.peerServer = new peers.PeerServer(peerRouters.createPeerRouter(this.createHandlers()), {
--- a/packages/daemon/src/leader-tasks.ts
+++ b/packages/daemon/src/leader-tasks.ts
@@ -55,6 +55,8 @@
       clock,
       log,
       isDue: () => this.isLeader(),
+      // A new leader may wait for the next look: orders come from rounds, and no caller waits for its list.
+      dueChanged: new schemas.ChangeSignal(),
       take: (list) => this.takeUpstreams(list),
     });
   }
--- a/packages/daemon/src/platform-watch.ts
+++ b/packages/daemon/src/platform-watch.ts
@@ -19,18 +19,23 @@
       readonly clock: schemasTypes.Clock;
       readonly log: schemasTypes.Log;
       readonly isDue: () => boolean;
+      /** Tells that it may have become due. */
+      readonly dueChanged: schemasTypes.ChangeSignal;
       readonly take: (upstreams: schemasTypes.Upstream[]) => void;
     },
   ) {}
 
   /** Reads until stopped. */
   public async run(): Promise<void> {
-    const { clock, isDue } = this.options;
+    const { clock, dueChanged, isDue } = this.options;
     while (!this.isStopped) {
       if (isDue()) {
         await this.readOnce();
+        await clock.sleep(POLL_MS);
+      } else {
+        // A daemon that becomes the relay reads at once: until then its zone may know no upstreams at all.
+        await dueChanged.wait(clock, POLL_MS);
       }
-      await clock.sleep(POLL_MS);
     }
   }
 
--- a/packages/daemon/tests/support/small-deployment.ts
+++ b/packages/daemon/tests/support/small-deployment.ts
@@ -29,6 +29,9 @@
   bodyBytes: 200_000,
 };
 
+/** How late the stand-in of the platform's list is, in milliseconds. */
+const LIST_LAG_MS = 100;
+
 /** How long a test waits for something that must come, in milliseconds. */
 const PATIENCE_MS = 20_000;
 
@@ -48,7 +51,7 @@
   public readonly running: Running[] = [];
   public readonly engines: fakes.FakeEngine[] = [];
   public readonly services: fakes.FakeService[] = [];
-  public readonly platform = new fakes.FakePlatform(100);
+  public readonly platform = new fakes.FakePlatform(LIST_LAG_MS);
   public upstreams: schemas.Upstream[] = [];
   private folder = '';
   private held: fakes.HeldPorts | undefined;
@@ -65,6 +68,9 @@
     t.teardown(() => this.end());
     const platformUrl = await this.platform.listen();
     await this.startUpstreams();
+    // Upstreams are listed before any daemon starts. A daemon that is told that there are none takes that for true, and
+    // asks again a second later.
+    await pause(LIST_LAG_MS);
     const keysFile = path.join(this.folder, 'keys.json');
     const key = crypto.randomBytes(32).toString('base64');
     fs.writeFileSync(keysFile, JSON.stringify({ active: 'k1', keys: { k1: key } }));
@@ -87,6 +93,8 @@
     await this.until('claim seats', () =>
       this.running.every((item) => item.daemon.store.get().claimSeats.length >= 3),
     );
+    // Callers are sent to daemons that say they are ready, and to no others.
+    await Promise.all(this.running.map((_, i) => this.waitReady(i)));
   }
 
   /** A declaration for these zones. */
@@ -183,10 +191,7 @@
   /** Starts a daemon again and waits until the balancer would send callers to it. */
   public async restartUntilReady(index: number): Promise<void> {
     await this.restart(index);
-    await this.until('the restart', async () => {
-      const { status } = await fetch(`${this.getUrl(index)}/readyz`);
-      return status === 200;
-    });
+    await this.waitReady(index);
   }
 
   /** Starts a voter again on an empty disk. */
@@ -232,6 +237,13 @@
     return this.engines.filter((engine) => engine.record.has(generation)).length;
   }
 
+  private waitReady(index: number): Promise<void> {
+    return this.until('readiness', async () => {
+      const { status } = await fetch(`${this.getUrl(index)}/readyz`);
+      return status === 200;
+    });
+  }
+
   private getZone(daemonId: string): string | undefined {
     return this.running.find((item) => item.cfg.daemonId === daemonId)?.cfg.availabilityZone;
   }
--- a/packages/members/src/zone-view.ts
+++ b/packages/members/src/zone-view.ts
@@ -21,7 +21,7 @@
   ) {
     this.table = new memberTables.MemberTable(clock, suspectMs);
     const { availabilityZone } = self();
-    this.received = { stamp: '', availabilityZone, members: [], upstreams: [] };
+    this.received = { stamp: '', availabilityZone, members: [], upstreams: [], hasList: false };
     this.own = this.received;
   }
 
@@ -34,7 +34,7 @@
   public setRelay(isRelay: boolean): void {
     if (isRelay && !this.relaying) {
       this.table.adopt(this.received.members);
-      this.hasList ||= isReceived(this.received);
+      this.hasList ||= this.received.hasList;
       this.upstreams = this.upstreams.length > 0 ? this.upstreams : this.received.upstreams;
     }
     this.relaying = isRelay;
@@ -68,10 +68,11 @@
 
   /**
    * Whether it has learned the zone's upstreams. A daemon that has just started and has not would refuse every call, so
-   * callers must not be sent to it yet.
+   * callers must not be sent to it yet. A directory of a relay that has not read the list itself does not count: with
+   * it all daemons of a zone that started together said that they were ready and refused for 0.4 s.
    */
   public isInformed(): boolean {
-    return this.relaying ? this.hasList : isReceived(this.received);
+    return this.relaying ? this.hasList : this.received.hasList;
   }
 
   /** The zone's daemons and upstreams. */
@@ -102,16 +103,13 @@
     }
     this.table.hear(this.self());
     const members = this.table.list().map((member) => ({ ...member, revision: 0 }));
+    const { hasList } = this;
     const upstreams = [...this.upstreams];
-    const stamp = schemas.getContentHash([this.self().daemonId, members, upstreams]);
+    const stamp = schemas.getContentHash([this.self().daemonId, members, upstreams, hasList]);
     if (stamp !== this.own.stamp) {
       const { availabilityZone } = this.self();
-      this.own = { stamp, availabilityZone, members, upstreams };
+      this.own = { stamp, availabilityZone, members, upstreams, hasList };
       this.changed.notify();
     }
   }
 }
-
-function isReceived(directory: schemas.Directory): boolean {
-  return directory.stamp !== '';
-}
--- a/packages/members/tests/members.test.ts
+++ b/packages/members/tests/members.test.ts
@@ -249,3 +249,24 @@
     t.ok(view.isInformed(), 'and what it told is known when it takes over');
   },
 );
+
+void tap.default.test(
+  'a relay that has not read the list itself makes nobody else ready',
+  async (t) => {
+    // Every daemon of a zone refused all calls as not run for 0.4 s and said that it was ready: they had just started, and
+    // took the empty directory of a relay that had not read the platform's list yet for the zone's upstreams.
+    const zone = new Zone(NAMES);
+    await zone.clock.advance(10_000);
+    const relay = zone.list().find((host) => host.view.isRelay())!;
+    const member = zone.list().find((host) => !host.view.isRelay())!;
+    t.notOk(relay.view.isInformed(), 'the relay has read nothing');
+    t.ok(member.view.getDirectory().members.length > 1, 'its directory has come');
+    t.notOk(member.view.isInformed(), 'which says nothing of upstreams');
+    member.view.setRelay(true);
+    t.notOk(member.view.isInformed(), 'also when the other takes over as the relay');
+    member.view.setRelay(false);
+    relay.view.setUpstreams([]);
+    await zone.clock.advance(2_000);
+    t.ok(member.view.isInformed(), 'until the relay has read the list');
+  },
+);
--- a/packages/schemas/src/members.ts
+++ b/packages/schemas/src/members.ts
@@ -36,6 +36,8 @@
   availabilityZone: z.string(),
   members: z.array(member),
   upstreams: z.array(upstreams.upstream),
+  /** Whether the relay has read the platform's list; daemons of the version before tell a directory only with one. */
+  hasList: z.boolean().default(true),
 });
 
 /** The daemons and upstreams of one zone. */
