Keep a host that chooses alone inside its zone while its engines have room

Cause: a host without a leader, mostly one whose zone is cut off, drew two engines of all zones and took another zone's with a weight of half an engine's memory. Where one engine in six is near, both drawn are far in seven of ten cases; each costs a connection that is never made, 150 ms, and after four of them the caller is refused. Ruled out: the best of all near engines, since every host of the zone would take the same one. Change: near engines first while this host's own load leaves room there.

--- a/packages/routing/src/load-choice.ts
+++ b/packages/routing/src/load-choice.ts
@@ -10,10 +10,11 @@
 const NEAR_SHARE_LIMIT = 0.7;
 
 /**
- * How much fuller an engine in another zone counts for a host that chooses alone. It does so mostly because its zone
- * is cut off, and then the others cannot be reached at all.
+ * Above which share of memory a near engine is passed over by a host that chooses alone. It does so mostly because its
+ * zone is cut off, and then the others cannot be reached at all: with one engine in six near, two drawn at random are
+ * both far in seven of ten cases, each costs 150 ms, and after four of them the caller is refused.
  */
-const FAR_ENGINE_PENALTY = 0.5;
+const NEAR_ENGINE_LIMIT = 1;
 
 /** How much fuller an upstream that has just started counts. */
 const COLD_PENALTY = 0.5;
@@ -47,14 +48,15 @@
   return chooseOfTwo(near.length > 0 ? near : candidates, getShare, random);
 }
 
-/** The better of two engines at random, by the memory that is probably taken. */
+/** The better of two engines at random, by the memory that is probably taken; near ones while they have room. */
 export function chooseByMemory<C extends EngineCandidate>(
   candidates: readonly C[],
   now: number,
   random: () => number,
 ): C | undefined {
-  const getShare = (item: C) => getMemoryShare(item, now) + (item.isNear ? 0 : FAR_ENGINE_PENALTY);
-  return chooseOfTwo(candidates, getShare, random);
+  const getShare = (item: C) => getMemoryShare(item, now);
+  const near = candidates.filter((item) => item.isNear && getShare(item) < NEAR_ENGINE_LIMIT);
+  return chooseOfTwo(near.length > 0 ? near : candidates, getShare, random);
 }
 
 /** The share of an engine's memory that is probably taken. */
