Gather what engines say of leaving into one list, and pack a list once for all hosts

Cause: each change of the list went to every entry host, packed anew for each connection. Engines that are reclaimed together say so within milliseconds, so a wave made several lists in a row. A host waits 60 ms for a place beyond its patience, and then chooses alone for half a second and tells all its runs anew. Ruled out: differences against the version that a host has, which save bytes and not the stall; left for later. Change: changes are gathered for 10 ms; hosts that say so get the list as bytes, the others as before.

--- a/packages/gateway/src/core-host.ts
+++ b/packages/gateway/src/core-host.ts
@@ -234,9 +234,12 @@
   private createNews(req: procedures.NewsReq): procedures.NewsRes {
     const document = this.group.state.get();
     const isLeading = this.group.isLeading();
+    const list = this.findNewList(req);
+    const isPacked = req.takesPacked === true && list !== undefined;
     return {
       document: document !== undefined && document.version > req.version ? document : undefined,
-      list: this.findNewList(req),
+      list: isPacked ? undefined : list,
+      packedList: isPacked ? this.lists.getPacked() : undefined,
       listAgeMs: isLeading ? this.lists.getAgeMs() : undefined,
       isCurrent: this.group.isCurrent(),
       leader: this.group.voter?.leader,
--- a/packages/gateway/src/core-link.ts
+++ b/packages/gateway/src/core-link.ts
@@ -86,7 +86,9 @@
     try {
       const ask = createAsk(target === this.lastTarget ? WAIT_MS : 0);
       const context = { deadlineMs: ask.waitMs + ANSWER_MS };
-      this.take(target, await mesh.get(target).news.mutate(ask, { context }));
+      const news = await mesh.get(target).news.mutate(ask, { context });
+      // By its types a call's answer went through JSON; the link's frames carry bytes as they are.
+      this.take(target, news as procedures.NewsRes);
       return true;
     } catch (err) {
       this.failedAt.set(target, clock.now());
--- a/packages/gateway/src/core-procedures.ts
+++ b/packages/gateway/src/core-procedures.ts
@@ -1,5 +1,6 @@
 import * as consensus from '@bramleyridge/consensus';
 import * as intents from '@bramleyridge/intents';
+import * as peers from '@bramleyridge/peers';
 import * as schemas from '@bramleyridge/schemas';
 import * as trpc from '@trpc/server';
 import * as z from 'zod';
@@ -25,6 +26,8 @@
   /** Changes with the content of the list of upstreams. */
   listStamp: z.string(),
   waitMs: z.number(),
+  /** Whether the list may come packed; hosts of the version before take it as it is. */
+  takesPacked: z.boolean().optional(),
 });
 
 /** The list of upstreams as the leader read it. */
@@ -37,6 +40,8 @@
 export const newsRes = z.object({
   document: intents.declaredDocument.optional(),
   list: upstreamList.optional(),
+  /** The list, packed once for all hosts. */
+  packedList: z.custom<Uint8Array>((value) => value instanceof Uint8Array).optional(),
   /** How long ago the list was read, in milliseconds; nothing where it is not read. */
   listAgeMs: z.number().optional(),
   /** Whether what this core host has is the newest, as far as a leader's heartbeat vouches for it. */
@@ -142,6 +147,16 @@
 /** What an entry host is told. */
 export type NewsRes = z.infer<typeof newsRes>;
 
+/** Packs the list for the hosts that are told. */
+export function packList(list: UpstreamList): Uint8Array {
+  return peers.packValue(list);
+}
+
+/** The list that an answer brings, packed or as it is; nothing when there is no other one. */
+export function findList({ list, packedList }: NewsRes): UpstreamList | undefined {
+  return packedList === undefined ? list : (peers.unpackValue(packedList) as UpstreamList);
+}
+
 /** What a core host does for its peers and for entry hosts. */
 export interface CoreHandlers {
   genesis(): Promise<consensus.Genesis>;
--- a/packages/gateway/src/entry-host.ts
+++ b/packages/gateway/src/entry-host.ts
@@ -7,7 +7,7 @@
 import * as callAdmissions from './call-admission.js';
 import * as coreLinks from './core-link.js';
 import * as coreMeshes from './core-mesh.js';
-import type * as procedures from './core-procedures.js';
+import * as procedures from './core-procedures.js';
 import * as faceServers from './face-server.js';
 import * as hostSettings from './host-settings.js';
 import * as listReaders from './list-reader.js';
@@ -246,6 +246,7 @@
         version: this.store.getVersion(),
         listStamp: this.directory.getStamp(),
         waitMs,
+        takesPacked: true,
       }),
       take: (news, isTrusted) => this.takeNews(news, isTrusted),
     });
@@ -258,8 +259,9 @@
     if (isTrusted) {
       this.store.markReady();
     }
-    if (news.list !== undefined) {
-      this.directory.take(news.list, news.listAgeMs ?? 0);
+    const list = procedures.findList(news);
+    if (list !== undefined) {
+      this.directory.take(list, news.listAgeMs ?? 0);
     } else if (news.listAgeMs !== undefined) {
       this.directory.vouch(news.listAgeMs);
     }
--- a/packages/gateway/src/list-desk.ts
+++ b/packages/gateway/src/list-desk.ts
@@ -1,6 +1,6 @@
 import * as schemas from '@bramleyridge/schemas';
 
-import type * as procedures from './core-procedures.js';
+import * as procedures from './core-procedures.js';
 import type * as hostSettings from './host-settings.js';
 import * as leavingWatches from './leaving-watch.js';
 import * as listReaders from './list-reader.js';
@@ -21,6 +21,12 @@
  */
 const PROBE_PAUSE_MS = 200;
 
+/**
+ * How long changes of the list are gathered, in milliseconds. Engines that are reclaimed together say so within a few
+ * milliseconds, and each list goes to every entry host: seven lists to 194 hosts are 4 MB for the news of one.
+ */
+const GATHER_MS = 10;
+
 /** The share of the allowed calls to the list that the leader uses at most. */
 const LIST_SHARE = 0.5;
 
@@ -44,6 +50,8 @@
   private readonly leaving: leavingWatches.LeavingWatch;
   private listed: readonly schemas.ListedUpstream[] = [];
   private list: procedures.UpstreamList | undefined;
+  private packed: Uint8Array | undefined;
+  private isGathering = false;
   private readAt = -Infinity;
 
   public constructor(private readonly options: ListDeskOptions) {
@@ -64,7 +72,7 @@
       isDue,
       pauseMs: PROBE_PAUSE_MS,
       listEngines: () => this.listEngines(),
-      onChange: () => this.renew(),
+      onChange: () => this.renewSoon(),
     });
   }
 
@@ -85,6 +93,14 @@
     return this.list;
   }
 
+  /** The list in force as bytes, made once for all who are told. */
+  public getPacked(): Uint8Array | undefined {
+    if (this.list !== undefined) {
+      this.packed ??= procedures.packList(this.list);
+    }
+    return this.packed;
+  }
+
   /** How long ago it was read, in milliseconds; nothing before. */
   public getAgeMs(): number | undefined {
     return this.list === undefined ? undefined : this.options.clock.now() - this.readAt;
@@ -93,7 +109,17 @@
   private take({ upstreams }: procedures.UpstreamList): void {
     this.readAt = this.options.clock.now();
     this.listed = upstreams;
-    this.renew();
+    this.renewSoon();
+  }
+
+  private renewSoon(): void {
+    if (!this.isGathering) {
+      this.isGathering = true;
+      void this.options.clock.sleep(GATHER_MS).then(() => {
+        this.isGathering = false;
+        this.renew();
+      });
+    }
   }
 
   /** Makes the list anew when what is listed or what engines say has changed. */
@@ -104,6 +130,7 @@
     const stamp = schemas.getContentHash(upstreams);
     if (stamp !== this.list?.stamp) {
       this.list = { stamp, upstreams };
+      this.packed = undefined;
       this.changed.notify();
     }
   }
--- /dev/null
+++ b/packages/gateway/tests/list-desk.test.ts
@@ -0,0 +1,82 @@
+import * as schemas from '@bramleyridge/schemas';
+import * as tap from 'tap';
+
+import * as procedures from '../src/core-procedures.js';
+import * as listDesks from '../src/list-desk.js';
+import * as sites from './support/small-site.js';
+
+const ENGINES = ['e1', 'e2', 'e3', 'e4', 'e5', 'e6', 'e7'] as const;
+
+function createListed(upstreamId: string): schemas.ListedUpstream {
+  return {
+    upstreamId,
+    service: 'engines',
+    address: `${upstreamId}:1`,
+    availabilityZone: 'a',
+    isLeaving: false,
+    slots: 24,
+    coldMs: 0,
+  };
+}
+
+/** A desk over seven engines, which all say that they leave once the test says so; answers come 0 to 6 ms late. */
+function createDesk(clock: schemas.VirtualClock) {
+  const state = { areLeaving: false, lists: [] as procedures.UpstreamList[] };
+  const engine = {
+    slots: 24,
+    memoryTokens: 34_000,
+    tokensPerEvent: 4,
+    canMove: true,
+    canBackUp: true,
+  };
+  const desk = new listDesks.ListDesk({
+    source: {
+      list: async () =>
+        Promise.resolve({ upstreams: ENGINES.map(createListed), calls: 1, unreadable: 0 }),
+    },
+    probe: {
+      isLeaving: async (address) => {
+        await clock.sleep(ENGINES.findIndex((id) => address.startsWith(id)));
+        return state.areLeaving;
+      },
+    },
+    clock,
+    log: new schemas.SilentLog(),
+    getSettings: () => ({ listAddress: '127.0.0.1:1', listCallsPerS: 40 }) as never,
+    isDue: () => true,
+    findService: (name) => ({ ...sites.createConfig(1).services[0]!, name, engine }),
+  });
+  desk.run();
+  return { desk, state };
+}
+
+void tap.default.test('engines that leave together make one list, packed once', async (t) => {
+  // Seven engines are reclaimed at once and say so within a few milliseconds. Each change used to go to every entry host
+  // as a list of its own, packed anew for each of them: 28 ms a list with 194 hosts, seven lists in a row, and meanwhile
+  // nobody was told where to send a generation and went alone.
+  const clock = new schemas.VirtualClock();
+  const { desk, state } = createDesk(clock);
+  await clock.advance(500);
+  const before = desk.getList();
+  t.equal(before?.upstreams.length, ENGINES.length);
+  const stamps = new Set<string>();
+  state.areLeaving = true;
+  for (let ms = 0; ms < 300; ms += 1) {
+    await clock.advance(1);
+    stamps.add(desk.getList()?.stamp ?? '');
+  }
+  stamps.delete(before?.stamp ?? '');
+  t.equal(stamps.size, 1, 'one list tells of all seven');
+  t.ok(desk.getList()?.upstreams.every(({ saysLeaving }) => saysLeaving === true));
+  t.equal(desk.getPacked(), desk.getPacked(), 'the same bytes for every host');
+  desk.stop();
+});
+
+void tap.default.test('a packed list is the list', async (t) => {
+  // A host that took it for another one would ask for it again at once, for ever.
+  const list = { stamp: 's1', upstreams: ENGINES.map(createListed) };
+  const news = { isCurrent: true, cores: [] };
+  t.same(procedures.findList({ ...news, packedList: procedures.packList(list) }), list);
+  t.same(procedures.findList({ ...news, list }), list, 'also from a leader that does not pack');
+  t.equal(procedures.findList(news), undefined);
+});
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -2,6 +2,7 @@
 export * from './frame.js';
 export * from './keyring.js';
 export * from './link-counts.js';
+export * from './packed-value.js';
 export * from './peer-client.js';
 export * from './peer-link.js';
 export * from './peer-mesh.js';
