--- a/packages/routing/src/engine-ledger.ts
+++ b/packages/routing/src/engine-ledger.ts
@@ -135,7 +135,7 @@
     return copyAt;
   }
 
-  /** The memory that a generation needs when it is placed, in tokens; one that needs more finds no room where it finds none. */
+  /** The memory that a generation needs when it is placed, in tokens; where it finds no room, who needs more finds none. */
   public getTokensNeeded(need: placeNeeds.PlaceNeed): number {
     return memoryGrowth.getSizeAhead(need, 0, getHorizonMs(need));
   }
