--- a/packages/routing/src/engine-holdings.ts
+++ b/packages/routing/src/engine-holdings.ts
@@ -13,8 +13,8 @@
  * The generations and copies at one engine, and what they are forecast to fill. Every placement asks each engine, and
  * each engine's generations grow at a steady pace for seconds, so their sum is kept as a line and added up anew only
  * when something comes, goes or changes its pace. Walking all runs for every engine would cost 2 ms a placement among 41
- * engines and 180 runs, instead of 0.03 (`npm run bench -- decisions`, before and after). Hosts that the leader does not
- * answer in time choose alone, and overfill engines.
+ * engines and 180 runs, instead of 0.03, measured on one core. Hosts that the leader does not answer in time choose
+ * alone, and overfill engines.
  */
 export class EngineHoldings {
   private readonly runs = new Map<string, placedRuns.PlacedRun>();
