Don't call a pool full before the list of upstreams is read

Cause: a leader that has just risen has no list of upstreams yet, so its account has no engine, and it answered "no room" (running 0, share 1 in the line), which callers get as a certain 503. Entry hosts take any other failure of the leader as a reason to choose by what they know themselves. A host that led before had its old list instead, minutes old, and handed that out as new.

Ruled out: readiness (both entry hosts were ready and listed all upstreams), the quarantine (no refusal of that kind for the good calls).

Change: the leader says that it cannot tell, and the host chooses, with the run entered in the account; the same for a service that the leader's document lacks. A list counts only when it was read in this leadership, and a new leader reads one within 20 ms instead of 300 ms.

--- a/packages/gateway/src/core-host.ts
+++ b/packages/gateway/src/core-host.ts
@@ -25,9 +25,6 @@
 /** How long a core host may take to answer another, in milliseconds; a slow disk's sync of 150 ms is in it. */
 const PEER_DEADLINE_MS = 500;
 
-/** What is known before a list was read. */
-const NO_UPSTREAMS: readonly schemas.ListedUpstream[] = [];
-
 /** What a core host needs besides its settings. */
 export interface CoreHostOptions {
   readonly settings: settingsWatches.SettingsWatch;
@@ -105,7 +102,7 @@
     this.pools = new poolDesks.PoolDesk({
       clock,
       findService: (name) => this.findService(name),
-      listUpstreams: () => this.lists.getList()?.upstreams ?? NO_UPSTREAMS,
+      findUpstreams: () => this.lists.getList()?.upstreams,
       retryPot: {
         most: Math.floor(settings.bounds.retrySlack * retryShares.LENT_PART),
         mostAtFirst: Math.floor(settings.bounds.retrySlack * retryShares.LENT_AT_FIRST_PART),
@@ -118,7 +115,8 @@
       clock,
       log,
       getSettings: () => options.settings.get(),
-      isDue: () => this.group.isLeading(),
+      findDueSince: () =>
+        this.group.isLeading() ? this.group.getLeadership().startedAt : undefined,
       findService: (name) => this.findService(name),
     });
     this.server = new peers.PeerServer(procedures.createCoreRouter(this.createHandlers()), {
@@ -216,7 +214,8 @@
   private async place(req: procedures.PlaceReq): Promise<procedures.PlaceRes> {
     this.checkLeading('place');
     const res = await this.pools.place(req);
-    const result = res.placed === undefined ? 'no-room' : 'placed';
+    const refused = res.isUnknown === true ? 'unknown' : 'no-room';
+    const result = res.placed === undefined ? refused : 'placed';
     this.options.metrics.count('generationsPlaced', { result });
     return res;
   }
--- a/packages/gateway/src/core-procedures.ts
+++ b/packages/gateway/src/core-procedures.ts
@@ -155,6 +155,8 @@
     .object({ engineId: z.string(), copyAt: z.string().optional(), share: z.number() })
     .optional(),
   waitedMs: z.number(),
+  /** Whether the leader cannot tell: it has not read the list of upstreams, or lacks the service. */
+  isUnknown: z.boolean().optional(),
   /** Generations under way and the forecast share of all memory, for the log of a refusal. */
   full: z.object({ running: z.int(), share: z.number() }).optional(),
 });
--- a/packages/gateway/src/list-desk.ts
+++ b/packages/gateway/src/list-desk.ts
@@ -30,6 +30,9 @@
 /** The share of the allowed calls to the list that the leader uses at most. */
 const LIST_SHARE = 0.5;
 
+/** How often a host that does not lead looks whether it does, in milliseconds; a new leader knows no upstreams. */
+const IDLE_PAUSE_MS = 20;
+
 /** What the desk needs. */
 export interface ListDeskOptions {
   readonly source: ports.UpstreamSource;
@@ -37,8 +40,8 @@
   readonly clock: schemas.Clock;
   readonly log: schemas.Log;
   readonly getSettings: () => hostSettings.HostSettings;
-  /** Whether this host is the one that should read and ask. */
-  readonly isDue: () => boolean;
+  /** Since when this host is the one that should read and ask; nothing while it is not. */
+  readonly findDueSince: () => number | undefined;
   readonly findService: (name: string) => schemas.RoutedService | undefined;
 }
 
@@ -53,9 +56,12 @@
   private packed: Uint8Array | undefined;
   private isGathering = false;
   private readAt = -Infinity;
+  /** When the platform's list was read from which the one in force was made. */
+  private inForceReadAt = -Infinity;
 
   public constructor(private readonly options: ListDeskOptions) {
-    const { clock, getSettings, isDue, log, probe, source } = options;
+    const { clock, findDueSince, getSettings, log, probe, source } = options;
+    const isDue = () => findDueSince() !== undefined;
     this.reader = new listReaders.ListReader({
       source,
       clock,
@@ -63,6 +69,7 @@
       getAddress: () => getSettings().listAddress,
       isDue,
       getPauseMs: (calls) => this.getPauseMs(calls),
+      idlePauseMs: IDLE_PAUSE_MS,
       take: (list) => this.take(list),
     });
     this.leaving = new leavingWatches.LeavingWatch({
@@ -88,9 +95,10 @@
     this.leaving.stop();
   }
 
-  /** The list in force, once one was read. */
+  /** The list in force, once one was read. What was read in a former leadership may be old by minutes. */
   public getList(): procedures.UpstreamList | undefined {
-    return this.list;
+    const dueSince = this.options.findDueSince();
+    return dueSince !== undefined && this.inForceReadAt >= dueSince ? this.list : undefined;
   }
 
   /** The list in force as bytes, made once for all who are told. */
@@ -103,7 +111,7 @@
 
   /** How long ago it was read, in milliseconds; nothing before. */
   public getAgeMs(): number | undefined {
-    return this.list === undefined ? undefined : this.options.clock.now() - this.readAt;
+    return this.getList() && this.options.clock.now() - this.inForceReadAt;
   }
 
   private take({ upstreams }: procedures.UpstreamList): void {
@@ -128,10 +136,14 @@
       this.leaving.isLeaving(item.upstreamId) ? { ...item, saysLeaving: true } : item,
     );
     const stamp = schemas.getContentHash(upstreams);
+    const wasKnown = this.getList() !== undefined;
+    this.inForceReadAt = this.readAt;
     if (stamp !== this.list?.stamp) {
       this.list = { stamp, upstreams };
       this.packed = undefined;
       this.changed.notify();
+    } else if (!wasKnown) {
+      this.changed.notify();
     }
   }
 
--- a/packages/gateway/src/list-reader.ts
+++ b/packages/gateway/src/list-reader.ts
@@ -16,6 +16,8 @@
   readonly isDue: () => boolean;
   /** The pause between two readings, in milliseconds, after one that took so many calls. */
   readonly getPauseMs: (calls: number) => number;
+  /** The pause between two looks whether it should read, in milliseconds; left out, that of two readings. */
+  readonly idlePauseMs?: number;
   readonly take: (list: procedures.UpstreamList) => void;
 }
 
@@ -30,12 +32,14 @@
 
   /** Reads until stopped. */
   public async run(): Promise<void> {
-    const { clock, getPauseMs, isDue } = this.options;
+    const { clock, getPauseMs, idlePauseMs, isDue } = this.options;
     while (!this.isStopped) {
-      if (isDue()) {
+      const wasDue = isDue();
+      if (wasDue) {
         await this.readOnce();
       }
-      await clock.sleep(getPauseMs(this.calls));
+      const pauseMs = getPauseMs(this.calls);
+      await clock.sleep(wasDue ? pauseMs : (idlePauseMs ?? pauseMs));
     }
   }
 
--- a/packages/gateway/src/pool-desk.ts
+++ b/packages/gateway/src/pool-desk.ts
@@ -12,7 +12,8 @@
   readonly clock: schemas.Clock;
   /** The services in force, with what is known of their engines. */
   readonly findService: (name: string) => schemas.RoutedService | undefined;
-  readonly listUpstreams: () => readonly schemas.ListedUpstream[];
+  /** The list of upstreams; nothing while this leader has not read one. */
+  readonly findUpstreams: () => readonly schemas.ListedUpstream[] | undefined;
   /** How many retries at one service may be lent. */
   readonly retryPot: requests.RetryPotBounds;
 }
@@ -45,8 +46,10 @@
     const { clock } = this.options;
     const askedAt = clock.now();
     const pool = this.findPool(req.service);
-    if (pool === undefined) {
-      return { placed: undefined, waitedMs: 0, full: undefined };
+    // Without a list every pool looks full. A run that is only entered needs no list.
+    const hasList = this.options.findUpstreams() !== undefined;
+    if (pool === undefined || (!hasList && req.need.fixedEngineId === undefined)) {
+      return { placed: undefined, waitedMs: 0, isUnknown: true };
     }
     pool.plan.endTurn(req.need.callId);
     const placed = await new Promise<routing.Placement | undefined>((resolve) => {
@@ -146,8 +149,8 @@
     }
     const pool = this.pools.get(service) ?? createPool();
     this.pools.set(service, pool);
-    const listed = this.options.listUpstreams();
-    if (pool.listed !== listed) {
+    const listed = this.options.findUpstreams();
+    if (listed !== undefined && pool.listed !== listed) {
       pool.listed = listed;
       pool.ledger.setEngines(
         listed
--- a/packages/gateway/src/upstream-picker.ts
+++ b/packages/gateway/src/upstream-picker.ts
@@ -101,7 +101,7 @@
     const need = this.createNeed(call, [...tried]);
     const wait = { patienceMs, dueInMs, rank: generationCalls.getRank(call) };
     const res = await this.options.pools.place(call.service.name, need, wait);
-    if (res !== undefined && res.placed === undefined) {
+    if (res !== undefined && res.placed === undefined && res.isUnknown !== true) {
       const { full, waitedMs } = res;
       this.options.log.info({
         decision: 'no-room',
@@ -114,8 +114,8 @@
     }
     const picked = this.resolve(res);
     if (picked === undefined && res !== undefined) {
-      // The leader has read of an engine that this host's list lacks. The account is told where it goes instead;
-      // otherwise it would count on the new engine, for up to its whole time, what never ran there.
+      // The leader has read of an engine that this host's list lacks, or has no list itself. The account is told where
+      // it goes instead; otherwise it would miss it, or count it on an engine where it never ran.
       return this.pickAt(call, this.pickAlone(call, tried).known);
     }
     const chosen = picked ?? this.pickAlone(call, tried);
--- a/packages/gateway/tests/list-desk.test.ts
+++ b/packages/gateway/tests/list-desk.test.ts
@@ -21,7 +21,7 @@
 
 /** A desk over seven engines, which all say that they leave once the test says so; answers come 0 to 6 ms late. */
 function createDesk(clock: schemas.VirtualClock) {
-  const state = { areLeaving: false, lists: [] as procedures.UpstreamList[] };
+  const state = { areLeaving: false, dueSince: 0 as number | undefined };
   const engine = {
     slots: 24,
     memoryTokens: 34_000,
@@ -43,7 +43,7 @@
     clock,
     log: new schemas.SilentLog(),
     getSettings: () => ({ listAddress: '127.0.0.1:1', listCallsPerS: 40 }) as never,
-    isDue: () => true,
+    findDueSince: () => state.dueSince,
     findService: (name) => ({ ...sites.createConfig(1).services[0]!, name, engine }),
   });
   desk.run();
@@ -80,3 +80,19 @@
   t.same(procedures.findList({ ...news, list }), list, 'also from a leader that does not pack');
   t.equal(procedures.findList(news), undefined);
 });
+
+// Guards against upstreams of minutes ago being handed out by a host that leads again.
+void tap.default.test('a list read in a former leadership is not in force', async (t) => {
+  const clock = new schemas.VirtualClock();
+  const { desk, state } = createDesk(clock);
+  await clock.advance(500);
+  t.ok(desk.getList());
+  state.dueSince = undefined;
+  await clock.advance(60_000);
+  t.equal(desk.getList(), undefined);
+  state.dueSince = clock.now();
+  t.equal(desk.getList(), undefined, 'not before it is read anew');
+  await clock.advance(50);
+  t.ok(desk.getList(), 'which a new leader does at once');
+  desk.stop();
+});
--- /dev/null
+++ b/packages/gateway/tests/pool-desk.test.ts
@@ -0,0 +1,74 @@
+import * as schemas from '@bramleyridge/schemas';
+import * as tap from 'tap';
+
+import * as poolDesks from '../src/pool-desk.js';
+import * as sites from './support/small-site.js';
+
+const ENGINE: schemas.ListedUpstream = {
+  upstreamId: 'e-1',
+  service: 'engines',
+  address: '127.0.0.1:1',
+  availabilityZone: 'a',
+  isLeaving: false,
+  slots: 4,
+  coldMs: 0,
+};
+
+function createReq(fixedEngineId?: string) {
+  return {
+    service: 'engines',
+    need: {
+      callId: 'c1',
+      availabilityZone: 'a',
+      promptTokens: 100,
+      answerTokens: 400,
+      leftMs: 4_000,
+      excluded: [],
+      fixedEngineId,
+      wantsCopy: false,
+      ranMs: 0,
+    },
+    patienceMs: 0,
+    dueInMs: 1_000,
+    rank: 0,
+  };
+}
+
+function createDesk(clock: schemas.Clock) {
+  const state = {
+    list: undefined as readonly schemas.ListedUpstream[] | undefined,
+    services: sites.createConfig(1).services,
+  };
+  const desk = new poolDesks.PoolDesk({
+    clock,
+    findService: (name) => state.services.find((service) => service.name === name),
+    findUpstreams: () => state.list,
+    retryPot: { most: 1, mostAtFirst: 1, windowMs: 1_000 },
+  });
+  return { desk, state };
+}
+
+// Guards against "no room" from a leader that has not read the list of upstreams yet.
+void tap.default.test('a leader without a list does not say that a pool is full', async (t) => {
+  const { desk, state } = createDesk(new schemas.VirtualClock());
+  t.match(await desk.place(createReq()), { placed: undefined, isUnknown: true });
+  t.match(
+    await desk.place(createReq('e-1')),
+    { placed: { engineId: 'e-1' } },
+    'but it keeps account',
+  );
+  state.list = [ENGINE];
+  t.match(await desk.place({ ...createReq() }), { placed: { engineId: 'e-1' } });
+  state.list = [];
+  const full = await desk.place(createReq());
+  t.equal(full.placed, undefined);
+  t.not(full.isUnknown, true, 'a list without engines is a certain answer');
+});
+
+// Guards against "no room" for a service that the leader's document lacks and the host's document has.
+void tap.default.test('a leader that lacks a service does not say that it is full', async (t) => {
+  const { desk, state } = createDesk(new schemas.VirtualClock());
+  state.list = [ENGINE];
+  state.services = [];
+  t.match(await desk.place(createReq()), { placed: undefined, isUnknown: true });
+});
--- a/packages/gateway/tests/upstream-picker.test.ts
+++ b/packages/gateway/tests/upstream-picker.test.ts
@@ -3,6 +3,7 @@
 import * as tap from 'tap';
 
 import type * as callAdmissions from '../src/call-admission.js';
+import type * as procedures from '../src/core-procedures.js';
 import * as upstreamDirectories from '../src/upstream-directory.js';
 import * as upstreamPickers from '../src/upstream-picker.js';
 import * as sites from './support/small-site.js';
@@ -15,7 +16,10 @@
 
   public constructor(private readonly engineId: string | undefined) {}
 
-  public async place(_service: string, need: routing.PlaceNeed) {
+  public async place(
+    _service: string,
+    need: routing.PlaceNeed,
+  ): Promise<procedures.PlaceRes | undefined> {
     this.fixed.push(need.fixedEngineId);
     if (this.engineId === undefined) {
       return Promise.resolve(undefined);
@@ -102,6 +106,19 @@
   },
 );
 
+// Guards against a refusal for want of room by a leader that has just risen and has no list.
+void tap.default.test('a host chooses itself while the leader cannot tell', async (t) => {
+  const fixed: (string | undefined)[] = [];
+  const placer = new FixedPlacer(undefined);
+  placer.place = async (_service, need) => {
+    fixed.push(need.fixedEngineId);
+    return Promise.resolve({ placed: undefined, waitedMs: 0, isUnknown: true });
+  };
+  const picker = createPicker(new schemas.VirtualClock(), placer);
+  t.equal((await picker.pick(createCall(), new Set())).upstreamId, 'e-1');
+  t.same(fixed, [undefined, 'e-1'], 'and the account is told which');
+});
+
 void tap.default.test('a generation that this host places alone stays known to it', async (t) => {
   // A new leader is told what runs; what this host placed while it had none must be among it, or the new
   // leader fills the same engine a second time.
