Evacuate an availability zone: nothing new to its upstreams, by an order in the replicated log

Change: `intents.EvacuationState` is the aggregate: orders are bound to the revision that their sender has read, so one that is held up can't undo a later one, and a resend changes nothing. `EvacuationDesk` takes orders at any core host, acknowledges after a majority's sync, gives up after a second, and drops the order of an operator who has left. Hosts learn it with the news that they wait for anyway. The directory decides what may be sent to, and the last step before a send asks it again: placement, fallback placement, second tries, resumption at a copy, takers, holders of copies, plain calls. In the leader's account such engines are closed, not gone: their runs stay. A pool without any open engine refuses at once.

Ruled out: handing runs of the zone over, as for engines that leave: it cuts nothing less and moves their memory.

--- a/packages/gateway/src/core-group.ts
+++ b/packages/gateway/src/core-group.ts
@@ -37,15 +37,17 @@
   readonly random: () => number;
 }
 
-/** The document itself with quarantined calls beside it, so that hosts of the version before find what they know. */
+/** The document itself with all else beside it, so that hosts of the version before find what they know. */
 interface CoreSnapshot extends Partial<intents.DeclaredDocument> {
   readonly quarantine?: readonly routing.SuspectFacts[];
+  readonly evacuations?: intents.EvacuationFacts;
 }
 
 /** This host's part in the replicated log: its identity, its voter, and as the leader the seats. */
 export class CoreGroup {
   public readonly state = new intents.DeclaredState();
   public readonly quarantine = new routing.QuarantineState();
+  public readonly evacuations = new intents.EvacuationState();
   public readonly seats: seatKeepers.SeatKeeper;
   public voter: consensus.Voter | undefined;
   private identity: consensus.Genesis | undefined;
@@ -124,16 +126,20 @@
   private getSnapshot(): CoreSnapshot | null {
     const document = this.state.getSnapshot();
     const quarantine = this.quarantine.list();
-    const isEmpty = document === null && quarantine.length === 0;
-    return isEmpty ? null : { ...document, quarantine };
+    const evacuations = this.evacuations.get();
+    const isEmpty = document === null && quarantine.length === 0 && evacuations.revision === 0;
+    return isEmpty ? null : { ...document, quarantine, evacuations };
   }
 
   private restore(snapshot: CoreSnapshot | null): void {
-    const { quarantine, text, version } = snapshot ?? {};
+    const { evacuations, quarantine, text, version } = snapshot ?? {};
     if (version !== undefined && text !== undefined) {
       this.state.restore({ version, text });
     }
     this.quarantine.restore(quarantine ?? []);
+    if (evacuations !== undefined) {
+      this.evacuations.restore(evacuations);
+    }
   }
 
   private async runVoter(): Promise<void> {
@@ -176,12 +182,19 @@
     await files.close?.();
   }
 
+  private apply(data: unknown): unknown {
+    if (routing.isQuarantineEntry(data)) {
+      return this.quarantine.apply(data);
+    }
+    if (intents.isEvacuationEntry(data)) {
+      return this.evacuations.apply(data);
+    }
+    return this.state.apply(data as intents.DeclaredDocument);
+  }
+
   private createMachine(): consensus.StateMachine {
     return {
-      apply: ({ data }) =>
-        routing.isQuarantineEntry(data)
-          ? this.quarantine.apply(data)
-          : this.state.apply(data as intents.DeclaredDocument),
+      apply: ({ data }) => this.apply(data),
       getSnapshot: () => this.getSnapshot(),
       restore: (snapshot) => this.restore(snapshot as CoreSnapshot | null),
     };
--- a/packages/gateway/src/core-host.ts
+++ b/packages/gateway/src/core-host.ts
@@ -1,6 +1,7 @@
 import * as path from 'node:path';
 
 import * as consensus from '@bramleyridge/consensus';
+import type * as intents from '@bramleyridge/intents';
 import * as peers from '@bramleyridge/peers';
 import * as schemas from '@bramleyridge/schemas';
 import type * as telemetry from '@bramleyridge/telemetry';
@@ -11,7 +12,9 @@
 import * as procedures from './core-procedures.js';
 import * as coreTables from './core-table.js';
 import * as entryTables from './entry-table.js';
+import * as evacuationDesks from './evacuation-desk.js';
 import * as hostSettings from './host-settings.js';
+import * as leaderClients from './leader-client.js';
 import * as listDesks from './list-desk.js';
 import * as operatorDesks from './operator-desk.js';
 import * as poolDesks from './pool-desk.js';
@@ -40,6 +43,7 @@
 /** A core host: keeps what operators declare, and as the leader tells entry hosts what is new. */
 export class CoreHost {
   public readonly desk: operatorDesks.OperatorDesk;
+  public readonly evacuations: evacuationDesks.EvacuationDesk;
   private readonly coreId: string;
   private readonly mesh = new coreMeshes.CoreMesh(PEER_DEADLINE_MS);
   private readonly table: coreTables.CoreTable;
@@ -80,15 +84,16 @@
       clock,
       log,
     });
-    this.desk = new operatorDesks.OperatorDesk({
-      coreId: this.coreId,
-      group: this.group,
-      table: this.table,
-      mesh: this.mesh,
-      codec,
+    const { coreId, group, mesh, table } = this;
+    const leader = new leaderClients.LeaderClient({ coreId, group, table, mesh, clock, log });
+    const { acknowledgeMs } = settings.bounds;
+    this.desk = new operatorDesks.OperatorDesk({ group, leader, codec, log, acknowledgeMs });
+    this.evacuations = new evacuationDesks.EvacuationDesk({
+      group,
+      leader,
+      listZones: () => hostSettings.listZones(options.settings.get()),
       clock,
       log,
-      acknowledgeMs: settings.bounds.acknowledgeMs,
     });
     this.suspects = new suspectDesks.SuspectDesk({
       clock,
@@ -103,6 +108,8 @@
       clock,
       findService: (name) => this.findService(name),
       findUpstreams: () => this.lists.getList()?.upstreams,
+      isEvacuated: (zone) => this.group.evacuations.has(zone),
+      getEvacuationRevision: () => this.group.evacuations.get().revision,
       retryPot: {
         most: Math.floor(settings.bounds.retrySlack * retryShares.LENT_PART),
         mostAtFirst: Math.floor(settings.bounds.retrySlack * retryShares.LENT_AT_FIRST_PART),
@@ -134,6 +141,7 @@
     metrics.watch('seats', () => this.group.voter?.entries.getVoters().length ?? 0);
     metrics.watch('seatsSilent', () => this.findLeadership()?.listSilentSeats().length ?? -1);
     metrics.watch('lossesBorne', () => this.findLeadership()?.countLossesBorne() ?? -1);
+    metrics.watch('zonesEvacuated', () => this.group.evacuations.get().zones.length);
     metrics.watch('entryHosts', () => this.entries.count());
     metrics.watch('configurationVersion', () => this.group.state.get()?.version ?? -1);
   }
@@ -207,6 +215,8 @@
       },
       declare: (document) => desk.declareHere(document),
       read: () => desk.readHere(),
+      evacuate: (entry) => this.evacuations.orderHere(entry),
+      readEvacuations: () => this.evacuations.readHere(),
     };
   }
 
@@ -245,6 +255,7 @@
         this.group.state.changed.wait(clock, end - clock.now()),
         this.lists.changed.wait(clock, end - clock.now()),
         this.suspects.changed.wait(clock, end - clock.now()),
+        this.group.evacuations.changed.wait(clock, end - clock.now()),
       ]);
     }
     return this.createNews(req);
@@ -254,6 +265,7 @@
     const version = this.group.state.get()?.version ?? -1;
     return (
       version > req.version ||
+      this.findNewEvacuations(req) !== undefined ||
       this.findNewList(req) !== undefined ||
       this.findSuspectNews(req) !== undefined
     );
@@ -274,6 +286,7 @@
       cores: this.table.listAll(),
       entryHosts: isLeading ? this.entries.count() : undefined,
       suspects: this.findSuspectNews(req),
+      evacuations: this.findNewEvacuations(req),
       quarantined:
         isLeading || req.suspects?.term !== suspectLinks.NO_TERM
           ? undefined
@@ -298,6 +311,12 @@
     return this.suspects.findNews(req.suspects, term);
   }
 
+  private findNewEvacuations(req: procedures.NewsReq): intents.EvacuationFacts | undefined {
+    const facts = this.group.evacuations.get();
+    const known = req.evacuationRevision ?? facts.revision;
+    return facts.revision > known ? facts : undefined;
+  }
+
   private findNewList(req: procedures.NewsReq): procedures.UpstreamList | undefined {
     const list = this.lists.getList();
     const isNew = this.group.isLeading() && list?.stamp !== req.listStamp;
--- a/packages/gateway/src/core-procedures.ts
+++ b/packages/gateway/src/core-procedures.ts
@@ -34,6 +34,8 @@
   takesPacked: z.boolean().optional(),
   /** Not sent by hosts of the version before. */
   suspects: knownSuspects.optional(),
+  /** Of the evacuated zones that the host knows of; not sent by hosts of the version before. */
+  evacuationRevision: z.int().optional(),
 });
 
 /** The list of upstreams as the leader read it. */
@@ -96,6 +98,7 @@
   /** How many entry hosts the leader hears. */
   entryHosts: z.int().optional(),
   suspects: suspectNews.optional(),
+  evacuations: intents.evacuationFacts.optional(),
   /** For a host that has just started and hears a core host that does not lead: what is quarantined for certain. */
   quarantined: z.array(routing.suspectFacts).readonly().optional(),
 });
@@ -248,6 +251,10 @@
   permitSuspect(req: SuspectPermitReq): Promise<routing.Permit>;
   /** The newest document, as the leader. */
   read(): Promise<intents.DeclaredDocument | null>;
+  /** Takes an order on an availability zone, as the leader. */
+  evacuate(entry: intents.EvacuationEntry): Promise<intents.EvacuationResult>;
+  /** Which availability zones are evacuated, as the leader. */
+  readEvacuations(): Promise<intents.EvacuationFacts>;
 }
 
 const t = trpc.initTRPC.create();
@@ -285,6 +292,10 @@
       .input(suspectPermitReq)
       .mutation(({ input }) => handlers.permitSuspect(input)),
     read: t.procedure.mutation(() => handlers.read()),
+    evacuate: t.procedure
+      .input(intents.evacuationEntry)
+      .mutation(({ input }) => handlers.evacuate(input)),
+    readEvacuations: t.procedure.mutation(() => handlers.readEvacuations()),
   });
 }
 
--- a/packages/gateway/src/entry-host.ts
+++ b/packages/gateway/src/entry-host.ts
@@ -1,5 +1,6 @@
 import type * as http from 'node:http';
 
+import * as intents from '@bramleyridge/intents';
 import * as requests from '@bramleyridge/requests';
 import * as schemas from '@bramleyridge/schemas';
 import type * as telemetry from '@bramleyridge/telemetry';
@@ -71,6 +72,7 @@
 export class EntryHost {
   public readonly store: routedStores.RoutedStore;
   public readonly directory: upstreamDirectories.UpstreamDirectory;
+  private readonly evacuations = new intents.EvacuationState();
   private readonly mesh = new coreMeshes.CoreMesh(PEER_DEADLINE_MS);
   private readonly link: coreLinks.CoreLink;
   private readonly reader: listReaders.ListReader;
@@ -92,7 +94,9 @@
     const settings = options.settings.get();
     const { availabilityZone } = settings;
     this.store = new routedStores.RoutedStore(codec, log);
-    this.directory = new upstreamDirectories.UpstreamDirectory(clock, log);
+    this.directory = new upstreamDirectories.UpstreamDirectory(clock, log, (zone) =>
+      this.evacuations.has(zone),
+    );
     this.client = new requests.UpstreamClient({
       connectMs: CONNECT_MS,
       connections: KEPT_CONNECTIONS,
@@ -217,6 +221,7 @@
     metrics.watch('activeCalls', () => this.drain.getActive());
     metrics.watch('configurationVersion', () => this.store.getVersion());
     metrics.watch('listAgeMs', () => this.directory.getAgeMs());
+    metrics.watch('zonesEvacuated', () => this.evacuations.get().zones.length);
     metrics.watch('upstreamsLive', () => this.directory.countLive());
   }
 
@@ -268,6 +273,7 @@
         waitMs,
         takesPacked: true,
         suspects: this.suspects.getKnown(),
+        evacuationRevision: this.evacuations.get().revision,
       }),
       take: (news, isTrusted) => this.takeNews(news, isTrusted),
     });
@@ -277,6 +283,9 @@
     if (news.document !== undefined) {
       this.store.offer(news.document);
     }
+    if (news.evacuations !== undefined) {
+      this.takeEvacuations(news.evacuations);
+    }
     if (isTrusted) {
       this.store.markReady();
     }
@@ -297,6 +306,12 @@
     }
   }
 
+  private takeEvacuations(facts: intents.EvacuationFacts): void {
+    if (this.evacuations.restore(facts)) {
+      this.options.log.info({ event: 'evacuations-in-force', ...facts });
+    }
+  }
+
   private getListPauseMs(calls: number): number {
     const { listCallsPerS } = this.options.settings.get();
     const shareMs = (this.entryHosts * calls * 1_000) / (listCallsPerS * LIST_SHARE);
--- a/packages/gateway/src/host-settings.ts
+++ b/packages/gateway/src/host-settings.ts
@@ -25,6 +25,8 @@
 export const hostSettings = z.object({
   hostId: z.string().min(1),
   availabilityZone: z.string().min(1),
+  /** The region of each availability zone of the deployment; left out where it is not told. */
+  regions: z.record(z.string(), z.string()).optional(),
   ipAddress: z.string().min(1),
   /** Where callers connect; on entry hosts. */
   callerAddress: address.optional(),
@@ -69,6 +71,11 @@
   return `${ipAddress}:${peerPort}`;
 }
 
+/** The availability zones of the deployment, where the settings name them. */
+export function listZones({ regions }: HostSettings): string[] | undefined {
+  return regions === undefined ? undefined : Object.keys(regions);
+}
+
 /** The core hosts that the settings name. */
 export function listSeedIds(settings: HostSettings): string[] {
   return settings.seeds.map((seed) => getCoreId(splitAddress(seed).host, settings.peerPort));
--- a/packages/gateway/src/operator-desk.ts
+++ b/packages/gateway/src/operator-desk.ts
@@ -2,32 +2,17 @@
 import * as schemas from '@bramleyridge/schemas';
 
 import type * as coreGroups from './core-group.js';
-import type * as coreMeshes from './core-mesh.js';
-import type * as coreTables from './core-table.js';
+import type * as leaderClients from './leader-client.js';
 import type * as ports from './ports.js';
 
 /** The share of the time for an acknowledgment after which the operator is told to try elsewhere. */
 const ANSWER_SHARE = 0.6;
 
-/**
- * How long the leader may take over an order that another host hands it, in milliseconds: operators ask elsewhere
- * after a second without an answer, and a leader that has died must be found out before that.
- */
-const LEADER_MS = 800;
-
-/** The pause before a leader is looked for again, in milliseconds. */
-const PAUSE_MS = 50;
-
-const DEADLINE = { context: { deadlineMs: LEADER_MS } };
-
 /** What the desk needs. */
 export interface OperatorDeskOptions {
-  readonly coreId: string;
   readonly group: coreGroups.CoreGroup;
-  readonly table: coreTables.CoreTable;
-  readonly mesh: coreMeshes.CoreMesh;
+  readonly leader: leaderClients.LeaderClient;
   readonly codec: ports.DocumentCodec;
-  readonly clock: schemas.Clock;
   readonly log: schemas.Log;
   /** Within which an operator's order is to be acknowledged, in milliseconds. */
   readonly acknowledgeMs: number;
@@ -40,9 +25,10 @@
   /** Checks a document and puts it into the log; a refusal lists what is wrong with it. */
   public async declare(text: string): Promise<intents.DeclareResult> {
     const { version } = this.check(text);
-    const result = await this.atLeader(
+    const result = await this.options.leader.ask(
       () => this.declareHere({ version, text }),
-      (api) => api.declare.mutate({ version, text }, DEADLINE),
+      (api, options) => api.declare.mutate({ version, text }, options),
+      this.options.acknowledgeMs * ANSWER_SHARE,
     );
     this.options.log.info({ decision: 'declare', version, highest: result.version });
     return result;
@@ -50,9 +36,10 @@
 
   /** The newest document; fails where it is not certain which one that is. */
   public read(): Promise<intents.DeclaredDocument | null> {
-    return this.atLeader(
+    return this.options.leader.ask(
       () => this.readHere(),
-      (api) => api.read.mutate(undefined, DEADLINE),
+      (api, options) => api.read.mutate(undefined, options),
+      this.options.acknowledgeMs * ANSWER_SHARE,
     );
   }
 
@@ -88,44 +75,4 @@
       args: [faults.join('; ').slice(0, 2_000)],
     });
   }
-
-  /** Asks the leader, wherever it is, until the time is over; asking again changes nothing. */
-  private async atLeader<T>(
-    here: () => Promise<T>,
-    there: (api: coreMeshes.CoreApi) => Promise<T>,
-  ): Promise<T> {
-    const { acknowledgeMs, clock, coreId, mesh } = this.options;
-    const end = clock.now() + acknowledgeMs * ANSWER_SHARE;
-    let last: unknown;
-    while (clock.now() < end) {
-      for (const candidate of this.listLeaders()) {
-        try {
-          return candidate === coreId ? await here() : await there(mesh.get(candidate));
-        } catch (err) {
-          last = err;
-        }
-      }
-      await clock.sleep(PAUSE_MS);
-    }
-    const { message } = schemas.toError(last);
-    this.options.log.warn({ event: 'leader-lost', step: 'ask-leader', err: message });
-    throw new schemas.Refusal({
-      id: 'notLeader',
-      step: 'ask-leader',
-      status: 503,
-      outcome: 'unknown',
-      cause: last,
-    });
-  }
-
-  /** The leader that this host knows of; else everyone, since a host without a seat hears no leader. */
-  private listLeaders(): string[] {
-    const { coreId, group, table } = this.options;
-    if (group.voter?.leadership !== undefined) {
-      return [coreId];
-    }
-    const leader = group.voter?.leader ?? table.leaderHint;
-    const others = table.listOthers();
-    return leader === undefined ? others : [leader, ...others.filter((id) => id !== leader)];
-  }
 }
--- a/packages/gateway/src/pool-desk.ts
+++ b/packages/gateway/src/pool-desk.ts
@@ -14,6 +14,9 @@
   readonly findService: (name: string) => schemas.RoutedService | undefined;
   /** The list of upstreams; nothing while this leader has not read one. */
   readonly findUpstreams: () => readonly schemas.ListedUpstream[] | undefined;
+  /** Whether an availability zone is to get no new work; the revision changes with every zone that does. */
+  readonly isEvacuated: (availabilityZone: string) => boolean;
+  readonly getEvacuationRevision: () => number;
   /** How many retries at one service may be lent. */
   readonly retryPot: requests.RetryPotBounds;
 }
@@ -32,6 +35,7 @@
   readonly plan: routing.HandOverPlan<WaitingRun>;
   isServing: boolean;
   listed: readonly schemas.ListedUpstream[] | undefined;
+  evacuationRevision: number;
 }
 
 /** The leader's account of every pool of engines: where generations are placed, in one place for all hosts. */
@@ -52,6 +56,9 @@
       return { placed: undefined, waitedMs: 0, isUnknown: true };
     }
     pool.plan.endTurn(req.need.callId);
+    if (!pool.ledger.hasOpenEngine() && req.need.fixedEngineId === undefined) {
+      return { placed: undefined, waitedMs: 0, full: pool.ledger.getSummary(askedAt) };
+    }
     const placed = await new Promise<routing.Placement | undefined>((resolve) => {
       // A copy of a whole prompt would go over the links that runs need to be handed over.
       const wantsCopy = req.need.wantsCopy && !pool.plan.isBusy();
@@ -150,8 +157,11 @@
     const pool = this.pools.get(service) ?? createPool();
     this.pools.set(service, pool);
     const listed = this.options.findUpstreams();
-    if (listed !== undefined && pool.listed !== listed) {
+    const evacuationRevision = this.options.getEvacuationRevision();
+    const isSame = pool.listed === listed && pool.evacuationRevision === evacuationRevision;
+    if (listed !== undefined && !isSame) {
       pool.listed = listed;
+      pool.evacuationRevision = evacuationRevision;
       pool.ledger.setEngines(
         listed
           .filter((item) => item.service === service && !item.isLeaving && !item.saysLeaving)
@@ -161,6 +171,7 @@
             memoryTokens: engine.memoryTokens,
             slots: engine.slots,
             availabilityZone: item.availabilityZone,
+            isClosed: this.options.isEvacuated(item.availabilityZone),
           })),
       );
     }
@@ -172,5 +183,5 @@
   const ledger = new routing.EngineLedger();
   const queue = new routing.PlaceQueue<WaitingPlace>(ledger);
   const plan = new routing.HandOverPlan<WaitingRun>(ledger);
-  return { ledger, queue, plan, isServing: false, listed: undefined };
+  return { ledger, queue, plan, isServing: false, listed: undefined, evacuationRevision: 0 };
 }
--- a/packages/gateway/src/routed-attempts.ts
+++ b/packages/gateway/src/routed-attempts.ts
@@ -118,8 +118,13 @@
     leg: Leg,
     resume: ports.ResumeFacts | undefined,
   ): Promise<requests.UpstreamAnswer> {
-    const { client, clock, wire } = this.options;
+    const { client, clock, directory, wire } = this.options;
     const { call, body, abort } = job;
+    if (!directory.mayBeSent(leg.picked.known)) {
+      return Promise.reject(
+        new requests.UpstreamError('unreachable', 'send', leg.picked.upstreamId),
+      );
+    }
     const headers = wire.createHeaders(call.facts, {
       upstreamId: leg.picked.upstreamId,
       team: call.team?.name,
@@ -286,10 +291,11 @@
     job: routedJobs.RoutedJob,
     { run }: Leg,
   ): Promise<upstreamPickers.PickedUpstream | undefined> {
-    const { findBudget, log, metrics, picker } = this.options;
+    const { directory, findBudget, log, metrics, picker } = this.options;
     const { abort, call } = job;
     const mayRunAgain = isIdempotent(call) && job.tried.size < call.route.maxRuns;
-    const canGoOn = run.copy !== undefined || mayRunAgain;
+    const copy = run.copy !== undefined && directory.mayBeSent(run.copy.at) ? run.copy : undefined;
+    const canGoOn = copy !== undefined || mayRunAgain;
     if (!canGoOn || job.resumes >= MAX_RESUMES || abort.signal.aborted) {
       return undefined;
     }
@@ -299,7 +305,7 @@
       log.warn({ decision: 'resume-refused', request: requestId, reason: 'retry-budget' });
       return undefined;
     }
-    return run.copy === undefined ? picker.pick(call, job.tried) : picker.pickAt(call, run.copy.at);
+    return copy === undefined ? picker.pick(call, job.tried) : picker.pickAt(call, copy.at);
   }
 
   private noteChoice(job: routedJobs.RoutedJob, { picked }: Leg): void {
--- a/packages/gateway/src/upstream-directory.ts
+++ b/packages/gateway/src/upstream-directory.ts
@@ -33,6 +33,8 @@
   public constructor(
     private readonly clock: schemas.Clock,
     private readonly log: schemas.Log,
+    /** Whether an availability zone is to get no new work. */
+    private readonly isEvacuated: (availabilityZone: string) => boolean = () => false,
   ) {}
 
   /** What the list in force is known by. */
@@ -86,7 +88,7 @@
   public listLive(service: string): KnownUpstream[] {
     const now = this.clock.now();
     const listed = [...this.entries.values()].filter(
-      (item) => item.listed.service === service && takesWork(item),
+      (item) => item.listed.service === service && this.takesWork(item),
     );
     const reachable = listed.filter((item) => item.avoidUntil <= now);
     return reachable.length > 0 ? reachable : listed;
@@ -94,7 +96,7 @@
 
   /** How many upstreams take work, of all services. */
   public countLive(): number {
-    return [...this.entries.values()].filter(takesWork).length;
+    return [...this.entries.values()].filter((item) => this.takesWork(item)).length;
   }
 
   /** An upstream that is listed, whether or not it takes calls. */
@@ -102,10 +104,24 @@
     return this.entries.get(upstreamId);
   }
 
+  /**
+   * Whether anything new may be sent to an upstream, whoever chose it: the leader, a copy that lies there, or this host.
+   * One that leaves is not barred here, since its own runs go on there.
+   */
+  public mayBeSent({ listed }: KnownUpstream): boolean {
+    return !this.isEvacuated(listed.availabilityZone);
+  }
+
+  /** Whether a service has upstreams that would take work, all of them in evacuated zones. */
+  public isServiceEvacuated(service: string): boolean {
+    const all = [...this.entries.values()].filter(({ listed }) => listed.service === service);
+    return all.length > 0 && all.every((item) => !this.mayBeSent(item));
+  }
+
   /** Whether an upstream is listed and not known to leave or to be gone. */
   public isLive(upstreamId: string): boolean {
     const entry = this.entries.get(upstreamId);
-    return entry !== undefined && takesWork(entry);
+    return entry !== undefined && this.takesWork(entry);
   }
 
   /** Whether an upstream is known to leave as announced. */
@@ -154,8 +170,9 @@
       avoidUntil: former?.avoidUntil ?? -Infinity,
     };
   }
-}
 
-function takesWork({ isGone, isLeaving, listed }: Entry): boolean {
-  return !isGone && !isLeaving && listed.saysLeaving !== true;
+  private takesWork(entry: Entry): boolean {
+    const { isGone, isLeaving, listed } = entry;
+    return !isGone && !isLeaving && listed.saysLeaving !== true && this.mayBeSent(entry);
+  }
 }
--- a/packages/gateway/src/upstream-picker.ts
+++ b/packages/gateway/src/upstream-picker.ts
@@ -189,7 +189,7 @@
   /** The engine that the leader chose; nothing when this host's list does not have it yet. */
   private resolve(res: procedures.PlaceRes | undefined): PickedUpstream | undefined {
     const placed = res?.placed;
-    const known = placed && this.options.directory.find(placed.engineId);
+    const known = placed && this.findHolder(placed.engineId);
     return (
       known && {
         upstreamId: known.upstreamId,
@@ -202,10 +202,13 @@
     );
   }
 
+  /** An upstream that the leader named; nothing when it is not listed here, or its zone is evacuated. */
   private findHolder(
     upstreamId: string | undefined,
   ): upstreamDirectories.KnownUpstream | undefined {
-    return upstreamId === undefined ? undefined : this.options.directory.find(upstreamId);
+    const { directory } = this.options;
+    const known = upstreamId === undefined ? undefined : directory.find(upstreamId);
+    return known !== undefined && directory.mayBeSent(known) ? known : undefined;
   }
 
   private createNeed(call: callAdmissions.AdmittedCall, excluded: string[]) {
@@ -234,6 +237,7 @@
     const choose = isEngine ? routing.chooseByMemory : routing.chooseByCalls;
     const chosen = choose(candidates, now, this.options.random);
     if (chosen === undefined) {
+      this.noteNoUpstream(call);
       throw this.refuse('noUpstream', call.service.name, RETRY_AFTER_S);
     }
     const { known, upstreamId } = chosen;
@@ -243,6 +247,16 @@
     return { upstreamId, known, share, copyAt: undefined, waitedMs: 0, isAlone: true };
   }
 
+  private noteNoUpstream({ facts, service }: callAdmissions.AdmittedCall): void {
+    const isEvacuated = this.options.directory.isServiceEvacuated(service.name);
+    this.options.log.info({
+      decision: 'no-upstream',
+      request: facts.requestId,
+      service: service.name,
+      reason: isEvacuated ? 'evacuated' : 'none-live',
+    });
+  }
+
   private listCandidates(service: schemas.RoutedService, now: number) {
     return this.options.directory
       .listLive(service.name)
--- /dev/null
+++ b/packages/gateway/tests/evacuation-history.test.ts
@@ -0,0 +1,96 @@
+import * as tap from 'tap';
+import * as xoroshiro from 'pure-rand/generator/xoroshiro128plus';
+
+import * as coreSites from './support/core-site.js';
+
+/** How many drawn schedules are played; more in a long run. */
+const RUNS = Number(process.env.EVACUATION_RUNS ?? 4);
+
+/** The first seed. */
+const SEED = Number(process.env.EVACUATION_SEED ?? 1);
+
+/** Orders and losses in one schedule. */
+const STEPS = 24;
+
+/** How long a host that is back may take before the next one is lost, in milliseconds. */
+const CATCH_UP_MS = 4_000;
+
+const ZONES = ['a', 'b', 'c'] as const;
+
+/** What must be true of zones at any later time: for each, the last order that was acknowledged, unless one is in doubt. */
+class ZoneHistory {
+  private readonly last = new Map<string, boolean>();
+  private readonly inDoubt = new Set<string>();
+
+  public note(zone: string, isEvacuated: boolean, isAcknowledged: boolean): void {
+    if (isAcknowledged) {
+      this.last.set(zone, isEvacuated);
+      this.inDoubt.delete(zone);
+    } else {
+      this.inDoubt.add(zone);
+    }
+  }
+
+  public findFault(zones: readonly string[]): string | undefined {
+    return ZONES.filter((zone) => !this.inDoubt.has(zone)).find(
+      (zone) => zones.includes(zone) !== (this.last.get(zone) ?? false),
+    );
+  }
+}
+
+async function playSchedule(seed: number): Promise<string | undefined> {
+  const rng = xoroshiro.xoroshiro128plus(seed);
+  const draw = (count: number) => (rng.next() >>> 0) % count;
+  const site = new coreSites.CoreSite(seed, 1);
+  await site.start(['a', 'b', 'c', 'd']);
+  const history = new ZoneHistory();
+  const revisions = new Map<string, number>();
+  let fault: string | undefined;
+  for (let step = 0; step < STEPS && fault === undefined; step += 1) {
+    const kind = draw(4);
+    if (kind === 0) {
+      const victim = site.listUp()[draw(site.listUp().length)]!;
+      const isWiped = draw(2) === 0;
+      site.kill(victim);
+      await site.clock.advance(1_000 + draw(1_500));
+      site.restart(victim, isWiped);
+      revisions.delete(victim);
+      await site.clock.advance(CATCH_UP_MS);
+    } else if (kind === 1) {
+      await site.declare();
+    } else {
+      const zone = ZONES[draw(ZONES.length)]!;
+      const isEvacuated = draw(2) === 0;
+      const leader = site.findLeader();
+      const isLeaderLost = leader !== undefined && draw(4) === 0;
+      const ordered = site.evacuate(zone, isEvacuated);
+      if (isLeaderLost) {
+        site.kill(leader);
+      }
+      history.note(zone, isEvacuated, await ordered);
+      if (isLeaderLost) {
+        site.restart(leader);
+        revisions.delete(leader);
+        await site.clock.advance(CATCH_UP_MS);
+      }
+    }
+    const zones = await site.readZones();
+    const wrong = zones === undefined ? 'unreadable' : history.findFault(zones);
+    fault = wrong === undefined ? undefined : `step ${step}: zone ${wrong}, read ${String(zones)}`;
+    for (const [coreId, revision] of site.listRevisions()) {
+      if (revision < (revisions.get(coreId) ?? 0)) {
+        fault = `step ${step}: ${coreId} went back to ${revision}`;
+      }
+      revisions.set(coreId, revision);
+    }
+  }
+  site.stop();
+  return fault;
+}
+
+// Guards against an acknowledged order that is lost, undone or seen to go back while hosts, disks and leaders are lost.
+void tap.default.test('orders on zones hold through losses, among documents', async (t) => {
+  for (let seed = SEED; seed < SEED + RUNS; seed += 1) {
+    t.equal(await playSchedule(seed), undefined, `seed ${seed}`);
+  }
+});
--- /dev/null
+++ b/packages/gateway/tests/evacuations.test.ts
@@ -0,0 +1,216 @@
+import type * as http from 'node:http';
+
+import * as schemas from '@bramleyridge/schemas';
+import * as tap from 'tap';
+
+import * as evacuationDesks from '../src/evacuation-desk.js';
+import * as sites from './support/small-site.js';
+
+class Upstreams {
+  /** The upstreams that calls reached, in order. */
+  public readonly reached: string[] = [];
+  public readonly addresses = new Map<string, string>();
+
+  public constructor(private readonly site: sites.SmallSite) {}
+
+  public async add(name: string, service: string, zone: string): Promise<void> {
+    const answer = (req: http.IncomingMessage, res: http.ServerResponse) => {
+      this.reached.push(name);
+      res.writeHead(200, { 'call-id': req.headers['call-id'] });
+      if (req.url!.startsWith('/drafts')) {
+        // The draft goes on until its engine ends.
+        res.write('id: 1\ndata: x\n\n');
+        return;
+      }
+      res.end(req.url!.startsWith('/checks') ? 'id: 1\ndata: x\n\n' : 'ok');
+    };
+    this.addresses.set(name, await this.site.addUpstream(name, service, answer, zone));
+  }
+
+  public clear(): void {
+    this.reached.length = 0;
+  }
+}
+
+async function createSite(t: tap.Test) {
+  const site = new sites.SmallSite(t);
+  await site.start(3);
+  const upstreams = new Upstreams(site);
+  for (const zone of ['a', 'b']) {
+    await upstreams.add(`app-${zone}`, 'app', zone);
+    await upstreams.add(`engine-${zone}`, 'engines', zone);
+  }
+  await site.declare({});
+  await waitLive(site, 4);
+  return { site, upstreams };
+}
+
+async function waitLive(site: sites.SmallSite, count: number): Promise<void> {
+  await site.until('in force', () => {
+    const hosts = [site.entry, ...site.others.map(({ host }) => host)];
+    return hosts.every((host) => host.isReady() && host.directory.countLive() === count);
+  });
+}
+
+async function callAll(site: sites.SmallSite): Promise<number[]> {
+  const statuses: number[] = [];
+  for (let i = 0; i < 6; i += 1) {
+    for (const target of ['/plain/x', '/once/x', '/checks/x']) {
+      const headers = { 'call-id': `c${i}${target}`, tokens: '40' };
+      const res = await site.call(target, headers);
+      statuses.push(res.status);
+    }
+  }
+  return [...new Set(statuses)];
+}
+
+// Guards against calls of any kind that reach a zone after its evacuation is in force.
+void tap.default.test('an evacuated zone gets no calls until it is taken back', async (t) => {
+  const { site, upstreams } = await createSite(t);
+  await site.evacuate('a', true);
+  await waitLive(site, 2);
+  upstreams.clear();
+  t.same(await callAll(site), [200]);
+  t.same([...new Set(upstreams.reached)].sort(), ['app-b', 'engine-b']);
+
+  await t.test('a resend at another host changes nothing', async (t2) => {
+    await site.evacuate('a', true, '127.0.1.2');
+    t2.equal(site.entry.directory.countLive(), 2);
+  });
+
+  await site.evacuate('a', false, '127.0.1.3');
+  await waitLive(site, 4);
+  upstreams.clear();
+  t.same(await callAll(site), [200]);
+  t.ok(upstreams.reached.includes('app-a'), 'it takes calls again');
+});
+
+// Guards against an evacuation that is forgotten with the memory of all hosts.
+void tap.default.test('an evacuation outlives a loss of power of all hosts', async (t) => {
+  const { site, upstreams } = await createSite(t);
+  await site.evacuate('b', true);
+  await site.losePower();
+  await waitLive(site, 2);
+  upstreams.clear();
+  t.same(await callAll(site), [200]);
+  t.same([...new Set(upstreams.reached)].sort(), ['app-a', 'engine-a']);
+  const line = site.lines.find(({ event }) => event === 'evacuations-in-force');
+  t.match(line, { zones: ['b'] });
+});
+
+// Guards against a draft that goes on at a copy in an evacuated zone.
+void tap.default.test('a draft does not go on at a copy in an evacuated zone', async (t) => {
+  const { site, upstreams } = await createSite(t);
+  const ended = site.call('/drafts/x', { tokens: '400' }, 'write').then(
+    () => 'complete',
+    () => 'broken',
+  );
+  await site.until('begun', () => upstreams.reached.length === 1);
+  const [runner] = upstreams.reached;
+  const copyZone = runner === 'engine-a' ? 'b' : 'a';
+  t.match(
+    site.lines.find(({ decision }) => decision === 'route'),
+    { copyAt: `engine-${copyZone}` },
+    'its copy is in the other zone',
+  );
+  await site.evacuate(copyZone, true);
+  await waitLive(site, 2);
+  site.closeUpstream(upstreams.addresses.get(runner!)!);
+  t.equal(await ended, 'broken');
+  t.same(upstreams.reached, [runner]);
+});
+
+// Guards against calls that are held, or sent, while all zones of their service are evacuated.
+void tap.default.test('with all zones evacuated calls are refused at once', async (t) => {
+  const { site, upstreams } = await createSite(t);
+  await site.evacuate('a', true);
+  await site.evacuate('b', true);
+  await waitLive(site, 0);
+  upstreams.clear();
+  for (const target of ['/plain/x', '/once/x', '/checks/x']) {
+    const res = await site.call(target, { tokens: '40' });
+    t.equal(res.status, 503, target);
+    t.ok(Number(res.headers['retry-after']) > 0);
+  }
+  t.same(upstreams.reached, []);
+  t.ok(
+    site.lines.some(({ decision, reason }) => decision === 'no-upstream' && reason === 'evacuated'),
+  );
+});
+
+void tap.default.test('an order on a zone that is not there is refused', async (t) => {
+  const desk = new evacuationDesks.EvacuationDesk({
+    group: {} as never,
+    leader: {} as never,
+    listZones: () => ['a', 'b'],
+    clock: new schemas.VirtualClock(),
+    log: new schemas.SilentLog(),
+  });
+  const { signal } = new AbortController();
+  await t.rejects(desk.order('c', true, signal), { options: { status: 404 } } as never);
+});
+
+function createRacingDesk(results: ('changed' | 'stale')[]) {
+  const clock = new schemas.VirtualClock();
+  const state = { zones: [] as string[], revision: 4, proposed: 0 };
+  const leader = {
+    ask: async (
+      _here: unknown,
+      there: (api: unknown, options: unknown) => Promise<unknown>,
+      _ms: number,
+      signal: AbortSignal,
+    ) => {
+      signal.throwIfAborted();
+      return there(
+        {
+          readEvacuations: { mutate: async () => Promise.resolve({ ...state }) },
+          evacuate: {
+            mutate: async () => {
+              state.proposed += 1;
+              const result = results.shift() ?? 'stale';
+              state.revision += 1;
+              state.zones = result === 'changed' ? ['a'] : state.zones;
+              await clock.sleep(300);
+              return result;
+            },
+          },
+        },
+        {},
+      );
+    },
+  };
+  const desk = new evacuationDesks.EvacuationDesk({
+    group: {} as never,
+    leader: leader as never,
+    listZones: () => undefined,
+    clock,
+    log: new schemas.SilentLog(),
+  });
+  return { clock, desk, state };
+}
+
+// Guards against an acknowledged order that another operator's order kept out of the log.
+void tap.default.test('an order that lost a race is given anew, or refused in time', async (t) => {
+  const { signal } = new AbortController();
+  const won = createRacingDesk(['stale', 'changed']);
+  const ordered = won.desk.order('a', true, signal);
+  await won.clock.advance(1_000);
+  t.match(await ordered, { zones: ['a'] });
+  t.equal(won.state.proposed, 2);
+
+  const lost = createRacingDesk([]);
+  const refused = t.rejects(lost.desk.order('a', true, signal), {
+    options: { status: 503 },
+  } as never);
+  await lost.clock.advance(3_000);
+  await refused;
+});
+
+// Guards against an order that a frozen host carries out after its operator withdrew it elsewhere.
+void tap.default.test('an order whose operator has left is not carried out', async (t) => {
+  const { desk, state } = createRacingDesk(['changed']);
+  const gone = new AbortController();
+  gone.abort(new Error('left'));
+  await t.rejects(desk.order('a', true, gone.signal));
+  t.equal(state.proposed, 0);
+});
--- a/packages/gateway/tests/pool-desk.test.ts
+++ b/packages/gateway/tests/pool-desk.test.ts
@@ -38,11 +38,15 @@
   const state = {
     list: undefined as readonly schemas.ListedUpstream[] | undefined,
     services: sites.createConfig(1).services,
+    evacuated: [] as string[],
+    revision: 0,
   };
   const desk = new poolDesks.PoolDesk({
     clock,
     findService: (name) => state.services.find((service) => service.name === name),
     findUpstreams: () => state.list,
+    isEvacuated: (zone) => state.evacuated.includes(zone),
+    getEvacuationRevision: () => state.revision,
     retryPot: { most: 1, mostAtFirst: 1, windowMs: 1_000 },
   });
   return { desk, state };
@@ -72,3 +76,35 @@
   state.services = [];
   t.match(await desk.place(createReq()), { placed: undefined, isUnknown: true });
 });
+
+// Guards against new work on engines of an evacuated zone, and against runs there being moved away.
+void tap.default.test(
+  'engines of an evacuated zone get no new work and keep their runs',
+  async (t) => {
+    const clock = new schemas.VirtualClock();
+    const { desk, state } = createDesk(clock);
+    state.list = [ENGINE, { ...ENGINE, upstreamId: 'e-2', availabilityZone: 'b' }];
+    t.match(await desk.place(createReq()), { placed: { engineId: 'e-1' } }, 'the near one');
+    state.evacuated = ['a'];
+    state.revision = 1;
+    t.match(await desk.place(createReq()), { placed: { engineId: 'e-2' } });
+    const run = { callId: 'c1', engineId: 'e-1', excluded: [], service: 'engines' };
+    const offered = desk.awaitHandOver({ ...run, patienceMs: 500 });
+    await clock.advance(600);
+    t.same(await offered, { takerId: undefined }, 'a run there is not handed over');
+    state.evacuated = [];
+    state.revision = 2;
+    t.match(await desk.place(createReq()), { placed: { engineId: 'e-1' } }, 'until it ends');
+  },
+);
+
+// Guards against calls that wait for room which cannot come.
+void tap.default.test('a pool in evacuated zones only refuses at once', async (t) => {
+  const { desk, state } = createDesk(new schemas.VirtualClock());
+  state.list = [ENGINE];
+  state.evacuated = ['a'];
+  state.revision = 1;
+  const res = await desk.place({ ...createReq(), patienceMs: 700 });
+  t.match(res, { placed: undefined, waitedMs: 0 });
+  t.not(res.isUnknown, true);
+});
--- a/packages/gateway/tests/support/core-site.ts
+++ b/packages/gateway/tests/support/core-site.ts
@@ -177,6 +177,35 @@
     return result ?? false;
   }
 
+  /** Orders a zone to be evacuated or taken back; gives back whether it was acknowledged in time. */
+  public async evacuate(availabilityZone: string, isEvacuated: boolean): Promise<boolean> {
+    const result = await this.ask(async (group) => {
+      const expectedRevision = group.evacuations.get().revision;
+      const entry = { evacuation: { availabilityZone, isEvacuated, expectedRevision } };
+      await group.getLeadership().barrier();
+      const { result: outcome } = await group.getLeadership().propose(entry);
+      if (outcome === 'stale') {
+        throw new Error('stale');
+      }
+      return true;
+    });
+    return result ?? false;
+  }
+
+  /** Reads the evacuated zones back; nothing where nobody can tell. */
+  public readZones(): Promise<readonly string[] | undefined> {
+    return this.ask(async (group) => {
+      await group.getLeadership().barrier();
+      return group.evacuations.get().zones;
+    });
+  }
+
+  /** The revision of evacuated zones at every host that runs. */
+  public listRevisions(): ReadonlyMap<string, number> {
+    const up = [...this.hosts.values()].filter((host) => host.isUp);
+    return new Map(up.map((host) => [host.coreId, host.group.evacuations.get().revision]));
+  }
+
   /** Reads the version in force back; nothing where nobody can tell. */
   public read(): Promise<number | undefined> {
     return this.ask(async (group) => {
--- a/packages/gateway/tests/support/small-site.ts
+++ b/packages/gateway/tests/support/small-site.ts
@@ -132,6 +132,17 @@
     return slots.find(({ host }) => host !== undefined)!.host!.desk;
   }
 
+  /** Orders a zone to be evacuated, or taken back, at a core host that runs or at a certain one. */
+  public async evacuate(zone: string, isEvacuated: boolean, ip?: string): Promise<void> {
+    const slots = ip === undefined ? [...this.cores.values()] : [this.cores.get(ip)!];
+    const signal = new AbortController().signal;
+    await this.until('acknowledged', async () => {
+      const { host } = slots.find((slot) => slot.host !== undefined)!;
+      await host!.evacuations.order(zone, isEvacuated, signal);
+      return true;
+    });
+  }
+
   /** Declares routes under the next version, until it is acknowledged. */
   public async declare(change: Partial<schemas.RoutedConfig>): Promise<number> {
     this.version += 1;
@@ -161,13 +172,18 @@
   }
 
   /** Starts an upstream and lists it. */
-  public async addUpstream(upstreamId: string, service: string, answer: Answer): Promise<string> {
+  public async addUpstream(
+    upstreamId: string,
+    service: string,
+    answer: Answer,
+    availabilityZone = 'a',
+  ): Promise<string> {
     const address = await this.listen(0, answer);
     this.list.upstreams.push({
       upstreamId,
       service,
       address,
-      availabilityZone: 'a',
+      availabilityZone,
       isLeaving: false,
       slots: 4,
       coldMs: 0,
@@ -262,6 +278,7 @@
     return {
       hostId: ip,
       availabilityZone: 'a',
+      regions: { a: 'north', b: 'north' },
       ipAddress: ip,
       peerPort: this.peerPort,
       seeds: ['127.0.1.1:1', '127.0.1.2:1', '127.0.1.3:1'],
--- a/packages/intents/src/index.ts
+++ b/packages/intents/src/index.ts
@@ -5,3 +5,4 @@
 export * from './plan-life.js';
 export * from './check-routed-config.js';
 export * from './declared-state.js';
+export * from './evacuation-state.js';
--- a/packages/routing/src/engine-ledger.ts
+++ b/packages/routing/src/engine-ledger.ts
@@ -145,10 +145,16 @@
     return this.engines.has(engineId);
   }
 
-  /** Whether an engine that stays keeps a copy of a run. */
+  /** Whether there is an engine at all that takes new work. */
+  public hasOpenEngine(): boolean {
+    return [...this.engines.values()].some(({ engine }) => engine.isClosed !== true);
+  }
+
+  /** Whether an engine that stays and takes new work keeps a copy of a run. */
   public hasCopy(callId: string): boolean {
     const copyAt = this.runs.find(callId)?.copyAt;
-    return copyAt !== undefined && this.isListed(copyAt);
+    const holder = copyAt === undefined ? undefined : this.engines.get(copyAt);
+    return holder !== undefined && holder.engine.isClosed !== true;
   }
 
   /** Notes which engine has a copy of a run, or that none has. */
@@ -172,8 +178,10 @@
     let total = 0;
     let held = 0;
     for (const { engine, holdings } of this.engines.values()) {
-      total += engine.memoryTokens;
-      held += holdings.getHeld(now, placeLimits.HORIZON_MS);
+      if (engine.isClosed !== true) {
+        total += engine.memoryTokens;
+        held += holdings.getHeld(now, placeLimits.HORIZON_MS);
+      }
     }
     return { running: this.runs.size, share: total === 0 ? 1 : held / total };
   }
@@ -191,15 +199,16 @@
     let best: engineStates.EngineState | undefined;
     let bestScore = Infinity;
     for (const state of this.engines.values()) {
-      const { engineId, memoryTokens, slots } = state.engine;
+      const { engineId, isClosed, memoryTokens, slots } = state.engine;
       const share = (state.holdings.getHeld(now, horizonMs) + size) / memoryTokens;
       const { running } = state.holdings;
       const backlogMs = state.backlog.getMs(now);
-      const hasRoom = share <= placeLimits.PLACE_LIMIT && running < slots;
+      const isOpen = isClosed !== true && !need.excluded.includes(engineId);
+      const hasRoom = isOpen && share <= placeLimits.PLACE_LIMIT && running < slots;
       const isInTime = !mayWait || backlogMs <= BACKLOG_LIMIT_MS;
       const penalty = state.getFailureWeight(now) + zoneWeights.getFarWeight(state.engine, need);
       const score = share + penalty + running * RUN_WEIGHT + backlogMs / BACKLOG_SCALE_MS;
-      if (hasRoom && isInTime && score < bestScore && !need.excluded.includes(engineId)) {
+      if (hasRoom && isInTime && score < bestScore) {
         best = state;
         bestScore = score;
       }
--- a/packages/routing/src/holder-choice.ts
+++ b/packages/routing/src/holder-choice.ts
@@ -79,7 +79,8 @@
     for (const { engine, holdings } of this.listEngines()) {
       const { engineId, memoryTokens } = engine;
       const share = (holdings.getHeld(now, HORIZON_MS) + size) / memoryTokens;
-      const isBarred = engineId === run.engineId || excluded.includes(engineId);
+      const isBarred =
+        engine.isClosed === true || engineId === run.engineId || excluded.includes(engineId);
       if (share <= limit && !isBarred) {
         const score = share + zoneWeights.getFarWeight(engine, run.need) + getPenalty(engine);
         best = score < bestScore ? engineId : best;
--- a/packages/routing/src/place-need.ts
+++ b/packages/routing/src/place-need.ts
@@ -6,6 +6,8 @@
   readonly memoryTokens: number;
   readonly slots: number;
   readonly availabilityZone: string;
+  /** Set where nothing new may be sent; what runs there goes on to its end. */
+  readonly isClosed?: boolean;
 }
 
 /** A generation that is to be placed. */
--- a/packages/telemetry/src/metric-catalog.ts
+++ b/packages/telemetry/src/metric-catalog.ts
@@ -90,6 +90,12 @@
     help: 'Upstreams that are listed and take work',
     labels: [],
   },
+  zonesEvacuated: {
+    kind: 'gauge',
+    name: 'zones_evacuated',
+    help: 'Availability zones that get no new work, as this host has it',
+    labels: [],
+  },
   isLeading: { kind: 'gauge', name: 'is_leading', help: 'Whether this host leads', labels: [] },
   term: { kind: 'gauge', name: 'term', help: 'The term of the replicated log', labels: [] },
   seats: {
