--- a/packages/gateway/tests/support/small-site.ts
+++ b/packages/gateway/tests/support/small-site.ts
@@ -135,9 +135,9 @@
   /** Orders a zone to be evacuated, or taken back, at a core host that runs or at a certain one. */
   public async evacuate(zone: string, isEvacuated: boolean, ip?: string): Promise<void> {
     const slots = ip === undefined ? [...this.cores.values()] : [this.cores.get(ip)!];
-    const signal = new AbortController().signal;
+    const { signal } = new AbortController();
     await this.until('acknowledged', async () => {
-      const { host } = slots.find((slot) => slot.host !== undefined)!;
+      const host = slots.map((slot) => slot.host).find((item) => item !== undefined);
       await host!.evacuations.order(zone, isEvacuated, signal);
       return true;
     });
