Have a suspect wait for its leader's leave, up to a second

Cause: a host whose leader did not answer within 60 ms sent the suspect without its leave, and then nobody knew that no other suspect ran there. A pause of 120 ms does not do it, since the leader handles the late question before it hears of the end.

Ruled out: a port that the system hands to the next runner (each end was told as one); the wait for the disk (a suspect's leave is not written).

Change: the host asks again until a second has passed, as long as an election takes; after that it goes alone as before.

--- a/packages/gateway/src/suspect-link.ts
+++ b/packages/gateway/src/suspect-link.ts
@@ -7,6 +7,13 @@
 /** How long the leader may take to answer, in milliseconds: a call waits for it. */
 const ANSWER_MS = 60;
 
+/**
+ * How long a suspect waits for the leave of a leader that does not answer, in milliseconds; an election takes about as
+ * long. Sent without it, the call would not be known to have run apart from other suspects, and need an upstream more
+ * until it is quarantined.
+ */
+const PERMIT_MS = 1_000;
+
 /** The pause before something that the leader did not take is told again, in milliseconds. */
 const AGAIN_MS = 100;
 
@@ -85,6 +92,25 @@
   /** Whether a suspect may be sent to an upstream; nothing where no leader answers that knows what this host knows. */
   public async askPermit(
     req: Omit<procedures.SuspectPermitReq, 'hostId'>,
+  ): Promise<routing.Permit | undefined> {
+    const { clock } = this.options;
+    const end = clock.now() + PERMIT_MS;
+    for (;;) {
+      const permit = await this.askPermitOnce(req);
+      if (permit !== undefined || this.isStopped || clock.now() + AGAIN_MS > end) {
+        return permit;
+      }
+      await clock.sleep(AGAIN_MS);
+    }
+  }
+
+  /** Ends every task. */
+  public stop(): void {
+    this.isStopped = true;
+  }
+
+  private async askPermitOnce(
+    req: Omit<procedures.SuspectPermitReq, 'hostId'>,
   ): Promise<routing.Permit | undefined> {
     const { hostId } = this.options;
     while (this.reports.length > 0) {
@@ -97,11 +123,6 @@
     );
   }
 
-  /** Ends every task. */
-  public stop(): void {
-    this.isStopped = true;
-  }
-
   /** Tells a leader all that is known here. */
   private async inform(term: number): Promise<void> {
     const { hostId } = this.options;
--- a/packages/gateway/tests/crash-guard.test.ts
+++ b/packages/gateway/tests/crash-guard.test.ts
@@ -108,6 +108,14 @@
               return Promise.resolve({ term: 1 });
             },
           },
+          permitSuspect: {
+            mutate: async () => {
+              if (!leader.isUp) {
+                throw new Error('deadline');
+              }
+              return Promise.resolve({ kind: 'go' });
+            },
+          },
           shareSuspects: {
             mutate: async (req: { suspects: unknown[] }) => {
               leader.shared.push(...req.suspects);
@@ -138,6 +146,23 @@
   link.stop();
 });
 
+// Guards against a suspect that is sent without a leave while its leader pauses, and then costs an upstream more.
+void tap.default.test('a suspect waits for a leader that does not answer', async (t) => {
+  const { clock, leader, link } = createLink();
+  const ask = { digest: 'bad', processId: 'p2', mayShare: true };
+  const asked = link.askPermit(ask);
+  await clock.advance(450);
+  leader.isUp = true;
+  await clock.advance(200);
+  t.same(await asked, { kind: 'go' });
+
+  leader.isUp = false;
+  const unanswered = link.askPermit(ask);
+  await clock.advance(1_100);
+  t.equal(await unanswered, undefined, 'but not for ever');
+  link.stop();
+});
+
 void tap.default.test('what a leader has not heard yet stays known here', async (t) => {
   // The leader's word takes the place of what the host knows, also when it was on its way before the host's report.
   const { ledger, link } = createLink();
