Keep cold upstreams to the rate that their service declares

Cause: the rate that a cold upstream bears was not read, and "cold" was a penalty in one chooser. What all hosts send it in one second counts, also those out of touch.

Two ways, weighed by arithmetic for a rate of 31 a second, of which 51 are borne, and played on virtual time with 20, 78 and 350 hosts: (a) the leader deals the rate out; (b) every host keeps an equal share. Generations pass the leader anyway, so they take (a): 18 in 1.2 s where an engine is known to be cold, and never more than 30, since an engine is cold for up to a second before anybody lists it so; in a burst 18 of 18 are used. Plain calls and hosts without a leader take (b) over 40% of the rate; an equal share of 31 among 78 hosts is less than one call, so a hash says which hosts may send one. All together stay under 51 with each number of hosts, also when a new leader has told each host another number. For plain calls (a) would cost a question to the leader for each call; with (b) 3 of a cold upstream's calls or more are used in each second, and no upstream stands idle.

An upstream that was unreachable may come back cold while it is listed as before: it counts as cold for 3 s. A cold time that runs down no longer makes a new list for every host at each reading. Not read: the time in health answers.

--- a/packages/gateway/src/core-host.ts
+++ b/packages/gateway/src/core-host.ts
@@ -110,6 +110,7 @@
       findUpstreams: () => this.lists.getList()?.upstreams,
       isEvacuated: (zone) => this.group.evacuations.has(zone),
       getEvacuationRevision: () => this.group.evacuations.get().revision,
+      coldBounds: settings.bounds,
       retryPot: {
         most: Math.floor(settings.bounds.retrySlack * retryShares.LENT_PART),
         mostAtFirst: Math.floor(settings.bounds.retrySlack * retryShares.LENT_AT_FIRST_PART),
--- a/packages/gateway/src/entry-host.ts
+++ b/packages/gateway/src/entry-host.ts
@@ -2,6 +2,7 @@
 
 import * as intents from '@bramleyridge/intents';
 import * as requests from '@bramleyridge/requests';
+import * as routing from '@bramleyridge/routing';
 import * as schemas from '@bramleyridge/schemas';
 import type * as telemetry from '@bramleyridge/telemetry';
 
@@ -134,6 +135,7 @@
       directory: this.directory,
       pools,
       availabilityZone,
+      coldShare: new routing.ColdShare(settings.hostId, () => this.entryHosts),
       clock,
       log,
       random,
--- a/packages/gateway/src/host-settings.ts
+++ b/packages/gateway/src/host-settings.ts
@@ -19,6 +19,9 @@
   retrySlack: z.number().min(0),
   /** The length of that window, in milliseconds. */
   retryWindowMs: z.number().positive(),
+  /** How many times its declared rate a cold upstream bears, and how many calls in a second beyond that. */
+  coldOverage: z.number().min(1).default(1),
+  coldSlack: z.number().min(0).default(0),
 });
 
 /** The settings of one host for routed traffic. */
--- a/packages/gateway/src/list-desk.ts
+++ b/packages/gateway/src/list-desk.ts
@@ -33,6 +33,14 @@
 /** How often a host that does not lead looks whether it does, in milliseconds; a new leader knows no upstreams. */
 const IDLE_PAUSE_MS = 20;
 
+/** By how much two readings of one cold time may differ, in milliseconds. */
+const COLD_TOLERANCE_MS = 500;
+
+interface ColdTime {
+  readonly coldMs: number;
+  readonly endsAt: number;
+}
+
 /** What the desk needs. */
 export interface ListDeskOptions {
   readonly source: ports.UpstreamSource;
@@ -56,6 +64,7 @@
   private packed: Uint8Array | undefined;
   private isGathering = false;
   private readAt = -Infinity;
+  private coldTimes = new Map<string, ColdTime>();
   /** When the platform's list was read from which the one in force was made. */
   private inForceReadAt = -Infinity;
 
@@ -116,10 +125,30 @@
 
   private take({ upstreams }: procedures.UpstreamList): void {
     this.readAt = this.options.clock.now();
-    this.listed = upstreams;
+    this.listed = this.keepColdTimes(upstreams);
     this.renewSoon();
   }
 
+  /**
+   * An upstream that is cold tells less time at each reading. While it says what it said before, what was read first
+   * stays: with each change the whole list would go to every host.
+   */
+  private keepColdTimes(upstreams: readonly schemas.ListedUpstream[]): schemas.ListedUpstream[] {
+    const now = this.options.clock.now();
+    const former = this.coldTimes;
+    this.coldTimes = new Map();
+    return upstreams.map((item) => {
+      if (item.coldMs === 0) {
+        return item;
+      }
+      const known = former.get(item.upstreamId);
+      const isSame = known !== undefined && now + item.coldMs < known.endsAt + COLD_TOLERANCE_MS;
+      const time = isSame ? known : { coldMs: item.coldMs, endsAt: now + item.coldMs };
+      this.coldTimes.set(item.upstreamId, time);
+      return { ...item, coldMs: time.coldMs };
+    });
+  }
+
   private renewSoon(): void {
     if (!this.isGathering) {
       this.isGathering = true;
--- a/packages/gateway/src/pool-desk.ts
+++ b/packages/gateway/src/pool-desk.ts
@@ -7,6 +7,9 @@
 /** How often generations that wait are looked at again, in milliseconds; an engine reads 70 tokens meanwhile. */
 const RETRY_MS = 20;
 
+/** The part of what an engine bears while it is cold that the leader gives out. */
+const COLD_PART = 0.6;
+
 /** Where the desk learns what it needs. */
 export interface PoolDeskOptions {
   readonly clock: schemas.Clock;
@@ -17,6 +20,8 @@
   /** Whether an availability zone is to get no new work; the revision changes with every zone that does. */
   readonly isEvacuated: (availabilityZone: string) => boolean;
   readonly getEvacuationRevision: () => number;
+  /** How many times its declared rate a cold upstream bears, and how many calls in a second beyond that. */
+  readonly coldBounds: { readonly coldOverage: number; readonly coldSlack: number };
   /** How many retries at one service may be lent. */
   readonly retryPot: requests.RetryPotBounds;
 }
@@ -149,8 +154,16 @@
     this.pools.clear();
   }
 
+  /** What this leader gives out; hosts that choose alone have the rest. */
+  private getSendLimits(callsPerS: number): routing.LedgerEngine['sendsPerS'] {
+    const { coldOverage, coldSlack } = this.options.coldBounds;
+    const cold = Math.max(1, Math.floor(callsPerS * COLD_PART));
+    const bearable = callsPerS * coldOverage + coldSlack;
+    return { cold, most: Math.max(cold, Math.floor(bearable * COLD_PART)) };
+  }
+
   private findPool(service: string): Pool | undefined {
-    const engine = this.options.findService(service)?.engine;
+    const { cold, engine } = this.options.findService(service) ?? {};
     if (engine === undefined) {
       return undefined;
     }
@@ -162,6 +175,8 @@
     if (listed !== undefined && !isSame) {
       pool.listed = listed;
       pool.evacuationRevision = evacuationRevision;
+      const now = this.options.clock.now();
+      const sendsPerS = cold && this.getSendLimits(cold.callsPerS);
       pool.ledger.setEngines(
         listed
           .filter((item) => item.service === service && !item.isLeaving && !item.saysLeaving)
@@ -171,6 +186,8 @@
             memoryTokens: engine.memoryTokens,
             slots: engine.slots,
             availabilityZone: item.availabilityZone,
+            sendsPerS,
+            coldUntil: now + item.coldMs,
             isClosed: this.options.isEvacuated(item.availabilityZone),
           })),
       );
--- a/packages/gateway/src/upstream-directory.ts
+++ b/packages/gateway/src/upstream-directory.ts
@@ -6,17 +6,26 @@
 /** How long an upstream at which nobody listened is passed over, in milliseconds; the list lags by seconds. */
 const UNREACHABLE_MS = 1_000;
 
+/**
+ * How long an upstream that was unreachable may be cold without the list saying so, in milliseconds. It comes back while
+ * it is still listed as it was before.
+ */
+const COLD_UNTOLD_MS = 3_000;
+
 /** An upstream as this host sees it. */
 export interface KnownUpstream {
   readonly upstreamId: string;
   readonly url: string;
   readonly listed: schemas.ListedUpstream;
   readonly load: routing.UpstreamLoad;
-  /** Until when it is still slow after its start, on this host's clock. */
+  /** Until when it is still cold after its start, on this host's clock. */
   readonly coldUntil: number;
+  /** Until when it may be cold without being listed so. */
+  readonly untoldColdUntil: number;
 }
 
 interface Entry extends KnownUpstream {
+  untoldColdUntil: number;
   isLeaving: boolean;
   isGone: boolean;
   avoidUntil: number;
@@ -148,7 +157,9 @@
   public noteUnreachable(upstreamId: string): void {
     const entry = this.entries.get(upstreamId);
     if (entry !== undefined) {
-      entry.avoidUntil = this.clock.now() + UNREACHABLE_MS;
+      const now = this.clock.now();
+      entry.avoidUntil = now + UNREACHABLE_MS;
+      entry.untoldColdUntil = now + UNREACHABLE_MS + COLD_UNTOLD_MS;
     }
   }
 
@@ -164,13 +175,20 @@
       url: `http://${listed.address}`,
       listed,
       load: former?.load ?? new routing.UpstreamLoad(),
-      coldUntil: former?.coldUntil ?? this.clock.now() + listed.coldMs,
+      coldUntil: this.getColdUntil(listed, former),
+      untoldColdUntil: former?.untoldColdUntil ?? -Infinity,
       isLeaving: listed.isLeaving || (former?.isLeaving ?? false),
       isGone: former?.isGone ?? false,
       avoidUntil: former?.avoidUntil ?? -Infinity,
     };
   }
 
+  /** A list that says the same of an upstream as the one before says it of the same time. */
+  private getColdUntil(listed: schemas.ListedUpstream, former: Entry | undefined): number {
+    const isSame = former !== undefined && former.listed.coldMs === listed.coldMs;
+    return isSame ? former.coldUntil : this.clock.now() + listed.coldMs;
+  }
+
   private takesWork(entry: Entry): boolean {
     const { isGone, isLeaving, listed } = entry;
     return !isGone && !isLeaving && listed.saysLeaving !== true && this.mayBeSent(entry);
--- a/packages/gateway/src/upstream-picker.ts
+++ b/packages/gateway/src/upstream-picker.ts
@@ -78,6 +78,7 @@
   readonly directory: upstreamDirectories.UpstreamDirectory;
   readonly pools: GenerationPlacer;
   readonly availabilityZone: string;
+  readonly coldShare: routing.ColdShare;
   readonly clock: schemas.Clock;
   readonly log: schemas.Log;
   readonly random: () => number;
@@ -230,30 +231,50 @@
    */
   private pickAlone(call: callAdmissions.AdmittedCall, tried: ReadonlySet<string>): PickedUpstream {
     const now = this.options.clock.now();
-    const candidates = this.listCandidates(call.service, now).filter(
+    const untried = this.listCandidates(call.service, now).filter(
       (item) => !tried.has(item.upstreamId),
     );
+    const candidates = untried.filter(({ known }) => this.bears(call.service, known, now));
     const isEngine = generationCalls.isGeneration(call);
     const choose = isEngine ? routing.chooseByMemory : routing.chooseByCalls;
     const chosen = choose(candidates, now, this.options.random);
     if (chosen === undefined) {
-      this.noteNoUpstream(call);
+      this.noteNoUpstream(call, untried.length);
       throw this.refuse('noUpstream', call.service.name, RETRY_AFTER_S);
     }
     const { known, upstreamId } = chosen;
+    if (isMaybeCold(known, now)) {
+      this.options.coldShare.note(upstreamId, now);
+    }
     const share = isEngine
       ? routing.getMemoryShare(chosen, now)
       : known.load.getBusy(now) / chosen.slots;
     return { upstreamId, known, share, copyAt: undefined, waitedMs: 0, isAlone: true };
   }
 
-  private noteNoUpstream({ facts, service }: callAdmissions.AdmittedCall): void {
+  /** Whether an upstream bears a call of this host now: a cold one crashes under what all hosts would send. */
+  private bears(
+    { cold }: schemas.RoutedService,
+    known: upstreamDirectories.KnownUpstream,
+    now: number,
+  ): boolean {
+    const { coldShare } = this.options;
+    const { upstreamId } = known;
+    return (
+      cold === undefined ||
+      !isMaybeCold(known, now) ||
+      coldShare.mayTake({ upstreamId, callsPerS: cold.callsPerS }, now)
+    );
+  }
+
+  private noteNoUpstream({ facts, service }: callAdmissions.AdmittedCall, coldCount: number): void {
     const isEvacuated = this.options.directory.isServiceEvacuated(service.name);
+    const reason = coldCount > 0 ? 'cold' : 'none-live';
     this.options.log.info({
       decision: 'no-upstream',
       request: facts.requestId,
       service: service.name,
-      reason: isEvacuated ? 'evacuated' : 'none-live',
+      reason: isEvacuated ? 'evacuated' : reason,
     });
   }
 
@@ -295,3 +316,10 @@
     });
   }
 }
+
+function isMaybeCold(
+  { coldUntil, untoldColdUntil }: upstreamDirectories.KnownUpstream,
+  now: number,
+): boolean {
+  return Math.max(coldUntil, untoldColdUntil) > now;
+}
--- a/packages/gateway/tests/list-desk.test.ts
+++ b/packages/gateway/tests/list-desk.test.ts
@@ -21,7 +21,8 @@
 
 /** A desk over seven engines, which all say that they leave once the test says so; answers come 0 to 6 ms late. */
 function createDesk(clock: schemas.VirtualClock) {
-  const state = { areLeaving: false, dueSince: 0 as number | undefined };
+  const state = { areLeaving: false, dueSince: 0 as number | undefined, coldUntil: 0 };
+  const getColdMs = () => Math.max(0, state.coldUntil - clock.now());
   const engine = {
     slots: 24,
     memoryTokens: 34_000,
@@ -32,7 +33,11 @@
   const desk = new listDesks.ListDesk({
     source: {
       list: async () =>
-        Promise.resolve({ upstreams: ENGINES.map(createListed), calls: 1, unreadable: 0 }),
+        Promise.resolve({
+          upstreams: ENGINES.map((id) => ({ ...createListed(id), coldMs: getColdMs() })),
+          calls: 1,
+          unreadable: 0,
+        }),
     },
     probe: {
       isLeaving: async (address) => {
@@ -81,6 +86,27 @@
   t.equal(procedures.findList(news), undefined);
 });
 
+// Guards against a list to every host at each reading for as long as some upstream is cold.
+void tap.default.test('a cold time that only runs down makes no new list', async (t) => {
+  const clock = new schemas.VirtualClock();
+  const { desk, state } = createDesk(clock);
+  state.coldUntil = 3_000;
+  await clock.advance(400);
+  const stamps = new Set<string>();
+  for (let ms = 0; ms < 2_300; ms += 50) {
+    await clock.advance(50);
+    stamps.add(desk.getList()?.stamp ?? '');
+  }
+  t.equal(stamps.size, 1);
+  t.ok((desk.getList()?.upstreams[0]?.coldMs ?? 0) > 2_600, 'as it was read first');
+  await clock.advance(900);
+  t.equal(desk.getList()?.upstreams[0]?.coldMs, 0, 'until it is over');
+  state.coldUntil = clock.now() + 2_000;
+  await clock.advance(400);
+  t.ok((desk.getList()?.upstreams[0]?.coldMs ?? 0) > 1_500, 'or begins anew');
+  desk.stop();
+});
+
 // Guards against upstreams of minutes ago being handed out by a host that leads again.
 void tap.default.test('a list read in a former leadership is not in force', async (t) => {
   const clock = new schemas.VirtualClock();
--- a/packages/gateway/tests/pool-desk.test.ts
+++ b/packages/gateway/tests/pool-desk.test.ts
@@ -47,6 +47,7 @@
     findUpstreams: () => state.list,
     isEvacuated: (zone) => state.evacuated.includes(zone),
     getEvacuationRevision: () => state.revision,
+    coldBounds: { coldOverage: 1.5, coldSlack: 5 },
     retryPot: { most: 1, mostAtFirst: 1, windowMs: 1_000 },
   });
   return { desk, state };
--- a/packages/gateway/tests/support/small-site.ts
+++ b/packages/gateway/tests/support/small-site.ts
@@ -295,6 +295,8 @@
         retryRatio: 0.2,
         retrySlack: 50,
         retryWindowMs: 10_000,
+        coldOverage: 1.5,
+        coldSlack: 5,
       },
     };
   }
--- a/packages/gateway/tests/upstream-picker.test.ts
+++ b/packages/gateway/tests/upstream-picker.test.ts
@@ -1,4 +1,4 @@
-import type * as routing from '@bramleyridge/routing';
+import * as routing from '@bramleyridge/routing';
 import * as schemas from '@bramleyridge/schemas';
 import * as tap from 'tap';
 
@@ -43,9 +43,8 @@
   }
 }
 
-function createDirectory(clock: schemas.Clock, engineIds: readonly string[]) {
-  const directory = new upstreamDirectories.UpstreamDirectory(clock, new schemas.SilentLog());
-  const upstreams = engineIds.map((upstreamId) => ({
+function createListed(upstreamId: string): schemas.ListedUpstream {
+  return {
     upstreamId,
     service: 'engines',
     address: '127.0.0.1:1',
@@ -53,17 +52,26 @@
     isLeaving: false,
     slots: 4,
     coldMs: 0,
-  }));
-  directory.take({ stamp: 's1', upstreams }, 0);
+  };
+}
+
+function createDirectory(clock: schemas.Clock, engineIds: readonly string[]) {
+  const directory = new upstreamDirectories.UpstreamDirectory(clock, new schemas.SilentLog());
+  directory.take({ stamp: 's1', upstreams: engineIds.map(createListed) }, 0);
   return directory;
 }
 
 /** A host whose list has one engine. */
-function createPicker(clock: schemas.Clock, pools: upstreamPickers.GenerationPlacer) {
+function createPicker(
+  clock: schemas.Clock,
+  pools: upstreamPickers.GenerationPlacer,
+  directory = createDirectory(clock, ['e-1']),
+) {
   return new upstreamPickers.UpstreamPicker({
-    directory: createDirectory(clock, ['e-1']),
+    directory,
     pools,
     availabilityZone: 'a',
+    coldShare: new routing.ColdShare('host', () => 16),
     clock,
     log: new schemas.SilentLog(),
     random: () => 0,
@@ -91,6 +99,17 @@
   };
 }
 
+function createPlainCall(cold: schemas.RoutedService['cold']): callAdmissions.AdmittedCall {
+  const config = sites.createConfig(1);
+  const { facts, ...call } = createCall();
+  return {
+    ...call,
+    facts: { ...facts, generation: undefined },
+    route: config.routes[0]!,
+    service: { ...config.services[0]!, cold },
+  };
+}
+
 void tap.default.test(
   'a generation placed on an engine not listed here goes elsewhere',
   async (t) => {
@@ -130,6 +149,32 @@
   t.same(placer.entered, ['c1']);
 });
 
+// Guards against a cold upstream that crashes under the calls of all hosts, and against calls held until it is warm.
+void tap.default.test('a cold upstream gets no more than this host’s share', async (t) => {
+  const clock = new schemas.VirtualClock();
+  const directory = new upstreamDirectories.UpstreamDirectory(clock, new schemas.SilentLog());
+  const cold = { ...createListed('app-1'), service: 'app', coldMs: 2_000 };
+  directory.take({ stamp: 's1', upstreams: [cold] }, 0);
+  const picker = createPicker(clock, new FixedPlacer(undefined), directory);
+  const call = createPlainCall({ lastsMs: 2_000, callsPerS: 40 });
+  t.equal((await picker.pick(call, new Set())).upstreamId, 'app-1', 'one call of 40 x 0.4 / 16');
+  await t.rejects(picker.pick(call, new Set()), { id: 'noUpstream' } as never);
+  directory.take(
+    { stamp: 's2', upstreams: [cold, { ...cold, upstreamId: 'app-2', coldMs: 0 }] },
+    0,
+  );
+  t.equal((await picker.pick(call, new Set())).upstreamId, 'app-2', 'a warm one takes the rest');
+  directory.take({ stamp: 's3', upstreams: [cold] }, 0);
+  await clock.advance(2_100);
+  for (let i = 0; i < 5; i += 1) {
+    t.equal((await picker.pick(call, new Set())).upstreamId, 'app-1', 'as many as come when warm');
+  }
+  directory.noteUnreachable('app-1');
+  await clock.advance(1_100);
+  await picker.pick(call, new Set());
+  await t.rejects(picker.pick(call, new Set()), { id: 'noUpstream' } as never);
+});
+
 void tap.default.test('a taker that is not listed here yet is given back', async (t) => {
   // The leader has the run handed over to an engine that it has just read of. This host does not know it and cannot have
   // the memory copied there. Unless it says so, the run counts as copied and is lost with its engine.
--- a/packages/routing/src/engine-ledger.ts
+++ b/packages/routing/src/engine-ledger.ts
@@ -81,6 +81,7 @@
       copyAt: undefined,
       zone: state?.engine.availabilityZone,
     });
+    state?.noteSend(now);
     if (state !== undefined && need.fixedEngineId === undefined) {
       state.backlog.add(need.callId, need.promptTokens, now);
     }
@@ -203,7 +204,7 @@
       const share = (state.holdings.getHeld(now, horizonMs) + size) / memoryTokens;
       const { running } = state.holdings;
       const backlogMs = state.backlog.getMs(now);
-      const isOpen = isClosed !== true && !need.excluded.includes(engineId);
+      const isOpen = isClosed !== true && !need.excluded.includes(engineId) && state.bearsSend(now);
       const hasRoom = isOpen && share <= placeLimits.PLACE_LIMIT && running < slots;
       const isInTime = !mayWait || backlogMs <= BACKLOG_LIMIT_MS;
       const penalty = state.getFailureWeight(now) + zoneWeights.getFarWeight(state.engine, need);
--- a/packages/routing/src/engine-state.ts
+++ b/packages/routing/src/engine-state.ts
@@ -1,6 +1,7 @@
 import type * as engineHoldings from './engine-holdings.js';
 import type * as placeNeeds from './place-need.js';
 import * as promptBacklogs from './prompt-backlog.js';
+import * as recentSends from './recent-sends.js';
 
 /** How much a failure weighs as a share of memory, and after which time half of that, in milliseconds. */
 const FAILURE_WEIGHT = 0.4;
@@ -10,6 +11,7 @@
 export class EngineState {
   /** Prompts that it has still to read. */
   public readonly backlog: promptBacklogs.PromptBacklog;
+  private readonly sends: recentSends.RecentSends;
   private failures: number;
   private failedAt: number;
 
@@ -22,10 +24,25 @@
     former: EngineState | undefined,
   ) {
     this.backlog = former?.backlog ?? new promptBacklogs.PromptBacklog(speed);
+    this.sends = former?.sends ?? new recentSends.RecentSends();
     this.failures = former?.failures ?? 0;
     this.failedAt = former?.failedAt ?? 0;
   }
 
+  /** Notes that a generation is sent there. */
+  public noteSend(now: number): void {
+    this.sends.note(now);
+  }
+
+  /** Whether it bears one more new generation now. An engine may be cold before anybody knows, so there is always a limit. */
+  public bearsSend(now: number): boolean {
+    const { coldUntil = -Infinity, sendsPerS } = this.engine;
+    if (sendsPerS === undefined) {
+      return true;
+    }
+    return this.sends.count(now) < (now < coldUntil ? sendsPerS.cold : sendsPerS.most);
+  }
+
   /** Notes a generation that it broke off. */
   public noteFailure(now: number): void {
     this.failures = this.getFailures(now) + 1;
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,4 +1,5 @@
 /** Room, queue, choice of upstream and fairness: the decision logic. */
+export * from './cold-share.js';
 export * from './crash-ledger.js';
 export * from './engine-holdings.js';
 export * from './engine-ledger.js';
@@ -18,6 +19,7 @@
 export * from './prefix-affinity.js';
 export * from './prompt-backlog.js';
 export * from './quarantine-state.js';
+export * from './recent-sends.js';
 export * from './route-table.js';
 export * from './run-account.js';
 export * from './slow-upstreams.js';
--- a/packages/routing/src/place-need.ts
+++ b/packages/routing/src/place-need.ts
@@ -6,6 +6,10 @@
   readonly memoryTokens: number;
   readonly slots: number;
   readonly availabilityZone: string;
+  /** The new generations a second that it bears at any time, and while it is cold; without limits where it is not told. */
+  readonly sendsPerS?: { readonly most: number; readonly cold: number } | undefined;
+  /** Until when it is known to be cold. */
+  readonly coldUntil?: number;
   /** Set where nothing new may be sent; what runs there goes on to its end. */
   readonly isClosed?: boolean;
 }
