Keep calls in the regions of their route and team

Cause: a document may bind routes and teams to regions; that was not read, so with several regions a call could have run anywhere.

Change: where both name regions both bind. The directory's last check before a send knows the regions of the call, the leader is told which engines are barred for it, and copies and takers elsewhere are not used. Tests on sockets: routes, teams, both, neither left.

--- a/packages/gateway/src/call-admission.ts
+++ b/packages/gateway/src/call-admission.ts
@@ -15,6 +15,8 @@
   readonly route: schemas.Route;
   readonly service: schemas.RoutedService;
   readonly team: schemas.KeyedTeam | undefined;
+  /** The regions whose upstreams may run it; nothing where all may. */
+  readonly regions: ReadonlySet<string> | undefined;
   readonly method: string;
   readonly path: string;
   readonly limits: schemas.CallerLimits;
@@ -57,7 +59,8 @@
     const waitMs = Math.min(facts.patienceMs ?? Infinity, route.timeoutMs);
     const endsAt = arrivedAt + waitMs;
     const method = req.method ?? 'GET';
-    return { facts, route, service, team, method, path, limits, arrivedAt, endsAt };
+    const regions = intersect(route.regions, team?.regions);
+    return { facts, route, service, team, regions, method, path, limits, arrivedAt, endsAt };
   }
 
   private findRoute(
@@ -86,6 +89,18 @@
   }
 }
 
+/** Where route and team both name regions, both bind. */
+function intersect(
+  one: readonly string[] | undefined,
+  other: readonly string[] | undefined,
+): ReadonlySet<string> | undefined {
+  if (one === undefined || other === undefined) {
+    const named = one ?? other;
+    return named && new Set(named);
+  }
+  return new Set(one.filter((region) => other.includes(region)));
+}
+
 function checkHeaderSize(req: http.IncomingMessage, limits: schemas.CallerLimits): void {
   const size = req.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
   if (size > limits.headerBytes) {
--- a/packages/gateway/src/crash-guard.ts
+++ b/packages/gateway/src/crash-guard.ts
@@ -96,7 +96,7 @@
     }
     const { directory } = this.options;
     const at = directory
-      .listLive(job.call.service.name)
+      .listLive(job.call.service.name, job.call.regions)
       .find((other) => getProcessId(other) === permit.processId);
     // Its list may lack the one yet, or no longer have it. Then the next best is to keep it where it was picked to go.
     return at === undefined ? { kind: 'go' } : { kind: 'there', at };
--- a/packages/gateway/src/entry-host.ts
+++ b/packages/gateway/src/entry-host.ts
@@ -95,8 +95,11 @@
     const settings = options.settings.get();
     const { availabilityZone } = settings;
     this.store = new routedStores.RoutedStore(codec, log);
-    this.directory = new upstreamDirectories.UpstreamDirectory(clock, log, (zone) =>
-      this.evacuations.has(zone),
+    this.directory = new upstreamDirectories.UpstreamDirectory(
+      clock,
+      log,
+      (zone) => this.evacuations.has(zone),
+      (zone) => options.settings.get().regions?.[zone],
     );
     this.client = new requests.UpstreamClient({
       connectMs: CONNECT_MS,
--- a/packages/gateway/src/routed-attempts.ts
+++ b/packages/gateway/src/routed-attempts.ts
@@ -120,7 +120,7 @@
   ): Promise<requests.UpstreamAnswer> {
     const { client, clock, directory, wire } = this.options;
     const { call, body, abort } = job;
-    if (!directory.mayBeSent(leg.picked.known)) {
+    if (!directory.mayBeSent(leg.picked.known, call.regions)) {
       return Promise.reject(
         new requests.UpstreamError('unreachable', 'send', leg.picked.upstreamId),
       );
--- a/packages/gateway/src/routed-flow.ts
+++ b/packages/gateway/src/routed-flow.ts
@@ -176,12 +176,12 @@
   }
 
   private hasOther(
-    { service }: callAdmissions.AdmittedCall,
+    { regions, service }: callAdmissions.AdmittedCall,
     picked: upstreamPickers.PickedUpstream,
     avoided: ReadonlySet<string>,
   ): boolean {
     return this.options.directory
-      .listLive(service.name)
+      .listLive(service.name, regions)
       .some(({ upstreamId }) => upstreamId !== picked.upstreamId && !avoided.has(upstreamId));
   }
 
--- a/packages/gateway/src/upstream-directory.ts
+++ b/packages/gateway/src/upstream-directory.ts
@@ -12,6 +12,9 @@
  */
 const COLD_UNTOLD_MS = 3_000;
 
+/** Stands for the region of a zone of which the settings tell none; no call is bound to it. */
+const UNKNOWN_REGION = '';
+
 /** An upstream as this host sees it. */
 export interface KnownUpstream {
   readonly upstreamId: string;
@@ -44,6 +47,8 @@
     private readonly log: schemas.Log,
     /** Whether an availability zone is to get no new work. */
     private readonly isEvacuated: (availabilityZone: string) => boolean = () => false,
+    /** The region of an availability zone; nothing where the settings don't tell. */
+    private readonly findRegion: (availabilityZone: string) => string | undefined = () => undefined,
   ) {}
 
   /** What the list in force is known by. */
@@ -94,10 +99,11 @@
    * the same: a zone that is cut off has one or two of its own, and passing them over refused 100 calls in a row
    * that the next connection would have taken.
    */
-  public listLive(service: string): KnownUpstream[] {
+  public listLive(service: string, regions?: ReadonlySet<string>): KnownUpstream[] {
     const now = this.clock.now();
     const listed = [...this.entries.values()].filter(
-      (item) => item.listed.service === service && this.takesWork(item),
+      (item) =>
+        item.listed.service === service && this.takesWork(item) && this.mayBeSent(item, regions),
     );
     const reachable = listed.filter((item) => item.avoidUntil <= now);
     return reachable.length > 0 ? reachable : listed;
@@ -114,11 +120,21 @@
   }
 
   /**
-   * Whether anything new may be sent to an upstream, whoever chose it: the leader, a copy that lies there, or this host.
-   * One that leaves is not barred here, since its own runs go on there.
+   * Whether anything new may be sent to an upstream, whoever chose it: the leader, a copy that lies there, or this host;
+   * `regions` are those to which the call is bound. One that leaves is not barred here: its own runs go on there.
    */
-  public mayBeSent({ listed }: KnownUpstream): boolean {
-    return !this.isEvacuated(listed.availabilityZone);
+  public mayBeSent({ listed }: KnownUpstream, regions?: ReadonlySet<string>): boolean {
+    const { availabilityZone } = listed;
+    const isAtHome =
+      regions === undefined || regions.has(this.findRegion(availabilityZone) ?? UNKNOWN_REGION);
+    return isAtHome && !this.isEvacuated(availabilityZone);
+  }
+
+  /** The upstreams of a service that may not run a call that is bound to some regions. */
+  public listBarred(service: string, regions: ReadonlySet<string>): string[] {
+    return [...this.entries.values()]
+      .filter((item) => item.listed.service === service && !this.mayBeSent(item, regions))
+      .map(({ upstreamId }) => upstreamId);
   }
 
   /** Whether a service has upstreams that would take work, all of them in evacuated zones. */
--- a/packages/gateway/src/upstream-picker.ts
+++ b/packages/gateway/src/upstream-picker.ts
@@ -99,7 +99,7 @@
     const now = this.options.clock.now();
     const patienceMs = Math.min(call.route.targetMs * PATIENCE_SHARE, call.endsAt - now);
     const dueInMs = call.arrivedAt + call.route.targetMs - now;
-    const need = this.createNeed(call, [...tried]);
+    const need = this.createNeed(call, [...tried, ...this.listBarred(call)]);
     const wait = { patienceMs, dueInMs, rank: generationCalls.getRank(call) };
     const res = await this.options.pools.place(call.service.name, need, wait);
     if (res !== undefined && res.placed === undefined && res.isUnknown !== true) {
@@ -113,7 +113,7 @@
       });
       throw this.refuse('noRoom', call.service.name, FULL_RETRY_S);
     }
-    const picked = this.resolve(res);
+    const picked = this.resolve(call, res);
     if (picked === undefined && res !== undefined) {
       // The leader has read of an engine that this host's list lacks, or has no list itself. The account is told where
       // it goes instead; otherwise it would miss it, or count it on an engine where it never ran.
@@ -130,10 +130,11 @@
     engineId: string,
     excluded: readonly string[],
   ): Promise<TakerAnswer> {
-    const run = { callId: call.facts.requestId, engineId, excluded };
+    const callId = call.facts.requestId;
+    const run = { callId, engineId, excluded: [...excluded, ...this.listBarred(call)] };
     const { log, pools } = this.options;
     const res = await pools.awaitHandOver(call.service.name, run);
-    const taker = this.findHolder(res?.takerId);
+    const taker = this.findHolder(call, res?.takerId);
     if (res?.takerId !== undefined && taker === undefined) {
       // The leader has read of an engine that this host's list lacks yet. Told nothing it would take the run for copied.
       log.info({ decision: 'taker-unknown', request: run.callId, upstream: res.takerId });
@@ -168,7 +169,7 @@
     const wait = { patienceMs: 0, dueInMs: 0, rank: generationCalls.getRank(call) };
     const res = await this.options.pools.place(call.service.name, need, wait);
     this.options.pools.enter(call.service.name, need, holder.upstreamId);
-    const copyAt = this.findHolder(res?.placed?.copyAt);
+    const copyAt = this.findHolder(call, res?.placed?.copyAt);
     return this.createPicked(holder, copyAt);
   }
 
@@ -188,28 +189,32 @@
   }
 
   /** The engine that the leader chose; nothing when this host's list does not have it yet. */
-  private resolve(res: procedures.PlaceRes | undefined): PickedUpstream | undefined {
+  private resolve(
+    call: callAdmissions.AdmittedCall,
+    res: procedures.PlaceRes | undefined,
+  ): PickedUpstream | undefined {
     const placed = res?.placed;
-    const known = placed && this.findHolder(placed.engineId);
+    const known = placed && this.findHolder(call, placed.engineId);
     return (
       known && {
         upstreamId: known.upstreamId,
         known,
         share: placed.share,
-        copyAt: this.findHolder(placed.copyAt),
+        copyAt: this.findHolder(call, placed.copyAt),
         waitedMs: res.waitedMs,
         isAlone: false,
       }
     );
   }
 
-  /** An upstream that the leader named; nothing when it is not listed here, or its zone is evacuated. */
+  /** An upstream that the leader named; nothing when it is not listed here, or the call may not be sent there. */
   private findHolder(
+    { regions }: callAdmissions.AdmittedCall,
     upstreamId: string | undefined,
   ): upstreamDirectories.KnownUpstream | undefined {
     const { directory } = this.options;
     const known = upstreamId === undefined ? undefined : directory.find(upstreamId);
-    return known !== undefined && directory.mayBeSent(known) ? known : undefined;
+    return known !== undefined && directory.mayBeSent(known, regions) ? known : undefined;
   }
 
   private createNeed(call: callAdmissions.AdmittedCall, excluded: string[]) {
@@ -231,9 +236,7 @@
    */
   private pickAlone(call: callAdmissions.AdmittedCall, tried: ReadonlySet<string>): PickedUpstream {
     const now = this.options.clock.now();
-    const untried = this.listCandidates(call.service, now).filter(
-      (item) => !tried.has(item.upstreamId),
-    );
+    const untried = this.listCandidates(call, now).filter((item) => !tried.has(item.upstreamId));
     const candidates = untried.filter(({ known }) => this.bears(call.service, known, now));
     const isEngine = generationCalls.isGeneration(call);
     const choose = isEngine ? routing.chooseByMemory : routing.chooseByCalls;
@@ -252,6 +255,10 @@
     return { upstreamId, known, share, copyAt: undefined, waitedMs: 0, isAlone: true };
   }
 
+  private listBarred({ regions, service }: callAdmissions.AdmittedCall): string[] {
+    return regions === undefined ? [] : this.options.directory.listBarred(service.name, regions);
+  }
+
   /** Whether an upstream bears a call of this host now: a cold one crashes under what all hosts would send. */
   private bears(
     { cold }: schemas.RoutedService,
@@ -278,9 +285,9 @@
     });
   }
 
-  private listCandidates(service: schemas.RoutedService, now: number) {
+  private listCandidates({ regions, service }: callAdmissions.AdmittedCall, now: number) {
     return this.options.directory
-      .listLive(service.name)
+      .listLive(service.name, regions)
       .map((known) => this.createCandidate(known, service, now));
   }
 
--- a/packages/gateway/tests/evacuations.test.ts
+++ b/packages/gateway/tests/evacuations.test.ts
@@ -120,6 +120,28 @@
   t.same(upstreams.reached, [runner]);
 });
 
+// Guards against calls that run in a region to which their route or team does not allow them.
+void tap.default.test('calls stay in the regions of their route and team', async (t) => {
+  const { site, upstreams } = await createSite(t);
+  const config = sites.createConfig(1);
+  const bind = async (ofRoutes: string[] | undefined, ofTeam: string[] | undefined) => {
+    const version = await site.declare({
+      routes: config.routes.map((route) => ({ ...route, regions: ofRoutes })),
+      teams: [{ name: 'sales', keys: ['k1'], regions: ofTeam }],
+    });
+    await site.until('in force', () => site.entry.store.getVersion() === version);
+    upstreams.clear();
+    const statuses = await callAll(site);
+    return { statuses, reached: [...new Set(upstreams.reached)].sort() };
+  };
+  const southern = ['app-b', 'engine-b'];
+  t.same(await bind(['south'], undefined), { statuses: [200], reached: southern });
+  t.same(await bind(undefined, ['south']), { statuses: [200], reached: southern });
+  t.same(await bind(['north', 'south'], ['south']), { statuses: [200], reached: southern });
+  t.same(await bind(['north'], ['south']), { statuses: [503], reached: [] }, 'both bind');
+  t.same(await bind(['east'], undefined), { statuses: [503], reached: [] });
+});
+
 // Guards against calls that are held, or sent, while all zones of their service are evacuated.
 void tap.default.test('with all zones evacuated calls are refused at once', async (t) => {
   const { site, upstreams } = await createSite(t);
--- a/packages/gateway/tests/support/small-site.ts
+++ b/packages/gateway/tests/support/small-site.ts
@@ -278,7 +278,7 @@
     return {
       hostId: ip,
       availabilityZone: 'a',
-      regions: { a: 'north', b: 'north' },
+      regions: { a: 'north', b: 'south' },
       ipAddress: ip,
       peerPort: this.peerPort,
       seeds: ['127.0.1.1:1', '127.0.1.2:1', '127.0.1.3:1'],
--- a/packages/gateway/tests/upstream-picker.test.ts
+++ b/packages/gateway/tests/upstream-picker.test.ts
@@ -91,6 +91,7 @@
     route: config.routes[2]!,
     service: config.services[1]!,
     team: undefined,
+    regions: undefined,
     method: 'POST',
     path: '/drafts/x',
     limits: config.limits,
--- a/packages/schemas/src/routed-config.ts
+++ b/packages/schemas/src/routed-config.ts
@@ -26,6 +26,8 @@
   urgency: z.int().min(0),
   /** On how many upstreams one call may run. */
   maxRuns: z.int().min(1),
+  /** The regions whose upstreams may run its calls; nothing where all may. */
+  regions: z.array(z.string()).min(1).optional(),
   /** Whether calls need no key. */
   isPublic: z.boolean(),
   targets: z.array(routeTarget).min(1),
@@ -68,6 +70,8 @@
   keys: z.array(z.string()),
   /** Takes the place of the route's rank where it is given; 0 goes first. */
   urgency: z.int().min(0).optional(),
+  /** The regions whose upstreams may run its calls; nothing where all may. */
+  regions: z.array(z.string()).min(1).optional(),
 });
 
 /** Everything that an operator declares about routed traffic, under a version of the operator's choice. */
