Let hosts that find no leader ask less and less often, at drawn times

Cause (suspected for the recovery of 300 hosts, not shown by a play yet): a host that hears of no leader asked some core host anew every 10 ms. On virtual time that is 151 questions a host in 1.5 s, 35,000 a second of 350 hosts, while the core hosts elect.

Test first: 151 against the 15 that it allows.

--- a/packages/gateway/src/core-link.ts
+++ b/packages/gateway/src/core-link.ts
@@ -16,8 +16,12 @@
 /** How long a core host that failed is passed over, in milliseconds. */
 const AVOID_MS = 1_000;
 
-/** The pause after a question that failed at once, in milliseconds. */
-const PAUSE_MS = 50;
+/**
+ * The pause after a question that failed, or that a host without a leader answered, in milliseconds. It doubles, up to a
+ * most, and is drawn anew each time: after a loss of power of all, hundreds of hosts look for a leader at once.
+ */
+const FIRST_PAUSE_MS = 25;
+const MOST_PAUSE_MS = 250;
 
 /** The shortest time between two questions, in milliseconds; a stream of news must not fill the link. */
 const MIN_GAP_MS = 10;
@@ -50,6 +54,8 @@
   /** Whether the last answer came from a host that knows what is newest; nothing before the first. */
   private isCurrent: boolean | undefined;
   private isStopped = false;
+  /** Questions in a row that failed, or were answered by a host without a leader. */
+  private misses = 0;
   private readonly startedAt: number;
 
   public constructor(private readonly options: CoreLinkOptions) {
@@ -61,9 +67,9 @@
     const { clock } = this.options;
     while (!this.isStopped) {
       const askedAt = clock.now();
-      const isAnswered = await this.askOne();
-      const pauseMs = isAnswered ? MIN_GAP_MS : PAUSE_MS;
-      await clock.sleep(Math.max(0, pauseMs - (clock.now() - askedAt)));
+      const isUseful = (await this.askOne()) && this.isCurrent === true;
+      this.misses = isUseful ? 0 : this.misses + 1;
+      await clock.sleep(Math.max(0, this.getPauseMs() - (clock.now() - askedAt)));
     }
   }
 
@@ -77,6 +83,14 @@
     this.isStopped = true;
   }
 
+  private getPauseMs(): number {
+    if (this.misses === 0) {
+      return MIN_GAP_MS;
+    }
+    const pauseMs = Math.min(MOST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** (this.misses - 1));
+    return pauseMs * (0.5 + this.options.random());
+  }
+
   private async askOne(): Promise<boolean> {
     const { clock, createAsk, log, mesh } = this.options;
     const target = this.chooseTarget();
--- a/packages/gateway/tests/core-link.test.ts
+++ b/packages/gateway/tests/core-link.test.ts
@@ -1,4 +1,5 @@
 import * as schemas from '@bramleyridge/schemas';
+import * as xoroshiro from 'pure-rand/generator/xoroshiro128plus';
 import * as tap from 'tap';
 
 import * as coreLinks from '../src/core-link.js';
@@ -48,3 +49,53 @@
     await clock.advance(1_000);
   },
 );
+
+/** Hosts that start at once, without a leader for a while, at core hosts that count their questions. */
+async function playStart(hostCount: number, leaderlessMs: number) {
+  const clock = new schemas.VirtualClock();
+  const rng = xoroshiro.xoroshiro128plus(hostCount);
+  const random = () => (rng.next() >>> 0) / 2 ** 32;
+  const state = { questions: 0, informed: new Map<number, number>() };
+  const api = {
+    news: {
+      mutate: async (): Promise<procedures.NewsRes> => {
+        state.questions += 1;
+        await clock.sleep(1);
+        return { isCurrent: clock.now() >= leaderlessMs, leader: undefined, cores: [] };
+      },
+    },
+  };
+  const links = Array.from({ length: hostCount }, (_, i) => {
+    const link = new coreLinks.CoreLink({
+      mesh: { get: () => api } as unknown as coreMeshes.CoreMesh,
+      listSeeds: () => ['c1:1', 'c2:1', 'c3:1'],
+      clock,
+      log: new schemas.SilentLog(),
+      random,
+      createAsk: (waitMs) => ({ hostId: `h${i}`, version: -1, listStamp: '', waitMs }),
+      take: (news) => {
+        if (news.isCurrent && !state.informed.has(i)) {
+          state.informed.set(i, clock.now());
+          link.stop();
+        }
+      },
+    });
+    void link.run();
+    return link;
+  });
+  await clock.advance(leaderlessMs);
+  const perHost = state.questions / hostCount;
+  await clock.advance(600);
+  links.forEach((link) => link.stop());
+  await clock.advance(1_000);
+  return { perHost, informed: [...state.informed.values()] };
+}
+
+// Guards against hundreds of hosts that ask a hundred times a second each while core hosts elect their leader.
+void tap.default.test('350 hosts that start at once do not flood the core hosts', async (t) => {
+  const leaderlessMs = 1_500;
+  const { informed, perHost } = await playStart(350, leaderlessMs);
+  t.ok(perHost <= 15, `${perHost.toFixed(1)} questions a host in ${leaderlessMs} ms`);
+  t.equal(informed.length, 350, 'every host hears of the leader');
+  t.ok(Math.max(...informed) - leaderlessMs <= 400, 'soon');
+});
