Name the class that takes orders on zones after them, and drop a field that nobody read

How long an upstream is cold is told by the list; the document's own figure for it is not needed. A zone of which the settings name no region is in none.

--- a/packages/gateway/src/core-host.ts
+++ b/packages/gateway/src/core-host.ts
@@ -12,7 +12,7 @@
 import * as procedures from './core-procedures.js';
 import * as coreTables from './core-table.js';
 import * as entryTables from './entry-table.js';
-import * as evacuationDesks from './evacuation-desk.js';
+import * as evacuationOrders from './evacuation-orders.js';
 import * as hostSettings from './host-settings.js';
 import * as leaderClients from './leader-client.js';
 import * as listDesks from './list-desk.js';
@@ -43,7 +43,7 @@
 /** A core host: keeps what operators declare, and as the leader tells entry hosts what is new. */
 export class CoreHost {
   public readonly desk: operatorDesks.OperatorDesk;
-  public readonly evacuations: evacuationDesks.EvacuationDesk;
+  public readonly evacuations: evacuationOrders.EvacuationOrders;
   private readonly coreId: string;
   private readonly mesh = new coreMeshes.CoreMesh(PEER_DEADLINE_MS);
   private readonly table: coreTables.CoreTable;
@@ -88,7 +88,7 @@
     const leader = new leaderClients.LeaderClient({ coreId, group, table, mesh, clock, log });
     const { acknowledgeMs } = settings.bounds;
     this.desk = new operatorDesks.OperatorDesk({ group, leader, codec, log, acknowledgeMs });
-    this.evacuations = new evacuationDesks.EvacuationDesk({
+    this.evacuations = new evacuationOrders.EvacuationOrders({
       group,
       leader,
       listZones: () => hostSettings.listZones(options.settings.get()),
--- a/packages/gateway/src/evacuation-desk.ts
+++ b/packages/gateway/src/evacuation-orders.ts
@@ -7,8 +7,8 @@
 /** How long an order is tried, in milliseconds: an operator without an answer sends it to another host after a second. */
 const ORDER_MS = 1_000;
 
-/** What the desk needs. */
-export interface EvacuationDeskOptions {
+/** What taking orders needs. */
+export interface EvacuationOrdersOptions {
   readonly group: coreGroups.CoreGroup;
   readonly leader: leaderClients.LeaderClient;
   /** The availability zones of the deployment; nothing where the settings don't name them. */
@@ -18,8 +18,8 @@
 }
 
 /** Takes operators' orders on availability zones, at whichever core host the operator reached. */
-export class EvacuationDesk {
-  public constructor(private readonly options: EvacuationDeskOptions) {}
+export class EvacuationOrders {
+  public constructor(private readonly options: EvacuationOrdersOptions) {}
 
   /**
    * Orders that a zone gets no new work, or takes work again; resolves once a majority has synced it. The signal tells
--- a/packages/gateway/src/pool-desk.ts
+++ b/packages/gateway/src/pool-desk.ts
@@ -163,7 +163,7 @@
   }
 
   private findPool(service: string): Pool | undefined {
-    const { cold, engine } = this.options.findService(service) ?? {};
+    const { coldCallsPerS, engine } = this.options.findService(service) ?? {};
     if (engine === undefined) {
       return undefined;
     }
@@ -176,7 +176,7 @@
       pool.listed = listed;
       pool.evacuationRevision = evacuationRevision;
       const now = this.options.clock.now();
-      const sendsPerS = cold && this.getSendLimits(cold.callsPerS);
+      const sendsPerS = coldCallsPerS === undefined ? undefined : this.getSendLimits(coldCallsPerS);
       pool.ledger.setEngines(
         listed
           .filter((item) => item.service === service && !item.isLeaving && !item.saysLeaving)
--- a/packages/gateway/src/upstream-directory.ts
+++ b/packages/gateway/src/upstream-directory.ts
@@ -12,9 +12,6 @@
  */
 const COLD_UNTOLD_MS = 3_000;
 
-/** Stands for the region of a zone of which the settings tell none; no call is bound to it. */
-const UNKNOWN_REGION = '';
-
 /** An upstream as this host sees it. */
 export interface KnownUpstream {
   readonly upstreamId: string;
@@ -125,8 +122,8 @@
    */
   public mayBeSent({ listed }: KnownUpstream, regions?: ReadonlySet<string>): boolean {
     const { availabilityZone } = listed;
-    const isAtHome =
-      regions === undefined || regions.has(this.findRegion(availabilityZone) ?? UNKNOWN_REGION);
+    const region = this.findRegion(availabilityZone);
+    const isAtHome = regions === undefined || (region !== undefined && regions.has(region));
     return isAtHome && !this.isEvacuated(availabilityZone);
   }
 
--- a/packages/gateway/src/upstream-picker.ts
+++ b/packages/gateway/src/upstream-picker.ts
@@ -261,16 +261,16 @@
 
   /** Whether an upstream bears a call of this host now: a cold one crashes under what all hosts would send. */
   private bears(
-    { cold }: schemas.RoutedService,
+    { coldCallsPerS }: schemas.RoutedService,
     known: upstreamDirectories.KnownUpstream,
     now: number,
   ): boolean {
     const { coldShare } = this.options;
     const { upstreamId } = known;
     return (
-      cold === undefined ||
+      coldCallsPerS === undefined ||
       !isMaybeCold(known, now) ||
-      coldShare.mayTake({ upstreamId, callsPerS: cold.callsPerS }, now)
+      coldShare.mayTake({ upstreamId, callsPerS: coldCallsPerS }, now)
     );
   }
 
--- a/packages/gateway/tests/evacuations.test.ts
+++ b/packages/gateway/tests/evacuations.test.ts
@@ -3,7 +3,7 @@
 import * as schemas from '@bramleyridge/schemas';
 import * as tap from 'tap';
 
-import * as evacuationDesks from '../src/evacuation-desk.js';
+import * as evacuationOrders from '../src/evacuation-orders.js';
 import * as sites from './support/small-site.js';
 
 class Upstreams {
@@ -161,7 +161,7 @@
 });
 
 void tap.default.test('an order on a zone that is not there is refused', async (t) => {
-  const desk = new evacuationDesks.EvacuationDesk({
+  const orders = new evacuationOrders.EvacuationOrders({
     group: {} as never,
     leader: {} as never,
     listZones: () => ['a', 'b'],
@@ -169,10 +169,10 @@
     log: new schemas.SilentLog(),
   });
   const { signal } = new AbortController();
-  await t.rejects(desk.order('c', true, signal), { options: { status: 404 } } as never);
+  await t.rejects(orders.order('c', true, signal), { options: { status: 404 } } as never);
 });
 
-function createRacingDesk(results: ('changed' | 'stale')[]) {
+function createRacingOrders(results: ('changed' | 'stale')[]) {
   const clock = new schemas.VirtualClock();
   const state = { zones: [] as string[], revision: 4, proposed: 0 };
   const leader = {
@@ -201,27 +201,27 @@
       );
     },
   };
-  const desk = new evacuationDesks.EvacuationDesk({
+  const orders = new evacuationOrders.EvacuationOrders({
     group: {} as never,
     leader: leader as never,
     listZones: () => undefined,
     clock,
     log: new schemas.SilentLog(),
   });
-  return { clock, desk, state };
+  return { clock, orders, state };
 }
 
 // Guards against an acknowledged order that another operator's order kept out of the log.
 void tap.default.test('an order that lost a race is given anew, or refused in time', async (t) => {
   const { signal } = new AbortController();
-  const won = createRacingDesk(['stale', 'changed']);
-  const ordered = won.desk.order('a', true, signal);
+  const won = createRacingOrders(['stale', 'changed']);
+  const ordered = won.orders.order('a', true, signal);
   await won.clock.advance(1_000);
   t.match(await ordered, { zones: ['a'] });
   t.equal(won.state.proposed, 2);
 
-  const lost = createRacingDesk([]);
-  const refused = t.rejects(lost.desk.order('a', true, signal), {
+  const lost = createRacingOrders([]);
+  const refused = t.rejects(lost.orders.order('a', true, signal), {
     options: { status: 503 },
   } as never);
   await lost.clock.advance(3_000);
@@ -230,9 +230,9 @@
 
 // Guards against an order that a frozen host carries out after its operator withdrew it elsewhere.
 void tap.default.test('an order whose operator has left is not carried out', async (t) => {
-  const { desk, state } = createRacingDesk(['changed']);
+  const { orders, state } = createRacingOrders(['changed']);
   const gone = new AbortController();
   gone.abort(new Error('left'));
-  await t.rejects(desk.order('a', true, gone.signal));
+  await t.rejects(orders.order('a', true, gone.signal));
   t.equal(state.proposed, 0);
 });
--- a/packages/gateway/tests/upstream-picker.test.ts
+++ b/packages/gateway/tests/upstream-picker.test.ts
@@ -100,14 +100,14 @@
   };
 }
 
-function createPlainCall(cold: schemas.RoutedService['cold']): callAdmissions.AdmittedCall {
+function createPlainCall(coldCallsPerS: number): callAdmissions.AdmittedCall {
   const config = sites.createConfig(1);
   const { facts, ...call } = createCall();
   return {
     ...call,
     facts: { ...facts, generation: undefined },
     route: config.routes[0]!,
-    service: { ...config.services[0]!, cold },
+    service: { ...config.services[0]!, coldCallsPerS },
   };
 }
 
@@ -157,7 +157,7 @@
   const cold = { ...createListed('app-1'), service: 'app', coldMs: 2_000 };
   directory.take({ stamp: 's1', upstreams: [cold] }, 0);
   const picker = createPicker(clock, new FixedPlacer(undefined), directory);
-  const call = createPlainCall({ lastsMs: 2_000, callsPerS: 40 });
+  const call = createPlainCall(40);
   t.equal((await picker.pick(call, new Set())).upstreamId, 'app-1', 'one call of 40 x 0.4 / 16');
   await t.rejects(picker.pick(call, new Set()), { id: 'noUpstream' } as never);
   directory.take(
--- a/packages/routing/tests/cold-upstreams.test.ts
+++ b/packages/routing/tests/cold-upstreams.test.ts
@@ -76,7 +76,7 @@
     );
     const upstreams = Array.from({ length: 12 }, (_, i) => `u-${i}`);
     const sentAt = new Map(upstreams.map((upstreamId) => [upstreamId, [] as number[]]));
-    // Every host has a call for every upstream ten times a second: the whole herd that waited for the zone.
+    // Every host has a call for every upstream ten times a second: all that waited for the zone.
     for (let now = 0; now < 3_000; now += 100) {
       shares.forEach((share) => {
         upstreams.forEach((upstreamId) => {
--- a/packages/schemas/src/routed-config.ts
+++ b/packages/schemas/src/routed-config.ts
@@ -51,8 +51,8 @@
   healthPath: z.string(),
   /** Connections that one of its upstreams takes from all hosts together. */
   connectionLimit: z.int().min(1),
-  /** How long one of its upstreams is cold after its start, and the calls a second that it bears meanwhile from all hosts. */
-  cold: z.object({ lastsMs: z.number().min(0), callsPerS: z.number().positive() }).optional(),
+  /** The calls a second that one of its upstreams bears while it is cold, from all hosts together; nothing for no limit. */
+  coldCallsPerS: z.number().positive().optional(),
   engine: engineFacts.optional(),
 });
 
