Keep questions to engines, and hosts' own readings of the list, within bounds at thousands of upstreams

The list has 60 pages there and is read every 2.4 s, so that each entry host takes it for stale after 2 s and reads all pages itself.

Ruled out: the links of entry hosts (118 kB a second at most, 13 of 100 of their processor).

Change: of more than 80 engines only those are asked on which something runs, 80 in a round at most, in turn; with fewer nothing changes. The leader tells how often it reads the list, and a host takes it for stale after three such pauses.

Tests first: 3,000 engines were asked 15,000 times a second.

--- a/packages/gateway/src/core-host.ts
+++ b/packages/gateway/src/core-host.ts
@@ -126,6 +126,7 @@
       findDueSince: () =>
         this.group.isLeading() ? this.group.getLeadership().startedAt : undefined,
       findService: (name) => this.findService(name),
+      hasRuns: (service, engineId) => this.pools.hasRuns(service, engineId),
     });
     this.server = new peers.PeerServer(procedures.createCoreRouter(this.createHandlers()), {
       host: settings.ipAddress,
@@ -282,6 +283,7 @@
       list: isPacked ? undefined : list,
       packedList: isPacked ? this.lists.getPacked() : undefined,
       listAgeMs: isLeading ? this.lists.getAgeMs() : undefined,
+      listPeriodMs: isLeading ? this.lists.getPeriodMs() : undefined,
       isCurrent: this.group.isCurrent(),
       leader: this.group.voter?.leader,
       cores: this.table.listAll(),
--- a/packages/gateway/src/core-procedures.ts
+++ b/packages/gateway/src/core-procedures.ts
@@ -91,6 +91,8 @@
   packedList: z.custom<Uint8Array>((value) => value instanceof Uint8Array).optional(),
   /** How long ago the list was read, in milliseconds; nothing where it is not read. */
   listAgeMs: z.number().optional(),
+  /** The pause between two readings of the list, in milliseconds; a long list is read less often. */
+  listPeriodMs: z.number().optional(),
   /** Whether what this core host has is the newest, as far as a leader's heartbeat vouches for it. */
   isCurrent: z.boolean(),
   leader: z.string().optional(),
--- a/packages/gateway/src/entry-host.ts
+++ b/packages/gateway/src/entry-host.ts
@@ -36,6 +36,9 @@
 /** Beyond which age the list of upstreams is read by this host itself, in milliseconds: no leader hands it on. */
 const LIST_STALE_MS = 2_000;
 
+/** How many of the leader's readings have to be missing before that, where it reads a long list less often. */
+const STALE_PERIODS = 3;
+
 /** The share of the allowed calls to the list that all entry hosts together use when they read it themselves. */
 const LIST_SHARE = 0.4;
 
@@ -88,6 +91,8 @@
   /** Until when calls are taken, on this host's clock. */
   private takesUntil = Infinity;
   private entryHosts = ASSUMED_ENTRY_HOSTS;
+  /** The pause between two readings of the list by the leader, in milliseconds. */
+  private listPeriodMs = 0;
   private stopping: Promise<void> | undefined;
 
   public constructor(private readonly options: EntryHostOptions) {
@@ -162,7 +167,7 @@
       clock,
       log,
       getAddress: () => options.settings.get().listAddress,
-      isDue: () => this.directory.getAgeMs() > LIST_STALE_MS,
+      isDue: () => this.directory.getAgeMs() > this.getListStaleMs(),
       getPauseMs: (calls) => this.getListPauseMs(calls),
       take: (list) => this.directory.take(list, 0),
     });
@@ -304,6 +309,7 @@
     if (news.suspects !== undefined) {
       this.suspects.take(news.suspects);
     }
+    this.listPeriodMs = news.listPeriodMs ?? this.listPeriodMs;
     this.entryHosts = Math.max(news.entryHosts ?? this.entryHosts, 1);
     const limits = this.store.findTable()?.config.limits;
     if (limits !== undefined) {
@@ -317,6 +323,10 @@
     }
   }
 
+  private getListStaleMs(): number {
+    return Math.max(LIST_STALE_MS, STALE_PERIODS * this.listPeriodMs);
+  }
+
   private getListPauseMs(calls: number): number {
     const { listCallsPerS } = this.options.settings.get();
     const shareMs = (this.entryHosts * calls * 1_000) / (listCallsPerS * LIST_SHARE);
--- a/packages/gateway/src/leaving-watch.ts
+++ b/packages/gateway/src/leaving-watch.ts
@@ -15,6 +15,12 @@
 /** How long an engine whose word proved false is not believed again, in milliseconds. */
 const DISBELIEF_MS = 15_000;
 
+/**
+ * How many engines are asked in one round at most. Thousands of questions a second would take all of the leader's processor,
+ * and then nobody is told where to send anything.
+ */
+const MOST_ASKED = 80;
+
 /** What the watch needs. */
 export interface LeavingWatchOptions {
   readonly probe: ports.UpstreamProbe;
@@ -24,7 +30,7 @@
   readonly isDue: () => boolean;
   /** The pause between two rounds, in milliseconds. */
   readonly pauseMs: number;
-  /** The engines to ask, with the path of their health answer. */
+  /** All engines, with the path of their health answer. */
   readonly listEngines: () => readonly WatchedEngine[];
   /** Called when some engine's word has changed. */
   readonly onChange: () => void;
@@ -35,6 +41,8 @@
   readonly upstreamId: string;
   readonly address: string;
   readonly healthPath: string;
+  /** Whether something runs there that could be handed over. */
+  readonly isBusy: boolean;
 }
 
 /**
@@ -45,6 +53,8 @@
 export class LeavingWatch {
   private readonly saidAt = new Map<string, number>();
   private isStopped = false;
+  /** Where the next round begins, when there are too many to ask at once. */
+  private nextAsked = 0;
 
   public constructor(private readonly options: LeavingWatchOptions) {}
 
@@ -55,7 +65,7 @@
       if (isDue()) {
         const engines = listEngines();
         this.forgetAllBut(engines);
-        engines.forEach((engine) => {
+        this.chooseAsked(engines).forEach((engine) => {
           void this.ask(engine);
         });
       }
@@ -74,6 +84,17 @@
     return ageMs < UNCONFIRMED_MS;
   }
 
+  /** The engines to ask in this round: of too many those on which something runs, and of too many of these each in turn. */
+  private chooseAsked(engines: readonly WatchedEngine[]): readonly WatchedEngine[] {
+    if (engines.length <= MOST_ASKED) {
+      return engines;
+    }
+    const asked = engines.filter((engine) => engine.isBusy || this.isLeaving(engine.upstreamId));
+    const first = asked.length > MOST_ASKED ? this.nextAsked % asked.length : 0;
+    this.nextAsked = first + MOST_ASKED;
+    return [...asked.slice(first), ...asked.slice(0, first)].slice(0, MOST_ASKED);
+  }
+
   private async ask(engine: WatchedEngine): Promise<void> {
     const { log, probe } = this.options;
     const { address, healthPath, upstreamId } = engine;
--- a/packages/gateway/src/list-desk.ts
+++ b/packages/gateway/src/list-desk.ts
@@ -51,6 +51,8 @@
   /** Since when this host is the one that should read and ask; nothing while it is not. */
   readonly findDueSince: () => number | undefined;
   readonly findService: (name: string) => schemas.RoutedService | undefined;
+  /** Whether generations run on an engine. */
+  readonly hasRuns: (service: string, engineId: string) => boolean;
 }
 
 /** The list of upstreams as the leader hands it on: what the platform lists, and what engines say of themselves. */
@@ -64,6 +66,7 @@
   private packed: Uint8Array | undefined;
   private isGathering = false;
   private readAt = -Infinity;
+  private periodMs = LIST_MS;
   private coldTimes = new Map<string, ColdTime>();
   /** When the platform's list was read from which the one in force was made. */
   private inForceReadAt = -Infinity;
@@ -77,7 +80,10 @@
       log,
       getAddress: () => getSettings().listAddress,
       isDue,
-      getPauseMs: (calls) => this.getPauseMs(calls),
+      getPauseMs: (calls) => {
+        this.periodMs = this.getPauseMs(calls);
+        return this.periodMs;
+      },
       idlePauseMs: IDLE_PAUSE_MS,
       take: (list) => this.take(list),
     });
@@ -123,6 +129,11 @@
     return this.getList() && this.options.clock.now() - this.inForceReadAt;
   }
 
+  /** The pause between two readings, in milliseconds; a list of many pages is read less often. */
+  public getPeriodMs(): number {
+    return this.periodMs;
+  }
+
   private take({ upstreams }: procedures.UpstreamList): void {
     this.readAt = this.options.clock.now();
     this.listed = this.keepColdTimes(upstreams);
@@ -176,12 +187,19 @@
     }
   }
 
-  /** Engines that are asked whether they leave: those whose runs can be taken over. */
+  /** Engines whose runs can be taken over. */
   private listEngines(): leavingWatches.WatchedEngine[] {
     return this.listed.flatMap(({ address, isLeaving, service, upstreamId }) => {
       const found = this.options.findService(service);
       return found?.engine?.canMove === true && !isLeaving
-        ? [{ upstreamId, address, healthPath: found.healthPath }]
+        ? [
+            {
+              upstreamId,
+              address,
+              healthPath: found.healthPath,
+              isBusy: this.options.hasRuns(service, upstreamId),
+            },
+          ]
         : [];
     });
   }
--- a/packages/gateway/src/pool-desk.ts
+++ b/packages/gateway/src/pool-desk.ts
@@ -142,6 +142,11 @@
     }
   }
 
+  /** Whether generations run on an engine, as far as the account has them. */
+  public hasRuns(service: string, engineId: string): boolean {
+    return this.pools.get(service)?.ledger.hasRuns(engineId) ?? false;
+  }
+
   /** Lends a retry at a service. */
   public lendRetry(service: string, lender: requests.RetryLender): boolean {
     const pot = this.pots.get(service) ?? new requests.RetryPot(this.options.retryPot);
--- a/packages/gateway/tests/leaving-watch.test.ts
+++ b/packages/gateway/tests/leaving-watch.test.ts
@@ -19,7 +19,9 @@
     log: new schemas.SilentLog(),
     isDue: () => true,
     pauseMs: 250,
-    listEngines: () => [{ upstreamId: 'e1', address: '127.0.0.1:1', healthPath: '/health' }],
+    listEngines: () => [
+      { upstreamId: 'e1', address: '127.0.0.1:1', healthPath: '/health', isBusy: true },
+    ],
     onChange: () => {
       engine.changes += 1;
     },
@@ -70,3 +72,67 @@
   t.equal(engine.changes, 2);
   watch.stop();
 });
+
+/** A watch over many engines, and how often each was asked. */
+function createWideWatch(clock: schemas.VirtualClock, engineCount: number, busyCount: number) {
+  const asked = new Map<string, number>();
+  const state = { leaving: '', busyCount };
+  const watch = new leavingWatches.LeavingWatch({
+    probe: {
+      isLeaving: async (address) => {
+        asked.set(address, (asked.get(address) ?? 0) + 1);
+        return Promise.resolve(address === state.leaving);
+      },
+    },
+    clock,
+    log: new schemas.SilentLog(),
+    isDue: () => true,
+    pauseMs: 200,
+    listEngines: () =>
+      Array.from({ length: engineCount }, (_, i) => ({
+        upstreamId: `e-${i}`,
+        address: `e-${i}`,
+        healthPath: '/health',
+        isBusy: i < state.busyCount,
+      })),
+    onChange: () => {},
+  });
+  void watch.run();
+  return { asked, state, watch };
+}
+
+// Guards against a leader that spends its processor on questions to thousands of engines, of which few run anything.
+void tap.default.test(
+  '3,000 engines: few questions, to those on which something runs',
+  async (t) => {
+    const clock = new schemas.VirtualClock();
+    const { asked, watch } = createWideWatch(clock, 3_000, 40);
+    await clock.advance(990);
+    t.equal(asked.size, 40);
+    t.same([...new Set(asked.values())], [5], 'each in every round');
+    watch.stop();
+
+    const all = createWideWatch(clock, 3_000, 3_000);
+    await clock.advance(9_990);
+    const total = [...all.asked.values()].reduce((sum, count) => sum + count, 0);
+    t.ok(total <= 4_000, `${total} questions in ten seconds`);
+    t.equal(all.asked.size, 3_000, 'and every engine has its turn');
+    all.watch.stop();
+  },
+);
+
+// Guards against new work for an engine that leaves, as soon as nothing runs there any more.
+void tap.default.test(
+  'an engine that said that it leaves is asked on when it is empty',
+  async (t) => {
+    const clock = new schemas.VirtualClock();
+    const { state, watch } = createWideWatch(clock, 100, 1);
+    state.leaving = 'e-0';
+    await clock.advance(300);
+    t.ok(watch.isLeaving('e-0'));
+    state.busyCount = 0;
+    await clock.advance(900);
+    t.ok(watch.isLeaving('e-0'));
+    watch.stop();
+  },
+);
--- a/packages/gateway/tests/list-desk.test.ts
+++ b/packages/gateway/tests/list-desk.test.ts
@@ -49,6 +49,7 @@
     log: new schemas.SilentLog(),
     getSettings: () => ({ listAddress: '127.0.0.1:1', listCallsPerS: 40 }) as never,
     findDueSince: () => state.dueSince,
+    hasRuns: () => true,
     findService: (name) => ({ ...sites.createConfig(1).services[0]!, name, engine }),
   });
   desk.run();
--- a/packages/routing/src/engine-ledger.ts
+++ b/packages/routing/src/engine-ledger.ts
@@ -141,6 +141,11 @@
     return memoryGrowth.getSizeAhead(need, 0, getHorizonMs(need));
   }
 
+  /** Whether generations run on an engine. */
+  public hasRuns(engineId: string): boolean {
+    return this.runs.isBusy(engineId);
+  }
+
   /** Whether an engine may be given work. */
   public isListed(engineId: string): boolean {
     return this.engines.has(engineId);
