--- a/packages/bench/src/capacity/capacity-bench.ts
+++ b/packages/bench/src/capacity/capacity-bench.ts
@@ -6,6 +6,7 @@
 import * as prettier from 'prettier';
 
 import * as reports from '../report.js';
+import * as fleetSweeps from './fleet-sweep.js';
 import * as outcomes from './outcomes.js';
 import * as rowsFile from './rows.js';
 import * as slopesFile from './slopes.js';
@@ -121,6 +122,7 @@
     '## Slopes',
     `Least-squares lines through at least three sizes, on ${describeMachine()}.`,
     createSlopeTable(slopes),
+    ...fleetSweeps.createSweepSection(),
   ].join('\n\n');
 }
 
