Don't count runs that a new leader is told of as sends to cold engines

Found by reading the change: a new leader is told all runs within moments, and each counted as a send. On an engine whose service declares a low rate (5 a second, 7 in the window) eight told runs closed it for 1.2 s, on all engines at once after each change of the leader.

Ruled out: counting none of the runs with a fixed engine; those that go on at a copy are sends.

Test first: with 30 told runs nothing was placed. After: the first new one is, and what goes on there still counts.

--- a/packages/gateway/src/core-procedures.ts
+++ b/packages/gateway/src/core-procedures.ts
@@ -116,6 +116,7 @@
     leftMs: z.number(),
     excluded: z.array(z.string()).readonly(),
     fixedEngineId: z.string().optional(),
+    isUnderWay: z.boolean().optional(),
     wantsCopy: z.boolean(),
     ranMs: z.number(),
   }),
--- a/packages/gateway/src/pool-client.ts
+++ b/packages/gateway/src/pool-client.ts
@@ -135,7 +135,8 @@
     this.informed = leader;
     const now = clock.now();
     this.running.forEach(({ engineId, need, service, startedAt }) => {
-      const known = { ...need, fixedEngineId: engineId, wantsCopy: false, ranMs: now - startedAt };
+      const told = { fixedEngineId: engineId, isUnderWay: true, wantsCopy: false };
+      const known = { ...need, ...told, ranMs: now - startedAt };
       const req = { service, need: known, patienceMs: 0, dueInMs: 0, rank: 0 };
       this.tell(mesh.get(leader).place.mutate(req), 'inform');
     });
--- a/packages/routing/src/engine-ledger.ts
+++ b/packages/routing/src/engine-ledger.ts
@@ -81,7 +81,9 @@
       copyAt: undefined,
       zone: state?.engine.availabilityZone,
     });
-    state?.noteSend(now);
+    if (need.isUnderWay !== true) {
+      state?.noteSend(now);
+    }
     if (state !== undefined && need.fixedEngineId === undefined) {
       state.backlog.add(need.callId, need.promptTokens, now);
     }
--- a/packages/routing/src/place-need.ts
+++ b/packages/routing/src/place-need.ts
@@ -27,6 +27,8 @@
   readonly excluded: readonly string[];
   /** The engine on which it goes on or runs already; it is entered there whatever the room. */
   readonly fixedEngineId?: string | undefined;
+  /** Set where it runs there already and is only told, so that nothing is sent now. */
+  readonly isUnderWay?: boolean | undefined;
   readonly wantsCopy: boolean;
   /** How long it has run already, in milliseconds. */
   readonly ranMs: number;
--- a/packages/routing/tests/cold-upstreams.test.ts
+++ b/packages/routing/tests/cold-upstreams.test.ts
@@ -66,6 +66,20 @@
   },
 );
 
+// Guards against a new leader that places nothing for a second because it was told what runs already.
+void tap.default.test('a run that is under way already is no send', async (t) => {
+  const ledger = new engineLedgers.EngineLedger();
+  ledger.setEngines([createEngine('e-1', 1_000)]);
+  for (let i = 0; i < LEADER_SENDS.most; i += 1) {
+    ledger.place({ ...createNeed(`told-${i}`), fixedEngineId: 'e-1', isUnderWay: true }, 0);
+  }
+  t.equal(ledger.place(createNeed('new'), 0)?.engineId, 'e-1');
+  for (let i = 0; i < LEADER_SENDS.cold; i += 1) {
+    ledger.place({ ...createNeed(`resumed-${i}`), fixedEngineId: 'e-1' }, 1);
+  }
+  t.equal(ledger.place(createNeed('after'), 2), undefined, 'but one that goes on there is');
+});
+
 // Guards against hosts without a leader that together send more than a cold upstream bears.
 void tap.default.test('hosts that choose alone stay within their part of the rate', async (t) => {
   for (const hostCount of [20, 78, 350]) {
