Forget sends to cold upstreams that no longer count, and ask once what may be sent to an upstream

Found by reading the change. - A host's share kept an account for each upstream that was ever cold, also for services without a rate, for as long as it ran: 100 accounts after 100 upstreams in the test, 3 now. The account is kept only where a rate is declared. - Each call asked twice for each upstream whether it may be sent there, and looked its region up in the settings though the call is bound to none. - Counting recent sends copied them at each placement and engine, also where none is over.

No behaviour changes but the account's size; tests as before, one added, which fails without the forgetting.

--- a/packages/gateway/src/upstream-directory.ts
+++ b/packages/gateway/src/upstream-directory.ts
@@ -99,8 +99,7 @@
   public listLive(service: string, regions?: ReadonlySet<string>): KnownUpstream[] {
     const now = this.clock.now();
     const listed = [...this.entries.values()].filter(
-      (item) =>
-        item.listed.service === service && this.takesWork(item) && this.mayBeSent(item, regions),
+      (item) => item.listed.service === service && this.takesWork(item, regions),
     );
     const reachable = listed.filter((item) => item.avoidUntil <= now);
     return reachable.length > 0 ? reachable : listed;
@@ -122,9 +121,11 @@
    */
   public mayBeSent({ listed }: KnownUpstream, regions?: ReadonlySet<string>): boolean {
     const { availabilityZone } = listed;
-    const region = this.findRegion(availabilityZone);
-    const isAtHome = regions === undefined || (region !== undefined && regions.has(region));
-    return isAtHome && !this.isEvacuated(availabilityZone);
+    if (this.isEvacuated(availabilityZone)) {
+      return false;
+    }
+    const region = regions && this.findRegion(availabilityZone);
+    return regions === undefined || (region !== undefined && regions.has(region));
   }
 
   /** The upstreams of a service that may not run a call that is bound to some regions. */
@@ -202,8 +203,9 @@
     return isSame ? former.coldUntil : this.clock.now() + listed.coldMs;
   }
 
-  private takesWork(entry: Entry): boolean {
+  private takesWork(entry: Entry, regions?: ReadonlySet<string>): boolean {
     const { isGone, isLeaving, listed } = entry;
-    return !isGone && !isLeaving && listed.saysLeaving !== true && this.mayBeSent(entry);
+    const isStaying = !isGone && !isLeaving && listed.saysLeaving !== true;
+    return isStaying && this.mayBeSent(entry, regions);
   }
 }
--- a/packages/gateway/src/upstream-picker.ts
+++ b/packages/gateway/src/upstream-picker.ts
@@ -246,7 +246,7 @@
       throw this.refuse('noUpstream', call.service.name, RETRY_AFTER_S);
     }
     const { known, upstreamId } = chosen;
-    if (isMaybeCold(known, now)) {
+    if (call.service.coldCallsPerS !== undefined && isMaybeCold(known, now)) {
       this.options.coldShare.note(upstreamId, now);
     }
     const share = isEngine
--- a/packages/routing/src/cold-share.ts
+++ b/packages/routing/src/cold-share.ts
@@ -34,6 +34,11 @@
     private readonly countHosts: () => number,
   ) {}
 
+  /** How many upstreams have an account. */
+  public get size(): number {
+    return this.sends.size;
+  }
+
   /** Whether this host may send a call to a cold upstream now. */
   public mayTake({ callsPerS, upstreamId }: ColdUpstream, now: number): boolean {
     const hosts = Math.max(LEAST_HOSTS, this.countHosts());
@@ -49,7 +54,17 @@
   /** Notes that this host sends a call to a cold upstream. */
   public note(upstreamId: string, now: number): void {
     const known = this.sends.get(upstreamId) ?? new recentSends.RecentSends();
+    this.dropOver(now);
     this.sends.set(upstreamId, known);
     known.note(now);
   }
+
+  /** Upstreams come and go for as long as the host runs; those without a send of late need no account. */
+  private dropOver(now: number): void {
+    this.sends.forEach((sends, upstreamId) => {
+      if (sends.count(now) === 0) {
+        this.sends.delete(upstreamId);
+      }
+    });
+  }
 }
--- a/packages/routing/src/recent-sends.ts
+++ b/packages/routing/src/recent-sends.ts
@@ -13,7 +13,9 @@
   /** How many there were within the window. */
   public count(now: number): number {
     const first = this.sentAt.findIndex((at) => now - at < SEND_WINDOW_MS);
-    this.sentAt = first < 0 ? [] : this.sentAt.slice(first);
+    if (first !== 0) {
+      this.sentAt = first < 0 ? [] : this.sentAt.slice(first);
+    }
     return this.sentAt.length;
   }
 }
--- a/packages/routing/tests/cold-upstreams.test.ts
+++ b/packages/routing/tests/cold-upstreams.test.ts
@@ -108,6 +108,15 @@
   }
 });
 
+// Guards against an account that grows with each upstream that ever was cold.
+void tap.default.test('a host forgets sends that no longer count', async (t) => {
+  const share = new coldShares.ColdShare('host', () => 16);
+  for (let i = 0; i < 100; i += 1) {
+    share.note(`u-${i}`, i * 500);
+  }
+  t.ok(share.size <= 3, `${share.size} accounts`);
+});
+
 // Guards against shares that are too large while a new leader has heard few of the hosts.
 void tap.default.test('hosts that were told of few others take a small share', async (t) => {
   const shares = Array.from(
