Derive what the account and the list desk know already, under one name

Found by reading the change: whether an engine has runs went through two classes under two names; whether any engine is open was looked up among all engines at each placement; the period of the list was kept as state beside the function that gives it; the list was looked up twice for one placement; a list that is news was told by two branches. No behaviour changes; tests keep their assertions.

--- a/packages/gateway/src/leaving-watch.ts
+++ b/packages/gateway/src/leaving-watch.ts
@@ -42,7 +42,7 @@
   readonly address: string;
   readonly healthPath: string;
   /** Whether something runs there that could be handed over. */
-  readonly isBusy: boolean;
+  readonly hasRuns: boolean;
 }
 
 /**
@@ -89,7 +89,7 @@
     if (engines.length <= MOST_ASKED) {
       return engines;
     }
-    const asked = engines.filter((engine) => engine.isBusy || this.isLeaving(engine.upstreamId));
+    const asked = engines.filter((engine) => engine.hasRuns || this.isLeaving(engine.upstreamId));
     const first = asked.length > MOST_ASKED ? this.nextAsked % asked.length : 0;
     this.nextAsked = first + MOST_ASKED;
     return [...asked.slice(first), ...asked.slice(0, first)].slice(0, MOST_ASKED);
--- a/packages/gateway/src/list-desk.ts
+++ b/packages/gateway/src/list-desk.ts
@@ -66,7 +66,6 @@
   private packed: Uint8Array | undefined;
   private isGathering = false;
   private readAt = -Infinity;
-  private periodMs = LIST_MS;
   private coldTimes = new Map<string, ColdTime>();
   /** When the platform's list was read from which the one in force was made. */
   private inForceReadAt = -Infinity;
@@ -80,10 +79,7 @@
       log,
       getAddress: () => getSettings().listAddress,
       isDue,
-      getPauseMs: (calls) => {
-        this.periodMs = this.getPauseMs(calls);
-        return this.periodMs;
-      },
+      getPauseMs: (calls) => this.getPauseMs(calls),
       idlePauseMs: IDLE_PAUSE_MS,
       take: (list) => this.take(list),
     });
@@ -131,7 +127,7 @@
 
   /** The pause between two readings, in milliseconds; a list of many pages is read less often. */
   public getPeriodMs(): number {
-    return this.periodMs;
+    return this.getPauseMs(this.reader.getCalls());
   }
 
   private take({ upstreams }: procedures.UpstreamList): void {
@@ -176,13 +172,13 @@
       this.leaving.isLeaving(item.upstreamId) ? { ...item, saysLeaving: true } : item,
     );
     const stamp = schemas.getContentHash(upstreams);
-    const wasKnown = this.getList() !== undefined;
+    const isNews = stamp !== this.getList()?.stamp;
     this.inForceReadAt = this.readAt;
     if (stamp !== this.list?.stamp) {
       this.list = { stamp, upstreams };
       this.packed = undefined;
-      this.changed.notify();
-    } else if (!wasKnown) {
+    }
+    if (isNews) {
       this.changed.notify();
     }
   }
@@ -197,7 +193,7 @@
               upstreamId,
               address,
               healthPath: found.healthPath,
-              isBusy: this.options.hasRuns(service, upstreamId),
+              hasRuns: this.options.hasRuns(service, upstreamId),
             },
           ]
         : [];
--- a/packages/gateway/src/list-reader.ts
+++ b/packages/gateway/src/list-reader.ts
@@ -43,6 +43,11 @@
     }
   }
 
+  /** How many calls the last reading took. */
+  public getCalls(): number {
+    return this.calls;
+  }
+
   /** Ends the task. */
   public stop(): void {
     this.isStopped = true;
--- a/packages/gateway/src/operator-desk.ts
+++ b/packages/gateway/src/operator-desk.ts
@@ -25,10 +25,11 @@
   /** Checks a document and puts it into the log; a refusal lists what is wrong with it. */
   public async declare(text: string): Promise<intents.DeclareResult> {
     const { version } = this.check(text);
-    const result = await this.options.leader.ask(
+    const { acknowledgeMs, leader } = this.options;
+    const result = await leader.ask(
       () => this.declareHere({ version, text }),
       (api, options) => api.declare.mutate({ version, text }, options),
-      this.options.acknowledgeMs * ANSWER_SHARE,
+      acknowledgeMs * ANSWER_SHARE,
     );
     this.options.log.info({ decision: 'declare', version, highest: result.version });
     return result;
@@ -36,10 +37,11 @@
 
   /** The newest document; fails where it is not certain which one that is. */
   public read(): Promise<intents.DeclaredDocument | null> {
-    return this.options.leader.ask(
+    const { acknowledgeMs, leader } = this.options;
+    return leader.ask(
       () => this.readHere(),
       (api, options) => api.read.mutate(undefined, options),
-      this.options.acknowledgeMs * ANSWER_SHARE,
+      acknowledgeMs * ANSWER_SHARE,
     );
   }
 
--- a/packages/gateway/src/pool-desk.ts
+++ b/packages/gateway/src/pool-desk.ts
@@ -40,6 +40,8 @@
   readonly plan: routing.HandOverPlan<WaitingRun>;
   isServing: boolean;
   listed: readonly schemas.ListedUpstream[] | undefined;
+  /** Whether this leader has read a list; what was listed in a former leadership is kept until then. */
+  hasList: boolean;
   evacuationRevision: number;
 }
 
@@ -55,13 +57,14 @@
     const { clock } = this.options;
     const askedAt = clock.now();
     const pool = this.findPool(req.service);
-    // Without a list every pool looks full. A run that is only entered needs no list.
-    const hasList = this.options.findUpstreams() !== undefined;
-    if (pool === undefined || (!hasList && req.need.fixedEngineId === undefined)) {
+    // A run whose engine is given is only entered; it needs neither list nor room.
+    const isChoice = req.need.fixedEngineId === undefined;
+    // Without a list every pool looks full.
+    if (pool === undefined || (isChoice && !pool.hasList)) {
       return { placed: undefined, waitedMs: 0, isUnknown: true };
     }
     pool.plan.endTurn(req.need.callId);
-    if (!pool.ledger.hasOpenEngine() && req.need.fixedEngineId === undefined) {
+    if (isChoice && !pool.ledger.hasOpenEngine()) {
       return { placed: undefined, waitedMs: 0, full: pool.ledger.getSummary(askedAt) };
     }
     const placed = await new Promise<routing.Placement | undefined>((resolve) => {
@@ -175,6 +178,7 @@
     const pool = this.pools.get(service) ?? createPool();
     this.pools.set(service, pool);
     const listed = this.options.findUpstreams();
+    pool.hasList = listed !== undefined;
     const evacuationRevision = this.options.getEvacuationRevision();
     const isSame = pool.listed === listed && pool.evacuationRevision === evacuationRevision;
     if (listed !== undefined && !isSame) {
@@ -205,5 +209,13 @@
   const ledger = new routing.EngineLedger();
   const queue = new routing.PlaceQueue<WaitingPlace>(ledger);
   const plan = new routing.HandOverPlan<WaitingRun>(ledger);
-  return { ledger, queue, plan, isServing: false, listed: undefined, evacuationRevision: 0 };
+  return {
+    ledger,
+    queue,
+    plan,
+    isServing: false,
+    listed: undefined,
+    hasList: false,
+    evacuationRevision: 0,
+  };
 }
--- a/packages/gateway/tests/leaving-watch.test.ts
+++ b/packages/gateway/tests/leaving-watch.test.ts
@@ -20,7 +20,7 @@
     isDue: () => true,
     pauseMs: 250,
     listEngines: () => [
-      { upstreamId: 'e1', address: '127.0.0.1:1', healthPath: '/health', isBusy: true },
+      { upstreamId: 'e1', address: '127.0.0.1:1', healthPath: '/health', hasRuns: true },
     ],
     onChange: () => {
       engine.changes += 1;
@@ -74,9 +74,9 @@
 });
 
 /** A watch over many engines, and how often each was asked. */
-function createWideWatch(clock: schemas.VirtualClock, engineCount: number, busyCount: number) {
+function createWideWatch(clock: schemas.VirtualClock, engineCount: number, runningCount: number) {
   const asked = new Map<string, number>();
-  const state = { leaving: '', busyCount };
+  const state = { leaving: '', runningCount };
   const watch = new leavingWatches.LeavingWatch({
     probe: {
       isLeaving: async (address) => {
@@ -93,7 +93,7 @@
         upstreamId: `e-${i}`,
         address: `e-${i}`,
         healthPath: '/health',
-        isBusy: i < state.busyCount,
+        hasRuns: i < state.runningCount,
       })),
     onChange: () => {},
   });
@@ -130,7 +130,7 @@
     state.leaving = 'e-0';
     await clock.advance(300);
     t.ok(watch.isLeaving('e-0'));
-    state.busyCount = 0;
+    state.runningCount = 0;
     await clock.advance(900);
     t.ok(watch.isLeaving('e-0'));
     watch.stop();
--- a/packages/routing/src/engine-ledger.ts
+++ b/packages/routing/src/engine-ledger.ts
@@ -37,6 +37,7 @@
  */
 export class EngineLedger {
   private engines = new Map<string, engineStates.EngineState>();
+  private hasOpen = false;
   private readonly runs = new runAccounts.RunAccount();
   private readonly speed = new promptBacklogs.ReadingSpeed();
   private readonly holders = new holderChoices.HolderChoice(this.runs, () => this.engines.values());
@@ -55,6 +56,7 @@
         return [engine.engineId, new engineStates.EngineState(engine, holdings, this.speed, kept)];
       }),
     );
+    this.hasOpen = engines.some(({ isClosed }) => isClosed !== true);
     this.runs.keepListed((engineId) => this.isListed(engineId));
   }
 
@@ -145,7 +147,7 @@
 
   /** Whether generations run on an engine. */
   public hasRuns(engineId: string): boolean {
-    return this.runs.isBusy(engineId);
+    return (this.engines.get(engineId)?.holdings.running ?? 0) > 0;
   }
 
   /** Whether an engine may be given work. */
@@ -155,7 +157,7 @@
 
   /** Whether there is an engine at all that takes new work. */
   public hasOpenEngine(): boolean {
-    return [...this.engines.values()].some(({ engine }) => engine.isClosed !== true);
+    return this.hasOpen;
   }
 
   /** Whether an engine that stays and takes new work keeps a copy of a run. */
--- a/packages/routing/src/run-account.ts
+++ b/packages/routing/src/run-account.ts
@@ -38,11 +38,6 @@
     return this.byEngine.get(engineId)?.listRuns() ?? [];
   }
 
-  /** Whether generations run on an engine. */
-  public isBusy(engineId: string): boolean {
-    return (this.byEngine.get(engineId)?.running ?? 0) > 0;
-  }
-
   /** Takes a generation off. */
   public remove(callId: string): void {
     const run = this.runs.get(callId);
