--- a/packages/gateway/src/entry-host.ts
+++ b/packages/gateway/src/entry-host.ts
@@ -33,12 +33,6 @@
 /** Connections that are kept to one upstream at most; calls beyond wait for one, a few milliseconds. */
 const KEPT_CONNECTIONS = 16;
 
-/** Beyond which age the list of upstreams is read by this host itself, in milliseconds: no leader hands it on. */
-const LIST_STALE_MS = 2_000;
-
-/** How many of the leader's readings have to be missing before that, where it reads a long list less often. */
-const STALE_PERIODS = 3;
-
 /** The share of the allowed calls to the list that all entry hosts together use when they read it themselves. */
 const LIST_SHARE = 0.4;
 
@@ -167,7 +161,7 @@
       clock,
       log,
       getAddress: () => options.settings.get().listAddress,
-      isDue: () => this.directory.getAgeMs() > this.getListStaleMs(),
+      isDue: () => this.directory.getAgeMs() > listReaders.getStaleMs(this.listPeriodMs),
       getPauseMs: (calls) => this.getListPauseMs(calls),
       take: (list) => this.directory.take(list, 0),
     });
@@ -323,14 +317,10 @@
     }
   }
 
-  private getListStaleMs(): number {
-    return Math.max(LIST_STALE_MS, STALE_PERIODS * this.listPeriodMs);
-  }
-
   private getListPauseMs(calls: number): number {
     const { listCallsPerS } = this.options.settings.get();
     const shareMs = (this.entryHosts * calls * 1_000) / (listCallsPerS * LIST_SHARE);
-    return Math.max(LIST_STALE_MS / 4, shareMs);
+    return Math.max(listReaders.STALE_MS / 4, shareMs);
   }
 }
 
--- a/packages/gateway/src/list-reader.ts
+++ b/packages/gateway/src/list-reader.ts
@@ -6,6 +6,17 @@
 /** How long one reading of the list may take, in milliseconds. */
 const READ_MS = 1_500;
 
+/** Beyond which age the list is read by an entry host itself, in milliseconds: no leader hands it on. */
+export const STALE_MS = 2_000;
+
+/** How many of the leader's readings have to be missing before that, where it reads a long list less often. */
+const STALE_PERIODS = 3;
+
+/** Beyond which age a list is stale that the leader reads at some period, both in milliseconds. */
+export function getStaleMs(periodMs: number): number {
+  return Math.max(STALE_MS, STALE_PERIODS * periodMs);
+}
+
 /** What a reader of the list needs. */
 export interface ListReaderOptions {
   readonly source: ports.UpstreamSource;
--- a/packages/gateway/tests/evacuation-history.test.ts
+++ b/packages/gateway/tests/evacuation-history.test.ts
@@ -94,3 +94,27 @@
     t.equal(await playSchedule(seed), undefined, `seed ${seed}`);
   }
 });
+
+/** More entries than the log keeps before a snapshot takes their place. */
+const MANY_DOCUMENTS = 300;
+
+// Guards against orders that are gone when a snapshot takes the place of the log.
+void tap.default.test('an evacuation outlives the log that it stood in', async (t) => {
+  const site = new coreSites.CoreSite(SEED, 1);
+  const hosts = ['a', 'b', 'c'];
+  await site.start(hosts);
+  t.ok(await site.evacuate('a', true));
+  for (let i = 0; i < MANY_DOCUMENTS; i += 1) {
+    await site.declare();
+  }
+  await site.clock.advance(1_000);
+  site.kill('c');
+  site.restart('c', true);
+  await site.clock.advance(CATCH_UP_MS);
+  t.equal(site.listRevisions().get('c'), 1, 'a host with an empty disk has it from the leader');
+  hosts.forEach((coreId) => site.kill(coreId));
+  hosts.forEach((coreId) => site.restart(coreId));
+  await site.clock.advance(CATCH_UP_MS);
+  t.same(await site.readZones(), ['a'], 'and each from its own disk');
+  site.stop();
+});
--- a/packages/gateway/tests/evacuations.test.ts
+++ b/packages/gateway/tests/evacuations.test.ts
@@ -4,6 +4,7 @@
 import * as tap from 'tap';
 
 import * as evacuationOrders from '../src/evacuation-orders.js';
+import * as leaderClients from '../src/leader-client.js';
 import * as sites from './support/small-site.js';
 
 class Upstreams {
@@ -120,6 +121,23 @@
   t.same(upstreams.reached, [runner]);
 });
 
+// Guards against a way to an upstream that does not choose by what takes work: the last step before a send asks again.
+void tap.default.test('nothing is sent to an evacuated zone, whoever chose it', async (t) => {
+  const { site, upstreams } = await createSite(t);
+  await site.evacuate('a', true);
+  await site.evacuate('b', true);
+  await waitLive(site, 0);
+  const { directory } = site.entry;
+  const names = [...upstreams.addresses.keys()];
+  directory.listLive = (service) =>
+    names.map((name) => directory.find(name)!).filter(({ listed }) => listed.service === service);
+  upstreams.clear();
+  for (const target of ['/plain/x', '/once/x']) {
+    t.equal((await site.call(target)).status, 503, target);
+  }
+  t.same(upstreams.reached, []);
+});
+
 // Guards against calls that run in a region to which their route or team does not allow them.
 void tap.default.test('calls stay in the regions of their route and team', async (t) => {
   const { site, upstreams } = await createSite(t);
@@ -228,6 +246,42 @@
   await refused;
 });
 
+// Guards against an order that is given to one core host after another though its operator has left.
+void tap.default.test(
+  'the leader is not asked any more for an operator who has left',
+  async (t) => {
+    const clock = new schemas.VirtualClock();
+    const asked: string[] = [];
+    const gone = new AbortController();
+    const api = (coreId: string) => ({
+      evacuate: async () => {
+        asked.push(coreId);
+        gone.abort(new Error('left'));
+        return Promise.reject(new Error('not the leader'));
+      },
+    });
+    const client = new leaderClients.LeaderClient({
+      coreId: 'c1',
+      group: { voter: undefined } as never,
+      table: { leaderHint: undefined, listOthers: () => ['c2', 'c3'] } as never,
+      mesh: { get: api } as never,
+      clock,
+      log: new schemas.SilentLog(),
+    });
+    const here = async () => Promise.reject(new Error('not here'));
+    await t.rejects(
+      client.ask(
+        here,
+        async (other) => (other as unknown as ReturnType<typeof api>).evacuate(),
+        1_000,
+        gone.signal,
+      ),
+      { message: 'left' },
+    );
+    t.same(asked, ['c2']);
+  },
+);
+
 // Guards against an order that a frozen host carries out after its operator withdrew it elsewhere.
 void tap.default.test('an order whose operator has left is not carried out', async (t) => {
   const { orders, state } = createRacingOrders(['changed']);
--- a/packages/gateway/tests/list-desk.test.ts
+++ b/packages/gateway/tests/list-desk.test.ts
@@ -3,20 +3,14 @@
 
 import * as procedures from '../src/core-procedures.js';
 import * as listDesks from '../src/list-desk.js';
+import * as listReaders from '../src/list-reader.js';
+import * as listedUpstreams from './support/listed-upstream.js';
 import * as sites from './support/small-site.js';
 
 const ENGINES = ['e1', 'e2', 'e3', 'e4', 'e5', 'e6', 'e7'] as const;
 
-function createListed(upstreamId: string): schemas.ListedUpstream {
-  return {
-    upstreamId,
-    service: 'engines',
-    address: `${upstreamId}:1`,
-    availabilityZone: 'a',
-    isLeaving: false,
-    slots: 24,
-    coldMs: 0,
-  };
+function createEngine(engineId: string): schemas.ListedUpstream {
+  return listedUpstreams.createListed(engineId, { address: `${engineId}:1`, slots: 24 });
 }
 
 /** A desk over seven engines, which all say that they leave once the test says so; answers come 0 to 6 ms late. */
@@ -34,7 +28,7 @@
     source: {
       list: async () =>
         Promise.resolve({
-          upstreams: ENGINES.map((id) => ({ ...createListed(id), coldMs: getColdMs() })),
+          upstreams: ENGINES.map((id) => ({ ...createEngine(id), coldMs: getColdMs() })),
           calls: 1,
           unreadable: 0,
         }),
@@ -80,7 +74,7 @@
 
 void tap.default.test('a packed list is the list', async (t) => {
   // A host that took it for another one would ask for it again at once, for ever.
-  const list = { stamp: 's1', upstreams: ENGINES.map(createListed) };
+  const list = { stamp: 's1', upstreams: ENGINES.map(createEngine) };
   const news = { isCurrent: true, cores: [] };
   t.same(procedures.findList({ ...news, packedList: procedures.packList(list) }), list);
   t.same(procedures.findList({ ...news, list }), list, 'also from a leader that does not pack');
@@ -123,3 +117,10 @@
   t.ok(desk.getList(), 'which a new leader does at once');
   desk.stop();
 });
+
+// Guards against hundreds of hosts that read sixty pages each, because the leader reads them only every few seconds.
+void tap.default.test('a list that the leader reads seldom is stale later', async (t) => {
+  t.equal(listReaders.getStaleMs(300), 2_000);
+  t.equal(listReaders.getStaleMs(2_400), 7_200);
+  return Promise.resolve();
+});
--- a/packages/gateway/tests/pool-desk.test.ts
+++ b/packages/gateway/tests/pool-desk.test.ts
@@ -2,17 +2,10 @@
 import * as tap from 'tap';
 
 import * as poolDesks from '../src/pool-desk.js';
+import * as listedUpstreams from './support/listed-upstream.js';
 import * as sites from './support/small-site.js';
 
-const ENGINE: schemas.ListedUpstream = {
-  upstreamId: 'e-1',
-  service: 'engines',
-  address: '127.0.0.1:1',
-  availabilityZone: 'a',
-  isLeaving: false,
-  slots: 4,
-  coldMs: 0,
-};
+const ENGINE = listedUpstreams.createListed('e-1');
 
 function createReq(fixedEngineId?: string) {
   return {
@@ -70,6 +63,30 @@
   t.not(full.isUnknown, true, 'a list without engines is a certain answer');
 });
 
+// Guards against a burst onto engines that their list calls cold.
+void tap.default.test('cold engines get new work at the rate of their service', async (t) => {
+  const clock = new schemas.VirtualClock();
+  const { desk, state } = createDesk(clock);
+  state.services = state.services.map((service) => ({ ...service, coldCallsPerS: 5 }));
+  state.list = [{ ...ENGINE, coldMs: 2_000 }];
+  const place = async (callId: string) => {
+    const req = createReq();
+    return desk.place({ ...req, need: { ...req.need, callId, promptTokens: 1, answerTokens: 10 } });
+  };
+  const placed = async (count: number) => {
+    const all = await Promise.all(
+      Array.from({ length: count }, (_, i) => place(`c${clock.now()}-${i}`)),
+    );
+    all.forEach((_, i) =>
+      desk.release({ service: 'engines', callId: `c${clock.now()}-${i}`, hasFailed: false }),
+    );
+    return all.filter((res) => res.placed !== undefined).length;
+  };
+  t.equal(await placed(4), 3, '0.6 of 5 in a second, while it is cold');
+  await clock.advance(2_100);
+  t.equal(await placed(4), 4, 'more when it is warm');
+});
+
 // Guards against "no room" for a service that the leader's document lacks and the host's document has.
 void tap.default.test('a leader that lacks a service does not say that it is full', async (t) => {
   const { desk, state } = createDesk(new schemas.VirtualClock());
--- a/packages/gateway/tests/upstream-directory.test.ts
+++ b/packages/gateway/tests/upstream-directory.test.ts
@@ -2,18 +2,10 @@
 import * as tap from 'tap';
 
 import * as upstreamDirectories from '../src/upstream-directory.js';
+import * as listedUpstreams from './support/listed-upstream.js';
 
-function createListed(bornMs: number | undefined): schemas.ListedUpstream {
-  return {
-    upstreamId: 'e-1',
-    bornMs,
-    service: 'engines',
-    address: '127.0.0.1:1',
-    availabilityZone: 'a',
-    isLeaving: false,
-    slots: 4,
-    coldMs: 0,
-  };
+function createBorn(bornMs: number | undefined, change: Partial<schemas.ListedUpstream> = {}) {
+  return listedUpstreams.createListed('e-1', { bornMs, ...change });
 }
 
 function createDirectory() {
@@ -31,14 +23,14 @@
   // The former process was leaving, failed and had much to do; another process had its address for a moment. Taken for
   // the same, the new one would get no work at all.
   const { directory, take } = createDirectory();
-  take(createListed(1_000));
+  take(createBorn(1_000));
   const former = directory.find('e-1')!;
   former.load.enter(3_000);
   former.load.noteFailure(0);
   directory.noteGone('e-1');
-  take({ ...createListed(1_000), isLeaving: true });
+  take(createBorn(1_000, { isLeaving: true }));
   t.notOk(directory.isLive('e-1'), 'the same process stays gone and leaving');
-  take(createListed(2_000));
+  take(createBorn(2_000));
   t.ok(directory.isLive('e-1'));
   t.ok(directory.isReborn(former), 'what the former one held is lost');
   const { load } = directory.find('e-1')!;
@@ -47,10 +39,10 @@
 
 void tap.default.test('the same start, or none that is told, is the same process', async (t) => {
   const { directory, take } = createDirectory();
-  take(createListed(1_000));
+  take(createBorn(1_000));
   const known = directory.find('e-1')!;
   directory.noteGone('e-1');
-  take({ ...createListed(undefined), coldMs: 1 });
+  take(createBorn(undefined, { coldMs: 1 }));
   t.notOk(directory.isLive('e-1'));
   t.notOk(directory.isReborn(known));
 });
--- a/packages/gateway/tests/upstream-picker.test.ts
+++ b/packages/gateway/tests/upstream-picker.test.ts
@@ -6,6 +6,7 @@
 import type * as procedures from '../src/core-procedures.js';
 import * as upstreamDirectories from '../src/upstream-directory.js';
 import * as upstreamPickers from '../src/upstream-picker.js';
+import * as listedUpstreams from './support/listed-upstream.js';
 import * as sites from './support/small-site.js';
 
 /** A leader that places every generation on one engine, or does not answer, and what it is told. */
@@ -43,21 +44,12 @@
   }
 }
 
-function createListed(upstreamId: string): schemas.ListedUpstream {
-  return {
-    upstreamId,
-    service: 'engines',
-    address: '127.0.0.1:1',
-    availabilityZone: 'a',
-    isLeaving: false,
-    slots: 4,
-    coldMs: 0,
-  };
-}
-
 function createDirectory(clock: schemas.Clock, engineIds: readonly string[]) {
   const directory = new upstreamDirectories.UpstreamDirectory(clock, new schemas.SilentLog());
-  directory.take({ stamp: 's1', upstreams: engineIds.map(createListed) }, 0);
+  directory.take(
+    { stamp: 's1', upstreams: engineIds.map((id) => listedUpstreams.createListed(id)) },
+    0,
+  );
   return directory;
 }
 
@@ -154,7 +146,7 @@
 void tap.default.test('a cold upstream gets no more than this host’s share', async (t) => {
   const clock = new schemas.VirtualClock();
   const directory = new upstreamDirectories.UpstreamDirectory(clock, new schemas.SilentLog());
-  const cold = { ...createListed('app-1'), service: 'app', coldMs: 2_000 };
+  const cold = listedUpstreams.createListed('app-1', { service: 'app', coldMs: 2_000 });
   directory.take({ stamp: 's1', upstreams: [cold] }, 0);
   const picker = createPicker(clock, new FixedPlacer(undefined), directory);
   const call = createPlainCall(40);
