--- a/packages/gateway/src/core-host.ts
+++ b/packages/gateway/src/core-host.ts
@@ -1,7 +1,6 @@
 import * as path from 'node:path';
 
 import * as consensus from '@bramleyridge/consensus';
-import type * as intents from '@bramleyridge/intents';
 import * as peers from '@bramleyridge/peers';
 import * as schemas from '@bramleyridge/schemas';
 import type * as telemetry from '@bramleyridge/telemetry';
@@ -11,6 +10,7 @@
 import * as coreMeshes from './core-mesh.js';
 import * as procedures from './core-procedures.js';
 import * as coreTables from './core-table.js';
+import * as entryNews from './entry-news.js';
 import * as entryTables from './entry-table.js';
 import * as evacuationOrders from './evacuation-orders.js';
 import * as hostSettings from './host-settings.js';
@@ -23,7 +23,6 @@
 import * as routedStores from './routed-store.js';
 import type * as settingsWatches from './settings-watch.js';
 import * as suspectDesks from './suspect-desk.js';
-import * as suspectLinks from './suspect-link.js';
 
 /** How long a core host may take to answer another, in milliseconds; a slow disk's sync of 150 ms is in it. */
 const PEER_DEADLINE_MS = 500;
@@ -54,6 +53,7 @@
   private readonly suspects: suspectDesks.SuspectDesk;
   private readonly store: routedStores.RoutedStore;
   private readonly lists: listDesks.ListDesk;
+  private readonly news: entryNews.EntryNews;
   private readonly server: peers.PeerServer;
 
   public constructor(private readonly options: CoreHostOptions) {
@@ -128,6 +128,8 @@
       findService: (name) => this.findService(name),
       hasRuns: (service, engineId) => this.pools.hasRuns(service, engineId),
     });
+    const { entries, lists, suspects } = this;
+    this.news = new entryNews.EntryNews({ group, table, entries, lists, suspects, clock });
     this.server = new peers.PeerServer(procedures.createCoreRouter(this.createHandlers()), {
       host: settings.ipAddress,
       port: settings.peerPort,
@@ -188,7 +190,7 @@
       append: (req) => group.getVoter().handleAppend(req),
       snapshot: (req) => group.getVoter().handleSnapshot(req),
       hello: async (req) => this.greeter.answer(req),
-      news: (req) => this.answerNews(req),
+      news: (req) => this.news.answer(req),
       place: (req) => this.place(req),
       awaitHandOver: async (req) => {
         this.checkLeading('hand-over');
@@ -247,56 +249,6 @@
     return this.store.findTable()?.findService(name);
   }
 
-  /** Answers an entry host: at once when there is news, else when its wait is over. */
-  private async answerNews(req: procedures.NewsReq): Promise<procedures.NewsRes> {
-    const { clock } = this.options;
-    this.entries.hear(req.hostId);
-    const end = clock.now() + req.waitMs;
-    while (!this.hasNews(req) && clock.now() < end) {
-      await Promise.race([
-        this.group.state.changed.wait(clock, end - clock.now()),
-        this.lists.changed.wait(clock, end - clock.now()),
-        this.suspects.changed.wait(clock, end - clock.now()),
-        this.group.evacuations.changed.wait(clock, end - clock.now()),
-      ]);
-    }
-    return this.createNews(req);
-  }
-
-  private hasNews(req: procedures.NewsReq): boolean {
-    const version = this.group.state.get()?.version ?? -1;
-    return (
-      version > req.version ||
-      this.findNewEvacuations(req) !== undefined ||
-      this.findNewList(req) !== undefined ||
-      this.findSuspectNews(req) !== undefined
-    );
-  }
-
-  private createNews(req: procedures.NewsReq): procedures.NewsRes {
-    const document = this.group.state.get();
-    const isLeading = this.group.isLeading();
-    const list = this.findNewList(req);
-    const isPacked = req.takesPacked === true && list !== undefined;
-    return {
-      document: document !== undefined && document.version > req.version ? document : undefined,
-      list: isPacked ? undefined : list,
-      packedList: isPacked ? this.lists.getPacked() : undefined,
-      listAgeMs: isLeading ? this.lists.getAgeMs() : undefined,
-      listPeriodMs: isLeading ? this.lists.getPeriodMs() : undefined,
-      isCurrent: this.group.isCurrent(),
-      leader: this.group.voter?.leader,
-      cores: this.table.listAll(),
-      entryHosts: isLeading ? this.entries.count() : undefined,
-      suspects: this.findSuspectNews(req),
-      evacuations: this.findNewEvacuations(req),
-      quarantined:
-        isLeading || req.suspects?.term !== suspectLinks.NO_TERM
-          ? undefined
-          : this.group.quarantine.list(),
-    };
-  }
-
   /** Sees to it that the account of suspects has what the log holds before it is used in a term; gives the term. */
   private leadSuspects(step: string): number {
     this.checkLeading(step);
@@ -304,27 +256,6 @@
     this.suspects.lead(term);
     return term;
   }
-
-  private findSuspectNews(req: procedures.NewsReq): procedures.SuspectNews | undefined {
-    if (req.suspects === undefined || !this.group.isLeading()) {
-      return undefined;
-    }
-    const { term } = this.group.getLeadership();
-    this.suspects.lead(term);
-    return this.suspects.findNews(req.suspects, term);
-  }
-
-  private findNewEvacuations(req: procedures.NewsReq): intents.EvacuationFacts | undefined {
-    const facts = this.group.evacuations.get();
-    const known = req.evacuationRevision ?? facts.revision;
-    return facts.revision > known ? facts : undefined;
-  }
-
-  private findNewList(req: procedures.NewsReq): procedures.UpstreamList | undefined {
-    const list = this.lists.getList();
-    const isNew = this.group.isLeading() && list?.stamp !== req.listStamp;
-    return isNew ? list : undefined;
-  }
 }
 
 async function openFolder(folder: string): Promise<consensus.FileLayer> {
--- /dev/null
+++ b/packages/gateway/src/entry-news.ts
@@ -0,0 +1,98 @@
+import type * as intents from '@bramleyridge/intents';
+import type * as schemas from '@bramleyridge/schemas';
+
+import type * as coreGroups from './core-group.js';
+import type * as procedures from './core-procedures.js';
+import type * as coreTables from './core-table.js';
+import type * as entryTables from './entry-table.js';
+import type * as listDesks from './list-desk.js';
+import type * as suspectDesks from './suspect-desk.js';
+import * as suspectLinks from './suspect-link.js';
+
+/** Where news for entry hosts comes from. */
+export interface EntryNewsOptions {
+  readonly group: coreGroups.CoreGroup;
+  readonly table: coreTables.CoreTable;
+  readonly entries: entryTables.EntryTable;
+  readonly lists: listDesks.ListDesk;
+  readonly suspects: suspectDesks.SuspectDesk;
+  readonly clock: schemas.Clock;
+}
+
+/** Tells entry hosts what they lack: any core host what the log holds, the leader also what it knows besides. */
+export class EntryNews {
+  public constructor(private readonly options: EntryNewsOptions) {}
+
+  /** Answers an entry host: at once when there is news, else when its wait is over. */
+  public async answer(req: procedures.NewsReq): Promise<procedures.NewsRes> {
+    const { clock, entries, group, lists, suspects } = this.options;
+    entries.hear(req.hostId);
+    const end = clock.now() + req.waitMs;
+    while (!this.hasNews(req) && clock.now() < end) {
+      await Promise.race([
+        group.state.changed.wait(clock, end - clock.now()),
+        lists.changed.wait(clock, end - clock.now()),
+        suspects.changed.wait(clock, end - clock.now()),
+        group.evacuations.changed.wait(clock, end - clock.now()),
+      ]);
+    }
+    return this.create(req);
+  }
+
+  private hasNews(req: procedures.NewsReq): boolean {
+    const version = this.options.group.state.get()?.version ?? -1;
+    return (
+      version > req.version ||
+      this.findNewEvacuations(req) !== undefined ||
+      this.findNewList(req) !== undefined ||
+      this.findSuspectNews(req) !== undefined
+    );
+  }
+
+  private create(req: procedures.NewsReq): procedures.NewsRes {
+    const { entries, group, lists, table } = this.options;
+    const document = group.state.get();
+    const isLeading = group.isLeading();
+    const list = this.findNewList(req);
+    const isPacked = req.takesPacked === true && list !== undefined;
+    return {
+      document: document !== undefined && document.version > req.version ? document : undefined,
+      list: isPacked ? undefined : list,
+      packedList: isPacked ? lists.getPacked() : undefined,
+      listAgeMs: isLeading ? lists.getAgeMs() : undefined,
+      listPeriodMs: isLeading ? lists.getPeriodMs() : undefined,
+      isCurrent: group.isCurrent(),
+      leader: group.voter?.leader,
+      cores: table.listAll(),
+      entryHosts: isLeading ? entries.count() : undefined,
+      suspects: this.findSuspectNews(req),
+      evacuations: this.findNewEvacuations(req),
+      quarantined:
+        isLeading || req.suspects?.term !== suspectLinks.NO_TERM
+          ? undefined
+          : group.quarantine.list(),
+    };
+  }
+
+  private findSuspectNews(req: procedures.NewsReq): procedures.SuspectNews | undefined {
+    const { group, suspects } = this.options;
+    if (req.suspects === undefined || !group.isLeading()) {
+      return undefined;
+    }
+    const { term } = group.getLeadership();
+    suspects.lead(term);
+    return suspects.findNews(req.suspects, term);
+  }
+
+  private findNewEvacuations(req: procedures.NewsReq): intents.EvacuationFacts | undefined {
+    const facts = this.options.group.evacuations.get();
+    const known = req.evacuationRevision ?? facts.revision;
+    return facts.revision > known ? facts : undefined;
+  }
+
+  private findNewList(req: procedures.NewsReq): procedures.UpstreamList | undefined {
+    const list = this.options.lists.getList();
+    const isNew = this.options.group.isLeading() && list?.stamp !== req.listStamp;
+    return isNew ? list : undefined;
+  }
+}
