Don't tell how many entry hosts there are before the leader can have heard them

Found by taking safeguards out: without the floor of 16 hosts in the share of cold upstreams no test failed. Worked out, the floor does not do it either: a leader that has just risen tells each host the number that it has heard by then, and 350 hosts told 1 to 350 together take 50.6 calls a second of an upstream that bears 51, beside the leader's 18 to 30. The same numbers set the hosts' shares of retries.

Change: a leader tells the number after 1.5 s, when each host has asked; a host keeps the one that it had, and one that was never told sends nothing to cold upstreams. The floor goes. Retries of a host that was never told are as before (16 hosts assumed).

--- a/packages/gateway/src/entry-host.ts
+++ b/packages/gateway/src/entry-host.ts
@@ -84,7 +84,8 @@
   private readonly readiness: faceServers.FaceServer;
   /** Until when calls are taken, on this host's clock. */
   private takesUntil = Infinity;
-  private entryHosts = ASSUMED_ENTRY_HOSTS;
+  /** How many entry hosts there are, as a leader has told. */
+  private entryHosts: number | undefined;
   /** The pause between two readings of the list by the leader, in milliseconds. */
   private listPeriodMs = 0;
   private stopping: Promise<void> | undefined;
@@ -114,7 +115,7 @@
     });
     this.shares = new retryShares.RetryShares(
       clock,
-      () => ({ ...options.settings.get().bounds, entryHosts: this.entryHosts }),
+      () => ({ ...options.settings.get().bounds, entryHosts: this.getEntryHosts() }),
       (service) => pools.borrowRetry(service),
       options.metrics,
     );
@@ -304,7 +305,7 @@
       this.suspects.take(news.suspects);
     }
     this.listPeriodMs = news.listPeriodMs ?? this.listPeriodMs;
-    this.entryHosts = Math.max(news.entryHosts ?? this.entryHosts, 1);
+    this.entryHosts = news.entryHosts ?? this.entryHosts;
     const limits = this.store.findTable()?.config.limits;
     if (limits !== undefined) {
       this.callers.setTimeouts(limits.headerTimeoutMs, limits.idleTimeoutMs);
@@ -317,9 +318,13 @@
     }
   }
 
+  private getEntryHosts(): number {
+    return this.entryHosts ?? ASSUMED_ENTRY_HOSTS;
+  }
+
   private getListPauseMs(calls: number): number {
     const { listCallsPerS } = this.options.settings.get();
-    const shareMs = (this.entryHosts * calls * 1_000) / (listCallsPerS * LIST_SHARE);
+    const shareMs = (this.getEntryHosts() * calls * 1_000) / (listCallsPerS * LIST_SHARE);
     return Math.max(listReaders.STALE_MS / 4, shareMs);
   }
 }
--- a/packages/gateway/src/entry-news.ts
+++ b/packages/gateway/src/entry-news.ts
@@ -9,6 +9,12 @@
 import type * as suspectDesks from './suspect-desk.js';
 import * as suspectLinks from './suspect-link.js';
 
+/**
+ * How long a leader leads before it tells how many entry hosts there are, in milliseconds: each of them has asked by then.
+ * Told of fewer, every host would take a larger share of retries and of calls to cold upstreams than it has.
+ */
+const COUNT_MS = 1_500;
+
 /** Where news for entry hosts comes from. */
 export interface EntryNewsOptions {
   readonly group: coreGroups.CoreGroup;
@@ -64,7 +70,7 @@
       isCurrent: group.isCurrent(),
       leader: group.voter?.leader,
       cores: table.listAll(),
-      entryHosts: isLeading ? entries.count() : undefined,
+      entryHosts: this.isCounted() ? entries.count() : undefined,
       suspects: this.findSuspectNews(req),
       evacuations: this.findNewEvacuations(req),
       quarantined:
@@ -74,6 +80,11 @@
     };
   }
 
+  private isCounted(): boolean {
+    const { clock, group } = this.options;
+    return group.isLeading() && clock.now() - group.getLeadership().startedAt >= COUNT_MS;
+  }
+
   private findSuspectNews(req: procedures.NewsReq): procedures.SuspectNews | undefined {
     const { group, suspects } = this.options;
     if (req.suspects === undefined || !group.isLeading()) {
--- a/packages/routing/src/cold-share.ts
+++ b/packages/routing/src/cold-share.ts
@@ -5,12 +5,6 @@
 /** The part of a cold upstream's rate that hosts without a common account share; the rest is the leader's to give. */
 const SHARED_PART = 0.4;
 
-/**
- * How many hosts there are taken to be at least. A leader that has just risen has heard few of them, and each would take
- * its share for a large one.
- */
-const LEAST_HOSTS = 16;
-
 /** The number of values of a 32-bit hash. */
 const HASH_VALUES = 2 ** 32;
 
@@ -31,7 +25,8 @@
 
   public constructor(
     private readonly hostId: string,
-    private readonly countHosts: () => number,
+    /** How many hosts there are; nothing before that was told. */
+    private readonly countHosts: () => number | undefined,
   ) {}
 
   /** How many upstreams have an account. */
@@ -41,7 +36,10 @@
 
   /** Whether this host may send a call to a cold upstream now. */
   public mayTake({ callsPerS, upstreamId }: ColdUpstream, now: number): boolean {
-    const hosts = Math.max(LEAST_HOSTS, this.countHosts());
+    const hosts = this.countHosts();
+    if (hosts === undefined) {
+      return false;
+    }
     const share = (callsPerS * SHARED_PART) / hosts;
     const sent = this.sends.get(upstreamId)?.count(now) ?? 0;
     if (share >= 1) {
--- a/packages/routing/tests/cold-upstreams.test.ts
+++ b/packages/routing/tests/cold-upstreams.test.ts
@@ -108,6 +108,15 @@
   }
 });
 
+// Guards against hundreds of restarted hosts that each take the share of a small fleet.
+void tap.default.test(
+  'hosts that were told no number send nothing to cold upstreams',
+  async (t) => {
+    const share = new coldShares.ColdShare('host-1', () => undefined);
+    t.notOk(share.mayTake({ upstreamId: 'u', callsPerS: 1_000 }, 0));
+  },
+);
+
 // Guards against an account that grows with each upstream that ever was cold.
 void tap.default.test('a host forgets sends that no longer count', async (t) => {
   const share = new coldShares.ColdShare('host', () => 16);
