--- a/packages/gateway/tests/leaving-watch.test.ts
+++ b/packages/gateway/tests/leaving-watch.test.ts
@@ -133,6 +133,9 @@
     state.runningCount = 0;
     await clock.advance(900);
     t.ok(watch.isLeaving('e-0'));
+    state.leaving = '';
+    await clock.advance(300);
+    t.notOk(watch.isLeaving('e-0'), 'and is heard when it takes that back');
     watch.stop();
   },
 );
