Make the question for a permit idempotent, so that a lost answer uses up no later send

What callers saw: a good call that was quarantined by chance was refused for good (503), also long after the bad call beside it was known.

Cause: the leader counts a later send and writes it into the log before it answers. The question had no identity, so a repeat after a lost, late or cut off answer was a new question: the refusal was looked at before the trial that had been opened for that very host. Two such answers and no send is left.

On the code before, the three new tests of crash-guard fail: "a leave that takes the leader most of a second" gets undefined, "a leave whose answer is lost" is refused with 2 chances gone, "a leave that a former leader wrote and did not answer" is refused.

Ruled out: a longer deadline. It was made 500 ms before; an answer that never comes is lost all the same.

Change: each question has an id that stays until an answer arrives, across repeats, later calls and leaders; the ledger keeps it with the count, in the log's entry too, and answers the same id the same. While no answer comes the question is asked again every 0.2 s beside the first. A quarantined call is only sent when the log holds the count. The question brings what the host knows of the call: a leader that has just risen took an unknown call for a free one.

--- a/packages/gateway/src/suspect-desk.ts
+++ b/packages/gateway/src/suspect-desk.ts
@@ -59,13 +59,18 @@
 
   /** Whether a suspect may be sent to an upstream. */
   public async permit(req: procedures.SuspectPermitReq): Promise<routing.Permit> {
-    const { digest, hostId, mayShare, processId } = req;
+    const { digest, facts, hostId, mayShare, permitId, processId } = req;
     const { clock, log } = this.options;
+    if (facts !== undefined) {
+      this.merge([facts]);
+    }
     const before = this.ledger.getRevision();
-    const permit = this.ledger.permit(digest, processId, mayShare, clock.now());
+    const permit = this.ledger.permit(digest, processId, mayShare, clock.now(), permitId);
     const standing = this.ledger.getStanding(digest);
     if (this.ledger.getRevision() !== before) {
       this.changed.notify();
+    }
+    if (permit.kind !== 'refused' && standing === 'quarantined' && !this.isRecorded(digest)) {
       // That it is sent once more is in the log before the call is sent: the next leader must not allow it again.
       await this.record(digest);
     }
@@ -75,6 +80,7 @@
       standing,
       peer: hostId,
       upstream: processId,
+      permitId,
       ...permit,
     });
     return permit;
@@ -116,6 +122,12 @@
     this.changed.notify();
   }
 
+  /** Whether the log holds how often a quarantined call was sent. */
+  private isRecorded(digest: string): boolean {
+    const held = this.options.quarantine.find(digest);
+    return held !== undefined && held.chances === this.ledger.find(digest)?.chances;
+  }
+
   /** Puts what is held against a call into the log. */
   private async record(digest: string): Promise<void> {
     const facts = this.ledger.find(digest);
--- a/packages/gateway/src/suspect-link.ts
+++ b/packages/gateway/src/suspect-link.ts
@@ -1,3 +1,5 @@
+import * as crypto from 'node:crypto';
+
 import type * as routing from '@bramleyridge/routing';
 import * as schemas from '@bramleyridge/schemas';
 
@@ -9,16 +11,15 @@
 
 /**
  * How long a suspect waits for the leave of a leader that does not answer, in milliseconds; an election takes about as
- * long. Sent without it, the call would not be known to have run apart from other suspects, and need an upstream more
- * until it is quarantined.
+ * long.
  */
 const PERMIT_MS = 1_000;
 
-/**
- * How long one answer to the question for a leave may take, in milliseconds. An answer that comes too late has counted as a
- * run all the same, and a quarantined call has few of them left to be cleared by.
- */
-const PERMIT_ANSWER_MS = 500;
+/** The pause before a question that was not answered yet is asked again, in milliseconds. */
+const ASK_AGAIN_MS = 200;
+
+/** How many questions that were never answered are remembered; the oldest goes first. */
+const MOST_UNANSWERED = 1_000;
 
 /** The pause before something that the leader did not take is told again, in milliseconds. */
 const AGAIN_MS = 100;
@@ -47,6 +48,8 @@
   private reports: procedures.SuspectRun[] = [];
   private informedTerm = NO_TERM;
   private known = { term: NO_TERM, revision: -1 };
+  /** The questions for a leave that had no answer, by the call's digest. */
+  private readonly unanswered = new Map<string, string>();
   private sending: Promise<boolean> | undefined;
   private isWaiting = false;
   private isStopped = false;
@@ -95,19 +98,27 @@
     void this.send();
   }
 
-  /** Whether a suspect may be sent to an upstream; nothing where no leader answers that knows what this host knows. */
+  /**
+   * Whether a suspect may be sent to an upstream; nothing where nobody answers that may know of other hosts' runs. Asked
+   * again after no answer came, the question has the same name: the leader may have counted the send already.
+   */
   public async askPermit(
-    req: Omit<procedures.SuspectPermitReq, 'hostId'>,
+    req: Pick<procedures.SuspectPermitReq, 'digest' | 'mayShare' | 'processId'>,
   ): Promise<routing.Permit | undefined> {
-    const { clock } = this.options;
-    const end = clock.now() + PERMIT_MS;
-    for (;;) {
-      const permit = await this.askPermitOnce(req);
-      if (permit !== undefined || this.isStopped || clock.now() + AGAIN_MS > end) {
-        return permit;
+    const { digest } = req;
+    const permitId = this.unanswered.get(digest) ?? crypto.randomUUID();
+    this.unanswered.delete(digest);
+    const { hostId } = this.options;
+    const facts = this.ledger?.find(digest);
+    const permit = await this.askUntilAnswered({ ...req, hostId, permitId, facts });
+    if (permit === undefined || permit.kind === 'refused') {
+      this.unanswered.set(digest, permitId);
+      const [oldest] = this.unanswered.keys();
+      if (this.unanswered.size > MOST_UNANSWERED) {
+        this.unanswered.delete(oldest!);
       }
-      await clock.sleep(AGAIN_MS);
     }
+    return permit;
   }
 
   /** Ends every task. */
@@ -115,18 +126,37 @@
     this.isStopped = true;
   }
 
-  private async askPermitOnce(
-    req: Omit<procedures.SuspectPermitReq, 'hostId'>,
+  /** Asks the leader again and again; the first answer counts. */
+  private async askUntilAnswered(
+    req: procedures.SuspectPermitReq,
+  ): Promise<routing.Permit | undefined> {
+    const { clock } = this.options;
+    const end = clock.now() + PERMIT_MS;
+    const asked: Promise<routing.Permit | undefined>[] = [];
+    for (;;) {
+      asked.push(this.askLeader(req, end - clock.now()));
+      const pause = clock.sleep(ASK_AGAIN_MS);
+      const permit = await findAnswer(asked, pause);
+      if (permit !== undefined || this.isStopped) {
+        return permit;
+      }
+      await pause;
+      if (clock.now() + ASK_AGAIN_MS > end) {
+        return undefined;
+      }
+    }
+  }
+
+  private async askLeader(
+    req: procedures.SuspectPermitReq,
+    deadlineMs: number,
   ): Promise<routing.Permit | undefined> {
-    const { hostId } = this.options;
     while (this.reports.length > 0) {
       if (!(await this.send())) {
         return undefined;
       }
     }
-    return this.ask((api) =>
-      api.permitSuspect.mutate({ ...req, hostId }, { context: { deadlineMs: PERMIT_ANSWER_MS } }),
-    );
+    return this.ask((api) => api.permitSuspect.mutate(req, { context: { deadlineMs } }));
   }
 
   /** Tells a leader all that is known here. */
@@ -190,3 +220,20 @@
     }
   }
 }
+
+/** The first answer; nothing when the pause is over before one came, or all questions have failed. */
+async function findAnswer<T>(
+  asked: readonly Promise<T | undefined>[],
+  pause: Promise<void>,
+): Promise<T | undefined> {
+  const answers = asked.map(async (question) => {
+    const answer = await question;
+    if (answer === undefined) {
+      throw new Error('no answer');
+    }
+    return answer;
+  });
+  // A question that failed was logged where it was asked.
+  const first = Promise.any(answers).catch(() => undefined);
+  return Promise.race([first, pause.then(() => undefined)]);
+}
--- a/packages/gateway/tests/crash-guard.test.ts
+++ b/packages/gateway/tests/crash-guard.test.ts
@@ -178,6 +178,116 @@
   link.stop();
 });
 
+// Guards against a wait that ends before a slow leader's answer comes.
+void tap.default.test('a leave that takes the leader most of a second is not lost', async (t) => {
+  const { clock, leader, link } = createLink();
+  leader.isUp = true;
+  leader.permitMs = 700;
+  const asked = link.askPermit({ digest: 'bad', processId: 'p2', mayShare: true });
+  await clock.advance(1_100);
+  t.same(await asked, { kind: 'go' });
+  link.stop();
+});
+
+/** A link to a leader whose answers are lost while the test says so; what was asked has been done all the same. */
+function createLossyLink(clock: schemas.VirtualClock, quarantine: routing.QuarantineState) {
+  const createDesk = (term: number) => {
+    const desk = new suspectDesks.SuspectDesk({
+      clock,
+      log: new schemas.SilentLog(),
+      metrics: new telemetry.TextMetrics(),
+      quarantine,
+      propose: async (entry) => {
+        await clock.sleep(8);
+        quarantine.apply(entry);
+      },
+    });
+    desk.lead(term);
+    return desk;
+  };
+  const leader = { desk: createDesk(1), isAnswerLost: false, granted: 0 };
+  const link = new suspectLinks.SuspectLink({
+    mesh: {
+      get: () =>
+        ({
+          reportSuspects: { mutate: async () => Promise.resolve({ term: 1 }) },
+          permitSuspect: {
+            mutate: async (req: never) => {
+              const { desk } = leader;
+              const answer = await desk.permit(req);
+              if (leader.isAnswerLost || desk !== leader.desk) {
+                await clock.sleep(500);
+                throw new Error('deadline');
+              }
+              return answer;
+            },
+          },
+        }) as never,
+    },
+    findLeader: () => 'core',
+    hostId: 'host',
+    clock,
+    log: new schemas.SilentLog(),
+  });
+  link.attach(new routing.CrashLedger());
+  return { createDesk, leader, link };
+}
+
+const HELD_RUNS = ['p1', 'p2', 'p3'].map(
+  (processId) => ({ kind: 'ended', digest: 'good', end: { ...END, processId } }) as const,
+);
+
+// Guards against a good call that is refused for good because the answers to its two questions were lost.
+void tap.default.test(
+  'a leave whose answer is lost is there for the host that asks again',
+  async (t) => {
+    const clock = new schemas.VirtualClock();
+    const quarantine = new routing.QuarantineState();
+    const { leader, link } = createLossyLink(clock, quarantine);
+    leader.desk.report({ hostId: 'host', runs: HELD_RUNS });
+    const ask = { digest: 'good', processId: 'p4', mayShare: true };
+    for (let i = 0; i < 3; i += 1) {
+      await clock.advance(12_000);
+      leader.isAnswerLost = true;
+      const unanswered = link.askPermit(ask);
+      await clock.advance(3_000);
+      t.equal(await unanswered, undefined);
+    }
+    leader.isAnswerLost = false;
+    const asked = link.askPermit(ask);
+    await clock.advance(100);
+    t.same(await asked, { kind: 'go' }, 'however long after');
+    t.equal(quarantine.list()[0]?.chances, 1, 'and is counted once');
+    const second = link.askPermit(ask);
+    await clock.advance(100);
+    t.match(await second, { kind: 'refused' }, 'but is given once');
+    link.stop();
+  },
+);
+
+// Guards against the same where the leader is killed between the log's commit and its answer.
+void tap.default.test(
+  'a leave that a former leader wrote and did not answer is not lost',
+  async (t) => {
+    const clock = new schemas.VirtualClock();
+    const quarantine = new routing.QuarantineState();
+    const { createDesk, leader, link } = createLossyLink(clock, quarantine);
+    leader.desk.report({ hostId: 'host', runs: HELD_RUNS });
+    await clock.advance(4_000);
+    leader.isAnswerLost = true;
+    const unanswered = link.askPermit({ digest: 'good', processId: 'p4', mayShare: true });
+    await clock.advance(3_000);
+    t.equal(await unanswered, undefined);
+    leader.desk = createDesk(2);
+    leader.isAnswerLost = false;
+    const asked = link.askPermit({ digest: 'good', processId: 'p5', mayShare: true });
+    await clock.advance(100);
+    t.same(await asked, { kind: 'go' });
+    t.equal(quarantine.list()[0]?.chances, 1);
+    link.stop();
+  },
+);
+
 void tap.default.test('what a leader has not heard yet stays known here', async (t) => {
   // The leader's word takes the place of what the host knows, also when it was on its way before the host's report.
   const { ledger, link } = createLink();
--- a/packages/routing/src/crash-ledger.ts
+++ b/packages/routing/src/crash-ledger.ts
@@ -51,6 +51,7 @@
 interface Trial {
   readonly processId: string;
   readonly until: number;
+  readonly permitId: string | undefined;
   /** Whether no other suspect runs there. */
   isAlone: boolean;
 }
@@ -61,6 +62,8 @@
   /** When it was quarantined, or sent since then, on this host's clock. */
   heldAt: number | undefined;
   trial: Trial | undefined;
+  /** The question that allowed a run which is over; a copy of it that comes late allows no other. */
+  usedPermitId: string | undefined;
   /** Of its last change that hosts are told; 0 while it is only watched. */
   revision: number;
 }
@@ -104,9 +107,7 @@
     const { trial } = entry;
     const wasAlone = end.wasAlone || (trial?.processId === end.processId && trial.isAlone);
     const facts = suspects.addEnds(entry.facts, [{ ...end, wasAlone }]);
-    if (trial?.processId === end.processId) {
-      entry.trial = undefined;
-    }
+    endTrial(entry, end.processId);
     return this.change(entry, facts, now);
   }
 
@@ -128,18 +129,33 @@
   /** Notes that a run of a suspect at a process is over and shows nothing. */
   public noteOver(digest: string, processId: string): void {
     const entry = this.entries.get(digest);
-    if (entry?.trial?.processId === processId) {
-      entry.trial = undefined;
+    if (entry !== undefined) {
+      endTrial(entry, processId);
     }
   }
 
-  /** Whether a call may be sent to a process now; `mayShare` where there is no other upstream for it. */
-  public permit(digest: string, processId: string, mayShare: boolean, now: number): Permit {
+  /**
+   * Whether a call may be sent to a process now; `mayShare` where there is no other upstream for it. `permitId` names the
+   * question, and is the same when it is asked again because no answer came.
+   */
+  public permit(
+    digest: string,
+    processId: string,
+    mayShare: boolean,
+    now: number,
+    permitId?: string,
+  ): Permit {
     const entry = this.entries.get(digest);
     if (entry === undefined || suspects.getStanding(entry.facts) === 'watched') {
       return { kind: 'go' };
     }
-    const refusal = isQuarantined(entry) ? findRefusal(entry, now) : undefined;
+    if (permitId !== undefined && entry.usedPermitId === permitId) {
+      return { kind: 'go' };
+    }
+    // Its answer was lost. Refused now, a good call would have used up a send that never took place.
+    const isAskedAgain = permitId !== undefined && entry.facts.permitId === permitId;
+    const mustBeHeld = isQuarantined(entry) && !isAskedAgain;
+    const refusal = mustBeHeld ? findRefusal(entry, now) : undefined;
     if (refusal !== undefined) {
       return refusal;
     }
@@ -154,10 +170,10 @@
     others.forEach((trial) => {
       trial.isAlone = false;
     });
-    entry.trial = { processId, until: now + TRIAL_MS, isAlone: others.length === 0 };
-    if (isQuarantined(entry)) {
-      entry.heldAt = now;
-      this.change(entry, { ...entry.facts, chances: entry.facts.chances + 1 }, now);
+    entry.trial = { processId, until: now + TRIAL_MS, permitId, isAlone: others.length === 0 };
+    entry.heldAt = isQuarantined(entry) ? now : entry.heldAt;
+    if (mustBeHeld) {
+      this.change(entry, { ...entry.facts, chances: entry.facts.chances + 1, permitId }, now);
     }
     return { kind: 'go' };
   }
@@ -264,6 +280,13 @@
   }
 }
 
+function endTrial(entry: Entry, processId: string): void {
+  if (entry.trial?.processId === processId) {
+    entry.usedPermitId = entry.trial.permitId;
+    entry.trial = undefined;
+  }
+}
+
 function isSuspect({ facts }: Entry): boolean {
   return suspects.getStanding(facts) !== 'watched';
 }
@@ -287,6 +310,7 @@
     facts: { digest, ends: [], chances: 0 },
     heldAt: undefined,
     trial: undefined,
+    usedPermitId: undefined,
     revision: 0,
   };
 }
--- a/packages/routing/src/quarantine-state.ts
+++ b/packages/routing/src/quarantine-state.ts
@@ -43,6 +43,11 @@
     }
   }
 
+  /** What is held against a call. */
+  public find(digest: string): suspects.SuspectFacts | undefined {
+    return this.held.get(digest);
+  }
+
   /** All that are held. */
   public list(): suspects.SuspectFacts[] {
     return [...this.held.values()];
--- a/packages/routing/src/suspect.ts
+++ b/packages/routing/src/suspect.ts
@@ -37,6 +37,8 @@
   ends: z.array(processEnd).readonly(),
   /** How often it was sent after it was quarantined. */
   chances: z.int(),
+  /** Names the question that the last of these sends was allowed to; asked again it has the same answer. */
+  permitId: z.string().optional(),
 });
 
 /** A process of an upstream that ended under a call. */
@@ -78,7 +80,10 @@
 
 /** What two hosts know of one call. */
 export function mergeFacts(one: SuspectFacts, other: SuspectFacts): SuspectFacts {
-  return { ...addEnds(one, other.ends), chances: Math.max(one.chances, other.chances) };
+  const [later, earlier] = other.chances > one.chances ? [other, one] : [one, other];
+  const { chances } = later;
+  const permitId = later.permitId ?? (earlier.chances === chances ? earlier.permitId : undefined);
+  return { ...addEnds(one, other.ends), chances, permitId };
 }
 
 /** Whether both say the same. */
