Start the account of suspects from the log in each leadership

What callers could see: a call that was cleared under one leader is refused again, as quarantined, when a core host that led before it leads once more.

Cause: the leader's account outlived its leadership. A host that leads again merged the log into what it held when it last led, told that to all hosts, and put it into the log again. The class is that of a full pool told by a leader without a list: a view that is not of this leadership is taken for one that is.

Evidence: the new test of crash-guard fails on the code before (the cleared call is told to hosts as a suspect); the model did not show it, since it makes a new account for each leader.

--- a/packages/gateway/src/suspect-desk.ts
+++ b/packages/gateway/src/suspect-desk.ts
@@ -18,15 +18,19 @@
 export class SuspectDesk {
   /** Tells that hosts have to learn something. */
   public readonly changed = new schemas.ChangeSignal();
-  private readonly ledger = new routing.CrashLedger();
+  private ledger = new routing.CrashLedger();
   private term = -1;
 
   public constructor(private readonly options: SuspectDeskOptions) {}
 
-  /** Begins to lead, with what the log holds; again in the same term it changes nothing. */
+  /**
+   * Begins to lead, with what the log holds; again in the same term it changes nothing. What was known in a former
+   * leadership may have been cleared since, and the hosts tell what they know.
+   */
   public lead(term: number): void {
     if (this.term !== term) {
       this.term = term;
+      this.ledger = new routing.CrashLedger();
       this.merge(this.options.quarantine.list());
     }
   }
--- a/packages/gateway/tests/crash-guard.test.ts
+++ b/packages/gateway/tests/crash-guard.test.ts
@@ -336,6 +336,31 @@
   },
 );
 
+function createDesk(clock: schemas.VirtualClock, quarantine: routing.QuarantineState) {
+  return new suspectDesks.SuspectDesk({
+    clock,
+    log: new schemas.SilentLog(),
+    metrics: new telemetry.TextMetrics(),
+    quarantine,
+    propose: async (entry) => Promise.resolve(quarantine.apply(entry)),
+  });
+}
+
+// Guards against a host that leads again and refuses what was cleared while another one led.
+void tap.default.test('a host that leads again starts from what the log holds', async (t) => {
+  const clock = new schemas.VirtualClock();
+  const quarantine = new routing.QuarantineState();
+  const desk = createDesk(clock, quarantine);
+  desk.lead(1);
+  desk.report({ hostId: 'host', runs: HELD_RUNS });
+  await clock.advance(10);
+  t.equal(quarantine.list().length, 1);
+  quarantine.apply({ quarantine: { kind: 'cleared', digest: 'good' } });
+  desk.lead(3);
+  t.same(desk.findNews({ term: 1, revision: 0 }, 3)?.changes.suspects, []);
+  t.same(quarantine.list(), [], 'and does not put it into the log again');
+});
+
 void tap.default.test('a new leader is told before its word is taken', async (t) => {
   // It knows nothing of suspects that are in no log. A host that took its empty account at once would forget them, and each
   // would have an upstream more.
