Forget what ran in a former leadership when a host leads again

What callers could see: "no room" for generations although the engines are free, for up to the time of a draft after the same core host leads for the second time.

Cause: the account of engines is cleared only when a host that does not lead is asked. One that loses the lead, is asked by nobody, and leads again takes runs that ended meanwhile for ones under way: nobody tells it of their end.

Change: the account begins empty in each term; hosts tell a new leader what runs, as before.

--- a/packages/gateway/src/core-host.ts
+++ b/packages/gateway/src/core-host.ts
@@ -239,6 +239,7 @@
       this.pools.clear();
       throw new schemas.StepError({ id: 'notLeader', step });
     }
+    this.pools.lead(this.group.getLeadership().term);
   }
 
   private findService(name: string): schemas.RoutedService | undefined {
--- a/packages/gateway/src/pool-desk.ts
+++ b/packages/gateway/src/pool-desk.ts
@@ -49,6 +49,7 @@
 export class PoolDesk {
   private readonly pools = new Map<string, Pool>();
   private readonly pots = new Map<string, requests.RetryPot>();
+  private term: number | undefined;
 
   public constructor(private readonly options: PoolDeskOptions) {}
 
@@ -157,6 +158,14 @@
     return pot.lend(lender, this.options.clock.now());
   }
 
+  /** Begins to lead; what ran in a former leadership has ended or is told anew by the hosts. */
+  public lead(term: number): void {
+    if (this.term !== term) {
+      this.term = term;
+      this.clear();
+    }
+  }
+
   /** Forgets everything, because another host leads. */
   public clear(): void {
     this.pools.clear();
--- a/packages/gateway/tests/pool-desk.test.ts
+++ b/packages/gateway/tests/pool-desk.test.ts
@@ -126,3 +126,15 @@
   t.match(res, { placed: undefined, waitedMs: 0 });
   t.not(res.isUnknown, true);
 });
+
+// Guards against "no room" because of runs that ended while another host led.
+void tap.default.test('a host that leads again forgets what ran when it led before', async (t) => {
+  const { desk, state } = createDesk(new schemas.VirtualClock());
+  state.list = [ENGINE];
+  desk.lead(1);
+  t.match(await desk.place(createReq('e-1')), { placed: { engineId: 'e-1' } });
+  desk.lead(1);
+  t.ok(desk.hasRuns('engines', 'e-1'), 'not within one leadership');
+  desk.lead(3);
+  t.notOk(desk.hasRuns('engines', 'e-1'));
+});
