Let a run that nobody was asked about prove as much as one that was

What callers saw: a bad call ends three upstreams, with all that runs there, where two are due. It is the first of the two known failures, "a bad call is run five times where four are due".

Cause: that no other suspect ran where a process ended was known only of runs that the leader had allowed. A call that comes again before its host knows what its first run did is sent like any other, and its second end proved nothing.

Change: the leader tells it from what it knows of the others: no other suspect is on trial at that process, and none has ended it. It does so from 2 s after it has begun to lead, when runs that a former leader allowed are over; before that an empty account would look like a clear one.

--- a/packages/gateway/src/suspect-desk.ts
+++ b/packages/gateway/src/suspect-desk.ts
@@ -4,6 +4,12 @@
 
 import type * as procedures from './core-procedures.js';
 
+/**
+ * After which time a leader knows of all runs of suspects, in milliseconds: what was sent by the leave of the one before is
+ * over.
+ */
+const FULL_VIEW_MS = 2_000;
+
 /** What the desk needs. */
 export interface SuspectDeskOptions {
   readonly clock: schemas.Clock;
@@ -20,6 +26,7 @@
   public readonly changed = new schemas.ChangeSignal();
   private ledger = new routing.CrashLedger();
   private term = -1;
+  private ledSince = 0;
 
   public constructor(private readonly options: SuspectDeskOptions) {}
 
@@ -30,6 +37,7 @@
   public lead(term: number): void {
     if (this.term !== term) {
       this.term = term;
+      this.ledSince = this.options.clock.now();
       this.ledger = new routing.CrashLedger();
       this.merge(this.options.quarantine.list());
     }
@@ -105,7 +113,8 @@
   private noteEnd(hostId: string, digest: string, end: routing.ProcessEnd): void {
     const { clock, log, metrics } = this.options;
     const before = this.ledger.getStanding(digest);
-    if (!this.ledger.noteEnd(digest, end, clock.now())) {
+    const now = clock.now();
+    if (!this.ledger.noteEnd(digest, end, now, now - this.ledSince >= FULL_VIEW_MS)) {
       return;
     }
     const standing = this.ledger.getStanding(digest);
--- a/packages/gateway/tests/crash-guard.test.ts
+++ b/packages/gateway/tests/crash-guard.test.ts
@@ -361,6 +361,29 @@
   t.same(quarantine.list(), [], 'and does not put it into the log again');
 });
 
+// Guards against an upstream more for a call that comes again before its host knows what its first run did.
+void tap.default.test('a run that nobody was asked about proves as much as another', async (t) => {
+  const clock = new schemas.VirtualClock();
+  const desk = createDesk(clock, new routing.QuarantineState());
+  const tell = (digest: string, processId: string) =>
+    desk.report({ hostId: 'host', runs: [{ kind: 'ended', digest, end: { ...END, processId } }] });
+  const getStanding = (digest: string) => {
+    const { suspects } = desk.findNews({ term: -1, revision: 0 }, 1)!.changes;
+    return routing.getStanding(suspects.find((facts) => facts.digest === digest)!);
+  };
+  desk.lead(1);
+  tell('early', 'p1');
+  tell('early', 'p2');
+  t.equal(getStanding('early'), 'suspect', 'not while the leader may lack runs of the time before');
+  await clock.advance(3_000);
+  tell('bad', 'p3');
+  tell('good', 'p3');
+  tell('bad', 'p4');
+  t.equal(getStanding('bad'), 'quarantined', 'no other suspect ran there');
+  tell('good', 'p4');
+  t.equal(getStanding('good'), 'suspect', 'another one did');
+});
+
 void tap.default.test('a new leader is told before its word is taken', async (t) => {
   // It knows nothing of suspects that are in no log. A host that took its empty account at once would forget them, and each
   // would have an upstream more.
--- a/packages/routing/src/crash-ledger.ts
+++ b/packages/routing/src/crash-ledger.ts
@@ -101,12 +101,24 @@
     return entry === undefined ? 'free' : suspects.getStanding(entry.facts);
   }
 
-  /** Notes that a process ended under a call; told twice it counts once. Gives whether it was news. */
-  public noteEnd(digest: string, end: suspects.ProcessEnd, now: number): boolean {
+  /**
+   * Notes that a process ended under a call; told twice it counts once. Gives whether it was news. `knowsAllRuns` tells
+   * that no suspect was sent for some time without this ledger's leave.
+   */
+  public noteEnd(
+    digest: string,
+    end: suspects.ProcessEnd,
+    now: number,
+    knowsAllRuns = false,
+  ): boolean {
     const entry = this.entries.get(digest) ?? createEntry(digest);
     const { trial } = entry;
-    const wasAlone = end.wasAlone || (trial?.processId === end.processId && trial.isAlone);
-    const facts = suspects.addEnds(entry.facts, [{ ...end, wasAlone }]);
+    const wasTried = trial?.processId === end.processId;
+    const wasAlone = wasTried
+      ? trial.isAlone
+      : knowsAllRuns && this.isFirstThere(entry.facts, end.processId, now);
+    const isAlone = end.wasAlone || wasAlone;
+    const facts = suspects.addEnds(entry.facts, [{ ...end, wasAlone: isAlone }]);
     endTrial(entry, end.processId);
     return this.change(entry, facts, now);
   }
@@ -245,6 +257,25 @@
     return this.revision;
   }
 
+  /**
+   * Whether a suspect ended a process on which no other one ran. Its run was sent before its host knew of the end before,
+   * so nobody was asked; what is known of the others tells it as well.
+   */
+  private isFirstThere(facts: suspects.SuspectFacts, processId: string, now: number): boolean {
+    const hasEnd = (ends: readonly suspects.ProcessEnd[]) =>
+      ends.some((end) => end.processId === processId);
+    if (suspects.getStanding(facts) === 'watched' || hasEnd(facts.ends)) {
+      return false;
+    }
+    const hasOther = [...this.entries.values()].some(
+      (other) =>
+        other.facts.digest !== facts.digest &&
+        other.facts.ends.length > 1 &&
+        hasEnd(other.facts.ends),
+    );
+    return !hasOther && this.listTrialsAt(processId, now).length === 0;
+  }
+
   private change(entry: Entry, facts: suspects.SuspectFacts, now: number): boolean {
     if (suspects.areSame(entry.facts, facts)) {
       return false;
