Share what is held against calls also while nobody leads

What callers saw: a call that ends its upstreams ended eight instead of four when two of three core hosts were down for 12 s, more with more entry hosts; with core hosts that stand still for over a second it was run five times instead of four. Each end breaks all other calls there.

Cause: what is held against a call travelled through the leader only. A host that heard none decided alone, nothing bounded how many do so, and a run that a host allowed itself could not be told from one beside other suspects.

Ruled out: refusing suspects while nobody leads; each engine that ends by itself makes eight to ten good calls suspects, and a zone may be cut off for long.

Change: entry hosts that don't reach the leader tell all core hosts they reach, which pass on to a leader or keep the facts for all that ask (SuspectRelay, RelayClient); the leave is asked in an order that is the same at all hosts; a host that reaches nobody keeps its own suspects apart. A leader that loses its lease ends open questions at once. The stand-in upstreams of the tests now refuse calls meant for a process that had their address before, as real ones do; no check changed by that.

--- a/packages/gateway/src/core-group.ts
+++ b/packages/gateway/src/core-group.ts
@@ -37,6 +37,12 @@
   readonly random: () => number;
 }
 
+/** Who leads, and when that was last heard, on this host's clock. */
+export interface HeardLeader {
+  readonly coreId: string;
+  readonly heardAt: number;
+}
+
 /** The document itself with all else beside it, so that hosts of the version before find what they know. */
 interface CoreSnapshot extends Partial<intents.DeclaredDocument> {
   readonly quarantine?: readonly routing.SuspectFacts[];
@@ -113,6 +119,18 @@
     return leadership !== undefined && leadership.isLeaseHeld() && leadership.isSettled();
   }
 
+  /** Who leads, as far as this host leads itself or has lately heard from the leader. */
+  public findHeardLeader(): HeardLeader | undefined {
+    const { clock, coreId } = this.options;
+    const now = clock.now();
+    if (this.isLeading()) {
+      return { coreId, heardAt: now };
+    }
+    const { heardAt = -Infinity, leader, leadership } = this.voter ?? {};
+    const isHeard = leader !== undefined && leadership === undefined && now - heardAt < ELECTION_MS;
+    return isHeard ? { coreId: leader, heardAt } : undefined;
+  }
+
   /** Whether what is applied here is the newest, as far as a leader's word of late vouches for it. */
   public isCurrent(): boolean {
     const { voter } = this;
--- a/packages/gateway/src/core-host.ts
+++ b/packages/gateway/src/core-host.ts
@@ -23,6 +23,7 @@
 import * as routedStores from './routed-store.js';
 import type * as settingsWatches from './settings-watch.js';
 import * as suspectDesks from './suspect-desk.js';
+import * as suspectRelays from './suspect-relay.js';
 
 /** How long a core host may take to answer another, in milliseconds; a slow disk's sync of 150 ms is in it. */
 const PEER_DEADLINE_MS = 500;
@@ -51,6 +52,7 @@
   private readonly greeter: coreGreeters.CoreGreeter;
   private readonly pools: poolDesks.PoolDesk;
   private readonly suspects: suspectDesks.SuspectDesk;
+  private readonly relay: suspectRelays.SuspectRelay;
   private readonly store: routedStores.RoutedStore;
   private readonly lists: listDesks.ListDesk;
   private readonly news: entryNews.EntryNews;
@@ -102,6 +104,14 @@
       quarantine: this.group.quarantine,
       propose: (entry) => this.group.getLeadership().propose(entry),
     });
+    this.relay = new suspectRelays.SuspectRelay({
+      coreId,
+      findLeader: () => group.findHeardLeader(),
+      duties: this.createSuspectDuties(),
+      mesh,
+      clock,
+      log,
+    });
     this.store = new routedStores.RoutedStore(codec, log);
     this.store.markReady();
     this.pools = new poolDesks.PoolDesk({
@@ -160,6 +170,7 @@
     await this.server.listen();
     void this.greeter.run();
     void this.group.run();
+    void this.news.run();
     this.lists.run();
     this.options.log.info({ event: 'started', role: 'core', peer: this.coreId });
   }
@@ -176,6 +187,7 @@
   /** Ends every task at once. */
   public kill(): void {
     this.greeter.stop();
+    this.news.stop();
     this.lists.stop();
     this.group.stop();
     this.server.close();
@@ -203,20 +215,10 @@
         const { startedAt, term } = group.getLeadership();
         return { isLent: this.pools.lendRetry(service, { term, since: startedAt }) };
       },
-      reportSuspects: async (req) => {
-        const term = this.leadSuspects('report-suspects');
-        this.suspects.report(req);
-        return { term };
-      },
-      shareSuspects: async ({ suspects }) => {
-        const term = this.leadSuspects('share-suspects');
-        this.suspects.merge(suspects);
-        return { term };
-      },
-      permitSuspect: async (req) => {
-        this.leadSuspects('permit-suspect');
-        return this.suspects.permit(req);
-      },
+      ...this.createSuspectDuties(),
+      relaySuspects: (req) => this.relay.report(req),
+      relayPermit: (req) => this.relay.permit(req),
+      awaitRelayed: (req) => this.relay.answer(req),
       declare: (document) => desk.declareHere(document),
       read: () => desk.readHere(),
       evacuate: (entry) => this.evacuations.orderHere(entry),
@@ -234,6 +236,29 @@
     return res;
   }
 
+  /** What this host does with suspects as the leader; rejects where it does not lead. */
+  private createSuspectDuties(): Pick<
+    procedures.CoreHandlers,
+    'reportSuspects' | 'shareSuspects' | 'permitSuspect'
+  > {
+    return {
+      reportSuspects: async (req) => {
+        const term = this.leadSuspects('report-suspects');
+        this.suspects.report(req);
+        return { term };
+      },
+      shareSuspects: async ({ suspects }) => {
+        const term = this.leadSuspects('share-suspects');
+        this.suspects.merge(suspects);
+        return { term };
+      },
+      permitSuspect: async (req) => {
+        this.leadSuspects('permit-suspect');
+        return this.suspects.permit(req);
+      },
+    };
+  }
+
   private checkLeading(step: string): void {
     if (!this.group.isLeading()) {
       this.pools.clear();
--- a/packages/gateway/src/core-link.ts
+++ b/packages/gateway/src/core-link.ts
@@ -46,6 +46,8 @@
 
 /** The task that keeps an entry host up to date: one open question at the leader, or at whom answers. */
 export class CoreLink {
+  /** Tells that the leader was lost or found. */
+  public readonly leaderChanged = new schemas.ChangeSignal();
   private readonly failedAt = new Map<string, number>();
   private cores: readonly string[] = [];
   private leader: string | undefined;
@@ -67,7 +69,11 @@
     const { clock } = this.options;
     while (!this.isStopped) {
       const askedAt = clock.now();
+      const reachedLeader = this.reachesLeader();
       const isUseful = (await this.askOne()) && this.isCurrent === true;
+      if (this.reachesLeader() !== reachedLeader) {
+        this.leaderChanged.notify();
+      }
       this.misses = isUseful ? 0 : this.misses + 1;
       await clock.sleep(Math.max(0, this.getPauseMs() - (clock.now() - askedAt)));
     }
@@ -78,6 +84,19 @@
     return this.isLost ? undefined : this.leader;
   }
 
+  /** Whether the last answer came from the leader itself; also before the first answer. */
+  public reachesLeader(): boolean {
+    if (this.isCurrent === undefined) {
+      return true;
+    }
+    return !this.isLost && this.isCurrent && this.lastTarget === this.leader;
+  }
+
+  /** All core hosts that are known by name. */
+  public listCores(): string[] {
+    return [...new Set([...this.cores, ...this.options.listSeeds()])];
+  }
+
   /** Ends the task. */
   public stop(): void {
     this.isStopped = true;
@@ -137,8 +156,8 @@
 
   /** The leader while it answers, then the one that answered last, then any that did not just fail. */
   private chooseTarget(): string | undefined {
-    const { clock, listSeeds, random } = this.options;
-    const all = [...new Set([...this.cores, ...listSeeds()])];
+    const { clock, random } = this.options;
+    const all = this.listCores();
     const isUsable = (coreId: string) =>
       clock.now() - (this.failedAt.get(coreId) ?? -Infinity) > AVOID_MS;
     const usable = all.filter(isUsable);
--- a/packages/gateway/src/core-procedures.ts
+++ b/packages/gateway/src/core-procedures.ts
@@ -87,6 +87,25 @@
   facts: routing.suspectFacts.optional(),
 });
 
+/** Which core host's word on suspects a host has while nobody leads, and up to which change. */
+export const relayedReq = z.object({
+  hostId: z.string(),
+  /** Changes when the core host has forgotten what it was told before. */
+  epoch: z.int(),
+  revision: z.int(),
+  waitMs: z.number(),
+});
+
+/** What other hosts have told a core host of suspects; nothing while it hears a leader. */
+export const relayedRes = z.object({
+  relayed: z
+    .object({
+      epoch: z.int(),
+      changes: suspectNews.shape.changes,
+    })
+    .optional(),
+});
+
 /** What an entry host is told: only what it lacks. */
 export const newsRes = z.object({
   document: intents.declaredDocument.optional(),
@@ -194,6 +213,10 @@
 export type ShareSuspectsRes = z.infer<typeof shareSuspectsRes>;
 /** A host wants to send a suspect to an upstream. */
 export type SuspectPermitReq = z.infer<typeof suspectPermitReq>;
+/** A host's open question for what others have told of suspects while nobody leads. */
+export type RelayedReq = z.infer<typeof relayedReq>;
+/** What others have told of suspects. */
+export type RelayedRes = z.infer<typeof relayedRes>;
 /** A host that needs one retry more. */
 export type BorrowRetryReq = z.infer<typeof borrowRetryReq>;
 /** Whether it may. */
@@ -256,6 +279,12 @@
   shareSuspects(req: ShareSuspectsReq): Promise<ShareSuspectsRes>;
   /** Says whether a suspect may be sent, as the leader. */
   permitSuspect(req: SuspectPermitReq): Promise<routing.Permit>;
+  /** Takes what runs have shown of suspects for the hosts that hear no leader; whether the leader has it. */
+  relaySuspects(req: SuspectReport): Promise<{ readonly isTaken: boolean }>;
+  /** Says whether a suspect may be sent, to a host that hears no leader. */
+  relayPermit(req: SuspectPermitReq): Promise<routing.Permit>;
+  /** Tells what others have told of suspects while nobody leads. */
+  awaitRelayed(req: RelayedReq): Promise<RelayedRes>;
   /** The newest document, as the leader. */
   read(): Promise<intents.DeclaredDocument | null>;
   /** Takes an order on an availability zone, as the leader. */
@@ -298,6 +327,15 @@
     permitSuspect: t.procedure
       .input(suspectPermitReq)
       .mutation(({ input }) => handlers.permitSuspect(input)),
+    relaySuspects: t.procedure
+      .input(suspectReport)
+      .mutation(({ input }) => handlers.relaySuspects(input)),
+    relayPermit: t.procedure
+      .input(suspectPermitReq)
+      .mutation(({ input }) => handlers.relayPermit(input)),
+    awaitRelayed: t.procedure
+      .input(relayedReq)
+      .mutation(({ input }) => handlers.awaitRelayed(input)),
     read: t.procedure.mutation(() => handlers.read()),
     evacuate: t.procedure
       .input(intents.evacuationEntry)
--- a/packages/gateway/src/crash-guard.ts
+++ b/packages/gateway/src/crash-guard.ts
@@ -149,19 +149,28 @@
     }
     log.info({ event: 'process-ended', upstream: upstreamId, digest });
     directory.noteUnreachable(upstreamId);
-    const end = { processId: getProcessId(known), isEarly, wasAlone: false };
+    const processId = getProcessId(known);
+    const end = { processId, isEarly, wasAlone: false };
     this.ledger.noteEnd(digest, end, clock.now());
-    link.report({ kind: 'ended', digest, end });
+    // A run that this host allowed itself is known to have been alone only here.
+    const noted = this.ledger.find(digest)?.ends.find((item) => item.processId === processId);
+    link.report({ kind: 'ended', digest, end: noted ?? end });
   }
 
-  /** The leader knows of all hosts; where it doesn't answer, what is known here has to do. */
+  /** The leader knows of all hosts; where nobody answers, this host keeps its own suspects apart. */
   private async askPermit(
     digest: string,
     processId: string,
     mayShare: boolean,
   ): Promise<routing.Permit> {
-    const answer = await this.options.link.askPermit({ digest, processId, mayShare });
-    return answer ?? this.ledger.permitAlone(digest);
+    const { clock, link, log } = this.options;
+    const answer = await link.askPermit({ digest, processId, mayShare });
+    if (answer !== undefined) {
+      return answer;
+    }
+    const permit = this.ledger.permitWithoutLeader(digest, processId, mayShare, clock.now());
+    log.info({ decision: 'suspect-alone', digest, upstream: processId, ...permit });
+    return permit;
   }
 
   private refuse(job: routedJobs.RoutedJob, { retryMs }: routing.Refused): schemas.Refusal {
--- a/packages/gateway/src/entry-host.ts
+++ b/packages/gateway/src/entry-host.ts
@@ -16,6 +16,7 @@
 import * as listReaders from './list-reader.js';
 import * as poolClients from './pool-client.js';
 import type * as ports from './ports.js';
+import * as relayClients from './relay-client.js';
 import * as retryShares from './retry-shares.js';
 import * as routedFlows from './routed-flow.js';
 import * as routedStores from './routed-store.js';
@@ -123,6 +124,7 @@
       mesh: this.mesh,
       findLeader: () => this.link.findLeader(),
       hostId: settings.hostId,
+      relays: this.createRelays(settings.hostId),
       clock,
       log,
     });
@@ -263,6 +265,20 @@
     requests.sendJson(res, isPath ? status : 404, { version: this.store.getVersion() });
   }
 
+  private createRelays(hostId: string): relayClients.RelayClient {
+    const { clock, log } = this.options;
+    const { link, mesh } = this;
+    return new relayClients.RelayClient({
+      mesh,
+      hostId,
+      listCores: () => link.listCores(),
+      reachesLeader: () => link.reachesLeader(),
+      leaderChanged: link.leaderChanged,
+      clock,
+      log,
+    });
+  }
+
   private createLink(): coreLinks.CoreLink {
     const { clock, log, random, settings } = this.options;
     return new coreLinks.CoreLink({
--- a/packages/gateway/src/entry-news.ts
+++ b/packages/gateway/src/entry-news.ts
@@ -1,5 +1,5 @@
 import type * as intents from '@bramleyridge/intents';
-import type * as schemas from '@bramleyridge/schemas';
+import * as schemas from '@bramleyridge/schemas';
 
 import type * as coreGroups from './core-group.js';
 import type * as procedures from './core-procedures.js';
@@ -15,6 +15,9 @@
  */
 const COUNT_MS = 1_500;
 
+/** How often it is looked whether this host has lost the lead, in milliseconds. */
+const LEAD_CHECK_MS = 50;
+
 /** Where news for entry hosts comes from. */
 export interface EntryNewsOptions {
   readonly group: coreGroups.CoreGroup;
@@ -27,15 +30,39 @@
 
 /** Tells entry hosts what they lack: any core host what the log holds, the leader also what it knows besides. */
 export class EntryNews {
+  private readonly leadLost = new schemas.ChangeSignal();
+  private isStopped = false;
+
   public constructor(private readonly options: EntryNewsOptions) {}
 
+  /** Watches whether this host loses the lead, until stopped. */
+  public async run(): Promise<void> {
+    const { clock, group } = this.options;
+    while (!this.isStopped) {
+      const wasLeading = group.isLeading();
+      await clock.sleep(LEAD_CHECK_MS);
+      if (wasLeading && !group.isLeading()) {
+        this.leadLost.notify();
+      }
+    }
+  }
+
+  /** Ends the task. */
+  public stop(): void {
+    this.isStopped = true;
+  }
+
   /** Answers an entry host: at once when there is news, else when its wait is over. */
   public async answer(req: procedures.NewsReq): Promise<procedures.NewsRes> {
     const { clock, entries, group, lists, suspects } = this.options;
     entries.hear(req.hostId);
     const end = clock.now() + req.waitMs;
-    while (!this.hasNews(req) && clock.now() < end) {
+    const wasLeading = group.isLeading();
+    // A host that waited on a leader without the lead would not look for another one, nor hear of suspects.
+    const isHeld = () => clock.now() < end && (!wasLeading || group.isLeading());
+    while (!this.hasNews(req) && isHeld()) {
       await Promise.race([
+        this.leadLost.wait(clock, end - clock.now()),
         group.state.changed.wait(clock, end - clock.now()),
         lists.changed.wait(clock, end - clock.now()),
         suspects.changed.wait(clock, end - clock.now()),
--- a/packages/gateway/src/suspect-link.ts
+++ b/packages/gateway/src/suspect-link.ts
@@ -5,6 +5,7 @@
 
 import type * as coreMeshes from './core-mesh.js';
 import type * as procedures from './core-procedures.js';
+import type * as relayClients from './relay-client.js';
 
 /** How long the leader may take to answer, in milliseconds: a call waits for it. */
 const ANSWER_MS = 60;
@@ -35,6 +36,8 @@
   readonly mesh: coreMeshes.CorePeers;
   readonly findLeader: () => string | undefined;
   readonly hostId: string;
+  /** Reaches other hosts while there is no leader; left out, each host is by itself then. */
+  readonly relays?: relayClients.RelayClient;
   readonly clock: schemas.Clock;
   readonly log: schemas.Log;
 }
@@ -58,7 +61,10 @@
 
   /** Says what this host knows by, before anything is shared. */
   public attach(ledger: routing.CrashLedger): void {
+    const { clock, relays } = this.options;
     this.ledger = ledger;
+    // What one core host has been told need not be all there is, so nothing that is known here goes.
+    void relays?.run((changes) => ledger.apply({ ...changes, isWhole: false }, clock.now()));
   }
 
   /** What this host has last learned. */
@@ -124,19 +130,20 @@
   /** Ends every task. */
   public stop(): void {
     this.isStopped = true;
+    this.options.relays?.stop();
   }
 
-  /** Asks the leader again and again; the first answer counts. */
+  /** Asks the leader again and again, and beside it whoever else can tell; the first answer counts. */
   private async askUntilAnswered(
     req: procedures.SuspectPermitReq,
   ): Promise<routing.Permit | undefined> {
-    const { clock } = this.options;
+    const { clock, relays } = this.options;
     const end = clock.now() + PERMIT_MS;
     const asked: Promise<routing.Permit | undefined>[] = [];
     for (;;) {
       asked.push(this.askLeader(req, end - clock.now()));
       const pause = clock.sleep(ASK_AGAIN_MS);
-      const permit = await findAnswer(asked, pause);
+      const permit = (await findAnswer(asked, pause)) ?? (await relays?.askPermit(req));
       if (permit !== undefined || this.isStopped) {
         return permit;
       }
@@ -184,7 +191,8 @@
     const res = await this.ask((api) =>
       api.reportSuspects.mutate({ hostId, runs }, { context: { deadlineMs: ANSWER_MS } }),
     );
-    if (res !== undefined) {
+    const isTaken = res !== undefined || (await this.options.relays?.report(runs)) === true;
+    if (isTaken) {
       const sent = new Set(runs);
       this.reports = this.reports.filter((run) => !sent.has(run));
       return true;
--- a/packages/gateway/tests/crash-guard.test.ts
+++ b/packages/gateway/tests/crash-guard.test.ts
@@ -336,7 +336,7 @@
   },
 );
 
-function createDesk(clock: schemas.VirtualClock, quarantine: routing.QuarantineState) {
+function createLeaderDesk(clock: schemas.VirtualClock, quarantine: routing.QuarantineState) {
   return new suspectDesks.SuspectDesk({
     clock,
     log: new schemas.SilentLog(),
@@ -350,7 +350,7 @@
 void tap.default.test('a host that leads again starts from what the log holds', async (t) => {
   const clock = new schemas.VirtualClock();
   const quarantine = new routing.QuarantineState();
-  const desk = createDesk(clock, quarantine);
+  const desk = createLeaderDesk(clock, quarantine);
   desk.lead(1);
   desk.report({ hostId: 'host', runs: HELD_RUNS });
   await clock.advance(10);
@@ -364,7 +364,7 @@
 // Guards against an upstream more for a call that comes again before its host knows what its first run did.
 void tap.default.test('a run that nobody was asked about proves as much as another', async (t) => {
   const clock = new schemas.VirtualClock();
-  const desk = createDesk(clock, new routing.QuarantineState());
+  const desk = createLeaderDesk(clock, new routing.QuarantineState());
   const tell = (digest: string, processId: string) =>
     desk.report({ hostId: 'host', runs: [{ kind: 'ended', digest, end: { ...END, processId } }] });
   const getStanding = (digest: string) => {
--- a/packages/gateway/tests/crashing-calls.test.ts
+++ b/packages/gateway/tests/crashing-calls.test.ts
@@ -1,7 +1,6 @@
-import type * as http from 'node:http';
-
 import * as tap from 'tap';
 
+import * as fragileUpstreams from './support/fragile-upstreams.js';
 import * as sites from './support/small-site.js';
 
 // Seen: callers' answers break off on one engine after the other, for a minute and more.
@@ -12,12 +11,6 @@
 // Proof: `run-lost` lines of one digest under many ids, at all hosts, each followed by `process-ended` of an upstream 40 to
 // 100 ms after it had begun to run the call. Without the account of such calls the tests below count 25 sends and more.
 
-/** How long a call runs before it ends its upstream, in milliseconds. */
-const RUN_MS = 40;
-
-/** How long an upstream that ended is away, in milliseconds. */
-const AWAY_MS = 250;
-
 /** Within which time all hosts that reach each other know what one of them found out, in milliseconds. */
 const REACH_MS = 3_000;
 
@@ -41,92 +34,10 @@
   { name: 'streams that may go on elsewhere', path: '/checks/a', bad: 'bad-check' },
 ] as const;
 
-interface Arrival {
-  readonly body: string;
-  readonly at: number;
-}
-
-/** Upstreams that end under bad calls and come back as other processes at the same address. */
-class FragileUpstreams {
-  public readonly arrivals: Arrival[] = [];
-  /** When which call ended an upstream. */
-  public readonly ends: Arrival[] = [];
-  private boots = 0;
-  private isOver = false;
-
-  public constructor(private readonly site: sites.SmallSite) {}
-
-  /** Lets no upstream come back; one that did after the test would keep its process alive. */
-  public stop(): void {
-    this.isOver = true;
-  }
-
-  public async add(service: string): Promise<void> {
-    const name = this.createName();
-    const server: { address?: string } = {};
-    server.address = await this.site.addUpstream(name, service, this.createAnswer(server));
-  }
-
-  public countSince(body: string, since: number): number {
-    return this.arrivals.filter((item) => item.body === body && item.at > since).length;
-  }
-
-  public countLate(body: string): number {
-    const third = this.ends.filter((end) => end.body === body)[2];
-    return this.countSince(body, (third?.at ?? Infinity) + REACH_MS);
-  }
-
-  private createName(): string {
-    this.boots += 1;
-    return `boot-${this.boots}`;
-  }
-
-  private createAnswer(server: { address?: string }) {
-    let isUp = true;
-    return (req: http.IncomingMessage, res: http.ServerResponse): void => {
-      let body = '';
-      req.on('data', (part: Buffer) => {
-        body += part.toString();
-      });
-      req.on('end', () => {
-        this.arrivals.push({ body, at: Date.now() });
-        if (body.startsWith('bad')) {
-          setTimeout(() => {
-            if (isUp) {
-              isUp = false;
-              this.ends.push({ body, at: Date.now() });
-              void this.restart(server);
-            }
-          }, RUN_MS);
-          return;
-        }
-        setTimeout(() => answerWell(req, res), 2 * RUN_MS);
-      });
-    };
-  }
-
-  private async restart(server: { address?: string }): Promise<void> {
-    const address = server.address!;
-    this.site.closeUpstream(address);
-    const { list } = this.site;
-    const former = list.upstreams.find((item) => item.address === address)!;
-    await new Promise((resolve) => {
-      setTimeout(resolve, AWAY_MS);
-    });
-    if (this.isOver) {
-      return;
-    }
-    const listed = { ...former, upstreamId: this.createName() };
-    list.upstreams = list.upstreams.map((item) => (item.address === address ? listed : item));
-    await this.site.reopenUpstream(address, this.createAnswer(server));
-  }
-}
-
-function answerWell(req: http.IncomingMessage, res: http.ServerResponse): void {
-  const isStream = req.url!.startsWith('/drafts') || req.url!.startsWith('/checks');
-  const body = isStream ? 'id: 1\ndata: x\n\n' : 'ok';
-  res.writeHead(200, { 'call-id': req.headers['call-id'], 'content-length': body.length });
-  res.end(body);
+/** How often a bad call was sent after all hosts could know that it had ended three upstreams. */
+function countLate(upstreams: fragileUpstreams.FragileUpstreams, body: string): number {
+  const third = upstreams.listEnds(body)[2];
+  return upstreams.countSince(body, (third?.at ?? Infinity) + REACH_MS);
 }
 
 async function sleep(ms: number): Promise<void> {
@@ -185,7 +96,7 @@
   const site = new sites.SmallSite(t);
   await site.start(3);
   await site.addEntry();
-  const upstreams = new FragileUpstreams(site);
+  const upstreams = new fragileUpstreams.FragileUpstreams(site);
   t.teardown(() => upstreams.stop());
   for (let i = 0; i < 6; i += 1) {
     await upstreams.add('app');
@@ -209,7 +120,7 @@
   const day = new CallersDay(site);
   await day.play();
   KINDS.forEach(({ name, bad }) => {
-    t.ok(upstreams.countLate(bad) <= MOST_SENDS, `${name}: sent on ${upstreams.countLate(bad)}`);
+    t.ok(countLate(upstreams, bad) <= MOST_SENDS, `${name}: sent on ${countLate(upstreams, bad)}`);
     // Once the bad calls are known, the good ones that came beside them are served.
     const late = day.listAfter(`good-${bad}`, startedAt + REACH_MS + 1_000);
     t.ok(late.length > 10, `${name}: good calls came`);
@@ -232,7 +143,7 @@
     }
   });
   KINDS.forEach(({ name, bad }) => {
-    t.ok(upstreams.countLate(bad) <= MOST_SENDS, `${name}: sent on ${upstreams.countLate(bad)}`);
+    t.ok(countLate(upstreams, bad) <= MOST_SENDS, `${name}: sent on ${countLate(upstreams, bad)}`);
   });
 });
 
--- a/packages/gateway/tests/crashing-fleet.test.ts
+++ b/packages/gateway/tests/crashing-fleet.test.ts
@@ -104,3 +104,18 @@
     }
   });
 });
+
+// Guards against each host sending the same bad call to upstreams of its own while nobody leads.
+void tap.default.test('sixty hosts without a leader send no bad call on', async (t) => {
+  const spells = { leaderMs: 5_000, leaderlessMs: 15_000, relays: 3 };
+  const plan = { ...PLAN, ...spells, hosts: 60, engines: 40, hostMs: Infinity, durationMs: 40_000 };
+  for (let seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed += 1) {
+    const fleet = new crashFleets.CrashFleet(seed, plan);
+    await fleet.play();
+    const mostLate = Math.max(...fleet.listBad().map((seen) => seen.countAllLate()));
+    const { asked, mostEnds, refused } = sumUp(fleet);
+    t.ok(mostLate <= MOST_LATE_SENDS, `seed ${seed}: ${mostLate} late sends`);
+    t.ok(refused <= asked * MOST_REFUSED_PART, `seed ${seed}: ${refused} of ${asked} refused`);
+    t.comment(`most ends ${mostEnds}`);
+  }
+});
--- a/packages/gateway/tests/support/crash-fleet.ts
+++ b/packages/gateway/tests/support/crash-fleet.ts
@@ -5,8 +5,10 @@
 
 import * as crashGuards from '../../src/crash-guard.js';
 import type * as routedJobs from '../../src/routed-job.js';
+import * as relayClients from '../../src/relay-client.js';
 import * as suspectDesks from '../../src/suspect-desk.js';
 import * as suspectLinks from '../../src/suspect-link.js';
+import * as suspectRelays from '../../src/suspect-relay.js';
 
 /** Within which time hosts that reach each other know what one of them found out, in milliseconds. */
 export const REACH_MS = 3_000;
@@ -47,6 +49,10 @@
   readonly lossPart: number;
   /** The mean time between two losses of power of all hosts, in milliseconds. */
   readonly powerMs?: number;
+  /** How long it takes at most until there is a leader again, in milliseconds. */
+  readonly leaderlessMs?: number;
+  /** Core hosts that can be reached while there is no leader. */
+  readonly relays?: number;
   readonly durationMs: number;
 }
 
@@ -77,6 +83,8 @@
 export class SeenCall {
   public readonly endedAt: number[] = [];
   public readonly sentAt: number[] = [];
+  /** The same by hosts that count as in touch and by those that don't. */
+  public readonly allSentAt: number[] = [];
   public served = 0;
   public refused = 0;
   public asked = 0;
@@ -84,8 +92,17 @@
 
   /** How often it was sent by hosts in touch after all could know that it had ended three engines. */
   public countLate(): number {
+    return this.countLateOf(this.sentAt);
+  }
+
+  /** The same, also while nobody leads. */
+  public countAllLate(): number {
+    return this.countLateOf(this.allSentAt);
+  }
+
+  private countLateOf(sentAt: readonly number[]): number {
     const since = (this.endedAt[2] ?? Infinity) + REACH_MS;
-    return this.sentAt.filter((at) => at > since).length;
+    return sentAt.filter((at) => at > since).length;
   }
 }
 
@@ -98,6 +115,8 @@
   private readonly hosts: Host[] = [];
   private leader: Leader | undefined;
   private readonly quarantine = new routing.QuarantineState();
+  private readonly relays = new Map<string, suspectRelays.SuspectRelay>();
+  private readonly leaderChanged = new schemas.ChangeSignal();
   private term = 0;
   private boots = 0;
   private calling = 0;
@@ -110,6 +129,9 @@
     for (let i = 0; i < plan.engines; i += 1) {
       this.engines.push({ processId: this.createBoot(), upAt: 0, runs: new Set() });
     }
+    for (let i = 0; i < (plan.relays ?? 0); i += 1) {
+      this.relays.set(`relay-${i}`, this.createRelay(`relay-${i}`));
+    }
     for (let i = 0; i < plan.hosts; i += 1) {
       this.hosts.push(this.createHost(`host-${i}`));
     }
@@ -189,6 +211,7 @@
       if (engine.upAt > this.clock.now()) {
         continue;
       }
+      seen.allSentAt.push(this.clock.now());
       if (host.inTouchAt <= this.clock.now() && this.hosts.includes(host)) {
         seen.sentAt.push(this.clock.now());
       }
@@ -272,7 +295,9 @@
     this.hosts.forEach((host) => {
       host.inTouchAt = Math.max(host.inTouchAt, this.clock.now() + REACH_MS);
     });
-    void this.clock.sleep(300 + this.draw(1_200)).then(() => this.elect());
+    this.leaderChanged.notify();
+    const { leaderlessMs = 1_500 } = this.plan;
+    void this.clock.sleep(300 + this.draw(leaderlessMs - 300)).then(() => this.elect());
   }
 
   private elect(): void {
@@ -295,6 +320,21 @@
     });
     desk.lead(this.term);
     this.leader = { desk, term: this.term, since: clock.now() };
+    this.leaderChanged.notify();
+  }
+
+  private createRelay(coreId: string): suspectRelays.SuspectRelay {
+    return new suspectRelays.SuspectRelay({
+      coreId,
+      findLeader: () =>
+        this.leader && { coreId: String(this.leader.term), heardAt: this.clock.now() + 1 },
+      duties: {} as never,
+      mesh: {
+        get: () => ({ reportSuspects: { mutate: fail }, permitSuspect: { mutate: fail } }) as never,
+      },
+      clock: this.clock,
+      log: new schemas.SilentLog(),
+    });
   }
 
   /** Every host, and whoever leads, loses what it had in memory. */
@@ -349,8 +389,29 @@
       }),
       permitSuspect: this.createCall(host, term, (desk, req) => desk.permit(req as never)),
     });
+    const relayApi = (relay: suspectRelays.SuspectRelay) => ({
+      relaySuspects: this.createRelayCall(host, (req) => relay.report(req as never)),
+      relayPermit: this.createRelayCall(host, (req) => relay.permit(req as never)),
+      awaitRelayed: this.createRelayCall(host, (req) => relay.answer(req as never)),
+    });
+    const mesh = {
+      get: (coreId: string) => {
+        const relay = this.relays.get(coreId);
+        return (relay === undefined ? api(Number(coreId)) : relayApi(relay)) as never;
+      },
+    };
+    const relays = new relayClients.RelayClient({
+      mesh,
+      hostId,
+      listCores: () => [...this.relays.keys()],
+      reachesLeader: () => this.leader !== undefined && host.cutUntil <= clock.now(),
+      leaderChanged: this.leaderChanged,
+      clock,
+      log,
+    });
     host.link = new suspectLinks.SuspectLink({
-      mesh: { get: (coreId) => api(Number(coreId)) as never },
+      mesh,
+      relays,
       findLeader: () => (host.heardTerm === 0 ? undefined : String(host.heardTerm)),
       hostId,
       clock,
@@ -400,6 +461,25 @@
     };
   }
 
+  /** A question to another core host, late and now and then lost. */
+  private createRelayCall(host: Host, handle: (req: unknown) => Promise<unknown>) {
+    return {
+      mutate: async (req: unknown): Promise<unknown> => {
+        await this.clock.sleep(1 + this.draw(4));
+        if (host.cutUntil > this.clock.now() || this.isUnlucky()) {
+          await this.clock.sleep(DEADLINE_MS);
+          throw new Error('deadline');
+        }
+        const answer = await handle(structuredClone(req));
+        if (this.isUnlucky()) {
+          await this.clock.sleep(DEADLINE_MS);
+          throw new Error('deadline');
+        }
+        return answer;
+      },
+    };
+  }
+
   private listUp() {
     return this.engines
       .filter(({ upAt }) => upAt <= this.clock.now())
@@ -429,3 +509,7 @@
     return (this.rng.next() >>> 0) / 2 ** 32;
   }
 }
+
+async function fail(): Promise<never> {
+  return Promise.reject(new Error('not the leader'));
+}
--- a/packages/routing/src/crash-ledger.ts
+++ b/packages/routing/src/crash-ledger.ts
@@ -196,6 +196,17 @@
     return entry !== undefined && isQuarantined(entry) ? findRefusal(entry, now) : undefined;
   }
 
+  /** Whether a call may be sent to a process while nobody leads; quarantined calls wait for the log. */
+  public permitWithoutLeader(
+    digest: string,
+    processId: string,
+    mayShare: boolean,
+    now: number,
+  ): Permit {
+    const permit = this.permitAlone(digest);
+    return permit.kind === 'refused' ? permit : this.permit(digest, processId, mayShare, now);
+  }
+
   /**
    * Whether a host that hears no leader may send a call. It knows of no other host's runs, and if each host sent a
    * quarantined call once more by itself it would be sent as often as there are hosts.
