Don't use up a quarantined call's permit on an upstream that did not run it

Cause: a permit is counted when it is given. When the process that it was for has ended meanwhile, the connection is refused and the call has not run, but the permit was gone. Trace: at 20,432 ms host-5 has its answer "go" for p11, which has just ended; no run and no end follows, and the count says two of two.

Change: an attempt that no upstream ran (unreachable, refused, gone) gives its permit back to the host's link; the next question has the same id and is answered without a new count.

--- a/packages/gateway/src/crash-guard.ts
+++ b/packages/gateway/src/crash-guard.ts
@@ -23,7 +23,9 @@
   /** It broke off after it was handed over. */
   | 'lost'
   /** Nothing can be told from it. */
-  | 'over';
+  | 'over'
+  /** No upstream ran it. */
+  | 'not-run';
 
 /** A run of a call, as far as the guard has to know. */
 export interface GuardedRun {
@@ -55,6 +57,8 @@
 export class CrashGuard {
   private readonly ledger = new routing.CrashLedger();
   private readonly checks = new Map<routedJobs.RoutedJob, Promise<void>>();
+  /** The leave for the run of a job that is under way. */
+  private readonly permits = new WeakMap<routedJobs.RoutedJob, routing.Permit>();
 
   public constructor(private readonly options: CrashGuardOptions) {
     options.link.attach(this.ledger);
@@ -91,6 +95,7 @@
     if (permit.kind === 'refused') {
       throw this.refuse(job, permit);
     }
+    this.permits.set(job, permit);
     if (permit.kind !== 'there') {
       return permit;
     }
@@ -104,6 +109,11 @@
 
   /** Notes how a run ended. */
   public note(job: routedJobs.RoutedJob, run: GuardedRun, end: RunEnd): void {
+    const permit = this.permits.get(job);
+    this.permits.delete(job);
+    if (end === 'not-run' && permit !== undefined) {
+      this.options.link.keepPermit(permit);
+    }
     if (end === 'lost') {
       const check = this.check(job, run).finally(() => this.checks.delete(job));
       this.checks.set(job, check);
--- a/packages/gateway/src/routed-attempts.ts
+++ b/packages/gateway/src/routed-attempts.ts
@@ -255,8 +255,9 @@
   /** Notes what an attempt that failed shows of its call. */
   private noteEnd(job: routedJobs.RoutedJob, leg: Leg, err: unknown): void {
     const { kind } = requests.createUpstreamError(err, 'attempt', leg.picked.upstreamId);
-    const isLost = kind === 'lost' && !job.abort.signal.aborted;
-    this.options.guard.note(job, createGuarded(leg), isLost ? 'lost' : 'over');
+    const failed = job.abort.signal.aborted ? 'over' : 'lost';
+    const end = kind === 'lost' ? failed : 'not-run';
+    this.options.guard.note(job, createGuarded(leg), end);
   }
 
   /** Ends a run whose answer was coming; one that was stopped to be handed over, or whose caller left, shows nothing. */
--- a/packages/gateway/src/suspect-link.ts
+++ b/packages/gateway/src/suspect-link.ts
@@ -19,8 +19,8 @@
 /** The pause before a question that was not answered yet is asked again, in milliseconds. */
 const ASK_AGAIN_MS = 200;
 
-/** How many questions that were never answered are remembered; the oldest goes first. */
-const MOST_UNANSWERED = 1_000;
+/** How many questions are remembered; the oldest goes first. */
+const MOST_QUESTIONS = 1_000;
 
 /** The pause before something that the leader did not take is told again, in milliseconds. */
 const AGAIN_MS = 100;
@@ -31,6 +31,12 @@
 /** Stands for the term of a leader where none was heard yet. */
 export const NO_TERM = -1;
 
+/** A question for a leave, by the call and its own name. */
+interface SentQuestion {
+  readonly digest: string;
+  readonly permitId: string;
+}
+
 /** What the link needs. */
 export interface SuspectLinkOptions {
   readonly mesh: coreMeshes.CorePeers;
@@ -53,6 +59,8 @@
   private known = { term: NO_TERM, revision: -1 };
   /** The questions for a leave that had no answer, by the call's digest. */
   private readonly unanswered = new Map<string, string>();
+  /** The questions that each leave answers. */
+  private readonly granted = new WeakMap<routing.Permit, SentQuestion>();
   private sending: Promise<boolean> | undefined;
   private isWaiting = false;
   private isStopped = false;
@@ -118,21 +126,37 @@
     const facts = this.ledger?.find(digest);
     const permit = await this.askUntilAnswered({ ...req, hostId, permitId, facts });
     if (permit === undefined || permit.kind === 'refused') {
-      this.unanswered.set(digest, permitId);
-      const [oldest] = this.unanswered.keys();
-      if (this.unanswered.size > MOST_UNANSWERED) {
-        this.unanswered.delete(oldest!);
-      }
+      this.keepQuestion({ digest, permitId });
+    } else {
+      this.granted.set(permit, { digest, permitId });
     }
     return permit;
   }
 
+  /** Keeps a leave whose send reached no upstream for the next one: the leader has counted it. */
+  public keepPermit(permit: routing.Permit): void {
+    const question = this.granted.get(permit);
+    this.granted.delete(permit);
+    if (question !== undefined) {
+      this.keepQuestion(question);
+    }
+  }
+
   /** Ends every task. */
   public stop(): void {
     this.isStopped = true;
     this.options.relays?.stop();
   }
 
+  private keepQuestion({ digest, permitId }: SentQuestion): void {
+    this.unanswered.delete(digest);
+    this.unanswered.set(digest, permitId);
+    if (this.unanswered.size > MOST_QUESTIONS) {
+      const [oldest] = this.unanswered.keys();
+      this.unanswered.delete(oldest!);
+    }
+  }
+
   /** Asks the leader again and again, and beside it whoever else can tell; the first answer counts. */
   private async askUntilAnswered(
     req: procedures.SuspectPermitReq,
--- a/packages/gateway/tests/crash-guard.test.ts
+++ b/packages/gateway/tests/crash-guard.test.ts
@@ -265,6 +265,28 @@
   },
 );
 
+// Guards against a good call that is refused for good because its later sends found processes that had just ended.
+void tap.default.test('a leave whose send reaches no upstream is not used up', async (t) => {
+  const clock = new schemas.VirtualClock();
+  const quarantine = new routing.QuarantineState();
+  const { leader, link } = createLossyLink(clock, quarantine);
+  leader.desk.report({ hostId: 'host', runs: HELD_RUNS });
+  for (let i = 0; i < 3; i += 1) {
+    await clock.advance(12_000);
+    const asked = link.askPermit({ digest: 'good', processId: `p${4 + i}`, mayShare: true });
+    await clock.advance(100);
+    const permit = await asked;
+    t.same(permit, { kind: 'go' });
+    leader.desk.report({
+      hostId: 'host',
+      runs: [{ kind: 'over', digest: 'good', processId: `p${4 + i}` }],
+    });
+    link.keepPermit(permit!);
+  }
+  t.equal(quarantine.list()[0]?.chances, 1, 'counted once');
+  link.stop();
+});
+
 // Guards against the same where the leader is killed between the log's commit and its answer.
 void tap.default.test(
   'a leave that a former leader wrote and did not answer is not lost',
--- a/packages/gateway/tests/crashing-fleet.test.ts
+++ b/packages/gateway/tests/crashing-fleet.test.ts
@@ -119,3 +119,12 @@
     t.comment(`most ends ${mostEnds}`);
   }
 });
+
+// Guards against late sends of a call whose first ends were seen only by a host that was cut off and then restarted.
+void tap.default.test('what a host learns while it is cut off outlives its restart', async (t) => {
+  const plan = { ...PLAN, hosts: 8, engines: 8, crashMs: 8_000 };
+  const fleet = new crashFleets.CrashFleet(102, plan);
+  await fleet.play();
+  const { mostLate } = sumUp(fleet);
+  t.ok(mostLate <= MOST_LATE_SENDS, `${mostLate} late sends`);
+});
--- a/packages/gateway/tests/support/crash-fleet.ts
+++ b/packages/gateway/tests/support/crash-fleet.ts
@@ -208,14 +208,15 @@
         return;
       }
       const { processId } = engine;
+      const known = { upstreamId: processId, listed: {}, url: '' } as never;
       if (engine.upAt > this.clock.now()) {
+        guard.note(job, { known, begunAt: undefined }, 'not-run');
         continue;
       }
       seen.allSentAt.push(this.clock.now());
       if (host.inTouchAt <= this.clock.now() && this.hosts.includes(host)) {
         seen.sentAt.push(this.clock.now());
       }
-      const known = { upstreamId: processId, listed: {}, url: '' } as never;
       const waitMs = 50 + this.draw(400);
       const hasEnded = await this.run(engine, waitMs, runMs, isBad, seen);
       const begunAt = runMs > 1_000 ? this.clock.now() - this.draw(runMs) : undefined;
