Take no share of the retries before a leader has told how many hosts there are

What it protects: the deployment's retry budget after a loss of power of all. A host that was not told took the share of a fleet of sixteen: 194 hosts with 9.4 of 428 retries each are 1,800.

Cause: a default stood for what was not known; found by looking for the class of "an empty view taken for a full pool". Cold upstreams got it right already, they have no share before the number is known.

Change: until then a host has the ratio of its own calls and one retry. On fleets of up to sixteen hosts that is what it had before (56 x 0.35 / 16 is 1.2). The new test fails on the code before (7 retries).

--- a/packages/gateway/src/retry-shares.ts
+++ b/packages/gateway/src/retry-shares.ts
@@ -28,7 +28,8 @@
   readonly retryRatio: number;
   readonly retrySlack: number;
   readonly retryWindowMs: number;
-  readonly entryHosts: number;
+  /** How many hosts share; nothing before a leader has told. */
+  readonly entryHosts: number | undefined;
 }
 
 /**
@@ -88,7 +89,9 @@
 
   private createAllowance(): requests.RetryAllowance {
     const { entryHosts, retryRatio, retrySlack, retryWindowMs } = this.getBounds();
-    const ownSlack = (retrySlack * SHARED_PART) / entryHosts;
+    // A host that has just started can't know how large the fleet is. With a guess, hundreds of them would take many times
+    // what there is.
+    const ownSlack = entryHosts === undefined ? 0 : (retrySlack * SHARED_PART) / entryHosts;
     return {
       perRequest: retryRatio * SAFE_PART,
       maxSaved: Math.max(1, ownSlack * SAVED_PART),
--- a/packages/gateway/tests/retry-shares.test.ts
+++ b/packages/gateway/tests/retry-shares.test.ts
@@ -54,3 +54,17 @@
   t.notOk(await source.takeLent(), 'as long as it lasts');
   t.notOk(await source.take());
 });
+
+// Guards against hundreds of hosts that all start with the share of a small fleet.
+void tap.default.test('a host that was not told how many share has one retry', async (t) => {
+  const bounds = { retryRatio: 0.2, retrySlack: 428, retryWindowMs: 10_000, entryHosts: undefined };
+  const shares = new retryShares.RetryShares(
+    new schemas.VirtualClock(),
+    () => bounds,
+    async () => Promise.resolve(false),
+    new telemetry.TextMetrics(),
+  );
+  const source = shares.find('engines');
+  t.ok(await source.take());
+  t.notOk(await source.take());
+});
