Let the leader read a long list to its end, and starting hosts leave it to the leader

Cause: the platform answers some 50 calls a second, the list has 61 pages. Entry hosts without a list read it at their start; 300 of them use all calls up, refused ones come again. The leader began anew at each refused page and needs 61 answers in a row, so nobody ever had a list.

Change: a refused page is asked for again by the one who reads for all; entry hosts give way, wait 3 to 6 s after their start (12 s while they reach a leader), and double their pauses. A reading ends when a page, not the list, takes 1.5 s. The port hands the platform's adapter what it asks before it asks again; no timers there.

--- a/packages/gateway/src/core-link.ts
+++ b/packages/gateway/src/core-link.ts
@@ -84,10 +84,10 @@
     return this.isLost ? undefined : this.leader;
   }
 
-  /** Whether the last answer came from the leader itself; also before the first answer. */
+  /** Whether the last answer came from the leader itself; also while the first one is awaited. */
   public reachesLeader(): boolean {
     if (this.isCurrent === undefined) {
-      return true;
+      return !this.isLost;
     }
     return !this.isLost && this.isCurrent && this.lastTarget === this.leader;
   }
--- a/packages/gateway/src/entry-host.ts
+++ b/packages/gateway/src/entry-host.ts
@@ -11,9 +11,10 @@
 import * as coreMeshes from './core-mesh.js';
 import * as procedures from './core-procedures.js';
 import * as crashGuards from './crash-guard.js';
+import * as entryListReaders from './entry-list-reader.js';
 import * as faceServers from './face-server.js';
 import * as hostSettings from './host-settings.js';
-import * as listReaders from './list-reader.js';
+import type * as listReaders from './list-reader.js';
 import * as poolClients from './pool-client.js';
 import type * as ports from './ports.js';
 import * as relayClients from './relay-client.js';
@@ -34,9 +35,6 @@
 /** Connections that are kept to one upstream at most; calls beyond wait for one, a few milliseconds. */
 const KEPT_CONNECTIONS = 16;
 
-/** The share of the allowed calls to the list that all entry hosts together use when they read it themselves. */
-const LIST_SHARE = 0.4;
-
 /** How many entry hosts there are taken to be before the leader has told. */
 const ASSUMED_ENTRY_HOSTS = 16;
 
@@ -116,7 +114,7 @@
     });
     this.shares = new retryShares.RetryShares(
       clock,
-      () => ({ ...options.settings.get().bounds, entryHosts: this.getEntryHosts() }),
+      () => ({ ...options.settings.get().bounds, entryHosts: this.entryHosts }),
       (service) => pools.borrowRetry(service),
       options.metrics,
     );
@@ -159,14 +157,16 @@
       log,
       metrics: options.metrics,
     });
-    this.reader = new listReaders.ListReader({
+    this.reader = entryListReaders.createEntryListReader({
       source,
+      directory: this.directory,
       clock,
       log,
-      getAddress: () => options.settings.get().listAddress,
-      isDue: () => this.directory.getAgeMs() > listReaders.getStaleMs(this.listPeriodMs),
-      getPauseMs: (calls) => this.getListPauseMs(calls),
-      take: (list) => this.directory.take(list, 0),
+      random,
+      getSettings: () => options.settings.get(),
+      reachesLeader: () => this.link.reachesLeader(),
+      getEntryHosts: () => this.entryHosts ?? ASSUMED_ENTRY_HOSTS,
+      getPeriodMs: () => this.listPeriodMs,
     });
     this.callers = new faceServers.FaceServer((req, res) => this.serve(req, res));
     this.readiness = new faceServers.FaceServer((req, res) => this.showReady(req, res));
@@ -333,16 +333,6 @@
       this.options.log.info({ event: 'evacuations-in-force', ...facts });
     }
   }
-
-  private getEntryHosts(): number {
-    return this.entryHosts ?? ASSUMED_ENTRY_HOSTS;
-  }
-
-  private getListPauseMs(calls: number): number {
-    const { listCallsPerS } = this.options.settings.get();
-    const shareMs = (this.getEntryHosts() * calls * 1_000) / (listCallsPerS * LIST_SHARE);
-    return Math.max(listReaders.STALE_MS / 4, shareMs);
-  }
 }
 
 function createStopping(): schemas.Refusal {
--- a/packages/gateway/src/list-desk.ts
+++ b/packages/gateway/src/list-desk.ts
@@ -81,6 +81,9 @@
       isDue,
       getPauseMs: (calls) => this.getPauseMs(calls),
       idlePauseMs: IDLE_PAUSE_MS,
+      getCallsPerS: () => getSettings().listCallsPerS,
+      givesWay: false,
+      random: Math.random,
       take: (list) => this.take(list),
     });
     this.leaving = new leavingWatches.LeavingWatch({
--- a/packages/gateway/src/list-reader.ts
+++ b/packages/gateway/src/list-reader.ts
@@ -3,8 +3,17 @@
 import type * as procedures from './core-procedures.js';
 import type * as ports from './ports.js';
 
-/** How long one reading of the list may take, in milliseconds. */
-const READ_MS = 1_500;
+/** How long the platform may take to answer with a page of the list, in milliseconds. */
+const PAGE_MS = 1_500;
+
+/** How long one reading may wait in all for pages that were refused at first, in milliseconds. */
+const REFUSED_MS = 8_000;
+
+/** The pause before a refused page is asked for again, in times of the pause between two calls that are allowed. */
+const REFUSED_PAUSES = 2;
+
+/** How often the pause is doubled at most while readings fail. */
+const MOST_DOUBLINGS = 5;
 
 /** Beyond which age the list is read by an entry host itself, in milliseconds: no leader hands it on. */
 export const STALE_MS = 2_000;
@@ -29,6 +38,14 @@
   readonly getPauseMs: (calls: number) => number;
   /** The pause between two looks whether it should read, in milliseconds; left out, that of two readings. */
   readonly idlePauseMs?: number;
+  /** How many calls the platform allows in a second, from all hosts. */
+  readonly getCallsPerS: () => number;
+  /**
+   * Whether others read the same list, so that this host gives way when the platform refuses a call: hundreds of hosts that
+   * ask on use the allowed calls up, and the one that reads for all of them never gets to the last page.
+   */
+  readonly givesWay: boolean;
+  readonly random: () => number;
   readonly take: (list: procedures.UpstreamList) => void;
 }
 
@@ -38,6 +55,8 @@
   private isFailing = false;
   private calls = 1;
   private unreadable = 0;
+  /** Readings in a row that failed. */
+  private failures = 0;
 
   public constructor(private readonly options: ListReaderOptions) {}
 
@@ -50,7 +69,7 @@
         await this.readOnce();
       }
       const pauseMs = getPauseMs(this.calls);
-      await clock.sleep(wasDue ? pauseMs : (idlePauseMs ?? pauseMs));
+      await clock.sleep(wasDue ? pauseMs * this.getPauseFactor() : (idlePauseMs ?? pauseMs));
     }
   }
 
@@ -68,9 +87,11 @@
   private async readOnce(): Promise<void> {
     const { getAddress, log, source, take } = this.options;
     const peer = getAddress();
+    const { end, reading, signal } = this.createReading();
     try {
-      const read = await source.list(peer, AbortSignal.timeout(READ_MS));
+      const read = await source.list(peer, signal, reading);
       this.calls = read.calls;
+      this.failures = 0;
       this.noteUnreadable(read.unreadable, peer);
       const upstreams = keepLatestStarts(read.upstreams);
       take({ stamp: schemas.getContentHash(upstreams), upstreams });
@@ -83,9 +104,43 @@
         log.warn({ event: 'list-lost', peer, err: schemas.toError(err).message });
       }
       this.isFailing = true;
+      this.failures += 1;
+    } finally {
+      end();
     }
   }
 
+  private getPauseFactor(): number {
+    if (!this.options.givesWay || this.failures === 0) {
+      return 1;
+    }
+    return 2 ** Math.min(this.failures, MOST_DOUBLINGS) * (0.5 + this.options.random());
+  }
+
+  /** A reading ends when a page takes too long, or when refused ones have to wait for too long. */
+  private createReading() {
+    const { clock, getCallsPerS, givesWay } = this.options;
+    const abort = new AbortController();
+    const timer = setTimeout(
+      () =>
+        abort.abort(new schemas.StepError({ id: 'deadline', step: 'read-list', args: [PAGE_MS] })),
+      PAGE_MS,
+    );
+    const refusedUntil = clock.now() + REFUSED_MS;
+    const awaitRefused = async () => {
+      if (givesWay || clock.now() > refusedUntil) {
+        return false;
+      }
+      await clock.sleep((REFUSED_PAUSES * 1_000) / getCallsPerS());
+      return true;
+    };
+    const notePage = () => {
+      timer.refresh();
+    };
+    const reading: ports.ListReading = { notePage, awaitRefused };
+    return { signal: abort.signal, reading, end: () => clearTimeout(timer) };
+  }
+
   /** Notes entries that could not be read when their number changes; another writer may leave them for long. */
   private noteUnreadable(unreadable: number, peer: string): void {
     if (unreadable !== this.unreadable) {
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -104,10 +104,18 @@
   isLeaving(address: string, healthPath: string, signal: AbortSignal): Promise<boolean>;
 }
 
+/** Follows a reading of the list that is under way. */
+export interface ListReading {
+  /** Notes that the platform has answered with a page. */
+  notePage(): void;
+  /** Waits until a page that was refused for too many calls may be asked for again; whether it may. */
+  awaitRefused(): Promise<boolean>;
+}
+
 /** Where the list of upstreams is read. */
 export interface UpstreamSource {
   /** The whole list, all of its pages. */
-  list(listAddress: string, signal: AbortSignal): Promise<ReadList>;
+  list(listAddress: string, signal: AbortSignal, reading?: ListReading): Promise<ReadList>;
 }
 
 /** One reading of the list of upstreams. */
