Tell hosts what has changed in the list of upstreams instead of the whole list

What callers could see: after a change at 300 own hosts, answers of the leader late by as long as it takes to send a list of 3,000 upstreams to every host.

Hosts of the version before don't ask for changes and get the list.

--- a/packages/gateway/src/core-procedures.ts
+++ b/packages/gateway/src/core-procedures.ts
@@ -32,6 +32,8 @@
   waitMs: z.number(),
   /** Whether the list may come packed; hosts of the version before take it as it is. */
   takesPacked: z.boolean().optional(),
+  /** Whether it may be told only what has changed in the list since the one that it has. */
+  takesChanges: z.boolean().optional(),
   /** Not sent by hosts of the version before. */
   suspects: knownSuspects.optional(),
   /** Of the evacuated zones that the host knows of; not sent by hosts of the version before. */
@@ -44,6 +46,16 @@
   upstreams: z.array(schemas.listedUpstream),
 });
 
+/** What has changed between two lists. */
+export const listChanges = z.object({
+  /** The list that they apply to. */
+  from: z.string(),
+  stamp: z.string(),
+  /** Upstreams that are new or listed otherwise. */
+  changed: z.array(schemas.listedUpstream),
+  gone: z.array(z.string()),
+});
+
 /** What a leader tells of calls under which upstreams ended. */
 export const suspectNews = z.object({
   term: z.int(),
@@ -112,6 +124,8 @@
   list: upstreamList.optional(),
   /** The list, packed once for all hosts. */
   packedList: z.custom<Uint8Array>((value) => value instanceof Uint8Array).optional(),
+  /** What has changed in the list since the one that the host has, packed. */
+  packedChanges: z.custom<Uint8Array>((value) => value instanceof Uint8Array).optional(),
   /** How long ago the list was read, in milliseconds; nothing where it is not read. */
   listAgeMs: z.number().optional(),
   /** The pause between two readings of the list, in milliseconds; a long list is read less often. */
@@ -241,6 +255,8 @@
 export type NewsReq = z.infer<typeof newsReq>;
 /** The list of upstreams as the leader read it. */
 export type UpstreamList = z.infer<typeof upstreamList>;
+/** What has changed between two lists. */
+export type ListChanges = z.infer<typeof listChanges>;
 /** What an entry host is told. */
 export type NewsRes = z.infer<typeof newsRes>;
 
@@ -249,6 +265,16 @@
   return peers.packValue(list);
 }
 
+/** Packs what has changed in the list for the hosts that are told. */
+export function packListChanges(changes: ListChanges): Uint8Array {
+  return peers.packValue(changes);
+}
+
+/** The changes of the list that an answer brings. */
+export function findListChanges({ packedChanges }: NewsRes): ListChanges | undefined {
+  return packedChanges && (peers.unpackValue(packedChanges) as ListChanges);
+}
+
 /** The list that an answer brings, packed or as it is; nothing when there is no other one. */
 export function findList({ list, packedList }: NewsRes): UpstreamList | undefined {
   return packedList === undefined ? list : (peers.unpackValue(packedList) as UpstreamList);
--- a/packages/gateway/src/entry-host.ts
+++ b/packages/gateway/src/entry-host.ts
@@ -293,6 +293,7 @@
         listStamp: this.directory.getStamp(),
         waitMs,
         takesPacked: true,
+        takesChanges: true,
         suspects: this.suspects.getKnown(),
         evacuationRevision: this.evacuations.get().revision,
       }),
@@ -311,8 +312,11 @@
       this.store.markReady();
     }
     const list = procedures.findList(news);
+    const changes = procedures.findListChanges(news);
     if (list !== undefined) {
       this.directory.take(list, news.listAgeMs ?? 0);
+    } else if (changes !== undefined) {
+      this.directory.takeChanges(changes, news.listAgeMs ?? 0);
     } else if (news.listAgeMs !== undefined) {
       this.directory.vouch(news.listAgeMs);
     }
--- a/packages/gateway/src/entry-news.ts
+++ b/packages/gateway/src/entry-news.ts
@@ -87,11 +87,15 @@
     const document = group.state.get();
     const isLeading = group.isLeading();
     const list = this.findNewList(req);
-    const isPacked = req.takesPacked === true && list !== undefined;
+    const hasChanges = req.takesChanges === true && list !== undefined;
+    const packedChanges = hasChanges ? lists.getPackedChanges(req.listStamp) : undefined;
+    const isWhole = list !== undefined && packedChanges === undefined;
+    const isPacked = req.takesPacked === true && isWhole;
     return {
       document: document !== undefined && document.version > req.version ? document : undefined,
-      list: isPacked ? undefined : list,
+      list: isWhole && !isPacked ? list : undefined,
       packedList: isPacked ? lists.getPacked() : undefined,
+      packedChanges,
       listAgeMs: isLeading ? lists.getAgeMs() : undefined,
       listPeriodMs: isLeading ? lists.getPeriodMs() : undefined,
       isCurrent: group.isCurrent(),
--- a/packages/gateway/src/list-desk.ts
+++ b/packages/gateway/src/list-desk.ts
@@ -3,6 +3,7 @@
 import * as procedures from './core-procedures.js';
 import type * as hostSettings from './host-settings.js';
 import * as leavingWatches from './leaving-watch.js';
+import * as listHistories from './list-history.js';
 import * as listReaders from './list-reader.js';
 import type * as ports from './ports.js';
 
@@ -64,6 +65,7 @@
   private listed: readonly schemas.ListedUpstream[] = [];
   private list: procedures.UpstreamList | undefined;
   private packed: Uint8Array | undefined;
+  private readonly history = new listHistories.ListHistory();
   private isGathering = false;
   private readAt = -Infinity;
   private coldTimes = new Map<string, ColdTime>();
@@ -123,6 +125,11 @@
     return this.packed;
   }
 
+  /** What has changed in the list in force since another one, as bytes; nothing where the whole list is better. */
+  public getPackedChanges(from: string): Uint8Array | undefined {
+    return this.history.getPackedChanges(from);
+  }
+
   /** How long ago it was read, in milliseconds; nothing before. */
   public getAgeMs(): number | undefined {
     return this.getList() && this.options.clock.now() - this.inForceReadAt;
@@ -180,6 +187,7 @@
     if (stamp !== this.list?.stamp) {
       this.list = { stamp, upstreams };
       this.packed = undefined;
+      this.history.add(this.list);
     }
     if (isNews) {
       this.changed.notify();
--- a/packages/gateway/src/upstream-directory.ts
+++ b/packages/gateway/src/upstream-directory.ts
@@ -91,6 +91,17 @@
     this.changed.notify();
   }
 
+  /** Takes what has changed in the list; changes of a list other than the one in force say nothing. */
+  public takeChanges({ changed, from, gone, stamp }: procedures.ListChanges, ageMs: number): void {
+    if (from !== this.stamp) {
+      return;
+    }
+    const upstreams = new Map([...this.entries].map(([id, { listed }]) => [id, listed]));
+    gone.forEach((upstreamId) => upstreams.delete(upstreamId));
+    changed.forEach((listed) => upstreams.set(listed.upstreamId, listed));
+    this.take({ stamp, upstreams: [...upstreams.values()] }, ageMs);
+  }
+
   /**
    * The upstreams of a service that take calls now. Where all of them lately refused a connection they are tried all
    * the same: a zone that is cut off has one or two of its own, and passing them over refused 100 calls in a row
