Keep what a permit said of a run when its leader is gone

Change: a host that was told to go where nobody else may be tells that with the end; a trial that is known says more, since others may have been sent there later. The new test of crash-ledger tells both.

--- a/packages/gateway/src/crash-guard.ts
+++ b/packages/gateway/src/crash-guard.ts
@@ -39,6 +39,13 @@
   | { readonly kind: 'go' | 'elsewhere' }
   | { readonly kind: 'there'; readonly at: upstreamDirectories.KnownUpstream };
 
+/** The leave for a run of a suspect. */
+interface Leave {
+  readonly permit: routing.Permit;
+  /** Whether it says that no other suspect runs there. */
+  readonly isAlone: boolean;
+}
+
 /** What the guard needs. */
 export interface CrashGuardOptions {
   readonly link: suspectLinks.SuspectLink;
@@ -58,7 +65,7 @@
   private readonly ledger = new routing.CrashLedger();
   private readonly checks = new Map<routedJobs.RoutedJob, Promise<void>>();
   /** The leave for the run of a job that is under way. */
-  private readonly permits = new WeakMap<routedJobs.RoutedJob, routing.Permit>();
+  private readonly leaves = new WeakMap<routedJobs.RoutedJob, Leave>();
 
   public constructor(private readonly options: CrashGuardOptions) {
     options.link.attach(this.ledger);
@@ -91,11 +98,12 @@
     if (!this.isTracked(job)) {
       return { kind: 'go' };
     }
-    const permit = await this.askPermit(job.getDigest(), getProcessId(known), mayShare());
+    const isShared = mayShare();
+    const permit = await this.askPermit(job.getDigest(), getProcessId(known), isShared);
     if (permit.kind === 'refused') {
       throw this.refuse(job, permit);
     }
-    this.permits.set(job, permit);
+    this.leaves.set(job, { permit, isAlone: permit.kind === 'go' && !isShared });
     if (permit.kind !== 'there') {
       return permit;
     }
@@ -109,13 +117,15 @@
 
   /** Notes how a run ended. */
   public note(job: routedJobs.RoutedJob, run: GuardedRun, end: RunEnd): void {
-    const permit = this.permits.get(job);
-    this.permits.delete(job);
-    if (end === 'not-run' && permit !== undefined) {
-      this.options.link.keepPermit(permit);
+    const leave = this.leaves.get(job);
+    this.leaves.delete(job);
+    if (end === 'not-run' && leave !== undefined) {
+      this.options.link.keepPermit(leave.permit);
     }
     if (end === 'lost') {
-      const check = this.check(job, run).finally(() => this.checks.delete(job));
+      const check = this.check(job, run, leave?.isAlone ?? false).finally(() =>
+        this.checks.delete(job),
+      );
       this.checks.set(job, check);
       return;
     }
@@ -143,7 +153,11 @@
   }
 
   /** Finds out whether the upstream's process ended under the run. */
-  private async check(job: routedJobs.RoutedJob, run: GuardedRun): Promise<void> {
+  private async check(
+    job: routedJobs.RoutedJob,
+    run: GuardedRun,
+    wasAlone: boolean,
+  ): Promise<void> {
     const { clock, directory, endCheck, link, log } = this.options;
     const { begunAt, known } = run;
     const { upstreamId } = known;
@@ -160,9 +174,9 @@
     log.info({ event: 'process-ended', upstream: upstreamId, digest });
     directory.noteUnreachable(upstreamId);
     const processId = getProcessId(known);
-    const end = { processId, isEarly, wasAlone: false };
+    // Whoever gave the leave may have lost the lead meanwhile, and the next one knows nothing of the run.
+    const end = { processId, isEarly, wasAlone };
     this.ledger.noteEnd(digest, end, clock.now());
-    // A run that this host allowed itself is known to have been alone only here.
     const noted = this.ledger.find(digest)?.ends.find((item) => item.processId === processId);
     link.report({ kind: 'ended', digest, end: noted ?? end });
   }
--- a/packages/routing/src/crash-ledger.ts
+++ b/packages/routing/src/crash-ledger.ts
@@ -114,11 +114,11 @@
     const entry = this.entries.get(digest) ?? createEntry(digest);
     const { trial } = entry;
     const wasTried = trial?.processId === end.processId;
+    // Others may have been sent there after the host was told that none was.
     const wasAlone = wasTried
       ? trial.isAlone
-      : knowsAllRuns && this.isFirstThere(entry.facts, end.processId, now);
-    const isAlone = end.wasAlone || wasAlone;
-    const facts = suspects.addEnds(entry.facts, [{ ...end, wasAlone: isAlone }]);
+      : end.wasAlone || (knowsAllRuns && this.isFirstThere(entry.facts, end.processId, now));
+    const facts = suspects.addEnds(entry.facts, [{ ...end, wasAlone }]);
     endTrial(entry, end.processId);
     return this.change(entry, facts, now);
   }
--- a/packages/routing/tests/crash-ledger.test.ts
+++ b/packages/routing/tests/crash-ledger.test.ts
@@ -128,3 +128,20 @@
   t.equal(ledger.getStanding('bad'), 'quarantined');
   t.equal(ledger.getStanding('made-up-2999'), 'suspect', 'and the newest is there');
 });
+
+// Guards against an upstream more for a bad call whose leave came from a leader that is gone when its run ends.
+void tap.default.test(
+  'what a leave said of a run counts where its trial is not known',
+  async (t) => {
+    const ledger = new crashLedgers.CrashLedger();
+    ledger.noteEnd('bad', createEnd('p1'), 0);
+    ledger.noteEnd('bad', { ...createEnd('p2'), wasAlone: true }, 0);
+    t.equal(ledger.getStanding('bad'), 'quarantined');
+    ['one', 'other'].forEach((digest) => {
+      ledger.noteEnd(digest, createEnd('q1'), 0);
+      ledger.permit(digest, 'q2', true, 0);
+    });
+    ledger.noteEnd('one', { ...createEnd('q2'), wasAlone: true }, 100);
+    t.equal(ledger.getStanding('one'), 'suspect', 'a trial that is known says more');
+  },
+);
