--- a/packages/gateway/src/core-procedures.ts
+++ b/packages/gateway/src/core-procedures.ts
@@ -93,7 +93,7 @@
   processId: z.string(),
   /** Set where there is no other upstream for it. */
   mayShare: z.boolean(),
-  /** Names the question, so that it can be asked again; not sent by hosts of the version before. */
+  /** The question's id, the same when it is asked again; not sent by hosts of the version before. */
   permitId: z.string().optional(),
   /** What the host knows of the call: a leader that has just risen may not have been told yet. */
   facts: routing.suspectFacts.optional(),
--- a/packages/gateway/src/crash-guard.ts
+++ b/packages/gateway/src/crash-guard.ts
@@ -39,8 +39,8 @@
   | { readonly kind: 'go' | 'elsewhere' }
   | { readonly kind: 'there'; readonly at: upstreamDirectories.KnownUpstream };
 
-/** The leave for a run of a suspect. */
-interface Leave {
+/** The permit for a run of a suspect. */
+interface RunPermit {
   readonly permit: routing.Permit;
   /** Whether it says that no other suspect runs there. */
   readonly isAlone: boolean;
@@ -64,8 +64,8 @@
 export class CrashGuard {
   private readonly ledger = new routing.CrashLedger();
   private readonly checks = new Map<routedJobs.RoutedJob, Promise<void>>();
-  /** The leave for the run of a job that is under way. */
-  private readonly leaves = new WeakMap<routedJobs.RoutedJob, Leave>();
+  /** The permit for the run of a job that is under way. */
+  private readonly permitted = new WeakMap<routedJobs.RoutedJob, RunPermit>();
 
   public constructor(private readonly options: CrashGuardOptions) {
     options.link.attach(this.ledger);
@@ -103,7 +103,7 @@
     if (permit.kind === 'refused') {
       throw this.refuse(job, permit);
     }
-    this.leaves.set(job, { permit, isAlone: permit.kind === 'go' && !isShared });
+    this.permitted.set(job, { permit, isAlone: permit.kind === 'go' && !isShared });
     if (permit.kind !== 'there') {
       return permit;
     }
@@ -117,13 +117,13 @@
 
   /** Notes how a run ended. */
   public note(job: routedJobs.RoutedJob, run: GuardedRun, end: RunEnd): void {
-    const leave = this.leaves.get(job);
-    this.leaves.delete(job);
-    if (end === 'not-run' && leave !== undefined) {
-      this.options.link.keepPermit(leave.permit);
+    const permitted = this.permitted.get(job);
+    this.permitted.delete(job);
+    if (end === 'not-run' && permitted !== undefined) {
+      this.options.link.keepPermit(permitted.permit);
     }
     if (end === 'lost') {
-      const check = this.check(job, run, leave?.isAlone ?? false).finally(() =>
+      const check = this.check(job, run, permitted?.isAlone ?? false).finally(() =>
         this.checks.delete(job),
       );
       this.checks.set(job, check);
@@ -174,7 +174,7 @@
     log.info({ event: 'process-ended', upstream: upstreamId, digest });
     directory.noteUnreachable(upstreamId);
     const processId = getProcessId(known);
-    // Whoever gave the leave may have lost the lead meanwhile, and the next one knows nothing of the run.
+    // The host that gave the permit may have lost the lead meanwhile, and the next leader knows nothing of the run.
     const end = { processId, isEarly, wasAlone };
     this.ledger.noteEnd(digest, end, clock.now());
     const noted = this.ledger.find(digest)?.ends.find((item) => item.processId === processId);
--- a/packages/gateway/src/relay-client.ts
+++ b/packages/gateway/src/relay-client.ts
@@ -77,8 +77,8 @@
   }
 
   /**
-   * Asks the core hosts in an order that is the same at every entry host, so that all that reach the same ones ask the same
-   * one first; nothing where none answers.
+   * Asks the core hosts in an order that is the same at every entry host, so that those which reach the same core hosts ask
+   * the same one first; nothing where none answers.
    */
   public async askPermit(req: procedures.SuspectPermitReq): Promise<routing.Permit | undefined> {
     const context = { deadlineMs: ANSWER_MS };
--- a/packages/gateway/src/suspect-link.ts
+++ b/packages/gateway/src/suspect-link.ts
@@ -11,15 +11,14 @@
 const ANSWER_MS = 60;
 
 /**
- * How long a suspect waits for the leave of a leader that does not answer, in milliseconds; an election takes about as
- * long.
+ * How long a suspect waits for a leader that does not answer, in milliseconds; an election takes about as long.
  */
 const PERMIT_MS = 1_000;
 
 /** The pause before a question that was not answered yet is asked again, in milliseconds. */
 const ASK_AGAIN_MS = 200;
 
-/** How many questions are remembered; the oldest goes first. */
+/** How many questions without a usable answer are remembered; the oldest goes first. */
 const MOST_QUESTIONS = 1_000;
 
 /** The pause before something that the leader did not take is told again, in milliseconds. */
@@ -31,8 +30,8 @@
 /** Stands for the term of a leader where none was heard yet. */
 export const NO_TERM = -1;
 
-/** A question for a leave, by the call and its own name. */
-interface SentQuestion {
+/** A question for a permit: the call, and the question's own id. */
+interface PermitQuestion {
   readonly digest: string;
   readonly permitId: string;
 }
@@ -57,10 +56,10 @@
   private reports: procedures.SuspectRun[] = [];
   private informedTerm = NO_TERM;
   private known = { term: NO_TERM, revision: -1 };
-  /** The questions for a leave that had no answer, by the call's digest. */
+  /** The ids of questions for a permit that had no usable answer, by the call's digest. */
   private readonly unanswered = new Map<string, string>();
-  /** The questions that each leave answers. */
-  private readonly granted = new WeakMap<routing.Permit, SentQuestion>();
+  /** The question that each permit answers. */
+  private readonly granted = new WeakMap<routing.Permit, PermitQuestion>();
   private sending: Promise<boolean> | undefined;
   private isWaiting = false;
   private isStopped = false;
@@ -114,7 +113,7 @@
 
   /**
    * Whether a suspect may be sent to an upstream; nothing where nobody answers that may know of other hosts' runs. Asked
-   * again after no answer came, the question has the same name: the leader may have counted the send already.
+   * again after no answer came, the question has the same id: the leader may have counted the send already.
    */
   public async askPermit(
     req: Pick<procedures.SuspectPermitReq, 'digest' | 'mayShare' | 'processId'>,
@@ -133,7 +132,7 @@
     return permit;
   }
 
-  /** Keeps a leave whose send reached no upstream for the next one: the leader has counted it. */
+  /** Keeps a permit that reached no upstream for the next question: the leader has counted its send. */
   public keepPermit(permit: routing.Permit): void {
     const question = this.granted.get(permit);
     this.granted.delete(permit);
@@ -148,7 +147,7 @@
     this.options.relays?.stop();
   }
 
-  private keepQuestion({ digest, permitId }: SentQuestion): void {
+  private keepQuestion({ digest, permitId }: PermitQuestion): void {
     this.unanswered.delete(digest);
     this.unanswered.set(digest, permitId);
     if (this.unanswered.size > MOST_QUESTIONS) {
@@ -178,7 +177,7 @@
     }
   }
 
-  /** Without what this host has not told yet they would take a run that is over for one that goes on. */
+  /** Reports go first; without them a relay takes a run that is over for one under way. */
   private async askRelays(req: procedures.SuspectPermitReq): Promise<routing.Permit | undefined> {
     const { relays } = this.options;
     await relays?.report(this.reports);
--- a/packages/routing/src/crash-ledger.ts
+++ b/packages/routing/src/crash-ledger.ts
@@ -103,7 +103,7 @@
 
   /**
    * Notes that a process ended under a call; told twice it counts once. Gives whether it was news. `knowsAllRuns` tells
-   * that no suspect was sent for some time without this ledger's leave.
+   * that for some time no suspect was sent without a permit of this ledger.
    */
   public noteEnd(
     digest: string,
@@ -117,7 +117,7 @@
     // Others may have been sent there after the host was told that none was.
     const wasAlone = wasTried
       ? trial.isAlone
-      : end.wasAlone || (knowsAllRuns && this.isFirstThere(entry.facts, end.processId, now));
+      : end.wasAlone || (knowsAllRuns && this.hasRunAlone(entry.facts, end.processId, now));
     const facts = suspects.addEnds(entry.facts, [{ ...end, wasAlone }]);
     endTrial(entry, end.processId);
     return this.change(entry, facts, now);
@@ -164,10 +164,10 @@
     if (permitId !== undefined && entry.usedPermitId === permitId) {
       return { kind: 'go' };
     }
-    // Its answer was lost. Refused now, a good call would have used up a send that never took place.
+    // The answer was lost. A refusal now would use up a send that never took place.
     const isAskedAgain = permitId !== undefined && entry.facts.permitId === permitId;
-    const mustBeHeld = isQuarantined(entry) && !isAskedAgain;
-    const refusal = mustBeHeld ? findRefusal(entry, now) : undefined;
+    const isHeld = isQuarantined(entry) && !isAskedAgain;
+    const refusal = isHeld ? findRefusal(entry, now) : undefined;
     if (refusal !== undefined) {
       return refusal;
     }
@@ -184,7 +184,7 @@
     });
     entry.trial = { processId, until: now + TRIAL_MS, permitId, isAlone: others.length === 0 };
     entry.heldAt = isQuarantined(entry) ? now : entry.heldAt;
-    if (mustBeHeld) {
+    if (isHeld) {
       this.change(entry, { ...entry.facts, chances: entry.facts.chances + 1, permitId }, now);
     }
     return { kind: 'go' };
@@ -269,10 +269,10 @@
   }
 
   /**
-   * Whether a suspect ended a process on which no other one ran. Its run was sent before its host knew of the end before,
-   * so nobody was asked; what is known of the others tells it as well.
+   * Whether a suspect ended a process on which no other one ran. The run had no permit, since its host did not know yet
+   * that it was a suspect; what is known of the others tells it as well.
    */
-  private isFirstThere(facts: suspects.SuspectFacts, processId: string, now: number): boolean {
+  private hasRunAlone(facts: suspects.SuspectFacts, processId: string, now: number): boolean {
     const hasEnd = (ends: readonly suspects.ProcessEnd[]) =>
       ends.some((end) => end.processId === processId);
     if (suspects.getStanding(facts) === 'watched' || hasEnd(facts.ends)) {
