--- a/packages/gateway/src/suspect-desk.ts
+++ b/packages/gateway/src/suspect-desk.ts
@@ -5,7 +5,7 @@
 import type * as procedures from './core-procedures.js';
 
 /**
- * After which time a leader knows of all runs of suspects, in milliseconds: what was sent by the leave of the one before is
+ * After which time a leader knows of all runs of suspects, in milliseconds: what was sent by a permit of the one before is
  * over.
  */
 const FULL_VIEW_MS = 2_000;
