Tell with each permit whether other suspects run there

A host took its run for alone only where it had a choice of upstreams; of two upstreams one had just ended, so it had none, and the end proved nothing to the leader, which had no trial.

Change: leader and relays say with the permit whether it is alone, and the host tells that with the end.

--- a/packages/gateway/src/core-host.ts
+++ b/packages/gateway/src/core-host.ts
@@ -254,7 +254,7 @@
       },
       permitSuspect: async (req) => {
         this.leadSuspects('permit-suspect');
-        return this.suspects.permit(req);
+        return this.suspects.permitRun(req);
       },
     };
   }
--- a/packages/gateway/src/crash-guard.ts
+++ b/packages/gateway/src/crash-guard.ts
@@ -103,7 +103,10 @@
     if (permit.kind === 'refused') {
       throw this.refuse(job, permit);
     }
-    this.permitted.set(job, { permit, isAlone: permit.kind === 'go' && !isShared });
+    // A leader of the version before says nothing of others; where there is a choice, it picks a process without them.
+    const isApart = permit.kind === 'go' && !isShared;
+    const isAlone = 'isAlone' in permit ? permit.isAlone === true : isApart;
+    this.permitted.set(job, { permit, isAlone });
     if (permit.kind !== 'there') {
       return permit;
     }
--- a/packages/gateway/src/suspect-desk.ts
+++ b/packages/gateway/src/suspect-desk.ts
@@ -98,6 +98,11 @@
     return permit;
   }
 
+  /** The same with what the host needs to tell of the run if this one leads no longer when it ends. */
+  public async permitRun(req: procedures.SuspectPermitReq): Promise<routing.Permit> {
+    return this.ledger.describe(await this.permit(req), req.digest);
+  }
+
   /** What a host lacks, as the leader of a term tells it; one that knows of another leader gets all. */
   public findNews(
     known: procedures.KnownSuspects,
--- a/packages/gateway/src/suspect-relay.ts
+++ b/packages/gateway/src/suspect-relay.ts
@@ -104,7 +104,7 @@
     const standing = this.ledger.getStanding(digest);
     const details = { digest, standing, peer: hostId, upstream: processId };
     log.info({ decision: 'suspect-permit', ...details, isRelayed: true, ...permit });
-    return permit;
+    return this.ledger.describe(permit, digest);
   }
 
   private hearsLeader(): boolean {
--- a/packages/routing/src/crash-ledger.ts
+++ b/packages/routing/src/crash-ledger.ts
@@ -31,13 +31,16 @@
   readonly cleared: readonly string[];
 }
 
-/** Whether a call that is a suspect may be sent to an upstream. */
+/**
+ * Whether a call that is a suspect may be sent to an upstream; `isAlone` tells, where it is known, that no other suspect runs
+ * there.
+ */
 export type Permit =
-  | { readonly kind: 'go' }
+  | { readonly kind: 'go'; readonly isAlone?: boolean }
   /** Another suspect runs there: if the upstream ended nobody could tell under which. */
   | { readonly kind: 'elsewhere' }
   /** Another run of it is under way there. At one upstream it can end no more than that, and a good one is not refused. */
-  | { readonly kind: 'there'; readonly processId: string }
+  | { readonly kind: 'there'; readonly processId: string; readonly isAlone?: boolean }
   | Refused;
 
 /** A quarantined call must not be sent now. */
@@ -190,6 +193,14 @@
     return { kind: 'go' };
   }
 
+  /** A permit with what is known of other suspects at its process. */
+  public describe(permit: Permit, digest: string): Permit {
+    if (permit.kind !== 'go' && permit.kind !== 'there') {
+      return permit;
+    }
+    return { ...permit, isAlone: this.entries.get(digest)?.trial?.isAlone ?? false };
+  }
+
   /** The refusal of a quarantined call; nothing for others, and where it may be sent once more. */
   public findQuarantine(digest: string, now: number): Refused | undefined {
     const entry = this.entries.get(digest);
