Notice the end of a process that still takes connections while it ends

What callers saw: a bad call ends three upstreams where two are due, in crashing-processes also without any pause. It is the known failure "run five times where four are due" on a machine that is busy.

Cause: whether a process has ended is asked once, some milliseconds after its answer broke off. A process that is ending closes what it serves before its address; a connection made in between is taken by the kernel's queue, the process counts as alive, and its end as nothing.

Change: a process that still listens is asked again after 30 and 120 ms. One that does not answer at all is not: it may be behind a cut. Nothing else waits for the answer longer than before.

The new test of end-check fails on the code before.

--- a/packages/requests/src/end-check.ts
+++ b/packages/requests/src/end-check.ts
@@ -10,6 +10,12 @@
 /** For how long what was found out counts for the other calls that broke off there, in milliseconds. */
 const REMEMBER_MS = 500;
 
+/**
+ * The pauses before a process that still listened is asked again, in milliseconds. One that is ending resets what it served
+ * before its address is free, and a connection that was made in between waits in its queue.
+ */
+const AGAIN_MS = [30, 120] as const;
+
 interface Check {
   readonly at: number;
   readonly hasEnded: Promise<boolean>;
@@ -41,7 +47,17 @@
   }
 
   private async ask(url: string): Promise<boolean> {
-    return !(await this.isListening(url));
+    const askedAt = this.clock.now();
+    let listens = await this.isListening(url);
+    const isSilent = this.clock.now() - askedAt >= CONNECT_MS;
+    for (const pauseMs of isSilent ? [] : AGAIN_MS) {
+      if (!listens) {
+        return true;
+      }
+      await this.clock.sleep(pauseMs);
+      listens = await this.isListening(url);
+    }
+    return !listens;
   }
 
   private forgetBefore(since: number): void {
--- a/packages/requests/tests/end-check.test.ts
+++ b/packages/requests/tests/end-check.test.ts
@@ -42,3 +42,17 @@
   await check.hasEnded(target);
   t.equal(asked, 3, 'and the same one later');
 });
+
+// Guards against an end that counts for nothing because the process still took a connection while it ended.
+void tap.default.test('a process that still listens while it ends has ended', async (t) => {
+  const clock = new schemas.VirtualClock();
+  const answers = [true, true, false];
+  const check = new endChecks.EndCheck(clock, async () => Promise.resolve(answers.shift() ?? true));
+  const target = { upstreamId: 'p1', url: 'http://127.0.0.1:1' };
+  const ended = check.hasEnded(target);
+  await clock.advance(1_000);
+  t.equal(await ended, true);
+  const lives = check.hasEnded({ ...target, upstreamId: 'p2' });
+  await clock.advance(1_000);
+  t.equal(await lives, false, 'one that goes on listening has not');
+});
