Don't take a permit from before a quarantine for a later send

Cause: a question that had no answer keeps its id. Its copies, queued at a core host that stood still, were answered when that went on, while its call had been sent by the host alone; asked again 3 s later, the id stood for a run that was over, and was answered "go" without a count.

Change: an id that was used for a suspect's run stands for nothing once the call is quarantined, and a host that sends a call alone forgets its question. Also: a process that still listens is asked again after 5, 20 and 120 ms, and a call waits for what its last run shows also when it comes as a new call, up to the same 30 ms as before; it was sent unaware while the end was being found out.

--- a/packages/gateway/src/crash-guard.ts
+++ b/packages/gateway/src/crash-guard.ts
@@ -63,7 +63,8 @@
  */
 export class CrashGuard {
   private readonly ledger = new routing.CrashLedger();
-  private readonly checks = new Map<routedJobs.RoutedJob, Promise<void>>();
+  /** What is being found out, by the call's digest: it may come again before that is known. */
+  private readonly checks = new Map<string, Promise<void>>();
   /** The permit for the run of a job that is under way. */
   private readonly permitted = new WeakMap<routedJobs.RoutedJob, RunPermit>();
 
@@ -73,7 +74,7 @@
 
   /** Throws a refusal for a call that must not be sent; waits for what its last run shows. */
   public async admit(job: routedJobs.RoutedJob): Promise<void> {
-    const check = this.checks.get(job);
+    const check = this.checks.size === 0 ? undefined : this.checks.get(job.getDigest());
     if (check !== undefined) {
       await Promise.race([check, this.options.clock.sleep(CHECK_WAIT_MS)]);
     }
@@ -126,10 +127,7 @@
       this.options.link.keepPermit(permitted.permit);
     }
     if (end === 'lost') {
-      const check = this.check(job, run, permitted?.isAlone ?? false).finally(() =>
-        this.checks.delete(job),
-      );
-      this.checks.set(job, check);
+      this.startCheck(job, run, permitted?.isAlone ?? false);
       return;
     }
     if (!this.isTracked(job)) {
@@ -155,6 +153,16 @@
     this.options.link.report({ kind: 'over', digest, processId });
   }
 
+  private startCheck(job: routedJobs.RoutedJob, run: GuardedRun, wasAlone: boolean): void {
+    const digest = job.getDigest();
+    const check = this.check(job, run, wasAlone).finally(() => {
+      if (this.checks.get(digest) === check) {
+        this.checks.delete(digest);
+      }
+    });
+    this.checks.set(digest, check);
+  }
+
   /** Finds out whether the upstream's process ended under the run. */
   private async check(
     job: routedJobs.RoutedJob,
@@ -196,6 +204,9 @@
       return answer;
     }
     const permit = this.ledger.permitWithoutLeader(digest, processId, mayShare, clock.now());
+    if (permit.kind !== 'refused') {
+      link.dropQuestion(digest);
+    }
     log.info({ decision: 'suspect-alone', digest, upstream: processId, ...permit });
     return permit;
   }
--- a/packages/gateway/src/suspect-link.ts
+++ b/packages/gateway/src/suspect-link.ts
@@ -132,6 +132,11 @@
     return permit;
   }
 
+  /** Forgets a question without an answer: its call is sent all the same. */
+  public dropQuestion(digest: string): void {
+    this.unanswered.delete(digest);
+  }
+
   /** Keeps a permit that reached no upstream for the next question: the leader has counted its send. */
   public keepPermit(permit: routing.Permit): void {
     const question = this.granted.get(permit);
--- a/packages/requests/src/end-check.ts
+++ b/packages/requests/src/end-check.ts
@@ -14,7 +14,7 @@
  * The pauses before a process that still listened is asked again, in milliseconds. One that is ending resets what it served
  * before its address is free, and a connection that was made in between waits in its queue.
  */
-const AGAIN_MS = [30, 120] as const;
+const AGAIN_MS = [5, 20, 120] as const;
 
 interface Check {
   readonly at: number;
--- a/packages/routing/src/crash-ledger.ts
+++ b/packages/routing/src/crash-ledger.ts
@@ -164,12 +164,12 @@
     if (entry === undefined || suspects.getStanding(entry.facts) === 'watched') {
       return { kind: 'go' };
     }
-    if (permitId !== undefined && entry.usedPermitId === permitId) {
-      return { kind: 'go' };
-    }
     // The answer was lost. A refusal now would use up a send that never took place.
     const isAskedAgain = permitId !== undefined && entry.facts.permitId === permitId;
     const isHeld = isQuarantined(entry) && !isAskedAgain;
+    if (permitId !== undefined && entry.usedPermitId === permitId && !isHeld) {
+      return { kind: 'go' };
+    }
     const refusal = isHeld ? findRefusal(entry, now) : undefined;
     if (refusal !== undefined) {
       return refusal;
--- a/packages/routing/tests/crash-ledger.test.ts
+++ b/packages/routing/tests/crash-ledger.test.ts
@@ -145,3 +145,13 @@
     t.equal(ledger.getStanding('one'), 'suspect', 'a trial that is known says more');
   },
 );
+
+// Guards against a send that nobody counts: a question about a suspect is asked again when the call is quarantined.
+void tap.default.test('a permit from before the quarantine is no later send', async (t) => {
+  const ledger = new crashLedgers.CrashLedger();
+  ledger.noteEnd('bad', createEnd('p1'), 0);
+  t.same(ledger.permit('bad', 'p2', false, 0, 'question'), { kind: 'go' });
+  ledger.noteEnd('bad', createEnd('p2'), 10);
+  t.equal(ledger.getStanding('bad'), 'quarantined');
+  t.match(ledger.permit('bad', 'p3', false, 20, 'question'), { kind: 'refused' });
+});
