--- a/packages/gateway/tests/crashing-fleet.test.ts
+++ b/packages/gateway/tests/crashing-fleet.test.ts
@@ -120,6 +120,16 @@
   }
 });
 
+// Guards against a good call that is refused for as long as there is no leader to send it once more.
+void tap.default.test('a good call that is quarantined without a leader is served', async (t) => {
+  const spells = { leaderMs: 5_000, leaderlessMs: 15_000, relays: 3 };
+  const plan = { ...PLAN, ...spells, hosts: 60, engines: 40, hostMs: Infinity, durationMs: 40_000 };
+  const fleet = new crashFleets.CrashFleet(9, plan);
+  await fleet.play();
+  const { asked, refused } = sumUp(fleet);
+  t.ok(refused <= asked * MOST_REFUSED_PART, `${refused} of ${asked} refused`);
+});
+
 // Guards against late sends of a call whose first ends were seen only by a host that was cut off and then restarted.
 void tap.default.test('what a host learns while it is cut off outlives its restart', async (t) => {
   const plan = { ...PLAN, hosts: 8, engines: 8, crashMs: 8_000 };
