--- a/packages/gateway/tests/crashing-calls.test.ts
+++ b/packages/gateway/tests/crashing-calls.test.ts
@@ -1,7 +1,7 @@
 import * as tap from 'tap';
 
 import * as fragileUpstreams from './support/fragile-upstreams.js';
-import * as sites from './support/small-site.js';
+import type * as sites from './support/small-site.js';
 
 // Seen: callers' answers break off on one engine after the other, for a minute and more.
 // How: one call ends the process of every upstream that begins to run it. Its caller sends it again, as a new call with a
@@ -26,6 +26,9 @@
 /** After which time a call that is quarantined has been sent for the last time, in milliseconds, and some more. */
 const ALL_CHANCES_MS = 18_000;
 
+/** How many entry hosts calls come to. */
+const ENTRY_HOSTS = 2;
+
 /** A route, and a call on it that ends its upstreams. */
 const KINDS = [
   { name: 'plain calls that may be repeated', path: '/plain/a', bad: 'bad-plain' },
@@ -92,30 +95,8 @@
   }
 }
 
-async function createFragileSite(t: tap.Test) {
-  const site = new sites.SmallSite(t);
-  await site.start(3);
-  await site.addEntry();
-  const upstreams = new fragileUpstreams.FragileUpstreams(site);
-  t.teardown(() => upstreams.stop());
-  for (let i = 0; i < 6; i += 1) {
-    await upstreams.add('app');
-    await upstreams.add('engines');
-  }
-  await site.declare({});
-  await waitServed(site);
-  return { site, upstreams };
-}
-
-async function waitServed(site: sites.SmallSite): Promise<void> {
-  const hosts = [site.entry, ...site.others.map(({ host }) => host)];
-  await site.until('served', () =>
-    hosts.every((host) => host.isReady() && host.directory.countLive() === 12),
-  );
-}
-
 void tap.default.test('a call that ends its upstreams is not sent for ever', async (t) => {
-  const { site, upstreams } = await createFragileSite(t);
+  const { site, upstreams } = await fragileUpstreams.createFragileSite(t, ENTRY_HOSTS);
   const startedAt = Date.now();
   const day = new CallersDay(site);
   await day.play();
@@ -135,7 +116,7 @@
 void tap.default.test('a new leader knows which calls end their upstreams', async (t) => {
   // The account of all hosts is kept by the leader. One that rises knows only what the hosts tell it; without that the
   // call would get its three upstreams again after each change of the leader.
-  const { site, upstreams } = await createFragileSite(t);
+  const { site, upstreams } = await fragileUpstreams.createFragileSite(t, ENTRY_HOSTS);
   const day = new CallersDay(site);
   await day.play((round) => {
     if (round === 22) {
@@ -150,12 +131,12 @@
 void tap.default.test('what is quarantined outlives a loss of power of all hosts', async (t) => {
   // The account is in the memory of hosts, and all of them lose it at one moment. Without what the log holds each bad call
   // would get its upstreams again after every such loss.
-  const { site, upstreams } = await createFragileSite(t);
+  const { site, upstreams } = await fragileUpstreams.createFragileSite(t, ENTRY_HOSTS);
   const day = new CallersDay(site);
   await day.play(() => {}, ALL_CHANCES_MS);
   await site.losePower();
   const since = Date.now();
-  await waitServed(site);
+  await fragileUpstreams.waitServed(site);
   await day.play(() => {}, REACH_MS);
   KINDS.forEach(({ name, bad }) => {
     t.equal(upstreams.countSince(bad, since), 0, `${name}: not sent again`);
--- a/packages/gateway/tests/leaderless-suspects.test.ts
+++ b/packages/gateway/tests/leaderless-suspects.test.ts
@@ -1,7 +1,7 @@
 import * as tap from 'tap';
 
 import * as fragileUpstreams from './support/fragile-upstreams.js';
-import * as sites from './support/small-site.js';
+import type * as sites from './support/small-site.js';
 
 /** For how long no core host can lead, in milliseconds. */
 const LEADERLESS_MS = 8_000;
@@ -21,26 +21,6 @@
   { name: 'a draft', path: '/drafts/a', bad: 'bad-draft' },
 ] as const;
 
-async function createSite(t: tap.Test, entryHosts: number) {
-  const site = new sites.SmallSite(t);
-  await site.start(3);
-  for (let i = 1; i < entryHosts; i += 1) {
-    await site.addEntry();
-  }
-  const upstreams = new fragileUpstreams.FragileUpstreams(site);
-  t.teardown(() => upstreams.stop());
-  for (let i = 0; i < 6; i += 1) {
-    await upstreams.add('app');
-    await upstreams.add('engines');
-  }
-  await site.declare({});
-  const hosts = [site.entry, ...site.others.map(({ host }) => host)];
-  await site.until('served', () =>
-    hosts.every((host) => host.isReady() && host.directory.countLive() === 12),
-  );
-  return { site, upstreams };
-}
-
 /** Sends each bad call again and again, to one entry host after the other, and a good one beside each. */
 async function play(site: sites.SmallSite, durationMs: number): Promise<number[]> {
   const ports = [site.entryPort, ...site.others.map(({ port }) => port)];
@@ -73,7 +53,7 @@
 void tap.default.test(
   'hosts without a leader share what a call did to its upstreams',
   async (t) => {
-    const { site, upstreams } = await createSite(t, 4);
+    const { site, upstreams } = await fragileUpstreams.createFragileSite(t, 4);
     const stopped = ['127.0.1.1', '127.0.1.2'];
     stopped.forEach((ip) => site.stopCore(ip));
     const statuses = await play(site, LEADERLESS_MS);
--- a/packages/gateway/tests/support/fragile-upstreams.ts
+++ b/packages/gateway/tests/support/fragile-upstreams.ts
@@ -1,10 +1,15 @@
 import type * as http from 'node:http';
 
-import type * as sites from './small-site.js';
+import type * as tap from 'tap';
+
+import * as sites from './small-site.js';
 
 /** How long a call runs before it ends its upstream, in milliseconds. */
 const RUN_MS = 40;
 
+/** How many upstreams each of the two services has. */
+const UPSTREAMS = 6;
+
 /** How long an upstream that ended is away, in milliseconds. */
 const AWAY_MS = 250;
 
@@ -105,3 +110,29 @@
   res.writeHead(200, { 'call-id': req.headers['call-id'], 'content-length': body.length });
   res.end(body);
 }
+
+/** Three core hosts, so many entry hosts, and fragile upstreams of both services, once all hosts know them. */
+export async function createFragileSite(t: tap.Test, entryHosts: number) {
+  const site = new sites.SmallSite(t);
+  await site.start(3);
+  for (let i = 1; i < entryHosts; i += 1) {
+    await site.addEntry();
+  }
+  const upstreams = new FragileUpstreams(site);
+  t.teardown(() => upstreams.stop());
+  for (let i = 0; i < UPSTREAMS; i += 1) {
+    await upstreams.add('app');
+    await upstreams.add('engines');
+  }
+  await site.declare({});
+  await waitServed(site);
+  return { site, upstreams };
+}
+
+/** Waits until all entry hosts are ready and know all upstreams. */
+export async function waitServed(site: sites.SmallSite): Promise<void> {
+  const hosts = [site.entry, ...site.others.map(({ host }) => host)];
+  await site.until('served', () =>
+    hosts.every((host) => host.isReady() && host.directory.countLive() === 2 * UPSTREAMS),
+  );
+}
