--- a/packages/gateway/src/list-history.ts
+++ b/packages/gateway/src/list-history.ts
@@ -5,7 +5,7 @@
 /** How many lists before the one in force are kept; a host that is further behind gets the whole list. */
 const MOST_KEPT = 8;
 
-/** From which part of the list on the changes are not worth telling by themselves. */
+/** The part of the list beyond which a host is sent the whole list instead of what has changed. */
 const MOST_CHANGED_PART = 0.5;
 
 /** The last lists of upstreams, for hosts that need only what has changed since the one that they have. */
--- a/packages/gateway/tests/crash-guard.test.ts
+++ b/packages/gateway/tests/crash-guard.test.ts
@@ -404,6 +404,8 @@
   t.equal(getStanding('bad'), 'quarantined', 'no other suspect ran there');
   tell('good', 'p4');
   t.equal(getStanding('good'), 'suspect', 'another one did');
+  const ask = { hostId: 'host', digest: 'good', processId: 'p8', mayShare: true };
+  t.same(await desk.permitRun(ask), { kind: 'go', isAlone: true }, 'and a host is told of others');
 });
 
 void tap.default.test('a new leader is told before its word is taken', async (t) => {
