Log and count the rate limits that upstreams name in their answers

No log line or metric told whether a host had read a limit in an answer, so three hypotheses looked alike: no host reads it; each host keeps the whole of it by itself; sends decided before it arrive after it. Arrivals per second at the two upstreams were the same before and after they named their limits (8 to 14), which speaks for the first.

Answers now pass the upstream gate, which logs when a limit begins, changes or ends and counts the limits in a gauge. Both flows and all kinds of answers go through it (UpstreamClient). Nothing is decided by it yet.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -239,6 +239,7 @@
       metrics: new daemonMetrics.Metrics(cfg),
       access: new teamAccess.TeamAccess(cfg, store, () => view.entries),
       services: new requests.ServiceClient({
+        gate: new requests.UpstreamGate({ clock, log }),
         connectMs: cfg.limits.upstreamConnectMs,
         answerMs: cfg.limits.queueMs,
         answerBytes: cfg.limits.bodyBytes,
--- a/packages/gateway/src/crash-guard.ts
+++ b/packages/gateway/src/crash-guard.ts
@@ -239,7 +239,6 @@
   }
 }
 
-/** Returns an id for a process; a restart under the same upstream id gives a different one. */
 function getProcessId({ listed, upstreamId }: upstreamDirectories.KnownUpstream): string {
-  return listed.bornMs === undefined ? upstreamId : `${upstreamId}@${listed.bornMs}`;
+  return schemas.getProcessId({ upstreamId, bornMs: listed.bornMs });
 }
--- a/packages/gateway/src/entry-host.ts
+++ b/packages/gateway/src/entry-host.ts
@@ -73,6 +73,7 @@
   private readonly mesh = new coreMeshes.CoreMesh(PEER_DEADLINE_MS);
   private readonly poller: updatePollers.UpdatePoller;
   private readonly listReader: upstreamListReaders.UpstreamListReader;
+  private readonly gate: requests.UpstreamGate;
   private readonly client: requests.UpstreamClient;
   private readonly shares: retryShares.RetryShares;
   private readonly suspects: suspectClients.SuspectClient;
@@ -100,7 +101,10 @@
       (zone) => this.evacuations.has(zone),
       (zone) => options.settings.get().regions?.[zone],
     );
+    this.gate = new requests.UpstreamGate({ clock, log });
     this.client = new requests.UpstreamClient({
+      gate: this.gate,
+      readNotice: (head) => wire.readNotice(head),
       connectMs: CONNECT_TIMEOUT_MS,
       connections: MAX_CONNECTIONS,
     });
@@ -234,6 +238,7 @@
     metrics.registerGauge('listAgeMs', () => this.directory.getAgeMs());
     metrics.registerGauge('zonesEvacuated', () => this.evacuations.get().zones.length);
     metrics.registerGauge('upstreamsLive', () => this.directory.countLive());
+    metrics.registerGauge('upstreamsLimited', () => this.gate.countLimits());
   }
 
   private serve(req: http.IncomingMessage, res: http.ServerResponse): void {
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -91,6 +91,8 @@
   /** Returns the function that classifies an upstream's answer to a call by its head. */
   createHeadClassifier(call: CallFacts): requests.ClassifyHead;
   readAnswer(head: requests.AnswerHead): AnswerFacts;
+  /** Decodes what an upstream states about itself in an answer. */
+  readNotice(head: requests.AnswerHead): requests.UpstreamNotice;
 }
 
 /** Decodes operators' documents. */
--- a/packages/gateway/src/upstream-directory.ts
+++ b/packages/gateway/src/upstream-directory.ts
@@ -15,6 +15,8 @@
 /** An upstream with its listed properties and the state that this host has observed. */
 export interface KnownUpstream {
   readonly upstreamId: string;
+  /** Identifies its process; a restart under the same upstream id gives another one. */
+  readonly processId: string;
   readonly url: string;
   readonly listed: schemas.ListedUpstream;
   readonly load: routing.UpstreamLoad;
@@ -204,6 +206,7 @@
     const previous = hasRestarted ? undefined : known;
     return {
       upstreamId: listed.upstreamId,
+      processId: schemas.getProcessId(listed),
       url: `http://${listed.address}`,
       listed,
       load: previous?.load ?? new routing.UpstreamLoad(),
--- a/packages/gateway/tests/support/test-wire.ts
+++ b/packages/gateway/tests/support/test-wire.ts
@@ -1,7 +1,7 @@
 import type * as http from 'node:http';
 
 import type * as gateway from '@bramleyridge/gateway';
-import type * as requests from '@bramleyridge/requests';
+import * as requests from '@bramleyridge/requests';
 import type * as schemas from '@bramleyridge/schemas';
 
 /** Minimal call protocol for tests that implements everything that the interface requires. */
@@ -53,6 +53,10 @@
   public readAnswer(): gateway.AnswerFacts {
     return { load: undefined };
   }
+
+  public readNotice({ headers }: requests.AnswerHead): requests.UpstreamNotice {
+    return { limit: requests.parseNamedLimit(headers['calls-per-s']) };
+  }
 }
 
 function formatReference(reference: gateway.KvCacheReference): string {
--- a/packages/requests/src/engine-client.ts
+++ b/packages/requests/src/engine-client.ts
@@ -8,6 +8,9 @@
 /** The response header by which an upstream reports that it did not run a call. */
 export const NOT_RUN_HEADER = 'x-not-run';
 
+/** The response header by which an upstream limits the calls per second that it takes from all hosts together. */
+export const RATE_LIMIT_HEADER = 'x-rate-limit';
+
 /**
  * How long an idle connection is kept, in milliseconds; shorter than any known middlebox time-out, which drops
  * connections silently.
--- a/packages/requests/src/service-client.ts
+++ b/packages/requests/src/service-client.ts
@@ -6,6 +6,8 @@
 import * as endToEndHeaders from './end-to-end-headers.js';
 import * as upstreamClients from './upstream-client.js';
 import * as upstreamErrors from './upstream-error.js';
+import type * as upstreamGates from './upstream-gate.js';
+import * as upstreamNotices from './upstream-notice.js';
 
 /** A call to a plain service. */
 export interface ServiceCall {
@@ -16,8 +18,9 @@
   readonly isRepeatable: boolean;
 }
 
-/** The time limits, in milliseconds, and the size limit, in bytes, of calls to plain services. */
-export interface ServiceLimits {
+/** Options of `ServiceClient`: times in milliseconds, sizes in bytes. */
+export interface ServiceClientOptions {
+  readonly gate: upstreamGates.UpstreamGate;
   readonly connectMs: number;
   readonly answerMs: number;
   readonly answerBytes: number;
@@ -27,8 +30,8 @@
 export class ServiceClient {
   private readonly client: upstreamClients.UpstreamClient;
 
-  public constructor(private readonly limits: ServiceLimits) {
-    this.client = new upstreamClients.UpstreamClient(limits);
+  public constructor(private readonly options: ServiceClientOptions) {
+    this.client = new upstreamClients.UpstreamClient({ ...options, readNotice });
   }
 
   /** Sends a call once and reads the complete response. */
@@ -38,10 +41,10 @@
   ): Promise<callRegistries.StoredResponse> {
     const { upstreamId, url } = upstream;
     const target = { upstreamId, url: new URL(url).origin };
-    const signal = AbortSignal.timeout(this.limits.answerMs);
+    const signal = AbortSignal.timeout(this.options.answerMs);
     const headers = pickServiceHeaders(call.headers);
     const answer = await this.client.open(target, { ...call, headers, signal }, classifyHead);
-    const read = await answerBodies.readAnswer(answer, this.limits.answerBytes, upstreamId);
+    const read = await answerBodies.readAnswer(answer, this.options.answerBytes, upstreamId);
     if (!read.isWhole) {
       answer.body.destroy();
       throw new upstreamErrors.UpstreamError('lost', 'answer-too-large', upstreamId);
@@ -63,6 +66,10 @@
   return head.headers[engineClients.NOT_RUN_HEADER] === undefined ? 'answer' : 'not-run';
 }
 
+function readNotice({ headers }: upstreamClients.AnswerHead): upstreamNotices.UpstreamNotice {
+  return { limit: upstreamNotices.parseNamedLimit(headers[engineClients.RATE_LIMIT_HEADER]) };
+}
+
 /** Removes the team's credentials, and the host name by which callers reach this daemon. */
 function pickServiceHeaders(headers: Readonly<Record<string, string>>): Record<string, string> {
   const { host, authorization, ...others } = toStringValues(
--- a/packages/requests/src/upstream-client.ts
+++ b/packages/requests/src/upstream-client.ts
@@ -5,13 +5,14 @@
 
 import * as resetMonitors from './reset-monitor.js';
 import * as upstreamErrors from './upstream-error.js';
+import type * as upstreamGates from './upstream-gate.js';
+import type * as upstreamNotices from './upstream-notice.js';
 
 /** How long an idle connection to an upstream is kept, in milliseconds; an upstream may announce a shorter time. */
 const KEEP_ALIVE_MS = 4_000;
 
 /** The upstream to which a call is sent. */
-export interface UpstreamTarget {
-  readonly upstreamId: string;
+export interface UpstreamTarget extends upstreamGates.GatedUpstream {
   /** Scheme, address and port. */
   readonly url: string;
 }
@@ -53,8 +54,11 @@
 /** Classifies a head by the protocol of the kind of upstream that is called. */
 export type ClassifyHead = (head: AnswerHead) => HeadVerdict;
 
-/** The limits of connections to upstreams. */
-export interface UpstreamClientLimits {
+/** Options of `UpstreamClient`. */
+export interface UpstreamClientOptions {
+  readonly gate: upstreamGates.UpstreamGate;
+  /** Decodes what an upstream states about itself in an answer. */
+  readonly readNotice: (head: AnswerHead) => upstreamNotices.UpstreamNotice;
   readonly connectMs: number;
   /** Maximum number of pooled connections to one upstream; unlimited by default. */
   readonly connections?: number;
@@ -65,10 +69,10 @@
   private readonly agent: undici.Agent;
   private readonly resets = new resetMonitors.ResetMonitor();
 
-  public constructor(private readonly limits: UpstreamClientLimits) {
+  public constructor(private readonly options: UpstreamClientOptions) {
     this.agent = new undici.Agent({
-      connect: this.resets.createConnector(limits.connectMs),
-      connections: limits.connections ?? null,
+      connect: this.resets.createConnector(options.connectMs),
+      connections: options.connections ?? null,
       pipelining: 1,
       keepAliveTimeout: KEEP_ALIVE_MS,
       keepAliveMaxTimeout: KEEP_ALIVE_MS,
@@ -111,7 +115,7 @@
 
   private createSingleUseClient(target: UpstreamTarget): undici.Client {
     return new undici.Client(target.url, {
-      connect: this.resets.createConnector(this.limits.connectMs),
+      connect: this.resets.createConnector(this.options.connectMs),
       bodyTimeout: 0,
       headersTimeout: 0,
     });
@@ -140,6 +144,10 @@
 
   private checkHead(target: UpstreamTarget, answer: UpstreamAnswer, classify: ClassifyHead): void {
     const verdict = classify(answer);
+    // Any other head may be that of another process or call, and says nothing about this upstream.
+    if (verdict === 'answer' || verdict === 'not-run') {
+      this.options.gate.recordAnswer(target, this.options.readNotice(answer));
+    }
     if (verdict === 'answer') {
       return;
     }
--- a/packages/requests/tests/service-client.test.ts
+++ b/packages/requests/tests/service-client.test.ts
@@ -5,6 +5,8 @@
 import type * as schemas from '@bramleyridge/schemas';
 import * as tap from 'tap';
 
+import * as gates from './support/create-gate.js';
+
 function createUpstream(port: number): schemas.Upstream {
   return {
     upstreamId: 's1',
@@ -23,7 +25,12 @@
 }
 
 function createClient(t: { teardown(handler: () => unknown): void }): requests.ServiceClient {
-  const client = new requests.ServiceClient({ connectMs: 300, answerMs: 400, answerBytes: 10_000 });
+  const client = new requests.ServiceClient({
+    gate: gates.createGate(),
+    connectMs: 300,
+    answerMs: 400,
+    answerBytes: 10_000,
+  });
   t.teardown(() => client.close());
   return client;
 }
--- a/packages/requests/tests/upstream-client.test.ts
+++ b/packages/requests/tests/upstream-client.test.ts
@@ -3,6 +3,8 @@
 import * as requests from '@bramleyridge/requests';
 import * as tap from 'tap';
 
+import * as gates from './support/create-gate.js';
+
 interface Teardown {
   teardown(handler: () => unknown): void;
 }
@@ -36,7 +38,12 @@
 }
 
 function createClient(t: Teardown): requests.UpstreamClient {
-  const client = new requests.UpstreamClient({ connectMs: 300, connections: 1 });
+  const client = new requests.UpstreamClient({
+    gate: gates.createGate(),
+    readNotice: () => requests.EMPTY_NOTICE,
+    connectMs: 300,
+    connections: 1,
+  });
   t.teardown(() => client.close());
   return client;
 }
--- a/packages/schemas/src/listed-upstream.ts
+++ b/packages/schemas/src/listed-upstream.ts
@@ -24,6 +24,14 @@
 /** An upstream as listed by the platform. */
 export type ListedUpstream = z.infer<typeof listedUpstream>;
 
+/** Returns an id for the process of an upstream; a restart under the same upstream id gives a different one. */
+export function getProcessId({
+  bornMs,
+  upstreamId,
+}: Pick<ListedUpstream, 'bornMs' | 'upstreamId'>): string {
+  return bornMs === undefined ? upstreamId : `${upstreamId}@${bornMs}`;
+}
+
 /** Returns whether an upstream has restarted under the same name between two entries of the list. */
 export function hasRestarted(former: ListedUpstream, listed: ListedUpstream): boolean {
   return (
--- a/packages/telemetry/src/metric-catalog.ts
+++ b/packages/telemetry/src/metric-catalog.ts
@@ -90,6 +90,12 @@
     help: 'Upstreams that are listed and take work',
     labels: [],
   },
+  upstreamsLimited: {
+    kind: 'gauge',
+    name: 'upstreams_limited',
+    help: 'Upstreams that limit their rate in their answers, as this host has it',
+    labels: [],
+  },
   zonesEvacuated: {
     kind: 'gauge',
     name: 'zones_evacuated',
