--- a/packages/bench/src/watch-measure.ts
+++ b/packages/bench/src/watch-measure.ts
@@ -23,7 +23,11 @@
   const log = path.join(os.tmpdir(), `bramleyridge-watch-${process.pid}.log`);
   const source = new children.Child([children.getProgram('bench', 'relay/source-main.js')], log);
   const { port } = JSON.parse(await source.getFirstLine()) as { port: number };
-  const engines = new requests.EngineClient({ connectMs: 1_000, answerMs: 5_000 });
+  const engines = new requests.EngineClient({
+    gate: requests.createLocalGate(new schemas.SystemClock(), new schemas.SilentLog()),
+    connectMs: 1_000,
+    answerMs: 5_000,
+  });
   const upstream: schemas.Upstream = {
     upstreamId: 'source',
     kind: 'engine',
--- a/packages/daemon/src/completion-dispatcher.ts
+++ b/packages/daemon/src/completion-dispatcher.ts
@@ -119,7 +119,9 @@
     calls.set(generation, { state: 'not-run' });
     job.attempt += job.key === undefined ? 0 : 1;
     job.excluded.push(grant.upstream.upstreamId);
-    if (!budget.take() || res.destroyed) {
+    // Nothing was sent to an engine that has reached its rate limit.
+    const isPaid = failure.kind === 'withheld' || budget.take();
+    if (!isPaid || res.destroyed) {
       lifecycle.move('refuse');
       throw createRefusal('upstreamRefused', 'not-run', failure);
     }
@@ -231,7 +233,7 @@
     failure: requests.UpstreamError,
   ): void {
     const { cfg, decisions, poolClient } = this.context;
-    if (failure.kind !== 'lost') {
+    if (failure.kind !== 'lost' && failure.kind !== 'withheld') {
       poolClient.reportLeaving(job.intent.model, grant.upstream.upstreamId);
     }
     decisions.record({
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -21,6 +21,7 @@
 import * as platformPollers from './platform-poller.js';
 import * as poolClients from './pool-client.js';
 import * as poolManagers from './pool-manager.js';
+import * as rateGrants from './rate-grants.js';
 import * as teamAccess from './team-access.js';
 
 /** Time for which the balancer may still send requests after readiness fails, in milliseconds. */
@@ -51,6 +52,7 @@
   public readonly context: handlerContexts.HandlerContext;
   private readonly clock: schemas.Clock;
   private readonly keyring: peers.Keyring;
+  private readonly rateGrants: rateGrants.RateGrants;
   private readonly syncServer: members.SyncServer;
   private readonly syncClient: members.SyncClient;
   private readonly peerServer: peers.PeerServer;
@@ -74,7 +76,19 @@
       this.findPeerAddress(id),
     );
     const { store, view, mesh } = this;
+    const metrics = new daemonMetrics.Metrics(cfg);
+    this.rateGrants = new rateGrants.RateGrants({ daemonId: cfg.daemonId, view, mesh, clock, log });
+    const gate = new requests.UpstreamGate({
+      grantor: this.rateGrants,
+      share: new requests.LeaderlessRateShare(cfg.daemonId, () => this.rateGrants.countDaemons()),
+      clock,
+      log,
+      random,
+      count: (decision) => metrics.count('limitedSends', { decision }),
+    });
+    metrics.registerGauge('upstreamsLimited', () => gate.countLimits());
     const engines = new requests.EngineClient({
+      gate,
       connectMs: cfg.limits.upstreamConnectMs,
       answerMs: cfg.limits.upstreamSilenceMs,
     });
@@ -93,7 +107,7 @@
       log,
     });
     this.poolManager = new poolManagers.PoolManager({ cfg, view, store, engines, clock, log });
-    this.context = this.createContext(engines, clock, random);
+    this.context = this.createContext({ engines, gate, metrics, clock, random });
     this.syncServer = this.createSyncServer();
     this.syncClient = this.createSyncClient();
     this.platform = new platformPollers.PlatformPoller({
@@ -222,24 +236,21 @@
   }
 
   private createContext(
-    engines: requests.EngineClient,
-    clock: schemas.Clock,
-    random: () => number,
+    own: Pick<handlerContexts.HandlerContext, 'clock' | 'engines' | 'gate' | 'metrics' | 'random'>,
   ): handlerContexts.HandlerContext {
+    const { clock, gate } = own;
     const { cfg, incarnation, mesh, store, view } = this;
     const { log } = this.options;
     const calls = new requests.CallRegistry(clock);
     const callPrefix = `${cfg.availabilityZone}.${cfg.daemonId}.${incarnation.toString(36)}.`;
-    const shared = { cfg, incarnation, callPrefix, clock, log, store, view, mesh, random };
+    const shared = { cfg, incarnation, callPrefix, log, store, view, mesh, ...own };
     return {
       ...shared,
-      engines,
       calls,
       decisions: new decisionLogs.DecisionLog(log),
-      metrics: new daemonMetrics.Metrics(cfg),
       access: new teamAccess.TeamAccess(cfg, store, () => view.entries),
       services: new requests.ServiceClient({
-        gate: new requests.UpstreamGate({ clock, log }),
+        gate,
         connectMs: cfg.limits.upstreamConnectMs,
         answerMs: cfg.limits.queueMs,
         answerBytes: cfg.limits.bodyBytes,
@@ -304,6 +315,11 @@
       changeVoters: (change) => control.changeVoters(change),
       refoundClaims: () => leader.refoundClaims(),
       grant: ({ model, req }) => poolManager.grant(model, req),
+      grantSend: async (limit) => this.rateGrants.grant(limit),
+      reportLimit: async (limit) => {
+        this.rateGrants.record(limit);
+        shared.gate.mergeLimits([limit]);
+      },
       pool: async (report) => poolManager.applyReport(report),
       claim: async (req) => shared.claims.acceptor.handleClaim(req),
       recover: async (req) => shared.claims.acceptor.handleRecover(req),
--- a/packages/daemon/src/handler-context.ts
+++ b/packages/daemon/src/handler-context.ts
@@ -26,6 +26,7 @@
   readonly access: teamAccess.TeamAccess;
   readonly engines: requests.EngineClient;
   readonly services: requests.ServiceClient;
+  readonly gate: requests.UpstreamGate;
   readonly poolClient: poolClients.PoolClient;
   readonly claims: claimServices.ClaimService;
   readonly calls: requests.CallRegistry;
--- a/packages/daemon/src/peer-router.ts
+++ b/packages/daemon/src/peer-router.ts
@@ -72,6 +72,10 @@
   changeVoters(change: VoterChange): Promise<void>;
   refoundClaims(): Promise<void>;
   grant(input: z.infer<typeof grantInput>): Promise<GrantResult>;
+  /** Grants or refuses a send to a limited upstream. */
+  grantSend(limit: requests.RateLimitFacts): Promise<requests.RateGrantAnswer>;
+  /** Records what another daemon has learned about a rate limit. */
+  reportLimit(limit: requests.RateLimitFacts): Promise<void>;
   pool(report: PoolReport): Promise<void>;
   claim(req: requests.ClaimReq): Promise<requests.ClaimRes>;
   recover(req: requests.RecoverReq): Promise<requests.RecoverRes>;
@@ -100,6 +104,12 @@
       .mutation(({ input }) => handlers.changeVoters(input)),
     refoundClaims: t.procedure.mutation(() => handlers.refoundClaims()),
     grant: t.procedure.input(grantInput).mutation(({ input }) => handlers.grant(input)),
+    grantSend: t.procedure
+      .input(requests.rateLimitFacts)
+      .mutation(({ input }) => handlers.grantSend(input)),
+    reportLimit: t.procedure
+      .input(requests.rateLimitFacts)
+      .mutation(({ input }) => handlers.reportLimit(input)),
     pool: t.procedure.input(poolReport).mutation(({ input }) => handlers.pool(input)),
     claim: t.procedure.input(requests.claimReq).mutation(({ input }) => handlers.claim(input)),
     recover: t.procedure
--- a/packages/daemon/src/service-call-handler.ts
+++ b/packages/daemon/src/service-call-handler.ts
@@ -107,10 +107,10 @@
     this.recordDecision(job, call, upstream, failure.kind);
     const didNotRun = failure.kind !== 'lost';
     this.context.calls.set(call, { state: didNotRun ? 'not-run' : 'lost' });
-    if (didNotRun) {
+    if (didNotRun && failure.kind !== 'withheld') {
       this.refusedAt.set(upstream.upstreamId, this.context.clock.now());
-      job.attempt += 1;
     }
+    job.attempt += didNotRun ? 1 : 0;
     return failure;
   }
 
@@ -141,8 +141,8 @@
 
   /** Chooses the one of two random upstreams that has fewer outstanding calls of this daemon. */
   private choose(job: Job): schemas.Upstream {
-    const { cfg, clock, random, view } = this.context;
-    const candidates = view
+    const { cfg, clock, gate, random, view } = this.context;
+    const usable = view
       .getDirectory()
       .upstreams.filter((item) => item.service === job.service && item.state === 'live')
       .filter((item) => !job.excluded.has(item.upstreamId))
@@ -151,6 +151,17 @@
           clock.now() - (this.refusedAt.get(item.upstreamId) ?? -Infinity) >
           cfg.limits.upstreamSilenceMs,
       );
+    const candidates = usable.filter((item) => gate.isOpen(item));
+    if (candidates.length === 0 && usable.length > 0) {
+      throw new schemas.Refusal({
+        id: 'rateLimited',
+        step: 'choose',
+        status: 503,
+        outcome: 'not-run',
+        args: [job.service],
+        retryAfterS: gate.getRetryAfterS(usable),
+      });
+    }
     const first = candidates[Math.floor(random() * candidates.length)];
     const second = candidates[Math.floor(random() * candidates.length)];
     if (first === undefined || second === undefined) {
--- a/packages/fakes/src/fake-service.ts
+++ b/packages/fakes/src/fake-service.ts
@@ -6,11 +6,18 @@
 export class FakeService {
   /** Number of executed confirms of each booking. */
   public readonly confirms = new Map<string, number>();
-  public readonly faults = { refuse: false, resetAfterRead: false, answerDelayMs: 0 };
+  /** Arrival times of the reads of slots, in milliseconds. */
+  public readonly readAt: number[] = [];
+  public readonly faults = {
+    refuse: false,
+    resetAfterRead: false,
+    answerDelayMs: 0,
+    /** Calls per second that its answers name as its limit; none if empty. */
+    rateLimit: '',
+  };
   private readonly server = new servers.FakeServer({
     'POST /confirms': (req, res) => this.confirm(req, res),
-    'GET /slots/:slot': (req, res) =>
-      servers.sendJson(res, 200, { slot: req.params.slot, free: true }),
+    'GET /slots/:slot': (req, res) => this.readSlot(req, res),
     'GET /record': (_req, res) => servers.sendJson(res, 200, Object.fromEntries(this.confirms)),
     'POST /faults': (req, res) => {
       Object.assign(this.faults, servers.parseBody(req));
@@ -28,6 +35,14 @@
     this.server.kill();
   }
 
+  private readSlot(req: servers.FakeRequest, res: http.ServerResponse): void {
+    this.readAt.push(performance.now());
+    if (this.faults.rateLimit !== '') {
+      res.setHeader('x-rate-limit', this.faults.rateLimit);
+    }
+    servers.sendJson(res, 200, { slot: req.params.slot, free: true });
+  }
+
   private async confirm(req: servers.FakeRequest, res: http.ServerResponse): Promise<void> {
     if (this.faults.refuse) {
       res.setHeader('x-not-run', '1');
--- a/packages/gateway/src/core-host.ts
+++ b/packages/gateway/src/core-host.ts
@@ -19,6 +19,7 @@
 import * as operatorServices from './operator-service.js';
 import * as placementServices from './placement-service.js';
 import type * as ports from './ports.js';
+import * as rateLimitServices from './rate-limit-service.js';
 import * as retryShares from './retry-shares.js';
 import * as routedConfigurationStores from './routed-configuration-store.js';
 import type * as settingsWatchers from './settings-watcher.js';
@@ -56,6 +57,7 @@
   private readonly placement: placementServices.PlacementService;
   private readonly suspects: suspectRegistries.SuspectRegistry;
   private readonly relay: suspectRelays.SuspectRelay;
+  private readonly rateLimits: rateLimitServices.RateLimitService;
   private readonly configuration: routedConfigurationStores.RoutedConfigurationStore;
   private readonly upstreamList: upstreamListServices.UpstreamListService;
   private readonly updates: entryUpdateServices.EntryUpdateService;
@@ -120,6 +122,7 @@
       quarantine: this.group.quarantine,
       propose: (entry) => this.group.getLeadership().propose(entry),
     });
+    this.rateLimits = new rateLimitServices.RateLimitService({ coreId, clock, log });
     this.relay = new suspectRelays.SuspectRelay({
       coreId,
       findLeader: () => group.findRecentLeader(),
@@ -155,14 +158,16 @@
         this.group.isLeading() ? this.group.getLeadership().startedAt : undefined,
       findService: (name) => this.findService(name),
       hasRuns: (service, engineId) => this.placement.hasRuns(service, engineId),
+      mayProbe: (processId) => this.rateLimits.grantProbe(processId),
     });
-    const { entryRegistry, upstreamList, suspects } = this;
+    const { entryRegistry, rateLimits, upstreamList, suspects } = this;
     this.updates = new entryUpdateServices.EntryUpdateService({
       group,
       coreRegistry,
       entryRegistry,
       upstreamList,
       suspects,
+      rateLimits,
       clock,
     });
     this.server = new peers.PeerServer(procedures.createCoreRouter(this.createHandlers()), {
@@ -246,6 +251,12 @@
         const { startedAt, term } = group.getLeadership();
         return { isLent: this.placement.grantRetry(service, { term, since: startedAt }) };
       },
+      grantSend: async (req) => {
+        this.ensureLeading('grant-send');
+        this.rateLimits.startLeading(group.getLeadership().term);
+        return this.rateLimits.grant(req);
+      },
+      reportLimits: async (req) => this.rateLimits.report(req),
       ...this.createSuspectHandlers(),
       relaySuspects: (req) => this.relay.report(req),
       relayPermit: (req) => this.relay.permit(req),
--- a/packages/gateway/src/core-procedures.ts
+++ b/packages/gateway/src/core-procedures.ts
@@ -1,6 +1,7 @@
 import * as consensus from '@bramleyridge/consensus';
 import * as intents from '@bramleyridge/intents';
 import * as peers from '@bramleyridge/peers';
+import * as requests from '@bramleyridge/requests';
 import * as routing from '@bramleyridge/routing';
 import * as schemas from '@bramleyridge/schemas';
 import * as trpc from '@trpc/server';
@@ -23,6 +24,9 @@
 /** Position in the leader's changes to suspects: the leader's term and the revision received last. */
 export const suspectCursor = z.object({ term: z.int(), revision: z.int() });
 
+/** Position in a core host's changes to rate limits: the core host and the revision received last. */
+export const rateLimitCursor = z.object({ source: z.string(), revision: z.int() });
+
 /** Long poll of an entry host for state newer than what it has. */
 export const updatesReq = z.object({
   hostId: z.string(),
@@ -36,6 +40,8 @@
   takesChanges: z.boolean().optional(),
   /** Last position in the changes to suspects; not sent by hosts of the previous version. */
   suspects: suspectCursor.optional(),
+  /** Last position in the changes to rate limits; not sent by hosts of the previous version. */
+  rateLimits: rateLimitCursor.optional(),
   /** Revision of the evacuated zones that the host has; not sent by hosts of the previous version. */
   evacuationRevision: z.int().optional(),
 });
@@ -67,6 +73,22 @@
   }),
 });
 
+/** What a core host knows about the rate limits of upstreams. */
+export const rateLimitUpdates = z.object({
+  source: z.string(),
+  revision: z.int(),
+  limits: z.array(requests.rateLimitFacts),
+});
+
+/** Rate limits that a host has learned. */
+export const rateLimitReport = z.object({
+  hostId: z.string(),
+  limits: z.array(requests.rateLimitFacts),
+});
+
+/** Request of a host to send one call to a limited upstream, with what it knows about the limit. */
+export const rateGrantReq = z.object({ hostId: z.string(), limit: requests.rateLimitFacts });
+
 /** Outcome of a run of a suspect, or of a call that becomes one by this outcome. */
 export const suspectOutcome = z.discriminatedUnion('kind', [
   z.object({ kind: z.literal('ended'), digest: z.string(), end: routing.processEnd }),
@@ -137,6 +159,7 @@
   /** Number of entry hosts that poll the leader. */
   entryHosts: z.int().optional(),
   suspects: suspectUpdates.optional(),
+  rateLimits: rateLimitUpdates.optional(),
   evacuations: intents.evacuatedZones.optional(),
   /**
    * The quarantine from the log, for a host that has had no contact with a leader yet and polls a core host that doesn't
@@ -218,8 +241,16 @@
 export type PlaceReq = z.infer<typeof placeReq>;
 /** Position in the leader's changes to suspects. */
 export type SuspectCursor = z.infer<typeof suspectCursor>;
+/** Position in a core host's changes to rate limits. */
+export type RateLimitCursor = z.infer<typeof rateLimitCursor>;
 /** Changes to suspects, as the leader has them. */
 export type SuspectUpdates = z.infer<typeof suspectUpdates>;
+/** What a core host knows about the rate limits of upstreams. */
+export type RateLimitUpdates = z.infer<typeof rateLimitUpdates>;
+/** Rate limits that a host has learned. */
+export type RateLimitReport = z.infer<typeof rateLimitReport>;
+/** Request to send one call to a limited upstream. */
+export type RateGrantReq = z.infer<typeof rateGrantReq>;
 /** Outcome of a suspect's run. */
 export type SuspectOutcome = z.infer<typeof suspectOutcome>;
 /** Outcomes of suspects' runs, reported by one host. */
@@ -302,6 +333,10 @@
   noteRun(note: GenerationEvent): Promise<void>;
   /** Grants a retry, as the leader. */
   borrowRetry(req: RetryGrantReq): Promise<RetryGrantRes>;
+  /** Grants or refuses a send to a limited upstream, as the leader. */
+  grantSend(req: RateGrantReq): Promise<requests.RateGrantAnswer>;
+  /** Records rate limits; any core host tells those that poll it. */
+  reportLimits(req: RateLimitReport): Promise<void>;
   /** Records outcomes of suspects' runs, as the leader. */
   reportSuspects(req: SuspectReport): Promise<{ readonly term: number }>;
   /** Merges all suspects of a host, as a leader that is new to the host. */
@@ -347,6 +382,10 @@
     borrowRetry: t.procedure
       .input(retryGrantReq)
       .mutation(({ input }) => handlers.borrowRetry(input)),
+    grantSend: t.procedure.input(rateGrantReq).mutation(({ input }) => handlers.grantSend(input)),
+    reportLimits: t.procedure
+      .input(rateLimitReport)
+      .mutation(({ input }) => handlers.reportLimits(input)),
     reportSuspects: t.procedure
       .input(suspectReport)
       .mutation(({ input }) => handlers.reportSuspects(input)),
--- a/packages/gateway/src/entry-host.ts
+++ b/packages/gateway/src/entry-host.ts
@@ -18,6 +18,7 @@
 import * as placementClients from './placement-client.js';
 import type * as ports from './ports.js';
 import * as suspectRelayClients from './suspect-relay-client.js';
+import * as rateGrantClients from './rate-grant-client.js';
 import * as retryShares from './retry-shares.js';
 import * as routedFlows from './routed-flow.js';
 import * as routedConfigurationStores from './routed-configuration-store.js';
@@ -73,6 +74,7 @@
   private readonly mesh = new coreMeshes.CoreMesh(PEER_DEADLINE_MS);
   private readonly poller: updatePollers.UpdatePoller;
   private readonly listReader: upstreamListReaders.UpstreamListReader;
+  private readonly rateGrants: rateGrantClients.RateGrantClient;
   private readonly gate: requests.UpstreamGate;
   private readonly client: requests.UpstreamClient;
   private readonly shares: retryShares.RetryShares;
@@ -101,13 +103,6 @@
       (zone) => this.evacuations.has(zone),
       (zone) => options.settings.get().regions?.[zone],
     );
-    this.gate = new requests.UpstreamGate({ clock, log });
-    this.client = new requests.UpstreamClient({
-      gate: this.gate,
-      readNotice: (head) => wire.readNotice(head),
-      connectMs: CONNECT_TIMEOUT_MS,
-      connections: MAX_CONNECTIONS,
-    });
     this.drain = new requests.Drain(clock);
     this.poller = this.createPoller();
     const placement = new placementClients.PlacementClient({
@@ -116,6 +111,28 @@
       clock,
       log,
     });
+    this.rateGrants = new rateGrantClients.RateGrantClient({
+      hostId: settings.hostId,
+      mesh: this.mesh,
+      listCores: () => this.poller.listCores(),
+      findLeader: () => this.poller.findLeader(),
+      requestLeader: (send) => placement.request(send),
+      log,
+    });
+    this.gate = new requests.UpstreamGate({
+      grantor: this.rateGrants,
+      share: new requests.LeaderlessRateShare(settings.hostId, () => this.entryHosts),
+      clock,
+      log,
+      random,
+      count: (decision) => options.metrics.count('limitedSends', { decision }),
+    });
+    this.client = new requests.UpstreamClient({
+      gate: this.gate,
+      readNotice: (head) => wire.readNotice(head),
+      connectMs: CONNECT_TIMEOUT_MS,
+      connections: MAX_CONNECTIONS,
+    });
     this.shares = new retryShares.RetryShares(
       clock,
       () => ({ ...options.settings.get().bounds, entryHosts: this.entryHosts }),
@@ -141,6 +158,7 @@
     this.picker = new upstreamPickers.UpstreamPicker({
       directory: this.directory,
       placer: placement,
+      gate: this.gate,
       availabilityZone,
       coldSendQuota: new routing.ColdSendQuota(settings.hostId, () => this.entryHosts),
       clock,
@@ -153,6 +171,7 @@
       directory: this.directory,
       picker: this.picker,
       client: this.client,
+      gate: this.gate,
       guard,
       engines: options.engines,
       findBudget: (service) => this.shares.find(service),
@@ -305,6 +324,7 @@
         takesPacked: true,
         takesChanges: true,
         suspects: this.suspects.getCursor(),
+        rateLimits: this.rateGrants.getCursor(),
         evacuationRevision: this.evacuations.get().revision,
       }),
       onUpdates: (updates, isTrusted) => this.applyUpdates(updates, isTrusted),
@@ -334,6 +354,9 @@
     if (updates.suspects !== undefined) {
       this.suspects.applyUpdates(updates.suspects);
     }
+    if (updates.rateLimits !== undefined) {
+      this.rateGrants.applyUpdates(updates.rateLimits, this.gate);
+    }
     this.listPeriodMs = updates.listPeriodMs ?? this.listPeriodMs;
     this.entryHosts = updates.entryHosts ?? this.entryHosts;
     const limits = this.store.findTable()?.config.limits;
--- a/packages/gateway/src/entry-update-service.ts
+++ b/packages/gateway/src/entry-update-service.ts
@@ -6,6 +6,7 @@
 import type * as coreHostRegistries from './core-host-registry.js';
 import type * as entryHostRegistries from './entry-host-registry.js';
 import type * as upstreamListServices from './upstream-list-service.js';
+import type * as rateLimitServices from './rate-limit-service.js';
 import type * as suspectRegistries from './suspect-registry.js';
 import * as suspectClients from './suspect-client.js';
 
@@ -25,6 +26,7 @@
   readonly entryRegistry: entryHostRegistries.EntryHostRegistry;
   readonly upstreamList: upstreamListServices.UpstreamListService;
   readonly suspects: suspectRegistries.SuspectRegistry;
+  readonly rateLimits: rateLimitServices.RateLimitService;
   readonly clock: schemas.Clock;
 }
 
@@ -56,7 +58,7 @@
 
   /** Answers an entry host's poll: at once if there are updates, otherwise when its wait is over. */
   public async answer(req: procedures.UpdatesReq): Promise<procedures.UpdatesRes> {
-    const { clock, entryRegistry, group, upstreamList, suspects } = this.options;
+    const { clock, entryRegistry, group, rateLimits, upstreamList, suspects } = this.options;
     entryRegistry.recordPoll(req.hostId);
     const end = clock.now() + req.waitMs;
     const wasLeading = group.isLeading();
@@ -68,6 +70,7 @@
         group.state.changed.wait(clock, end - clock.now()),
         upstreamList.changed.wait(clock, end - clock.now()),
         suspects.changed.wait(clock, end - clock.now()),
+        rateLimits.changed.wait(clock, end - clock.now()),
         group.evacuations.changed.wait(clock, end - clock.now()),
       ]);
     }
@@ -80,7 +83,8 @@
       version > req.version ||
       this.findNewEvacuations(req) !== undefined ||
       this.findNewList(req) !== undefined ||
-      this.findSuspectUpdates(req) !== undefined
+      this.findSuspectUpdates(req) !== undefined ||
+      this.findRateLimitUpdates(req) !== undefined
     );
   }
 
@@ -105,6 +109,7 @@
       cores: coreRegistry.listAll(),
       entryHosts: this.hasCompleteCount() ? entryRegistry.count() : undefined,
       suspects: this.findSuspectUpdates(req),
+      rateLimits: this.findRateLimitUpdates(req),
       evacuations: this.findNewEvacuations(req),
       quarantined:
         isLeading || req.suspects?.term !== suspectClients.NO_TERM
@@ -128,6 +133,12 @@
     return suspects.findUpdates(req.suspects, term);
   }
 
+  private findRateLimitUpdates(
+    req: procedures.UpdatesReq,
+  ): procedures.RateLimitUpdates | undefined {
+    return req.rateLimits && this.options.rateLimits.findUpdates(req.rateLimits);
+  }
+
   private findNewEvacuations(req: procedures.UpdatesReq): intents.EvacuatedZones | undefined {
     const facts = this.options.group.evacuations.get();
     const known = req.evacuationRevision ?? facts.revision;
--- a/packages/gateway/src/leaving-engine-monitor.ts
+++ b/packages/gateway/src/leaving-engine-monitor.ts
@@ -35,6 +35,8 @@
   readonly pauseMs: number;
   /** Lists all engines with the paths of their health endpoints. */
   readonly listEngines: () => readonly MonitoredEngine[];
+  /** Returns whether a probe may be sent to an engine's process, whose rate may be limited. */
+  readonly mayProbe: (processId: string) => boolean;
   /** Called when the trusted report of an engine changes. */
   readonly onChange: () => void;
 }
@@ -42,6 +44,7 @@
 /** An engine to probe. */
 export interface MonitoredEngine {
   readonly upstreamId: string;
+  readonly processId: string;
   readonly address: string;
   readonly healthPath: string;
   /** Whether it has runs that could be migrated. */
@@ -63,14 +66,16 @@
 
   /** Probes until stopped. */
   public async run(): Promise<void> {
-    const { clock, isActive, listEngines, pauseMs } = this.options;
+    const { clock, isActive, listEngines, mayProbe, pauseMs } = this.options;
     while (!this.isStopped) {
       if (isActive()) {
         const engines = listEngines();
         this.removeUnlisted(engines);
-        this.selectEngines(engines).forEach((engine) => {
-          void this.probeEngine(engine);
-        });
+        this.selectEngines(engines)
+          .filter(({ processId }) => mayProbe(processId))
+          .forEach((engine) => {
+            void this.probeEngine(engine);
+          });
       }
       await clock.sleep(pauseMs);
     }
--- a/packages/gateway/src/routed-attempts.ts
+++ b/packages/gateway/src/routed-attempts.ts
@@ -21,6 +21,12 @@
 /** Maximum number of times that one generation is resumed; engines are reclaimed one after the other. */
 const MAX_RESUMES = 6;
 
+/**
+ * Maximum time for which a run that broke off waits for room at the upstream that can resume it, in milliseconds. Its
+ * answer has begun, so it can't be refused.
+ */
+const RESUME_WAIT_MS = 1_500;
+
 /** Lowest status that is not a success. */
 const FIRST_NON_SUCCESS_STATUS = 300;
 
@@ -31,6 +37,7 @@
 export interface RoutedAttemptsOptions extends migrationManagers.MigrationManagerOptions {
   readonly wire: ports.CallWire;
   readonly client: requests.UpstreamClient;
+  readonly gate: requests.UpstreamGate;
   readonly guard: crashGuards.CrashGuard;
   readonly availabilityZone: string;
   readonly metrics: telemetry.MetricSink;
@@ -61,10 +68,11 @@
     job: routedJobs.RoutedJob,
     picked: upstreamPickers.PickedUpstream,
   ): Promise<routedAnswers.RoutedAnswer> {
+    const permit = await this.admit(job, picked);
     const attempt = this.begin(job, picked);
     this.logChoice(job, attempt);
     try {
-      return await this.receive(job, attempt, await this.send(job, attempt, undefined));
+      return await this.receive(job, attempt, await this.send(job, attempt, permit, undefined));
     } catch (err) {
       attempt.release(true);
       this.recordEnd(job, attempt, err);
@@ -95,6 +103,23 @@
     });
   }
 
+  /** Permits the send of a call to the upstream picked for it; otherwise another one is picked. */
+  private async admit(
+    job: routedJobs.RoutedJob,
+    picked: upstreamPickers.PickedUpstream,
+  ): Promise<requests.SendPermit> {
+    const { gate, guard, log, picker } = this.options;
+    try {
+      return await gate.admit(picked.known);
+    } catch (err) {
+      picker.release(job.call, false);
+      guard.recordOutcome(job, { known: picked.known, answerStartedAt: undefined }, 'not-run');
+      const { requestId } = job.call.facts;
+      log.info({ decision: 'send-withheld', request: requestId, upstream: picked.upstreamId });
+      throw err;
+    }
+  }
+
   private begin(job: routedJobs.RoutedJob, picked: upstreamPickers.PickedUpstream): Attempt {
     const { picker } = this.options;
     const { call, tried } = job;
@@ -116,6 +141,7 @@
   private send(
     job: routedJobs.RoutedJob,
     attempt: Attempt,
+    permit: requests.SendPermit,
     resume: ports.ResumeFacts | undefined,
   ): Promise<requests.UpstreamAnswer> {
     const { client, clock, directory, wire } = this.options;
@@ -139,7 +165,7 @@
     const { method, path } = call;
     return client.open(
       attempt.picked.known,
-      { method, path, headers, body, isRepeatable, signal: abort.signal },
+      { method, path, headers, body, isRepeatable, permit, signal: abort.signal },
       wire.createHeadClassifier(call.facts),
     );
   }
@@ -223,7 +249,8 @@
     const { log, metrics } = this.options;
     await previous.run.finalBackup;
     const next = await this.chooseNext(job, previous);
-    if (next === undefined || !(await this.mayResume(job, next))) {
+    const permit = next && (await this.admitResume(job, next));
+    if (next === undefined || permit === undefined) {
       return undefined;
     }
     job.resumes += 1;
@@ -242,7 +269,7 @@
     });
     try {
       const resume = { copy: previous.run.backup?.reference, lastEventId };
-      const answer = await this.send(job, attempt, resume);
+      const answer = await this.send(job, attempt, permit, resume);
       if (answer.status >= FIRST_NON_SUCCESS_STATUS) {
         answer.body.destroy();
         throw new requests.UpstreamError('lost', 'resume', upstreamId);
@@ -277,22 +304,26 @@
     this.options.guard.recordOutcome(job, createGuardedRun(attempt), hasFailed ? failed : 'served');
   }
 
-  /** Returns whether the crash guard lets a run resume at an upstream: a call that crashed one process would crash the next. */
-  private async mayResume(
+  /**
+   * Permits a run to resume at an upstream: the crash guard, since a call that crashed one process would crash the next,
+   * and the gate of the upstream.
+   */
+  private async admitResume(
     job: routedJobs.RoutedJob,
     next: upstreamPickers.PickedUpstream,
-  ): Promise<boolean> {
-    const { guard, log, picker } = this.options;
+  ): Promise<requests.SendPermit | undefined> {
+    const { gate, guard, log, picker } = this.options;
     try {
       await guard.admit(job);
       await guard.permit(job, next.known, () => true);
-      return true;
+      return await gate.admitWithin(next.known, RESUME_WAIT_MS, job.abort.signal);
     } catch (err) {
       picker.release(job.call, true);
       const { message } = schemas.toError(err);
       const request = job.call.facts.requestId;
-      log.info({ decision: 'resume-refused', request, reason: 'quarantine', err: message });
-      return false;
+      const reason = err instanceof requests.UpstreamError ? 'rate-limit' : 'quarantine';
+      log.info({ decision: 'resume-refused', request, reason, err: message });
+      return undefined;
     }
   }
 
--- a/packages/gateway/src/upstream-list-service.ts
+++ b/packages/gateway/src/upstream-list-service.ts
@@ -60,6 +60,8 @@
   readonly findService: (name: string) => schemas.RoutedService | undefined;
   /** Returns whether generations run on an engine. */
   readonly hasRuns: (service: string, engineId: string) => boolean;
+  /** Returns whether a probe may be sent to an upstream process, whose rate may be limited. */
+  readonly mayProbe: (processId: string) => boolean;
 }
 
 /**
@@ -82,7 +84,7 @@
   private inForceReadAt = -Infinity;
 
   public constructor(private readonly options: UpstreamListServiceOptions) {
-    const { clock, findActiveSince, getSettings, log, probe, source } = options;
+    const { clock, findActiveSince, getSettings, log, mayProbe, probe, source } = options;
     const isActive = () => findActiveSince() !== undefined;
     this.reader = new upstreamListReaders.UpstreamListReader({
       source,
@@ -104,6 +106,7 @@
       isActive,
       pauseMs: PROBE_PAUSE_MS,
       listEngines: () => this.listEngines(),
+      mayProbe,
       onChange: () => this.scheduleRebuild(),
     });
   }
@@ -210,12 +213,13 @@
 
   /** Lists the engines whose runs can be migrated and that are not listed as leaving. */
   private listEngines(): leavingEngineMonitors.MonitoredEngine[] {
-    return this.platformUpstreams.flatMap(({ address, isLeaving, service, upstreamId }) => {
+    return this.platformUpstreams.flatMap(({ address, bornMs, isLeaving, service, upstreamId }) => {
       const found = this.options.findService(service);
       return found?.engine?.canMove === true && !isLeaving
         ? [
             {
               upstreamId,
+              processId: schemas.getProcessId({ upstreamId, bornMs }),
               address,
               healthPath: found.healthPath,
               hasRuns: this.options.hasRuns(service, upstreamId),
--- a/packages/gateway/src/upstream-picker.ts
+++ b/packages/gateway/src/upstream-picker.ts
@@ -1,3 +1,4 @@
+import type * as requests from '@bramleyridge/requests';
 import * as routing from '@bramleyridge/routing';
 import * as schemas from '@bramleyridge/schemas';
 
@@ -80,6 +81,7 @@
 export interface UpstreamPickerOptions {
   readonly directory: upstreamDirectories.UpstreamDirectory;
   readonly placer: GenerationPlacer;
+  readonly gate: requests.UpstreamGate;
   readonly availabilityZone: string;
   readonly coldSendQuota: routing.ColdSendQuota;
   readonly clock: schemas.Clock;
@@ -99,10 +101,15 @@
     if (!generationCalls.isGeneration(call)) {
       return this.pickByFallback(call, tried);
     }
+    const atLimit = this.listAtLimit(call);
+    if (atLimit.length > 0 && atLimit.length === this.listLive(call).length) {
+      throw this.refuseAtLimit(call, atLimit);
+    }
     const now = this.options.clock.now();
     const patienceMs = Math.min(call.route.targetMs * MAX_WAIT_SHARE, call.endsAt - now);
     const dueInMs = call.arrivedAt + call.route.targetMs - now;
-    const spec = this.createSpec(call, [...tried, ...this.listDisallowed(call)]);
+    const excluded = [...tried, ...this.listDisallowed(call), ...atLimit.map(getUpstreamId)];
+    const spec = this.createSpec(call, excluded);
     const wait = { patienceMs, dueInMs, rank: generationCalls.getPriority(call) };
     const res = await this.options.placer.place(call.service.name, spec, wait);
     if (res !== undefined && res.placed === undefined && res.isUnknown !== true) {
@@ -135,7 +142,12 @@
     excluded: readonly string[],
   ): Promise<MigrationAnswer> {
     const callId = call.facts.requestId;
-    const run = { callId, engineId, excluded: [...excluded, ...this.listDisallowed(call)] };
+    const atLimit = this.listAtLimit(call).map(getUpstreamId);
+    const run = {
+      callId,
+      engineId,
+      excluded: [...excluded, ...this.listDisallowed(call), ...atLimit],
+    };
     const { log, placer } = this.options;
     const res = await placer.awaitMigration(call.service.name, run);
     const target = this.findAllowed(call, res?.takerId);
@@ -254,12 +266,21 @@
   ): PickedUpstream {
     const now = this.options.clock.now();
     const untried = this.listCandidates(call, now).filter((item) => !tried.has(item.upstreamId));
-    const candidates = untried.filter(({ known }) => this.mayReceiveCall(call.service, known, now));
+    const open = untried.filter(({ known }) => this.options.gate.isOpen(known));
+    if (open.length === 0 && untried.length > 0) {
+      throw this.refuseAtLimit(
+        call,
+        untried.map(({ known }) => known),
+      );
+    }
+    const candidates = open.filter(({ known }) => this.mayReceiveCall(call.service, known, now));
     const isEngine = generationCalls.isGeneration(call);
     const choose = isEngine ? routing.chooseByMemory : routing.chooseByCalls;
     const chosen = choose(candidates, now, this.options.random);
     if (chosen === undefined) {
-      this.logNoUpstream(call, untried.length);
+      const isEvacuated = this.options.directory.isServiceEvacuated(call.service.name);
+      const reason = untried.length > 0 ? 'cold' : 'none-live';
+      this.logNoUpstream(call, isEvacuated ? 'evacuated' : reason);
       throw this.refuse('noUpstream', call.service.name, RETRY_AFTER_S);
     }
     const { known, upstreamId } = chosen;
@@ -295,21 +316,36 @@
     );
   }
 
-  private logNoUpstream({ facts, service }: callAdmissions.AdmittedCall, coldCount: number): void {
-    const isEvacuated = this.options.directory.isServiceEvacuated(service.name);
-    const reason = coldCount > 0 ? 'cold' : 'none-live';
+  private logNoUpstream({ facts, service }: callAdmissions.AdmittedCall, reason: string): void {
     this.options.log.info({
       decision: 'no-upstream',
       request: facts.requestId,
       service: service.name,
-      reason: isEvacuated ? 'evacuated' : reason,
+      reason,
     });
   }
 
-  private listCandidates({ regions, service }: callAdmissions.AdmittedCall, now: number) {
-    return this.options.directory
-      .listLive(service.name, regions)
-      .map((known) => this.createCandidate(known, service, now));
+  private listLive({ regions, service }: callAdmissions.AdmittedCall) {
+    return this.options.directory.listLive(service.name, regions);
+  }
+
+  /** Lists the upstreams that have no room for a call now, since they limit their rate. */
+  private listAtLimit(call: callAdmissions.AdmittedCall): upstreamDirectories.KnownUpstream[] {
+    const { gate } = this.options;
+    return gate.areAllOpen() ? [] : this.listLive(call).filter((known) => !gate.isOpen(known));
+  }
+
+  private refuseAtLimit(
+    call: callAdmissions.AdmittedCall,
+    upstreams: readonly upstreamDirectories.KnownUpstream[],
+  ): schemas.Refusal {
+    this.logNoUpstream(call, 'rate-limit');
+    const retryAfterS = this.options.gate.getRetryAfterS(upstreams);
+    return this.refuse('rateLimited', call.service.name, retryAfterS);
+  }
+
+  private listCandidates(call: callAdmissions.AdmittedCall, now: number) {
+    return this.listLive(call).map((known) => this.createCandidate(known, call.service, now));
   }
 
   private createCandidate(
@@ -330,7 +366,7 @@
   }
 
   private refuse(
-    id: 'noUpstream' | 'noRoom',
+    id: 'noUpstream' | 'noRoom' | 'rateLimited',
     service: string,
     retryAfterS: number,
   ): schemas.Refusal {
@@ -345,6 +381,10 @@
   }
 }
 
+function getUpstreamId({ upstreamId }: upstreamDirectories.KnownUpstream): string {
+  return upstreamId;
+}
+
 function isMaybeCold(
   { coldUntil, unlistedColdUntil }: upstreamDirectories.KnownUpstream,
   now: number,
--- a/packages/gateway/tests/entry-update-service.test.ts
+++ b/packages/gateway/tests/entry-update-service.test.ts
@@ -25,6 +25,7 @@
       changed: signal,
     } as never,
     suspects: {} as never,
+    rateLimits: {} as never,
     clock,
   });
 }
--- a/packages/gateway/tests/leaving-engine-monitor.test.ts
+++ b/packages/gateway/tests/leaving-engine-monitor.test.ts
@@ -19,8 +19,15 @@
     log: new schemas.SilentLog(),
     isActive: () => true,
     pauseMs: 250,
+    mayProbe: () => true,
     listEngines: () => [
-      { upstreamId: 'e1', address: '127.0.0.1:1', healthPath: '/health', hasRuns: true },
+      {
+        upstreamId: 'e1',
+        processId: 'e1',
+        address: '127.0.0.1:1',
+        healthPath: '/health',
+        hasRuns: true,
+      },
     ],
     onChange: () => {
       engine.changes += 1;
@@ -87,7 +94,7 @@
   runningCount: number,
 ) {
   const probes = new Map<string, number>();
-  const state = { leaving: '', runningCount };
+  const state = { leaving: '', runningCount, limited: '' };
   const monitor = new leavingEngineMonitors.LeavingEngineMonitor({
     probe: {
       isLeaving: async (address) => {
@@ -99,9 +106,11 @@
     log: new schemas.SilentLog(),
     isActive: () => true,
     pauseMs: 200,
+    mayProbe: (processId) => processId !== state.limited,
     listEngines: () =>
       Array.from({ length: engineCount }, (_, i) => ({
         upstreamId: `e-${i}`,
+        processId: `e-${i}`,
         address: `e-${i}`,
         healthPath: '/health',
         hasRuns: i < state.runningCount,
@@ -144,3 +153,18 @@
   t.notOk(monitor.isLeaving('e-0'), 'and can withdraw its report');
   monitor.stop();
 });
+
+// Guards against probes that use up the calls which a limited engine takes.
+void tap.default.test('an engine without room for probes is not probed', async (t) => {
+  const clock = new schemas.VirtualClock();
+  const { monitor, probes, state } = createLargeMonitor(clock, 3, 3);
+  state.limited = 'e-1';
+  const before = probes.get('e-1') ?? 0;
+  await clock.advance(1_000);
+  t.equal(probes.get('e-1') ?? 0, before);
+  t.ok((probes.get('e-0') ?? 0) >= 4);
+  state.limited = '';
+  await clock.advance(400);
+  t.ok((probes.get('e-1') ?? 0) > before);
+  monitor.stop();
+});
--- a/packages/gateway/tests/upstream-list-service.test.ts
+++ b/packages/gateway/tests/upstream-list-service.test.ts
@@ -44,6 +44,7 @@
     getSettings: () => ({ listAddress: '127.0.0.1:1', listCallsPerS: 40 }) as never,
     findActiveSince: () => state.activeSince,
     hasRuns: () => true,
+    mayProbe: () => true,
     findService: (name) => ({ ...sites.createConfig(1).services[0]!, name, engine }),
   });
   service.run();
--- a/packages/gateway/tests/upstream-picker.test.ts
+++ b/packages/gateway/tests/upstream-picker.test.ts
@@ -1,3 +1,4 @@
+import * as requests from '@bramleyridge/requests';
 import * as routing from '@bramleyridge/routing';
 import * as schemas from '@bramleyridge/schemas';
 import * as tap from 'tap';
@@ -63,6 +64,7 @@
     directory,
     placer,
     availabilityZone: 'a',
+    gate: requests.createLocalGate(clock, new schemas.SilentLog()),
     coldSendQuota: new routing.ColdSendQuota('host', () => 16),
     clock,
     log: new schemas.SilentLog(),
--- a/packages/members/src/pool-ownership.ts
+++ b/packages/members/src/pool-ownership.ts
@@ -6,12 +6,16 @@
   model: string,
   members: readonly schemas.Member[],
 ): schemas.Member | undefined {
-  const live = members.filter((item) => item.state === 'live');
-  const [owner] = schemas.rankByKey(
-    `pool/${availabilityZone}/${model}`,
-    live.map((item) => item.daemonId),
-  );
-  return live.find((item) => item.daemonId === owner);
+  return findOwner(`pool/${availabilityZone}/${model}`, members);
+}
+
+/** The host that grants the sends to a limited upstream process; `undefined` if no member is live. */
+export function findRateGrantor(
+  availabilityZone: string,
+  processId: string,
+  members: readonly schemas.Member[],
+): schemas.Member | undefined {
+  return findOwner(`rate/${availabilityZone}/${processId}`, members);
 }
 
 /** The preference order of a zone's hosts for the relay role. */
@@ -22,3 +26,12 @@
   const staying = members.filter((item) => !item.isLeaving).map((item) => item.daemonId);
   return schemas.rankByKey(`relay/${availabilityZone}`, staying);
 }
+
+function findOwner(key: string, members: readonly schemas.Member[]): schemas.Member | undefined {
+  const live = members.filter((item) => item.state === 'live');
+  const [owner] = schemas.rankByKey(
+    key,
+    live.map((item) => item.daemonId),
+  );
+  return live.find((item) => item.daemonId === owner);
+}
--- a/packages/requests/src/engine-client.ts
+++ b/packages/requests/src/engine-client.ts
@@ -4,6 +4,8 @@
 import * as undici from 'undici';
 
 import * as upstreamErrors from './upstream-error.js';
+import type * as upstreamGates from './upstream-gate.js';
+import * as upstreamNotices from './upstream-notice.js';
 
 /** The response header by which an upstream reports that it did not run a call. */
 export const NOT_RUN_HEADER = 'x-not-run';
@@ -24,8 +26,9 @@
   readonly tokens: number;
 }
 
-/** The time limits of calls to engines, in milliseconds. */
-export interface EngineTimings {
+/** Options of `EngineClient`; times in milliseconds. */
+export interface EngineClientOptions {
+  readonly gate: upstreamGates.UpstreamGate;
   readonly connectMs: number;
   readonly answerMs: number;
 }
@@ -34,9 +37,9 @@
 export class EngineClient {
   private readonly agent: undici.Agent;
 
-  public constructor(private readonly timings: EngineTimings) {
+  public constructor(private readonly options: EngineClientOptions) {
     this.agent = new undici.Agent({
-      connect: { timeout: timings.connectMs },
+      connect: { timeout: options.connectMs },
       keepAliveTimeout: KEEP_ALIVE_MS,
       keepAliveMaxTimeout: KEEP_ALIVE_MS,
       // The relay has its own, shorter limit on the time between chunks.
@@ -52,12 +55,16 @@
     generation: string,
     body: string,
   ): Promise<stream.Readable> {
+    const { gate } = this.options;
+    gate.use(await gate.admit(upstream), upstream);
     const res = await this.request('start', upstream, {
       path,
       method: 'POST',
       body,
       headers: { 'content-type': 'application/json', 'x-request-id': generation },
     });
+    const limit = upstreamNotices.parseNamedLimit(res.headers[RATE_LIMIT_HEADER]);
+    gate.recordAnswer(upstream, { limit });
     if (res.statusCode === 200) {
       return res.body;
     }
@@ -97,7 +104,7 @@
     const res = await this.request('cancel', upstream, {
       path: `/v1/generations/${generation}`,
       method: 'DELETE',
-      signal: AbortSignal.timeout(this.timings.answerMs),
+      signal: AbortSignal.timeout(this.options.answerMs),
       isFresh: true,
     });
     return (await res.body.json()) as CancelAnswer;
@@ -108,7 +115,7 @@
     const res = await this.request('report', upstream, {
       path,
       method: 'GET',
-      signal: AbortSignal.timeout(this.timings.answerMs),
+      signal: AbortSignal.timeout(this.options.answerMs),
     });
     return res.body.json();
   }
@@ -140,17 +147,17 @@
     upstream: schemas.Upstream,
     {
       isFresh,
-      ...options
+      ...reqOptions
     }: Omit<undici.Dispatcher.RequestOptions, 'origin'> & { isFresh?: boolean },
   ): Promise<undici.Dispatcher.ResponseData> {
     const client = isFresh ? this.createSingleUseClient(upstream) : this.agent;
     try {
       const { origin } = new URL(upstream.url);
       // Limits the time until the response headers only; an abort signal with a time-out would also end the stream.
-      const limits = { headersTimeout: this.timings.answerMs };
+      const limits = { headersTimeout: this.options.answerMs };
       return await client.request({
         ...limits,
-        ...options,
+        ...reqOptions,
         origin,
       } as undici.Dispatcher.RequestOptions);
     } catch (err) {
@@ -165,7 +172,7 @@
 
   private createSingleUseClient(upstream: schemas.Upstream): undici.Client {
     return new undici.Client(new URL(upstream.url).origin, {
-      connect: { timeout: this.timings.connectMs },
+      connect: { timeout: this.options.connectMs },
       bodyTimeout: 0,
       headersTimeout: 0,
     });
--- a/packages/requests/src/rate-limit-table.ts
+++ b/packages/requests/src/rate-limit-table.ts
@@ -52,7 +52,7 @@
     if (previous !== undefined && previous.statedAt > statedAt) {
       return 'none';
     }
-    const bounded = callsPerS && Math.min(MAX_CALLS_PER_S, Math.max(MIN_CALLS_PER_S, callsPerS));
+    const bounded = callsPerS === undefined ? undefined : boundRate(callsPerS);
     this.entries.delete(processId);
     this.entries.set(processId, { callsPerS: bounded, statedAt });
     this.dropOldest();
@@ -104,6 +104,10 @@
   }
 }
 
+function boundRate(callsPerS: number): number {
+  return Math.min(MAX_CALLS_PER_S, Math.max(MIN_CALLS_PER_S, callsPerS));
+}
+
 function describeChange(previous: number | undefined, next: number | undefined): LimitChange {
   if (previous === next) {
     return 'none';
--- a/packages/requests/src/run-attempts.ts
+++ b/packages/requests/src/run-attempts.ts
@@ -3,6 +3,12 @@
 import type * as retryBudgets from './retry-budget.js';
 import * as upstreamErrors from './upstream-error.js';
 
+/**
+ * Maximum number of upstreams per call that turn out to have no room just before the send; another choice follows each,
+ * and the caller waits meanwhile.
+ */
+const MAX_WITHHELD = 8;
+
 /**
  * Maximum number of sends per call, including those that an upstream refused; bounds the load that one failing call
  * adds.
@@ -39,6 +45,7 @@
 class AttemptLoop<U extends { readonly upstreamId: string }, A> {
   private sends = 0;
   private runs = 0;
+  private withheld = 0;
   private failedAnswer: A | undefined;
 
   public constructor(
@@ -71,6 +78,9 @@
    */
   private async choose(): Promise<U | undefined> {
     try {
+      if (this.withheld >= MAX_WITHHELD) {
+        throw createRefusal('upstreamWithheld', 'not-run');
+      }
       return await this.operations.choose();
     } catch (err) {
       if (this.failedAnswer !== undefined) {
@@ -102,6 +112,11 @@
     // An attempt that was aborted on this side is not a failure of the upstream.
     this.rules.signal?.throwIfAborted();
     const failure = upstreamErrors.createUpstreamError(err, 'attempt', upstream.upstreamId);
+    if (failure.kind === 'withheld') {
+      // Nothing was sent, so this is neither an attempt nor a failure of the upstream.
+      this.withheld += 1;
+      return;
+    }
     this.operations.recordFailure(upstream, failure);
     this.sends += 1;
     this.runs += failure.kind === 'lost' ? 1 : 0;
@@ -137,7 +152,7 @@
 function createRefusal(
   id: schemas.MessageId,
   outcome: schemas.Outcome,
-  cause: unknown,
+  cause?: unknown,
 ): schemas.Refusal {
   const status = outcome === 'not-run' ? 503 : 502;
   const retryAfterS = outcome === 'not-run' ? RETRY_AFTER_S : undefined;
--- a/packages/requests/src/service-client.ts
+++ b/packages/requests/src/service-client.ts
@@ -41,9 +41,14 @@
   ): Promise<callRegistries.StoredResponse> {
     const { upstreamId, url } = upstream;
     const target = { upstreamId, url: new URL(url).origin };
+    const permit = await this.options.gate.admit(target);
     const signal = AbortSignal.timeout(this.options.answerMs);
     const headers = pickServiceHeaders(call.headers);
-    const answer = await this.client.open(target, { ...call, headers, signal }, classifyHead);
+    const answer = await this.client.open(
+      target,
+      { ...call, headers, permit, signal },
+      classifyHead,
+    );
     const read = await answerBodies.readAnswer(answer, this.options.answerBytes, upstreamId);
     if (!read.isWhole) {
       answer.body.destroy();
--- a/packages/requests/src/upstream-client.ts
+++ b/packages/requests/src/upstream-client.ts
@@ -24,6 +24,7 @@
   readonly headers: Readonly<Record<string, string | string[]>>;
   readonly body: Buffer;
   readonly isRepeatable: boolean;
+  readonly permit: upstreamGates.SendPermit;
   /** Aborts the attempt, when the caller has disconnected or the deadline has passed. */
   readonly signal: AbortSignal;
 }
@@ -92,6 +93,7 @@
     call: OutgoingCall,
     classify: ClassifyHead,
   ): Promise<UpstreamAnswer> {
+    this.options.gate.use(call.permit, target);
     const singleUseClient = call.isRepeatable ? undefined : this.createSingleUseClient(target);
     try {
       const answer = await this.request(singleUseClient ?? this.agent, target, call);
--- a/packages/requests/src/upstream-error.ts
+++ b/packages/requests/src/upstream-error.ts
@@ -2,9 +2,10 @@
 
 /**
  * What is certain about a failed call: `unreachable` and `refused` calls did not run, `lost` ones may have run, and
- * after `gone` the process or the generation that was addressed no longer exists.
+ * after `gone` the process or the generation that was addressed no longer exists. A `withheld` call was not sent, since
+ * the upstream takes no more calls now.
  */
-export type FailureKind = 'unreachable' | 'refused' | 'lost' | 'gone';
+export type FailureKind = 'unreachable' | 'refused' | 'lost' | 'gone' | 'withheld';
 
 /** The codes of errors that occur before any byte is sent to the upstream. */
 const CONNECT_CODES = new Set([
@@ -23,6 +24,7 @@
   refused: 'upstreamRefused',
   lost: 'ranUnknown',
   gone: 'upstreamUnreachable',
+  withheld: 'upstreamWithheld',
 } as const;
 
 /** The failure of a call to an upstream. */
--- a/packages/requests/tests/relay-generation.test.ts
+++ b/packages/requests/tests/relay-generation.test.ts
@@ -20,7 +20,11 @@
     speed,
   });
   const url = await engine.listen();
-  const engines = new requests.EngineClient({ connectMs: 500, answerMs: 1_000 });
+  const engines = new requests.EngineClient({
+    gate: requests.createLocalGate(new schemas.SystemClock(), new schemas.SilentLog()),
+    connectMs: 500,
+    answerMs: 1_000,
+  });
   t.teardown(() => {
     engine.kill();
     return engines.close();
--- a/packages/requests/tests/run-attempts.test.ts
+++ b/packages/requests/tests/run-attempts.test.ts
@@ -98,3 +98,24 @@
     t.equal(await answer(), 1, 'the failure is returned when the budget is empty');
   },
 );
+
+// Guards against a call that is refused, or pays a retry, because upstreams had no room just before it was sent.
+void tap.default.test('a send that is withheld is neither an attempt nor a retry', async (t) => {
+  const budget = createBudget(0);
+  const rules = { isRepeatable: false, maxRuns: 1, budget };
+  const ids = ['u1', 'u2', 'u3', 'u4', 'u5'];
+  const failures: string[] = [];
+  const answer = await requests.runAttempts<Target, string>(rules, {
+    choose: () => ({ upstreamId: ids.shift()! }),
+    attempt: async ({ upstreamId }) =>
+      upstreamId === 'u5'
+        ? Promise.resolve('answer')
+        : Promise.reject(new requests.UpstreamError('withheld', 'test', upstreamId)),
+    isFailure: () => false,
+    recordFailure: ({ upstreamId }) => failures.push(upstreamId),
+  });
+  t.equal(answer, 'answer');
+  t.same(failures, []);
+  t.same(await run('withheld', 20, rules), { sends: 8, outcome: 'not-run', status: 503 });
+  t.same(await run('withheld', 2, rules), { sends: 2, outcome: 'not-run', status: 503 });
+});
--- a/packages/requests/tests/service-client.test.ts
+++ b/packages/requests/tests/service-client.test.ts
@@ -2,11 +2,9 @@
 import * as net from 'node:net';
 
 import * as requests from '@bramleyridge/requests';
-import type * as schemas from '@bramleyridge/schemas';
+import * as schemas from '@bramleyridge/schemas';
 import * as tap from 'tap';
 
-import * as gates from './support/create-gate.js';
-
 function createUpstream(port: number): schemas.Upstream {
   return {
     upstreamId: 's1',
@@ -26,7 +24,7 @@
 
 function createClient(t: { teardown(handler: () => unknown): void }): requests.ServiceClient {
   const client = new requests.ServiceClient({
-    gate: gates.createGate(),
+    gate: requests.createLocalGate(new schemas.SystemClock(), new schemas.SilentLog()),
     connectMs: 300,
     answerMs: 400,
     answerBytes: 10_000,
--- a/packages/requests/tests/upstream-client.test.ts
+++ b/packages/requests/tests/upstream-client.test.ts
@@ -1,10 +1,9 @@
 import * as net from 'node:net';
 
 import * as requests from '@bramleyridge/requests';
+import * as schemas from '@bramleyridge/schemas';
 import * as tap from 'tap';
 
-import * as gates from './support/create-gate.js';
-
 interface Teardown {
   teardown(handler: () => unknown): void;
 }
@@ -39,7 +38,7 @@
 
 function createClient(t: Teardown): requests.UpstreamClient {
   const client = new requests.UpstreamClient({
-    gate: gates.createGate(),
+    gate: requests.createLocalGate(new schemas.SystemClock(), new schemas.SilentLog()),
     readNotice: () => requests.EMPTY_NOTICE,
     connectMs: 300,
     connections: 1,
@@ -55,6 +54,7 @@
     headers: { 'x-id': requestId },
     body: Buffer.alloc(0),
     isRepeatable,
+    permit: new requests.SendPermit('u1', false, Infinity),
     signal: AbortSignal.timeout(3_000),
   };
 }
--- /dev/null
+++ b/packages/requests/tests/upstream-gate.test.ts
@@ -0,0 +1,144 @@
+import * as requests from '@bramleyridge/requests';
+import * as schemas from '@bramleyridge/schemas';
+import * as tap from 'tap';
+
+const UPSTREAM: requests.GatedUpstream = { upstreamId: 'u1', processId: 'u1@7' };
+
+function createFixture(hosts = 1) {
+  const clock = new schemas.VirtualClock();
+  const service = new requests.RateGrantService();
+  const state = { hasGrantor: true, reports: [] as requests.RateLimitFacts[] };
+  const lines: object[] = [];
+  const add = (fields: object) => lines.push(fields);
+  const gate = new requests.UpstreamGate({
+    grantor: {
+      requestGrant: async (limit) => {
+        await clock.sleep(2);
+        if (!state.hasGrantor) {
+          return undefined;
+        }
+        service.merge(limit, clock.now());
+        return service.grant(limit.processId, clock.now());
+      },
+      reportLimit: (limit) => {
+        state.reports.push(limit);
+      },
+    },
+    share: new requests.LeaderlessRateShare('h1', () => hosts),
+    clock,
+    log: { debug: add, info: add, warn: add, error: add },
+    random: () => 0.5,
+    count: () => {},
+  });
+  const name = (value: string | undefined) =>
+    gate.recordAnswer(UPSTREAM, { limit: requests.parseNamedLimit(value) });
+  /** Requests a permit; undefined if the send is withheld. */
+  const admit = async () => {
+    const permit = gate.admit(UPSTREAM).catch(() => undefined);
+    await clock.advance(5);
+    return permit;
+  };
+  return { admit, clock, gate, lines, name, state };
+}
+
+function isWithheld(act: () => void): boolean {
+  try {
+    act();
+    return false;
+  } catch (err) {
+    return err instanceof requests.UpstreamError && err.kind === 'withheld';
+  }
+}
+
+void tap.default.test('a limited upstream gets as many calls as are granted', async (t) => {
+  const { admit, clock, gate, name } = createFixture();
+  t.ok(await admit(), 'no limit');
+  name('2');
+  t.notOk(await admit(), 'a bucket starts empty');
+  t.notOk(gate.isOpen(UPSTREAM), 'and the upstream is passed over');
+  t.ok(gate.getRetryAfterS([UPSTREAM]) >= 0.4, 'until the limit has room');
+  await clock.advance(600);
+  t.ok(gate.isOpen(UPSTREAM));
+  t.ok(await admit());
+  t.notOk(await admit());
+  name(undefined);
+  t.ok(gate.isOpen(UPSTREAM), 'an answer without a limit ends it');
+  t.ok(await admit());
+});
+
+// Guards against a call that was admitted before an answer named a limit and is sent after it.
+void tap.default.test('a permit holds for one send, at once, at its process', async (t) => {
+  const { admit, clock, gate, name } = createFixture();
+  const early = (await admit())!;
+  const late = (await admit())!;
+  const used = (await admit())!;
+  gate.use(used, UPSTREAM);
+  t.ok(
+    isWithheld(() => gate.use(used, UPSTREAM)),
+    'once',
+  );
+  const other = { upstreamId: 'u1', processId: 'u1@8' };
+  t.ok(
+    isWithheld(() => gate.use(early, other)),
+    'not at a later process',
+  );
+  name('2');
+  t.ok(
+    isWithheld(() => gate.use(late, UPSTREAM)),
+    'not after a limit was named',
+  );
+  t.notOk(await admit());
+  await clock.advance(600);
+  const stale = (await admit())!;
+  await clock.advance(300);
+  t.ok(
+    isWithheld(() => gate.use(stale, UPSTREAM)),
+    'not later',
+  );
+});
+
+// Guards against a limit that ends with its process but binds the next one under the same name.
+void tap.default.test('a limit ends with its process', async (t) => {
+  const { admit, gate, name } = createFixture();
+  name('1');
+  t.notOk(await admit());
+  t.ok(gate.isOpen({ upstreamId: 'u1', processId: 'u1@8' }));
+});
+
+// Guards against hosts that send nothing, or the whole limit each, while nobody grants.
+void tap.default.test('without a grantor hosts share a part of the limit', async (t) => {
+  const { admit, clock, name, state } = createFixture(2);
+  name('4');
+  state.hasGrantor = false;
+  let sent = 0;
+  for (let i = 0; i < 200; i += 1) {
+    sent += (await admit()) === undefined ? 0 : 1;
+    await clock.advance(95);
+  }
+  t.ok(sent > 15 && sent < 45, `${sent} of 80 in 20 s, by one of two hosts`);
+});
+
+// Guards against one bad header that ends a limit, begins one, or floods the log of other hosts.
+void tap.default.test('unreadable limits change nothing', async (t) => {
+  const { gate, lines, name, state } = createFixture();
+  ['-1', 'many', '1e9', ''].forEach(name);
+  t.equal(gate.countLimits(), 0);
+  name('3');
+  name('x');
+  t.equal(gate.countLimits(), 1);
+  t.equal(state.reports.length, 1, 'only a change is reported');
+  t.equal(lines.filter((line) => 'text' in line).length, 5, 'each is logged');
+});
+
+void tap.default.test('a run that can be resumed waits for room', async (t) => {
+  const { admit, clock, gate, name } = createFixture();
+  name('2');
+  const { signal } = new AbortController();
+  const waiting = gate.admitWithin(UPSTREAM, 1_500, signal);
+  await clock.advance(1_000);
+  t.ok(await waiting);
+  await admit();
+  const refused = gate.admitWithin(UPSTREAM, 20, signal).catch((err: Error) => err);
+  await clock.advance(30);
+  t.ok((await refused) instanceof Error, 'not beyond its patience');
+});
--- a/packages/schemas/src/messages.ts
+++ b/packages/schemas/src/messages.ts
@@ -42,10 +42,13 @@
   teamToken: 'a valid team token is needed as bearer token',
   quarantined: 'upstreams ended each time they began to run this call; it was not sent to another',
   ranUnknown: 'the upstream was lost after the call was handed to it; whether it ran is not known',
+  rateLimited:
+    'every upstream of %s that could take the call has reached the rate limit that it set; it did not run',
   timeOver:
     'the answer was not complete within the time allowed; whether the call ran is not known',
   timeOverNotRun: 'no upstream could take the call within the time allowed; it did not run',
   upstreamRefused: 'the upstream refused the call as not run',
+  upstreamWithheld: 'the upstream takes no more calls at the moment; the call was not sent',
   upstreamUnreachable: 'the upstream could not be reached; the call did not run',
 } as const;
 
--- a/packages/telemetry/src/call-trail.ts
+++ b/packages/telemetry/src/call-trail.ts
@@ -12,6 +12,19 @@
 /** Reason with which a call is refused because too many upstream processes ended while they ran it. */
 const QUARANTINED = 'quarantined';
 
+/** Reason with which a call is refused because upstreams have reached their rate limits. */
+const RATE_LIMIT = 'rate-limit';
+
+/** Explanations of streams that broke off, by the reason for which they were not resumed. */
+const RESUME_REFUSALS: Readonly<Record<string, string>> = {
+  quarantine:
+    'its engine broke off, and it is quarantined because upstreams ended while they ran it',
+  'rate-limit':
+    'its engine broke off, and the engine that could resume it had reached its rate limit',
+  'retry-budget':
+    'its engine broke off, and the retry budget did not allow another engine to resume it',
+};
+
 type Explain = (own: readonly LogLine[], all: readonly LogLine[]) => string | undefined;
 
 /** Determines why a call ended as it did, from the log lines of any number of processes. */
@@ -31,6 +44,7 @@
   explainQuarantine,
   explainRefusal,
   explainNoCapacity,
+  explainRateLimit,
   explainUnusableBackup,
   explainNoRetry,
   explainNoBackup,
@@ -89,6 +103,32 @@
   );
 }
 
+/** Explains a refusal for want of an upstream below its rate limit, with the limits that were last named. */
+function explainRateLimit(own: readonly LogLine[], all: readonly LogLine[]): string | undefined {
+  const line = own.findLast(
+    ({ decision, reason }) => decision === 'no-upstream' && reason === RATE_LIMIT,
+  );
+  const end = findDecision(own, 'outcome');
+  if (line === undefined || end?.outcome !== 'not-run') {
+    return undefined;
+  }
+  const limits = new Map(
+    all
+      .filter(({ event, time }) => event === 'upstream-limit' && isUpTo(time, line.time))
+      .map(({ callsPerS, upstream }) => [String(upstream), callsPerS]),
+  );
+  const named = [...limits].filter(([, callsPerS]) => callsPerS !== undefined);
+  const listed = named.map(([upstream, callsPerS]) => `${upstream} ${String(callsPerS)}/s`);
+  return (
+    `refused because every upstream of ${String(line.service)} had reached the rate limit that it named` +
+    `${listed.length === 0 ? '' : `: ${listed.join(', ')}`}; it did not run`
+  );
+}
+
+function isUpTo(time: unknown, limit: unknown): boolean {
+  return Number(time ?? 0) <= Number(limit ?? 0);
+}
+
 function explainUnusableBackup(own: readonly LogLine[]): string | undefined {
   const failed = findDecision(own, 'resume-failed');
   return findOutcome(own, 'incomplete') && failed
@@ -102,9 +142,7 @@
   if (refused === undefined || findOutcome(own, 'incomplete') === undefined) {
     return undefined;
   }
-  return refused.reason === 'quarantine'
-    ? 'its engine broke off, and it is quarantined because upstreams ended while they ran it'
-    : 'its engine broke off, and the retry budget did not allow another engine to resume it';
+  return RESUME_REFUSALS[String(refused.reason)] ?? RESUME_REFUSALS['retry-budget'];
 }
 
 function explainNoBackup(own: readonly LogLine[]): string | undefined {
--- a/packages/telemetry/src/metric-catalog.ts
+++ b/packages/telemetry/src/metric-catalog.ts
@@ -41,6 +41,12 @@
     help: 'Retries by where they came from: own share, lent by the leader, or denied',
     labels: ['service', 'source'],
   },
+  limitedSends: {
+    kind: 'counter',
+    name: 'limited_sends_total',
+    help: 'Sends to upstreams that limit their rate: granted, taken from the own share, or withheld',
+    labels: ['decision'],
+  },
   resumes: {
     kind: 'counter',
     name: 'resumes_total',
--- a/packages/telemetry/tests/call-trail.test.ts
+++ b/packages/telemetry/tests/call-trail.test.ts
@@ -39,6 +39,19 @@
       ],
       cause: /lack of capacity at s: 44 generations .* 89% .* 739 ms/,
     },
+    {
+      name: 'every upstream has reached its rate limit',
+      lines: [
+        { time: 1, event: 'upstream-limit', upstream: 'u1', change: 'began', callsPerS: 2.5 },
+        { time: 1, event: 'upstream-limit', upstream: 'u2', change: 'began', callsPerS: 3 },
+        { time: 2, event: 'upstream-limit', upstream: 'u2', change: 'ended' },
+        { time: 3, decision: 'no-upstream', request: 'c1', service: 's', reason: 'rate-limit' },
+        { time: 4, decision: 'outcome', request: 'c1', outcome: 'not-run', status: 503 },
+        { time: 5, event: 'upstream-limit', upstream: 'u3', change: 'began', callsPerS: 4 },
+      ],
+      cause:
+        /every upstream of s had reached the rate limit that it named: u1 2.5\/s; it did not run/,
+    },
     {
       name: 'the KV-cache backup cannot be used',
       lines: [
