Split limited sends from the upstream gate

The gate decides on every send by all that upstreams state; what concerns rate limits alone moves to a class of its own.

--- a/packages/requests/src/index.ts
+++ b/packages/requests/src/index.ts
@@ -9,6 +9,7 @@
 export * from './create-local-gate.js';
 export * from './drain.js';
 export * from './leaderless-rate-share.js';
+export * from './limited-sends.js';
 export * from './process-exit-detector.js';
 export * from './rate-grant-limiter.js';
 export * from './rate-grant-service.js';
--- a/packages/requests/src/rate-grant-service.ts
+++ b/packages/requests/src/rate-grant-service.ts
@@ -1,6 +1,6 @@
 import * as rateGrantLimiters from './rate-grant-limiter.js';
 import * as rateLimitTables from './rate-limit-table.js';
-import type * as upstreamGates from './upstream-gate.js';
+import type * as limitedSends from './limited-sends.js';
 
 /** Grants sends to upstreams that limit their rate, for all hosts, by the newest limits that these report. */
 export class RateGrantService {
@@ -31,7 +31,7 @@
   }
 
   /** Grants one send or refuses it; an upstream whose limit has ended needs no grant. */
-  public grant(processId: string, now: number): upstreamGates.RateGrantAnswer {
+  public grant(processId: string, now: number): limitedSends.RateGrantAnswer {
     const limit = this.table.findFacts(processId, now);
     const grant =
       limit?.callsPerS === undefined
