Log and count requests for rest and statements of leaving

Nothing told whether a host had read that an upstream asks it for rest (Retry-After on 429 or 503), or that it leaves. The upstream gate now logs when a rest begins and ends and when an upstream first states that it leaves, with gauges. Nothing is decided by it yet.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -87,6 +87,8 @@
       count: (decision) => metrics.count('limitedSends', { decision }),
     });
     metrics.registerGauge('upstreamsLimited', () => gate.countLimits());
+    metrics.registerGauge('upstreamsResting', () => gate.countRests());
+    metrics.registerGauge('upstreamsLeaving', () => gate.countLeaving());
     const engines = new requests.EngineClient({
       gate,
       connectMs: cfg.limits.upstreamConnectMs,
--- a/packages/gateway/src/entry-host.ts
+++ b/packages/gateway/src/entry-host.ts
@@ -258,6 +258,8 @@
     metrics.registerGauge('zonesEvacuated', () => this.evacuations.get().zones.length);
     metrics.registerGauge('upstreamsLive', () => this.directory.countLive());
     metrics.registerGauge('upstreamsLimited', () => this.gate.countLimits());
+    metrics.registerGauge('upstreamsResting', () => this.gate.countRests());
+    metrics.registerGauge('upstreamsLeaving', () => this.gate.countLeaving());
   }
 
   private serve(req: http.IncomingMessage, res: http.ServerResponse): void {
--- a/packages/gateway/tests/support/test-wire.ts
+++ b/packages/gateway/tests/support/test-wire.ts
@@ -54,8 +54,12 @@
     return { load: undefined };
   }
 
-  public readNotice({ headers }: requests.AnswerHead): requests.UpstreamNotice {
-    return { limit: requests.parseNamedLimit(headers['calls-per-s']) };
+  public readNotice({ headers, status }: requests.AnswerHead): requests.UpstreamNotice {
+    return {
+      limit: requests.parseNamedLimit(headers['calls-per-s']),
+      rest: requests.parseRequestedRest(status, headers['retry-after'], Date.now()),
+      isLeaving: headers.leaving === '1',
+    };
   }
 }
 
--- a/packages/requests/src/engine-client.ts
+++ b/packages/requests/src/engine-client.ts
@@ -1,3 +1,4 @@
+import type * as http from 'node:http';
 import type * as stream from 'node:stream';
 
 import type * as schemas from '@bramleyridge/schemas';
@@ -19,6 +20,21 @@
  */
 const KEEP_ALIVE_MS = 4_000;
 
+/** The response header by which an upstream states that it leaves. */
+export const LEAVING_HEADER = 'x-leaving';
+
+/** Decodes what an upstream states about itself in a response. */
+export function readNotice(
+  status: number,
+  headers: http.IncomingHttpHeaders,
+): upstreamNotices.UpstreamNotice {
+  return {
+    limit: upstreamNotices.parseNamedLimit(headers[RATE_LIMIT_HEADER]),
+    rest: upstreamNotices.parseRequestedRest(status, headers['retry-after'], Date.now()),
+    isLeaving: headers[LEAVING_HEADER] === '1',
+  };
+}
+
 /** The response of an engine to the cancellation of a generation. */
 export interface CancelAnswer {
   /** `unknown`: the generation never started, and the engine will not start it any more. */
@@ -63,8 +79,7 @@
       body,
       headers: { 'content-type': 'application/json', 'x-request-id': generation },
     });
-    const limit = upstreamNotices.parseNamedLimit(res.headers[RATE_LIMIT_HEADER]);
-    gate.recordAnswer(upstream, { limit });
+    gate.recordAnswer(upstream, readNotice(res.statusCode, res.headers));
     if (res.statusCode === 200) {
       return res.body;
     }
--- a/packages/requests/src/index.ts
+++ b/packages/requests/src/index.ts
@@ -30,3 +30,4 @@
 export * from './upstream-error.js';
 export * from './upstream-gate.js';
 export * from './upstream-notice.js';
+export * from './upstream-rests.js';
--- a/packages/requests/src/service-client.ts
+++ b/packages/requests/src/service-client.ts
@@ -71,8 +71,8 @@
   return head.headers[engineClients.NOT_RUN_HEADER] === undefined ? 'answer' : 'not-run';
 }
 
-function readNotice({ headers }: upstreamClients.AnswerHead): upstreamNotices.UpstreamNotice {
-  return { limit: upstreamNotices.parseNamedLimit(headers[engineClients.RATE_LIMIT_HEADER]) };
+function readNotice(head: upstreamClients.AnswerHead): upstreamNotices.UpstreamNotice {
+  return engineClients.readNotice(head.status, head.headers);
 }
 
 /** Removes the team's credentials, and the host name by which callers reach this daemon. */
--- a/packages/requests/src/upstream-gate.ts
+++ b/packages/requests/src/upstream-gate.ts
@@ -2,6 +2,7 @@
 import type * as rateLimitTables from './rate-limit-table.js';
 import * as upstreamErrors from './upstream-error.js';
 import type * as upstreamNotices from './upstream-notice.js';
+import * as upstreamRests from './upstream-rests.js';
 
 /** Bounds of the time after which a refused caller may return, in milliseconds. */
 const MIN_RETRY_MS = 100;
@@ -10,6 +11,9 @@
 /** Time for which a permit may be used, in milliseconds; a grant counts for the moment at which it is given. */
 const PERMIT_TTL_MS = 250;
 
+/** Maximum number of processes that leave which are kept; the oldest is dropped first. */
+const MAX_LEAVING = 1_000;
+
 /** An upstream process to which calls are sent. */
 export interface GatedUpstream {
   readonly upstreamId: string;
@@ -47,14 +51,23 @@
  */
 export class UpstreamGate {
   private readonly limited: limitedSends.LimitedSends;
+  private readonly rests: upstreamRests.UpstreamRests;
+  /** Processes that have stated that they leave. */
+  private readonly leaving = new Set<string>();
 
   public constructor(private readonly options: UpstreamGateOptions) {
     this.limited = new limitedSends.LimitedSends(options);
+    this.rests = new upstreamRests.UpstreamRests(options.clock, options.log);
   }
 
   /** Records what an upstream states in an answer. */
   public recordAnswer(upstream: GatedUpstream, notice: upstreamNotices.UpstreamNotice): void {
-    this.limited.recordAnswer(getProcessId(upstream), notice.limit);
+    const processId = getProcessId(upstream);
+    this.limited.recordAnswer(processId, notice.limit);
+    this.rests.recordAnswer(processId, notice.rest);
+    if (notice.isLeaving) {
+      this.recordLeaving(processId);
+    }
   }
 
   /** Applies what other hosts have reported about limits. */
@@ -72,6 +85,16 @@
     return this.limited.count();
   }
 
+  /** Counts the upstreams that have asked this host for rest. */
+  public countRests(): number {
+    return this.rests.count();
+  }
+
+  /** Counts the upstreams that have stated that they leave. */
+  public countLeaving(): number {
+    return this.leaving.size;
+  }
+
   /** Returns whether no upstream is passed over for what it has stated. */
   public areAllOpen(): boolean {
     return this.limited.areAllOpen();
@@ -136,6 +159,18 @@
     }
   }
 
+  private recordLeaving(processId: string): void {
+    if (this.leaving.has(processId)) {
+      return;
+    }
+    this.leaving.add(processId);
+    if (this.leaving.size > MAX_LEAVING) {
+      const [oldest] = this.leaving;
+      this.leaving.delete(oldest!);
+    }
+    this.options.log.info({ event: 'upstream-leaving', upstream: processId });
+  }
+
   private getOpenAt(upstream: GatedUpstream): number {
     return this.limited.getClosedUntil(getProcessId(upstream));
   }
--- a/packages/requests/tests/upstream-gate.test.ts
+++ b/packages/requests/tests/upstream-gate.test.ts
@@ -31,7 +31,10 @@
     count: () => {},
   });
   const name = (value: string | undefined) =>
-    gate.recordAnswer(UPSTREAM, { limit: requests.parseNamedLimit(value) });
+    gate.recordAnswer(UPSTREAM, {
+      ...requests.EMPTY_NOTICE,
+      limit: requests.parseNamedLimit(value),
+    });
   /** Requests a permit; undefined if the send is withheld. */
   const admit = async () => {
     const permit = gate.admit(UPSTREAM).catch(() => undefined);
--- a/packages/requests/tests/upstream-notice.test.ts
+++ b/packages/requests/tests/upstream-notice.test.ts
@@ -22,3 +22,26 @@
     t.same(requests.parseNamedLimit(value), expected, JSON.stringify(value)?.slice(0, 40));
   });
 });
+
+const NOW_MS = Date.UTC(2030, 0, 1, 12, 0, 0);
+
+const RESTS: readonly (readonly [number, string | undefined, requests.RequestedRest])[] = [
+  [503, undefined, { kind: 'none' }],
+  [200, '3', { kind: 'none' }],
+  [503, '3', { kind: 'named', restMs: 3_000 }],
+  [429, '0.5', { kind: 'named', restMs: 500 }],
+  [503, '1, 4', { kind: 'named', restMs: 4_000 }],
+  [503, 'Tue, 01 Jan 2030 12:00:07 GMT', { kind: 'named', restMs: 7_000 }],
+  [503, 'Tue, 01 Jan 2030 11:00:00 GMT', { kind: 'named', restMs: 0 }],
+  [503, '31536000', { kind: 'named', restMs: 31_536_000_000 }],
+  [503, '-3', { kind: 'unreadable', text: '-3' }],
+  [503, 'soon', { kind: 'unreadable', text: 'soon' }],
+  [503, '1e9', { kind: 'unreadable', text: '1e9' }],
+];
+
+// Guards against a header that makes no sense and bars an upstream, or ends the host that reads it.
+void tap.default.test('requests for rest are decoded', async (t) => {
+  RESTS.forEach(([status, value, expected]) => {
+    t.same(requests.parseRequestedRest(status, value, NOW_MS), expected, `${status} ${value}`);
+  });
+});
--- a/packages/telemetry/src/metric-catalog.ts
+++ b/packages/telemetry/src/metric-catalog.ts
@@ -102,6 +102,18 @@
     help: 'Upstreams that limit their rate in their answers, as this host has it',
     labels: [],
   },
+  upstreamsResting: {
+    kind: 'gauge',
+    name: 'upstreams_resting',
+    help: 'Upstreams that have asked this host for rest',
+    labels: [],
+  },
+  upstreamsLeaving: {
+    kind: 'gauge',
+    name: 'upstreams_leaving',
+    help: 'Upstreams that have stated to this host that they leave',
+    labels: [],
+  },
   zonesEvacuated: {
     kind: 'gauge',
     name: 'zones_evacuated',
