--- a/packages/requests/src/service-client.ts
+++ b/packages/requests/src/service-client.ts
@@ -7,7 +7,7 @@
 import * as upstreamClients from './upstream-client.js';
 import * as upstreamErrors from './upstream-error.js';
 import type * as upstreamGates from './upstream-gate.js';
-import * as upstreamNotices from './upstream-notice.js';
+import type * as upstreamNotices from './upstream-notice.js';
 
 /** A call to a plain service. */
 export interface ServiceCall {
