Keep the rest for which an upstream asks a host

What was seen: an upstream turned a call of a host away with 503 and Retry-After: 3, and got three calls from it within that time; callers for whom no upstream had room were tried at each of them and told to come back after 1 s.

Cause: Retry-After of an upstream was read by neither flow. Where others have room the failure holds the upstream back for a while by chance, which hid it. Class: what an upstream states about itself in an answer, here to one host.

The change: the gate that every send passes knows the rests. It is asked by the choice and again at the moment of the send, so a call that was picked before the answer isn't sent after it. The core hosts' probes have a gate, too: they keep rests and limits, and what an answer to a probe states counts. Calls that find all upstreams resting are refused at once, until the first rest ends, spread over up to a second.

--- a/packages/daemon/src/service-call-handler.ts
+++ b/packages/daemon/src/service-call-handler.ts
@@ -153,13 +153,14 @@
       );
     const candidates = usable.filter((item) => gate.isOpen(item));
     if (candidates.length === 0 && usable.length > 0) {
+      const { reason, retryAfterS } = gate.describeWait(usable);
       throw new schemas.Refusal({
-        id: 'rateLimited',
+        id: reason === 'rest' ? 'resting' : 'rateLimited',
         step: 'choose',
         status: 503,
         outcome: 'not-run',
         args: [job.service],
-        retryAfterS: gate.getRetryAfterS(usable),
+        retryAfterS,
       });
     }
     const first = candidates[Math.floor(random() * candidates.length)];
--- a/packages/gateway/src/core-host.ts
+++ b/packages/gateway/src/core-host.ts
@@ -2,6 +2,7 @@
 
 import * as consensus from '@bramleyridge/consensus';
 import * as peers from '@bramleyridge/peers';
+import * as requests from '@bramleyridge/requests';
 import * as schemas from '@bramleyridge/schemas';
 import type * as telemetry from '@bramleyridge/telemetry';
 
@@ -57,6 +58,7 @@
   private readonly placement: placementServices.PlacementService;
   private readonly suspects: suspectRegistries.SuspectRegistry;
   private readonly relay: suspectRelays.SuspectRelay;
+  private readonly gate: requests.UpstreamGate;
   private readonly rateLimits: rateLimitServices.RateLimitService;
   private readonly configuration: routedConfigurationStores.RoutedConfigurationStore;
   private readonly upstreamList: upstreamListServices.UpstreamListService;
@@ -122,7 +124,13 @@
       quarantine: this.group.quarantine,
       propose: (entry) => this.group.getLeadership().propose(entry),
     });
-    this.rateLimits = new rateLimitServices.RateLimitService({ coreId, clock, log });
+    this.gate = this.createGate();
+    this.rateLimits = new rateLimitServices.RateLimitService({
+      coreId,
+      gate: this.gate,
+      clock,
+      log,
+    });
     this.relay = new suspectRelays.SuspectRelay({
       coreId,
       findLeader: () => group.findRecentLeader(),
@@ -158,7 +166,7 @@
         this.group.isLeading() ? this.group.getLeadership().startedAt : undefined,
       findService: (name) => this.findService(name),
       hasRuns: (service, engineId) => this.placement.hasRuns(service, engineId),
-      mayProbe: (processId) => this.rateLimits.grantProbe(processId),
+      gate: this.gate,
     });
     const { entryRegistry, rateLimits, upstreamList, suspects } = this;
     this.updates = new entryUpdateServices.EntryUpdateService({
@@ -280,6 +288,22 @@
     return res;
   }
 
+  /** Creates the gate of this host's probes. */
+  private createGate(): requests.UpstreamGate {
+    const { clock, log, metrics, random } = this.options;
+    return new requests.UpstreamGate({
+      grantor: {
+        requestGrant: async (limit) => this.rateLimits.grantProbe(limit),
+        reportLimit: (limit) => this.rateLimits.report({ hostId: this.coreId, limits: [limit] }),
+      },
+      share: new requests.LeaderlessRateShare(this.coreId, () => undefined),
+      clock,
+      log,
+      random,
+      count: (decision) => metrics.count('limitedSends', { decision }),
+    });
+  }
+
   /** Creates the handlers for suspects, which run on the leader only and reject on any other host. */
   private createSuspectHandlers(): Pick<
     procedures.CoreHandlers,
--- a/packages/gateway/src/leaving-engine-monitor.ts
+++ b/packages/gateway/src/leaving-engine-monitor.ts
@@ -1,3 +1,4 @@
+import type * as requests from '@bramleyridge/requests';
 import * as schemas from '@bramleyridge/schemas';
 
 import type * as ports from './ports.js';
@@ -35,8 +36,7 @@
   readonly pauseMs: number;
   /** Lists all engines with the paths of their health endpoints. */
   readonly listEngines: () => readonly MonitoredEngine[];
-  /** Returns whether a probe may be sent to an engine's process, whose rate may be limited. */
-  readonly mayProbe: (processId: string) => boolean;
+  readonly gate: requests.UpstreamGate;
   /** Called when the trusted report of an engine changes. */
   readonly onChange: () => void;
 }
@@ -66,16 +66,14 @@
 
   /** Probes until stopped. */
   public async run(): Promise<void> {
-    const { clock, isActive, listEngines, mayProbe, pauseMs } = this.options;
+    const { clock, isActive, listEngines, pauseMs } = this.options;
     while (!this.isStopped) {
       if (isActive()) {
         const engines = listEngines();
         this.removeUnlisted(engines);
-        this.selectEngines(engines)
-          .filter(({ processId }) => mayProbe(processId))
-          .forEach((engine) => {
-            void this.probeEngine(engine);
-          });
+        this.selectEngines(engines).forEach((engine) => {
+          void this.probeEngine(engine);
+        });
       }
       await clock.sleep(pauseMs);
     }
@@ -112,17 +110,17 @@
   }
 
   private async probeEngine(engine: MonitoredEngine): Promise<void> {
-    const { log, probe } = this.options;
+    const { gate, log, probe } = this.options;
     const { address, healthPath, upstreamId } = engine;
     try {
-      const saysLeaving = await probe.isLeaving(
-        address,
-        healthPath,
-        AbortSignal.timeout(PROBE_TIMEOUT_MS),
-      );
-      this.handleReport(engine, saysLeaving);
+      gate.use(await gate.admit(engine), engine);
+      const signal = AbortSignal.timeout(PROBE_TIMEOUT_MS);
+      const answer = await probe.probe(address, healthPath, signal);
+      gate.recordAnswer(engine, answer.notice);
+      this.handleReport(engine, answer.isLeaving);
     } catch (err) {
-      // A missing answer is not a leaving report; senders of work detect an unreachable engine themselves.
+      // A missing answer is not a leaving report; senders of work detect an unreachable engine themselves. The next probe
+      // follows soon, if the engine takes one then.
       log.debug({ step: 'probe', upstream: upstreamId, err: schemas.toError(err).message });
     }
   }
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -101,10 +101,16 @@
   decode(text: string): schemas.RoutedConfig;
 }
 
+/** Answer of an upstream to a probe. */
+export interface ProbeAnswer {
+  /** Whether the answer reports that the upstream accepts no more work. */
+  readonly isLeaving: boolean;
+  readonly notice: requests.UpstreamNotice;
+}
+
 /** Probes the state of upstreams. */
 export interface UpstreamProbe {
-  /** Returns whether an upstream reports that it accepts no more work. */
-  isLeaving(address: string, healthPath: string, signal: AbortSignal): Promise<boolean>;
+  probe(address: string, healthPath: string, signal: AbortSignal): Promise<ProbeAnswer>;
 }
 
 /** Observes a read of the list that is in progress. */
--- a/packages/gateway/src/rate-limit-service.ts
+++ b/packages/gateway/src/rate-limit-service.ts
@@ -22,6 +22,8 @@
 
 /** Dependencies of the rate limit service. */
 export interface RateLimitServiceOptions {
+  /** The gate of this host's own sends. */
+  readonly gate: Pick<requests.UpstreamGate, 'mergeLimits'>;
   readonly coreId: string;
   readonly clock: schemas.Clock;
   readonly log: schemas.Log;
@@ -61,8 +63,8 @@
     return this.service.grant(limit.processId, this.options.clock.now());
   }
 
-  /** Returns whether this host may send a probe to an upstream process. */
-  public grantProbe(processId: string): boolean {
+  /** Grants or refuses one probe of this host, which takes only what calls leave unused. */
+  public grantProbe({ processId }: requests.RateLimitFacts): requests.RateGrantAnswer {
     return this.service.grantProbe(processId, this.options.clock.now());
   }
 
@@ -77,9 +79,10 @@
   }
 
   private merge(facts: requests.RateLimitFacts, hostId: string): void {
-    const { clock, log } = this.options;
+    const { clock, gate, log } = this.options;
     const now = clock.now();
     const known = this.service.merge(facts, now);
+    gate.mergeLimits([facts]);
     if (known === undefined || !this.isWorthTelling(known, now)) {
       return;
     }
--- a/packages/gateway/src/upstream-list-service.ts
+++ b/packages/gateway/src/upstream-list-service.ts
@@ -1,3 +1,4 @@
+import type * as requests from '@bramleyridge/requests';
 import * as schemas from '@bramleyridge/schemas';
 
 import * as procedures from './core-procedures.js';
@@ -60,8 +61,8 @@
   readonly findService: (name: string) => schemas.RoutedService | undefined;
   /** Returns whether generations run on an engine. */
   readonly hasRuns: (service: string, engineId: string) => boolean;
-  /** Returns whether a probe may be sent to an upstream process, whose rate may be limited. */
-  readonly mayProbe: (processId: string) => boolean;
+  /** The gate of this host's probes. */
+  readonly gate: requests.UpstreamGate;
 }
 
 /**
@@ -84,7 +85,7 @@
   private inForceReadAt = -Infinity;
 
   public constructor(private readonly options: UpstreamListServiceOptions) {
-    const { clock, findActiveSince, getSettings, log, mayProbe, probe, source } = options;
+    const { clock, findActiveSince, gate, getSettings, log, probe, source } = options;
     const isActive = () => findActiveSince() !== undefined;
     this.reader = new upstreamListReaders.UpstreamListReader({
       source,
@@ -106,7 +107,7 @@
       isActive,
       pauseMs: PROBE_PAUSE_MS,
       listEngines: () => this.listEngines(),
-      mayProbe,
+      gate,
       onChange: () => this.scheduleRebuild(),
     });
   }
--- a/packages/gateway/src/upstream-picker.ts
+++ b/packages/gateway/src/upstream-picker.ts
@@ -101,14 +101,14 @@
     if (!generationCalls.isGeneration(call)) {
       return this.pickByFallback(call, tried);
     }
-    const atLimit = this.listAtLimit(call);
-    if (atLimit.length > 0 && atLimit.length === this.listLive(call).length) {
-      throw this.refuseAtLimit(call, atLimit);
+    const closed = this.listClosed(call);
+    if (closed.length > 0 && closed.length === this.listLive(call).length) {
+      throw this.refuseClosed(call, closed);
     }
     const now = this.options.clock.now();
     const patienceMs = Math.min(call.route.targetMs * MAX_WAIT_SHARE, call.endsAt - now);
     const dueInMs = call.arrivedAt + call.route.targetMs - now;
-    const excluded = [...tried, ...this.listDisallowed(call), ...atLimit.map(getUpstreamId)];
+    const excluded = [...tried, ...this.listDisallowed(call), ...closed.map(getUpstreamId)];
     const spec = this.createSpec(call, excluded);
     const wait = { patienceMs, dueInMs, rank: generationCalls.getPriority(call) };
     const res = await this.options.placer.place(call.service.name, spec, wait);
@@ -142,11 +142,11 @@
     excluded: readonly string[],
   ): Promise<MigrationAnswer> {
     const callId = call.facts.requestId;
-    const atLimit = this.listAtLimit(call).map(getUpstreamId);
+    const closed = this.listClosed(call).map(getUpstreamId);
     const run = {
       callId,
       engineId,
-      excluded: [...excluded, ...this.listDisallowed(call), ...atLimit],
+      excluded: [...excluded, ...this.listDisallowed(call), ...closed],
     };
     const { log, placer } = this.options;
     const res = await placer.awaitMigration(call.service.name, run);
@@ -268,7 +268,7 @@
     const untried = this.listCandidates(call, now).filter((item) => !tried.has(item.upstreamId));
     const open = untried.filter(({ known }) => this.options.gate.isOpen(known));
     if (open.length === 0 && untried.length > 0) {
-      throw this.refuseAtLimit(
+      throw this.refuseClosed(
         call,
         untried.map(({ known }) => known),
       );
@@ -329,19 +329,20 @@
     return this.options.directory.listLive(service.name, regions);
   }
 
-  /** Lists the upstreams that have no room for a call now, since they limit their rate. */
-  private listAtLimit(call: callAdmissions.AdmittedCall): upstreamDirectories.KnownUpstream[] {
+  /** Lists the upstreams that take no call now, by what they have stated themselves. */
+  private listClosed(call: callAdmissions.AdmittedCall): upstreamDirectories.KnownUpstream[] {
     const { gate } = this.options;
     return gate.areAllOpen() ? [] : this.listLive(call).filter((known) => !gate.isOpen(known));
   }
 
-  private refuseAtLimit(
+  private refuseClosed(
     call: callAdmissions.AdmittedCall,
     upstreams: readonly upstreamDirectories.KnownUpstream[],
   ): schemas.Refusal {
-    this.logNoUpstream(call, 'rate-limit');
-    const retryAfterS = this.options.gate.getRetryAfterS(upstreams);
-    return this.refuse('rateLimited', call.service.name, retryAfterS);
+    const { reason, retryAfterS } = this.options.gate.describeWait(upstreams);
+    this.logNoUpstream(call, reason);
+    const id = reason === 'rest' ? 'resting' : 'rateLimited';
+    return this.refuse(id, call.service.name, retryAfterS);
   }
 
   private listCandidates(call: callAdmissions.AdmittedCall, now: number) {
@@ -366,7 +367,7 @@
   }
 
   private refuse(
-    id: 'noUpstream' | 'noRoom' | 'rateLimited',
+    id: 'noUpstream' | 'noRoom' | 'rateLimited' | 'resting',
     service: string,
     retryAfterS: number,
   ): schemas.Refusal {
--- a/packages/gateway/tests/leaving-engine-monitor.test.ts
+++ b/packages/gateway/tests/leaving-engine-monitor.test.ts
@@ -1,3 +1,4 @@
+import * as requests from '@bramleyridge/requests';
 import * as schemas from '@bramleyridge/schemas';
 import * as tap from 'tap';
 
@@ -8,18 +9,18 @@
   const engine = { report: false as boolean | Error, changes: 0 };
   const monitor = new leavingEngineMonitors.LeavingEngineMonitor({
     probe: {
-      isLeaving: async () => {
+      probe: async () => {
         if (engine.report instanceof Error) {
           throw engine.report;
         }
-        return Promise.resolve(engine.report);
+        return Promise.resolve({ isLeaving: engine.report, notice: requests.EMPTY_NOTICE });
       },
     },
     clock,
     log: new schemas.SilentLog(),
     isActive: () => true,
     pauseMs: 250,
-    mayProbe: () => true,
+    gate: requests.createLocalGate(clock, new schemas.SilentLog()),
     listEngines: () => [
       {
         upstreamId: 'e1',
@@ -94,19 +95,27 @@
   runningCount: number,
 ) {
   const probes = new Map<string, number>();
-  const state = { leaving: '', runningCount, limited: '' };
+  const state = {
+    leaving: '',
+    runningCount,
+    notices: new Map<string, requests.UpstreamNotice>(),
+  };
   const monitor = new leavingEngineMonitors.LeavingEngineMonitor({
     probe: {
-      isLeaving: async (address) => {
+      probe: async (address) => {
         probes.set(address, (probes.get(address) ?? 0) + 1);
-        return Promise.resolve(address === state.leaving);
+        const isLeaving = address === state.leaving;
+        return Promise.resolve({
+          isLeaving,
+          notice: state.notices.get(address) ?? requests.EMPTY_NOTICE,
+        });
       },
     },
     clock,
     log: new schemas.SilentLog(),
     isActive: () => true,
     pauseMs: 200,
-    mayProbe: (processId) => processId !== state.limited,
+    gate: requests.createLocalGate(clock, new schemas.SilentLog()),
     listEngines: () =>
       Array.from({ length: engineCount }, (_, i) => ({
         upstreamId: `e-${i}`,
@@ -154,17 +163,19 @@
   monitor.stop();
 });
 
-// Guards against probes that use up the calls which a limited engine takes.
-void tap.default.test('an engine without room for probes is not probed', async (t) => {
+// Guards against probes that use up the calls which a limited engine takes, or come while an engine rests.
+void tap.default.test('probes keep limits and rests', async (t) => {
   const clock = new schemas.VirtualClock();
   const { monitor, probes, state } = createLargeMonitor(clock, 3, 3);
-  state.limited = 'e-1';
-  const before = probes.get('e-1') ?? 0;
-  await clock.advance(1_000);
-  t.equal(probes.get('e-1') ?? 0, before);
-  t.ok((probes.get('e-0') ?? 0) >= 4);
-  state.limited = '';
-  await clock.advance(400);
-  t.ok((probes.get('e-1') ?? 0) > before);
+  const { EMPTY_NOTICE } = requests;
+  state.notices.set('e-1', { ...EMPTY_NOTICE, limit: { kind: 'named', callsPerS: 0.5 } });
+  state.notices.set('e-2', { ...EMPTY_NOTICE, rest: { kind: 'named', restMs: 3_000 } });
+  await clock.advance(2_500);
+  t.ok((probes.get('e-0') ?? 0) >= 12, `${probes.get('e-0')} where nothing is stated`);
+  t.ok((probes.get('e-1') ?? 0) <= 3, `${probes.get('e-1')} at the limited one`);
+  t.equal(probes.get('e-2'), 1, 'at the resting one');
+  state.notices.clear();
+  await clock.advance(2_000);
+  t.ok((probes.get('e-2') ?? 0) > 3, 'again after the rest');
   monitor.stop();
 });
--- a/packages/gateway/tests/support/limited-fleet-simulation.ts
+++ b/packages/gateway/tests/support/limited-fleet-simulation.ts
@@ -211,7 +211,12 @@
       const log = new schemas.SilentLog();
       this.cores.set(
         coreId,
-        new rateLimitServices.RateLimitService({ coreId, clock: this.clock, log }),
+        new rateLimitServices.RateLimitService({
+          coreId,
+          gate: { mergeLimits: () => {} },
+          clock: this.clock,
+          log,
+        }),
       );
     }
     for (let i = 0; i < options.hosts; i += 1) {
@@ -351,7 +356,7 @@
     this.calls.refusedWithRoom += this.current.some((item) => item.changes.length === 0) ? 1 : 0;
     this.calls.slowestRefusalMs = Math.max(this.calls.slowestRefusalMs, now - arrivedAt);
     const targets = this.current.map(createTarget);
-    this.calls.retryAfterS.push(host.gate.getRetryAfterS(targets));
+    this.calls.retryAfterS.push(host.gate.describeWait(targets).retryAfterS);
   }
 
   private startProcess(index: number): void {
--- a/packages/gateway/tests/support/small-site.ts
+++ b/packages/gateway/tests/support/small-site.ts
@@ -6,6 +6,7 @@
 
 import * as fakes from '@bramleyridge/fakes';
 import * as gateway from '@bramleyridge/gateway';
+import * as requests from '@bramleyridge/requests';
 import * as schemas from '@bramleyridge/schemas';
 import * as telemetry from '@bramleyridge/telemetry';
 
@@ -105,7 +106,13 @@
       settings: slot.watch,
       codec: new testWires.TestCodec(),
       source: this.list,
-      probe: { isLeaving: async (address) => Promise.resolve(this.reportLeaving.has(address)) },
+      probe: {
+        probe: async (address) =>
+          Promise.resolve({
+            isLeaving: this.reportLeaving.has(address),
+            notice: requests.EMPTY_NOTICE,
+          }),
+      },
       clock: this.clock,
       log: this.createLog(ip),
       metrics: new telemetry.TextMetrics(),
--- a/packages/gateway/tests/upstream-list-service.test.ts
+++ b/packages/gateway/tests/upstream-list-service.test.ts
@@ -1,3 +1,4 @@
+import * as requests from '@bramleyridge/requests';
 import * as schemas from '@bramleyridge/schemas';
 import * as tap from 'tap';
 
@@ -34,9 +35,9 @@
         }),
     },
     probe: {
-      isLeaving: async (address) => {
+      probe: async (address) => {
         await clock.sleep(ENGINES.findIndex((id) => address.startsWith(id)));
-        return state.areLeaving;
+        return { isLeaving: state.areLeaving, notice: requests.EMPTY_NOTICE };
       },
     },
     clock,
@@ -44,7 +45,7 @@
     getSettings: () => ({ listAddress: '127.0.0.1:1', listCallsPerS: 40 }) as never,
     findActiveSince: () => state.activeSince,
     hasRuns: () => true,
-    mayProbe: () => true,
+    gate: requests.createLocalGate(clock, new schemas.SilentLog()),
     findService: (name) => ({ ...sites.createConfig(1).services[0]!, name, engine }),
   });
   service.run();
--- a/packages/requests/src/rate-grant-service.ts
+++ b/packages/requests/src/rate-grant-service.ts
@@ -32,17 +32,26 @@
 
   /** Grants one send or refuses it; an upstream whose limit has ended needs no grant. */
   public grant(processId: string, now: number): limitedSends.RateGrantAnswer {
+    return this.decide(processId, now, (callsPerS) =>
+      this.limiter.grant(processId, callsPerS, now),
+    );
+  }
+
+  /** Grants or refuses one probe, which takes only what calls leave unused. */
+  public grantProbe(processId: string, now: number): limitedSends.RateGrantAnswer {
+    return this.decide(processId, now, (callsPerS) =>
+      this.limiter.grantIdle(processId, callsPerS, now),
+    );
+  }
+
+  private decide(
+    processId: string,
+    now: number,
+    take: (callsPerS: number) => rateGrantLimiters.RateGrant,
+  ): limitedSends.RateGrantAnswer {
     const limit = this.table.findFacts(processId, now);
     const grant =
-      limit?.callsPerS === undefined
-        ? { isGranted: true, waitMs: 0 }
-        : this.limiter.grant(processId, limit.callsPerS, now);
+      limit?.callsPerS === undefined ? { isGranted: true, waitMs: 0 } : take(limit.callsPerS);
     return { ...grant, limit };
   }
-
-  /** Returns whether a probe may be sent, which takes only what calls leave unused. */
-  public grantProbe(processId: string, now: number): boolean {
-    const callsPerS = this.table.find(processId, now);
-    return callsPerS === undefined || this.limiter.grantIdle(processId, callsPerS, now).isGranted;
-  }
 }
--- a/packages/requests/src/upstream-gate.ts
+++ b/packages/requests/src/upstream-gate.ts
@@ -4,9 +4,11 @@
 import type * as upstreamNotices from './upstream-notice.js';
 import * as upstreamRests from './upstream-rests.js';
 
-/** Bounds of the time after which a refused caller may return, in milliseconds. */
+/** Shortest time after which a refused caller may return, in milliseconds. */
 const MIN_RETRY_MS = 100;
-const MAX_RETRY_MS = 5_000;
+
+/** Longest time over which the return of callers is spread who are refused together, in milliseconds. */
+const MAX_SPREAD_MS = 1_000;
 
 /** Time for which a permit may be used, in milliseconds; a grant counts for the moment at which it is given. */
 const PERMIT_TTL_MS = 250;
@@ -26,6 +28,12 @@
   readonly random: () => number;
 }
 
+/** Why no upstream of several is open, and the time after which a caller may return, in seconds. */
+export interface ClosedUpstreams {
+  readonly reason: 'rate-limit' | 'rest';
+  readonly retryAfterS: number;
+}
+
 /** Permission to send one call to an upstream process now. */
 export class SendPermit {
   private isUsed = false;
@@ -97,7 +105,7 @@
 
   /** Returns whether no upstream is passed over for what it has stated. */
   public areAllOpen(): boolean {
-    return this.limited.areAllOpen();
+    return this.limited.areAllOpen() && this.rests.count() === 0;
   }
 
   /** Returns whether a call may be sent to an upstream now, as far as is known without a grant. */
@@ -105,14 +113,21 @@
     return this.getOpenAt(upstream) <= this.options.clock.now();
   }
 
-  /** Returns the time after which a caller may return for whom none of these upstreams is open, in seconds. */
-  public getRetryAfterS(upstreams: readonly GatedUpstream[]): number {
+  /** Returns why a caller is refused for whom none of these upstreams is open, and for how long. */
+  public describeWait(upstreams: readonly GatedUpstream[]): ClosedUpstreams {
     const { clock, random } = this.options;
-    const now = clock.now();
-    const roomAt = upstreams.map((item) => this.limited.getRoomAt(getProcessId(item)));
+    const processIds = upstreams.map(getProcessId);
+    const roomAt = Math.min(
+      ...processIds.map((id) => Math.max(this.limited.getRoomAt(id), this.rests.getEnd(id))),
+    );
+    const waitMs = Math.max(MIN_RETRY_MS, roomAt - clock.now());
     // Equal times would bring all refused callers back at once.
-    const waitMs = Math.max(MIN_RETRY_MS, Math.min(...roomAt) - now) * (1 + random());
-    return Math.min(MAX_RETRY_MS, waitMs) / 1_000;
+    const spreadMs = Math.min(MAX_SPREAD_MS, waitMs) * random();
+    const isResting = processIds.some((id) => this.rests.getEnd(id) >= roomAt);
+    return {
+      reason: isResting ? 'rest' : 'rate-limit',
+      retryAfterS: (waitMs + spreadMs) / 1_000,
+    };
   }
 
   /** Permits to send one call now; throws an error of the kind `withheld` if the upstream takes none. */
@@ -152,9 +167,10 @@
    */
   public use(permit: SendPermit, upstream: GatedUpstream): void {
     const processId = getProcessId(upstream);
-    const isForProcess = permit.processId === processId;
+    const now = this.options.clock.now();
+    const isForProcess = permit.processId === processId && this.rests.getEnd(processId) <= now;
     const isCounted = permit.isLimited || !this.limited.isLimited(processId);
-    if (!permit.use(this.options.clock.now()) || !isForProcess || !isCounted) {
+    if (!permit.use(now) || !isForProcess || !isCounted) {
       throw this.withhold(upstream);
     }
   }
@@ -172,7 +188,8 @@
   }
 
   private getOpenAt(upstream: GatedUpstream): number {
-    return this.limited.getClosedUntil(getProcessId(upstream));
+    const processId = getProcessId(upstream);
+    return Math.max(this.limited.getClosedUntil(processId), this.rests.getEnd(processId));
   }
 
   private withhold({ upstreamId }: GatedUpstream): upstreamErrors.UpstreamError {
--- a/packages/requests/tests/upstream-gate.test.ts
+++ b/packages/requests/tests/upstream-gate.test.ts
@@ -59,7 +59,7 @@
   name('2');
   t.notOk(await admit(), 'a bucket starts empty');
   t.notOk(gate.isOpen(UPSTREAM), 'and the upstream is passed over');
-  t.ok(gate.getRetryAfterS([UPSTREAM]) >= 0.4, 'until the limit has room');
+  t.ok(gate.describeWait([UPSTREAM]).retryAfterS >= 0.4, 'until the limit has room');
   await clock.advance(600);
   t.ok(gate.isOpen(UPSTREAM));
   t.ok(await admit());
@@ -145,3 +145,36 @@
   await clock.advance(30);
   t.ok((await refused) instanceof Error, 'not beyond its patience');
 });
+
+function createRest(restMs: number): requests.UpstreamNotice {
+  return { ...requests.EMPTY_NOTICE, rest: { kind: 'named', restMs } };
+}
+
+// Guards against sends to an upstream that has turned a call away and asked for rest, also by calls picked before.
+void tap.default.test('a resting upstream gets no calls until the latest end', async (t) => {
+  const { admit, clock, gate, lines } = createFixture();
+  const early = (await admit())!;
+  gate.recordAnswer(UPSTREAM, createRest(3_000));
+  t.ok(isWithheld(() => gate.use(early, UPSTREAM)));
+  t.notOk(await admit());
+  gate.recordAnswer(UPSTREAM, createRest(1_000));
+  gate.recordAnswer(UPSTREAM, requests.EMPTY_NOTICE);
+  const { reason, retryAfterS } = gate.describeWait([UPSTREAM]);
+  t.equal(reason, 'rest');
+  t.ok(retryAfterS >= 2.9 && retryAfterS <= 4, `${retryAfterS} s`);
+  await clock.advance(2_900);
+  t.notOk(await admit(), 'neither a shorter one nor a success ends it');
+  await clock.advance(100);
+  t.ok(await admit());
+  t.equal(gate.countRests(), 0);
+  t.equal(lines.length, 2, 'a line as it begins and as it ends');
+});
+
+// Guards against a rest that bars an upstream for good.
+void tap.default.test('a rest of a year ends in minutes', async (t) => {
+  const { admit, clock, gate } = createFixture();
+  gate.recordAnswer(UPSTREAM, createRest(31_536_000_000));
+  t.notOk(await admit());
+  await clock.advance(300_000);
+  t.ok(await admit());
+});
--- a/packages/schemas/src/messages.ts
+++ b/packages/schemas/src/messages.ts
@@ -44,6 +44,8 @@
   ranUnknown: 'the upstream was lost after the call was handed to it; whether it ran is not known',
   rateLimited:
     'every upstream of %s that could take the call has reached the rate limit that it set; it did not run',
+  resting:
+    'every upstream of %s that could take the call has turned calls away and asked for rest; it did not run',
   timeOver:
     'the answer was not complete within the time allowed; whether the call ran is not known',
   timeOverNotRun: 'no upstream could take the call within the time allowed; it did not run',
--- a/packages/telemetry/src/call-trail.ts
+++ b/packages/telemetry/src/call-trail.ts
@@ -15,6 +15,9 @@
 /** Reason with which a call is refused because upstreams have reached their rate limits. */
 const RATE_LIMIT = 'rate-limit';
 
+/** Reason with which a call is refused because upstreams have asked for rest. */
+const REST = 'rest';
+
 /** Explanations of streams that broke off, by the reason for which they were not resumed. */
 const RESUME_REFUSALS: Readonly<Record<string, string>> = {
   quarantine:
@@ -45,6 +48,7 @@
   explainRefusal,
   explainNoCapacity,
   explainRateLimit,
+  explainRest,
   explainUnusableBackup,
   explainNoRetry,
   explainNoBackup,
@@ -125,6 +129,27 @@
   );
 }
 
+/** Explains a refusal while every upstream rests, with those whose rest had not ended. */
+function explainRest(own: readonly LogLine[], all: readonly LogLine[]): string | undefined {
+  const line = own.findLast(
+    ({ decision, reason }) => decision === 'no-upstream' && reason === REST,
+  );
+  if (line === undefined || findDecision(own, 'outcome')?.outcome !== 'not-run') {
+    return undefined;
+  }
+  const changes = new Map(
+    all
+      .filter(({ event, host }) => event === 'upstream-rest' && host === line.host)
+      .filter(({ time }) => isUpTo(time, line.time))
+      .map(({ change, upstream }) => [String(upstream), change]),
+  );
+  const resting = [...changes].filter(([, change]) => change === 'began').map(([id]) => id);
+  return (
+    `refused because every upstream of ${String(line.service)} had turned calls of this host away and asked for` +
+    ` rest${resting.length === 0 ? '' : `: ${resting.join(', ')}`}; it did not run`
+  );
+}
+
 function isUpTo(time: unknown, limit: unknown): boolean {
   return Number(time ?? 0) <= Number(limit ?? 0);
 }
--- a/packages/telemetry/src/metric-catalog.ts
+++ b/packages/telemetry/src/metric-catalog.ts
@@ -44,7 +44,7 @@
   limitedSends: {
     kind: 'counter',
     name: 'limited_sends_total',
-    help: 'Sends to upstreams that limit their rate: granted, taken from the own share, or withheld',
+    help: 'Sends to upstreams that limit their rate: granted or taken alone; withheld for this or a rest',
     labels: ['decision'],
   },
   resumes: {
--- a/packages/telemetry/tests/call-trail.test.ts
+++ b/packages/telemetry/tests/call-trail.test.ts
@@ -52,6 +52,25 @@
       cause:
         /every upstream of s had reached the rate limit that it named: u1 2.5\/s; it did not run/,
     },
+    {
+      name: 'every upstream rests',
+      lines: [
+        { time: 1, host: 'h1', event: 'upstream-rest', upstream: 'u1', change: 'began' },
+        { time: 1, host: 'h1', event: 'upstream-rest', upstream: 'u2', change: 'began' },
+        { time: 1, host: 'h2', event: 'upstream-rest', upstream: 'u3', change: 'began' },
+        { time: 2, host: 'h1', event: 'upstream-rest', upstream: 'u2', change: 'ended' },
+        {
+          time: 3,
+          host: 'h1',
+          decision: 'no-upstream',
+          request: 'c1',
+          service: 's',
+          reason: 'rest',
+        },
+        { time: 4, decision: 'outcome', request: 'c1', outcome: 'not-run', status: 503 },
+      ],
+      cause: /every upstream of s .* asked for rest: u1; it did not run/,
+    },
     {
       name: 'the KV-cache backup cannot be used',
       lines: [
