Send no new calls to an upstream that states that it leaves

Cause: leaving was learned from the list and from probes only; answers were not read for it. Class: as for limits and rests; this statement binds everyone, for good.

The change: the gate that every send passes keeps it by process, from the moment of the answer, also for calls that were picked before. A run that broke off may resume there if its call came before the statement: its only copy may be there. Entry hosts report it to the leader, whose list marks the upstream for all hosts and moves its runs; probes that state it count.

--- a/packages/daemon/src/service-call-handler.ts
+++ b/packages/daemon/src/service-call-handler.ts
@@ -145,7 +145,7 @@
     const usable = view
       .getDirectory()
       .upstreams.filter((item) => item.service === job.service && item.state === 'live')
-      .filter((item) => !job.excluded.has(item.upstreamId))
+      .filter((item) => !job.excluded.has(item.upstreamId) && !gate.isLeaving(item))
       .filter(
         (item) =>
           clock.now() - (this.refusedAt.get(item.upstreamId) ?? -Infinity) >
--- a/packages/gateway/src/core-host.ts
+++ b/packages/gateway/src/core-host.ts
@@ -265,6 +265,10 @@
         return this.rateLimits.grant(req);
       },
       reportLimits: async (req) => this.rateLimits.report(req),
+      reportLeaving: async ({ processIds }) => {
+        this.ensureLeading('report-leaving');
+        this.upstreamList.recordLeaving(processIds);
+      },
       ...this.createSuspectHandlers(),
       relaySuspects: (req) => this.relay.report(req),
       relayPermit: (req) => this.relay.permit(req),
@@ -301,6 +305,7 @@
       log,
       random,
       count: (decision) => metrics.count('limitedSends', { decision }),
+      onLeaving: ({ processId }) => this.upstreamList.recordLeaving([processId ?? '']),
     });
   }
 
--- a/packages/gateway/src/core-procedures.ts
+++ b/packages/gateway/src/core-procedures.ts
@@ -86,6 +86,9 @@
   limits: z.array(requests.rateLimitFacts),
 });
 
+/** Upstream processes that have stated to a host that they leave. */
+export const leavingReport = z.object({ hostId: z.string(), processIds: z.array(z.string()) });
+
 /** Request of a host to send one call to a limited upstream, with what it knows about the limit. */
 export const rateGrantReq = z.object({ hostId: z.string(), limit: requests.rateLimitFacts });
 
@@ -249,6 +252,8 @@
 export type RateLimitUpdates = z.infer<typeof rateLimitUpdates>;
 /** Rate limits that a host has learned. */
 export type RateLimitReport = z.infer<typeof rateLimitReport>;
+/** Upstream processes that have stated to a host that they leave. */
+export type LeavingReport = z.infer<typeof leavingReport>;
 /** Request to send one call to a limited upstream. */
 export type RateGrantReq = z.infer<typeof rateGrantReq>;
 /** Outcome of a suspect's run. */
@@ -337,6 +342,8 @@
   grantSend(req: RateGrantReq): Promise<requests.RateGrantAnswer>;
   /** Records rate limits; any core host tells those that poll it. */
   reportLimits(req: RateLimitReport): Promise<void>;
+  /** Records upstream processes that leave, as the leader. */
+  reportLeaving(req: LeavingReport): Promise<void>;
   /** Records outcomes of suspects' runs, as the leader. */
   reportSuspects(req: SuspectReport): Promise<{ readonly term: number }>;
   /** Merges all suspects of a host, as a leader that is new to the host. */
@@ -386,6 +393,9 @@
     reportLimits: t.procedure
       .input(rateLimitReport)
       .mutation(({ input }) => handlers.reportLimits(input)),
+    reportLeaving: t.procedure
+      .input(leavingReport)
+      .mutation(({ input }) => handlers.reportLeaving(input)),
     reportSuspects: t.procedure
       .input(suspectReport)
       .mutation(({ input }) => handlers.reportSuspects(input)),
--- a/packages/gateway/src/entry-host.ts
+++ b/packages/gateway/src/entry-host.ts
@@ -126,6 +126,10 @@
       log,
       random,
       count: (decision) => options.metrics.count('limitedSends', { decision }),
+      onLeaving: (upstream) => {
+        this.directory.noteLeaving(upstream);
+        void this.rateGrants.reportLeaving(upstream);
+      },
     });
     this.client = new requests.UpstreamClient({
       gate: this.gate,
--- a/packages/gateway/src/rate-grant-client.ts
+++ b/packages/gateway/src/rate-grant-client.ts
@@ -52,6 +52,14 @@
     });
   }
 
+  /** Reports that an upstream leaves to the leader; if the report is lost, the list shows it somewhat later. */
+  public async reportLeaving({ processId, upstreamId }: requests.GatedUpstream): Promise<void> {
+    const { hostId, requestLeader } = this.options;
+    const context = { deadlineMs: REQUEST_TIMEOUT_MS };
+    const processIds = [processId ?? upstreamId];
+    await requestLeader((api) => api.reportLeaving.mutate({ hostId, processIds }, { context }));
+  }
+
   /** Applies a core host's updates; one that this host did not poll before gets all limits that this host knows. */
   public applyUpdates(
     { limits, revision, source }: procedures.RateLimitUpdates,
--- a/packages/gateway/src/routed-attempts.ts
+++ b/packages/gateway/src/routed-attempts.ts
@@ -86,9 +86,12 @@
     { known, upstreamId }: upstreamPickers.PickedUpstream,
     failure: requests.UpstreamError,
   ): void {
-    const { clock, directory, log, metrics } = this.options;
+    const { clock, directory, gate, log, metrics } = this.options;
     metrics.count('attempts', { service: job.call.service.name, result: failure.kind });
-    known.load.recordFailure(clock.now());
+    // One that has asked for rest is full, and gets no calls until its rest ends.
+    if (gate.isOpen(known)) {
+      known.load.recordFailure(clock.now());
+    }
     if (failure.kind === 'unreachable') {
       directory.noteUnreachable(upstreamId);
     } else if (failure.kind === 'gone') {
@@ -316,7 +319,11 @@
     try {
       await guard.admit(job);
       await guard.permit(job, next.known, () => true);
-      return await gate.admitWithin(next.known, RESUME_WAIT_MS, job.abort.signal);
+      return await gate.admitResume(next.known, {
+        arrivedAt: job.call.arrivedAt,
+        patienceMs: RESUME_WAIT_MS,
+        signal: job.abort.signal,
+      });
     } catch (err) {
       picker.release(job.call, true);
       const { message } = schemas.toError(err);
--- a/packages/gateway/src/upstream-directory.ts
+++ b/packages/gateway/src/upstream-directory.ts
@@ -1,3 +1,4 @@
+import type * as requests from '@bramleyridge/requests';
 import * as routing from '@bramleyridge/routing';
 import * as schemas from '@bramleyridge/schemas';
 
@@ -187,6 +188,14 @@
     }
   }
 
+  /** Records that an upstream's process has stated that it leaves. */
+  public noteLeaving({ processId, upstreamId }: requests.GatedUpstream): void {
+    const entry = this.entries.get(upstreamId);
+    if (entry !== undefined && entry.processId === processId) {
+      entry.isLeaving = true;
+    }
+  }
+
   /** Records that an upstream refused a connection. */
   public noteUnreachable(upstreamId: string): void {
     const entry = this.entries.get(upstreamId);
--- a/packages/gateway/src/upstream-list-service.ts
+++ b/packages/gateway/src/upstream-list-service.ts
@@ -73,6 +73,8 @@
   /** Notifies when the list in force changes. */
   public readonly changed = new schemas.ChangeSignal();
   private readonly reader: upstreamListReaders.UpstreamListReader;
+  /** Processes that have stated that they leave. */
+  private statedLeaving = new Set<string>();
   private readonly leavingEngines: leavingEngineMonitors.LeavingEngineMonitor;
   private platformUpstreams: readonly schemas.ListedUpstream[] = [];
   private list: procedures.UpstreamList | undefined;
@@ -156,6 +158,15 @@
     return this.getPauseMs(this.reader.getLastCallCount());
   }
 
+  /** Records processes that have stated in answers that they leave, before the platform's list shows it. */
+  public recordLeaving(processIds: readonly string[]): void {
+    const added = processIds.filter((processId) => !this.statedLeaving.has(processId));
+    added.forEach((processId) => this.statedLeaving.add(processId));
+    if (added.length > 0) {
+      this.scheduleRebuild();
+    }
+  }
+
   private handleRead({ upstreams }: procedures.UpstreamList): void {
     this.readAt = this.options.clock.now();
     this.platformUpstreams = this.keepFirstColdTimes(upstreams);
@@ -196,8 +207,10 @@
 
   /** Builds a new list if the platform's list or the engines' reports have changed. */
   private rebuild(): void {
+    const listed = new Set(this.platformUpstreams.map(schemas.getProcessId));
+    this.statedLeaving = new Set([...this.statedLeaving].filter((id) => listed.has(id)));
     const upstreams = this.platformUpstreams.map((item) =>
-      this.leavingEngines.isLeaving(item.upstreamId) ? { ...item, saysLeaving: true } : item,
+      this.isLeaving(item) ? { ...item, saysLeaving: true } : item,
     );
     const stamp = schemas.getContentHash(upstreams);
     const isChanged = stamp !== this.getList()?.stamp;
@@ -212,6 +225,13 @@
     }
   }
 
+  private isLeaving(item: schemas.ListedUpstream): boolean {
+    return (
+      this.leavingEngines.isLeaving(item.upstreamId) ||
+      this.statedLeaving.has(schemas.getProcessId(item))
+    );
+  }
+
   /** Lists the engines whose runs can be migrated and that are not listed as leaving. */
   private listEngines(): leavingEngineMonitors.MonitoredEngine[] {
     return this.platformUpstreams.flatMap(({ address, bornMs, isLeaving, service, upstreamId }) => {
--- a/packages/requests/src/upstream-gate.ts
+++ b/packages/requests/src/upstream-gate.ts
@@ -26,6 +26,17 @@
 /** Dependencies of the gate. */
 export interface UpstreamGateOptions extends limitedSends.LimitedSendsOptions {
   readonly random: () => number;
+  /** Called when an upstream first states that it leaves. */
+  readonly onLeaving?: (upstream: GatedUpstream) => void;
+}
+
+/** A run that broke off and is to resume at an upstream. */
+export interface ResumeAdmission {
+  /** Time at which its call arrived, on this host's clock. */
+  readonly arrivedAt: number;
+  /** Time for which it may wait, in milliseconds. */
+  readonly patienceMs: number;
+  readonly signal: AbortSignal;
 }
 
 /** Why no upstream of several is open, and the time after which a caller may return, in seconds. */
@@ -42,6 +53,8 @@
     public readonly processId: string,
     /** Whether it takes one of the sends that the limit of the upstream allows. */
     public readonly isLimited: boolean,
+    /** Whether it holds at an upstream that leaves. */
+    public readonly mayLeave: boolean,
     private readonly expiresAt: number,
   ) {}
 
@@ -60,8 +73,8 @@
 export class UpstreamGate {
   private readonly limited: limitedSends.LimitedSends;
   private readonly rests: upstreamRests.UpstreamRests;
-  /** Processes that have stated that they leave. */
-  private readonly leaving = new Set<string>();
+  /** Times at which processes first stated that they leave. */
+  private readonly leavingSince = new Map<string, number>();
 
   public constructor(private readonly options: UpstreamGateOptions) {
     this.limited = new limitedSends.LimitedSends(options);
@@ -74,7 +87,7 @@
     this.limited.recordAnswer(processId, notice.limit);
     this.rests.recordAnswer(processId, notice.rest);
     if (notice.isLeaving) {
-      this.recordLeaving(processId);
+      this.recordLeaving(upstream);
     }
   }
 
@@ -100,27 +113,33 @@
 
   /** Counts the upstreams that have stated that they leave. */
   public countLeaving(): number {
-    return this.leaving.size;
+    return this.leavingSince.size;
+  }
+
+  /** Returns whether an upstream has stated that it leaves. */
+  public isLeaving(upstream: GatedUpstream): boolean {
+    return this.leavingSince.has(getProcessId(upstream));
   }
 
   /** Returns whether no upstream is passed over for what it has stated. */
   public areAllOpen(): boolean {
-    return this.limited.areAllOpen() && this.rests.count() === 0;
+    return this.limited.areAllOpen() && this.rests.count() === 0 && this.leavingSince.size === 0;
   }
 
   /** Returns whether a call may be sent to an upstream now, as far as is known without a grant. */
   public isOpen(upstream: GatedUpstream): boolean {
-    return this.getOpenAt(upstream) <= this.options.clock.now();
+    return !this.isLeaving(upstream) && this.getOpenAt(upstream) <= this.options.clock.now();
   }
 
   /** Returns why a caller is refused for whom none of these upstreams is open, and for how long. */
   public describeWait(upstreams: readonly GatedUpstream[]): ClosedUpstreams {
     const { clock, random } = this.options;
-    const processIds = upstreams.map(getProcessId);
+    const processIds = upstreams.filter((item) => !this.isLeaving(item)).map(getProcessId);
     const roomAt = Math.min(
       ...processIds.map((id) => Math.max(this.limited.getRoomAt(id), this.rests.getEnd(id))),
     );
-    const waitMs = Math.max(MIN_RETRY_MS, roomAt - clock.now());
+    const waitMs =
+      processIds.length === 0 ? MAX_SPREAD_MS : Math.max(MIN_RETRY_MS, roomAt - clock.now());
     // Equal times would bring all refused callers back at once.
     const spreadMs = Math.min(MAX_SPREAD_MS, waitMs) * random();
     const isResting = processIds.some((id) => this.rests.getEnd(id) >= roomAt);
@@ -132,28 +151,29 @@
 
   /** Permits to send one call now; throws an error of the kind `withheld` if the upstream takes none. */
   public async admit(upstream: GatedUpstream): Promise<SendPermit> {
-    const processId = getProcessId(upstream);
-    if (!this.isOpen(upstream) || !(await this.limited.take(processId))) {
+    if (this.isLeaving(upstream)) {
       throw this.withhold(upstream);
     }
-    const expiresAt = this.options.clock.now() + PERMIT_TTL_MS;
-    return new SendPermit(processId, this.limited.isLimited(processId), expiresAt);
+    return this.admitAt(upstream, false);
   }
 
-  /** Waits until a call may be sent, at most for the given time in milliseconds. */
-  public async admitWithin(
+  /**
+   * Waits until a run that broke off may resume at an upstream, at most for the given time in milliseconds. One that
+   * leaves still takes it if the call arrived before it said so, since it may have the only copy of its state.
+   */
+  public async admitResume(
     upstream: GatedUpstream,
-    patienceMs: number,
-    signal: AbortSignal,
+    { arrivedAt, patienceMs, signal }: ResumeAdmission,
   ): Promise<SendPermit> {
     const { clock } = this.options;
     const deadlineAt = clock.now() + patienceMs;
+    const mayLeave = arrivedAt < (this.leavingSince.get(getProcessId(upstream)) ?? Infinity);
     for (;;) {
       try {
-        return await this.admit(upstream);
+        return await (mayLeave ? this.admitAt(upstream, true) : this.admit(upstream));
       } catch (err) {
         const openAt = this.getOpenAt(upstream);
-        if (openAt > deadlineAt) {
+        if (!mayLeave || openAt > deadlineAt) {
           throw err;
         }
         await clock.sleep(Math.max(1, openAt - clock.now()), signal);
@@ -170,21 +190,35 @@
     const now = this.options.clock.now();
     const isForProcess = permit.processId === processId && this.rests.getEnd(processId) <= now;
     const isCounted = permit.isLimited || !this.limited.isLimited(processId);
-    if (!permit.use(now) || !isForProcess || !isCounted) {
+    const isStaying = permit.mayLeave || !this.isLeaving(upstream);
+    if (!permit.use(now) || !isForProcess || !isCounted || !isStaying) {
       throw this.withhold(upstream);
     }
   }
 
-  private recordLeaving(processId: string): void {
-    if (this.leaving.has(processId)) {
+  private async admitAt(upstream: GatedUpstream, mayLeave: boolean): Promise<SendPermit> {
+    const { clock } = this.options;
+    const processId = getProcessId(upstream);
+    if (this.getOpenAt(upstream) > clock.now() || !(await this.limited.take(processId))) {
+      throw this.withhold(upstream);
+    }
+    const isLimited = this.limited.isLimited(processId);
+    return new SendPermit(processId, isLimited, mayLeave, clock.now() + PERMIT_TTL_MS);
+  }
+
+  private recordLeaving(upstream: GatedUpstream): void {
+    const { clock, log, onLeaving } = this.options;
+    const processId = getProcessId(upstream);
+    if (this.leavingSince.has(processId)) {
       return;
     }
-    this.leaving.add(processId);
-    if (this.leaving.size > MAX_LEAVING) {
-      const [oldest] = this.leaving;
-      this.leaving.delete(oldest!);
+    this.leavingSince.set(processId, clock.now());
+    if (this.leavingSince.size > MAX_LEAVING) {
+      const [oldest] = this.leavingSince.keys();
+      this.leavingSince.delete(oldest!);
     }
-    this.options.log.info({ event: 'upstream-leaving', upstream: processId });
+    log.info({ event: 'upstream-leaving', upstream: processId });
+    onLeaving?.(upstream);
   }
 
   private getOpenAt(upstream: GatedUpstream): number {
--- a/packages/requests/tests/upstream-client.test.ts
+++ b/packages/requests/tests/upstream-client.test.ts
@@ -54,7 +54,7 @@
     headers: { 'x-id': requestId },
     body: Buffer.alloc(0),
     isRepeatable,
-    permit: new requests.SendPermit('u1', false, Infinity),
+    permit: new requests.SendPermit('u1', false, false, Infinity),
     signal: AbortSignal.timeout(3_000),
   };
 }
--- a/packages/requests/tests/upstream-gate.test.ts
+++ b/packages/requests/tests/upstream-gate.test.ts
@@ -137,11 +137,13 @@
   const { admit, clock, gate, name } = createFixture();
   name('2');
   const { signal } = new AbortController();
-  const waiting = gate.admitWithin(UPSTREAM, 1_500, signal);
+  const waiting = gate.admitResume(UPSTREAM, { arrivedAt: 0, patienceMs: 1_500, signal });
   await clock.advance(1_000);
   t.ok(await waiting);
   await admit();
-  const refused = gate.admitWithin(UPSTREAM, 20, signal).catch((err: Error) => err);
+  const refused = gate
+    .admitResume(UPSTREAM, { arrivedAt: 0, patienceMs: 20, signal })
+    .catch((err: Error) => err);
   await clock.advance(30);
   t.ok((await refused) instanceof Error, 'not beyond its patience');
 });
@@ -178,3 +180,25 @@
   await clock.advance(300_000);
   t.ok(await admit());
 });
+
+// Guards against new calls to an upstream that leaves, and against a lost run whose only copy is there.
+void tap.default.test('a leaving upstream gets no new calls but takes earlier runs', async (t) => {
+  const { admit, clock, gate } = createFixture();
+  const early = (await admit())!;
+  const { signal } = new AbortController();
+  const resume = (arrivedAt: number) =>
+    gate.admitResume(UPSTREAM, { arrivedAt, patienceMs: 100, signal });
+  const statedAt = clock.now();
+  gate.recordAnswer(UPSTREAM, { ...requests.EMPTY_NOTICE, isLeaving: true });
+  t.ok(
+    isWithheld(() => gate.use(early, UPSTREAM)),
+    'picked before',
+  );
+  t.notOk(await admit());
+  t.notOk(gate.isOpen(UPSTREAM));
+  gate.recordAnswer(UPSTREAM, requests.EMPTY_NOTICE);
+  t.notOk(await admit(), 'for good');
+  gate.use(await resume(statedAt - 1), UPSTREAM);
+  await t.rejects(resume(statedAt + 1), 'not for a call that arrived later');
+  t.ok(gate.isOpen({ upstreamId: 'u1', processId: 'u1@8' }), 'its next process is another');
+});
