Draw rests and leavings in the simulated fleets

Drawn schedules with 40 and 350 hosts: calls turned away with requests for rest, upstreams that state that they leave and end some seconds later, beside limits that change, lost leaders and messages.

--- a/packages/gateway/tests/limited-fleet.test.ts
+++ b/packages/gateway/tests/limited-fleet.test.ts
@@ -68,6 +68,21 @@
     joinMs: 200,
     lossShare: 0.01,
   },
+  {
+    ...CALM,
+    name: 'upstreams that rest and leave',
+    hosts: 40,
+    upstreams: 6,
+    callsPerS: 60,
+    limits: [2, 8],
+    changeMs: 4_000,
+    endShare: 0.5,
+    leavingMs: 8_000,
+    restShare: 0.1,
+    restMs: 2_000,
+    leaderMs: 6_000,
+    lossShare: 0.02,
+  },
   {
     ...CALM,
     name: 'a large fleet with all of it',
@@ -78,6 +93,9 @@
     changeMs: 4_000,
     endShare: 0.1,
     restartMs: 20_000,
+    leavingMs: 20_000,
+    restShare: 0.03,
+    restMs: 3_000,
     leaderMs: 8_000,
     leaderlessMs: 4_000,
     hostMs: 200,
@@ -86,13 +104,14 @@
   },
 ];
 
-// Guards against hosts that together send more than a limit allows, or leave most of it unused, in drawn schedules.
+// Guards against hosts that together send more than a limit allows or leave most of it unused, that break rests, and that
+// send new calls to upstreams which leave, in drawn schedules.
 PLANS.forEach(({ name, ...plan }) => {
-  void tap.default.test(`limits are kept and used: ${name}`, async (t) => {
+  void tap.default.test(`what upstreams state is kept: ${name}`, async (t) => {
     for (let seed = FIRST_SEED; seed < FIRST_SEED + RUNS; seed += 1) {
       const simulation = new simulations.LimitedFleetSimulation(seed, plan);
       await simulation.simulate();
-      const { refused, served, slowestRefusalMs, retryAfterS } = simulation.calls;
+      const { refused, restRetryAfterS, retryAfterS, served, slowestRefusalMs } = simulation.calls;
       const excess = simulation.getMostExcess();
       const share = simulation.getUsedShare();
       const counts = `${served} served, ${refused} refused`;
@@ -101,6 +120,12 @@
       t.ok(ofAll <= 0, `seed ${seed}: ${ofAll.toFixed(1)} with those of hosts that were not told`);
       t.ok(share >= MIN_USED_SHARE, `seed ${seed}: ${share.toFixed(2)} of the limits used`);
       t.ok(slowestRefusalMs <= MAX_REFUSAL_MS, `seed ${seed}: refused in ${slowestRefusalMs} ms`);
+      t.equal(simulation.countBrokenRests(), 0, `seed ${seed}: rests are kept`);
+      t.equal(simulation.countLateNewCalls(), 0, `seed ${seed}: nothing new to those that leave`);
+      t.ok(
+        restRetryAfterS.every((wait) => wait > 0 && wait <= 4),
+        `seed ${seed}: not much longer than a rest`,
+      );
       t.ok(
         retryAfterS.every((wait) => wait > 0 && wait <= 5),
         `seed ${seed}: with a time to return`,
--- a/packages/gateway/tests/support/limited-fleet-simulation.ts
+++ b/packages/gateway/tests/support/limited-fleet-simulation.ts
@@ -42,6 +42,16 @@
 /** Time for which a higher limit still counts after it was lowered, in milliseconds: until an answer has named it. */
 const LOWERED_AFTER_MS = 500;
 
+/** Time after a request for rest from which it binds its host, in milliseconds, and calls that may arrive in it. */
+const REST_BINDS_AFTER_MS = 500;
+const TOLERATED_IN_REST = 2;
+
+/** Time for which an upstream still serves after it has stated that it leaves, in milliseconds. */
+const LEAVING_SERVES_MS = 6_000;
+
+/** Time after a statement of leaving from which no new call may come from a host that has it, in milliseconds. */
+const LEAVING_BINDS_AFTER_MS = 3_000;
+
 /** Multiple of a limit that may arrive in a window, and calls beyond that. */
 const TOLERATED_FACTOR = 1.5;
 const TOLERATED_BURST = 5;
@@ -59,6 +69,11 @@
   readonly changeMs: number;
   /** Share of those changes that end a limit or begin one. */
   readonly endShare: number;
+  /** Share of the calls that an upstream turns away with a request for rest, and the rest, in milliseconds. */
+  readonly restShare?: number;
+  readonly restMs?: number;
+  /** Mean time until an upstream states that it leaves; its process ends some seconds later. */
+  readonly leavingMs?: number;
   /** Mean time between two restarts of an upstream, in milliseconds. */
   readonly restartMs: number;
   /** Mean time between two losses of the leader, and the longest time without one, in milliseconds. */
@@ -75,9 +90,16 @@
 
 interface Arrival {
   readonly at: number;
+  readonly hostKey: string;
   readonly wasTold: boolean;
 }
 
+interface Rest {
+  readonly hostKey: string;
+  readonly from: number;
+  readonly to: number;
+}
+
 interface LimitChange {
   readonly at: number;
   readonly callsPerS: number | undefined;
@@ -92,6 +114,13 @@
   /** Times at which hosts were first told a limit, since it last named none. */
   public readonly toldAt = new Map<string, number>();
   public endedAt = Infinity;
+  /** The rests for which it asked hosts. */
+  public readonly rests: Rest[] = [];
+  /** Time from which it states that it leaves, and the times at which hosts got the first such answer. */
+  public leavesAt = Infinity;
+  public readonly leavingToldAt = new Map<string, number>();
+  /** New calls of hosts that had such an answer long enough. */
+  public lateNewCalls = 0;
   /** Largest number of calls beyond the tolerance in any window. */
   public mostExcess = -Infinity;
   /** The same, with the calls of hosts that it had not told. */
@@ -116,7 +145,9 @@
   /** Records a call that reaches it, and compares its window with the limits that were named in it. */
   public receive(at: number, hostKey: string): void {
     const toldAt = this.toldAt.get(hostKey) ?? Infinity;
-    this.arrivals.push({ at, wasTold: at >= toldAt + KNOWN_AFTER_MS });
+    this.arrivals.push({ at, hostKey, wasTold: at >= toldAt + KNOWN_AFTER_MS });
+    const leavingToldAt = this.leavingToldAt.get(hostKey) ?? Infinity;
+    this.lateNewCalls += at > leavingToldAt + LEAVING_BINDS_AFTER_MS ? 1 : 0;
     if (this.namedAt === undefined || at < this.namedAt + GRACE_MS) {
       return;
     }
@@ -130,6 +161,15 @@
     this.mostExcessOfAll = Math.max(this.mostExcessOfAll, ofAll.length - tolerated);
   }
 
+  /** Counts the rests in which more calls than tolerated came from the host that was asked for it. */
+  public countBrokenRests(): number {
+    const countCalls = ({ from, hostKey, to }: Rest) =>
+      this.arrivals.filter(
+        (item) => item.hostKey === hostKey && item.at > from + REST_BINDS_AFTER_MS && item.at < to,
+      ).length;
+    return this.rests.filter((rest) => countCalls(rest) > TOLERATED_IN_REST).length;
+  }
+
   /** Returns the number of calls that the limits allow between two times; a lowered limit applies from when it is known. */
   public getAllowed(from: number, to: number): number {
     let allowed = 0;
@@ -171,6 +211,8 @@
   slowestRefusalMs: number;
   /** Times after which refused callers were told to return, in seconds. */
   readonly retryAfterS: number[];
+  /** The same for callers who were refused while upstreams rest. */
+  readonly restRetryAfterS: number[];
 }
 
 /**
@@ -186,6 +228,7 @@
     refusedWithRoom: 0,
     slowestRefusalMs: 0,
     retryAfterS: [],
+    restRetryAfterS: [],
   };
   /** Spans in which a leader answered, at least a second after it was elected. */
   public readonly ledSpans: { from: number; to: number }[] = [];
@@ -239,6 +282,7 @@
       this.current.forEach((process, index) => {
         this.maybe(changeMs, () => this.changeLimit(process, index));
         this.maybe(restartMs, () => this.startProcess(index));
+        this.maybe(this.options.leavingMs ?? Infinity, () => this.leave(process, index));
       });
       this.maybe(leaderMs, () => this.loseLeader());
       this.maybe(hostMs, () => this.disrupt(this.draw(this.hosts.length)));
@@ -278,6 +322,16 @@
     return spans.length === 0 ? 1 : sum(used) / sum(allowed);
   }
 
+  /** Counts the rests that hosts have broken. */
+  public countBrokenRests(): number {
+    return sum(this.processes.map((process) => process.countBrokenRests()));
+  }
+
+  /** Counts new calls to upstreams that leave, from hosts that knew it. */
+  public countLateNewCalls(): number {
+    return sum(this.processes.map(({ lateNewCalls }) => lateNewCalls));
+  }
+
   private isLimitedThroughout(process: SimulatedProcess, at: number): boolean {
     const changes = process.changes.filter(
       (change) => change.at > at - GRACE_MS && change.at <= at + 1_000,
@@ -329,11 +383,12 @@
     }
     process.receive(this.clock.now(), host.key);
     await this.clock.sleep(MIN_RUN_MS + this.draw(RUN_RANGE_MS));
-    this.answer(host, process);
-    return true;
+    const isTurnedAway = this.draw(1_000) < (this.options.restShare ?? 0) * 1_000;
+    this.answer(host, process, isTurnedAway);
+    return !isTurnedAway;
   }
 
-  private answer(host: Host, process: SimulatedProcess): void {
+  private answer(host: Host, process: SimulatedProcess, isTurnedAway: boolean): void {
     const now = this.clock.now();
     const callsPerS = process.getLimit(now);
     if (process.endedAt < Infinity || !this.hosts.includes(host)) {
@@ -347,7 +402,16 @@
       callsPerS === undefined
         ? ({ kind: 'none' } as const)
         : ({ kind: 'named', callsPerS } as const);
-    host.gate.recordAnswer(createTarget(process), { ...requests.EMPTY_NOTICE, limit });
+    const isLeaving = process.leavesAt <= now;
+    if (isLeaving) {
+      process.leavingToldAt.set(host.key, process.leavingToldAt.get(host.key) ?? now);
+    }
+    const restMs = this.options.restMs ?? 0;
+    if (isTurnedAway) {
+      process.rests.push({ hostKey: host.key, from: now, to: now + restMs });
+    }
+    const rest = isTurnedAway ? ({ kind: 'named', restMs } as const) : ({ kind: 'none' } as const);
+    host.gate.recordAnswer(createTarget(process), { limit, rest, isLeaving });
   }
 
   private refuse(host: Host, arrivedAt: number): void {
@@ -356,7 +420,9 @@
     this.calls.refusedWithRoom += this.current.some((item) => item.changes.length === 0) ? 1 : 0;
     this.calls.slowestRefusalMs = Math.max(this.calls.slowestRefusalMs, now - arrivedAt);
     const targets = this.current.map(createTarget);
-    this.calls.retryAfterS.push(host.gate.describeWait(targets).retryAfterS);
+    const { reason, retryAfterS } = host.gate.describeWait(targets);
+    const times = reason === 'rest' ? this.calls.restRetryAfterS : this.calls.retryAfterS;
+    times.push(retryAfterS);
   }
 
   private startProcess(index: number): void {
@@ -373,6 +439,17 @@
     }
   }
 
+  private leave(process: SimulatedProcess, index: number): void {
+    if (process.leavesAt === Infinity) {
+      process.leavesAt = this.clock.now();
+      void this.clock.sleep(LEAVING_SERVES_MS).then(() => {
+        if (process.endedAt === Infinity) {
+          this.startProcess(index);
+        }
+      });
+    }
+  }
+
   private changeLimit(process: SimulatedProcess, index: number): void {
     if (index < this.options.unlimited) {
       return;
