Keep limits known where the leader named last doesn't answer

Seen by reading, before anybody reported it: a host that polls a core host which names a leader that it can't reach itself lost its reports of limits; they now go to the other core hosts then. A request for a grant that an older leader doesn't know sent generations to fallback placement for half a second; it has a skip time of its own.

--- a/packages/daemon/src/rate-grants.ts
+++ b/packages/daemon/src/rate-grants.ts
@@ -10,6 +10,9 @@
 /** Time for which a daemon that did not answer is not asked again, in milliseconds. */
 const SKIP_FAILED_MS = 500;
 
+/** Time after which daemons are told of a limit again, in milliseconds; they forget it a minute after the last answer. */
+const RETELL_MS = 20_000;
+
 /** Dependencies of the rate grants. */
 export interface RateGrantsOptions {
   readonly daemonId: string;
@@ -26,6 +29,8 @@
 export class RateGrants implements requests.RateGrantor {
   private readonly service = new requests.RateGrantService();
   private readonly failedAt = new Map<string, number>();
+  /** Times at which this daemon last told the others of a limit, by process. */
+  private readonly toldAt = new Map<string, number>();
 
   public constructor(private readonly options: RateGrantsOptions) {}
 
@@ -46,8 +51,9 @@
 
   /** Tells all daemons of the zone about a limit. */
   public reportLimit(limit: requests.RateLimitFacts): void {
-    const { daemonId } = this.options;
+    const { clock, daemonId } = this.options;
     this.record(limit);
+    this.toldAt.set(limit.processId, clock.now());
     this.listLive()
       .filter((id) => id !== daemonId)
       .forEach((id) => {
@@ -57,8 +63,15 @@
 
   /** Grants or refuses a send, as the daemon that grants. */
   public grant(limit: requests.RateLimitFacts): requests.RateGrantAnswer {
+    const { processId } = limit;
+    const now = this.options.clock.now();
     this.record(limit);
-    return this.service.grant(limit.processId, this.options.clock.now());
+    const answer = this.service.grant(processId, now);
+    if (answer.limit !== undefined && now - (this.toldAt.get(processId) ?? now) > RETELL_MS) {
+      this.reportLimit(answer.limit);
+    }
+    this.toldAt.set(processId, this.toldAt.get(processId) ?? now);
+    return answer;
   }
 
   /** Records what another daemon has learned about a limit. */
--- a/packages/gateway/src/core-host.ts
+++ b/packages/gateway/src/core-host.ts
@@ -305,7 +305,7 @@
       log,
       random,
       count: (decision) => metrics.count('limitedSends', { decision }),
-      onLeaving: ({ processId }) => this.upstreamList.recordLeaving([processId ?? '']),
+      onLeaving: ({ processId }) => this.upstreamList.recordLeaving([processId]),
     });
   }
 
--- a/packages/gateway/src/entry-host.ts
+++ b/packages/gateway/src/entry-host.ts
@@ -116,7 +116,7 @@
       mesh: this.mesh,
       listCores: () => this.poller.listCores(),
       findLeader: () => this.poller.findLeader(),
-      requestLeader: (send) => placement.request(send),
+      clock,
       log,
     });
     this.gate = new requests.UpstreamGate({
@@ -128,7 +128,7 @@
       count: (decision) => options.metrics.count('limitedSends', { decision }),
       onLeaving: (upstream) => {
         this.directory.noteLeaving(upstream);
-        void this.rateGrants.reportLeaving(upstream);
+        this.rateGrants.reportLeaving(upstream.processId);
       },
     });
     this.client = new requests.UpstreamClient({
--- a/packages/gateway/src/placement-client.ts
+++ b/packages/gateway/src/placement-client.ts
@@ -107,7 +107,7 @@
   }
 
   /** Sends a request to the leader; after one that was not answered, sends none for a while. */
-  public async request<T>(send: (api: coreMeshes.CoreApi) => Promise<T>): Promise<T | undefined> {
+  private async request<T>(send: (api: coreMeshes.CoreApi) => Promise<T>): Promise<T | undefined> {
     const { clock, findLeader, log, mesh } = this.options;
     const leader = findLeader();
     if (leader === undefined || clock.now() < this.fallbackUntil) {
--- a/packages/gateway/src/rate-grant-client.ts
+++ b/packages/gateway/src/rate-grant-client.ts
@@ -10,22 +10,28 @@
 /** Cursor before the first contact with a core host. */
 const NO_CURSOR: procedures.RateLimitCursor = { source: '', revision: -1 };
 
+/** Time for which a leader that did not answer is sent no requests, in milliseconds. */
+const SKIP_FAILED_MS = 500;
+
 /** Dependencies of the rate grant client. */
 export interface RateGrantClientOptions {
   readonly hostId: string;
   readonly mesh: coreMeshes.CorePeers;
   readonly listCores: () => readonly string[];
   readonly findLeader: () => string | undefined;
-  /** Sends a request to the leader; `undefined` if there is none or it does not answer. */
-  readonly requestLeader: <T>(
-    send: (api: coreMeshes.CoreApi) => Promise<T>,
-  ) => Promise<T | undefined>;
+  readonly clock: schemas.Clock;
   readonly log: schemas.Log;
 }
 
-/** This host's requests to core hosts about limited upstreams. */
+/** Options of a request to a core host. */
+interface RequestOptions {
+  readonly context: { readonly deadlineMs: number };
+}
+
+/** This host's requests to core hosts about what upstreams have stated. */
 export class RateGrantClient implements requests.RateGrantor {
   private cursor = NO_CURSOR;
+  private skipUntil = -Infinity;
 
   public constructor(private readonly options: RateGrantClientOptions) {}
 
@@ -38,26 +44,34 @@
   public async requestGrant(
     limit: requests.RateLimitFacts,
   ): Promise<requests.RateGrantAnswer | undefined> {
-    const { hostId, requestLeader } = this.options;
-    const context = { deadlineMs: REQUEST_TIMEOUT_MS };
-    return requestLeader((api) => api.grantSend.mutate({ hostId, limit }, { context }));
+    const { clock, findLeader, hostId } = this.options;
+    const leader = findLeader();
+    if (leader === undefined || clock.now() < this.skipUntil) {
+      return undefined;
+    }
+    const answer = await this.request(leader, (api, options) =>
+      api.grantSend.mutate({ hostId, limit }, options),
+    );
+    if (answer === undefined) {
+      this.skipUntil = clock.now() + SKIP_FAILED_MS;
+    }
+    return answer;
   }
 
-  /** Reports a limit to the leader, or to all core hosts while there is none. */
+  /** Reports a limit; if the report is lost, the next request for a grant holds the same. */
   public reportLimit(limit: requests.RateLimitFacts): void {
-    const { findLeader, listCores } = this.options;
-    const leader = findLeader();
-    (leader === undefined ? listCores() : [leader]).forEach((coreId) => {
-      void this.sendLimits(coreId, [limit]);
-    });
+    void this.sendLimit(limit);
   }
 
   /** Reports that an upstream leaves to the leader; if the report is lost, the list shows it somewhat later. */
-  public async reportLeaving({ processId, upstreamId }: requests.GatedUpstream): Promise<void> {
-    const { hostId, requestLeader } = this.options;
-    const context = { deadlineMs: REQUEST_TIMEOUT_MS };
-    const processIds = [processId ?? upstreamId];
-    await requestLeader((api) => api.reportLeaving.mutate({ hostId, processIds }, { context }));
+  public reportLeaving(processId: string): void {
+    const { findLeader, hostId } = this.options;
+    const leader = findLeader();
+    if (leader !== undefined) {
+      void this.request(leader, (api, options) =>
+        api.reportLeaving.mutate({ hostId, processIds: [processId] }, options),
+      );
+    }
   }
 
   /** Applies a core host's updates; one that this host did not poll before gets all limits that this host knows. */
@@ -74,14 +88,37 @@
     }
   }
 
-  /** Sends limits; if they are lost, requests for grants still hold them. */
-  private async sendLimits(coreId: string, limits: requests.RateLimitFacts[]): Promise<void> {
-    const { hostId, log, mesh } = this.options;
-    const context = { deadlineMs: REQUEST_TIMEOUT_MS };
+  /** Sends a limit to the leader, or to all core hosts while none answers. */
+  private async sendLimit(limit: requests.RateLimitFacts): Promise<void> {
+    const { findLeader, listCores } = this.options;
+    const leader = findLeader();
+    if (leader !== undefined && (await this.sendLimits(leader, [limit]))) {
+      return;
+    }
+    const others = listCores().filter((coreId) => coreId !== leader);
+    await Promise.all(others.map((coreId) => this.sendLimits(coreId, [limit])));
+  }
+
+  /** Sends limits to a core host; returns whether it has them. */
+  private async sendLimits(coreId: string, limits: requests.RateLimitFacts[]): Promise<boolean> {
+    const { hostId } = this.options;
+    const answer = await this.request(coreId, async (api, options) => {
+      await api.reportLimits.mutate({ hostId, limits }, options);
+      return true;
+    });
+    return answer === true;
+  }
+
+  private async request<T>(
+    coreId: string,
+    send: (api: coreMeshes.CoreApi, options: RequestOptions) => Promise<T>,
+  ): Promise<T | undefined> {
+    const { log, mesh } = this.options;
     try {
-      await mesh.get(coreId).reportLimits.mutate({ hostId, limits }, { context });
+      return await send(mesh.get(coreId), { context: { deadlineMs: REQUEST_TIMEOUT_MS } });
     } catch (err) {
-      log.info({ step: 'report-limits', peer: coreId, err: schemas.toError(err).message });
+      log.info({ step: 'rate-grant', peer: coreId, err: schemas.toError(err).message });
+      return undefined;
     }
   }
 }
--- a/packages/gateway/tests/support/limited-fleet-simulation.ts
+++ b/packages/gateway/tests/support/limited-fleet-simulation.ts
@@ -11,9 +11,6 @@
 /** Timeout of a request without an answer, in milliseconds. */
 const DEADLINE_MS = 60;
 
-/** Time for which a host sends no request to a leader that did not answer, in milliseconds. */
-const SKIP_FAILED_MS = 500;
-
 /** Number of core hosts; all of them answer while none leads. */
 const CORE_HOSTS = 3;
 
@@ -192,7 +189,6 @@
   readonly client: rateGrantClients.RateGrantClient;
   entryHosts: number | undefined;
   partitionedUntil: number;
-  skipUntil: number;
   isUpdating: boolean;
 }
 
@@ -470,7 +466,7 @@
       mesh: { get: (coreId: string) => this.createApi(host, coreId) } as never,
       listCores: () => [...this.cores.keys()],
       findLeader: () => (this.reaches(host) ? this.leader?.coreId : undefined),
-      requestLeader: (send) => this.requestLeader(host, send as never),
+      clock,
       log,
     });
     const gate = new requests.UpstreamGate({
@@ -488,7 +484,6 @@
       client,
       entryHosts: undefined,
       partitionedUntil: 0,
-      skipUntil: 0,
       isUpdating: false,
     };
     this.hosts.push(host);
@@ -567,23 +562,6 @@
     };
   }
 
-  /** Sends a request to the leader. */
-  private async requestLeader<T>(
-    host: Host,
-    send: (api: unknown) => Promise<T>,
-  ): Promise<T | undefined> {
-    const { clock, leader } = this;
-    if (leader === undefined || clock.now() < host.skipUntil) {
-      return undefined;
-    }
-    try {
-      return await send(this.createApi(host, leader.coreId));
-    } catch {
-      host.skipUntil = clock.now() + SKIP_FAILED_MS;
-      return undefined;
-    }
-  }
-
   /** Delivers the updates of the leader, or else of any core host, to a host that lacks them. */
   private async update(host: Host): Promise<void> {
     const { clock, leader } = this;
--- a/packages/requests/src/upstream-gate.ts
+++ b/packages/requests/src/upstream-gate.ts
@@ -27,7 +27,7 @@
 export interface UpstreamGateOptions extends limitedSends.LimitedSendsOptions {
   readonly random: () => number;
   /** Called when an upstream first states that it leaves. */
-  readonly onLeaving?: (upstream: GatedUpstream) => void;
+  readonly onLeaving?: (upstream: Required<GatedUpstream>) => void;
 }
 
 /** A run that broke off and is to resume at an upstream. */
@@ -218,7 +218,7 @@
       this.leavingSince.delete(oldest!);
     }
     log.info({ event: 'upstream-leaving', upstream: processId });
-    onLeaving?.(upstream);
+    onLeaving?.({ upstreamId: upstream.upstreamId, processId });
   }
 
   private getOpenAt(upstream: GatedUpstream): number {
