Exclude upstreams that leave by their own statement from placement

The leader could place a call again and again on an engine that has told only this host that it leaves: the picker excluded what is listed as live and closed, and such an engine is no longer live here. After eight withheld sends the caller was refused. Found while reading the change; the new test of upstream-picker covers leaving, rest, and the refusal when none is left.

--- a/packages/gateway/src/upstream-directory.ts
+++ b/packages/gateway/src/upstream-directory.ts
@@ -119,6 +119,11 @@
     return reachable.length > 0 ? reachable : listed;
   }
 
+  /** Lists all upstreams of a service, whether or not they accept work. */
+  public listAll(service: string): KnownUpstream[] {
+    return [...this.entries.values()].filter(({ listed }) => listed.service === service);
+  }
+
   /** Returns the number of upstreams that accept work, of all services. */
   public countLive(): number {
     return [...this.entries.values()].filter((item) => this.acceptsWork(item)).length;
@@ -189,7 +194,7 @@
   }
 
   /** Records that an upstream's process has stated that it leaves. */
-  public noteLeaving({ processId, upstreamId }: requests.GatedUpstream): void {
+  public noteLeaving({ processId, upstreamId }: Required<requests.GatedUpstream>): void {
     const entry = this.entries.get(upstreamId);
     if (entry !== undefined && entry.processId === processId) {
       entry.isLeaving = true;
--- a/packages/gateway/src/upstream-picker.ts
+++ b/packages/gateway/src/upstream-picker.ts
@@ -102,8 +102,9 @@
       return this.pickByFallback(call, tried);
     }
     const closed = this.listClosed(call);
-    if (closed.length > 0 && closed.length === this.listLive(call).length) {
-      throw this.refuseClosed(call, closed);
+    const live = closed.length === 0 ? [] : this.listLive(call);
+    if (live.length > 0 && live.every((known) => closed.includes(known))) {
+      throw this.refuseClosed(call, live);
     }
     const now = this.options.clock.now();
     const patienceMs = Math.min(call.route.targetMs * MAX_WAIT_SHARE, call.endsAt - now);
@@ -330,9 +331,13 @@
   }
 
   /** Lists the upstreams that take no call now, by what they have stated themselves. */
-  private listClosed(call: callAdmissions.AdmittedCall): upstreamDirectories.KnownUpstream[] {
-    const { gate } = this.options;
-    return gate.areAllOpen() ? [] : this.listLive(call).filter((known) => !gate.isOpen(known));
+  private listClosed({
+    service,
+  }: callAdmissions.AdmittedCall): upstreamDirectories.KnownUpstream[] {
+    const { directory, gate } = this.options;
+    return gate.areAllOpen()
+      ? []
+      : directory.listAll(service.name).filter((known) => !gate.isOpen(known));
   }
 
   private refuseClosed(
--- a/packages/gateway/tests/upstream-picker.test.ts
+++ b/packages/gateway/tests/upstream-picker.test.ts
@@ -59,12 +59,13 @@
   clock: schemas.Clock,
   placer: upstreamPickers.GenerationPlacer,
   directory = createDirectory(clock, ['e-1']),
+  gate = requests.createLocalGate(clock, new schemas.SilentLog()),
 ) {
   return new upstreamPickers.UpstreamPicker({
     directory,
     placer,
     availabilityZone: 'a',
-    gate: requests.createLocalGate(clock, new schemas.SilentLog()),
+    gate,
     coldSendQuota: new routing.ColdSendQuota('host', () => 16),
     clock,
     log: new schemas.SilentLog(),
@@ -187,3 +188,41 @@
   t.equal(other.target?.upstreamId, 'e-1');
   t.same(known.events, []);
 });
+
+// Guards against a leader that places a call on an engine which has told this host that it takes none, time after time.
+void tap.default.test(
+  'engines that take no calls by their own statement are excluded',
+  async (t) => {
+    const clock = new schemas.VirtualClock();
+    const gate = requests.createLocalGate(clock, new schemas.SilentLog());
+    const directory = createDirectory(clock, ['e-1', 'e-2', 'e-3']);
+    const excluded: (readonly string[])[] = [];
+    const placer = new FixedPlacer('e-1');
+    const { place } = placer;
+    placer.place = async (service, spec) => {
+      excluded.push(spec.excluded);
+      return place.call(placer, service, spec);
+    };
+    const picker = createPicker(clock, placer, directory, gate);
+    const record = (upstreamId: string, notice: Partial<requests.UpstreamNotice>) => {
+      const { processId } = directory.find(upstreamId)!;
+      gate.recordAnswer({ upstreamId, processId }, { ...requests.EMPTY_NOTICE, ...notice });
+      return { processId, upstreamId };
+    };
+    record('e-2', { rest: { kind: 'named', restMs: 3_000 } });
+    directory.noteLeaving(record('e-3', { isLeaving: true }));
+    t.equal((await picker.pick(createCall(), new Set())).upstreamId, 'e-1');
+    t.same(
+      excluded,
+      [['e-2', 'e-3']],
+      'one that rests, and one that leaves before the list says so',
+    );
+    record('e-1', { rest: { kind: 'named', restMs: 2_000 } });
+    const refusal = await picker.pick(createCall(), new Set()).catch((err: unknown) => err);
+    t.ok(refusal instanceof schemas.Refusal, 'refused at once when none is left');
+    const { options } = refusal as schemas.Refusal;
+    t.equal(options.id, 'resting');
+    t.ok(options.retryAfterS! >= 2 && options.retryAfterS! <= 3, 'until the first rest ends');
+    t.equal(excluded.length, 1, 'without a request to the leader');
+  },
+);
