Don't let a probe that names no limit end one

Found by reading: answers to probes counted like answers to calls, so an engine that names its limit to calls only would have its limit ended five times a second and begun again by the next call, and all hosts told each time.

--- a/packages/gateway/src/leaving-engine-monitor.ts
+++ b/packages/gateway/src/leaving-engine-monitor.ts
@@ -116,7 +116,7 @@
       gate.use(await gate.admit(engine), engine);
       const signal = AbortSignal.timeout(PROBE_TIMEOUT_MS);
       const answer = await probe.probe(address, healthPath, signal);
-      gate.recordAnswer(engine, answer.notice);
+      gate.recordProbe(engine, answer.notice);
       this.handleReport(engine, answer.isLeaving);
     } catch (err) {
       // A missing answer is not a leaving report; senders of work detect an unreachable engine themselves. The next probe
--- a/packages/requests/src/upstream-gate.ts
+++ b/packages/requests/src/upstream-gate.ts
@@ -81,14 +81,21 @@
     this.rests = new upstreamRests.UpstreamRests(options.clock, options.log);
   }
 
-  /** Records what an upstream states in an answer. */
+  /** Records what an upstream states in an answer to a call. */
   public recordAnswer(upstream: GatedUpstream, notice: upstreamNotices.UpstreamNotice): void {
-    const processId = getProcessId(upstream);
-    this.limited.recordAnswer(processId, notice.limit);
-    this.rests.recordAnswer(processId, notice.rest);
-    if (notice.isLeaving) {
-      this.recordLeaving(upstream);
+    this.limited.recordAnswer(getProcessId(upstream), notice.limit);
+    this.recordRestAndLeaving(upstream, notice);
+  }
+
+  /**
+   * Records what an upstream states in an answer to a probe. One that names no limit does not end a limit: an upstream
+   * may name it to calls only, and probes are frequent.
+   */
+  public recordProbe(upstream: GatedUpstream, notice: upstreamNotices.UpstreamNotice): void {
+    if (notice.limit.kind !== 'none') {
+      this.limited.recordAnswer(getProcessId(upstream), notice.limit);
     }
+    this.recordRestAndLeaving(upstream, notice);
   }
 
   /** Applies what other hosts have reported about limits. */
@@ -206,6 +213,16 @@
     return new SendPermit(processId, isLimited, mayLeave, clock.now() + PERMIT_TTL_MS);
   }
 
+  private recordRestAndLeaving(
+    upstream: GatedUpstream,
+    { isLeaving, rest }: upstreamNotices.UpstreamNotice,
+  ): void {
+    this.rests.recordAnswer(getProcessId(upstream), rest);
+    if (isLeaving) {
+      this.recordLeaving(upstream);
+    }
+  }
+
   private recordLeaving(upstream: GatedUpstream): void {
     const { clock, log, onLeaving } = this.options;
     const processId = getProcessId(upstream);
--- a/packages/requests/tests/upstream-gate.test.ts
+++ b/packages/requests/tests/upstream-gate.test.ts
@@ -203,3 +203,19 @@
   await t.rejects(resume(statedAt + 1), 'not for a call that arrived later');
   t.ok(gate.isOpen({ upstreamId: 'u1', processId: 'u1@8' }), 'its next process is another');
 });
+
+// Guards against frequent probes that end a limit which the upstream names to calls only.
+void tap.default.test('a probe begins a limit but does not end one', async (t) => {
+  const { gate, name } = createFixture();
+  gate.recordProbe(UPSTREAM, requests.EMPTY_NOTICE);
+  t.equal(gate.countLimits(), 0);
+  gate.recordProbe(UPSTREAM, {
+    ...requests.EMPTY_NOTICE,
+    limit: { kind: 'named', callsPerS: 2 },
+  });
+  t.equal(gate.countLimits(), 1);
+  gate.recordProbe(UPSTREAM, requests.EMPTY_NOTICE);
+  t.equal(gate.countLimits(), 1);
+  name(undefined);
+  t.equal(gate.countLimits(), 0, 'an answer to a call ends it');
+});
