--- a/packages/requests/src/upstream-gate.ts
+++ b/packages/requests/src/upstream-gate.ts
@@ -195,10 +195,11 @@
   public use(permit: SendPermit, upstream: GatedUpstream): void {
     const processId = getProcessId(upstream);
     const now = this.options.clock.now();
-    const isForProcess = permit.processId === processId && this.rests.getEnd(processId) <= now;
+    const isForProcess = permit.processId === processId;
+    const isResting = this.rests.getEnd(processId) > now;
     const isCounted = permit.isLimited || !this.limited.isLimited(processId);
     const isStaying = permit.mayLeave || !this.isLeaving(upstream);
-    if (!permit.use(now) || !isForProcess || !isCounted || !isStaying) {
+    if (!permit.use(now) || !isForProcess || isResting || !isCounted || !isStaying) {
       throw this.withhold(upstream);
     }
   }
