--- a/packages/daemon/src/rate-grants.ts
+++ b/packages/daemon/src/rate-grants.ts
@@ -10,7 +10,7 @@
 /** Time for which a daemon that did not answer is not asked again, in milliseconds. */
 const SKIP_FAILED_MS = 500;
 
-/** Time after which daemons are told of a limit again, in milliseconds; they forget it a minute after the last answer. */
+/** Interval at which a known limit is sent to the daemons again, in milliseconds; below the maximum age of a limit. */
 const RETELL_MS = 20_000;
 
 /** Dependencies of the rate grants. */
--- a/packages/gateway/src/rate-limit-service.ts
+++ b/packages/gateway/src/rate-limit-service.ts
@@ -4,12 +4,12 @@
 import type * as procedures from './core-procedures.js';
 
 /**
- * Factor by which a limit must change before all hosts are told, up or down. The leader grants sends by the newest
+ * Factor by which a limit must rise or fall before it is sent to all hosts. The leader grants sends by the newest
  * value; hosts need it only for when they reach no leader, and a limit may change with each answer.
  */
 const MIN_TOLD_CHANGE = 1.25;
 
-/** Time after which hosts are told of a limit again, in milliseconds; they forget it a minute after the last answer. */
+/** Interval at which a known limit is sent to the hosts again, in milliseconds; below the maximum age of a limit. */
 const RETELL_MS = 20_000;
 
 /** Maximum number of processes of which it is kept what hosts were told; the oldest is dropped first. */
