--- a/packages/gateway/src/host-settings.ts
+++ b/packages/gateway/src/host-settings.ts
@@ -24,6 +24,12 @@
   coldSlack: z.number().min(0).default(0),
 });
 
+/** How scarce capacity is shared among teams. */
+export const capacitySharing = z.object({
+  /** Weights of teams by name; override those of the configuration. */
+  teamWeights: z.record(z.string(), z.number().positive()).default({}),
+});
+
 /** Schema of one host's settings for routed traffic. */
 export const hostSettings = z.object({
   hostId: z.string().min(1),
@@ -53,8 +59,13 @@
   /** Maximum number of requests to that list per second, for all hosts together. */
   listCallsPerS: z.number().positive(),
   bounds: deploymentBounds,
+  /** Shares scarce capacity among teams by weight; absent where calls are served in the order of their arrival. */
+  capacitySharing: capacitySharing.optional(),
 });
 
+/** How scarce capacity is shared among teams. */
+export type CapacitySharing = z.infer<typeof capacitySharing>;
+
 /** The settings of one host for routed traffic. */
 export type HostSettings = z.infer<typeof hostSettings>;
 
--- /dev/null
+++ b/packages/scheduling/src/index.ts
@@ -0,0 +1,1 @@
+export * from './stated-load.js';
--- /dev/null
+++ b/packages/scheduling/src/stated-load.ts
@@ -0,0 +1,20 @@
+import * as z from 'zod';
+
+/** Range of plausible slowdowns; figures outside it are ignored as if none had been stated. */
+export const MIN_SLOWDOWN = 0.1;
+export const MAX_SLOWDOWN = 50;
+
+/** Load that an upstream states with an answer. */
+export const statedLoad = z.object({
+  /** Number of calls that it processes now. */
+  running: z.number().min(0),
+  /** Number of calls that wait in its queue. */
+  waiting: z.number().min(0),
+  /** Number of calls that it processes concurrently; `undefined` if not stated. */
+  slots: z.number().min(1).optional(),
+  /** How many times as long as usual work takes on its machine now; `undefined` if not stated. */
+  slowdown: z.number().min(MIN_SLOWDOWN).max(MAX_SLOWDOWN).optional(),
+});
+
+/** Load that an upstream states with an answer. */
+export type StatedLoad = z.infer<typeof statedLoad>;
--- a/packages/schemas/src/routed-config.ts
+++ b/packages/schemas/src/routed-config.ts
@@ -73,6 +73,8 @@
   keys: z.array(z.string()),
   /** Overrides the route's priority if set; 0 is the highest. */
   urgency: z.int().min(0).optional(),
+  /** Weight of its share of scarce capacity relative to other teams; 1 if not set. */
+  weight: z.number().positive().optional(),
   /** Regions whose upstreams may run its calls; `undefined` for all. */
   regions: z.array(z.string()).min(1).optional(),
 });
