Keep a statement of leaving through a change of lists

What callers saw: an upstream stated in an answer that it leaves, the core hosts stopped 1.5 s later, and entry hosts that had not got the statement themselves sent it calls again 3.5 s and more after it. The same happened after a change of the leader.

Cause: a host knew the statement only from the mark `saysLeaving` in the leader's list. Its next list, read from the platform by itself or made by a new leader, lacked the mark, and the gate of the host had never learned it.

The log of that host shows `upstreams-listed` with leaving 1, `core-lost`, `upstreams-listed` with leaving 0 and then `upstream-leaving` for its call.

Change: the leader marks a process that has stated in an answer that it leaves with `hasStatedLeaving`. A host that receives the mark records the process in its gate, which every send passes, and in the directory, where it stays for this process. A restart under the same id has another process id and is open. The report of an engine to a probe is not marked, so the leader drops it as before if the list does not confirm it within 2.5 s.

--- a/packages/gateway/src/entry-host.ts
+++ b/packages/gateway/src/entry-host.ts
@@ -356,6 +356,7 @@
     } else if (updates.listAgeMs !== undefined) {
       this.directory.confirmCurrent(updates.listAgeMs);
     }
+    this.gate.mergeLeaving(this.directory.listStatedLeaving());
     this.suspects.applyQuarantined(updates.quarantined ?? []);
     if (updates.suspects !== undefined) {
       this.suspects.applyUpdates(updates.suspects);
--- a/packages/gateway/src/upstream-directory.ts
+++ b/packages/gateway/src/upstream-directory.ts
@@ -124,6 +124,11 @@
     return [...this.entries.values()].filter(({ listed }) => listed.service === service);
   }
 
+  /** Lists the upstreams of all services whose processes have stated in answers that they leave, as the list shows it. */
+  public listStatedLeaving(): KnownUpstream[] {
+    return [...this.entries.values()].filter(({ listed }) => listed.hasStatedLeaving === true);
+  }
+
   /** Returns the number of upstreams that accept work, of all services. */
   public countLive(): number {
     return [...this.entries.values()].filter((item) => this.acceptsWork(item)).length;
@@ -226,7 +231,8 @@
       load: previous?.load ?? new routing.UpstreamLoad(),
       coldUntil: this.getColdUntil(listed, previous),
       unlistedColdUntil: previous?.unlistedColdUntil ?? -Infinity,
-      isLeaving: listed.isLeaving || (previous?.isLeaving ?? false),
+      isLeaving:
+        listed.isLeaving || listed.hasStatedLeaving === true || (previous?.isLeaving ?? false),
       isGone: previous?.isGone ?? false,
       skipUntil: previous?.skipUntil ?? -Infinity,
     };
--- a/packages/gateway/src/upstream-list-service.ts
+++ b/packages/gateway/src/upstream-list-service.ts
@@ -209,9 +209,7 @@
   private rebuild(): void {
     const listed = new Set(this.platformUpstreams.map(schemas.getProcessId));
     this.statedLeaving = new Set([...this.statedLeaving].filter((id) => listed.has(id)));
-    const upstreams = this.platformUpstreams.map((item) =>
-      this.isLeaving(item) ? { ...item, saysLeaving: true } : item,
-    );
+    const upstreams = this.platformUpstreams.map((item) => this.addReports(item));
     const stamp = schemas.getContentHash(upstreams);
     const isChanged = stamp !== this.getList()?.stamp;
     this.inForceReadAt = this.readAt;
@@ -225,11 +223,12 @@
     }
   }
 
-  private isLeaving(item: schemas.ListedUpstream): boolean {
-    return (
-      this.leavingEngines.isLeaving(item.upstreamId) ||
-      this.statedLeaving.has(schemas.getProcessId(item))
-    );
+  /** Adds to an entry of the platform's list what its upstream has reported itself. */
+  private addReports(item: schemas.ListedUpstream): schemas.ListedUpstream {
+    if (this.statedLeaving.has(schemas.getProcessId(item))) {
+      return { ...item, saysLeaving: true, hasStatedLeaving: true };
+    }
+    return this.leavingEngines.isLeaving(item.upstreamId) ? { ...item, saysLeaving: true } : item;
   }
 
   /** Lists the engines whose runs can be migrated and that are not listed as leaving. */
--- a/packages/gateway/tests/upstream-directory.test.ts
+++ b/packages/gateway/tests/upstream-directory.test.ts
@@ -46,3 +46,23 @@
   t.notOk(directory.isLive('e-1'));
   t.notOk(directory.hasRestarted(known));
 });
+
+// Guards against new calls to a process that leaves after this host has read the platform's list by itself, which does
+// not show the statement that the leader had distributed.
+void tap.default.test('a statement from the leader holds for the process', async (t) => {
+  const { directory, apply } = createDirectory();
+  apply(createStarted(1_000, { saysLeaving: true, hasStatedLeaving: true }));
+  apply(createStarted(1_000));
+  t.notOk(directory.isLive('e-1'), 'the platform does not show it');
+  apply(createStarted(2_000));
+  t.ok(directory.isLive('e-1'), 'another process under the same id');
+});
+
+// Guards against engines that get no work for good because of a report that the list did not confirm.
+void tap.default.test('an unconfirmed report ends with the list that lacks it', async (t) => {
+  const { directory, apply } = createDirectory();
+  apply(createStarted(1_000, { saysLeaving: true }));
+  t.notOk(directory.isLive('e-1'));
+  apply(createStarted(1_000));
+  t.ok(directory.isLive('e-1'));
+});
--- a/packages/gateway/tests/upstream-list-service.test.ts
+++ b/packages/gateway/tests/upstream-list-service.test.ts
@@ -70,6 +70,10 @@
   stamps.delete(before?.stamp ?? '');
   t.equal(stamps.size, 1, 'one list contains all seven reports');
   t.ok(service.getList()?.upstreams.every(({ saysLeaving }) => saysLeaving === true));
+  t.notOk(
+    service.getList()?.upstreams.some(({ hasStatedLeaving }) => hasStatedLeaving === true),
+    'a report to a probe may be dropped',
+  );
   t.equal(service.getPackedList(), service.getPackedList(), 'the same bytes for every host');
   service.stop();
 });
@@ -89,6 +93,7 @@
   );
   await clock.advance(10_000);
   t.equal(marked().length, 1, 'for good');
+  t.equal(marked()[0]?.hasStatedLeaving, true);
   service.stop();
 });
 
--- a/packages/requests/src/upstream-gate.ts
+++ b/packages/requests/src/upstream-gate.ts
@@ -103,6 +103,11 @@
     all.forEach((facts) => this.limited.merge(facts));
   }
 
+  /** Applies which upstreams have stated to other hosts that they leave. */
+  public mergeLeaving(upstreams: readonly GatedUpstream[]): void {
+    upstreams.forEach((upstream) => this.addLeaving(upstream));
+  }
+
   /** Lists what this host knows about limits. */
   public listLimits(): rateLimitTables.RateLimitFacts[] {
     return this.limited.list();
@@ -225,10 +230,18 @@
   }
 
   private recordLeaving(upstream: GatedUpstream): void {
-    const { clock, log, onLeaving } = this.options;
+    const processId = getProcessId(upstream);
+    if (this.addLeaving(upstream)) {
+      this.options.onLeaving?.({ upstreamId: upstream.upstreamId, processId });
+    }
+  }
+
+  /** Adds a process that leaves; returns whether it was not known to leave. */
+  private addLeaving(upstream: GatedUpstream): boolean {
+    const { clock, log } = this.options;
     const processId = getProcessId(upstream);
     if (this.leavingSince.has(processId)) {
-      return;
+      return false;
     }
     this.leavingSince.set(processId, clock.now());
     if (this.leavingSince.size > MAX_LEAVING) {
@@ -236,7 +249,7 @@
       this.leavingSince.delete(oldest!);
     }
     log.info({ event: 'upstream-leaving', upstream: processId });
-    onLeaving?.({ upstreamId: upstream.upstreamId, processId });
+    return true;
   }
 
   private getOpenAt(upstream: GatedUpstream): number {
--- a/packages/requests/tests/upstream-gate.test.ts
+++ b/packages/requests/tests/upstream-gate.test.ts
@@ -219,3 +219,16 @@
   name(undefined);
   t.equal(gate.countLimits(), 0, 'an answer to a call ends it');
 });
+
+// Guards against new calls to an upstream of which only another host has heard that it leaves.
+void tap.default.test('what an upstream stated to another host binds here too', async (t) => {
+  const { admit, gate } = createFixture();
+  const early = await admit();
+  gate.mergeLeaving([UPSTREAM]);
+  t.ok(
+    isWithheld(() => gate.use(early!, UPSTREAM)),
+    'also with an earlier permit',
+  );
+  t.notOk(await admit());
+  t.ok(gate.isOpen({ ...UPSTREAM, processId: 'u1@8' }), 'but not another process of the same id');
+});
--- a/packages/schemas/src/listed-upstream.ts
+++ b/packages/schemas/src/listed-upstream.ts
@@ -16,6 +16,8 @@
   isLeaving: z.boolean(),
   /** Whether the upstream itself reports that it is leaving before the list shows it; it may withdraw that report. */
   saysLeaving: z.boolean().optional(),
+  /** Whether its process has stated in an answer that it leaves; the process does not withdraw that. */
+  hasStatedLeaving: z.boolean().optional(),
   slots: z.int().min(1),
   /** Remaining time for which it is slow after its start, in milliseconds. */
   coldMs: z.number().min(0),
