Keep statements of leaving that precede a leader's first read

What callers saw: calls sent to an upstream that had stated that it leaves, after a change of the leader.

Cause: UpstreamListService dropped, at each build of its list, the reported processes that the platform's list lacks. A new leader that had not read that list yet dropped every report at once; a re-elected one compared the report with the list of its former leadership.

Change: reports are compared only with a list that has just been read.

--- a/packages/gateway/src/upstream-list-service.ts
+++ b/packages/gateway/src/upstream-list-service.ts
@@ -169,6 +169,9 @@
 
   private handleRead({ upstreams }: procedures.UpstreamList): void {
     this.readAt = this.options.clock.now();
+    // Only a new read shows which processes have ended; the list of a former leadership may lack new ones.
+    const listed = new Set(upstreams.map(schemas.getProcessId));
+    this.statedLeaving = new Set([...this.statedLeaving].filter((id) => listed.has(id)));
     this.platformUpstreams = this.keepFirstColdTimes(upstreams);
     this.scheduleRebuild();
   }
@@ -207,8 +210,6 @@
 
   /** Builds a new list if the platform's list or the engines' reports have changed. */
   private rebuild(): void {
-    const listed = new Set(this.platformUpstreams.map(schemas.getProcessId));
-    this.statedLeaving = new Set([...this.statedLeaving].filter((id) => listed.has(id)));
     const upstreams = this.platformUpstreams.map((item) => this.addReports(item));
     const stamp = schemas.getContentHash(upstreams);
     const isChanged = stamp !== this.getList()?.stamp;
--- a/packages/gateway/tests/upstream-list-service.test.ts
+++ b/packages/gateway/tests/upstream-list-service.test.ts
@@ -15,7 +15,7 @@
 }
 
 /** Creates a service with seven engines, which all report leaving once the test sets so, with delays of 0 to 6 ms. */
-function createService(clock: schemas.VirtualClock) {
+function createService(clock: schemas.VirtualClock, readMs = 0) {
   const state = { areLeaving: false, activeSince: 0 as number | undefined, coldUntil: 0 };
   const getColdMs = () => Math.max(0, state.coldUntil - clock.now());
   const engine = {
@@ -27,12 +27,14 @@
   };
   const service = new upstreamListServices.UpstreamListService({
     source: {
-      list: async () =>
-        Promise.resolve({
+      list: async () => {
+        await clock.sleep(readMs);
+        return {
           upstreams: ENGINES.map((id) => ({ ...createEngine(id), coldMs: getColdMs() })),
           calls: 1,
           unreadable: 0,
-        }),
+        };
+      },
     },
     probe: {
       probe: async (address) => {
@@ -97,6 +99,28 @@
   service.stop();
 });
 
+// Guards against a new leader that drops what hosts report to it before it has read the platform's list.
+void tap.default.test('a statement reported before the first read is kept', async (t) => {
+  const clock = new schemas.VirtualClock();
+  const { service, state } = createService(clock, 100);
+  service.recordLeaving(['e3', 'unknown']);
+  await clock.advance(500);
+  const marked = () =>
+    service.getList()!.upstreams.filter(({ hasStatedLeaving }) => hasStatedLeaving === true);
+  t.same(
+    marked().map((item) => item.upstreamId),
+    ['e3'],
+  );
+  state.activeSince = undefined;
+  await clock.advance(1_000);
+  service.recordLeaving(['e4']);
+  await clock.advance(1_000);
+  state.activeSince = clock.now();
+  await clock.advance(500);
+  t.equal(marked().length, 2, 'nor in a later leadership');
+  service.stop();
+});
+
 void tap.default.test('an encoded list decodes to the same list', async (t) => {
   // A host that decoded a different list would request it again at once, indefinitely.
   const list = { stamp: 's1', upstreams: ENGINES.map(createEngine) };
