Report statements of leaving again to a leader that lacks them

What callers saw: calls sent to an upstream that had stated that it leaves, from an entry host that started after the leader had changed.

Cause: a host reports a statement once, when it gets it. A new leader starts without the statements, and a report can be lost; nothing repeated it, so the leader's list showed the upstream as staying.

Evidence: the new test of leaving-statements, run before the change, counts one late call at an entry host that starts under the new leader (5 passed, 1 failed).

Change: with each answer of the leader, a host reports the processes that its gate knows to leave and that the leader's list shows as staying. A new leader gets one report from each host that knows, then its list has them.

--- a/packages/gateway/src/entry-host.ts
+++ b/packages/gateway/src/entry-host.ts
@@ -128,7 +128,7 @@
       count: (decision) => options.metrics.count('limitedSends', { decision }),
       onLeaving: (upstream) => {
         this.directory.noteLeaving(upstream);
-        this.rateGrants.reportLeaving(upstream.processId);
+        this.rateGrants.reportLeaving([upstream.processId]);
       },
     });
     this.client = new requests.UpstreamClient({
@@ -356,7 +356,9 @@
     } else if (updates.listAgeMs !== undefined) {
       this.directory.confirmCurrent(updates.listAgeMs);
     }
-    this.gate.mergeLeaving(this.directory.listStatedLeaving());
+    if (updates.listAgeMs !== undefined) {
+      this.shareLeaving();
+    }
     this.suspects.applyQuarantined(updates.quarantined ?? []);
     if (updates.suspects !== undefined) {
       this.suspects.applyUpdates(updates.suspects);
@@ -372,6 +374,15 @@
     }
   }
 
+  /** Takes over which upstreams the leader's list marks as leaving, and reports to the leader those that it lacks. */
+  private shareLeaving(): void {
+    this.gate.mergeLeaving(this.directory.listStatedLeaving());
+    const missing = this.directory.listShownStaying().filter((item) => this.gate.isLeaving(item));
+    if (missing.length > 0) {
+      this.rateGrants.reportLeaving(missing.map(({ processId }) => processId));
+    }
+  }
+
   private applyEvacuations(facts: intents.EvacuatedZones): void {
     if (this.evacuations.restore(facts)) {
       this.options.log.info({ event: 'evacuations-in-force', ...facts });
--- a/packages/gateway/src/rate-grant-client.ts
+++ b/packages/gateway/src/rate-grant-client.ts
@@ -63,13 +63,13 @@
     void this.sendLimit(limit);
   }
 
-  /** Reports that an upstream leaves to the leader; if the report is lost, the list shows it somewhat later. */
-  public reportLeaving(processId: string): void {
+  /** Reports to the leader that upstream processes leave; a lost report is repeated when the leader's list lacks them. */
+  public reportLeaving(processIds: string[]): void {
     const { findLeader, hostId } = this.options;
     const leader = findLeader();
     if (leader !== undefined) {
       void this.request(leader, (api, options) =>
-        api.reportLeaving.mutate({ hostId, processIds: [processId] }, options),
+        api.reportLeaving.mutate({ hostId, processIds }, options),
       );
     }
   }
--- a/packages/gateway/src/upstream-directory.ts
+++ b/packages/gateway/src/upstream-directory.ts
@@ -129,6 +129,13 @@
     return [...this.entries.values()].filter(({ listed }) => listed.hasStatedLeaving === true);
   }
 
+  /** Lists the upstreams of all services that the list shows as staying, whatever this host has observed. */
+  public listShownStaying(): KnownUpstream[] {
+    return [...this.entries.values()].filter(
+      ({ listed }) => !listed.isLeaving && listed.saysLeaving !== true,
+    );
+  }
+
   /** Returns the number of upstreams that accept work, of all services. */
   public countLive(): number {
     return [...this.entries.values()].filter((item) => this.acceptsWork(item)).length;
--- a/packages/gateway/tests/leaving-statements.test.ts
+++ b/packages/gateway/tests/leaving-statements.test.ts
@@ -48,13 +48,13 @@
     }
     return performance.now();
   };
-  /** Calls the other entry host while the statement binds; returns the number of calls that reached the upstream. */
-  const countLate = async (statedAt: number) => {
+  /** Calls another entry host while the statement binds; returns the number of calls that reached the upstream. */
+  const countLate = async (statedAt: number, port = other!.port) => {
     await sleep(Math.max(0, statedAt + BINDS_MS - performance.now()));
     const before = arrivedAt.length;
     const statuses: number[] = [];
     for (let i = 0; performance.now() < statedAt + END_MS; i += 1) {
-      statuses.push((await callAt(other!.port, `b${i}`)).status);
+      statuses.push((await callAt(port, `b${i}`)).status);
       await sleep(PAUSE_MS);
     }
     t.same([...new Set(statuses)], [200], 'every call is served');
@@ -88,3 +88,18 @@
   const late = await countLate(statedAt);
   t.equal(late, 0, `${late} calls later than ${BINDS_MS} ms after the statement`);
 });
+
+// Guards against a new leader that never learns the statement, since the host that got it has reported it only once.
+void tap.default.test('a new leader tells hosts that start later', async (t) => {
+  const { site, getStatement, countLate } = await createSite(t);
+  const statedAt = await getStatement();
+  await sleep(CORES_STOP_MS);
+  const former = site.findLeader();
+  site.stopCore(former!);
+  await site.until('a new leader', () => site.findLeader() !== former);
+  await site.addEntry();
+  const added = site.others.at(-1)!;
+  await site.until('ready', () => added.host.isReady());
+  const late = await countLate(statedAt, added.port);
+  t.equal(late, 0, `${late} calls later than ${BINDS_MS} ms after the statement`);
+});
