Order requests for scarce capacity by team shares

Service follows demand today: a team that asks for three times the capacity takes most of it, and priority has no effect on plain services.

Adds FairShareQueue: requests are ordered by priority, then those that can still be on time, then by the service of their team relative to its weight, then by latest start. A lane that had nothing waiting starts at the level of its priority, and a priority that is served less than 0.4 times as often as all calls goes first. The wait of a request is forecast from the work ahead of it and the recent flow that will overtake it. Nothing uses it yet.

--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -1,1 +1,10 @@
+/** Shares of scarce capacity, concurrency limits and expected service times. */
+export * from './decaying-count.js';
+export * from './fair-share-queue.js';
+export * from './priority-order.js';
+export * from './service-round.js';
+export * from './share-lane.js';
+export * from './share-request.js';
 export * from './stated-load.js';
+export * from './team-accounts.js';
+export * from './wait-forecast.js';
