Let waiting generations be ordered by team shares

Generations wait for engines in the order of their due dates, so memory goes to teams in proportion to their demand.

The order of PlacementQueue is now an interface. FairShareOrder divides memory by a FairShareQueue, with the memory needed as the cost. One engine at a time is kept free for a generation that smaller ones overtake, and for the next of its team if its own wait was too short. A generation whose wait is over is no longer placed behind a long prefill backlog before smaller ones whose turn it is.

--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,9 +1,11 @@
 /** Decision logic: capacity, queues, upstream selection and fairness. */
 export * from './cold-send-quota.js';
 export * from './crash-ledger.js';
+export * from './due-date-order.js';
 export * from './engine-ledger.js';
 export * from './engine-occupancy.js';
 export * from './fair-queue.js';
+export * from './fair-share-order.js';
 export * from './fallback-choice.js';
 export * from './length-distribution.js';
 export * from './length-model.js';
@@ -13,6 +15,7 @@
 export * from './memory-growth.js';
 export * from './migration-scheduler.js';
 export * from './placed-run.js';
+export * from './placement-order.js';
 export * from './placement-queue.js';
 export * from './placement-spec.js';
 export * from './pool-ledger.js';
--- a/packages/routing/src/placement-queue.ts
+++ b/packages/routing/src/placement-queue.ts
@@ -1,78 +1,78 @@
+import * as dueDateOrders from './due-date-order.js';
 import type * as engineLedgers from './engine-ledger.js';
+import type * as placementOrders from './placement-order.js';
 import * as placementSpecs from './placement-spec.js';
 
-/** A generation that waits for placement. */
-export interface QueuedPlacement {
-  readonly spec: placementSpecs.PlacementSpec;
-  /** Time at which its first event is due. */
-  readonly dueAt: number;
-  /** Priority among those that are already late; 0 comes first. */
-  readonly priority: number;
-  /** Time until which it may wait. */
-  readonly expiresAt: number;
-}
-
 /** The outcome for a generation that waited. */
-export interface SettledPlacement<Q extends QueuedPlacement> {
+export interface SettledPlacement<Q extends placementOrders.QueuedPlacement> {
   readonly queued: Q;
   /** `undefined` if its wait is over and no engine has capacity. */
   readonly placed: placementSpecs.Placement | undefined;
 }
 
 /**
- * Queues the generations that wait for placement in one pool: earliest due date first, placed as
+ * Queues the generations that wait for placement in one pool, and places them in a given order, as
  * late as possible. When prompts were bound to an engine on arrival, all of them went to the one
  * that had just started and waited there for 2 to 6 s, while other engines got free capacity within
- * tenths of a second. A generation whose first event is already late waits behind those that can
- * still be on time.
+ * tenths of a second.
  */
-export class PlacementQueue<Q extends QueuedPlacement = QueuedPlacement> {
-  private waiting: Q[] = [];
+export class PlacementQueue<
+  Q extends placementOrders.QueuedPlacement = placementOrders.QueuedPlacement,
+> {
+  private readonly arrived: Q[] = [];
 
-  public constructor(private readonly ledger: engineLedgers.EngineLedger) {}
+  public constructor(
+    private readonly ledger: engineLedgers.EngineLedger,
+    private order: placementOrders.PlacementOrder<Q> = new dueDateOrders.DueDateOrder<Q>(ledger),
+  ) {}
 
   /** Number of waiting generations. */
   public get size(): number {
-    return this.waiting.length;
+    return this.arrived.length + this.order.size;
   }
 
   /** Adds a generation. */
   public add(queued: Q): void {
-    this.waiting.push(queued);
+    this.arrived.push(queued);
+  }
+
+  /** Replaces the order; all generations continue to wait. */
+  public setOrder(order: placementOrders.PlacementOrder<Q>): void {
+    this.arrived.unshift(...this.order.list());
+    this.order = order;
   }
 
   /** Places all that can be placed now, and settles those whose wait is over. */
   public dispatch(now: number): SettledPlacement<Q>[] {
+    const { ledger, order } = this;
+    this.arrived.splice(0).forEach((queued) => order.add(queued, now));
     const settled: SettledPlacement<Q>[] = [];
-    const remaining: Q[] = [];
-    const failedSizes = new FailedSizes(this.ledger);
-    [...this.sort(now)].forEach((queued) => {
+    const failedSizes = new FailedSizes(ledger);
+    for (const queued of order.iterate(now)) {
       const isOver = now >= queued.expiresAt;
-      const cannotFit = !isOver && failedSizes.has(queued.spec);
-      const placed = cannotFit ? undefined : this.ledger.place(queued.spec, now, !isOver);
+      const cannotFit = (!isOver || order.keepsTurns) && failedSizes.has(queued.spec);
+      const spec = excludeEngine(queued.spec, order.findReservedEngine(queued));
+      const placed = cannotFit ? undefined : ledger.place(spec, now, !isOver);
       if (placed !== undefined || isOver) {
         settled.push({ queued, placed });
+        order.settle(queued, placed, now);
       } else {
-        remaining.push(queued);
+        order.recordSkipped(queued);
         failedSizes.record(queued.spec);
       }
-    });
-    this.waiting = remaining;
+    }
     return settled;
   }
+}
 
-  private sort(now: number): Q[] {
-    const getLatestStart = (queued: Q) =>
-      queued.dueAt - this.ledger.getPrefillMs(queued.spec.promptTokens);
-    const isLate = (queued: Q) => Number(getLatestStart(queued) < now);
-    const getLatePriority = (queued: Q) => isLate(queued) * queued.priority;
-    return this.waiting.sort(
-      (a, b) =>
-        isLate(a) - isLate(b) ||
-        getLatePriority(a) - getLatePriority(b) ||
-        getLatestStart(a) - getLatestStart(b),
-    );
-  }
+/** Excludes an engine for a generation that is not bound to one. */
+function excludeEngine(
+  spec: placementSpecs.PlacementSpec,
+  engineId: string | undefined,
+): placementSpecs.PlacementSpec {
+  return engineId === undefined || spec.fixedEngineId !== undefined
+    ? spec
+    : { ...spec, excluded: [...spec.excluded, engineId] };
 }
 
 /**
