Share the engines among teams where the settings say so

The leader does not know the team of a generation that asks for an engine, so it cannot tell a team that floods from one that asks for little.

`place` has the optional field `team`, which the upstream picker sends. The pool of a service orders its queue by team shares while the settings have `capacitySharing`, and as before otherwise; a change of the settings applies to what waits. A team's weight is that of the settings, else that of the configuration in force, else 1. The pool of PlacementService is a class of its own.

With four slots, the generation of a small team that arrives behind eight waiting ones of another is placed next; in the former order the next two are of the other. With 3 and 1 as weights changed during the shortage 6 of the next 8 are of the heavier team; after a change of the leader 4 of 8.

--- a/packages/gateway/src/core-host.ts
+++ b/packages/gateway/src/core-host.ts
@@ -3,6 +3,7 @@
 import * as consensus from '@bramleyridge/consensus';
 import * as peers from '@bramleyridge/peers';
 import * as requests from '@bramleyridge/requests';
+import type * as routing from '@bramleyridge/routing';
 import * as schemas from '@bramleyridge/schemas';
 import type * as telemetry from '@bramleyridge/telemetry';
 
@@ -26,6 +27,7 @@
 import type * as settingsWatchers from './settings-watcher.js';
 import * as suspectRegistries from './suspect-registry.js';
 import * as suspectRelays from './suspect-relay.js';
+import * as teamWeights from './team-weights.js';
 
 /** Deadline of a request between core hosts, in milliseconds; includes a slow disk's sync of 150 ms. */
 const PEER_DEADLINE_MS = 500;
@@ -55,6 +57,7 @@
   private readonly entryRegistry: entryHostRegistries.EntryHostRegistry;
   private readonly group: coreGroups.CoreGroup;
   private readonly discovery: coreDiscoveries.CoreDiscovery;
+  private readonly teamWeights: teamWeights.TeamWeights;
   private readonly placement: placementServices.PlacementService;
   private readonly suspects: suspectRegistries.SuspectRegistry;
   private readonly relay: suspectRelays.SuspectRelay;
@@ -141,6 +144,10 @@
     });
     this.configuration = new routedConfigurationStores.RoutedConfigurationStore(codec, log);
     this.configuration.markReady();
+    this.teamWeights = new teamWeights.TeamWeights({
+      getSettings: () => options.settings.get(),
+      findTable: () => this.findTable(),
+    });
     this.placement = new placementServices.PlacementService({
       clock,
       findService: (name) => this.findService(name),
@@ -148,6 +155,7 @@
       isEvacuated: (zone) => this.group.evacuations.has(zone),
       getEvacuationRevision: () => this.group.evacuations.get().revision,
       coldBounds: settings.bounds,
+      teamWeights: this.teamWeights,
       retryGrantLimits: {
         maxGrants: Math.floor(settings.bounds.retrySlack * retryShares.GRANTED_SHARE),
         maxGrantsForNewLeader: Math.floor(
@@ -341,11 +349,15 @@
   }
 
   private findService(name: string): schemas.RoutedService | undefined {
+    return this.findTable()?.findService(name);
+  }
+
+  private findTable(): routing.RouteTable | undefined {
     const document = this.group.state.get();
     if (document !== undefined) {
       this.configuration.offer(document);
     }
-    return this.configuration.findTable()?.findService(name);
+    return this.configuration.findTable();
   }
 
   /** Loads the log's quarantine into the suspect registry before its first use in a term; returns the term. */
--- a/packages/gateway/src/core-procedures.ts
+++ b/packages/gateway/src/core-procedures.ts
@@ -192,6 +192,8 @@
   dueInMs: z.number(),
   /** Priority; 0 is served first. */
   rank: z.int(),
+  /** The team of its caller; absent for calls without a team, and from hosts of the previous version. */
+  team: z.string().optional(),
 });
 
 /** Event of a generation: its first event was sent to the caller, or it gives up its turn to migrate. */
--- a/packages/gateway/src/placement-service.ts
+++ b/packages/gateway/src/placement-service.ts
@@ -1,8 +1,9 @@
 import * as requests from '@bramleyridge/requests';
-import * as routing from '@bramleyridge/routing';
+import type * as routing from '@bramleyridge/routing';
 import type * as schemas from '@bramleyridge/schemas';
 
 import type * as procedures from './core-procedures.js';
+import * as placementPools from './placement-pool.js';
 
 /**
  * Interval at which placement of waiting generations is retried, in milliseconds; an engine prefills 70 tokens
@@ -25,32 +26,15 @@
   readonly getEvacuationRevision: () => number;
   /** Multiple of its declared rate that a cold upstream tolerates, and additional calls per second. */
   readonly coldBounds: { readonly coldOverage: number; readonly coldSlack: number };
+  /** Weights of teams in shares of scarce capacity. */
+  readonly teamWeights: placementPools.ShareWeights;
   /** Limits of the retries that may be granted for one service. */
   readonly retryGrantLimits: requests.RetryGrantLimits;
 }
 
-interface WaitingPlacement extends routing.QueuedPlacement {
-  readonly settle: (placed: routing.Placement | undefined) => void;
-}
-
-interface WaitingMigration extends routing.MigrationCandidate {
-  readonly settle: (targetEngineId: string | undefined) => void;
-}
-
-interface Pool {
-  readonly ledger: routing.EngineLedger;
-  readonly queue: routing.PlacementQueue<WaitingPlacement>;
-  readonly migrations: routing.MigrationScheduler<WaitingMigration>;
-  isRetrying: boolean;
-  listed: readonly schemas.ListedUpstream[] | undefined;
-  /** Whether this leader has read a list; until then the engines listed in a former leadership are kept. */
-  hasList: boolean;
-  evacuationRevision: number;
-}
-
 /** Places generations on the leader for all hosts, with one ledger for the pool of engines of each service. */
 export class PlacementService {
-  private readonly pools = new Map<string, Pool>();
+  private readonly pools = new Map<string, placementPools.PlacementPool>();
   private readonly retryLimiters = new Map<string, requests.RetryGrantLimiter>();
   private term: number | undefined;
 
@@ -74,14 +58,15 @@
     const placed = await new Promise<routing.Placement | undefined>((resolve) => {
       // A backup of a whole prompt would use the links that migrations need.
       const wantsCopy = req.need.wantsCopy && !pool.migrations.isMigrating();
-      pool.queue.add({
+      pool.add({
         spec: { ...req.need, wantsCopy },
         dueAt: requestedAt + req.dueInMs,
         priority: req.rank,
+        team: req.team,
         expiresAt: requestedAt + req.patienceMs,
         settle: resolve,
       });
-      this.dispatch(pool);
+      pool.dispatch(this.options.clock.now());
       void this.retryWaiting(pool, req.service);
     });
     const now = clock.now();
@@ -116,25 +101,19 @@
       pool.migrations.endMigration(callId);
       pool.ledger.setBackup(callId, undefined);
     }
-    this.dispatch(pool);
-  }
-
-  private dispatch(pool: Pool): void {
-    const now = this.options.clock.now();
-    pool.queue.dispatch(now).forEach(({ placed, queued }) => queued.settle(placed));
-    pool.migrations.dispatch(now).forEach(({ run, targetEngineId }) => run.settle(targetEngineId));
+    pool.dispatch(this.options.clock.now());
   }
 
   /** Retries waiting placements and migrations while there are any. */
-  private async retryWaiting(pool: Pool, service: string): Promise<void> {
+  private async retryWaiting(pool: placementPools.PlacementPool, service: string): Promise<void> {
     if (pool.isRetrying) {
       return;
     }
     pool.isRetrying = true;
-    while (pool.queue.size > 0 || pool.migrations.size > 0) {
+    while (pool.waitingCount > 0 || pool.migrations.size > 0) {
       await this.options.clock.sleep(RETRY_INTERVAL_MS);
       this.findPool(service);
-      this.dispatch(pool);
+      pool.dispatch(this.options.clock.now());
     }
     pool.isRetrying = false;
   }
@@ -145,7 +124,7 @@
     if (pool !== undefined) {
       pool.ledger.release(req.callId, req.hasFailed, this.options.clock.now());
       pool.migrations.withdraw(req.callId)?.settle(undefined);
-      this.dispatch(pool);
+      pool.dispatch(this.options.clock.now());
     }
   }
 
@@ -187,13 +166,15 @@
     return { cold, most: Math.max(cold, Math.floor(tolerated * LEADER_COLD_SHARE)) };
   }
 
-  private findPool(service: string): Pool | undefined {
+  private findPool(service: string): placementPools.PlacementPool | undefined {
     const { coldCallsPerS, engine } = this.options.findService(service) ?? {};
     if (engine === undefined) {
       return undefined;
     }
-    const pool = this.pools.get(service) ?? createPool();
+    const pool =
+      this.pools.get(service) ?? new placementPools.PlacementPool(this.options.teamWeights);
     this.pools.set(service, pool);
+    pool.memoryTokens = engine.memoryTokens;
     const listed = this.options.findUpstreams();
     pool.hasList = listed !== undefined;
     const evacuationRevision = this.options.getEvacuationRevision();
@@ -221,18 +202,3 @@
     return pool;
   }
 }
-
-function createPool(): Pool {
-  const ledger = new routing.EngineLedger();
-  const queue = new routing.PlacementQueue<WaitingPlacement>(ledger);
-  const migrations = new routing.MigrationScheduler<WaitingMigration>(ledger);
-  return {
-    ledger,
-    queue,
-    migrations,
-    isRetrying: false,
-    listed: undefined,
-    hasList: false,
-    evacuationRevision: 0,
-  };
-}
--- a/packages/gateway/src/upstream-picker.ts
+++ b/packages/gateway/src/upstream-picker.ts
@@ -54,6 +54,8 @@
   readonly dueInMs: number;
   /** Its priority; 0 is the highest. */
   readonly rank: number;
+  /** The team of its caller; `undefined` for calls without a team. */
+  readonly team?: string | undefined;
 }
 
 /** This host's access to the leader's ledger of the generations on the engines. */
@@ -111,7 +113,8 @@
     const dueInMs = call.arrivedAt + call.route.targetMs - now;
     const excluded = [...tried, ...this.listDisallowed(call), ...closed.map(getUpstreamId)];
     const spec = this.createSpec(call, excluded);
-    const wait = { patienceMs, dueInMs, rank: generationCalls.getPriority(call) };
+    const rank = generationCalls.getPriority(call);
+    const wait = { patienceMs, dueInMs, rank, team: call.team?.name };
     const res = await this.options.placer.place(call.service.name, spec, wait);
     if (res !== undefined && res.placed === undefined && res.isUnknown !== true) {
       const { full, waitedMs } = res;
--- a/packages/gateway/tests/placement-service.test.ts
+++ b/packages/gateway/tests/placement-service.test.ts
@@ -1,6 +1,7 @@
 import * as schemas from '@bramleyridge/schemas';
 import * as tap from 'tap';
 
+import * as procedures from '../src/core-procedures.js';
 import * as placementServices from '../src/placement-service.js';
 import * as listedUpstreams from './support/create-listed-upstream.js';
 import * as sites from './support/small-site.js';
@@ -33,6 +34,8 @@
     services: sites.createConfig(1).services,
     evacuated: [] as string[],
     revision: 0,
+    /** Weights of teams; `undefined` if capacity is not shared among them. */
+    weights: undefined as Record<string, number> | undefined,
   };
   const service = new placementServices.PlacementService({
     clock,
@@ -40,6 +43,10 @@
     findUpstreams: () => state.list,
     isEvacuated: (zone) => state.evacuated.includes(zone),
     getEvacuationRevision: () => state.revision,
+    teamWeights: {
+      isSharing: () => state.weights !== undefined,
+      get: (team) => state.weights?.[team] ?? 1,
+    },
     coldBounds: { coldOverage: 1.5, coldSlack: 5 },
     retryGrantLimits: { maxGrants: 1, maxGrantsForNewLeader: 1, windowMs: 1_000 },
   });
@@ -149,3 +156,91 @@
   service.startLeading(3);
   t.notOk(service.hasRuns('engines', 'e-1'));
 });
+
+/** Sends requests of teams beyond the four slots of the only engine; records the order in which they are placed. */
+function createShortage(clock: schemas.VirtualClock) {
+  const { service, state } = createService(clock);
+  state.list = [ENGINE];
+  service.startLeading(1);
+  const placed: string[] = [];
+  const ask = (callId: string) => {
+    const req = createReq();
+    const need = { ...req.need, callId };
+    const pending = service.place({ ...req, need, patienceMs: 60_000, team: callId[0] });
+    void pending.then((res) => res.placed && placed.push(callId));
+  };
+  const release = async (callId: string) => {
+    service.release({ service: 'engines', callId, hasFailed: false });
+    await clock.advance(20);
+  };
+  const releaseNext = async (count: number) => {
+    const from = placed.length;
+    for (let i = 0; i < count; i += 1) {
+      await release(placed[from - 4 + i]!);
+    }
+    return placed.slice(from).map((callId) => callId[0]!);
+  };
+  return { ask, placed, releaseNext, service, state };
+}
+
+function list(team: string, count: number, from = 0): string[] {
+  return Array.from({ length: count }, (_, i) => `${team}${from + i}`);
+}
+
+// Guards against a small team that waits behind all generations of a team that floods.
+void tap.default.test('one team floods', async (t) => {
+  const orders = [undefined, {}].map(async (weights) => {
+    const clock = new schemas.VirtualClock();
+    const { ask, releaseNext, state } = createShortage(clock);
+    state.weights = weights;
+    list('a', 12).forEach(ask);
+    await clock.advance(20);
+    ask('b1');
+    return releaseNext(2);
+  });
+  const [former, shared] = await Promise.all(orders);
+  t.same(former, ['a', 'a'], 'in the order of arrival');
+  t.equal(shared?.[0], 'b', 'by team shares');
+});
+
+// Guards against a change of the settings that takes effect only after a restart, or loses generations.
+void tap.default.test('weights apply at once to generations that wait', async (t) => {
+  const clock = new schemas.VirtualClock();
+  const { ask, placed, releaseNext, state } = createShortage(clock);
+  [...list('a', 30), ...list('b', 30)].forEach(ask);
+  await clock.advance(20);
+  t.same(placed, list('a', 4), 'without shares in the order of arrival');
+  state.weights = {};
+  const count = (teams: string[], team: string) => teams.filter((item) => item === team).length;
+  const equal = await releaseNext(8);
+  t.equal(count(equal, 'b'), 4, `equal weights: ${equal.join('')}`);
+  state.weights = { b: 3 };
+  const weighted = await releaseNext(8);
+  t.equal(count(weighted, 'b'), 6, `three times the weight: ${weighted.join('')}`);
+  state.weights = undefined;
+  t.same(await releaseNext(4), ['a', 'a', 'a', 'a'], 'and in the order of arrival again');
+});
+
+// Guards against a new leader that continues with the service that teams received from the former one.
+void tap.default.test('a leader that is lost in a shortage leaves teams equal', async (t) => {
+  const clock = new schemas.VirtualClock();
+  const { ask, placed, releaseNext, service, state } = createShortage(clock);
+  state.weights = { a: 9 };
+  [...list('a', 40), ...list('b', 10)].forEach(ask);
+  await clock.advance(20);
+  const before = await releaseNext(20);
+  t.equal(before.filter((team) => team === 'b').length, 2, before.join(''));
+  state.weights = {};
+  service.startLeading(2);
+  placed.length = 0;
+  [...list('a', 10, 50), ...list('b', 10, 50)].forEach(ask);
+  await clock.advance(20);
+  const after = await releaseNext(8);
+  t.equal(after.filter((team) => team === 'b').length, 4, after.join(''));
+});
+
+// Guards against a rejected request of a host of the previous version.
+void tap.default.test('a request may lack the team', async (t) => {
+  t.equal(procedures.placeReq.parse(createReq()).team, undefined);
+  t.equal(procedures.placeReq.parse({ ...createReq(), team: 'a' }).team, 'a');
+});
--- a/packages/gateway/tests/upstream-picker.test.ts
+++ b/packages/gateway/tests/upstream-picker.test.ts
@@ -121,6 +121,20 @@
   },
 );
 
+// Guards against a leader that cannot tell the teams apart.
+void tap.default.test('the leader is told the team of a generation', async (t) => {
+  const teams: (string | undefined)[] = [];
+  const placer = new FixedPlacer('e-1');
+  placer.place = async (_service, _spec, wait?: upstreamPickers.PlacementWait) => {
+    teams.push(wait?.team);
+    return Promise.resolve(undefined);
+  };
+  const picker = createPicker(new schemas.VirtualClock(), placer);
+  await picker.pick(createCall(), new Set());
+  await picker.pick({ ...createCall(), team: { name: 'sales', keys: ['k1'] } }, new Set());
+  t.same(teams, [undefined, 'sales']);
+});
+
 // Guards against a refusal for lack of capacity by a new leader that has no list.
 void tap.default.test('a host uses fallback placement while the leader has no list', async (t) => {
   const fixedEngineIds: (string | undefined)[] = [];
