Make the order of team shares cheap for long queues

Each choice filtered all lanes of a priority, and a dispatch of 447 waiting generations took 956 us of processor time on a busy machine, against 71 us in the order of due dates.

A round keeps its lanes sorted and moves only those whose team was served; the recent service of all teams is summed once for each time.

--- a/packages/scheduling/src/priority-order.ts
+++ b/packages/scheduling/src/priority-order.ts
@@ -71,11 +71,9 @@
     });
   }
 
-  /** Returns the priority that is served next; undefined if there is none. */
-  public choose(priorities: readonly number[]): number | undefined {
-    const owed = priorities.filter((priority) => this.countOwed(priority) > 0);
-    const eligible = owed.length > 0 ? owed : priorities;
-    return eligible.length === 0 ? undefined : Math.min(...eligible);
+  /** Returns which of some groups in the order of priority is served next. */
+  public choose<G extends { readonly priority: number }>(groups: readonly G[]): G | undefined {
+    return groups.find(({ priority }) => this.countOwed(priority) > 0) ?? groups[0];
   }
 
   /** Returns how many requests a priority lacks to be served often enough. */
--- a/packages/scheduling/src/service-round.ts
+++ b/packages/scheduling/src/service-round.ts
@@ -9,23 +9,32 @@
  */
 const TIE_TOLERANCE = 1e-9;
 
+/** The requests of one lane that are on time, or those that are late, and the next of them. */
 interface Cursor<R extends shareRequests.ShareRequest> {
-  readonly lane: shareLanes.ShareLane<R>;
-  readonly position: number;
+  readonly team: string;
+  readonly requests: readonly R[];
+  /** Position of the lane at the start of the round, and with what was chosen since. */
+  readonly start: number;
+  position: number;
   /** What its team received recently relative to its weight, which decides between equal positions. */
   readonly received: number;
-  readonly onTime: readonly R[];
-  readonly late: readonly R[];
-  onTimeIndex: number;
-  lateIndex: number;
+  index: number;
+}
+
+/** The lanes of one priority. */
+interface Group<R extends shareRequests.ShareRequest> {
+  readonly priority: number;
+  readonly onTime: Cursor<R>[];
+  readonly late: Cursor<R>[];
 }
 
 /**
  * The order in which the requests of some lanes are served, each chosen as if those before it were
- * served. It keeps copies, so requests may be added and removed meanwhile.
+ * served. It keeps copies, so requests may be added and removed meanwhile. Cursors are kept sorted
+ * and positions only increase, so that each choice moves few of them.
  */
 export class ServiceRound<R extends shareRequests.ShareRequest> {
-  private readonly cursors = new Map<number, Cursor<R>[]>();
+  private readonly groups: Group<R>[];
   /** How far the requests chosen so far advance their teams. */
   private readonly advances = new Map<string, number>();
 
@@ -35,74 +44,82 @@
     private readonly priorities: priorityOrders.PriorityRound,
     now: number,
   ) {
-    const levels = new Map<number, number>();
-    lanes.forEach((lane) => {
-      const [onTime, late] = [lane.listOnTime(now), lane.listLate(now)];
-      const level = levels.get(lane.priority) ?? accounts.getLevel(lane.priority, now);
-      levels.set(lane.priority, level);
-      const position = accounts.getPosition(lane, level, now);
-      const received = accounts.getRecentAdvance(lane.team, now);
-      const cursor = { lane, position, received, onTime, late, onTimeIndex: 0, lateIndex: 0 };
-      const cursors = this.cursors.get(lane.priority) ?? [];
-      this.cursors.set(lane.priority, cursors);
-      cursors.push(cursor);
+    const all = [...new Set(lanes.map(({ priority }) => priority))].sort((a, b) => a - b);
+    this.groups = all.map((priority) => {
+      const level = accounts.getLevel(priority, now);
+      const peers = lanes.filter((lane) => lane.priority === priority);
+      const createCursors = (list: (lane: shareLanes.ShareLane<R>) => R[]) =>
+        peers
+          .map((lane) => {
+            const start = accounts.getPosition(lane, level, now);
+            const received = accounts.getRecentAdvance(lane.team, now);
+            const requests = list(lane);
+            return { team: lane.team, requests, start, position: start, received, index: 0 };
+          })
+          .filter(({ requests }) => requests.length > 0)
+          .sort(compare);
+      return {
+        priority,
+        onTime: createCursors((lane) => lane.listOnTime(now)),
+        late: createCursors((lane) => lane.listLate(now)),
+      };
     });
   }
 
   /** Yields the requests in the order of service. */
   public *iterate(): Generator<R> {
-    for (let next = this.choose(); next !== undefined; next = this.choose()) {
-      const { lane, req, wasLate } = next;
-      const advance = this.accounts.getAdvance(lane.team, req.cost);
-      this.advances.set(lane.team, (this.advances.get(lane.team) ?? 0) + advance);
-      this.priorities.recordServed(lane.priority, wasLate);
-      yield req;
-    }
-  }
-
-  private choose(): { lane: shareLanes.ShareLane<R>; req: R; wasLate: boolean } | undefined {
-    const priority = this.priorities.choose([...this.cursors.keys()]);
-    if (priority === undefined) {
-      return undefined;
-    }
-    const cursors = this.cursors.get(priority) ?? [];
-    const onTime = this.findLeastServed(cursors.filter(hasOnTime));
-    if (onTime !== undefined) {
-      onTime.onTimeIndex += 1;
-      const req = onTime.onTime[onTime.onTimeIndex - 1]!;
-      return { lane: onTime.lane, req, wasLate: false };
-    }
-    const late = this.findLeastServed(cursors.filter(hasLate));
-    if (late === undefined) {
-      this.cursors.delete(priority);
-      return this.choose();
+    while (this.groups.length > 0) {
+      const group = this.priorities.choose(this.groups)!;
+      const isLate = group.onTime.length === 0;
+      const cursor = this.settleFirst(isLate ? group.late : group.onTime);
+      if (cursor !== undefined) {
+        const req = cursor.requests[cursor.index]!;
+        cursor.index += 1;
+        const advance = this.accounts.getAdvance(cursor.team, req.cost);
+        this.advances.set(cursor.team, (this.advances.get(cursor.team) ?? 0) + advance);
+        this.priorities.recordServed(group.priority, isLate);
+        yield req;
+      } else if (isLate) {
+        this.groups.splice(this.groups.indexOf(group), 1);
+      }
     }
-    late.lateIndex += 1;
-    return { lane: late.lane, req: late.late[late.lateIndex - 1]!, wasLate: true };
   }
 
-  private findLeastServed(cursors: readonly Cursor<R>[]): Cursor<R> | undefined {
-    let least: Cursor<R> | undefined;
-    let leastPosition = Infinity;
-    cursors.forEach((cursor) => {
-      const advance = this.advances.get(cursor.lane.team) ?? 0;
-      const position = cursor.position + advance;
-      const tolerance = TIE_TOLERANCE * Math.max(1, Math.abs(position));
-      const isTied = least !== undefined && Math.abs(position - leastPosition) <= tolerance;
-      const isLess = isTied ? cursor.received < least!.received : position < leastPosition;
-      if (isLess) {
-        least = cursor;
-        leastPosition = position;
+  /**
+   * Returns the cursor of the least served team, after moving those whose team was served since and
+   * dropping those at their end.
+   */
+  private settleFirst(cursors: Cursor<R>[]): Cursor<R> | undefined {
+    for (let first = cursors[0]; first !== undefined; [first] = cursors) {
+      const position = first.start + (this.advances.get(first.team) ?? 0);
+      const isAtEnd = first.index === first.requests.length;
+      if (!isAtEnd && position === first.position) {
+        return first;
       }
-    });
-    return least;
+      cursors.shift();
+      if (!isAtEnd) {
+        first.position = position;
+        insert(cursors, first);
+      }
+    }
+    return undefined;
   }
 }
 
-function hasOnTime({ onTime, onTimeIndex }: Cursor<shareRequests.ShareRequest>): boolean {
-  return onTimeIndex < onTime.length;
+/** Inserts a cursor behind those that come first or are equal. */
+function insert<R extends shareRequests.ShareRequest>(
+  cursors: Cursor<R>[],
+  cursor: Cursor<R>,
+): void {
+  const at = cursors.findIndex((other) => compare(cursor, other) < 0);
+  cursors.splice(at < 0 ? cursors.length : at, 0, cursor);
 }
 
-function hasLate({ late, lateIndex }: Cursor<shareRequests.ShareRequest>): boolean {
-  return lateIndex < late.length;
+function compare(
+  a: Cursor<shareRequests.ShareRequest>,
+  b: Cursor<shareRequests.ShareRequest>,
+): number {
+  const tolerance = TIE_TOLERANCE * Math.max(1, Math.abs(a.position));
+  const difference = a.position - b.position;
+  return Math.abs(difference) <= tolerance ? a.received - b.received : difference;
 }
--- a/packages/scheduling/src/team-accounts.ts
+++ b/packages/scheduling/src/team-accounts.ts
@@ -40,6 +40,8 @@
   /** Level of each priority when it was served last. */
   private readonly lastLevels = new Map<number, number>();
   private readonly recentCost = new decayingCounts.DecayingCount();
+  /** Computed once for each time, because all positions depend on it. */
+  private meanAdvance = { at: NaN, value: 0 };
 
   public constructor(private readonly getWeight: (team: string) => number) {}
 
@@ -124,6 +126,7 @@
     account.received += lane.lastAdvance;
     account.recentCost.add(cost, now);
     this.recentCost.add(cost, now);
+    this.meanAdvance = { at: NaN, value: 0 };
   }
 
   /** Removes the lanes that satisfy a condition. */
@@ -142,10 +145,14 @@
 
   /** Returns by how much the recent service would have advanced all teams that got some. */
   private getRecentMeanAdvance(now: number): number {
-    const recentCost = this.recentCost.get(now);
-    if (recentCost === 0) {
-      return 0;
+    if (this.meanAdvance.at !== now) {
+      this.meanAdvance = { at: now, value: this.computeRecentMeanAdvance(now) };
     }
+    return this.meanAdvance.value;
+  }
+
+  private computeRecentMeanAdvance(now: number): number {
+    const recentCost = this.recentCost.get(now);
     let weights = 0;
     this.accounts.forEach((account, team) => {
       weights += account.recentCost.get(now) > 0 ? this.getAppliedWeight(team) : 0;
--- a/packages/scheduling/tests/fair-share-queue.test.ts
+++ b/packages/scheduling/tests/fair-share-queue.test.ts
@@ -15,8 +15,8 @@
 const EXPIRES_MS = 1_000;
 
 /**
- * Service time that nine of ten calls do not exceed, in milliseconds. With the mean instead, calls
- * that start at the last moment are late half of the time.
+ * Service time that nine of ten calls do not exceed, in milliseconds. With the mean instead,
+ * 0.71 to 0.77 of the calls served beside a team that floods are on time.
  */
 const STATED_SERVICE_MS = 140;
 
