--- a/packages/routing/src/upstream-load.ts
+++ b/packages/routing/src/upstream-load.ts
@@ -1,3 +1,5 @@
+import type * as scheduling from '@bramleyridge/scheduling';
+
 /**
  * How long an upstream's load report is used, in milliseconds; after that only this host's own
  * calls count.
@@ -7,12 +9,6 @@
 /** Time after which a failure counts half, in milliseconds. */
 const FAILURE_HALF_LIFE_MS = 2_000;
 
-/** The load that an upstream reports along with its answers. */
-export interface ReportedLoad {
-  readonly running: number;
-  readonly waiting: number;
-}
-
 /**
  * The load of one upstream as known to this host: its own calls, and the total that the upstream
  * reported.
@@ -45,7 +41,7 @@
    * Applies a report. This host's own calls are known exactly, so only those of other hosts are
    * taken from it.
    */
-  public applyReport(report: ReportedLoad, now: number): void {
+  public applyReport(report: scheduling.StatedLoad, now: number): void {
     this.othersCalls = Math.max(0, report.running + report.waiting - this.calls);
     this.reportedAt = now;
   }
