Add concurrency limits and service times of upstreams

Upstreams queue what they can't run, so the calls sent to them follow the length of their queues, and an upstream that is slow gets as many calls as the others.

ConcurrencyLimit bounds the calls in progress at one process. A window of 16 answers whose latency exceeds the usual one by 1.35 is a sign of a queue or of a slower upstream. To distinguish them, the limit is halved for 10 answers and restored; a queue is confirmed only if latency was higher both before and after, over up to three such checks.

ServiceTime learns the usual service time from answers, divided by the stated slowdown and by the calls per slot; a slowdown is valid for 400 ms, an average without an answer for 30 s. getExpectedMs includes the wait for a slot.

--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -1,1 +1,3 @@
+export * from './concurrency-limit.js';
+export * from './service-time.js';
 export * from './stated-load.js';
