Choose upstreams by expected time where one states a slowdown

chooseByExpectedTime compares two random upstreams of the zone by expected time, and the better one with that of two of other zones, which has to save more than 10 ms. UpstreamLoad keeps a ServiceTime; successful answers of calls that are no generations are recorded if they were read whole, since the time of a longer body depends on its caller.

A slowdown is valid for 400 ms, but a host with a call a second hears of an upstream every few seconds, and an upstream that is always slow then counted as usual. Between statements ServiceTime therefore expects the average of the answers as they were.

The simulated upstream of the tests moves to the package of fakes.

--- a/packages/fakes/src/index.ts
+++ b/packages/fakes/src/index.ts
@@ -7,4 +7,5 @@
 export * from './fake-service.js';
 export * from './reserved-ports.js';
 export * from './memory-files.js';
+export * from './simulated-upstream.js';
 export * from './token-text.js';
--- a/packages/scheduling/tests/support/simulated-upstream.ts
+++ b/packages/fakes/src/simulated-upstream.ts
@@ -1,4 +1,3 @@
-import type * as scheduling from '@bramleyridge/scheduling';
 import * as uniform from 'pure-rand/distribution/uniformFloat64';
 import * as xoroshiro from 'pure-rand/generator/xoroshiro128plus';
 
@@ -19,6 +18,14 @@
   readonly getSlowdown?: (now: number) => number;
 }
 
+/** Load that an upstream states. */
+export interface SimulatedLoad {
+  readonly running: number;
+  readonly waiting: number;
+  readonly slots: number;
+  readonly slowdown: number;
+}
+
 /** A call that has ended. */
 export interface EndedCall {
   readonly callId: number;
@@ -107,7 +114,7 @@
   }
 
   /** Returns the load as an upstream states it that declares the given number of slots. */
-  public getLoad(now: number, slots = this.options.slots): Required<scheduling.StatedLoad> {
+  public getLoad(now: number, slots = this.options.slots): SimulatedLoad {
     const running = Math.min(this.calls.length, this.options.slots);
     const waiting = this.calls.length - running;
     return { running, waiting, slots, slowdown: this.getSlowdown(now) };
--- a/packages/gateway/src/routed-attempts.ts
+++ b/packages/gateway/src/routed-attempts.ts
@@ -49,6 +49,7 @@
   readonly run: migrationManagers.MigratableRun;
   /** Releases the run's accounted load; only the first call has an effect. */
   readonly release: (hasFailed: boolean) => void;
+  readonly sentAt: number;
   /** Time at which its answer began. */
   answerStartedAt: number | undefined;
 }
@@ -138,7 +139,7 @@
         picker.release(call, hasFailed);
       }
     };
-    return { picked, run, release, answerStartedAt: undefined };
+    return { picked, run, release, sentAt: this.options.clock.now(), answerStartedAt: undefined };
   }
 
   private send(
@@ -201,6 +202,10 @@
     }
     attempt.release(false);
     const isServed = answer.status < FIRST_NON_SUCCESS_STATUS;
+    if (isServed && !generationCalls.isGeneration(job.call)) {
+      const now = clock.now();
+      known.load.serviceTime.recordAnswer(now - attempt.sentAt, load, now);
+    }
     this.options.guard.recordOutcome(job, createGuardedRun(attempt), isServed ? 'served' : 'over');
     return { kind: 'whole', head: answer, bytes: read.bytes };
   }
--- a/packages/gateway/src/upstream-picker.ts
+++ b/packages/gateway/src/upstream-picker.ts
@@ -277,7 +277,7 @@
     }
     const candidates = open.filter(({ known }) => this.mayReceiveCall(call.service, known, now));
     const isEngine = generationCalls.isGeneration(call);
-    const choose = isEngine ? routing.chooseByMemory : routing.chooseByCalls;
+    const choose = isEngine ? routing.chooseByMemory : routing.chooseByExpectedTime;
     const chosen = choose(candidates, now, this.options.random);
     if (chosen === undefined) {
       this.logNoUpstream(call, this.getNoUpstreamReason(call, untried.length, open.length));
--- a/packages/gateway/tests/routed-calls.test.ts
+++ b/packages/gateway/tests/routed-calls.test.ts
@@ -138,6 +138,27 @@
   },
 );
 
+// Guards against an upstream whose speed is never learned, or is learned from answers that did no work.
+void tap.default.test('the time and the load of an answer are recorded', async (t) => {
+  const site = await createSite(t);
+  const load = JSON.stringify({ running: 1, waiting: 0, slots: 4, slowdown: 2.5 });
+  const statuses = [500, 404, 200];
+  await site.addUpstream('app-1', 'app', (req, res) => {
+    res.setHeader('stated-load', load);
+    reply(req, res, statuses.shift()!, 'ok');
+  });
+  await declareAndList(site);
+  const { serviceTime } = site.entry.directory.find('app-1')!.load;
+  for (const isServed of [false, false, true]) {
+    const startedAt = performance.now();
+    await site.call('/once/x', {}, 'book');
+    const tookMs = performance.now() - startedAt;
+    const usualMs = serviceTime.getUsualMs();
+    t.equal(usualMs !== undefined, isServed, 'only an answer that is a success counts');
+    t.ok(usualMs === undefined || usualMs <= tookMs / 2.5 + 1, 'without the stated slowdown');
+  }
+});
+
 void tap.default.test('a call that may have run is not refused as not run', async (t) => {
   // The upstream reads the call and resets the connection. The status must not be 503, which means that the caller may
   // safely send the call again.
--- a/packages/gateway/tests/support/test-wire.ts
+++ b/packages/gateway/tests/support/test-wire.ts
@@ -2,6 +2,7 @@
 
 import type * as gateway from '@bramleyridge/gateway';
 import * as requests from '@bramleyridge/requests';
+import * as scheduling from '@bramleyridge/scheduling';
 import type * as schemas from '@bramleyridge/schemas';
 
 /** Minimal call protocol for tests that implements everything that the interface requires. */
@@ -50,8 +51,11 @@
     };
   }
 
-  public readAnswer(): gateway.AnswerFacts {
-    return { load: undefined };
+  public readAnswer({ headers }: requests.AnswerHead): gateway.AnswerFacts {
+    const stated = headers['stated-load']?.toString();
+    return {
+      load: stated === undefined ? undefined : scheduling.statedLoad.parse(JSON.parse(stated)),
+    };
   }
 
   public readNotice({ headers, status }: requests.AnswerHead): requests.UpstreamNotice {
--- a/packages/gateway/tests/upstream-picker.test.ts
+++ b/packages/gateway/tests/upstream-picker.test.ts
@@ -226,3 +226,24 @@
     t.equal(excluded.length, 1, 'without a request to the leader');
   },
 );
+
+// Guards against calls sent to a machine that has stated that it is slowed, and against any change without a statement.
+void tap.default.test('a call goes where it is expected to end sooner', async (t) => {
+  const clock = new schemas.VirtualClock();
+  const directory = new upstreamDirectories.UpstreamDirectory(clock, new schemas.SilentLog());
+  const upstreams = ['app-1', 'app-2'].map((id) =>
+    listedUpstreams.createListedUpstream(id, { service: 'app' }),
+  );
+  directory.applyList({ stamp: 's1', upstreams }, 0);
+  const picker = createPicker(clock, new FixedPlacer(undefined), directory);
+  const pick = async () => (await picker.pick(createPlainCall(40), new Set())).upstreamId;
+  const [slowed, usual] = ['app-1', 'app-2'].map((id) => directory.find(id)!.load);
+  usual!.trackCall(0);
+  slowed!.serviceTime.recordAnswer(125, undefined, clock.now());
+  usual!.serviceTime.recordAnswer(50, undefined, clock.now());
+  t.equal(await pick(), 'app-1', 'the one with fewer calls while none states a slowdown');
+  slowed!.applyReport({ running: 0, waiting: 0, slots: 4, slowdown: 2.5 }, clock.now());
+  t.equal(await pick(), 'app-2', 'the faster one after that');
+  await clock.advance(61_000);
+  t.equal(await pick(), 'app-1', 'as before when the statement is over a minute old');
+});
--- a/packages/routing/src/load-choice.ts
+++ b/packages/routing/src/load-choice.ts
@@ -1,3 +1,5 @@
+import * as scheduling from '@bramleyridge/scheduling';
+
 import type * as loads from './upstream-load.js';
 
 /** Load added to an upstream for each recent failure, as a share of its slots or memory. */
@@ -56,6 +58,31 @@
   return chooseOfTwo(sameZone.length > 0 ? sameZone : candidates, getShare, random);
 }
 
+/**
+ * Chooses the upstream of a plain service where a call is expected to end sooner, of two random ones in the same zone and
+ * two in other zones. Without a stated slowdown it chooses by calls.
+ */
+export function chooseByExpectedTime<C extends LoadCandidate>(
+  candidates: readonly C[],
+  now: number,
+  random: () => number,
+): C | undefined {
+  if (!candidates.some(({ load }) => load.serviceTime.hasStatedSlowdown(now))) {
+    return chooseByCalls(candidates, now, random);
+  }
+  const serviceTimes = candidates.map(({ load }) => load.serviceTime);
+  const medianMs = scheduling.getMedianUsualMs(serviceTimes, now);
+  const getMs = (item: C) => getExpectedMs(item, medianMs, now);
+  const [near, far] = [true, false].map((isSameZone) => {
+    const ofZone = candidates.filter((item) => item.isSameZone === isSameZone);
+    return chooseOfTwo(ofZone, getMs, random);
+  });
+  if (near === undefined || far === undefined) {
+    return near ?? far;
+  }
+  return getMs(near) - getMs(far) > scheduling.CROSS_ZONE_SAVING_MS ? far : near;
+}
+
 /**
  * Chooses the less loaded of two random engines by estimated memory use, from the same zone while
  * those have capacity.
@@ -83,6 +110,17 @@
   return item.load.getActiveCalls(now) / item.slots + getPenalty(item, now);
 }
 
+function getExpectedMs(item: LoadCandidate, medianMs: number | undefined, now: number): number {
+  const { isCold, load, slots } = item;
+  const { serviceTime } = load;
+  const inFlight = load.getActiveCalls(now);
+  const failures = load.getFailures(now);
+  return scheduling.getExpectedMs(
+    { serviceTime, inFlight, slots, isCold, failures, medianMs },
+    now,
+  );
+}
+
 function getPenalty(item: LoadCandidate, now: number): number {
   return item.load.getFailures(now) * FAILURE_PENALTY + (item.isCold ? COLD_PENALTY : 0);
 }
--- a/packages/routing/src/upstream-load.ts
+++ b/packages/routing/src/upstream-load.ts
@@ -1,4 +1,4 @@
-import type * as scheduling from '@bramleyridge/scheduling';
+import * as scheduling from '@bramleyridge/scheduling';
 
 /**
  * How long an upstream's load report is used, in milliseconds; after that only this host's own
@@ -18,6 +18,7 @@
   public calls = 0;
   /** Engine memory that these calls are expected to use, in tokens. */
   public tokens = 0;
+  public readonly serviceTime = new scheduling.ServiceTime();
   private othersCalls = 0;
   private reportedAt = -Infinity;
   private failures = 0;
@@ -44,6 +45,7 @@
   public applyReport(report: scheduling.StatedLoad, now: number): void {
     this.othersCalls = Math.max(0, report.running + report.waiting - this.calls);
     this.reportedAt = now;
+    this.serviceTime.applyLoad(report, now);
   }
 
   /** Records a call that failed on the upstream. */
--- a/packages/scheduling/src/service-time.ts
+++ b/packages/scheduling/src/service-time.ts
@@ -40,6 +40,8 @@
 /** The service time of one upstream process, learned from its answers, and the slowdown that it states. */
 export class ServiceTime {
   private usualMs: number | undefined;
+  /** The same with the slowdowns of the time at which the answers came. */
+  private averageMs = 0;
   private answers = 0;
   private answeredAt = -Infinity;
   private slowdown = 1;
@@ -53,12 +55,13 @@
     if (!Number.isFinite(tookMs) || tookMs < 0) {
       return;
     }
-    const slowdown = load?.slowdown ?? 1;
-    const usualMs = Math.max(MIN_SERVICE_MS, tookMs / slowdown / getCrowding(load));
+    const serviceMs = Math.max(MIN_SERVICE_MS, tookMs / getCrowding(load));
+    const usualMs = serviceMs / (load?.slowdown ?? 1);
     // The first answer after a long time counts as much as all earlier ones.
     this.answers = this.isRecent(now) ? this.answers + 1 : Math.min(this.answers + 1, 2);
     const weight = Math.max(1 / this.answers, ANSWER_WEIGHT);
     this.usualMs = (this.usualMs ?? usualMs) * (1 - weight) + usualMs * weight;
+    this.averageMs += (serviceMs - this.averageMs) * weight;
     this.answeredAt = now;
   }
 
@@ -80,9 +83,21 @@
     return this.isRecent(now) ? this.usualMs : undefined;
   }
 
+  /**
+   * Returns the service time expected now: with the stated slowdown while it is valid, and else the average of recent
+   * answers, in which an upstream that is always slow is slow. `undefined` if no answer is recent.
+   */
+  public getCurrentMs(now: number): number | undefined {
+    const usualMs = this.getRecentUsualMs(now);
+    if (usualMs === undefined) {
+      return undefined;
+    }
+    return this.isSlowdownValid(now) ? usualMs * this.slowdown : this.averageMs;
+  }
+
   /** Returns how many times as long as usual work takes there now. */
   public getSlowdown(now: number): number {
-    return now - this.slowdownAt <= SLOWDOWN_TTL_MS ? this.slowdown : 1;
+    return this.isSlowdownValid(now) ? this.slowdown : 1;
   }
 
   /** Returns whether the upstream has stated a slowdown within the last minute. */
@@ -90,6 +105,10 @@
     return now - this.slowdownAt <= STATES_SLOWDOWN_TTL_MS;
   }
 
+  private isSlowdownValid(now: number): boolean {
+    return now - this.slowdownAt <= SLOWDOWN_TTL_MS;
+  }
+
   private isRecent(now: number): boolean {
     return now - this.answeredAt <= USUAL_TTL_MS;
   }
@@ -115,10 +134,11 @@
  */
 export function getExpectedMs(candidate: ExpectedTimeCandidate, now: number): number {
   const { failures, inFlight, isCold, medianMs, serviceTime, slots } = candidate;
-  const usualMs = serviceTime.getRecentUsualMs(now) ?? medianMs ?? ASSUMED_SERVICE_MS;
+  const unknownMs = (medianMs ?? ASSUMED_SERVICE_MS) * serviceTime.getSlowdown(now);
+  const serviceMs = serviceTime.getCurrentMs(now) ?? unknownMs;
   const crowding = Math.max(1, (inFlight + 1) / Math.max(1, slots));
   const penalty = 1 + failures * FAILURE_PENALTY + (isCold ? COLD_PENALTY : 0);
-  return usualMs * serviceTime.getSlowdown(now) * crowding * penalty;
+  return serviceMs * crowding * penalty;
 }
 
 /** Returns the median of the usual service times of a service's upstreams, in milliseconds; `undefined` if none is known. */
--- a/packages/scheduling/tests/concurrency-limit.test.ts
+++ b/packages/scheduling/tests/concurrency-limit.test.ts
@@ -1,8 +1,7 @@
+import * as fakes from '@bramleyridge/fakes';
 import * as scheduling from '@bramleyridge/scheduling';
 import * as tap from 'tap';
 
-import * as upstreams from './support/simulated-upstream.js';
-
 const SERVICE_MS = 50;
 
 /** Time in which the limit adapts, in milliseconds; what is measured comes after it. */
@@ -12,7 +11,7 @@
 
 interface Load {
   readonly declaredSlots: number | undefined;
-  readonly upstream: upstreams.SimulatedUpstream;
+  readonly upstream: fakes.SimulatedUpstream;
   readonly states: (now: number) => scheduling.StatedLoad | undefined;
   readonly endMs?: number;
 }
@@ -80,12 +79,12 @@
   return values.reduce((sum, item) => sum + item, 0) / values.length;
 }
 
-function createUpstream(options: Partial<upstreams.SimulatedUpstreamOptions>, seed: number) {
-  return new upstreams.SimulatedUpstream({
+function createUpstream(options: Partial<fakes.SimulatedUpstreamOptions>, seed: number) {
+  return new fakes.SimulatedUpstream({
     slots: 6,
     queueLength: Infinity,
     serviceMs: SERVICE_MS,
-    random: upstreams.createRandom(seed),
+    random: fakes.createRandom(seed),
     ...options,
   });
 }
@@ -163,7 +162,7 @@
   void tap.default.test(`a slow neighbour comes and goes ${suffix}`, async (t) => {
     const lastEndsAt = 9_000;
     SEEDS.forEach((seed) => {
-      const getSlowdown = upstreams.createSpells(WARM_UP_MS, lastEndsAt);
+      const getSlowdown = fakes.createSpells(WARM_UP_MS, lastEndsAt);
       const upstream = createUpstream({ getSlowdown }, seed);
       const states = isStated ? (now: number) => upstream.getLoad(now) : statesNothing;
       const outcome = saturate({ declaredSlots: 6, upstream, states });
--- a/packages/scheduling/tests/service-time.test.ts
+++ b/packages/scheduling/tests/service-time.test.ts
@@ -1,8 +1,7 @@
+import * as fakes from '@bramleyridge/fakes';
 import * as scheduling from '@bramleyridge/scheduling';
 import * as tap from 'tap';
 
-import * as upstreams from './support/simulated-upstream.js';
-
 const SERVICE_MS = 50;
 const SLOTS = 4;
 const END_MS = 30_000;
@@ -10,11 +9,11 @@
 /** Time in which service times are learned, in milliseconds. */
 const WARM_UP_MS = 2_000;
 
-/** Calls that wait at any time: more than the upstreams can take at once. */
+/** Calls that wait at any time: more than the fakes can take at once. */
 const WAITING_CALLS = 24;
 
 interface Site {
-  readonly upstream: upstreams.SimulatedUpstream;
+  readonly upstream: fakes.SimulatedUpstream;
   readonly serviceTime: scheduling.ServiceTime;
   readonly isStated: boolean;
 }
@@ -26,15 +25,15 @@
   readonly throughput: number;
 }
 
-/** Creates upstreams of which each has its own slowdown. */
+/** Creates fakes of which each has its own slowdown. */
 function createSites(
   slowdowns: readonly ((now: number) => number)[],
   isStated: boolean,
   seed: number,
 ): Site[] {
-  const random = upstreams.createRandom(seed);
+  const random = fakes.createRandom(seed);
   return slowdowns.map((getSlowdown) => ({
-    upstream: new upstreams.SimulatedUpstream({
+    upstream: new fakes.SimulatedUpstream({
       slots: SLOTS,
       queueLength: Infinity,
       serviceMs: SERVICE_MS,
@@ -47,7 +46,7 @@
 }
 
 /**
- * Lists the upstreams to which waiting calls go now: each call goes to the one with the least expected time, counting the
+ * Lists the fakes to which waiting calls go now: each call goes to the one with the least expected time, counting the
  * calls before it, and waits if that one has no free slot.
  */
 function* iterateSends(sites: readonly Site[], now: number): Generator<Site> {
@@ -88,7 +87,7 @@
       }
     }
   }
-  const sum = (get: (upstream: upstreams.SimulatedUpstream) => number) =>
+  const sum = (get: (upstream: fakes.SimulatedUpstream) => number) =>
     sites.reduce((total, { upstream }) => total + get(upstream), 0);
   return { sentAt, throughput: sum((item) => item.doneMs) / sum((item) => item.possibleMs) };
 }
@@ -108,7 +107,7 @@
 // Guards against an upstream at two fifths of the speed of two others that gets a third of the calls.
 [true, false].forEach((isStated) => {
   void tap.default.test(
-    `upstreams of uneven speed, ${isStated ? 'stated' : 'not stated'}`,
+    `fakes of uneven speed, ${isStated ? 'stated' : 'not stated'}`,
     async (t) => {
       SEEDS.forEach((seed) => {
         const run = saturate(createSites([() => 2.5, always, always], isStated, seed));
@@ -124,7 +123,7 @@
 // Guards against calls sent to a machine while it is slowed, and against avoiding it after that.
 void tap.default.test('a slow neighbour comes and goes', async (t) => {
   SEEDS.forEach((seed) => {
-    const spells = upstreams.createSpells(WARM_UP_MS);
+    const spells = fakes.createSpells(WARM_UP_MS);
     const sites = createSites([spells, always, always], true, seed);
     const run = saturate(sites);
     const during = getShare(run, (now) => spells(now) > 1);
@@ -225,6 +224,22 @@
   t.ok(expect(unknown, { failures: 1 }) > 50, 'and one that has just failed');
 });
 
+// Guards against a host with few answers that treats a machine which is always slow as a usual one between them.
+void tap.default.test('without a valid slowdown the average of its answers counts', async (t) => {
+  const time = new scheduling.ServiceTime();
+  const load = { running: 1, waiting: 0, slowdown: 2.5 };
+  [0, 1_000, 2_000].forEach((now) => time.recordAnswer(125, load, now));
+  t.equal(time.getUsualMs(), 50);
+  t.same(
+    [2_000, 2_400, 2_401, 30_000].map((now) => time.getCurrentMs(now)),
+    [125, 125, 125, 125],
+  );
+  time.recordAnswer(50, { ...load, slowdown: 1 }, 3_000);
+  t.equal(time.getCurrentMs(3_100), 50, 'a valid statement goes before it');
+  t.ok(time.getCurrentMs(3_500)! > 100);
+  t.equal(time.getCurrentMs(40_000), undefined, 'without a recent answer nothing is known');
+});
+
 // Guards against an upstream that stays avoided after it has become as fast as the others.
 void tap.default.test('an upstream that was slow gets calls again', async (t) => {
   const time = new scheduling.ServiceTime();
