Check for queues more often at the start, and test each part

Taking out the parts of the concurrency limit one by one showed three that no test guards: latency divided by the stated slowdown, the latency required both before and after the limit is halved, and the answers skipped after a change. The first two get tests.

The interval is now 60 answers at the start and after a queue, and doubles to 480.

--- a/packages/scheduling/src/concurrency-limit.ts
+++ b/packages/scheduling/src/concurrency-limit.ts
@@ -34,14 +34,13 @@
 /** Maximum number of successive checks; a queue that they do not confirm is too short to matter. */
 const MAX_CHECKS = 3;
 
-/** Number of answers between two checks for a queue. A check without a queue costs the time of 10 to 15 answers. */
-const ANSWERS_BETWEEN_CHECKS = 360;
-
 /**
- * Growth of the limit since the last check after which the next one is due. While the limit grows, the usual latency
- * follows that of a queue which grows with it.
+ * Number of answers between two checks for a queue: the least one after a queue was confirmed and at the start, twice as
+ * many after each check that confirmed none. A check without a queue costs the time of 10 to 15 answers, and a few of a
+ * hundred miss a queue as long as the number of running calls.
  */
-const GROWTH_BETWEEN_CHECKS = 1.4;
+const MIN_ANSWERS_BETWEEN_CHECKS = 60;
+const MAX_ANSWERS_BETWEEN_CHECKS = 480;
 
 /** Weights of a window in the usual latency. Slow periods end within a second, so lower values count more. */
 const HIGHER_LATENCY_WEIGHT = 0.2;
@@ -80,10 +79,10 @@
   private checks = 0;
   private evidence = 0;
   private answersSinceCheck = 0;
-  private checkedLimit: number;
+  private answersBetweenChecks = MIN_ANSWERS_BETWEEN_CHECKS;
   private isCheckDue = true;
   private changedAt = -Infinity;
-  private answersToSkip: number;
+  private firstAnswers: number;
   private windowSum = 0;
   private windowCount = 0;
   private mostInFlight = 0;
@@ -97,8 +96,7 @@
   public constructor({ declaredSlots }: { readonly declaredSlots: number | undefined }) {
     this.slots = declaredSlots;
     this.limit = Math.max(1, Math.floor(declaredSlots ?? ASSUMED_SLOTS));
-    this.checkedLimit = this.limit;
-    this.answersToSkip = this.limit;
+    this.firstAnswers = this.limit;
   }
 
   /** The number of calls that may be in progress, at least 1. */
@@ -116,9 +114,9 @@
       return;
     }
     this.answersSinceCheck += 1;
-    // Of the calls sent since a change, the shortest are answered first.
-    if (this.answersToSkip > 0) {
-      this.answersToSkip -= 1;
+    // The first calls were sent while others were not yet in progress, so they show no queue.
+    if (this.firstAnswers > 0) {
+      this.firstAnswers -= 1;
       return;
     }
     const isSlowdownFresh = now - this.slowdownAt <= serviceTimes.SLOWDOWN_TTL_MS;
@@ -178,9 +176,8 @@
   private shouldCheck(latency: number): boolean {
     const isSuspected =
       this.usual !== undefined && latency - this.usual > Math.log(SUSPECTED_LATENCY_RATIO);
-    const hasGrown = this.limit > this.checkedLimit * GROWTH_BETWEEN_CHECKS;
-    const isOld = this.answersSinceCheck >= ANSWERS_BETWEEN_CHECKS;
-    return this.isCheckDue || isSuspected || hasGrown || isOld;
+    const isOld = this.answersSinceCheck >= this.answersBetweenChecks;
+    return this.isCheckDue || isSuspected || isOld;
   }
 
   /**
@@ -192,12 +189,12 @@
     this.checks += 1;
     this.evidence += full - this.halved;
     this.answersSinceCheck = 0;
-    this.checkedLimit = this.limit;
     const mean = this.evidence / this.checks;
     const isSuspected = mean > Math.log(SUSPECTED_LATENCY_RATIO);
     if (isSuspected && mean * Math.sqrt(this.checks) > CONFIRMING_EVIDENCE) {
       this.usual = this.halved;
       this.isCheckDue = true;
+      this.answersBetweenChecks = MIN_ANSWERS_BETWEEN_CHECKS;
       const estimated = Math.round(this.limit * Math.exp(-mean));
       this.decrease(Math.max(this.getHalf(), Math.min(this.limit - 1, estimated)), now);
     } else if (isSuspected && this.checks < MAX_CHECKS) {
@@ -209,13 +206,14 @@
       this.checks = 0;
       this.evidence = 0;
       this.isCheckDue = false;
+      const next = this.answersBetweenChecks * 2;
+      this.answersBetweenChecks = Math.min(next, MAX_ANSWERS_BETWEEN_CHECKS);
     }
   }
 
   private decrease(limit: number, now: number): void {
     this.fullAt = this.limit;
     this.limit = Math.max(1, Math.floor(limit));
-    this.checkedLimit = Math.min(this.checkedLimit, this.limit);
     this.quietWindows = 0;
     this.checks = 0;
     this.evidence = 0;
@@ -236,7 +234,6 @@
   private change(phase: Phase, now: number): void {
     this.phase = phase;
     this.changedAt = now;
-    this.answersToSkip = this.value;
   }
 
   private clearWindow(): void {
--- a/packages/scheduling/tests/concurrency-limit.test.ts
+++ b/packages/scheduling/tests/concurrency-limit.test.ts
@@ -174,6 +174,54 @@
   });
 });
 
+// Guards against a check for a queue, which costs throughput, each time that a machine states that it is slowed.
+void tap.default.test('a stated slowdown is no sign of a queue', async (t) => {
+  const cases = [
+    { slowdown: 2.5, value: 6, name: 'stated' },
+    { slowdown: undefined, value: 3, name: 'not stated' },
+  ];
+  cases.forEach(({ name, slowdown, value }) => {
+    const limit = new scheduling.ConcurrencyLimit({ declaredSlots: 6 });
+    let now = 0;
+    const answer = (count: number, tookMs: number, stated: number | undefined) => {
+      for (let i = 0; i < count; i += 1) {
+        now += 10;
+        limit.applyLoad({ running: 5, waiting: 0, slots: 6, slowdown: stated }, now);
+        limit.recordAnswer(tookMs, limit.value, now);
+      }
+    };
+    answer(120, 50, slowdown && 1);
+    t.equal(limit.value, 6, 'the first check has ended');
+    answer(20, 125, slowdown);
+    t.equal(limit.value, value, name);
+  });
+});
+
+// Guards against a slow period that is taken for a queue because it begins or ends while the limit is halved.
+void tap.default.test('a slow period begins or ends during a check', async (t) => {
+  const cases = [
+    { before: 50, halved: 50, restored: 50, value: 6, name: 'none' },
+    { before: 50, halved: 50, restored: 125, value: 6, name: 'begins' },
+    { before: 125, halved: 50, restored: 50, value: 6, name: 'ends' },
+    { before: 100, halved: 50, restored: 100, value: 3, name: 'a queue' },
+  ];
+  cases.forEach(({ before, halved, name, restored, value }) => {
+    const limit = new scheduling.ConcurrencyLimit({ declaredSlots: 6 });
+    let now = 0;
+    const answerWhile = (isActive: () => boolean, tookMs: number) => {
+      while (isActive() && now < 10_000) {
+        now += 10;
+        limit.recordAnswer(tookMs, limit.value, now);
+      }
+    };
+    answerWhile(() => limit.value === 6, before);
+    answerWhile(() => limit.value === 3, halved);
+    const restoredAt = now;
+    answerWhile(() => now < restoredAt + 400, restored);
+    t.equal(limit.value, value, name);
+  });
+});
+
 // Guards against a statement of waiting calls that is ignored until latency shows the queue.
 void tap.default.test('an upstream states its waiting calls', async (t) => {
   SEEDS.forEach((seed) => {
