Schedule calls of plain services by slots

Calls of plain services are sent without regard to how many calls their upstreams can run, so queues stand there, and teams that ask for most are served most.

CallScheduler gives each call a slot at the upstream where it is expected to finish first, in the order of FairShareQueue and up to the ConcurrencyLimit of each upstream. It holds a call until a slot is free, or refuses it at once if it can't be served in time or, in a shortage, would be late. Where hosts schedule alone and their share of a limit is less than a slot, they keep a distance between calls while the upstream shows a queue.

--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -1,8 +1,11 @@
 /** Shares of scarce capacity, concurrency limits and expected service times. */
+export * from './call-scheduler.js';
+export * from './call-spec.js';
 export * from './concurrency-limit.js';
 export * from './decaying-count.js';
 export * from './fair-share-queue.js';
 export * from './priority-order.js';
+export * from './retry-times.js';
 export * from './service-round.js';
 export * from './service-time.js';
 export * from './share-lane.js';
--- /dev/null
+++ b/packages/scheduling/src/upstream-slots.ts
@@ -0,0 +1,142 @@
+import type * as callSpecs from './call-spec.js';
+import * as concurrencyLimits from './concurrency-limit.js';
+import * as serviceTimes from './service-time.js';
+import type * as statedLoads from './stated-load.js';
+
+/** Time for which a load that an upstream stated counts, in milliseconds. Its calls take about as long. */
+const STATED_LOAD_TTL_MS = 400;
+
+/** Time after which a failure counts half, in milliseconds, as for calls that are not scheduled. */
+const FAILURE_HALF_LIFE_MS = 2_000;
+
+/** Time over which the calls to a cold upstream are counted, in milliseconds. */
+const COLD_WINDOW_MS = 1_000;
+
+/** What the slots of one upstream depend on besides itself. */
+export interface UpstreamSlotsOptions {
+  /** Counts the calls that hold slots there. */
+  readonly countRunning: () => number;
+  /** Share of the limit that may be used here; `undefined` if all calls to the upstream are scheduled here. */
+  readonly getLimitShare: (() => number) | undefined;
+}
+
+/** The slots of one upstream process: how many calls it may have, and what their answers showed about it. */
+export class UpstreamSlots {
+  public readonly serviceTime = new serviceTimes.ServiceTime();
+  private readonly limit: concurrencyLimits.ConcurrencyLimit;
+  private stated = { others: 0, at: -Infinity };
+  private failures = { count: 0, at: 0 };
+  private coldSends: number[] = [];
+  private pausedUntil = -Infinity;
+
+  public constructor(
+    public facts: callSpecs.SchedulableUpstream,
+    private readonly options: UpstreamSlotsOptions,
+  ) {
+    this.limit = new concurrencyLimits.ConcurrencyLimit({ declaredSlots: facts.slots });
+  }
+
+  /** Number of calls that hold slots. */
+  public get running(): number {
+    return this.options.countRunning();
+  }
+
+  /** Returns the number of calls that may hold slots, at least 1. */
+  public getLimit(): number {
+    return Math.max(1, Math.floor(this.getLimitPart()));
+  }
+
+  /** Returns whether a slot is free. */
+  public hasRoom(now: number, countsOthers: boolean): boolean {
+    const inFlight = this.running + (countsOthers ? this.getOthers(now) : 0);
+    return inFlight < this.getLimit() && this.getOpenAt(now) <= now;
+  }
+
+  /** Returns the time from which it takes calls: the end of a pause, or the next call to a cold upstream. */
+  public getOpenAt(now: number): number {
+    const { coldCallsPerS } = this.facts;
+    const oldest = this.coldSends[0];
+    const isColdFull =
+      coldCallsPerS !== undefined &&
+      this.isCold(now) &&
+      this.coldSends.filter((at) => now - at < COLD_WINDOW_MS).length >= coldCallsPerS;
+    return isColdFull && oldest !== undefined
+      ? Math.max(this.pausedUntil, oldest + COLD_WINDOW_MS)
+      : this.pausedUntil;
+  }
+
+  /** Returns the number of calls per millisecond that it can answer. */
+  public getCallsPerMs(typicalMs: number, now: number): number {
+    const { coldCallsPerS } = this.facts;
+    const usualMs = this.serviceTime.getRecentUsualMs(now) ?? typicalMs;
+    const callsPerMs = this.getLimitPart() / (usualMs * this.serviceTime.getSlowdown(now));
+    return coldCallsPerS !== undefined && this.isCold(now)
+      ? Math.min(callsPerMs, coldCallsPerS / 1_000)
+      : callsPerMs;
+  }
+
+  /** Returns whether it has started recently. */
+  public isCold(now: number): boolean {
+    return this.facts.coldUntil > now;
+  }
+
+  /** Returns the number of recent failures; older ones count less. */
+  public getFailures(now: number): number {
+    return this.failures.count * 0.5 ** ((now - this.failures.at) / FAILURE_HALF_LIFE_MS);
+  }
+
+  /** Records that a call is sent. */
+  public recordSend(now: number): void {
+    if (this.facts.coldCallsPerS !== undefined && this.isCold(now)) {
+      this.coldSends = this.coldSends.filter((at) => now - at < COLD_WINDOW_MS);
+      this.coldSends.push(now);
+    }
+  }
+
+  /** Records how a call ended; `inFlight` calls were there when it was sent. */
+  public recordEnd(end: callSpecs.CallEnd, inFlight: number, now: number): void {
+    const { load, result, tookMs } = end;
+    if (result === 'answered') {
+      this.limit.recordAnswer(tookMs, inFlight, now);
+      this.serviceTime.recordAnswer(tookMs, load, now);
+    } else if (result === 'not-run') {
+      this.limit.recordShed(now);
+    } else if (result === 'failed') {
+      this.failures = { count: this.getFailures(now) + 1, at: now };
+    }
+    if (load !== undefined) {
+      this.applyLoad(load, now);
+    }
+    this.pauseIfShared(end, now);
+  }
+
+  private applyLoad(load: statedLoads.StatedLoad, now: number): void {
+    this.limit.applyLoad(load, now);
+    this.serviceTime.applyLoad(load, now);
+    this.stated = { others: Math.max(0, load.running + load.waiting - this.running), at: now };
+  }
+
+  /**
+   * Pauses where this scheduler's share of the limit is less than a slot and the upstream shows a queue. Its calls then
+   * keep a distance that makes its share of the slots: hosts without a leader would otherwise send one call each to an
+   * upstream that can take a few in all.
+   */
+  private pauseIfShared({ load, result, tookMs }: callSpecs.CallEnd, now: number): void {
+    const part = this.getLimitPart();
+    if (this.options.getLimitShare === undefined || part >= 1) {
+      return;
+    }
+    const hasQueue = (load?.waiting ?? 0) > 0 || this.limit.value < this.facts.slots;
+    if (result === 'not-run' || (result === 'answered' && hasQueue)) {
+      this.pausedUntil = now + (this.serviceTime.getUsualMs() ?? tookMs) / part;
+    }
+  }
+
+  private getOthers(now: number): number {
+    return now - this.stated.at < STATED_LOAD_TTL_MS ? this.stated.others : 0;
+  }
+
+  private getLimitPart(): number {
+    return this.limit.value * (this.options.getLimitShare?.() ?? 1);
+  }
+}
