Learn from answers how soon a call must start

Forecasts took the typical service time with a fixed margin, and the rate at which slots become free from limits and service times.

The factor by which most answers exceed the typical time and the ratio of ended to expected calls are now learned, and 10 ms are reckoned with for the way between hosts and to the caller. Calls that would be on time only with a fast answer count as demand in a shortage; otherwise an upstream that answers too late for all of them would seem to have capacity to spare.

--- a/packages/scheduling/src/admission-forecast.ts
+++ b/packages/scheduling/src/admission-forecast.ts
@@ -6,14 +6,15 @@
 import type * as upstreamSlots from './upstream-slots.js';
 import type * as waitingCalls from './waiting-call.js';
 
-/** Share of the usual service time that is reckoned with in forecasts, so that most answers are on time. */
-const FORECAST_SHARE = 1.2;
-
 /**
- * The same for teams that get much less than their share. In a shortage, calls that will be late are refused for others
- * that can be on time; such a team is not to lose calls because its slot is free a little later than forecast.
+ * Share of the typical service time that a fast answer takes. Teams that get much less than their share are forecast with
+ * it, others with what most answers take: in a shortage, calls that will be late are refused for others that can be on
+ * time, and such a team is not to lose calls because its slot is free a little later than forecast.
  */
-const BELOW_SHARE_FORECAST_SHARE = 0.5;
+const FAST_ANSWER_SHARE = 0.5;
+
+/** Time for which a call is on its way between the hosts and to its caller, in milliseconds. */
+const DELIVERY_MS = 10;
 
 /** Forecasts whether calls can be served in time, from the work ahead of them and the rate at which slots are freed. */
 export class AdmissionForecast {
@@ -32,7 +33,8 @@
     const { dueAt, expiresAt, priority, team } = spec;
     const typicalMs = this.capacity.getTypicalMs(now);
     const isBelowShare = this.levels.isBelowShare(team, now);
-    const serviceMs = typicalMs * (isBelowShare ? BELOW_SHARE_FORECAST_SHARE : FORECAST_SHARE);
+    const share = isBelowShare ? FAST_ANSWER_SHARE : this.capacity.spread.get();
+    const serviceMs = typicalMs * share;
     const holdMs = callSpecs.getHoldMs({ dueInMs: dueAt - now, leftMs: expiresAt - now });
     return {
       spec,
@@ -41,14 +43,14 @@
       priority,
       cost: typicalMs,
       serviceMs,
-      dueAt,
+      dueAt: dueAt - DELIVERY_MS,
       expiresAt: Math.min(expiresAt, now + holdMs + serviceMs),
     };
   }
 
-  /** Records that a call arrived. */
-  public recordArrival({ dueAt, serviceMs }: waitingCalls.WaitingCall, now: number): void {
-    if (dueAt >= now + serviceMs) {
+  /** Records that a call arrived; one that could be on time with a fast answer counts. */
+  public recordArrival({ cost, dueAt }: waitingCalls.WaitingCall, now: number): void {
+    if (dueAt >= now + cost * FAST_ANSWER_SHARE) {
       this.demand.record(now);
     }
   }
--- a/packages/scheduling/src/call-scheduler.ts
+++ b/packages/scheduling/src/call-scheduler.ts
@@ -88,7 +88,9 @@
   /** Gives free slots to waiting calls and refuses those that can't be served any more. */
   public dispatch(now: number): callSpecs.SettledCall[] {
     this.capacity.running.removeExpired(now);
-    return [...this.grantFreeSlots(now), ...this.sweep(now)];
+    const settled = [...this.grantFreeSlots(now), ...this.sweep(now)];
+    this.capacity.observe(this.queue.size > 0, now);
+    return settled;
   }
 
   /** Frees the slot of a call, or withdraws a call that waits; returns the calls that are settled by it. */
--- a/packages/scheduling/src/service-capacity.ts
+++ b/packages/scheduling/src/service-capacity.ts
@@ -1,6 +1,8 @@
+import * as answerSpreads from './answer-spread.js';
 import type * as callSpecs from './call-spec.js';
 import * as runningCalls from './running-calls.js';
 import * as serviceTimes from './service-time.js';
+import * as throughputRatios from './throughput-ratio.js';
 import * as upstreamChoices from './upstream-choice.js';
 import * as upstreamSlots from './upstream-slots.js';
 
@@ -22,7 +24,9 @@
 
 /** The upstreams of one service with the calls that hold slots there. */
 export class ServiceCapacity {
+  public readonly spread = new answerSpreads.AnswerSpread();
   public readonly running = new runningCalls.RunningCalls();
+  private readonly throughput = new throughputRatios.ThroughputRatio();
   private upstreams = new Map<string, upstreamSlots.UpstreamSlots>();
   private typicalMs: number | undefined;
   private startedAt: number | undefined;
@@ -59,10 +63,12 @@
 
   /** Returns the number of calls per millisecond that upstreams can answer, without those that take none now. */
   public getCallsPerMs(upstreams: readonly upstreamSlots.UpstreamSlots[], now: number): number {
-    const typicalMs = this.getTypicalMs(now);
-    return upstreams
-      .filter((item) => item.getOpenAt(now) <= now)
-      .reduce((sum, item) => sum + item.getCallsPerMs(typicalMs, now), 0);
+    return this.computeCallsPerMs(upstreams, now) * this.throughput.get();
+  }
+
+  /** Records whether calls wait for a slot from now on. */
+  public observe(isWaiting: boolean, now: number): void {
+    this.throughput.observe(isWaiting ? this.computeCallsPerMs(this.list(), now) : 0, now);
   }
 
   /** Returns the median of the usual service times, in milliseconds. */
@@ -107,11 +113,25 @@
     if (call === undefined) {
       return false;
     }
+    this.throughput.recordEnd();
+    if (end.result === 'answered') {
+      this.spread.record(end.tookMs / this.getTypicalMs(now));
+    }
     this.upstreams.get(call.upstreamId)?.recordEnd(end, call.inFlight, now);
     this.typicalMs = undefined;
     return true;
   }
 
+  private computeCallsPerMs(
+    upstreams: readonly upstreamSlots.UpstreamSlots[],
+    now: number,
+  ): number {
+    const typicalMs = this.getTypicalMs(now);
+    return upstreams
+      .filter((item) => item.getOpenAt(now) <= now)
+      .reduce((sum, item) => sum + item.getCallsPerMs(typicalMs, now), 0);
+  }
+
   private keepOrCreate(
     facts: callSpecs.SchedulableUpstream,
     known: upstreamSlots.UpstreamSlots | undefined,
