Let the leader schedule the calls of plain services

Each host chose among upstreams by its own calls, so no host could see that a team or the upstreams were over their share.

With the setting capacitySharing, an entry host asks the leader for a slot before each send of a call that is no generation (requestSlot) and returns it with the result (releaseSlot), exactly once, also if the gate withholds the send or the caller leaves. A refusal of the leader is answered with 503 as not run, with the leader's time for the return. Without the setting upstreams are chosen as before; that part of UpstreamPicker is now FallbackPicker.

--- /dev/null
+++ b/packages/gateway/src/call-scheduling-service.ts
@@ -0,0 +1,212 @@
+import * as scheduling from '@bramleyridge/scheduling';
+import type * as schemas from '@bramleyridge/schemas';
+
+import type * as slotMessages from './slot-messages.js';
+
+/**
+ * Interval at which waiting calls are looked at again without a release, in milliseconds: deadlines pass, and the list
+ * of upstreams changes. A call of 50 ms ends in the meantime at one slot in three.
+ */
+const RETRY_INTERVAL_MS = 20;
+
+/** Dependencies of the call scheduling service. */
+export interface CallSchedulingServiceOptions {
+  readonly clock: schemas.Clock;
+  /** Returns the upstreams of a plain service that take calls; undefined if the service or its list is not known. */
+  readonly findUpstreams: (
+    service: string,
+  ) => readonly scheduling.SchedulableUpstream[] | undefined;
+  readonly getWeight: (team: string) => number;
+  readonly random: () => number;
+  /** Share of the limits that may be used here; undefined on the leader, which schedules for all hosts. */
+  readonly getLimitShare?: () => number;
+}
+
+interface Pool {
+  readonly scheduler: scheduling.CallScheduler;
+  /** Settles the requests that wait, by call. */
+  readonly settle: Map<string, (res: slotMessages.SlotRes) => void>;
+  upstreams: readonly scheduling.SchedulableUpstream[] | undefined;
+  isRetrying: boolean;
+}
+
+/** Schedules the calls of all plain services, for all hosts on the leader and for its own calls on a host without one. */
+export class CallSchedulingService {
+  private readonly pools = new Map<string, Pool>();
+  private readonly incarnations = new Map<string, string>();
+  private term: number | undefined;
+
+  public constructor(private readonly options: CallSchedulingServiceOptions) {}
+
+  /** Waits for a slot for a call; the answer is a refusal if it can't be served in time. */
+  public async request(req: slotMessages.SlotReq): Promise<slotMessages.SlotRes> {
+    const now = this.options.clock.now();
+    const pool = this.findPool(req.service);
+    if (pool?.upstreams === undefined) {
+      return { waitedMs: 0, isUnknown: true };
+    }
+    this.noteIncarnation(req);
+    return new Promise((resolve) => {
+      pool.settle.set(req.callId, resolve);
+      this.settleAll(pool, pool.scheduler.submit(createSpec(req, now), now));
+      void this.retryWaiting(pool, req.service);
+    });
+  }
+
+  /** Frees the slot of a call, or withdraws its request. */
+  public release({ callId, load, result, service, tookMs }: slotMessages.SlotRelease): void {
+    const pool = this.pools.get(service);
+    if (pool === undefined) {
+      return;
+    }
+    const now = this.options.clock.now();
+    this.settleAll(pool, pool.scheduler.complete(callId, { result, tookMs, load }, now));
+  }
+
+  /** Registers the calls of a host that hold slots already. */
+  public report({ calls, hostId, incarnation }: slotMessages.SlotReport): void {
+    this.noteIncarnation({ hostId, incarnation });
+    const now = this.options.clock.now();
+    calls.forEach(({ callId, leftMs, service, upstreamId }) => {
+      const expiresAt = now + leftMs;
+      const spec = {
+        callId,
+        hostId,
+        incarnation,
+        team: '',
+        priority: 0,
+        availabilityZone: '',
+        dueAt: expiresAt,
+        expiresAt,
+        excluded: [],
+      };
+      const pool = this.findPool(service) ?? this.getPool(service);
+      pool.scheduler.registerRunning(spec, upstreamId, expiresAt, now);
+    });
+  }
+
+  /** Returns the state of each service, for operators. */
+  public listSummaries(): { service: string; summary: scheduling.ServiceSummary }[] {
+    const now = this.options.clock.now();
+    return [...this.pools].map(([service, { scheduler }]) => ({
+      service,
+      summary: scheduler.getSummary(now),
+    }));
+  }
+
+  /** Starts a term as the leader, with no slots taken; hosts report the calls that hold some. */
+  public startLeading(term: number): void {
+    if (this.term !== term) {
+      this.term = term;
+      this.clear();
+    }
+  }
+
+  /** Drops all state, because another host leads; requests that wait are answered as unknown. */
+  public clear(): void {
+    this.pools.forEach(({ settle }) =>
+      settle.forEach((resolve) => resolve({ waitedMs: 0, isUnknown: true })),
+    );
+    this.pools.clear();
+    this.incarnations.clear();
+  }
+
+  /** Frees the slots of the earlier process of a host that has restarted. */
+  private noteIncarnation({
+    hostId,
+    incarnation,
+  }: Pick<slotMessages.SlotReq, 'hostId' | 'incarnation'>): void {
+    const known = this.incarnations.get(hostId);
+    this.incarnations.set(hostId, incarnation);
+    if (known === undefined || known === incarnation) {
+      return;
+    }
+    const now = this.options.clock.now();
+    this.pools.forEach((pool) =>
+      this.settleAll(pool, pool.scheduler.dropHost(hostId, incarnation, now)),
+    );
+  }
+
+  /** Looks at the waiting calls of a service at intervals while there are any. */
+  private async retryWaiting(pool: Pool, service: string): Promise<void> {
+    if (pool.isRetrying) {
+      return;
+    }
+    pool.isRetrying = true;
+    while (pool.settle.size > 0 && this.pools.get(service) === pool) {
+      await this.options.clock.sleep(RETRY_INTERVAL_MS);
+      if (this.pools.get(service) === pool) {
+        this.retry(pool, service);
+      }
+    }
+    pool.isRetrying = false;
+  }
+
+  private retry(pool: Pool, service: string): void {
+    this.findPool(service);
+    if (pool.upstreams === undefined) {
+      // The list of a host that no longer leads is not kept, so nothing would end the wait.
+      pool.settle.forEach((resolve) => resolve({ waitedMs: 0, isUnknown: true }));
+      this.pools.delete(service);
+      return;
+    }
+    this.settleAll(pool, pool.scheduler.dispatch(this.options.clock.now()));
+  }
+
+  private settleAll(pool: Pool, settled: readonly scheduling.SettledCall[]): void {
+    settled.forEach((item) => {
+      const { callId } = item.spec;
+      pool.settle.get(callId)?.(createRes(item));
+      pool.settle.delete(callId);
+    });
+  }
+
+  private findPool(service: string): Pool | undefined {
+    const upstreams = this.options.findUpstreams(service);
+    if (upstreams === undefined && !this.pools.has(service)) {
+      return undefined;
+    }
+    const pool = this.getPool(service);
+    if (pool.upstreams !== upstreams) {
+      pool.upstreams = upstreams;
+      pool.scheduler.setUpstreams(upstreams ?? []);
+    }
+    return pool;
+  }
+
+  private getPool(service: string): Pool {
+    const { getLimitShare, getWeight, random } = this.options;
+    const pool = this.pools.get(service) ?? {
+      scheduler: new scheduling.CallScheduler({ getLimitShare, getWeight, random }),
+      settle: new Map<string, (res: slotMessages.SlotRes) => void>(),
+      upstreams: undefined,
+      isRetrying: false,
+    };
+    this.pools.set(service, pool);
+    return pool;
+  }
+}
+
+function createSpec(req: slotMessages.SlotReq, now: number): scheduling.CallSpec {
+  const { availabilityZone, callId, dueInMs, excluded, hostId, incarnation, leftMs } = req;
+  return {
+    callId,
+    hostId,
+    incarnation,
+    team: req.team ?? '',
+    priority: req.priority,
+    availabilityZone,
+    dueAt: now + dueInMs,
+    expiresAt: now + leftMs,
+    excluded,
+  };
+}
+
+function createRes(settled: scheduling.SettledCall): slotMessages.SlotRes {
+  const waitedMs = Math.round(settled.waitedMs);
+  if (settled.kind === 'granted') {
+    return { upstreamId: settled.upstreamId, waitedMs };
+  }
+  const { reason } = settled;
+  return { waitedMs, refused: { reason, retryAfterMs: Math.round(settled.retryAfterMs) } };
+}
--- a/packages/gateway/src/core-host.ts
+++ b/packages/gateway/src/core-host.ts
@@ -6,6 +6,7 @@
 import * as schemas from '@bramleyridge/schemas';
 import type * as telemetry from '@bramleyridge/telemetry';
 
+import * as callSchedulingServices from './call-scheduling-service.js';
 import * as coreDiscoveries from './core-discovery.js';
 import * as coreGroups from './core-group.js';
 import * as coreMeshes from './core-mesh.js';
@@ -23,6 +24,7 @@
 import * as rateLimitServices from './rate-limit-service.js';
 import * as retryShares from './retry-shares.js';
 import * as routedConfigurationStores from './routed-configuration-store.js';
+import * as schedulableUpstreams from './schedulable-upstreams.js';
 import type * as settingsWatchers from './settings-watcher.js';
 import * as suspectRegistries from './suspect-registry.js';
 import * as suspectRelays from './suspect-relay.js';
@@ -56,6 +58,7 @@
   private readonly group: coreGroups.CoreGroup;
   private readonly discovery: coreDiscoveries.CoreDiscovery;
   private readonly placement: placementServices.PlacementService;
+  private readonly scheduling: callSchedulingServices.CallSchedulingService;
   private readonly suspects: suspectRegistries.SuspectRegistry;
   private readonly relay: suspectRelays.SuspectRelay;
   private readonly gate: requests.UpstreamGate;
@@ -156,6 +159,7 @@
         windowMs: settings.bounds.retryWindowMs,
       },
     });
+    this.scheduling = this.createScheduling();
     this.upstreamList = new upstreamListServices.UpstreamListService({
       source,
       probe: options.probe,
@@ -259,6 +263,18 @@
         const { startedAt, term } = group.getLeadership();
         return { isLent: this.placement.grantRetry(service, { term, since: startedAt }) };
       },
+      requestSlot: (req) => {
+        this.ensureLeading('request-slot');
+        return this.scheduling.request(req);
+      },
+      releaseSlot: async (req) => {
+        this.ensureLeading('release-slot');
+        this.scheduling.release(req);
+      },
+      reportSlots: async (req) => {
+        this.ensureLeading('report-slots');
+        this.scheduling.report(req);
+      },
       grantSend: async (req) => {
         this.ensureLeading('grant-send');
         this.rateLimits.startLeading(group.getLeadership().term);
@@ -292,6 +308,24 @@
     return res;
   }
 
+  /** Creates the scheduler of the calls of plain services, which is used while this host leads. */
+  private createScheduling(): callSchedulingServices.CallSchedulingService {
+    const { clock, random, settings } = this.options;
+    const upstreams = new schedulableUpstreams.SchedulableUpstreams({
+      clock,
+      findService: (name) => this.findService(name),
+      findUpstreams: () => this.upstreamList.getList()?.upstreams,
+      isEvacuated: (zone) => this.group.evacuations.has(zone),
+      getEvacuationRevision: () => this.group.evacuations.get().revision,
+    });
+    return new callSchedulingServices.CallSchedulingService({
+      clock,
+      findUpstreams: (service) => upstreams.find(service),
+      getWeight: (team) => settings.get().capacitySharing?.teamWeights[team] ?? 1,
+      random,
+    });
+  }
+
   /** Creates the gate of this host's probes. */
   private createGate(): requests.UpstreamGate {
     const { clock, log, metrics, random } = this.options;
@@ -335,9 +369,12 @@
   private ensureLeading(step: string): void {
     if (!this.group.isLeading()) {
       this.placement.clear();
+      this.scheduling.clear();
       throw new schemas.StepError({ id: 'notLeader', step });
     }
-    this.placement.startLeading(this.group.getLeadership().term);
+    const { term } = this.group.getLeadership();
+    this.placement.startLeading(term);
+    this.scheduling.startLeading(term);
   }
 
   private findService(name: string): schemas.RoutedService | undefined {
--- a/packages/gateway/src/core-procedures.ts
+++ b/packages/gateway/src/core-procedures.ts
@@ -7,6 +7,8 @@
 import * as trpc from '@trpc/server';
 import * as z from 'zod';
 
+import * as slotMessages from './slot-messages.js';
+
 /** Announcement of a core host to another, with the core hosts that it knows. */
 export const helloReq = z.object({
   coreId: z.string(),
@@ -338,6 +340,12 @@
   noteRun(note: GenerationEvent): Promise<void>;
   /** Grants a retry, as the leader. */
   borrowRetry(req: RetryGrantReq): Promise<RetryGrantRes>;
+  /** Waits for a slot at an upstream of a plain service, as the leader. */
+  requestSlot(req: slotMessages.SlotReq): Promise<slotMessages.SlotRes>;
+  /** Frees a slot, as the leader. */
+  releaseSlot(req: slotMessages.SlotRelease): Promise<void>;
+  /** Registers the calls of a host that hold slots, as a leader that is new to the host. */
+  reportSlots(req: slotMessages.SlotReport): Promise<void>;
   /** Grants or refuses a send to a limited upstream, as the leader. */
   grantSend(req: RateGrantReq): Promise<requests.RateGrantAnswer>;
   /** Records rate limits; any core host tells those that poll it. */
@@ -389,6 +397,15 @@
     borrowRetry: t.procedure
       .input(retryGrantReq)
       .mutation(({ input }) => handlers.borrowRetry(input)),
+    requestSlot: t.procedure
+      .input(slotMessages.slotReq)
+      .mutation(({ input }) => handlers.requestSlot(input)),
+    releaseSlot: t.procedure
+      .input(slotMessages.slotRelease)
+      .mutation(({ input }) => handlers.releaseSlot(input)),
+    reportSlots: t.procedure
+      .input(slotMessages.slotReport)
+      .mutation(({ input }) => handlers.reportSlots(input)),
     grantSend: t.procedure.input(rateGrantReq).mutation(({ input }) => handlers.grantSend(input)),
     reportLimits: t.procedure
       .input(rateLimitReport)
--- a/packages/gateway/src/entry-host.ts
+++ b/packages/gateway/src/entry-host.ts
@@ -1,3 +1,4 @@
+import * as crypto from 'node:crypto';
 import type * as http from 'node:http';
 
 import * as intents from '@bramleyridge/intents';
@@ -7,6 +8,7 @@
 import type * as telemetry from '@bramleyridge/telemetry';
 
 import * as callAdmissions from './call-admission.js';
+import * as callSchedulingServices from './call-scheduling-service.js';
 import * as updatePollers from './update-poller.js';
 import * as coreMeshes from './core-mesh.js';
 import * as procedures from './core-procedures.js';
@@ -22,7 +24,9 @@
 import * as retryShares from './retry-shares.js';
 import * as routedFlows from './routed-flow.js';
 import * as routedConfigurationStores from './routed-configuration-store.js';
+import * as schedulableUpstreams from './schedulable-upstreams.js';
 import type * as settingsWatchers from './settings-watcher.js';
+import * as slotClients from './slot-client.js';
 import * as suspectClients from './suspect-client.js';
 import * as upstreamDirectories from './upstream-directory.js';
 import * as upstreamPickers from './upstream-picker.js';
@@ -159,7 +163,9 @@
       log,
       metrics: options.metrics,
     });
+    const slots = this.createSlotClient();
     this.picker = new upstreamPickers.UpstreamPicker({
+      findSlots: () => options.settings.get().capacitySharing && slots,
       directory: this.directory,
       placer: placement,
       gate: this.gate,
@@ -300,6 +306,27 @@
     requests.sendJson(res, isPath ? status : 404, { version: this.store.getVersion() });
   }
 
+  private createSlotClient(): slotClients.SlotClient {
+    const { clock, log, random, settings } = this.options;
+    const { availabilityZone, hostId } = settings.get();
+    return new slotClients.SlotClient({
+      hostId,
+      incarnation: crypto.randomUUID(),
+      availabilityZone,
+      mesh: this.mesh,
+      findLeader: () => this.poller.findLeader(),
+      local: new callSchedulingServices.CallSchedulingService({
+        clock,
+        findUpstreams: (service) => schedulableUpstreams.findOnHost(this.directory, service),
+        getWeight: (team) => settings.get().capacitySharing?.teamWeights[team] ?? 1,
+        random,
+        getLimitShare: () => 1 / Math.max(1, this.entryHosts ?? ASSUMED_ENTRY_HOSTS),
+      }),
+      clock,
+      log,
+    });
+  }
+
   private createRelayClient(hostId: string): suspectRelayClients.SuspectRelayClient {
     const { clock, log } = this.options;
     const { poller, mesh } = this;
--- a/packages/gateway/src/routed-attempts.ts
+++ b/packages/gateway/src/routed-attempts.ts
@@ -6,11 +6,14 @@
 import * as migrationManagers from './migration-manager.js';
 import type * as crashGuards from './crash-guard.js';
 import * as generationCalls from './generation-calls.js';
+import type * as pickedUpstreams from './picked-upstream.js';
 import type * as ports from './ports.js';
 import * as engineRestarts from './abort-on-engine-restart.js';
 import type * as routedAnswers from './routed-answer.js';
 import type * as routedJobs from './routed-job.js';
-import type * as upstreamPickers from './upstream-picker.js';
+import type * as slotMessages from './slot-messages.js';
+import * as slotResults from './slot-result.js';
+import * as upstreamPickers from './upstream-picker.js';
 
 /**
  * Maximum size of an answer that is buffered before any of it is sent to the caller, in bytes: it can still be replaced
@@ -45,10 +48,12 @@
 
 /** One run of a call at one upstream, with the load accounted for it there and at its backup engine. */
 interface Attempt {
-  readonly picked: upstreamPickers.PickedUpstream;
+  readonly picked: pickedUpstreams.PickedUpstream;
   readonly run: migrationManagers.MigratableRun;
-  /** Releases the run's accounted load; only the first call has an effect. */
-  readonly release: (hasFailed: boolean) => void;
+  /** Releases the run's accounted load and its slot; only the first call has an effect. */
+  readonly release: (hasFailed: boolean, result: slotMessages.SlotResult) => void;
+  /** Load that the upstream stated with its answer. */
+  load: ports.AnswerFacts['load'];
   /** Time at which its answer began. */
   answerStartedAt: number | undefined;
 }
@@ -66,7 +71,7 @@
   /** Makes one attempt at an upstream. */
   public async attempt(
     job: routedJobs.RoutedJob,
-    picked: upstreamPickers.PickedUpstream,
+    picked: pickedUpstreams.PickedUpstream,
   ): Promise<routedAnswers.RoutedAnswer> {
     const permit = await this.admit(job, picked);
     const attempt = this.begin(job, picked);
@@ -74,7 +79,7 @@
     try {
       return await this.receive(job, attempt, await this.send(job, attempt, permit, undefined));
     } catch (err) {
-      attempt.release(true);
+      attempt.release(true, slotResults.getFailureResult(err, job.abort.signal));
       this.recordEnd(job, attempt, err);
       return this.recover(job, attempt, err);
     }
@@ -83,7 +88,7 @@
   /** Records what a failure shows about its upstream. */
   public noteFailure(
     job: routedJobs.RoutedJob,
-    { known, upstreamId }: upstreamPickers.PickedUpstream,
+    { known, upstreamId }: pickedUpstreams.PickedUpstream,
     failure: requests.UpstreamError,
   ): void {
     const { clock, directory, gate, log, metrics } = this.options;
@@ -109,13 +114,13 @@
   /** Permits the send of a call to the upstream picked for it; otherwise another one is picked. */
   private async admit(
     job: routedJobs.RoutedJob,
-    picked: upstreamPickers.PickedUpstream,
+    picked: pickedUpstreams.PickedUpstream,
   ): Promise<requests.SendPermit> {
     const { gate, guard, log, picker } = this.options;
     try {
       return await gate.admit(picked.known);
     } catch (err) {
-      picker.release(job.call, false);
+      picker.release(job.call, picked, upstreamPickers.UNSENT);
       guard.recordOutcome(job, { known: picked.known, answerStartedAt: undefined }, 'not-run');
       const { requestId } = job.call.facts;
       log.info({ decision: 'send-withheld', request: requestId, upstream: picked.upstreamId });
@@ -123,22 +128,30 @@
     }
   }
 
-  private begin(job: routedJobs.RoutedJob, picked: upstreamPickers.PickedUpstream): Attempt {
-    const { picker } = this.options;
+  private begin(job: routedJobs.RoutedJob, picked: pickedUpstreams.PickedUpstream): Attempt {
+    const { clock, picker } = this.options;
     const { call, tried } = job;
     tried.add(picked.upstreamId);
     job.upstreamId = picked.upstreamId;
     const leave = picked.known.load.trackCall(generationCalls.getExpectedTokens(call));
     const run = createRun(picked);
-    const release = (hasFailed: boolean) => {
-      if (run.isOpen) {
-        run.isOpen = false;
-        run.hasFailed = hasFailed;
-        leave();
-        picker.release(call, hasFailed);
-      }
+    const startedAt = clock.now();
+    const attempt: Attempt = {
+      picked,
+      run,
+      load: undefined,
+      answerStartedAt: undefined,
+      release: (hasFailed, result) => {
+        if (run.isOpen) {
+          run.isOpen = false;
+          run.hasFailed = hasFailed;
+          leave();
+          const tookMs = clock.now() - startedAt;
+          picker.release(call, picked, { hasFailed, result, tookMs, load: attempt.load });
+        }
+      },
     };
-    return { picked, run, release, answerStartedAt: undefined };
+    return attempt;
   }
 
   private send(
@@ -184,6 +197,7 @@
     if (load !== undefined) {
       known.load.applyReport(load, clock.now());
     }
+    attempt.load = load;
     const isFailure = answer.status >= FIRST_FAILURE_STATUS;
     metrics.count('attempts', {
       service: job.call.service.name,
@@ -199,7 +213,7 @@
     if (!read.isWhole) {
       return this.createStreamed(job, attempt, answer, read.bytes);
     }
-    attempt.release(false);
+    attempt.release(false, isFailure ? 'failed' : 'answered');
     const isServed = answer.status < FIRST_NON_SUCCESS_STATUS;
     this.options.guard.recordOutcome(job, createGuardedRun(attempt), isServed ? 'served' : 'over');
     return { kind: 'whole', head: answer, bytes: read.bytes };
@@ -280,7 +294,7 @@
       metrics.count('resumes', { result: 'resumed' });
       return this.createStreamed(job, attempt, answer, Buffer.alloc(0));
     } catch (err) {
-      attempt.release(true);
+      attempt.release(true, slotResults.getFailureResult(err, job.abort.signal));
       this.recordEnd(job, attempt, err);
       metrics.count('resumes', { result: 'failed' });
       log.info({ decision: 'resume-failed', ...details, err: schemas.toError(err).message });
@@ -301,9 +315,9 @@
    * nothing about the call.
    */
   private endStreamed(job: routedJobs.RoutedJob, attempt: Attempt, hasFailed: boolean): void {
-    attempt.release(hasFailed);
     const isStoppedHere = attempt.run.finalBackup !== undefined || job.abort.signal.aborted;
     const failed = isStoppedHere ? 'over' : 'lost';
+    attempt.release(hasFailed, slotResults.getStreamResult(hasFailed, isStoppedHere));
     this.options.guard.recordOutcome(job, createGuardedRun(attempt), hasFailed ? failed : 'served');
   }
 
@@ -313,7 +327,7 @@
    */
   private async admitResume(
     job: routedJobs.RoutedJob,
-    next: upstreamPickers.PickedUpstream,
+    next: pickedUpstreams.PickedUpstream,
   ): Promise<requests.SendPermit | undefined> {
     const { gate, guard, log, picker } = this.options;
     try {
@@ -325,7 +339,7 @@
         signal: job.abort.signal,
       });
     } catch (err) {
-      picker.release(job.call, true);
+      picker.release(job.call, next, { ...upstreamPickers.UNSENT, hasFailed: true });
       const { message } = schemas.toError(err);
       const request = job.call.facts.requestId;
       const reason = err instanceof requests.UpstreamError ? 'rate-limit' : 'quarantine';
@@ -338,7 +352,7 @@
   private async chooseNext(
     job: routedJobs.RoutedJob,
     { run }: Attempt,
-  ): Promise<upstreamPickers.PickedUpstream | undefined> {
+  ): Promise<pickedUpstreams.PickedUpstream | undefined> {
     const { directory, findBudget, log, metrics, picker } = this.options;
     const { abort, call } = job;
     const mayRunAgain = isIdempotent(call) && job.tried.size < call.route.maxRuns;
@@ -356,7 +370,9 @@
       log.warn({ decision: 'resume-refused', request: requestId, reason: 'retry-budget' });
       return undefined;
     }
-    return backup === undefined ? picker.pick(call, job.tried) : picker.pickAt(call, backup.at);
+    return backup === undefined
+      ? picker.pick(call, job.tried, abort.signal)
+      : picker.pickAt(call, backup.at);
   }
 
   private logChoice(job: routedJobs.RoutedJob, { picked }: Attempt): void {
@@ -384,7 +400,7 @@
 function createRun({
   backupEngine,
   known,
-}: upstreamPickers.PickedUpstream): migrationManagers.MigratableRun {
+}: pickedUpstreams.PickedUpstream): migrationManagers.MigratableRun {
   const backup = backupEngine && {
     at: backupEngine,
     reference: { kind: 'kept', backupAddress: backupEngine.listed.address } as const,
--- a/packages/gateway/src/routed-flow.ts
+++ b/packages/gateway/src/routed-flow.ts
@@ -4,11 +4,12 @@
 import * as schemas from '@bramleyridge/schemas';
 
 import type * as callAdmissions from './call-admission.js';
+import type * as pickedUpstreams from './picked-upstream.js';
 import * as routedAnswers from './routed-answer.js';
 import * as routedAttempts from './routed-attempts.js';
 import type * as routedJobs from './routed-job.js';
 import * as streamTimes from './stream-times.js';
-import type * as upstreamPickers from './upstream-picker.js';
+import * as upstreamPickers from './upstream-picker.js';
 
 /** `Retry-After` of a call whose time ran out before it was sent, in seconds. */
 const RETRY_AFTER_S = 1;
@@ -153,22 +154,22 @@
   }
 
   /** Picks an upstream. A suspect is not sent where another suspect runs, as long as there are other upstreams. */
-  private async choose(job: routedJobs.RoutedJob): Promise<upstreamPickers.PickedUpstream> {
+  private async choose(job: routedJobs.RoutedJob): Promise<pickedUpstreams.PickedUpstream> {
     const { guard, picker } = this.options;
-    const { call } = job;
+    const { abort, call } = job;
     await guard.admit(job);
     const excluded = new Set(job.tried);
     for (let moves = 0; ; moves += 1) {
-      const picked = await picker.pick(call, excluded);
+      const picked = await picker.pick(call, excluded, abort.signal);
       const mayShare = () => moves >= MAX_SUSPECT_MOVES || !this.hasOther(call, picked, excluded);
       const permit = await guard.permit(job, picked.known, mayShare).catch((err: unknown) => {
-        picker.release(call, false);
+        picker.release(call, picked, upstreamPickers.UNSENT);
         throw err;
       });
       if (permit.kind === 'go') {
         return picked;
       }
-      picker.release(call, false);
+      picker.release(call, picked, upstreamPickers.UNSENT);
       if (permit.kind === 'there') {
         return picker.pickAt(call, permit.upstream);
       }
@@ -178,7 +179,7 @@
 
   private hasOther(
     { regions, service }: callAdmissions.AdmittedCall,
-    picked: upstreamPickers.PickedUpstream,
+    picked: pickedUpstreams.PickedUpstream,
     excluded: ReadonlySet<string>,
   ): boolean {
     return this.options.directory
--- /dev/null
+++ b/packages/gateway/src/schedulable-upstreams.ts
@@ -0,0 +1,96 @@
+import type * as scheduling from '@bramleyridge/scheduling';
+import * as schemas from '@bramleyridge/schemas';
+
+import type * as upstreamDirectories from './upstream-directory.js';
+
+/** The leader's share of the calls per second that a cold upstream tolerates; the rest is for hosts without it. */
+const LEADER_COLD_SHARE = 0.6;
+
+/** Dependencies of `SchedulableUpstreams`. */
+export interface SchedulableUpstreamsOptions {
+  readonly clock: schemas.Clock;
+  /** Returns a service of the configuration in force. */
+  readonly findService: (name: string) => schemas.RoutedService | undefined;
+  /** Returns the list of upstreams; undefined until this leader has read one. */
+  readonly findUpstreams: () => readonly schemas.ListedUpstream[] | undefined;
+  /** Returns whether an availability zone must get no new work; the revision changes with every such change. */
+  readonly isEvacuated: (availabilityZone: string) => boolean;
+  readonly getEvacuationRevision: () => number;
+}
+
+interface CachedService {
+  readonly listed: readonly schemas.ListedUpstream[];
+  readonly evacuationRevision: number;
+  readonly coldCallsPerS: number | undefined;
+  readonly upstreams: readonly scheduling.SchedulableUpstream[];
+}
+
+/** The upstreams of plain services that take calls, from the leader's list. */
+export class SchedulableUpstreams {
+  private readonly cache = new Map<string, CachedService>();
+
+  public constructor(private readonly options: SchedulableUpstreamsOptions) {}
+
+  /**
+   * Returns the upstreams of a plain service, as the same array until something changes; undefined if the service is not
+   * a plain one, or no list has been read.
+   */
+  public find(service: string): readonly scheduling.SchedulableUpstream[] | undefined {
+    const { findService, findUpstreams, getEvacuationRevision } = this.options;
+    const facts = findService(service);
+    const listed = findUpstreams();
+    if (facts === undefined || facts.engine !== undefined || listed === undefined) {
+      return undefined;
+    }
+    const { coldCallsPerS } = facts;
+    const evacuationRevision = getEvacuationRevision();
+    const cached = this.cache.get(service);
+    const isSame =
+      cached?.listed === listed &&
+      cached.evacuationRevision === evacuationRevision &&
+      cached.coldCallsPerS === coldCallsPerS;
+    if (isSame) {
+      return cached.upstreams;
+    }
+    const upstreams = this.create(service, listed, coldCallsPerS);
+    this.cache.set(service, { listed, evacuationRevision, coldCallsPerS, upstreams });
+    return upstreams;
+  }
+
+  private create(
+    service: string,
+    listed: readonly schemas.ListedUpstream[],
+    coldCallsPerS: number | undefined,
+  ): scheduling.SchedulableUpstream[] {
+    const now = this.options.clock.now();
+    return listed
+      .filter((item) => item.service === service && !item.isLeaving && item.saysLeaving !== true)
+      .filter((item) => !this.options.isEvacuated(item.availabilityZone))
+      .map((item) => ({
+        upstreamId: item.upstreamId,
+        processId: schemas.getProcessId(item),
+        availabilityZone: item.availabilityZone,
+        slots: item.slots,
+        coldUntil: now + item.coldMs,
+        coldCallsPerS: coldCallsPerS && Math.max(1, Math.floor(coldCallsPerS * LEADER_COLD_SHARE)),
+      }));
+  }
+}
+
+/** Returns the upstreams of a service that a host may use itself; undefined if it has no list. */
+export function findOnHost(
+  directory: upstreamDirectories.UpstreamDirectory,
+  service: string,
+): readonly scheduling.SchedulableUpstream[] | undefined {
+  return directory.hasList()
+    ? directory
+        .listLive(service)
+        .map(({ coldUntil, listed, processId, unlistedColdUntil, upstreamId }) => ({
+          upstreamId,
+          processId,
+          availabilityZone: listed.availabilityZone,
+          slots: listed.slots,
+          coldUntil: Math.max(coldUntil, unlistedColdUntil),
+        }))
+    : undefined;
+}
--- a/packages/gateway/src/upstream-picker.ts
+++ b/packages/gateway/src/upstream-picker.ts
@@ -1,15 +1,17 @@
 import type * as requests from '@bramleyridge/requests';
-import * as routing from '@bramleyridge/routing';
-import * as schemas from '@bramleyridge/schemas';
+import type * as routing from '@bramleyridge/routing';
+import type * as schemas from '@bramleyridge/schemas';
 
 import type * as callAdmissions from './call-admission.js';
 import type * as procedures from './core-procedures.js';
+import * as fallbackPickers from './fallback-picker.js';
 import * as generationCalls from './generation-calls.js';
+import type * as heldSlots from './held-slot.js';
+import type * as pickedUpstreams from './picked-upstream.js';
+import * as slotPickers from './slot-picker.js';
+import type * as slotClients from './slot-client.js';
 import type * as upstreamDirectories from './upstream-directory.js';
 
-/** The Retry-After value if the service has no available upstream, in seconds. */
-const RETRY_AFTER_S = 0.5;
-
 /**
  * The Retry-After value if all engines are full, in seconds. A long generation ends, and frees capacity, about every
  * 0.5 s.
@@ -22,23 +24,6 @@
  */
 const MAX_WAIT_SHARE = 0.4;
 
-/** Assumed mean memory use of a generation without further information, in tokens. */
-const ASSUMED_MEAN_TOKENS = 3_000;
-
-/** The upstream picked for one attempt. */
-export interface PickedUpstream {
-  readonly upstreamId: string;
-  readonly known: upstreamDirectories.KnownUpstream;
-  /** Its share of busy slots or of used memory when it was picked, for the log. */
-  readonly share: number;
-  /** The engine that keeps a backup while the generation runs, if any. */
-  readonly backupEngine: upstreamDirectories.KnownUpstream | undefined;
-  /** How long the call waited for capacity, in milliseconds. */
-  readonly waitedMs: number;
-  /** Whether it was picked by fallback placement, without the leader's ledger of all hosts. */
-  readonly isFallback: boolean;
-}
-
 /** The leader's answer about a run that can be migrated. */
 export interface MigrationAnswer {
   /** Whether the leader answered with an engine that this host can use, or with none. */
@@ -79,6 +64,8 @@
 
 /** Dependencies of the upstream picker. */
 export interface UpstreamPickerOptions {
+  /** Provides slots for calls that are no generations; undefined while capacity is not shared among teams. */
+  readonly findSlots?: () => slotClients.SlotSource | undefined;
   readonly directory: upstreamDirectories.UpstreamDirectory;
   readonly placer: GenerationPlacer;
   readonly gate: requests.UpstreamGate;
@@ -89,22 +76,45 @@
   readonly random: () => number;
 }
 
-/** Picks the upstream of each attempt: engines by the leader's ledger, all others by the state on this host. */
+/** How an attempt of a call ended. */
+export interface AttemptEnd extends heldSlots.SlotEnd {
+  /** Whether its generation has failed. */
+  readonly hasFailed: boolean;
+}
+
+/** The end of an attempt for which nothing was sent. */
+export const UNSENT: AttemptEnd = { hasFailed: false, result: 'unused', tookMs: 0 };
+
+/**
+ * Picks the upstream of each attempt: engines by the leader's ledger, all others by the slot that the call gets, or by the
+ * state on this host where capacity is not shared among teams.
+ */
 export class UpstreamPicker {
-  public constructor(private readonly options: UpstreamPickerOptions) {}
+  private readonly fallback: fallbackPickers.FallbackPicker;
+
+  public constructor(private readonly options: UpstreamPickerOptions) {
+    this.fallback = new fallbackPickers.FallbackPicker(options);
+  }
 
-  /** Picks an upstream that has not been tried yet, or throws a refusal. */
+  /**
+   * Picks an upstream that has not been tried yet, or throws a refusal. Rejects with the signal's reason if the caller
+   * leaves while the call waits for a slot.
+   */
   public async pick(
     call: callAdmissions.AdmittedCall,
     tried: ReadonlySet<string>,
-  ): Promise<PickedUpstream> {
+    signal?: AbortSignal,
+  ): Promise<pickedUpstreams.PickedUpstream> {
     if (!generationCalls.isGeneration(call)) {
-      return this.pickByFallback(call, tried);
+      const slots = this.options.findSlots?.();
+      return slots === undefined
+        ? this.fallback.pick(call, tried)
+        : this.pickBySlot(slots, call, tried, signal);
     }
-    const closed = this.listClosed(call);
-    const live = closed.length === 0 ? [] : this.listLive(call);
+    const closed = this.fallback.listClosed(call);
+    const live = closed.length === 0 ? [] : this.fallback.listLive(call);
     if (live.length > 0 && live.every((known) => closed.includes(known))) {
-      throw this.refuseClosed(call, live);
+      throw this.fallback.refuseClosed(call, live);
     }
     const now = this.options.clock.now();
     const patienceMs = Math.min(call.route.targetMs * MAX_WAIT_SHARE, call.endsAt - now);
@@ -122,16 +132,16 @@
         waitedMs,
         ...full,
       });
-      throw this.refuse('noRoom', call.service.name, FULL_RETRY_AFTER_S);
+      throw this.fallback.refuse('noRoom', call.service.name, FULL_RETRY_AFTER_S);
     }
     const picked = this.resolve(call, res);
     if (picked === undefined && res !== undefined) {
       // The leader chose an engine that this host's list lacks, or has no list itself. The upstream used instead is
       // reported to the leader's ledger, which would otherwise miss the run or count it on an engine where it never
       // ran.
-      return this.pickAt(call, this.pickByFallback(call, tried).known);
+      return this.pickAt(call, this.fallback.pick(call, tried).known);
     }
-    const chosen = picked ?? this.pickByFallback(call, tried);
+    const chosen = picked ?? this.fallback.pick(call, tried);
     this.options.placer.registerRun(call.service.name, spec, chosen.upstreamId);
     return chosen;
   }
@@ -143,7 +153,7 @@
     excluded: readonly string[],
   ): Promise<MigrationAnswer> {
     const callId = call.facts.requestId;
-    const closed = this.listClosed(call).map(getUpstreamId);
+    const closed = this.fallback.listClosed(call).map(getUpstreamId);
     const run = {
       callId,
       engineId,
@@ -178,7 +188,7 @@
   public async pickAt(
     call: callAdmissions.AdmittedCall,
     engine: upstreamDirectories.KnownUpstream,
-  ): Promise<PickedUpstream> {
+  ): Promise<pickedUpstreams.PickedUpstream> {
     if (!generationCalls.isGeneration(call)) {
       return this.createPicked(engine, undefined);
     }
@@ -199,25 +209,40 @@
   private createPicked(
     known: upstreamDirectories.KnownUpstream,
     backupEngine: upstreamDirectories.KnownUpstream | undefined,
-  ): PickedUpstream {
+  ): pickedUpstreams.PickedUpstream {
     const { upstreamId } = known;
     return { upstreamId, known, share: 0, backupEngine, waitedMs: 0, isFallback: false };
   }
 
-  /** Records that a call has ended. */
-  public release(call: callAdmissions.AdmittedCall, hasFailed: boolean): void {
+  /** Records that an attempt of a call has ended, and returns its slot. */
+  public release(
+    call: callAdmissions.AdmittedCall,
+    { slot }: pickedUpstreams.PickedUpstream,
+    { hasFailed, ...end }: AttemptEnd,
+  ): void {
+    slot?.release(end);
     if (generationCalls.isGeneration(call)) {
       this.options.placer.unregisterRun(call.facts.requestId, hasFailed);
     }
   }
 
+  private pickBySlot(
+    slots: slotClients.SlotSource,
+    call: callAdmissions.AdmittedCall,
+    tried: ReadonlySet<string>,
+    signal: AbortSignal | undefined,
+  ): Promise<pickedUpstreams.PickedUpstream> {
+    const { fallback, options } = this;
+    return new slotPickers.SlotPicker({ ...options, fallback, slots }).pick(call, tried, signal);
+  }
+
   /**
    * Returns the engine that the leader chose; undefined if this host's list lacks it or the call may not be sent there.
    */
   private resolve(
     call: callAdmissions.AdmittedCall,
     res: procedures.PlaceRes | undefined,
-  ): PickedUpstream | undefined {
+  ): pickedUpstreams.PickedUpstream | undefined {
     const placed = res?.placed;
     const known = placed && this.findAllowed(call, placed.engineId);
     return (
@@ -257,154 +282,13 @@
     };
   }
 
-  /**
-   * Picks an upstream without the leader, by this host's own part of the load. No backups are kept then: it is not
-   * known which backups other hosts keep where, and one backup too many costs more than it saves.
-   */
-  private pickByFallback(
-    call: callAdmissions.AdmittedCall,
-    tried: ReadonlySet<string>,
-  ): PickedUpstream {
-    const now = this.options.clock.now();
-    const live = this.listCandidates(call, now);
-    const untried = live.filter((item) => !tried.has(item.upstreamId));
-    const open = untried.filter(({ known }) => this.options.gate.isOpen(known));
-    if (live.length > 0 && live.every(({ known }) => !this.options.gate.isOpen(known))) {
-      throw this.refuseClosed(
-        call,
-        live.map(({ known }) => known),
-      );
-    }
-    const candidates = open.filter(({ known }) => this.mayReceiveCall(call.service, known, now));
-    const isEngine = generationCalls.isGeneration(call);
-    const choose = isEngine ? routing.chooseByMemory : routing.chooseByCalls;
-    const chosen = choose(candidates, now, this.options.random);
-    if (chosen === undefined) {
-      this.logNoUpstream(call, this.getNoUpstreamReason(call, untried.length, open.length));
-      throw this.refuse('noUpstream', call.service.name, RETRY_AFTER_S);
-    }
-    const { known, upstreamId } = chosen;
-    if (call.service.coldCallsPerS !== undefined && isMaybeCold(known, now)) {
-      this.options.coldSendQuota.recordSend(upstreamId, now);
-    }
-    const share = isEngine
-      ? routing.getMemoryShare(chosen, now)
-      : known.load.getActiveCalls(now) / chosen.slots;
-    return { upstreamId, known, share, backupEngine: undefined, waitedMs: 0, isFallback: true };
-  }
-
   private listDisallowed({ regions, service }: callAdmissions.AdmittedCall): string[] {
     return regions === undefined
       ? []
       : this.options.directory.listDisallowed(service.name, regions);
   }
-
-  /**
-   * Returns whether this host may send a call to an upstream now; a cold one would crash under the calls of all hosts.
-   */
-  private mayReceiveCall(
-    { coldCallsPerS }: schemas.RoutedService,
-    known: upstreamDirectories.KnownUpstream,
-    now: number,
-  ): boolean {
-    const { coldSendQuota } = this.options;
-    const { upstreamId } = known;
-    return (
-      coldCallsPerS === undefined ||
-      !isMaybeCold(known, now) ||
-      coldSendQuota.canSend({ upstreamId, callsPerS: coldCallsPerS }, now)
-    );
-  }
-
-  private logNoUpstream({ facts, service }: callAdmissions.AdmittedCall, reason: string): void {
-    this.options.log.info({
-      decision: 'no-upstream',
-      request: facts.requestId,
-      service: service.name,
-      reason,
-    });
-  }
-
-  private getNoUpstreamReason(
-    { service }: callAdmissions.AdmittedCall,
-    untriedCount: number,
-    openCount: number,
-  ): string {
-    if (this.options.directory.isServiceEvacuated(service.name)) {
-      return 'evacuated';
-    }
-    const untried = openCount > 0 ? 'cold' : 'closed';
-    return untriedCount > 0 ? untried : 'none-live';
-  }
-
-  private listLive({ regions, service }: callAdmissions.AdmittedCall) {
-    return this.options.directory.listLive(service.name, regions);
-  }
-
-  /** Lists the upstreams that take no call now, by what they have stated themselves. */
-  private listClosed({
-    service,
-  }: callAdmissions.AdmittedCall): upstreamDirectories.KnownUpstream[] {
-    const { directory, gate } = this.options;
-    return gate.areAllOpen()
-      ? []
-      : directory.listAll(service.name).filter((known) => !gate.isOpen(known));
-  }
-
-  private refuseClosed(
-    call: callAdmissions.AdmittedCall,
-    upstreams: readonly upstreamDirectories.KnownUpstream[],
-  ): schemas.Refusal {
-    const { reason, retryAfterS } = this.options.gate.describeWait(upstreams);
-    this.logNoUpstream(call, reason);
-    const id = reason === 'rest' ? 'resting' : 'rateLimited';
-    return this.refuse(id, call.service.name, retryAfterS);
-  }
-
-  private listCandidates(call: callAdmissions.AdmittedCall, now: number) {
-    return this.listLive(call).map((known) => this.createCandidate(known, call.service, now));
-  }
-
-  private createCandidate(
-    known: upstreamDirectories.KnownUpstream,
-    service: schemas.RoutedService,
-    now: number,
-  ) {
-    return {
-      upstreamId: known.upstreamId,
-      known,
-      isSameZone: known.listed.availabilityZone === this.options.availabilityZone,
-      isCold: known.coldUntil > now,
-      slots: known.listed.slots,
-      load: known.load,
-      memoryTokens: service.engine?.memoryTokens ?? Infinity,
-      meanTokens: ASSUMED_MEAN_TOKENS,
-    };
-  }
-
-  private refuse(
-    id: 'noUpstream' | 'noRoom' | 'rateLimited' | 'resting',
-    service: string,
-    retryAfterS: number,
-  ): schemas.Refusal {
-    return new schemas.Refusal({
-      id,
-      step: 'pick',
-      status: 503,
-      outcome: 'not-run',
-      args: [service, this.options.availabilityZone],
-      retryAfterS,
-    });
-  }
 }
 
 function getUpstreamId({ upstreamId }: upstreamDirectories.KnownUpstream): string {
   return upstreamId;
 }
-
-function isMaybeCold(
-  { coldUntil, unlistedColdUntil }: upstreamDirectories.KnownUpstream,
-  now: number,
-): boolean {
-  return Math.max(coldUntil, unlistedColdUntil) > now;
-}
--- a/packages/gateway/tests/support/small-site.ts
+++ b/packages/gateway/tests/support/small-site.ts
@@ -38,6 +38,8 @@
   public readonly lines: Record<string, unknown>[] = [];
   public entry!: gateway.EntryHost;
   public entryPort = 0;
+  /** How hosts that start from now on share scarce capacity; absent by default. */
+  public capacitySharing: gateway.CapacitySharing | undefined;
   /** Entry hosts other than the first. */
   public readonly others: { readonly host: gateway.EntryHost; readonly port: number }[] = [];
   private readonly clock = new schemas.SystemClock();
@@ -294,6 +296,7 @@
       lossesToBear: 1,
       listAddress: '127.0.0.1:1',
       listCallsPerS: 40,
+      capacitySharing: this.capacitySharing,
       bounds: {
         reachMs: 3_000,
         acknowledgeMs: 4_000,
--- a/packages/gateway/tests/support/test-wire.ts
+++ b/packages/gateway/tests/support/test-wire.ts
@@ -50,8 +50,9 @@
     };
   }
 
-  public readAnswer(): gateway.AnswerFacts {
-    return { load: undefined };
+  public readAnswer({ headers }: requests.AnswerHead): gateway.AnswerFacts {
+    const [running, waiting, slots] = (headers.load?.toString() ?? '').split(',').map(Number);
+    return { load: waiting === undefined ? undefined : { running: running!, waiting, slots } };
   }
 
   public readNotice({ headers, status }: requests.AnswerHead): requests.UpstreamNotice {
