--- a/packages/gateway/src/core-host.ts
+++ b/packages/gateway/src/core-host.ts
@@ -318,7 +318,7 @@
 
   /** Creates the scheduler of the calls of plain services, which is used while this host leads. */
   private createScheduling(): callSchedulingServices.CallSchedulingService {
-    const { clock, random, settings } = this.options;
+    const { clock, random } = this.options;
     const upstreams = new schedulableUpstreams.SchedulableUpstreams({
       clock,
       findService: (name) => this.findService(name),
@@ -329,7 +329,7 @@
     return new callSchedulingServices.CallSchedulingService({
       clock,
       findUpstreams: (service) => upstreams.find(service),
-      getWeight: (team) => settings.get().capacitySharing?.teamWeights[team] ?? 1,
+      getWeight: (team) => this.teamWeights.get(team),
       random,
     });
   }
--- a/packages/gateway/src/entry-host.ts
+++ b/packages/gateway/src/entry-host.ts
@@ -28,6 +28,7 @@
 import type * as settingsWatchers from './settings-watcher.js';
 import * as slotClients from './slot-client.js';
 import * as suspectClients from './suspect-client.js';
+import * as teamWeights from './team-weights.js';
 import * as upstreamDirectories from './upstream-directory.js';
 import * as upstreamPickers from './upstream-picker.js';
 
@@ -309,6 +310,10 @@
   private createSlotClient(): slotClients.SlotClient {
     const { clock, log, random, settings } = this.options;
     const { availabilityZone, hostId } = settings.get();
+    const weights = new teamWeights.TeamWeights({
+      getSettings: () => settings.get(),
+      findTable: () => this.store.findTable(),
+    });
     return new slotClients.SlotClient({
       hostId,
       incarnation: crypto.randomUUID(),
@@ -318,7 +323,7 @@
       local: new callSchedulingServices.CallSchedulingService({
         clock,
         findUpstreams: (service) => schedulableUpstreams.findOnHost(this.directory, service),
-        getWeight: (team) => settings.get().capacitySharing?.teamWeights[team] ?? 1,
+        getWeight: (team) => weights.get(team),
         random,
         getLimitShare: () => 1 / Math.max(1, this.entryHosts ?? ASSUMED_ENTRY_HOSTS),
       }),
--- a/packages/gateway/src/routed-attempts.ts
+++ b/packages/gateway/src/routed-attempts.ts
@@ -54,6 +54,7 @@
   readonly release: (hasFailed: boolean, result: slotMessages.SlotResult) => void;
   /** Load that the upstream stated with its answer. */
   load: ports.AnswerFacts['load'];
+  readonly sentAt: number;
   /** Time at which its answer began. */
   answerStartedAt: number | undefined;
 }
@@ -135,18 +136,19 @@
     job.upstreamId = picked.upstreamId;
     const leave = picked.known.load.trackCall(generationCalls.getExpectedTokens(call));
     const run = createRun(picked);
-    const startedAt = clock.now();
+    const sentAt = clock.now();
     const attempt: Attempt = {
       picked,
       run,
       load: undefined,
+      sentAt,
       answerStartedAt: undefined,
       release: (hasFailed, result) => {
         if (run.isOpen) {
           run.isOpen = false;
           run.hasFailed = hasFailed;
           leave();
-          const tookMs = clock.now() - startedAt;
+          const tookMs = clock.now() - sentAt;
           picker.release(call, picked, { hasFailed, result, tookMs, load: attempt.load });
         }
       },
@@ -215,6 +217,10 @@
     }
     attempt.release(false, isFailure ? 'failed' : 'answered');
     const isServed = answer.status < FIRST_NON_SUCCESS_STATUS;
+    if (isServed && !generationCalls.isGeneration(job.call)) {
+      const now = clock.now();
+      known.load.serviceTime.recordAnswer(now - attempt.sentAt, load, now);
+    }
     this.options.guard.recordOutcome(job, createGuardedRun(attempt), isServed ? 'served' : 'over');
     return { kind: 'whole', head: answer, bytes: read.bytes };
   }
