Add return times for refused callers

Refusals for lack of capacity named one of three constant times, so refused callers returned together. ReturnSchedule states to each the time by which the backlog, the reservations that count before it and its own call will have been served at nine tenths of the free rate, with a tenth of jitter, at least 100 ms and at most what the caller heeds. Less urgent callers do not count; of larger ones of the same priority, half do. A reservation expires 50 ms after the stated time. While the rate is 0 or unknown, the times are spread over the second half of what the caller heeds.

--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -1,1 +1,2 @@
+export * from './return-schedule.js';
 export * from './stated-load.js';
--- /dev/null
+++ b/packages/scheduling/src/return-schedule.ts
@@ -0,0 +1,160 @@
+/** Minimum time after which a refused caller may return, in milliseconds; an earlier return costs more than it finds. */
+const MIN_RETURN_MS = 100;
+
+/** Maximum deviation from the computed time, as a share of it; callers with equal times would return together. */
+const JITTER_SHARE = 0.1;
+
+/**
+ * Time after the stated one for which a reservation is still counted, in milliseconds: the caller's return takes a
+ * round trip, and only then is it part of the backlog.
+ */
+const RETURN_GRACE_MS = 50;
+
+/** Step in which reservations expire, in milliseconds; a quarter of the minimum time, so that none is off by much. */
+const BUCKET_MS = 25;
+
+/**
+ * Ratio between the costs of two size classes. Calls of one class keep their order of arrival; with a smaller ratio, a
+ * call would wait for many others that are hardly smaller.
+ */
+const SIZE_CLASS_RATIO = 4;
+
+/**
+ * Share of the reservations of larger calls of the same priority that a small call waits for. If it waited for none, the
+ * larger callers would find the capacity taken that was stated to them; if it waited for all, it would return as late as
+ * they do.
+ */
+const LARGER_SHARE = 0.5;
+
+/**
+ * Share of the rate at which capacity becomes free that is planned for returning callers. The rest takes up the jitter
+ * and calls that are served without having been refused.
+ */
+const PLANNED_SHARE = 0.9;
+
+/**
+ * Minimum share of `maxMs` that is stated while the rate is 0 or unknown. An early return would find nothing, and the
+ * remaining share spreads the callers.
+ */
+const UNKNOWN_RATE_MIN_SHARE = 0.5;
+
+/** A caller that is refused for lack of capacity. */
+export interface ReturnRequest {
+  /** Priority; 0 is served first. */
+  readonly priority: number;
+  /** Capacity that the call needs. */
+  readonly cost: number;
+  /** Capacity needed by the waiting calls that are served before it, in the unit of `cost`. */
+  readonly backlog: number;
+  /** Capacity that becomes free per millisecond; 0 or not finite if it is unknown. */
+  readonly freeRatePerMs: number;
+  /** Maximum time to which the caller keeps, in milliseconds. */
+  readonly maxMs: number;
+}
+
+/** Reservations of callers of one priority and size class, by the step in which they expire. */
+class Lane {
+  /** Capacity reserved by the callers that are still expected. */
+  public reserved = 0;
+  private readonly buckets = new Map<number, number>();
+
+  public constructor(
+    private readonly priority: number,
+    private readonly sizeClass: number,
+  ) {}
+
+  /** Returns the share of its reservations that a caller of the given kind waits for. */
+  public getShareAhead(priority: number, sizeClass: number): number {
+    if (this.priority !== priority) {
+      return this.priority < priority ? 1 : 0;
+    }
+    return this.sizeClass <= sizeClass ? 1 : LARGER_SHARE;
+  }
+
+  /** Reserves capacity for a caller. */
+  public add(cost: number, expiresAt: number): void {
+    const index = Math.ceil(expiresAt / BUCKET_MS);
+    this.buckets.set(index, (this.buckets.get(index) ?? 0) + cost);
+    this.reserved += cost;
+  }
+
+  /** Drops the reservations that have expired. */
+  public expire(now: number): void {
+    for (const [index, cost] of this.buckets) {
+      if (index * BUCKET_MS <= now) {
+        this.buckets.delete(index);
+        this.reserved -= cost;
+      }
+    }
+    if (this.buckets.size === 0) {
+      // Differences of rounding must not remain.
+      this.reserved = 0;
+    }
+  }
+}
+
+/**
+ * States to refused callers when to return, so that there is capacity for those who do: each gets the time by which the
+ * backlog and the callers who were given a time before it will have been served.
+ */
+export class ReturnSchedule {
+  private readonly lanes = new Map<string, Lane>();
+  private expiredAt = -Infinity;
+
+  public constructor(private readonly random: () => number) {}
+
+  /** Returns the time after which a refused caller may return, in milliseconds, and reserves it. */
+  public reserve(req: ReturnRequest, now: number): number {
+    this.expire(now);
+    const afterMs = this.limit(this.getAfterMs(req), req.maxMs);
+    this.findLane(req).add(req.cost, now + afterMs + RETURN_GRACE_MS);
+    return afterMs;
+  }
+
+  /** Returns the time by which there is capacity for the caller, with jitter. */
+  private getAfterMs({ backlog, cost, freeRatePerMs, maxMs, priority }: ReturnRequest): number {
+    if (!Number.isFinite(freeRatePerMs) || freeRatePerMs <= 0) {
+      return maxMs * (UNKNOWN_RATE_MIN_SHARE + (1 - UNKNOWN_RATE_MIN_SHARE) * this.random());
+    }
+    const sizeClass = getSizeClass(cost);
+    let ahead = backlog + cost;
+    this.lanes.forEach((lane) => {
+      ahead += lane.reserved * lane.getShareAhead(priority, sizeClass);
+    });
+    const plannedMs = ahead / (freeRatePerMs * PLANNED_SHARE);
+    return plannedMs * (1 + JITTER_SHARE * (2 * this.random() - 1));
+  }
+
+  /** Limits a time to the range that is useful for the caller; callers at the same limit are spread too. */
+  private limit(afterMs: number, maxMs: number): number {
+    const spread = JITTER_SHARE * this.random();
+    const heededMs = afterMs > maxMs ? maxMs * (1 - spread) : afterMs;
+    return heededMs < MIN_RETURN_MS ? MIN_RETURN_MS * (1 + spread) : heededMs;
+  }
+
+  private findLane({ cost, priority }: ReturnRequest): Lane {
+    const sizeClass = getSizeClass(cost);
+    const key = `${priority}/${sizeClass}`;
+    const lane = this.lanes.get(key) ?? new Lane(priority, sizeClass);
+    this.lanes.set(key, lane);
+    return lane;
+  }
+
+  /** Drops the reservations of callers that have returned or do not return. */
+  private expire(now: number): void {
+    if (now - this.expiredAt < BUCKET_MS) {
+      return;
+    }
+    this.expiredAt = now;
+    this.lanes.forEach((lane, key) => {
+      lane.expire(now);
+      if (lane.reserved === 0) {
+        this.lanes.delete(key);
+      }
+    });
+  }
+}
+
+function getSizeClass(cost: number): number {
+  return Math.floor(Math.log(Math.max(cost, Number.MIN_VALUE)) / Math.log(SIZE_CLASS_RATIO));
+}
