Make no reservation for callers without capacity

A caller whose time would be later than it keeps to was given the end of its time and a reservation there.

They now get a random time in the second half of what they keep to and no reservation. While the rate is unknown, at most 2 s is stated: a generation may have 39 s left, and the rate is known long before a third of that.

--- a/packages/scheduling/src/return-schedule.ts
+++ b/packages/scheduling/src/return-schedule.ts
@@ -33,10 +33,16 @@
 const PLANNED_SHARE = 0.9;
 
 /**
- * Minimum share of `maxMs` that is stated while the rate is 0 or unknown. An early return would find nothing, and the
- * remaining share spreads the callers.
+ * Maximum time that is stated while the rate is 0 or unknown, in milliseconds. The rate is known a few seconds after a
+ * start, and a caller with much time left must not wait for a third of it.
  */
-const UNKNOWN_RATE_MIN_SHARE = 0.5;
+const UNKNOWN_RATE_MAX_MS = 2_000;
+
+/**
+ * Minimum share of the maximum time that is stated to callers for whom no time is free. An early return would find
+ * nothing, and the rest spreads them.
+ */
+const MIN_SPREAD_SHARE = 0.5;
 
 /** A caller that is refused for lack of capacity. */
 export interface ReturnRequest {
@@ -103,18 +109,25 @@
 
   public constructor(private readonly random: () => number) {}
 
-  /** Returns the time after which a refused caller may return, in milliseconds, and reserves it. */
+  /**
+   * Returns the time after which a refused caller may return, in milliseconds, and reserves it. A caller that can't be
+   * served within the time to which it keeps gets no reservation, since those of others would then exceed the capacity.
+   */
   public reserve(req: ReturnRequest, now: number): number {
     this.expire(now);
-    const afterMs = this.limit(this.getAfterMs(req), req.maxMs);
+    const dueMs = this.findDueMs(req);
+    if (dueMs === undefined || dueMs > req.maxMs) {
+      return this.spread(dueMs === undefined ? UNKNOWN_RATE_MAX_MS : Infinity, req.maxMs);
+    }
+    const afterMs = Math.max(dueMs, MIN_RETURN_MS * (1 + JITTER_SHARE * this.random()));
     this.findLane(req).add(req.cost, now + afterMs + RETURN_GRACE_MS);
     return afterMs;
   }
 
-  /** Returns the time by which there is capacity for the caller, with jitter. */
-  private getAfterMs({ backlog, cost, freeRatePerMs, maxMs, priority }: ReturnRequest): number {
+  /** Returns the time by which there is capacity for the caller, with jitter; `undefined` if the rate is not known. */
+  private findDueMs({ backlog, cost, freeRatePerMs, priority }: ReturnRequest): number | undefined {
     if (!Number.isFinite(freeRatePerMs) || freeRatePerMs <= 0) {
-      return maxMs * (UNKNOWN_RATE_MIN_SHARE + (1 - UNKNOWN_RATE_MIN_SHARE) * this.random());
+      return undefined;
     }
     const sizeClass = getSizeClass(cost);
     let ahead = backlog + cost;
@@ -125,11 +138,11 @@
     return plannedMs * (1 + JITTER_SHARE * (2 * this.random() - 1));
   }
 
-  /** Limits a time to the range that is useful for the caller; callers at the same limit are spread too. */
-  private limit(afterMs: number, maxMs: number): number {
-    const spread = JITTER_SHARE * this.random();
-    const heededMs = afterMs > maxMs ? maxMs * (1 - spread) : afterMs;
-    return heededMs < MIN_RETURN_MS ? MIN_RETURN_MS * (1 + spread) : heededMs;
+  /** Returns a random time for a caller for whom no time is free. */
+  private spread(limitMs: number, maxMs: number): number {
+    const share = MIN_SPREAD_SHARE + (1 - MIN_SPREAD_SHARE) * this.random();
+    const afterMs = Math.min(limitMs, maxMs) * share;
+    return Math.max(afterMs, MIN_RETURN_MS * (1 + JITTER_SHARE * this.random()));
   }
 
   private findLane({ cost, priority }: ReturnRequest): Lane {
