State return times to generations that a full pool refuses

A generation that found no capacity was told to return after 2 s, as all others: refused together, they returned together and were refused again.

UpstreamPicker uses the time in place of its constant where it is there. Without the setting nothing is sent.

--- a/packages/gateway/src/core-host.ts
+++ b/packages/gateway/src/core-host.ts
@@ -155,6 +155,8 @@
         ),
         windowMs: settings.bounds.retryWindowMs,
       },
+      statesReturnTimes: () => options.settings.get().capacitySharing !== undefined,
+      random,
     });
     this.upstreamList = new upstreamListServices.UpstreamListService({
       source,
--- a/packages/gateway/src/core-procedures.ts
+++ b/packages/gateway/src/core-procedures.ts
@@ -230,7 +230,14 @@
   /** Set if the leader can't decide: it has not read the list of upstreams, or lacks the service. */
   isUnknown: z.boolean().optional(),
   /** Number of running generations and the forecast share of all memory in use, for the log of a refusal. */
-  full: z.object({ running: z.int(), share: z.number() }).optional(),
+  full: z
+    .object({
+      running: z.int(),
+      share: z.number(),
+      /** When its caller may return, in milliseconds; not sent where capacity is not shared among teams. */
+      retryAfterMs: z.number().optional(),
+    })
+    .optional(),
 });
 
 /** Report that a generation no longer runs. */
--- a/packages/gateway/src/placement-service.ts
+++ b/packages/gateway/src/placement-service.ts
@@ -3,6 +3,7 @@
 import type * as schemas from '@bramleyridge/schemas';
 
 import type * as procedures from './core-procedures.js';
+import * as generationReturnTimes from './generation-return-times.js';
 
 /**
  * Interval at which placement of waiting generations is retried, in milliseconds; an engine prefills 70 tokens
@@ -27,6 +28,10 @@
   readonly coldBounds: { readonly coldOverage: number; readonly coldSlack: number };
   /** Limits of the retries that may be granted for one service. */
   readonly retryGrantLimits: requests.RetryGrantLimits;
+  /** Returns whether refused generations are told when to return; by default, they are not. */
+  readonly statesReturnTimes?: () => boolean;
+  /** Random numbers for these times. */
+  readonly random?: () => number;
 }
 
 interface WaitingPlacement extends routing.QueuedPlacement {
@@ -41,6 +46,7 @@
   readonly ledger: routing.EngineLedger;
   readonly queue: routing.PlacementQueue<WaitingPlacement>;
   readonly migrations: routing.MigrationScheduler<WaitingMigration>;
+  readonly returnTimes: generationReturnTimes.GenerationReturnTimes;
   isRetrying: boolean;
   listed: readonly schemas.ListedUpstream[] | undefined;
   /** Whether this leader has read a list; until then the engines listed in a former leadership are kept. */
@@ -69,23 +75,28 @@
     }
     pool.migrations.endMigration(req.need.callId);
     if (needsEngine && !pool.ledger.hasOpenEngine()) {
-      return { placed: undefined, waitedMs: 0, full: pool.ledger.getSummary(requestedAt) };
+      return { placed: undefined, waitedMs: 0, full: this.describeFull(pool, req, requestedAt) };
     }
     const placed = await new Promise<routing.Placement | undefined>((resolve) => {
       // A backup of a whole prompt would use the links that migrations need.
       const wantsCopy = req.need.wantsCopy && !pool.migrations.isMigrating();
+      const spec = { ...req.need, wantsCopy };
+      pool.returnTimes.addWaiting(spec);
       pool.queue.add({
-        spec: { ...req.need, wantsCopy },
+        spec,
         dueAt: requestedAt + req.dueInMs,
         priority: req.rank,
         expiresAt: requestedAt + req.patienceMs,
-        settle: resolve,
+        settle: (settled) => {
+          pool.returnTimes.removeWaiting(spec);
+          resolve(settled);
+        },
       });
       this.dispatch(pool);
       void this.retryWaiting(pool, req.service);
     });
     const now = clock.now();
-    const full = placed === undefined ? pool.ledger.getSummary(now) : undefined;
+    const full = placed === undefined ? this.describeFull(pool, req, requestedAt) : undefined;
     return { placed, waitedMs: Math.round(now - requestedAt), full };
   }
 
@@ -119,6 +130,22 @@
     this.dispatch(pool);
   }
 
+  /** Describes a pool that has no capacity for a generation. */
+  private describeFull(
+    pool: Pool,
+    { need, rank }: procedures.PlaceReq,
+    requestedAt: number,
+  ): procedures.PlaceRes['full'] {
+    const now = this.options.clock.now();
+    const summary = pool.ledger.getSummary(now);
+    if (this.options.statesReturnTimes?.() !== true) {
+      return summary;
+    }
+    const leftMs = need.leftMs - (now - requestedAt);
+    const retryAfterMs = pool.returnTimes.reserve({ spec: need, priority: rank, leftMs }, now);
+    return { ...summary, retryAfterMs: Math.round(retryAfterMs) };
+  }
+
   private dispatch(pool: Pool): void {
     const now = this.options.clock.now();
     pool.queue.dispatch(now).forEach(({ placed, queued }) => queued.settle(placed));
@@ -143,7 +170,9 @@
   public release(req: procedures.ReleaseReq): void {
     const pool = this.pools.get(req.service);
     if (pool !== undefined) {
-      pool.ledger.release(req.callId, req.hasFailed, this.options.clock.now());
+      const now = this.options.clock.now();
+      pool.returnTimes.recordFreed(pool.ledger.getTokens(req.callId, now), now);
+      pool.ledger.release(req.callId, req.hasFailed, now);
       pool.migrations.withdraw(req.callId)?.settle(undefined);
       this.dispatch(pool);
     }
@@ -192,7 +221,7 @@
     if (engine === undefined) {
       return undefined;
     }
-    const pool = this.pools.get(service) ?? createPool();
+    const pool = this.pools.get(service) ?? createPool(this.options.random ?? Math.random);
     this.pools.set(service, pool);
     const listed = this.options.findUpstreams();
     pool.hasList = listed !== undefined;
@@ -222,7 +251,7 @@
   }
 }
 
-function createPool(): Pool {
+function createPool(random: () => number): Pool {
   const ledger = new routing.EngineLedger();
   const queue = new routing.PlacementQueue<WaitingPlacement>(ledger);
   const migrations = new routing.MigrationScheduler<WaitingMigration>(ledger);
@@ -230,6 +259,7 @@
     ledger,
     queue,
     migrations,
+    returnTimes: new generationReturnTimes.GenerationReturnTimes(random),
     isRetrying: false,
     listed: undefined,
     hasList: false,
--- a/packages/gateway/src/upstream-picker.ts
+++ b/packages/gateway/src/upstream-picker.ts
@@ -122,7 +122,8 @@
         waitedMs,
         ...full,
       });
-      throw this.refuse('noRoom', call.service.name, FULL_RETRY_AFTER_S);
+      const retryAfterMs = full?.retryAfterMs ?? FULL_RETRY_AFTER_S * 1_000;
+      throw this.refuse('noRoom', call.service.name, retryAfterMs / 1_000);
     }
     const picked = this.resolve(call, res);
     if (picked === undefined && res !== undefined) {
--- a/packages/gateway/tests/placement-service.test.ts
+++ b/packages/gateway/tests/placement-service.test.ts
@@ -1,4 +1,5 @@
 import * as schemas from '@bramleyridge/schemas';
+import * as xoroshiro from 'pure-rand/generator/xoroshiro128plus';
 import * as tap from 'tap';
 
 import * as placementServices from '../src/placement-service.js';
@@ -27,7 +28,7 @@
   };
 }
 
-function createService(clock: schemas.Clock) {
+function createService(clock: schemas.Clock, random?: () => number) {
   const state = {
     list: undefined as readonly schemas.ListedUpstream[] | undefined,
     services: sites.createConfig(1).services,
@@ -42,6 +43,7 @@
     getEvacuationRevision: () => state.revision,
     coldBounds: { coldOverage: 1.5, coldSlack: 5 },
     retryGrantLimits: { maxGrants: 1, maxGrantsForNewLeader: 1, windowMs: 1_000 },
+    ...(random && { statesReturnTimes: () => true, random }),
   });
   return { service, state };
 }
@@ -149,3 +151,93 @@
   service.startLeading(3);
   t.notOk(service.hasRuns('engines', 'e-1'));
 });
+
+/** Engines of a pool that is full, and the generations that run there: each takes 4 s and a third of an engine. */
+const POOL = ['e-1', 'e-2', 'e-3', 'e-4'].map((id) => listedUpstreams.createListedUpstream(id));
+const RUNS = 12;
+const RUN_MS = 4_000;
+
+/** Number of generations that wait while the pool is full. */
+const WAITING = 4;
+
+/** Time after which the pool has been full for long enough, and time within which callers are refused, in milliseconds. */
+const WARM_UP_MS = 12_000;
+const BURST_MS = 200;
+
+/** Number of callers in the burst, and the time that each has left, in milliseconds. */
+const BURST = 24;
+const LEFT_MS = 39_000;
+
+function createRandom(seed: number): () => number {
+  const generator = xoroshiro.xoroshiro128plus(seed);
+  return () => (generator.next() >>> 0) / 2 ** 32;
+}
+
+function createGeneration(callId: string, patienceMs: number, rank = 3) {
+  const req = createReq();
+  const need = { ...req.need, callId, promptTokens: 2_500, answerTokens: 300, leftMs: LEFT_MS };
+  return { ...req, need, patienceMs, rank };
+}
+
+/** Fills a pool, refuses a burst of callers and lets them return once at the stated time. */
+async function playBurst(seed: number, statesTimes: boolean) {
+  const clock = new schemas.VirtualClock();
+  const random = createRandom(seed);
+  const { service, state } = createService(clock, statesTimes ? random : undefined);
+  state.list = POOL;
+  const run = async (callId: string, patienceMs: number) => {
+    const res = await service.place(createGeneration(callId, patienceMs));
+    if (res.placed !== undefined) {
+      void clock
+        .sleep(RUN_MS * (0.5 + random()))
+        .then(() => service.release({ service: 'engines', callId, hasFailed: false }));
+    }
+    return res;
+  };
+  /** Keeps as many generations running or waiting as the pool has capacity for. */
+  const keepFull = async (index: number) => {
+    for (let i = 0; clock.now() < WARM_UP_MS; i += 1) {
+      await run(`w${index}-${i}`, LEFT_MS);
+      await clock.sleep(RUN_MS * (0.5 + random()));
+    }
+  };
+  for (let i = 0; i < RUNS + WAITING; i += 1) {
+    void keepFull(i);
+  }
+  await clock.advance(WARM_UP_MS);
+  const callers = Array.from({ length: BURST }, async (_, i) => {
+    await clock.sleep(random() * BURST_MS);
+    const first = await run(`b${i}`, 0);
+    if (first.full === undefined) {
+      return undefined;
+    }
+    const afterMs = first.full.retryAfterMs ?? 2_000;
+    await clock.sleep(afterMs);
+    const second = await run(`b${i}`, 700);
+    return {
+      afterMs,
+      isStated: first.full.retryAfterMs !== undefined,
+      isServed: second.placed !== undefined,
+    };
+  });
+  await clock.advance(60_000);
+  return (await Promise.all(callers)).filter((item) => item !== undefined);
+}
+
+// Guards against generations that are refused together, return together and are refused again.
+void tap.default.test('callers come back together', async (t) => {
+  for (const seed of [1, 2, 3]) {
+    const refused = await playBurst(seed, true);
+    const served = refused.filter(({ isServed }) => isServed).length;
+    t.ok(refused.length > BURST / 2, `${refused.length} are refused`);
+    t.ok(served > refused.length * 0.9, `${served} of them are served on return`);
+    t.ok(refused.every(({ afterMs }) => afterMs >= 100 && afterMs <= LEFT_MS / 3));
+    const former = await playBurst(seed, false);
+    const formerServed = former.filter(({ isServed }) => isServed).length;
+    t.notOk(
+      former.some(({ isStated }) => isStated),
+      'no time is stated without the setting',
+    );
+    t.ok(formerServed < former.length * 0.9, `${formerServed} of ${former.length} after 2 s`);
+  }
+});
--- a/packages/gateway/tests/upstream-picker.test.ts
+++ b/packages/gateway/tests/upstream-picker.test.ts
@@ -226,3 +226,20 @@
     t.equal(excluded.length, 1, 'without a request to the leader');
   },
 );
+
+// Guards against callers who are told one constant time although the leader states another, and against a change of
+// that constant where the leader states none.
+void tap.default.test('a full pool refuses with the time that the leader states', async (t) => {
+  const placer = new FixedPlacer(undefined);
+  const picker = createPicker(new schemas.VirtualClock(), placer);
+  for (const [retryAfterMs, retryAfterS] of [
+    [undefined, 2],
+    [730, 0.73],
+  ] as const) {
+    const full = { running: 3, share: 0.95, retryAfterMs };
+    placer.place = async () => Promise.resolve({ placed: undefined, waitedMs: 0, full });
+    const refusal = await picker.pick(createCall(), new Set()).catch((err: unknown) => err);
+    t.ok(refusal instanceof schemas.Refusal);
+    t.match((refusal as schemas.Refusal).options, { id: 'noRoom', status: 503, retryAfterS });
+  }
+});
