State return times to refused calls of plain services

The scheduler of plain services told all refused callers the time at which the backlog will have been served, so a burst returned together.

CallReturnTimes implements the scheduler's interface RetryTimes with ReturnSchedule. The schedule now subtracts what served calls lately took, less the reservations that expired, and keeps at least a fifth of the rate.

Whoever creates a CallScheduler passes CallReturnTimes as `retryTimes` and calls recordGranted for each call that it settles as granted.

--- /dev/null
+++ b/packages/scheduling/src/call-return-times.ts
@@ -0,0 +1,24 @@
+import * as decayingCounts from './decaying-count.js';
+import type * as retryTimes from './retry-times.js';
+import * as returnSchedules from './return-schedule.js';
+
+/** Computes when refused calls of a plain service may return, from the slots that served calls take. */
+export class CallReturnTimes implements retryTimes.RetryTimes {
+  private readonly schedule: returnSchedules.ReturnSchedule;
+  private readonly granted = new decayingCounts.DecayingCount();
+
+  public constructor(random: () => number) {
+    this.schedule = new returnSchedules.ReturnSchedule(random);
+  }
+
+  /** Records that a call got a slot. */
+  public recordGranted(now: number): void {
+    this.granted.add(1, now);
+  }
+
+  /** Returns the time after which a refused caller may return, in milliseconds, and reserves it. */
+  public reserve(req: retryTimes.RetryRequest, now: number): number {
+    const takenRatePerMs = this.granted.getRatePerMs(now) * req.cost;
+    return this.schedule.reserve({ ...req, takenRatePerMs }, now);
+  }
+}
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -1,4 +1,5 @@
 /** Shares of scarce capacity, concurrency limits and expected service times. */
+export * from './call-return-times.js';
 export * from './call-scheduler.js';
 export * from './call-spec.js';
 export * from './concurrency-limit.js';
--- a/packages/scheduling/src/return-schedule.ts
+++ b/packages/scheduling/src/return-schedule.ts
@@ -1,3 +1,5 @@
+import * as decayingCounts from './decaying-count.js';
+
 /** Minimum time after which a refused caller may return, in milliseconds; an earlier return costs more than it finds. */
 const MIN_RETURN_MS = 100;
 
@@ -32,6 +34,12 @@
  */
 const PLANNED_SHARE = 0.9;
 
+/**
+ * Minimum share of the rate that is planned for returning callers. Calls that were not refused before may take all the
+ * rest; below it, returning callers would be given no time at all.
+ */
+const MIN_PLANNED_SHARE = 0.2;
+
 /**
  * Maximum time that is stated while the rate is 0 or unknown, in milliseconds. The rate is known a few seconds after a
  * start, and a caller with much time left must not wait for a third of it.
@@ -54,6 +62,8 @@
   readonly backlog: number;
   /** Capacity that becomes free per millisecond; 0 or not finite if it is unknown. */
   readonly freeRatePerMs: number;
+  /** Capacity that all served calls have lately taken per millisecond; by default, only returning callers take any. */
+  readonly takenRatePerMs?: number;
   /** Maximum time to which the caller keeps, in milliseconds. */
   readonly maxMs: number;
 }
@@ -84,18 +94,21 @@
     this.reserved += cost;
   }
 
-  /** Drops the reservations that have expired. */
-  public expire(now: number): void {
+  /** Drops the reservations that have expired and returns their sum. */
+  public expire(now: number): number {
+    let expired = 0;
     for (const [index, cost] of this.buckets) {
       if (index * BUCKET_MS <= now) {
         this.buckets.delete(index);
         this.reserved -= cost;
+        expired += cost;
       }
     }
     if (this.buckets.size === 0) {
       // Differences of rounding must not remain.
       this.reserved = 0;
     }
+    return expired;
   }
 }
 
@@ -105,6 +118,8 @@
  */
 export class ReturnSchedule {
   private readonly lanes = new Map<string, Lane>();
+  /** Reservations that have expired, whose callers have returned or do not return. */
+  private readonly expired = new decayingCounts.DecayingCount();
   private expiredAt = -Infinity;
 
   public constructor(private readonly random: () => number) {}
@@ -115,7 +130,7 @@
    */
   public reserve(req: ReturnRequest, now: number): number {
     this.expire(now);
-    const dueMs = this.findDueMs(req);
+    const dueMs = this.findDueMs(req, now);
     if (dueMs === undefined || dueMs > req.maxMs) {
       return this.spread(dueMs === undefined ? UNKNOWN_RATE_MAX_MS : Infinity, req.maxMs);
     }
@@ -125,7 +140,8 @@
   }
 
   /** Returns the time by which there is capacity for the caller, with jitter; `undefined` if the rate is not known. */
-  private findDueMs({ backlog, cost, freeRatePerMs, priority }: ReturnRequest): number | undefined {
+  private findDueMs(req: ReturnRequest, now: number): number | undefined {
+    const { backlog, cost, freeRatePerMs, priority } = req;
     if (!Number.isFinite(freeRatePerMs) || freeRatePerMs <= 0) {
       return undefined;
     }
@@ -134,10 +150,22 @@
     this.lanes.forEach((lane) => {
       ahead += lane.reserved * lane.getShareAhead(priority, sizeClass);
     });
-    const plannedMs = ahead / (freeRatePerMs * PLANNED_SHARE);
+    const plannedMs = ahead / this.getPlannedRatePerMs(req, now);
     return plannedMs * (1 + JITTER_SHARE * (2 * this.random() - 1));
   }
 
+  /** Returns the rate that is planned for returning callers: others continue to take what they lately did. */
+  private getPlannedRatePerMs(
+    { freeRatePerMs, takenRatePerMs = 0 }: ReturnRequest,
+    now: number,
+  ): number {
+    const takenByOthers = Math.max(0, takenRatePerMs - this.expired.getRatePerMs(now));
+    return Math.max(
+      freeRatePerMs * PLANNED_SHARE - takenByOthers,
+      freeRatePerMs * MIN_PLANNED_SHARE,
+    );
+  }
+
   /** Returns a random time for a caller for whom no time is free. */
   private spread(limitMs: number, maxMs: number): number {
     const share = MIN_SPREAD_SHARE + (1 - MIN_SPREAD_SHARE) * this.random();
@@ -160,7 +188,7 @@
     }
     this.expiredAt = now;
     this.lanes.forEach((lane, key) => {
-      lane.expire(now);
+      this.expired.add(lane.expire(now), now);
       if (lane.reserved === 0) {
         this.lanes.delete(key);
       }
--- a/packages/scheduling/tests/return-schedule.test.ts
+++ b/packages/scheduling/tests/return-schedule.test.ts
@@ -160,6 +160,29 @@
   t.ok(schedule.reserve({ ...REQUEST, backlog: 50 }, 10_000) > 1_000, 'the backlog counts');
 });
 
+// Guards against times that count on capacity which calls that were never refused take.
+void tap.default.test('callers come back together beside usual calls', async (t) => {
+  const reserve = (takenRatePerMs: number) =>
+    new scheduling.ReturnSchedule(() => 0.5).reserve(
+      { ...REQUEST, backlog: 20, takenRatePerMs },
+      0,
+    );
+  const aloneMs = reserve(0);
+  const besideMs = reserve(RATE_PER_MS * 0.45);
+  t.ok(Math.abs(besideMs - 2 * aloneMs) < 1, `${besideMs} ms instead of ${aloneMs} ms`);
+  t.ok(reserve(RATE_PER_MS) < 5 * aloneMs, 'but not without end');
+  const schedule = new scheduling.ReturnSchedule(() => 0.5);
+  for (let now = 0; now < 10_000; now += 1_000 / 24) {
+    schedule.reserve(REQUEST, now);
+  }
+  const req = { ...REQUEST, backlog: 20 };
+  const returnedMs = schedule.reserve({ ...req, takenRatePerMs: RATE_PER_MS / 2 }, 10_000);
+  t.ok(
+    returnedMs < 1.2 * schedule.reserve(req, 10_000),
+    'what returned callers take is not counted twice',
+  );
+});
+
 // Guards against times beyond what callers keep to, and against callers who return together at that limit.
 void tap.default.test('callers come back together within the time that they heed', async (t) => {
   const schedule = new scheduling.ReturnSchedule(createRandom(1));
--- a/packages/scheduling/tests/support/call-simulation.ts
+++ b/packages/scheduling/tests/support/call-simulation.ts
@@ -26,6 +26,8 @@
   readonly availabilityZone?: string;
   readonly fromMs?: number;
   readonly untilMs?: number;
+  /** Whether its callers were refused before and return at the time that they were told. */
+  readonly isReturn?: boolean;
 }
 
 /** What became of one call. */
@@ -46,6 +48,10 @@
   readonly getWeight?: (team: string) => number;
   /** Number of hosts that schedule alone; by default, a leader schedules for all. */
   readonly loneHosts?: number;
+  /** Whether refusals use `CallReturnTimes`. */
+  readonly hasReturnTimes?: boolean;
+  /** Whether refused callers return once, at the time that they are told. */
+  readonly refusedReturn?: boolean;
 }
 
 /** Calls that arrive at random, one scheduler, and models of upstreams, on virtual time. */
@@ -56,9 +62,13 @@
   private readonly events = new eventQueues.EventQueue();
   private readonly random: () => number;
   private readonly settle = new Map<string, (settled: scheduling.SettledCall) => void>();
+  private readonly returnTimes = new Map<
+    scheduling.CallScheduler,
+    scheduling.CallReturnTimes | undefined
+  >();
   private sequence = 0;
 
-  public constructor(options: CallSimulationOptions) {
+  public constructor(private readonly options: CallSimulationOptions) {
     const rng = xoroshiro.xoroshiro128plus(options.seed);
     this.random = () => (rng.next() >>> 0) / VALUES;
     this.models = options.upstreams.map(
@@ -74,7 +84,15 @@
     const getLimitShare = loneHosts === undefined ? undefined : () => 1 / loneHosts;
     this.schedulers = Array.from({ length: loneHosts ?? 1 }, () => {
       const { random } = this;
-      const scheduler = new scheduling.CallScheduler({ getWeight, random, getLimitShare });
+      const returnTimes =
+        options.hasReturnTimes === true ? new scheduling.CallReturnTimes(random) : undefined;
+      const scheduler = new scheduling.CallScheduler({
+        getWeight,
+        random,
+        getLimitShare,
+        retryTimes: returnTimes,
+      });
+      this.returnTimes.set(scheduler, returnTimes);
       scheduler.setUpstreams(options.upstreams.map(createSchedulable));
       return scheduler;
     });
@@ -133,8 +151,10 @@
     };
     if (settled.kind === 'refused') {
       record('refused', undefined, settled.retryAfterMs);
+      this.scheduleReturn(load, arrivedAt, settled.retryAfterMs);
       return;
     }
+    this.returnTimes.get(scheduler)?.recordGranted(this.events.now());
     const { spec, upstreamId } = settled;
     const model = this.models.find(({ options }) => options.upstreamId === upstreamId)!;
     this.events.schedule(2 * HOP_MS, () => {
@@ -161,6 +181,17 @@
     });
   }
 
+  private scheduleReturn(load: Load, arrivedAt: number, retryAfterMs: number): void {
+    if (this.options.refusedReturn !== true || load.isReturn === true) {
+      return;
+    }
+    const returnsAt = this.events.now() + retryAfterMs;
+    const timeoutMs = arrivedAt + load.timeoutMs - returnsAt;
+    this.events.schedule(retryAfterMs, () =>
+      this.request({ ...load, timeoutMs, isReturn: true }, returnsAt, []),
+    );
+  }
+
   private settleAll(settled: readonly scheduling.SettledCall[]): void {
     settled.forEach((item) => {
       const settle = this.settle.get(item.spec.callId);
