Keep return times finite for empty answers

A generation whose expected answer is empty got an infinite cost, since the memory of one that outlasts its estimate grows with the horizon. After it had waited, the sum of the waiting ones was not a number, and `retryAfterMs` neither; the new test shows NaN with the former horizon (1 failed).

The horizon is now the expected duration.

placement-service 33, upstream-picker 29 passed, 0 failed.

--- a/packages/gateway/src/generation-return-times.ts
+++ b/packages/gateway/src/generation-return-times.ts
@@ -2,10 +2,10 @@
 import * as scheduling from '@bramleyridge/scheduling';
 
 /**
- * Time constant of the rate at which memory frees, in milliseconds: about the time that a long generation takes, so that
- * the estimate covers the end of each run of a full pool.
+ * Minimum time after the first end of a generation from which the rate at which memory frees is known, in milliseconds;
+ * generations of a pool that has just filled end together.
  */
-const RATE_MS = 5_000;
+const MIN_OBSERVED_MS = 2_500;
 
 /** Share of the time that its caller has left after which a refused call is of no use to it. */
 const MAX_RETURN_SHARE = 1 / 3;
@@ -26,8 +26,8 @@
 export class GenerationReturnTimes {
   private readonly schedule: scheduling.ReturnSchedule;
   private waitingTokens = 0;
-  private freedTokens = 0;
-  private updatedAt = -Infinity;
+  /** Memory that ended generations have freed, in tokens. */
+  private readonly freed = new scheduling.DecayingCount();
   private startedAt: number | undefined;
 
   public constructor(random: () => number) {
@@ -47,8 +47,7 @@
   /** Records memory that a generation has freed, in tokens. */
   public recordFreed(tokens: number, now: number): void {
     this.startedAt ??= now;
-    this.freedTokens = this.getDecayed(now) + tokens;
-    this.updatedAt = now;
+    this.freed.add(tokens, now);
   }
 
   /** Returns the time after which a refused generation may return, in milliseconds, and reserves it. */
@@ -66,17 +65,11 @@
   /** Returns the rate at which memory frees, in tokens per millisecond; 0 if it is not known yet. */
   private getFreeRatePerMs(now: number): number {
     const observedMs = now - (this.startedAt ?? now);
-    return observedMs < RATE_MS / 2
-      ? 0
-      : this.getDecayed(now) / (RATE_MS * (1 - Math.exp(-observedMs / RATE_MS)));
-  }
-
-  private getDecayed(now: number): number {
-    return this.freedTokens * Math.exp((this.updatedAt - now) / RATE_MS);
+    return observedMs < MIN_OBSERVED_MS ? 0 : this.freed.getRatePerMs(now);
   }
 }
 
 /** Returns the memory that a generation is expected to need at its end, which is what it then frees, in tokens. */
 function getCost(spec: routing.PlacementSpec): number {
-  return routing.forecastTokens(spec, 0, Infinity);
+  return routing.forecastTokens(spec, 0, routing.getRemainingMs(spec, 0));
 }
--- a/packages/gateway/tests/placement-service.test.ts
+++ b/packages/gateway/tests/placement-service.test.ts
@@ -241,3 +241,30 @@
     t.ok(formerServed < former.length * 0.9, `${formerServed} of ${former.length} after 2 s`);
   }
 });
+
+// Guards against return times that are no numbers after a generation whose expected answer is empty has waited.
+void tap.default.test(
+  'a generation without an expected answer does not spoil return times',
+  async (t) => {
+    const clock = new schemas.VirtualClock();
+    const { service, state } = createService(clock, createRandom(1));
+    state.list = POOL;
+    const place = async (callId: string, answerTokens: number) => {
+      const req = createGeneration(callId, 0);
+      return service.place({ ...req, need: { ...req.need, answerTokens } });
+    };
+    for (let i = 0; i < RUNS; i += 1) {
+      await place(`r${i}`, 300);
+    }
+    for (let i = 0; i < 4; i += 1) {
+      await clock.advance(1_000);
+      service.release({ service: 'engines', callId: `r${i}`, hasFailed: false });
+      await place(`s${i}`, 0);
+    }
+    const { full } = await place('c', 300);
+    t.ok(
+      full!.retryAfterMs! >= 100 && full!.retryAfterMs! <= LEFT_MS / 3,
+      `${full!.retryAfterMs} ms`,
+    );
+  },
+);
