Forget a statement of leaving when its upstream is unlisted

What callers saw: an upstream that restarted under its id got no calls, where the platform's list names no start times. Before the statements were shared, this held at each host that had got the statement itself.

Cause: the process id is then the upstream id, and the gate kept it for good, while the leader dropped it with the next list that lacked the upstream.

Evidence: the new test of leaving-statements, run before the change: 0 of 50 calls reach the restarted upstream (6 passed, 1 failed).

Change: with each answer of the leader, the gate forgets the processes without an id of their own that its list lacks. Processes with a start time are kept, since the list may lack an upstream for a moment.

After: leaving-statements 7, upstream-gate 50, resting-upstreams 15 passed, 0 failed.

--- a/packages/gateway/src/entry-host.ts
+++ b/packages/gateway/src/entry-host.ts
@@ -376,6 +376,7 @@
 
   /** Takes over which upstreams the leader's list marks as leaving, and reports to the leader those that it lacks. */
   private shareLeaving(): void {
+    this.gate.forgetUnlisted((upstreamId) => this.directory.find(upstreamId) !== undefined);
     this.gate.mergeLeaving(this.directory.listStatedLeaving());
     const missing = this.directory.listShownStaying().filter((item) => this.gate.isLeaving(item));
     if (missing.length > 0) {
--- a/packages/gateway/tests/leaving-statements.test.ts
+++ b/packages/gateway/tests/leaving-statements.test.ts
@@ -24,12 +24,15 @@
 async function createSite(t: tap.Test) {
   const site = new sites.SmallSite(t);
   const arrivedAt: number[] = [];
+  const state = { isLeaving: true };
   for (const upstreamId of ['u1', 'u2', 'u3']) {
     await site.addUpstream(upstreamId, 'app', (req, res) => {
       res.setHeader('call-id', req.headers['call-id'] ?? '');
       if (upstreamId === 'u1') {
         arrivedAt.push(performance.now());
-        res.setHeader('leaving', '1');
+        if (state.isLeaving) {
+          res.setHeader('leaving', '1');
+        }
       }
       res.end('ok');
     });
@@ -60,7 +63,7 @@
     t.same([...new Set(statuses)], [200], 'every call is served');
     return arrivedAt.length - before;
   };
-  return { site, getStatement, countLate };
+  return { site, state, arrivedAt, callAt, getStatement, countLate };
 }
 
 // Guards against a host that knows a statement only from the leader's list and forgets it with its own read of the
@@ -103,3 +106,23 @@
   const late = await countLate(statedAt, added.port);
   t.equal(late, 0, `${late} calls later than ${BINDS_MS} ms after the statement`);
 });
+
+// Guards against a process that gets no calls because an earlier one under its id has left, where the list names no
+// start times.
+void tap.default.test('an upstream that was unlisted is another process', async (t) => {
+  const { arrivedAt, callAt, getStatement, site, state } = await createSite(t);
+  await getStatement();
+  const { directory } = site.entry;
+  await site.until('told', () => directory.isLeaving('u1'));
+  const former = site.list.upstreams.find(({ upstreamId }) => upstreamId === 'u1')!;
+  site.list.upstreams.splice(site.list.upstreams.indexOf(former), 1);
+  await site.until('unlisted', () => directory.find('u1') === undefined);
+  state.isLeaving = false;
+  site.list.upstreams.push(former);
+  await site.until('listed', () => directory.isLive('u1'));
+  const before = arrivedAt.length;
+  for (let i = 0; i < 50; i += 1) {
+    await callAt(site.entryPort, `c${i}`);
+  }
+  t.ok(arrivedAt.length > before, `${arrivedAt.length - before} of 50 calls reach it`);
+});
--- a/packages/requests/src/upstream-gate.ts
+++ b/packages/requests/src/upstream-gate.ts
@@ -75,6 +75,8 @@
   private readonly rests: upstreamRests.UpstreamRests;
   /** Times at which processes first stated that they leave. */
   private readonly leavingSince = new Map<string, number>();
+  /** Ids of those whose process ids are their upstream ids, which a later process may have too. */
+  private readonly leavingUpstreams = new Set<string>();
 
   public constructor(private readonly options: UpstreamGateOptions) {
     this.limited = new limitedSends.LimitedSends(options);
@@ -108,6 +110,19 @@
     upstreams.forEach((upstream) => this.addLeaving(upstream));
   }
 
+  /**
+   * Forgets that upstreams leave which are no longer listed, if a later process could not be told from theirs. Others
+   * are kept, since the list may lack an upstream for a moment.
+   */
+  public forgetUnlisted(isListed: (upstreamId: string) => boolean): void {
+    [...this.leavingUpstreams]
+      .filter((upstreamId) => !isListed(upstreamId))
+      .forEach((upstreamId) => {
+        this.leavingUpstreams.delete(upstreamId);
+        this.leavingSince.delete(upstreamId);
+      });
+  }
+
   /** Lists what this host knows about limits. */
   public listLimits(): rateLimitTables.RateLimitFacts[] {
     return this.limited.list();
@@ -244,9 +259,13 @@
       return false;
     }
     this.leavingSince.set(processId, clock.now());
+    if (processId === upstream.upstreamId) {
+      this.leavingUpstreams.add(processId);
+    }
     if (this.leavingSince.size > MAX_LEAVING) {
       const [oldest] = this.leavingSince.keys();
       this.leavingSince.delete(oldest!);
+      this.leavingUpstreams.delete(oldest!);
     }
     log.info({ event: 'upstream-leaving', upstream: processId });
     return true;
--- a/packages/requests/tests/upstream-gate.test.ts
+++ b/packages/requests/tests/upstream-gate.test.ts
@@ -232,3 +232,19 @@
   t.notOk(await admit());
   t.ok(gate.isOpen({ ...UPSTREAM, processId: 'u1@8' }), 'but not another process of the same id');
 });
+
+// Guards against an upstream that gets no calls for good because an earlier process under its id has left.
+void tap.default.test(
+  'an unlisted upstream is another process when it is listed again',
+  async (t) => {
+    const { gate } = createFixture();
+    const unnamed = { upstreamId: 'u2', processId: 'u2' };
+    gate.mergeLeaving([UPSTREAM, unnamed]);
+    gate.forgetUnlisted(() => true);
+    t.notOk(gate.isOpen(unnamed), 'not while it is listed');
+    gate.forgetUnlisted(() => false);
+    t.ok(gate.isOpen(unnamed));
+    t.notOk(gate.isOpen(UPSTREAM), 'a process with an id of its own stays left');
+    t.equal(gate.countLeaving(), 1);
+  },
+);
