--- a/packages/gateway/src/core-host.ts
+++ b/packages/gateway/src/core-host.ts
@@ -166,6 +166,8 @@
         ),
         windowMs: settings.bounds.retryWindowMs,
       },
+      statesReturnTimes: () => options.settings.get().capacitySharing !== undefined,
+      random,
     });
     this.scheduling = this.createScheduling();
     this.upstreamList = new upstreamListServices.UpstreamListService({
--- a/packages/gateway/src/placement-pool.ts
+++ b/packages/gateway/src/placement-pool.ts
@@ -1,6 +1,8 @@
 import * as routing from '@bramleyridge/routing';
 import type * as schemas from '@bramleyridge/schemas';
 
+import * as generationReturnTimes from './generation-return-times.js';
+
 /** A generation that waits for placement, with its answer. */
 export interface WaitingPlacement extends routing.QueuedPlacement {
   readonly settle: (placed: routing.Placement | undefined) => void;
@@ -33,7 +35,15 @@
   private readonly queue = new routing.PlacementQueue<WaitingPlacement>(this.ledger);
   private isShared = false;
 
-  public constructor(private readonly weights: ShareWeights) {}
+  /** When generations that found no capacity may return. */
+  public readonly returnTimes: generationReturnTimes.GenerationReturnTimes;
+
+  public constructor(
+    private readonly weights: ShareWeights,
+    random: () => number,
+  ) {
+    this.returnTimes = new generationReturnTimes.GenerationReturnTimes(random);
+  }
 
   /** Number of generations that wait for placement. */
   public get waitingCount(): number {
--- a/packages/gateway/src/placement-service.ts
+++ b/packages/gateway/src/placement-service.ts
@@ -30,6 +30,10 @@
   readonly teamWeights: placementPools.ShareWeights;
   /** Limits of the retries that may be granted for one service. */
   readonly retryGrantLimits: requests.RetryGrantLimits;
+  /** Returns whether refused generations are told when to return; by default, they are not. */
+  readonly statesReturnTimes?: () => boolean;
+  /** Random numbers for these times. */
+  readonly random?: () => number;
 }
 
 /** Places generations on the leader for all hosts, with one ledger for the pool of engines of each service. */
@@ -53,24 +57,29 @@
     }
     pool.migrations.endMigration(req.need.callId);
     if (needsEngine && !pool.ledger.hasOpenEngine()) {
-      return { placed: undefined, waitedMs: 0, full: pool.ledger.getSummary(requestedAt) };
+      return { placed: undefined, waitedMs: 0, full: this.describeFull(pool, req, requestedAt) };
     }
     const placed = await new Promise<routing.Placement | undefined>((resolve) => {
       // A backup of a whole prompt would use the links that migrations need.
       const wantsCopy = req.need.wantsCopy && !pool.migrations.isMigrating();
+      const spec = { ...req.need, wantsCopy };
+      pool.returnTimes.addWaiting(spec);
       pool.add({
-        spec: { ...req.need, wantsCopy },
+        spec,
         dueAt: requestedAt + req.dueInMs,
         priority: req.rank,
         team: req.team,
         expiresAt: requestedAt + req.patienceMs,
-        settle: resolve,
+        settle: (settled) => {
+          pool.returnTimes.removeWaiting(spec);
+          resolve(settled);
+        },
       });
       pool.dispatch(this.options.clock.now());
       void this.retryWaiting(pool, req.service);
     });
     const now = clock.now();
-    const full = placed === undefined ? pool.ledger.getSummary(now) : undefined;
+    const full = placed === undefined ? this.describeFull(pool, req, requestedAt) : undefined;
     return { placed, waitedMs: Math.round(now - requestedAt), full };
   }
 
@@ -104,6 +113,22 @@
     pool.dispatch(this.options.clock.now());
   }
 
+  /** Describes a pool that has no capacity for a generation. */
+  private describeFull(
+    pool: placementPools.PlacementPool,
+    { need, rank }: procedures.PlaceReq,
+    requestedAt: number,
+  ): procedures.PlaceRes['full'] {
+    const now = this.options.clock.now();
+    const summary = pool.ledger.getSummary(now);
+    if (this.options.statesReturnTimes?.() !== true) {
+      return summary;
+    }
+    const leftMs = need.leftMs - (now - requestedAt);
+    const retryAfterMs = pool.returnTimes.reserve({ spec: need, priority: rank, leftMs }, now);
+    return { ...summary, retryAfterMs: Math.round(retryAfterMs) };
+  }
+
   /** Retries waiting placements and migrations while there are any. */
   private async retryWaiting(pool: placementPools.PlacementPool, service: string): Promise<void> {
     if (pool.isRetrying) {
@@ -122,7 +147,9 @@
   public release(req: procedures.ReleaseReq): void {
     const pool = this.pools.get(req.service);
     if (pool !== undefined) {
-      pool.ledger.release(req.callId, req.hasFailed, this.options.clock.now());
+      const now = this.options.clock.now();
+      pool.returnTimes.recordFreed(pool.ledger.getTokens(req.callId, now), now);
+      pool.ledger.release(req.callId, req.hasFailed, now);
       pool.migrations.withdraw(req.callId)?.settle(undefined);
       pool.dispatch(this.options.clock.now());
     }
@@ -172,7 +199,11 @@
       return undefined;
     }
     const pool =
-      this.pools.get(service) ?? new placementPools.PlacementPool(this.options.teamWeights);
+      this.pools.get(service) ??
+      new placementPools.PlacementPool(
+        this.options.teamWeights,
+        this.options.random ?? Math.random,
+      );
     this.pools.set(service, pool);
     pool.memoryTokens = engine.memoryTokens;
     const listed = this.options.findUpstreams();
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -1,3 +1,4 @@
+export * from './call-return-times.js';
 export * from './call-scheduler.js';
 export * from './call-spec.js';
 export * from './concurrency-limit.js';
@@ -5,6 +6,7 @@
 export * from './fair-share-queue.js';
 export * from './priority-order.js';
 export * from './retry-times.js';
+export * from './return-schedule.js';
 export * from './service-round.js';
 export * from './service-time.js';
 export * from './share-lane.js';
