Place long generations where no event gap beyond the target is expected

The leader now learns the factor of each engine from prompts that were alone in its backlog and from the pace of streams that hosts report with reportPace, and the usual gap beside a prefill from the longest gaps. The score penalizes engines where a long generation or the streams that run there would exceed their gap targets, and counts the backlog at the engine's own speed. Backups and migration targets follow the same forecast, because engines that live for 12 s pass on most of their runs. The memory forecast is measured in steps of the engine.

--- a/packages/gateway/src/core-host.ts
+++ b/packages/gateway/src/core-host.ts
@@ -166,6 +166,7 @@
         this.group.isLeading() ? this.group.getLeadership().startedAt : undefined,
       findService: (name) => this.findService(name),
       hasRuns: (service, engineId) => this.placement.hasRuns(service, engineId),
+      onLoad: (service, engineId, load) => this.placement.recordLoad(service, engineId, load),
       gate: this.gate,
     });
     const { entryRegistry, rateLimits, upstreamList, suspects } = this;
@@ -254,6 +255,7 @@
       },
       release: async (req) => this.placement.release(req),
       noteRun: async (event) => this.placement.recordEvent(event),
+      reportPace: async (report) => this.placement.recordPace(report),
       borrowRetry: async ({ service }) => {
         this.ensureLeading('borrow-retry');
         const { startedAt, term } = group.getLeadership();
--- a/packages/gateway/src/core-procedures.ts
+++ b/packages/gateway/src/core-procedures.ts
@@ -185,6 +185,8 @@
     isUnderWay: z.boolean().optional(),
     wantsCopy: z.boolean(),
     ranMs: z.number(),
+    /** Target for the gaps between its events, in milliseconds; not sent by hosts of the previous version. */
+    gapTargetMs: z.number().optional(),
   }),
   /** Time for which it may wait for capacity, in milliseconds. */
   patienceMs: z.number(),
@@ -201,6 +203,19 @@
   event: z.enum(['begun', 'turn-over']),
 });
 
+/** Pace of a stream on one engine, as measured by its entry host. */
+export const paceReport = z.object({
+  service: z.string(),
+  callId: z.string(),
+  engineId: z.string(),
+  /** Mean time between two events so far, in milliseconds. */
+  msPerEvent: z.number().min(0),
+  /** Number of events so far. */
+  events: z.int().min(0),
+  /** Longest time between two events so far, in milliseconds. */
+  longestGapMs: z.number().min(0),
+});
+
 /** Long poll by which a running generation is offered for migration to another engine. */
 export const migrationReq = z.object({
   service: z.string(),
@@ -276,6 +291,8 @@
 export type RetryGrantRes = z.infer<typeof retryGrantRes>;
 /** Event of a generation. */
 export type GenerationEvent = z.infer<typeof generationEvent>;
+/** Pace of a stream on one engine. */
+export type PaceReport = z.infer<typeof paceReport>;
 /** Long poll that offers a running generation for migration. */
 export type MigrationReq = z.infer<typeof migrationReq>;
 /** The generation that is offered, without the service and the time to wait. */
@@ -336,6 +353,8 @@
   release(req: ReleaseReq): Promise<void>;
   /** Records an event of a generation that runs at an entry host. */
   noteRun(note: GenerationEvent): Promise<void>;
+  /** Records the pace of a stream that runs at an entry host. */
+  reportPace(report: PaceReport): Promise<void>;
   /** Grants a retry, as the leader. */
   borrowRetry(req: RetryGrantReq): Promise<RetryGrantRes>;
   /** Grants or refuses a send to a limited upstream, as the leader. */
@@ -386,6 +405,7 @@
       .mutation(({ input }) => handlers.awaitHandOver(input)),
     release: t.procedure.input(releaseReq).mutation(({ input }) => handlers.release(input)),
     noteRun: t.procedure.input(generationEvent).mutation(({ input }) => handlers.noteRun(input)),
+    reportPace: t.procedure.input(paceReport).mutation(({ input }) => handlers.reportPace(input)),
     borrowRetry: t.procedure
       .input(retryGrantReq)
       .mutation(({ input }) => handlers.borrowRetry(input)),
--- a/packages/gateway/src/leaving-engine-monitor.ts
+++ b/packages/gateway/src/leaving-engine-monitor.ts
@@ -1,4 +1,5 @@
 import type * as requests from '@bramleyridge/requests';
+import type * as scheduling from '@bramleyridge/scheduling';
 import * as schemas from '@bramleyridge/schemas';
 
 import type * as ports from './ports.js';
@@ -37,12 +38,15 @@
   /** Lists all engines with the paths of their health endpoints. */
   readonly listEngines: () => readonly MonitoredEngine[];
   readonly gate: requests.UpstreamGate;
+  /** Called with the load that an engine states with its answer. */
+  readonly onLoad: (engine: MonitoredEngine, load: scheduling.StatedLoad) => void;
   /** Called when the trusted report of an engine changes. */
   readonly onChange: () => void;
 }
 
 /** An engine to probe. */
 export interface MonitoredEngine {
+  readonly service: string;
   readonly upstreamId: string;
   readonly processId: string;
   readonly address: string;
@@ -110,7 +114,7 @@
   }
 
   private async probeEngine(engine: MonitoredEngine): Promise<void> {
-    const { gate, log, probe } = this.options;
+    const { gate, log, onLoad, probe } = this.options;
     const { address, healthPath, upstreamId } = engine;
     try {
       gate.use(await gate.admit(engine), engine);
@@ -118,6 +122,9 @@
       const answer = await probe.probe(address, healthPath, signal);
       gate.recordProbe(engine, answer.notice);
       this.handleReport(engine, answer.isLeaving);
+      if (answer.load !== undefined) {
+        onLoad(engine, answer.load);
+      }
     } catch (err) {
       // A missing answer is not a leaving report; senders of work detect an unreachable engine themselves. The next probe
       // follows soon, if the engine takes one then.
--- a/packages/gateway/src/placement-client.ts
+++ b/packages/gateway/src/placement-client.ts
@@ -79,6 +79,17 @@
     }
   }
 
+  /** Reports the pace of a stream that runs here; nothing waits for the leader's answer. */
+  public reportPace(callId: string, engineId: string, pace: routing.StreamPace): void {
+    const { findLeader, mesh } = this.options;
+    const known = this.running.get(callId);
+    const leader = findLeader();
+    if (known !== undefined && leader !== undefined) {
+      const report = { service: known.service, callId, engineId, ...pace };
+      this.send(mesh.get(leader).reportPace.mutate(report), 'report-pace');
+    }
+  }
+
   /** Requests a retry beyond this host's own share from the leader. */
   public async requestRetry(service: string): Promise<boolean> {
     const context = { deadlineMs: ANSWER_MARGIN_MS };
--- a/packages/gateway/src/placement-service.ts
+++ b/packages/gateway/src/placement-service.ts
@@ -1,5 +1,6 @@
 import * as requests from '@bramleyridge/requests';
 import * as routing from '@bramleyridge/routing';
+import type * as scheduling from '@bramleyridge/scheduling';
 import type * as schemas from '@bramleyridge/schemas';
 
 import type * as procedures from './core-procedures.js';
@@ -119,6 +120,18 @@
     this.dispatch(pool);
   }
 
+  /** Records the load that an engine states with its answer to a probe. */
+  public recordLoad(service: string, engineId: string, load: scheduling.StatedLoad): void {
+    const now = this.options.clock.now();
+    this.pools.get(service)?.ledger.applySlowdown(engineId, load.slowdown, now);
+  }
+
+  /** Records the pace of a stream on its engine. */
+  public recordPace({ callId, engineId, service, ...stream }: procedures.PaceReport): void {
+    const now = this.options.clock.now();
+    this.pools.get(service)?.ledger.recordStream(callId, engineId, stream, now);
+  }
+
   private dispatch(pool: Pool): void {
     const now = this.options.clock.now();
     pool.queue.dispatch(now).forEach(({ placed, queued }) => queued.settle(placed));
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -1,7 +1,7 @@
 import type * as http from 'node:http';
 
 import type * as requests from '@bramleyridge/requests';
-import type * as routing from '@bramleyridge/routing';
+import type * as scheduling from '@bramleyridge/scheduling';
 import type * as schemas from '@bramleyridge/schemas';
 
 /** What a call's headers say about a generation before it runs. */
@@ -78,7 +78,7 @@
 
 /** What an upstream reports about itself along with an answer. */
 export interface AnswerFacts {
-  readonly load: routing.ReportedLoad | undefined;
+  readonly load: scheduling.StatedLoad | undefined;
 }
 
 /** The platform's protocol for calls: headers of callers and upstreams. */
@@ -106,6 +106,7 @@
   /** Whether the answer reports that the upstream accepts no more work. */
   readonly isLeaving: boolean;
   readonly notice: requests.UpstreamNotice;
+  readonly load: scheduling.StatedLoad | undefined;
 }
 
 /** Probes the state of upstreams. */
--- a/packages/gateway/src/routed-answer.ts
+++ b/packages/gateway/src/routed-answer.ts
@@ -2,6 +2,8 @@
 
 import * as requests from '@bramleyridge/requests';
 
+import type * as streamPaceMeters from './stream-pace-meter.js';
+
 /** Answer of an upstream: buffered, or streamed while its body arrives. */
 export type RoutedAnswer = BufferedAnswer | StreamedAnswer;
 
@@ -19,6 +21,8 @@
   readonly upstreamId: string;
   /** Bytes of the body read so far. */
   readonly bytes: Buffer;
+  /** Measures the pace of the engine; `undefined` if it is not reported. */
+  readonly paceMeter: streamPaceMeters.StreamPaceMeter | undefined;
   /** Releases the load accounted for the run; called when the body has ended, with whether the upstream broke off. */
   readonly release: (hasFailed: boolean) => void;
   /** Returns whether there is a KV-cache copy from which the generation could be resumed. */
@@ -84,13 +88,19 @@
   const splitter = new requests.SseEventSplitter();
   let streamed = first;
   for (;;) {
+    const { paceMeter } = streamed;
     try {
       await relayBody(streamed, true, (bytes) => {
         const events = splitter.push(bytes);
         if (events.length > 0) {
           noteEvents();
         }
-        return write(res, events);
+        paceMeter?.recordEvents(requests.countSseEvents(events));
+        const written = write(res, events);
+        if (res.writableNeedDrain) {
+          paceMeter?.end();
+        }
+        return written;
       });
       return;
     } catch (err) {
--- a/packages/gateway/src/routed-attempts.ts
+++ b/packages/gateway/src/routed-attempts.ts
@@ -7,6 +7,7 @@
 import type * as crashGuards from './crash-guard.js';
 import * as generationCalls from './generation-calls.js';
 import type * as ports from './ports.js';
+import * as streamPaceMeters from './stream-pace-meter.js';
 import * as engineRestarts from './abort-on-engine-restart.js';
 import type * as routedAnswers from './routed-answer.js';
 import type * as routedJobs from './routed-job.js';
@@ -216,17 +217,39 @@
       void this.migrations.run(job, attempt.run);
     }
     void engineRestarts.abortOnEngineRestart(this.options, attempt.run, answer);
+    const paceMeter = this.createPaceMeter(job, attempt, answer);
     return {
       kind: 'coming',
       answer,
       upstreamId: attempt.picked.upstreamId,
       bytes,
-      release: (hasFailed) => this.endStreamed(job, attempt, hasFailed),
+      paceMeter,
+      release: (hasFailed) => {
+        // The leader knows the run until it is released.
+        paceMeter?.end();
+        this.endStreamed(job, attempt, hasFailed);
+      },
       canResume: () => attempt.run.backup !== undefined,
       resume: (lastEventId) => this.resume(job, attempt, lastEventId),
     };
   }
 
+  /** Creates the meter of a generation placed by the leader on an engine that states its slowdown. */
+  private createPaceMeter(
+    { call }: routedJobs.RoutedJob,
+    { picked }: Attempt,
+    answer: requests.UpstreamAnswer,
+  ): streamPaceMeters.StreamPaceMeter | undefined {
+    const { clock, picker, wire } = this.options;
+    const isStated = wire.readAnswer(answer).load?.slowdown !== undefined;
+    if (!isStated || picked.isFallback || !generationCalls.isGeneration(call)) {
+      return undefined;
+    }
+    return new streamPaceMeters.StreamPaceMeter(clock, (pace) =>
+      picker.reportPace(call, picked.upstreamId, pace),
+    );
+  }
+
   /** Resumes a generation that was lost before its first event, if it has a KV-cache copy; otherwise rethrows. */
   private async recover(
     job: routedJobs.RoutedJob,
--- a/packages/gateway/src/upstream-list-service.ts
+++ b/packages/gateway/src/upstream-list-service.ts
@@ -1,4 +1,5 @@
 import type * as requests from '@bramleyridge/requests';
+import type * as scheduling from '@bramleyridge/scheduling';
 import * as schemas from '@bramleyridge/schemas';
 
 import * as procedures from './core-procedures.js';
@@ -61,6 +62,8 @@
   readonly findService: (name: string) => schemas.RoutedService | undefined;
   /** Returns whether generations run on an engine. */
   readonly hasRuns: (service: string, engineId: string) => boolean;
+  /** Called with the load that an engine states with its answer to a probe. */
+  readonly onLoad: (service: string, engineId: string, load: scheduling.StatedLoad) => void;
   /** The gate of this host's probes. */
   readonly gate: requests.UpstreamGate;
 }
@@ -110,6 +113,7 @@
       pauseMs: PROBE_PAUSE_MS,
       listEngines: () => this.listEngines(),
       gate,
+      onLoad: ({ service, upstreamId }, load) => options.onLoad(service, upstreamId, load),
       onChange: () => this.scheduleRebuild(),
     });
   }
@@ -239,6 +243,7 @@
       return found?.engine?.canMove === true && !isLeaving
         ? [
             {
+              service,
               upstreamId,
               processId: schemas.getProcessId({ upstreamId, bornMs }),
               address,
--- a/packages/gateway/src/upstream-picker.ts
+++ b/packages/gateway/src/upstream-picker.ts
@@ -71,6 +71,8 @@
   ): Promise<procedures.MigrationRes | undefined>;
   /** Reports an event of a generation that runs here. */
   reportEvent(callId: string, event: procedures.GenerationEvent['event']): void;
+  /** Reports the pace of a stream on its engine. */
+  reportPace(callId: string, engineId: string, pace: routing.StreamPace): void;
   /** Registers a generation that runs here, whether the leader or this host placed it. */
   registerRun(service: string, spec: routing.PlacementSpec, engineId: string): void;
   /** Unregisters a generation that has ended. */
@@ -171,6 +173,15 @@
     }
   }
 
+  /** Reports the pace of a generation's stream on its engine. */
+  public reportPace(
+    { facts }: callAdmissions.AdmittedCall,
+    engineId: string,
+    pace: routing.StreamPace,
+  ): void {
+    this.options.placer.reportPace(facts.requestId, engineId, pace);
+  }
+
   /**
    * Registers a generation on a given engine, such as that of its backup, and returns it with the engine of the next
    * backup, if any.
@@ -252,6 +263,7 @@
       answerTokens: generationCalls.getExpectedAnswerTokens(call),
       leftMs: call.endsAt - this.options.clock.now(),
       excluded,
+      gapTargetMs: call.route.gapTargetMs,
       wantsCopy: call.service.engine?.canBackUp === true,
       ranMs: 0,
     };
--- a/packages/gateway/tests/leaving-engine-monitor.test.ts
+++ b/packages/gateway/tests/leaving-engine-monitor.test.ts
@@ -1,4 +1,5 @@
 import * as requests from '@bramleyridge/requests';
+import type * as scheduling from '@bramleyridge/scheduling';
 import * as schemas from '@bramleyridge/schemas';
 import * as tap from 'tap';
 
@@ -6,14 +7,23 @@
 
 /** Creates a monitor of one engine whose report the test sets. */
 function createMonitor(clock: schemas.VirtualClock) {
-  const engine = { report: false as boolean | Error, changes: 0 };
+  const engine = {
+    report: false as boolean | Error,
+    changes: 0,
+    load: undefined as scheduling.StatedLoad | undefined,
+    loads: [] as unknown[],
+  };
   const monitor = new leavingEngineMonitors.LeavingEngineMonitor({
     probe: {
       probe: async () => {
         if (engine.report instanceof Error) {
           throw engine.report;
         }
-        return Promise.resolve({ isLeaving: engine.report, notice: requests.EMPTY_NOTICE });
+        return Promise.resolve({
+          isLeaving: engine.report,
+          notice: requests.EMPTY_NOTICE,
+          load: engine.load,
+        });
       },
     },
     clock,
@@ -23,6 +33,7 @@
     gate: requests.createLocalGate(clock, new schemas.SilentLog()),
     listEngines: () => [
       {
+        service: 'engines',
         upstreamId: 'e1',
         processId: 'e1',
         address: '127.0.0.1:1',
@@ -30,6 +41,8 @@
         hasRuns: true,
       },
     ],
+    onLoad: ({ service, upstreamId }, { slowdown }) =>
+      engine.loads.push([service, upstreamId, slowdown]),
     onChange: () => {
       engine.changes += 1;
     },
@@ -55,6 +68,18 @@
   },
 );
 
+// Guards against a leader that forecasts the gaps of streams without the slowdowns that engines state.
+void tap.default.test('the load stated with an answer is passed on', async (t) => {
+  const clock = new schemas.VirtualClock();
+  const { engine, monitor } = createMonitor(clock);
+  await clock.advance(300);
+  t.same(engine.loads, [], 'nothing from an engine that states none');
+  engine.load = { running: 3, waiting: 0, slowdown: 2.5 };
+  await clock.advance(250);
+  t.same(engine.loads, [['engines', 'e1', 2.5]]);
+  monitor.stop();
+});
+
 void tap.default.test('an engine with a false leaving report gets work again', async (t) => {
   // The health endpoint is wrong or fails for a while, and the list never shows the engine as leaving. If its report
   // were always trusted, a healthy engine would be idle all day.
@@ -108,6 +133,7 @@
         return Promise.resolve({
           isLeaving,
           notice: state.notices.get(address) ?? requests.EMPTY_NOTICE,
+          load: undefined,
         });
       },
     },
@@ -118,12 +144,14 @@
     gate: requests.createLocalGate(clock, new schemas.SilentLog()),
     listEngines: () =>
       Array.from({ length: engineCount }, (_, i) => ({
+        service: 'engines',
         upstreamId: `e-${i}`,
         processId: `e-${i}`,
         address: `e-${i}`,
         healthPath: '/health',
         hasRuns: i < state.runningCount,
       })),
+    onLoad: () => {},
     onChange: () => {},
   });
   void monitor.run();
--- a/packages/gateway/tests/support/small-site.ts
+++ b/packages/gateway/tests/support/small-site.ts
@@ -111,6 +111,7 @@
           Promise.resolve({
             isLeaving: this.reportLeaving.has(address),
             notice: requests.EMPTY_NOTICE,
+            load: undefined,
           }),
       },
       clock: this.clock,
--- a/packages/gateway/tests/support/test-wire.ts
+++ b/packages/gateway/tests/support/test-wire.ts
@@ -50,8 +50,12 @@
     };
   }
 
-  public readAnswer(): gateway.AnswerFacts {
-    return { load: undefined };
+  public readAnswer({ headers }: requests.AnswerHead): gateway.AnswerFacts {
+    const { slowdown } = headers;
+    return {
+      load:
+        slowdown === undefined ? undefined : { running: 1, waiting: 0, slowdown: Number(slowdown) },
+    };
   }
 
   public readNotice({ headers, status }: requests.AnswerHead): requests.UpstreamNotice {
--- a/packages/gateway/tests/upstream-list-service.test.ts
+++ b/packages/gateway/tests/upstream-list-service.test.ts
@@ -37,7 +37,7 @@
     probe: {
       probe: async (address) => {
         await clock.sleep(ENGINES.findIndex((id) => address.startsWith(id)));
-        return { isLeaving: state.areLeaving, notice: requests.EMPTY_NOTICE };
+        return { isLeaving: state.areLeaving, notice: requests.EMPTY_NOTICE, load: undefined };
       },
     },
     clock,
@@ -45,6 +45,7 @@
     getSettings: () => ({ listAddress: '127.0.0.1:1', listCallsPerS: 40 }) as never,
     findActiveSince: () => state.activeSince,
     hasRuns: () => true,
+    onLoad: () => {},
     gate: requests.createLocalGate(clock, new schemas.SilentLog()),
     findService: (name) => ({ ...sites.createConfig(1).services[0]!, name, engine }),
   });
--- a/packages/gateway/tests/upstream-picker.test.ts
+++ b/packages/gateway/tests/upstream-picker.test.ts
@@ -40,6 +40,8 @@
 
   public unregisterRun(): void {}
 
+  public reportPace(): void {}
+
   public reportEvent(callId: string, event: string): void {
     this.events.push(`${callId} ${event}`);
   }
--- a/packages/requests/src/sse-event-splitter.ts
+++ b/packages/requests/src/sse-event-splitter.ts
@@ -3,6 +3,17 @@
 /** The line with the identifier of an event. */
 const ID_LINE = /^id: ?(.*)$/m;
 
+/** Returns the number of complete events in bytes of a stream. */
+export function countSseEvents(bytes: Buffer): number {
+  let count = 0;
+  let end = bytes.indexOf(EVENT_END);
+  while (end >= 0) {
+    count += 1;
+    end = bytes.indexOf(EVENT_END, end + EVENT_END.length);
+  }
+  return count;
+}
+
 /**
  * Splits a stream of server-sent events so that another connection can continue where one broke off: the caller
  * receives only complete events, and the identifier of the last one marks the position.
--- a/packages/routing/src/backup-engine-selector.ts
+++ b/packages/routing/src/backup-engine-selector.ts
@@ -1,5 +1,6 @@
 import * as crossZonePenalties from './cross-zone-penalty.js';
 import type * as engineStates from './engine-state.js';
+import type * as gapPenalties from './gap-penalties.js';
 import * as memoryGrowth from './memory-growth.js';
 import type * as placedRuns from './placed-run.js';
 import * as placementLimits from './placement-limits.js';
@@ -40,6 +41,7 @@
 export class BackupEngineSelector {
   public constructor(
     private readonly runs: runRegistries.RunRegistry,
+    private readonly gapPenalties: gapPenalties.GapPenalties,
     private readonly listEngines: () => Iterable<engineStates.EngineState>,
   ) {}
 
@@ -85,14 +87,18 @@
     const size = memoryGrowth.forecastTokens(run.spec, now - run.startedAt, HORIZON_MS);
     let best: string | undefined;
     let bestScore = Infinity;
-    for (const { engine, occupancy } of this.listEngines()) {
+    for (const state of this.listEngines()) {
+      const { engine, occupancy } = state;
       const { engineId, memoryTokens } = engine;
       const share = (occupancy.getForecastTokens(now, HORIZON_MS) + size) / memoryTokens;
       const isExcluded =
         engine.isClosed === true || engineId === run.engineId || excluded.includes(engineId);
       if (share <= limit && !isExcluded) {
         const score =
-          share + crossZonePenalties.getCrossZonePenalty(engine, run.spec) + getPenalty(engine);
+          share +
+          crossZonePenalties.getCrossZonePenalty(engine, run.spec) +
+          getPenalty(engine) +
+          this.gapPenalties.getBackupPenalty(state, run.spec, now);
         best = score < bestScore ? engineId : best;
         bestScore = Math.min(score, bestScore);
       }
--- a/packages/routing/src/engine-ledger.ts
+++ b/packages/routing/src/engine-ledger.ts
@@ -1,38 +1,16 @@
 import * as backupEngineSelectors from './backup-engine-selector.js';
-import * as crossZonePenalties from './cross-zone-penalty.js';
+import * as engineChoices from './engine-choice.js';
+import * as enginePaces from './engine-pace.js';
 import * as engineStates from './engine-state.js';
+import * as eventGapModels from './event-gap-model.js';
+import * as gapPenalties from './gap-penalties.js';
 import * as memoryGrowth from './memory-growth.js';
+import type * as placedRuns from './placed-run.js';
 import * as placementLimits from './placement-limits.js';
 import * as placementSpecs from './placement-spec.js';
 import * as prefillBacklogs from './prefill-backlog.js';
 import * as runRegistries from './run-registry.js';
 
-/**
- * Forecast horizon for a short answer, in milliseconds. It ends by then, so the later growth of
- * long generations is no reason to send it to the one empty engine, where all prompts already
- * queue.
- */
-const SHORT_HORIZON_MS = 1_000;
-
-/**
- * Limit of the prefill backlog up to which an engine is given another prompt, in milliseconds. A
- * prompt that waits at the leader can still go to whichever engine has capacity first; in an
- * engine's queue it is bound to that engine. The limit leaves enough work that an engine does not
- * idle between two placements.
- */
-const BACKLOG_LIMIT_MS = 300;
-
-/** Prefill backlog that weighs as much as the whole memory of an engine, in milliseconds. */
-const BACKLOG_SCALE_MS = 1_500;
-
-/**
- * Weight of each generation that runs on an engine, as a share of memory. By memory alone a run and
- * a backup weigh the same, so one of two engines would run eight long generations while the other
- * kept their backups. A step takes 7 ms plus 0.12 ms per run, so eight runs on one of two engines
- * are 6% slower than four on each.
- */
-const RUN_WEIGHT = 0.01;
-
 /**
  * Tracks one pool of engines in one place: every generation with its size, and every backup. Hosts
  * that use fallback placement each see a seventh of the load and reports that are half a second
@@ -42,10 +20,20 @@
   private engines = new Map<string, engineStates.EngineState>();
   private hasOpenEngines = false;
   private readonly runs = new runRegistries.RunRegistry();
-  private readonly prefillRate = new prefillBacklogs.PrefillRate();
-  private readonly backupSelector = new backupEngineSelectors.BackupEngineSelector(this.runs, () =>
+  public readonly prefillRate = new prefillBacklogs.PrefillRate();
+  public readonly usualEventTime = new enginePaces.UsualEventTime();
+  private readonly gaps = new eventGapModels.EventGapModel();
+  private readonly gapPenalties = new gapPenalties.GapPenalties(this.gaps, () =>
+    this.engines.values(),
+  );
+  private readonly choice = new engineChoices.EngineChoice(this.gapPenalties, () =>
     this.engines.values(),
   );
+  private readonly backupSelector = new backupEngineSelectors.BackupEngineSelector(
+    this.runs,
+    this.gapPenalties,
+    () => this.engines.values(),
+  );
 
   /** Sets the engines that may be given work. The state of engines that stay is kept. */
   public setEngines(engines: readonly placementSpecs.LedgerEngine[]): void {
@@ -58,10 +46,7 @@
         const formerState = former.get(engine.engineId);
         const keptState = isRestarted(formerState?.engine, engine) ? undefined : formerState;
         const occupancy = this.runs.getOccupancy(engine.engineId);
-        return [
-          engine.engineId,
-          new engineStates.EngineState(engine, occupancy, this.prefillRate, keptState),
-        ];
+        return [engine.engineId, new engineStates.EngineState(engine, occupancy, this, keptState)];
       }),
     );
     this.hasOpenEngines = engines.some(({ isClosed }) => isClosed !== true);
@@ -83,6 +68,7 @@
     if (engineId === undefined) {
       return undefined;
     }
+    const paceStart = spec.fixedEngineId === undefined ? undefined : state?.getPaceStart(now);
     this.runs.set({
       spec,
       startedAt: now - spec.ranMs,
@@ -90,6 +76,7 @@
       engineId,
       backupEngineId: undefined,
       zone: state?.engine.availabilityZone,
+      paceStart,
     });
     if (spec.isUnderWay !== true) {
       state?.recordSend(now);
@@ -109,7 +96,42 @@
   /** Records that the first event of a generation has arrived, so its prefill is complete. */
   public recordFirstEvent(callId: string, now: number): void {
     const run = this.runs.find(callId);
-    this.engines.get(run?.engineId ?? '')?.backlog.recordFirstEvent(callId, now);
+    const state = this.engines.get(run?.engineId ?? '');
+    if (run !== undefined && state !== undefined) {
+      state.recordFirstEvent(callId, now, this.gaps.isStating(now));
+      run.paceStart = state.getPaceStart(now);
+    }
+  }
+
+  /** Records the slowdown that an engine states with the answer to a probe. */
+  public applySlowdown(engineId: string, slowdown: number | undefined, now: number): void {
+    const state = this.engines.get(engineId);
+    if (state !== undefined && slowdown !== undefined) {
+      state.pace.applySlowdown(slowdown, now);
+      this.gaps.recordSlowdown(slowdown, now);
+    }
+  }
+
+  /** Records the pace of a stream that runs on an engine, as its host has measured it there. */
+  public recordStream(
+    callId: string,
+    engineId: string,
+    stream: engineStates.StreamPace,
+    now: number,
+  ): void {
+    const run = this.runs.find(callId);
+    const state = run?.engineId === engineId ? this.engines.get(engineId) : undefined;
+    const start = run?.paceStart;
+    const isShort = stream.events < enginePaces.MIN_PACE_EVENTS;
+    if (state === undefined || start === undefined || isShort || !this.gaps.isStating(now)) {
+      return;
+    }
+    state.recordStream(stream, start, now);
+    const factor = state.pace.getFactor();
+    if (factor !== undefined) {
+      const slowdown = state.pace.getLargestSlowdown(start.at, now);
+      this.gaps.recordGap(stream.longestGapMs, factor, slowdown);
+    }
   }
 
   /**
@@ -124,13 +146,15 @@
    */
   public getRemainingMs(callId: string, now: number): number | undefined {
     const run = this.runs.find(callId);
-    return run && memoryGrowth.getRemainingMs(run.spec, now - run.startedAt);
+    return run && memoryGrowth.getRemainingMs(run.spec, now - run.startedAt, this.getFactor(run));
   }
 
   /** Returns the memory that a run uses now, in tokens. */
   public getTokens(callId: string, now: number): number {
     const run = this.runs.find(callId);
-    return run === undefined ? 0 : memoryGrowth.forecastTokens(run.spec, now - run.startedAt, 0);
+    return run === undefined
+      ? 0
+      : memoryGrowth.forecastTokens(run.spec, now - run.startedAt, 0, this.getFactor(run));
   }
 
   /**
@@ -163,7 +187,7 @@
    * capacity for it, there is none for a generation that needs more.
    */
   public getTokensNeeded(spec: placementSpecs.PlacementSpec): number {
-    return memoryGrowth.forecastTokens(spec, 0, getHorizonMs(spec));
+    return memoryGrowth.forecastTokens(spec, 0, engineChoices.getHorizonMs(spec));
   }
 
   /** Whether generations run on an engine. */
@@ -226,31 +250,13 @@
     now: number,
     mayWait: boolean,
   ): engineStates.EngineState | undefined {
-    if (spec.fixedEngineId !== undefined) {
-      return this.engines.get(spec.fixedEngineId);
-    }
-    const horizonMs = getHorizonMs(spec);
-    const size = memoryGrowth.forecastTokens(spec, 0, horizonMs);
-    let best: engineStates.EngineState | undefined;
-    let bestScore = Infinity;
-    for (const state of this.engines.values()) {
-      const { engineId, isClosed, memoryTokens, slots } = state.engine;
-      const share = (state.occupancy.getForecastTokens(now, horizonMs) + size) / memoryTokens;
-      const { running } = state.occupancy;
-      const backlogMs = state.backlog.getMs(now);
-      const isOpen =
-        isClosed !== true && !spec.excluded.includes(engineId) && state.canAcceptSend(now);
-      const hasCapacity = isOpen && share <= placementLimits.PLACEMENT_LIMIT && running < slots;
-      const hasShortBacklog = !mayWait || backlogMs <= BACKLOG_LIMIT_MS;
-      const penalty =
-        state.getFailurePenalty(now) + crossZonePenalties.getCrossZonePenalty(state.engine, spec);
-      const score = share + penalty + running * RUN_WEIGHT + backlogMs / BACKLOG_SCALE_MS;
-      if (hasCapacity && hasShortBacklog && score < bestScore) {
-        best = state;
-        bestScore = score;
-      }
-    }
-    return best;
+    return spec.fixedEngineId === undefined
+      ? this.choice.choose(spec, now, mayWait)
+      : this.engines.get(spec.fixedEngineId);
+  }
+
+  private getFactor({ engineId }: placedRuns.PlacedRun): number {
+    return this.runs.getOccupancy(engineId).getFactor();
   }
 
   private chooseBackupEngine(callId: string, now: number): string | undefined {
@@ -266,10 +272,6 @@
   }
 }
 
-function getHorizonMs(spec: placementSpecs.PlacementSpec): number {
-  return placementSpecs.hasShortAnswer(spec) ? SHORT_HORIZON_MS : placementLimits.HORIZON_MS;
-}
-
 function isRestarted(
   former: placementSpecs.LedgerEngine | undefined,
   engine: placementSpecs.LedgerEngine,
--- a/packages/routing/src/engine-occupancy.ts
+++ b/packages/routing/src/engine-occupancy.ts
@@ -1,5 +1,6 @@
 import * as memoryGrowth from './memory-growth.js';
 import type * as placedRuns from './placed-run.js';
+import * as placementSpecs from './placement-spec.js';
 
 /**
  * The total memory that everything on one engine is forecast to use at a horizon: a line over time,
@@ -25,6 +26,9 @@
   private readonly backups = new Map<string, placedRuns.PlacedRun>();
   /** Keyed by horizon in milliseconds. */
   private readonly forecasts = new Map<number, OccupancyForecast>();
+  /** The targets for the gaps of the streams on the engine; `undefined` if runs have changed. */
+  private gapTargets: readonly number[] | undefined;
+  private factor = 1;
 
   /** Number of generations that run on the engine. */
   public get running(): number {
@@ -36,6 +40,34 @@
     return this.runs.size === 0 && this.backups.size === 0;
   }
 
+  /** The usual time of a step on the engine relative to its pool. */
+  public getFactor(): number {
+    return this.factor;
+  }
+
+  /** Sets the usual time of a step on the engine relative to its pool. */
+  public setFactor(factor: number): void {
+    if (factor !== this.factor) {
+      this.factor = factor;
+      this.forecasts.clear();
+    }
+  }
+
+  /** Whether a generation with a long answer runs on the engine. */
+  public hasLongRun(): boolean {
+    return [...this.runs.values()].some(({ spec }) => !placementSpecs.hasShortAnswer(spec));
+  }
+
+  /** Returns the number of streams on the engine for which a gap would be too long. */
+  public countLateAt(gapMs: number): number {
+    this.gapTargets ??= [...this.runs.values()].flatMap(({ spec }) => spec.gapTargetMs ?? []);
+    let late = 0;
+    for (const targetMs of this.gapTargets) {
+      late += gapMs > targetMs ? 1 : 0;
+    }
+    return late;
+  }
+
   /** Returns the generations that run on the engine. */
   public listRuns(): placedRuns.PlacedRun[] {
     return [...this.runs.values()];
@@ -50,12 +82,14 @@
   public addRun(run: placedRuns.PlacedRun): void {
     this.runs.set(run.spec.callId, run);
     this.forecasts.clear();
+    this.gapTargets = undefined;
   }
 
   /** Removes a generation that ran on the engine. */
   public removeRun(callId: string): void {
     this.runs.delete(callId);
     this.forecasts.clear();
+    this.gapTargets = undefined;
   }
 
   /** Adds a backup. */
@@ -83,7 +117,12 @@
     let tokensPerMs = 0;
     let validMs = Infinity;
     const add = (run: placedRuns.PlacedRun) => {
-      const forecast = memoryGrowth.forecastLine(run.spec, now - run.startedAt, horizonMs);
+      const forecast = memoryGrowth.forecastLine(
+        run.spec,
+        now - run.startedAt,
+        horizonMs,
+        this.factor,
+      );
       tokens += forecast.tokens;
       tokensPerMs += forecast.tokensPerMs;
       validMs = Math.min(validMs, forecast.validMs);
--- /dev/null
+++ b/packages/routing/src/engine-pace.ts
@@ -0,0 +1,112 @@
+import * as statistics from 'simple-statistics';
+
+import * as statedSlowdowns from './stated-slowdowns.js';
+
+/**
+ * Number of the latest observations whose median is the factor of an engine. A spell of
+ * interference that begins between two probes distorts one observation in five.
+ */
+const MAX_OBSERVATIONS = 9;
+
+/** Range of plausible factors; outside of it the report was late or the prompt was cached. */
+const MIN_FACTOR = 0.3;
+const MAX_FACTOR = 5;
+
+/**
+ * Minimum number of events for the pace of a stream; the host reports after as many for the first
+ * time.
+ */
+export const MIN_PACE_EVENTS = 16;
+
+/** Weight of one stream in the moving average of the usual time between two events. */
+const LEARNING_RATE = 0.05;
+
+/** The usual time between two events of a stream in one pool, without interference. */
+export class UsualEventTime {
+  private ms: number | undefined;
+
+  /** Returns the time in milliseconds; `undefined` until observed. */
+  public get(): number | undefined {
+    return this.ms;
+  }
+
+  /** Records the time between two events of a stream, corrected for its engine's factor. */
+  public observe(ms: number): void {
+    this.ms = this.ms === undefined ? ms : this.ms + (ms - this.ms) * LEARNING_RATE;
+  }
+}
+
+/**
+ * The speed of one engine: its own, learned from its prefills and streams, and the slowdown by
+ * co-located work, which it states.
+ */
+export class EnginePace {
+  private readonly slowdowns = new statedSlowdowns.StatedSlowdowns();
+  private readonly observations: number[] = [];
+  private factor: number | undefined;
+
+  public constructor(private readonly usualEventTime: UsualEventTime) {}
+
+  /** Records the slowdown that a probe's answer states; `undefined` if it states none. */
+  public applySlowdown(slowdown: number | undefined, now: number): void {
+    if (slowdown !== undefined) {
+      this.slowdowns.record(slowdown, now);
+    }
+  }
+
+  /**
+   * Records the pace of a stream over so many events, as the mean time between two of them without
+   * the time that prefills of other prompts added.
+   */
+  public recordStream(msPerEvent: number, events: number, now: number): void {
+    if (events < MIN_PACE_EVENTS || msPerEvent <= 0) {
+      return;
+    }
+    const ms = msPerEvent / this.getMeanSlowdown(now - msPerEvent * events, now);
+    const usualMs = this.usualEventTime.get();
+    if (usualMs !== undefined) {
+      this.observe(ms / usualMs);
+    }
+    this.usualEventTime.observe(ms / (this.factor ?? 1));
+  }
+
+  /** Records how long the prefill of a prompt took that was alone on the engine. */
+  public recordPrefill(expectedMs: number, tookMs: number, now: number): void {
+    this.observe(tookMs / expectedMs / this.getMeanSlowdown(now - tookMs, now));
+  }
+
+  /** Returns the stated slowdown; 1 without a valid statement. */
+  public getSlowdown(now: number): number {
+    return this.slowdowns.get(now);
+  }
+
+  /** Returns the mean slowdown over a period. */
+  public getMeanSlowdown(since: number, now: number): number {
+    return this.slowdowns.getMean(since, now);
+  }
+
+  /** Returns the largest slowdown stated over a period. */
+  public getLargestSlowdown(since: number, now: number): number {
+    return this.slowdowns.getLargest(since, now);
+  }
+
+  /**
+   * Returns the usual time of a step relative to the pool; `undefined` until something was
+   * observed.
+   */
+  public getFactor(): number | undefined {
+    return this.factor;
+  }
+
+  private observe(factor: number): void {
+    // The negation also excludes NaN.
+    if (!(factor >= MIN_FACTOR && factor <= MAX_FACTOR)) {
+      return;
+    }
+    this.observations.push(factor);
+    if (this.observations.length > MAX_OBSERVATIONS) {
+      this.observations.shift();
+    }
+    this.factor = statistics.median(this.observations);
+  }
+}
--- a/packages/routing/src/engine-state.ts
+++ b/packages/routing/src/engine-state.ts
@@ -1,4 +1,6 @@
 import type * as engineOccupancies from './engine-occupancy.js';
+import * as enginePaces from './engine-pace.js';
+import type * as placedRuns from './placed-run.js';
 import type * as placementSpecs from './placement-spec.js';
 import * as prefillBacklogs from './prefill-backlog.js';
 import * as recentSends from './recent-sends.js';
@@ -10,11 +12,33 @@
 const FAILURE_PENALTY = 0.4;
 const FAILURE_HALF_LIFE_MS = 3_000;
 
+/** Time for which a step with a chunk of a prompt lasts relative to one without: 16 ms and 8 ms. */
+const PREFILL_STEP_RATIO = 2;
+
+/** The pace of a stream on one engine, as its host has measured it. */
+export interface StreamPace {
+  /** Mean time between two events so far, in milliseconds. */
+  readonly msPerEvent: number;
+  /** Number of events so far. */
+  readonly events: number;
+  /** Longest time between two events so far, in milliseconds. */
+  readonly longestGapMs: number;
+}
+
+/** The usual speeds of the engines of one pool. */
+export interface PoolRates {
+  readonly prefillRate: prefillBacklogs.PrefillRate;
+  readonly usualEventTime: enginePaces.UsualEventTime;
+}
+
 /** The state of one engine in the ledger. */
 export class EngineState {
   /** Prompts whose prefill is not complete yet. */
   public readonly backlog: prefillBacklogs.PrefillBacklog;
+  /** The speed of the engine. */
+  public readonly pace: enginePaces.EnginePace;
   private readonly sends: recentSends.RecentSends;
+  private isPaced = false;
   private failures: number;
   private failedAt: number;
 
@@ -23,10 +47,11 @@
     public readonly engine: placementSpecs.LedgerEngine,
     /** The runs and backups on the engine. */
     public readonly occupancy: engineOccupancies.EngineOccupancy,
-    prefillRate: prefillBacklogs.PrefillRate,
+    rates: PoolRates,
     former: EngineState | undefined,
   ) {
-    this.backlog = former?.backlog ?? new prefillBacklogs.PrefillBacklog(prefillRate);
+    this.backlog = former?.backlog ?? new prefillBacklogs.PrefillBacklog(rates.prefillRate);
+    this.pace = former?.pace ?? new enginePaces.EnginePace(rates.usualEventTime);
     this.sends = former?.sends ?? new recentSends.RecentSends();
     this.failures = former?.failures ?? 0;
     this.failedAt = former?.failedAt ?? 0;
@@ -49,6 +74,51 @@
     return this.sends.count(now) < (now < coldUntil ? sendsPerS.cold : sendsPerS.most);
   }
 
+  /**
+   * Records the first event of a generation. While the pool states slowdowns, a prompt that was
+   * alone tells the speed of the engine, and the pool's rate is learned without slow engines.
+   */
+  public recordFirstEvent(callId: string, now: number, isStating: boolean): void {
+    const { backlog, pace } = this;
+    const factor = pace.getFactor() ?? 1;
+    const prefill = backlog.recordFirstEvent(callId, now, (since) =>
+      isStating ? pace.getMeanSlowdown(since, now) * factor : 1,
+    );
+    if (isStating && prefill?.wasAlone === true) {
+      pace.recordPrefill(prefill.expectedMs, prefill.tookMs, now);
+    }
+  }
+
+  /** Returns what the pace of a run is measured from that produces its first event here now. */
+  public getPaceStart(now: number): placedRuns.PaceStart {
+    return { at: now, busyMs: this.backlog.getBusyMs(now) };
+  }
+
+  /** Records the pace of a stream, without the time that prefills of other prompts added. */
+  public recordStream(
+    { events, msPerEvent }: StreamPace,
+    start: placedRuns.PaceStart,
+    now: number,
+  ): void {
+    const busyMs = this.backlog.getBusyMs(now) - start.busyMs;
+    const busyShare = Math.min(1, Math.max(0, busyMs / Math.max(1, now - start.at)));
+    // The share is one of time, not of steps: in t ms, the steps with a chunk take busyShare * t.
+    const stepShare = busyShare / (PREFILL_STEP_RATIO - busyShare * (PREFILL_STEP_RATIO - 1));
+    const ratio = 1 + stepShare * (PREFILL_STEP_RATIO - 1);
+    this.pace.recordStream(msPerEvent / ratio, events, now);
+  }
+
+  /** Sets whether the engine's own speed counts, or that of a usual engine. */
+  public setPaced(isPaced: boolean): void {
+    this.isPaced = isPaced;
+    this.occupancy.setFactor(isPaced ? (this.pace.getFactor() ?? 1) : 1);
+  }
+
+  /** Returns how many times as long as usual a step takes now. */
+  public getSlowness(now: number): number {
+    return this.isPaced ? (this.pace.getFactor() ?? 1) * this.pace.getSlowdown(now) : 1;
+  }
+
   /** Records a generation that the engine aborted. */
   public recordFailure(now: number): void {
     this.failures = this.getFailures(now) + 1;
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,10 +1,15 @@
 /** Decision logic: capacity, queues, upstream selection and fairness. */
 export * from './cold-send-quota.js';
 export * from './crash-ledger.js';
+export * from './engine-choice.js';
 export * from './engine-ledger.js';
 export * from './engine-occupancy.js';
+export * from './engine-pace.js';
+export * from './engine-state.js';
+export * from './event-gap-model.js';
 export * from './fair-queue.js';
 export * from './fallback-choice.js';
+export * from './gap-penalties.js';
 export * from './length-distribution.js';
 export * from './length-model.js';
 export * from './live-generation.js';
@@ -24,6 +29,7 @@
 export * from './route-table.js';
 export * from './run-registry.js';
 export * from './slow-upstreams.js';
+
 export * from './suspect.js';
 export * from './types.js';
 export * from './upstream-ledger.js';
--- a/packages/routing/src/memory-growth.ts
+++ b/packages/routing/src/memory-growth.ts
@@ -27,7 +27,8 @@
 
 /**
  * Forecasts the memory that a generation will hold at a horizon, given how long it has run, and its
- * growth rate. A generation beyond its estimate is expected to keep growing: lengths are
+ * growth rate. The time of its engine runs slower by the engine's factor: it produces fewer tokens
+ * per millisecond and holds its memory longer, so the horizon is as many of its own steps away. A generation beyond its estimate is expected to keep growing: lengths are
  * heavy-tailed, so the longest generations are the ones that fill engines. When they were assumed
  * to stay at the estimate, three of them hid a third of an engine's memory use, and generations
  * placed there waited 7 s in vain.
@@ -36,23 +37,25 @@
   spec: placementSpecs.PlacementSpec,
   ranMs: number,
   horizonMs: number,
+  factor = 1,
 ): LinearForecast {
   const { answerTokens, promptTokens } = spec;
+  const tokensPerMs = TOKENS_PER_MS / factor;
   const expected = answerTokens * MEAN_OVER_MEDIAN;
-  const produced = ranMs * TOKENS_PER_MS;
+  const produced = ranMs * tokensPerMs;
   const growth = horizonMs * TOKENS_PER_MS;
   if (produced >= expected) {
     const tokens = promptTokens + produced + growth * LATE_GROWTH_FACTOR;
-    return { tokens, tokensPerMs: TOKENS_PER_MS, validMs: Infinity };
+    return { tokens, tokensPerMs, validMs: Infinity };
   }
   const endsBeforeHorizon = produced + growth >= expected;
-  const remainingMs = (expected - produced) / TOKENS_PER_MS;
+  const remainingMs = (expected - produced) / tokensPerMs;
   return endsBeforeHorizon
     ? { tokens: promptTokens + expected, tokensPerMs: 0, validMs: remainingMs }
     : {
         tokens: promptTokens + produced + growth,
-        tokensPerMs: TOKENS_PER_MS,
-        validMs: remainingMs - horizonMs,
+        tokensPerMs,
+        validMs: remainingMs - horizonMs * factor,
       };
 }
 
@@ -64,16 +67,23 @@
   spec: placementSpecs.PlacementSpec,
   ranMs: number,
   horizonMs: number,
+  factor = 1,
 ): number {
-  return forecastLine(spec, ranMs, horizonMs).tokens;
+  return forecastLine(spec, ranMs, horizonMs, factor).tokens;
 }
 
 /**
- * Returns the expected remaining time of a generation, in milliseconds, given how long it has run.
+ * Returns the expected remaining time of a generation, in milliseconds, given how long it has run
+ * and its engine's factor.
  */
-export function getRemainingMs(spec: placementSpecs.PlacementSpec, ranMs: number): number {
+export function getRemainingMs(
+  spec: placementSpecs.PlacementSpec,
+  ranMs: number,
+  factor = 1,
+): number {
+  const tokensPerMs = TOKENS_PER_MS / factor;
   const expected = spec.answerTokens * MEAN_OVER_MEDIAN;
-  const produced = ranMs * TOKENS_PER_MS;
+  const produced = ranMs * tokensPerMs;
   const remaining = produced < expected ? expected - produced : expected * LATE_GROWTH_FACTOR;
-  return remaining / TOKENS_PER_MS;
+  return remaining / tokensPerMs;
 }
--- a/packages/routing/src/placement-spec.ts
+++ b/packages/routing/src/placement-spec.ts
@@ -37,6 +37,8 @@
   readonly fixedEngineId?: string | undefined;
   /** Set if it already runs there and is only reported, so that nothing is sent now. */
   readonly isUnderWay?: boolean | undefined;
+  /** Longest gap between two of its events that is on time, in milliseconds, if its route has one. */
+  readonly gapTargetMs?: number | undefined;
   /** Whether a KV-cache backup of it should be kept. */
   readonly wantsCopy: boolean;
   /** How long it has already run, in milliseconds. */
--- a/packages/routing/src/prefill-backlog.ts
+++ b/packages/routing/src/prefill-backlog.ts
@@ -40,6 +40,16 @@
 
 interface PendingPrompt {
   readonly tokens: number;
+  /** Whether no other prompt was pending on the engine at any time since it was added. */
+  isAlone: boolean;
+}
+
+/** A prefill that is complete. */
+export interface CompletedPrefill {
+  readonly expectedMs: number;
+  readonly tookMs: number;
+  /** Whether the engine had no other prompt meanwhile, so that the time shows its speed. */
+  readonly wasAlone: boolean;
 }
 
 /**
@@ -53,6 +63,8 @@
   private pendingTokens = 0;
   /** Time since which the prompt at the head is being processed. */
   private headSince = 0;
+  /** Total time for which prompts were pending before `headSince`, in milliseconds. */
+  private pastBusyMs = 0;
 
   public constructor(private readonly rate: PrefillRate) {}
 
@@ -62,22 +74,39 @@
       this.headSince = now;
     }
     this.pendingTokens += tokens - (this.pending.get(callId)?.tokens ?? 0);
-    this.pending.set(callId, { tokens });
+    this.pending.forEach((prompt) => {
+      prompt.isAlone = false;
+    });
+    this.pending.set(callId, { tokens, isAlone: this.pending.size === 0 });
   }
 
   /**
    * Records the first event of a generation, which shows that its prefill is complete; the time it
-   * took gives the rate.
+   * took gives the rate. `getSlowness` returns how many times as long as usual a prefill since a
+   * time took on this engine. Returns the prefill, unless other prompts were processed before it.
    */
-  public recordFirstEvent(callId: string, now: number): void {
+  public recordFirstEvent(
+    callId: string,
+    now: number,
+    getSlowness: (since: number) => number = () => 1,
+  ): CompletedPrefill | undefined {
     const prompt = this.pending.get(callId);
     if (prompt === undefined) {
-      return;
+      return undefined;
     }
-    if (this.isHead(callId)) {
-      this.rate.observe(prompt.tokens, now - this.headSince);
+    const tookMs = now - this.headSince;
+    const expectedMs = this.rate.getMs(prompt.tokens);
+    const isHead = this.isHead(callId);
+    if (isHead) {
+      this.rate.observe(prompt.tokens, tookMs / getSlowness(this.headSince));
     }
     this.remove(callId, now);
+    return isHead ? { expectedMs, tookMs, wasAlone: prompt.isAlone } : undefined;
+  }
+
+  /** Returns the total time for which prompts were pending until now, in milliseconds. */
+  public getBusyMs(now: number): number {
+    return this.pastBusyMs + (this.pending.size === 0 ? 0 : now - this.headSince);
   }
 
   /** Removes a prompt, whatever its outcome. */
@@ -88,23 +117,29 @@
     }
     // Prompts placed before it without a reported first event were overtaken, or will be reported
     // in a moment.
-    this.headSince = this.isHead(callId) ? now : this.headSince;
+    if (this.isHead(callId)) {
+      this.pastBusyMs += now - this.headSince;
+      this.headSince = now;
+    }
     this.pending.delete(callId);
     this.pendingTokens -= prompt.tokens;
   }
 
-  /** Returns the time that a new prompt waits until its prefill starts, in milliseconds. */
-  public getMs(now: number): number {
+  /**
+   * Returns the time that a new prompt waits until its prefill starts, in milliseconds, if prefills
+   * take so many times as long as usual.
+   */
+  public getMs(now: number, slowness = 1): number {
     if (this.pending.size === 0) {
       return 0;
     }
-    this.dropTimedOut(now);
+    this.dropTimedOut(now, slowness);
     const [head] = this.pending.values();
     if (head === undefined) {
       return 0;
     }
-    const headMs = this.rate.getMs(head.tokens);
-    return this.rate.getMs(this.pendingTokens) - Math.min(headMs, now - this.headSince);
+    const headMs = this.rate.getMs(head.tokens) * slowness;
+    return this.rate.getMs(this.pendingTokens) * slowness - Math.min(headMs, now - this.headSince);
   }
 
   private isHead(callId: string): boolean {
@@ -116,13 +151,13 @@
    * Drops the prompt at the head if its prefill has timed out. A host that crashed or is partitioned
    * reports nothing, and its prompts must not block the engine.
    */
-  private dropTimedOut(now: number): void {
+  private dropTimedOut(now: number, slowness: number): void {
     const [entry] = this.pending.entries();
     if (entry === undefined) {
       return;
     }
     const [callId, { tokens }] = entry;
-    if (now - this.headSince > this.rate.getMs(tokens) * TIMEOUT_FACTOR) {
+    if (now - this.headSince > this.rate.getMs(tokens) * slowness * TIMEOUT_FACTOR) {
       this.remove(callId, now);
     }
   }
