--- a/packages/gateway/src/placement-service.ts
+++ b/packages/gateway/src/placement-service.ts
@@ -1,5 +1,6 @@
 import * as requests from '@bramleyridge/requests';
 import type * as routing from '@bramleyridge/routing';
+import type * as scheduling from '@bramleyridge/scheduling';
 import type * as schemas from '@bramleyridge/schemas';
 
 import type * as procedures from './core-procedures.js';
@@ -113,6 +114,18 @@
     pool.dispatch(this.options.clock.now());
   }
 
+  /** Records the load that an engine states with its answer to a probe. */
+  public recordLoad(service: string, engineId: string, load: scheduling.StatedLoad): void {
+    const now = this.options.clock.now();
+    this.pools.get(service)?.ledger.applySlowdown(engineId, load.slowdown, now);
+  }
+
+  /** Records the pace of a stream on its engine. */
+  public recordPace({ callId, engineId, service, ...stream }: procedures.PaceReport): void {
+    const now = this.options.clock.now();
+    this.pools.get(service)?.ledger.recordStream(callId, engineId, stream, now);
+  }
+
   /** Describes a pool that has no capacity for a generation. */
   private describeFull(
     pool: placementPools.PlacementPool,
--- a/packages/routing/src/engine-occupancy.ts
+++ b/packages/routing/src/engine-occupancy.ts
@@ -1,5 +1,12 @@
 import * as memoryGrowth from './memory-growth.js';
 import type * as placedRuns from './placed-run.js';
+import * as placementSpecs from './placement-spec.js';
+
+/**
+ * Change of the factor below which forecasts stay as they are. Each observation changes the factor
+ * of an engine a little, and would have all of its runs summed up again.
+ */
+const FACTOR_TOLERANCE = 0.02;
 
 /**
  * The total memory that everything on one engine is forecast to use at a horizon: a line over time,
@@ -25,6 +32,9 @@
   private readonly backups = new Map<string, placedRuns.PlacedRun>();
   /** Keyed by horizon in milliseconds. */
   private readonly forecasts = new Map<number, OccupancyForecast>();
+  /** Number of streams on the engine by the targets for their gaps, of which routes have few. */
+  private readonly streamsByGapTarget = new Map<number, number>();
+  private factor = 1;
 
   /** Number of generations that run on the engine. */
   public get running(): number {
@@ -36,6 +46,34 @@
     return this.runs.size === 0 && this.backups.size === 0;
   }
 
+  /** The usual time of a step on the engine relative to its pool. */
+  public getFactor(): number {
+    return this.factor;
+  }
+
+  /** Sets the usual time of a step on the engine relative to its pool. */
+  public setFactor(factor: number): void {
+    const isExact = factor === 1 && this.factor !== 1;
+    if (isExact || Math.abs(factor - this.factor) > FACTOR_TOLERANCE) {
+      this.factor = factor;
+      this.forecasts.clear();
+    }
+  }
+
+  /** Whether a generation with a long answer runs on the engine. */
+  public hasLongRun(): boolean {
+    return [...this.runs.values()].some(({ spec }) => !placementSpecs.hasShortAnswer(spec));
+  }
+
+  /** Returns the number of streams on the engine for which a gap would be too long. */
+  public countLateAt(gapMs: number): number {
+    let late = 0;
+    for (const [targetMs, streams] of this.streamsByGapTarget) {
+      late += gapMs > targetMs ? streams : 0;
+    }
+    return late;
+  }
+
   /** Returns the generations that run on the engine. */
   public listRuns(): placedRuns.PlacedRun[] {
     return [...this.runs.values()];
@@ -48,13 +86,19 @@
 
   /** Adds a generation that runs on the engine. */
   public addRun(run: placedRuns.PlacedRun): void {
+    this.removeRun(run.spec.callId);
     this.runs.set(run.spec.callId, run);
+    this.countStream(run, 1);
     this.forecasts.clear();
   }
 
   /** Removes a generation that ran on the engine. */
   public removeRun(callId: string): void {
-    this.runs.delete(callId);
+    const run = this.runs.get(callId);
+    if (run !== undefined) {
+      this.runs.delete(callId);
+      this.countStream(run, -1);
+    }
     this.forecasts.clear();
   }
 
@@ -78,12 +122,29 @@
     return forecast.tokens + forecast.tokensPerMs * (now - forecast.since);
   }
 
+  private countStream({ spec }: placedRuns.PlacedRun, change: 1 | -1): void {
+    const { gapTargetMs } = spec;
+    if (gapTargetMs !== undefined) {
+      const streams = (this.streamsByGapTarget.get(gapTargetMs) ?? 0) + change;
+      if (streams > 0) {
+        this.streamsByGapTarget.set(gapTargetMs, streams);
+      } else {
+        this.streamsByGapTarget.delete(gapTargetMs);
+      }
+    }
+  }
+
   private sum(now: number, horizonMs: number): OccupancyForecast {
     let tokens = 0;
     let tokensPerMs = 0;
     let validMs = Infinity;
     const add = (run: placedRuns.PlacedRun) => {
-      const forecast = memoryGrowth.forecastLine(run.spec, now - run.startedAt, horizonMs);
+      const forecast = memoryGrowth.forecastLine(
+        run.spec,
+        now - run.startedAt,
+        horizonMs,
+        this.factor,
+      );
       tokens += forecast.tokens;
       tokensPerMs += forecast.tokensPerMs;
       validMs = Math.min(validMs, forecast.validMs);
