Use return schedules for refused calls of plain services

Refused callers of plain services were told when the backlog would have been served, all about the same time, and most were refused again. The scheduling service now passes CallReturnTimes to its schedulers.

--- a/packages/gateway/src/call-scheduling-service.ts
+++ b/packages/gateway/src/call-scheduling-service.ts
@@ -24,6 +24,8 @@
 
 interface Pool {
   readonly scheduler: scheduling.CallScheduler;
+  /** When refused callers may return. */
+  readonly returnTimes: scheduling.CallReturnTimes;
   /** Settles the requests that wait, by call. */
   readonly settle: Map<string, (res: slotMessages.SlotRes) => void>;
   upstreams: readonly scheduling.SchedulableUpstream[] | undefined;
@@ -156,6 +158,9 @@
   private settleAll(pool: Pool, settled: readonly scheduling.SettledCall[]): void {
     settled.forEach((item) => {
       const { callId } = item.spec;
+      if (item.kind === 'granted') {
+        pool.returnTimes.recordGranted(this.options.clock.now());
+      }
       pool.settle.get(callId)?.(createRes(item));
       pool.settle.delete(callId);
     });
@@ -175,9 +180,16 @@
   }
 
   private getPool(service: string): Pool {
+    const known = this.pools.get(service);
+    if (known !== undefined) {
+      return known;
+    }
     const { getLimitShare, getWeight, random } = this.options;
-    const pool = this.pools.get(service) ?? {
-      scheduler: new scheduling.CallScheduler({ getLimitShare, getWeight, random }),
+    const returnTimes = new scheduling.CallReturnTimes(random);
+    const options = { getLimitShare, getWeight, random, retryTimes: returnTimes };
+    const pool = {
+      scheduler: new scheduling.CallScheduler(options),
+      returnTimes,
       settle: new Map<string, (res: slotMessages.SlotRes) => void>(),
       upstreams: undefined,
       isRetrying: false,
--- a/packages/scheduling/src/call-scheduler.ts
+++ b/packages/scheduling/src/call-scheduler.ts
@@ -148,10 +148,10 @@
     const isLate = ({ dueAt, serviceMs }: waitingCalls.WaitingCall) => dueAt - serviceMs < now;
     hopeless.forEach(({ spec }) => this.waiting.delete(spec.callId));
     const late = this.forecast.hasSpare(now) ? [] : [...this.waiting.values()].filter(isLate);
-    return [
-      ...hopeless.map((call) => this.refuse(call, 'no-time', now)),
-      ...late.map((call) => this.withdraw(call, now)),
-    ];
+    // All are removed before the first is refused: one that is still queued would count as backlog and, as soon as it
+    // is refused, again as a caller who returns, so that all would get about the same time.
+    late.forEach((call) => this.removeWaiting(call));
+    return [...hopeless, ...late].map((call) => this.refuse(call, 'no-time', now));
   }
 
   private grantFreeSlots(now: number): callSpecs.SettledCall[] {
@@ -188,9 +188,13 @@
   }
 
   private withdraw(call: waitingCalls.WaitingCall, now: number): callSpecs.SettledCall {
+    this.removeWaiting(call);
+    return this.refuse(call, 'no-time', now);
+  }
+
+  private removeWaiting(call: waitingCalls.WaitingCall): void {
     this.queue.remove(call);
     this.waiting.delete(call.spec.callId);
-    return this.refuse(call, 'no-time', now);
   }
 
   private refuse(
