Compare the failures of upstreams by their share of calls

The scheduler counts the failures of all hosts. Only failures beyond the share of the best upstream count now.

--- a/packages/scheduling/src/upstream-choice.ts
+++ b/packages/scheduling/src/upstream-choice.ts
@@ -7,6 +7,13 @@
  */
 const FULL_SHARE = 0.1;
 
+/**
+ * Number of recent failures as which an upstream counts at which all calls fail. Only failures beyond the share of the
+ * best upstream count: some calls fail everywhere, and counted over all hosts they would keep calls waiting for one
+ * upstream while the others have free slots.
+ */
+const FAILURES_AT_OUTAGE = 10;
+
 /** What the choice of an upstream depends on besides the upstreams. */
 export interface ChoiceContext {
   /** Availability zone of the call's host. */
@@ -23,15 +30,22 @@
   readonly now: number;
 }
 
+interface ScoringContext extends ChoiceContext {
+  /** Lowest share of calls that failed recently at one of the candidates. */
+  readonly leastFailureShare: number;
+}
+
 /**
  * Chooses the upstream with a free slot where a call is expected to finish first. Returns `undefined` if none is free,
  * or if waiting for a slot of another one is expected to end sooner.
  */
 export function chooseUpstream(
   candidates: readonly upstreamSlots.UpstreamSlots[],
-  context: ChoiceContext,
+  choice: ChoiceContext,
 ): upstreamSlots.UpstreamSlots | undefined {
-  const { ahead, countsOthers, isShared, now, random, typicalMs } = context;
+  const { ahead, countsOthers, isShared, now, random, typicalMs } = choice;
+  const shares = candidates.map((item) => item.getFailureShare(now));
+  const context = { ...choice, leastFailureShare: Math.min(...shares) };
   const free = candidates.filter((item) => item.hasRoom(now, countsOthers));
   if (isShared) {
     return findLeast(drawTwo(free, random), (item) => getExpectedMs(item, context));
@@ -52,7 +66,7 @@
 
 function getExpectedMs(
   item: upstreamSlots.UpstreamSlots,
-  { availabilityZone, now, typicalMs }: ChoiceContext,
+  { availabilityZone, leastFailureShare, now, typicalMs }: ScoringContext,
 ): number {
   const { facts, running, serviceTime } = item;
   const isFull = running >= item.getLimit();
@@ -64,7 +78,7 @@
       inFlight: isFull ? running - 1 : running,
       slots: facts.slots,
       isCold: item.isCold(now),
-      failures: item.getFailures(now),
+      failures: (item.getFailureShare(now) - leastFailureShare) * FAILURES_AT_OUTAGE,
     },
     now,
   );
--- a/packages/scheduling/src/upstream-slots.ts
+++ b/packages/scheduling/src/upstream-slots.ts
@@ -1,13 +1,14 @@
 import type * as callSpecs from './call-spec.js';
 import * as concurrencyLimits from './concurrency-limit.js';
+import * as decayingCounts from './decaying-count.js';
 import * as serviceTimes from './service-time.js';
 import type * as statedLoads from './stated-load.js';
 
 /** Time for which a load that an upstream stated counts, in milliseconds. Its calls take about as long. */
 const STATED_LOAD_TTL_MS = 400;
 
-/** Time after which a failure counts half, in milliseconds, as for calls that are not scheduled. */
-const FAILURE_HALF_LIFE_MS = 2_000;
+/** Number of ends that are assumed to be successes, so that one failure of few calls does not look like an outage. */
+const ASSUMED_SUCCESSES = 4;
 
 /** Time over which the calls to a cold upstream are counted, in milliseconds. */
 const COLD_WINDOW_MS = 1_000;
@@ -25,7 +26,8 @@
   public readonly serviceTime = new serviceTimes.ServiceTime();
   private readonly limit: concurrencyLimits.ConcurrencyLimit;
   private stated = { others: 0, at: -Infinity };
-  private failures = { count: 0, at: 0 };
+  private readonly ends = new decayingCounts.DecayingCount();
+  private readonly failures = new decayingCounts.DecayingCount();
   private coldSends: number[] = [];
   private pausedUntil = -Infinity;
 
@@ -80,9 +82,9 @@
     return this.facts.coldUntil > now;
   }
 
-  /** Returns the number of recent failures; older ones count less. */
-  public getFailures(now: number): number {
-    return this.failures.count * 0.5 ** ((now - this.failures.at) / FAILURE_HALF_LIFE_MS);
+  /** Returns the share of the calls that ended recently in a failure; older ones count less. */
+  public getFailureShare(now: number): number {
+    return this.failures.get(now) / (this.ends.get(now) + ASSUMED_SUCCESSES);
   }
 
   /** Records that a call is sent. */
@@ -102,7 +104,10 @@
     } else if (result === 'not-run') {
       this.limit.recordShed(now);
     } else if (result === 'failed') {
-      this.failures = { count: this.getFailures(now) + 1, at: now };
+      this.failures.add(1, now);
+    }
+    if (result === 'answered' || result === 'failed') {
+      this.ends.add(1, now);
     }
     if (load !== undefined) {
       this.applyLoad(load, now);
--- a/packages/scheduling/tests/call-scheduler.test.ts
+++ b/packages/scheduling/tests/call-scheduler.test.ts
@@ -200,3 +200,32 @@
     t.ok(onTimeShare >= 0.9, `seed ${seed}: ${onTimeShare} of the served calls are on time`);
   });
 });
+
+// Guards against calls that wait for one upstream, or are refused, while the slots of the others are free: some calls
+// fail or hang at every upstream, and their service times vary.
+void tap.default.test('some calls fail everywhere', async (t) => {
+  SEEDS.forEach((seed) => {
+    const upstreams = ['a', 'b', 'c', 'd'].map((zone) =>
+      createUpstream(`u-${zone}`, {
+        availabilityZone: zone,
+        declaredSlots: 6,
+        concurrency: 6,
+        queueLimit: 24,
+        serviceMs: 43,
+        isVaried: true,
+        failureShare: 0.14,
+        hangShare: 0.02,
+      }),
+    );
+    const loads = ['a', 'b', 'c', 'd'].map((availabilityZone) => ({
+      ...LIMITS,
+      team: `team-${availabilityZone}`,
+      availabilityZone,
+      callsPerS: 24,
+    }));
+    const { count, usedShare } = simulate(seed, upstreams, loads);
+    const { asked, refused } = count();
+    t.ok(usedShare < 0.4, `${usedShare} of the capacity is used`);
+    t.equal(refused, 0, `${refused} of ${asked} are refused`);
+  });
+});
--- a/packages/scheduling/tests/support/call-simulation.ts
+++ b/packages/scheduling/tests/support/call-simulation.ts
@@ -165,8 +165,8 @@
           const end = { result, tookMs, load: load_ };
           this.settleAll(scheduler.complete(spec.callId, end, this.events.now()));
         });
-      const isTaken = model.receive(() => {
-        release('answered');
+      const isTaken = model.receive((hasFailed) => {
+        release(hasFailed ? 'failed' : 'answered');
         const isExpired = this.events.now() + HOP_MS > spec.expiresAt;
         record(isExpired ? 'expired' : 'served', upstreamId);
       });
--- a/packages/scheduling/tests/support/upstream-model.ts
+++ b/packages/scheduling/tests/support/upstream-model.ts
@@ -15,11 +15,18 @@
   readonly statesLoad: boolean;
   /** Factor by which a call takes longer that starts at a time. */
   readonly getSlowdown?: (now: number) => number;
+  /** Whether service times are lognormal with a spread of 0.5, and one in 100 takes five times as long. */
+  readonly isVaried?: boolean;
+  /** Share of the calls that fail, and share of those that take a whole second. */
+  readonly failureShare?: number;
+  readonly hangShare?: number;
 }
 
+/** Time that a call takes that hangs, in milliseconds. */
+const HANG_MS = 1_000;
+
 interface ModelCall {
-  readonly finish: (tookMs: number) => void;
-  readonly arrivedAt: number;
+  readonly finish: (hasFailed: boolean) => void;
 }
 
 /** Model of an upstream that processes some calls concurrently, queues some and sheds the rest. */
@@ -40,13 +47,13 @@
   ) {}
 
   /** Takes a call and calls `finish` when it is answered; returns false if it sheds the call. */
-  public receive(finish: (tookMs: number) => void): boolean {
+  public receive(finish: (hasFailed: boolean) => void): boolean {
     const { concurrency, queueLimit } = this.options;
     if (this.running >= concurrency && this.waiting.length >= queueLimit) {
       this.shed += 1;
       return false;
     }
-    const call = { finish, arrivedAt: this.getNow() };
+    const call = { finish };
     if (this.running < concurrency) {
       this.start(call);
     } else {
@@ -70,8 +77,10 @@
   }
 
   private start(call: ModelCall): void {
-    const { getSlowdown, serviceMs } = this.options;
-    const tookMs = serviceMs * (getSlowdown?.(this.getNow()) ?? 1) * (0.9 + 0.2 * this.random());
+    const { failureShare = 0, getSlowdown, hangShare = 0 } = this.options;
+    const isHanging = hangShare > 0 && this.random() < hangShare;
+    const hasFailed = isHanging || (failureShare > 0 && this.random() < failureShare);
+    const tookMs = isHanging ? HANG_MS : this.drawServiceMs() * (getSlowdown?.(this.getNow()) ?? 1);
     this.running += 1;
     this.busyMs += tookMs;
     this.schedule(tookMs, () => {
@@ -80,7 +89,18 @@
       if (next !== undefined) {
         this.start(next);
       }
-      call.finish(this.getNow() - call.arrivedAt);
+      call.finish(hasFailed);
     });
   }
+
+  private drawServiceMs(): number {
+    const { isVaried = false, serviceMs } = this.options;
+    if (!isVaried) {
+      return serviceMs * (0.9 + 0.2 * this.random());
+    }
+    const normal =
+      Math.sqrt(-2 * Math.log(1 - this.random())) * Math.cos(2 * Math.PI * this.random());
+    const tail = this.random() < 0.01 ? 5 : 1;
+    return serviceMs * Math.exp(0.5 * normal - 0.125) * tail;
+  }
 }
