Test that slots of withheld sends are returned

Two hosts send to an upstream that limits its rate, so that the gate withholds sends for which slots were taken.

--- a/packages/gateway/tests/capacity-sharing.test.ts
+++ b/packages/gateway/tests/capacity-sharing.test.ts
@@ -174,6 +174,30 @@
   t.same(listRun(upstreams, refused), [], 'and don’t run');
 });
 
+// Guards against slots that stay taken until the deadlines of calls that the gate did not let pass.
+void tap.default.test('slots of withheld sends are free again', async (t) => {
+  const site = new sites.SmallSite(t);
+  site.capacitySharing = { teamWeights: {} };
+  await site.addUpstream('app-1', 'app', (req, res) => {
+    res.writeHead(200, { 'call-id': req.headers['call-id'] ?? '', 'calls-per-s': '5' }).end('done');
+  });
+  await site.start(3);
+  await site.addEntry();
+  await site.declare({});
+  const ports = [site.entryPort, ...site.others.map(({ port }) => port)];
+  const call = async (port: number) => (await site.call('/plain/x', {}, '', port)).status;
+  for (const port of ports) {
+    await site.until('served by the host', async () => (await call(port)) === 200);
+  }
+  const isWithheld = ({ decision }: Record<string, unknown>) => decision === 'send-withheld';
+  await site.until('more sends withheld than there are slots', async () => {
+    await Promise.all([...ports, ...ports].map(call));
+    return site.lines.filter(isWithheld).length > 8;
+  });
+  const isRefused = ({ decision }: Record<string, unknown>) => decision === 'no-slot';
+  t.notOk(site.lines.some(isRefused), 'no call lacked a slot meanwhile');
+});
+
 // Guards against an effect on deployments without the setting: their hosts send no request for a slot.
 void tap.default.test('without the setting calls are served as before', async (t) => {
   const { answers, figures, site } = await measureFlood(t, false);
