Keep the rates of a pool and the choice out of the ledger's interface

The ledger had made its prefill rate public for the states of its engines and passed choices on through a method of its own.

--- a/packages/routing/src/engine-ledger.ts
+++ b/packages/routing/src/engine-ledger.ts
@@ -21,17 +21,20 @@
   private engines = new Map<string, engineStates.EngineState>();
   private hasOpenEngines = false;
   private readonly runs = new runRegistries.RunRegistry();
-  public readonly prefillRate = new prefillBacklogs.PrefillRate();
-  public readonly usualEventTime = new enginePaces.UsualEventTime();
+  private readonly rates: engineStates.PoolRates = {
+    prefillRate: new prefillBacklogs.PrefillRate(),
+    usualEventTime: new enginePaces.UsualEventTime(),
+  };
   private readonly gaps = new eventGapModels.EventGapModel();
   private readonly factors = new poolFactors.PoolFactors(() => this.engines.values());
-  private readonly choice = new engineChoices.EngineChoice(
-    (spec, now) => this.createPenalties(spec, now),
-    () => this.engines.values(),
+  private readonly createPenalties: gapPenalties.CreateGapPenalties = (spec, now) =>
+    new gapPenalties.GapPenalties(spec, this.gaps, this.factors, now);
+  private readonly choice = new engineChoices.EngineChoice(this.createPenalties, () =>
+    this.engines.values(),
   );
   private readonly backupSelector = new backupEngineSelectors.BackupEngineSelector(
     this.runs,
-    (spec, now) => this.createPenalties(spec, now),
+    this.createPenalties,
     () => this.engines.values(),
   );
 
@@ -46,7 +49,10 @@
         const formerState = former.get(engine.engineId);
         const keptState = isRestarted(formerState?.engine, engine) ? undefined : formerState;
         const occupancy = this.runs.getOccupancy(engine.engineId);
-        return [engine.engineId, new engineStates.EngineState(engine, occupancy, this, keptState)];
+        return [
+          engine.engineId,
+          new engineStates.EngineState(engine, occupancy, this.rates, keptState),
+        ];
       }),
     );
     this.hasOpenEngines = engines.some(({ isClosed }) => isClosed !== true);
@@ -63,7 +69,10 @@
     mayWait = false,
   ): placementSpecs.Placement | undefined {
     this.runs.dropOverdue(now);
-    const state = this.choose(spec, now, mayWait);
+    const state =
+      spec.fixedEngineId === undefined
+        ? this.choice.choose(spec, now, mayWait)
+        : this.engines.get(spec.fixedEngineId);
     const engineId = state?.engine.engineId ?? spec.fixedEngineId;
     if (engineId === undefined) {
       return undefined;
@@ -138,7 +147,7 @@
    * Returns the time that engines of this pool take for the prefill of a prompt, in milliseconds.
    */
   public getPrefillMs(tokens: number): number {
-    return this.prefillRate.getMs(tokens);
+    return this.rates.prefillRate.getMs(tokens);
   }
 
   /**
@@ -245,23 +254,6 @@
     return { running: this.runs.size, share: total === 0 ? 1 : forecastTokens / total };
   }
 
-  private choose(
-    spec: placementSpecs.PlacementSpec,
-    now: number,
-    mayWait: boolean,
-  ): engineStates.EngineState | undefined {
-    return spec.fixedEngineId === undefined
-      ? this.choice.choose(spec, now, mayWait)
-      : this.engines.get(spec.fixedEngineId);
-  }
-
-  private createPenalties(
-    spec: placementSpecs.PlacementSpec,
-    now: number,
-  ): gapPenalties.GapPenalties {
-    return new gapPenalties.GapPenalties(spec, this.gaps, this.factors, now);
-  }
-
   private getFactor({ engineId }: placedRuns.PlacedRun): number {
     return this.runs.getOccupancy(engineId).getFactor();
   }
--- a/packages/routing/src/engine-state.ts
+++ b/packages/routing/src/engine-state.ts
@@ -108,7 +108,7 @@
   ): void {
     const busyMs = this.backlog.getBusyMs(now) - start.busyMs;
     const busyShare = Math.min(1, Math.max(0, busyMs / Math.max(1, now - start.at)));
-    // The share is one of time, not of steps: in t ms, the steps with a chunk take busyShare * t.
+    // It is a share of the time; steps with a chunk last longer, so they are a smaller share of the steps.
     const stepShare = busyShare / (PREFILL_STEP_RATIO - busyShare * (PREFILL_STEP_RATIO - 1));
     const ratio = 1 + stepShare * (PREFILL_STEP_RATIO - 1);
     this.pace.recordStream(msPerEvent / ratio, events, now);
