--- a/packages/requests/tests/sse-event-splitter.test.ts
+++ b/packages/requests/tests/sse-event-splitter.test.ts
@@ -36,3 +36,11 @@
     t.doesNotThrow(() => fc.assert(property, { seed: 1, numRuns: 400 }));
   },
 );
+
+void tap.default.test('complete events are counted', async (t) => {
+  // Guards against a pace of streams that counts the parts in which events arrive.
+  const count = (text: string) => requests.countSseEvents(Buffer.from(text));
+  t.equal(count(''), 0);
+  t.equal(count('id: 1\ndata: a\n\n'), 1);
+  t.equal(count('id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda'), 2);
+});
