Ignore impossible event times in the pace of a stream

A report with a huge time per event was taken over as the usual event time of the pool, a moving average of weight 0.05. Until it had decayed, all factors that streams showed were out of range and ignored.

Times above 7 s per event are ignored now; callers give up after as long a silence.

--- a/packages/routing/src/engine-pace.ts
+++ b/packages/routing/src/engine-pace.ts
@@ -19,6 +19,12 @@
  */
 export const MIN_PACE_EVENTS = 16;
 
+/**
+ * Maximum time between two events of a stream that is learned from, in milliseconds. Callers give up
+ * after 7 s of silence, and a larger figure would distort the usual time of the pool for long.
+ */
+const MAX_MS_PER_EVENT = 7_000;
+
 /** Weight of one stream in the moving average of the usual time between two events. */
 const LEARNING_RATE = 0.05;
 
@@ -62,7 +68,8 @@
    * the time that prefills of other prompts added.
    */
   public recordStream(msPerEvent: number, events: number, now: number): void {
-    if (events < MIN_PACE_EVENTS || msPerEvent <= 0) {
+    const isPlausible = msPerEvent > 0 && msPerEvent <= MAX_MS_PER_EVENT;
+    if (events < MIN_PACE_EVENTS || !isPlausible) {
       return;
     }
     const ms = msPerEvent / this.getMeanSlowdown(now - msPerEvent * events, now);
--- a/packages/routing/tests/engine-pace.test.ts
+++ b/packages/routing/tests/engine-pace.test.ts
@@ -91,3 +91,17 @@
   [1, 1].forEach((stated, i) => slow.applyStatement(stated, 60_000 + i * 30_000));
   t.equal(slow.applyStatement(2.5, 91_000), 2.5, 'a machine that has become faster');
 });
+
+void tap.default.test(
+  'an impossible pace does not change the usual time of the pool',
+  async (t) => {
+    // Guards against one invalid report of a host by which all later factors of the pool are out of range.
+    const usual = new routing.UsualEventTime();
+    const pace = createPace(usual);
+    [NaN, Infinity, -Infinity, -30, 1e300].forEach((ms) => pace.recordStream(ms, 40, 10_000));
+    t.equal(usual.get(), undefined, 'as the first reports');
+    pace.recordStream(30, 40, 10_000);
+    pace.recordStream(1e300, 40, 10_000);
+    t.equal(usual.get(), 30, 'as later ones');
+  },
+);
