Reserve no return for calls that are withdrawn

A call whose caller left while it waited was settled like a refused one, which reserved capacity for its return. The times stated to other refused callers were later by it.

Withdrawn calls, and those of a host that has restarted, reserve nothing now.

--- a/packages/scheduling/src/call-scheduler.ts
+++ b/packages/scheduling/src/call-scheduler.ts
@@ -188,8 +188,16 @@
   }
 
   private withdraw(call: waitingCalls.WaitingCall, now: number): callSpecs.SettledCall {
+    const { spec, submittedAt } = call;
     this.removeWaiting(call);
-    return this.refuse(call, 'no-time', now);
+    // Its caller has left, so no capacity is reserved for a return.
+    return {
+      kind: 'refused',
+      spec,
+      reason: 'no-time',
+      retryAfterMs: 0,
+      waitedMs: now - submittedAt,
+    };
   }
 
   private removeWaiting(call: waitingCalls.WaitingCall): void {
--- a/packages/scheduling/tests/call-slots.test.ts
+++ b/packages/scheduling/tests/call-slots.test.ts
@@ -81,6 +81,17 @@
   t.equal(scheduler.getSummary(50).running, 0);
 });
 
+// Guards against capacity that is reserved for callers who have left, which delays the return of all others.
+void tap.default.test('a call that is withdrawn reserves no time to return', async (t) => {
+  let reserved = 0;
+  const retryTimes = { reserve: () => (reserved += 1) };
+  const scheduler = createScheduler([{}], { retryTimes });
+  ['c1', 'c2', 'c3'].forEach((callId) => scheduler.submit(createSpec(callId), 0));
+  scheduler.complete('c2', { result: 'unused', tookMs: 0 }, 5);
+  t.same(format(scheduler.dropHost('h1', 'i2', 10)), ['c3 no-time'], 'its host has restarted');
+  t.equal(reserved, 0);
+});
+
 // Guards against calls that wait in vain, and against refusals without a time for the return of the caller.
 void tap.default.test('a call that can’t be served is refused at once', async (t) => {
   const scheduler = createScheduler([{}, {}]);
