Return the slot of a request that its withdrawal overtook

A caller that leaves withdraws its request in a message of its own. If that message reached the leader before the request, the leader then gave a slot to it, which stayed taken until the deadline of the call.

The slot is returned as unused when the answer arrives and the caller has left.

The new test failed before the change (a slot remained taken); npm test -- gateway/dist/tests/slot passes.

--- a/packages/gateway/src/slot-client.ts
+++ b/packages/gateway/src/slot-client.ts
@@ -143,9 +143,12 @@
     leader: string | undefined,
     signal: AbortSignal | undefined,
   ): SlotDecision {
-    // A caller that left meanwhile has withdrawn the request, and with it returned the slot.
-    signal?.throwIfAborted();
     const { refused, upstreamId, waitedMs } = res;
+    if (signal?.aborted === true && leader !== undefined && upstreamId !== undefined) {
+      // The withdrawal may have reached the leader before the request, which then took a slot.
+      this.sendUnused(leader, req);
+    }
+    signal?.throwIfAborted();
     if (upstreamId === undefined) {
       const reason = refused?.reason ?? 'no-upstream';
       return { slot: undefined, waitedMs, reason, retryAfterMs: refused?.retryAfterMs };
--- a/packages/gateway/tests/slot-client.test.ts
+++ b/packages/gateway/tests/slot-client.test.ts
@@ -145,6 +145,21 @@
   t.equal(third.decision?.slot?.upstreamId, 'u1', 'free when the host has restarted');
 });
 
+// Guards against a slot that stays taken until the deadline because the withdrawal arrived before the request.
+void tap.default.test('a withdrawal that overtakes its request is repeated', async (t) => {
+  const fixture = new fixtures.SlotFixture();
+  const client = fixture.createClient();
+  const abort = new AbortController();
+  fixture.delayMs.requestSlot = 5;
+  const first = start(client, fixtures.createAsk('c1'), abort.signal);
+  await fixture.clock.advance(1);
+  abort.abort(new Error('left'));
+  await fixture.clock.advance(30);
+  t.match(first.err, { message: 'left' });
+  t.same(fixture.received, ['releaseSlot c1', 'requestSlot c1', 'releaseSlot c1']);
+  t.equal(fixture.countRunning('core-1'), 0);
+});
+
 // Guards against a slot that stays taken because the answer with it was lost.
 void tap.default.test('a slot whose answer was lost is returned', async (t) => {
   const fixture = new fixtures.SlotFixture();
--- a/packages/gateway/tests/support/slot-fixture.ts
+++ b/packages/gateway/tests/support/slot-fixture.ts
@@ -20,6 +20,8 @@
   /** Procedures whose requests are lost, and those whose answers are. */
   public readonly lostRequests = new Set<Procedure>();
   public readonly lostAnswers = new Set<Procedure>();
+  /** Additional time that requests of a procedure take, in milliseconds. */
+  public readonly delayMs: Partial<Record<Procedure, number>> = {};
   /** Requests that core hosts received, as `procedure host`. */
   public readonly received: string[] = [];
   public readonly events: string[] = [];
@@ -93,7 +95,7 @@
 
   private createProcedure<Q, S>(coreId: string, name: Procedure, handle: (req: Q) => Promise<S>) {
     const send = async (req: Q): Promise<S> => {
-      await this.clock.sleep(HOP_MS);
+      await this.clock.sleep(HOP_MS + (this.delayMs[name] ?? 0));
       if (this.silent.has(coreId) || this.lostRequests.has(name)) {
         return new Promise(() => {});
       }
