Free the slot of a release with an invalid time

The leader rejected a release whose time was negative or missing, so its slot stayed taken until the deadline. A huge time was accepted and changed the usual service time of the upstream for long.

An invalid time is read as unknown now: the slot is freed, and nothing is learned from it.

--- a/packages/gateway/src/slot-messages.ts
+++ b/packages/gateway/src/slot-messages.ts
@@ -1,6 +1,9 @@
 import * as scheduling from '@bramleyridge/scheduling';
 import * as z from 'zod';
 
+/** Maximum plausible time of an answer, in milliseconds; far beyond the deadlines of calls. */
+const MAX_TOOK_MS = 3_600_000;
+
 /** How the send for which a slot was taken ended; `unused` if nothing was sent. */
 export const slotResult = z.enum(['answered', 'failed', 'not-run', 'unused']);
 
@@ -40,8 +43,8 @@
   service: z.string(),
   callId: z.string(),
   result: slotResult,
-  /** Time from the send to the end of the answer, in milliseconds. */
-  tookMs: z.number().min(0),
+  /** Time from the send to the end of the answer, in milliseconds; NaN if invalid, since the slot is freed regardless. */
+  tookMs: z.number().min(0).max(MAX_TOOK_MS).catch(NaN),
   /** Load that the upstream stated with the answer; invalid figures are dropped. */
   load: scheduling.statedLoad.optional().catch(undefined),
 });
--- a/packages/gateway/tests/slot-client.test.ts
+++ b/packages/gateway/tests/slot-client.test.ts
@@ -1,6 +1,7 @@
 import * as tap from 'tap';
 
 import type * as slotClients from '../src/slot-client.js';
+import * as slotMessages from '../src/slot-messages.js';
 import * as fixtures from './support/slot-fixture.js';
 
 const ANSWERED = { result: 'answered', tookMs: 50 } as const;
@@ -160,6 +161,31 @@
   t.equal(fixture.countRunning('core-1'), 0);
 });
 
+// Guards against figures of a host that keep a slot taken, or distort what the leader has learned of an upstream.
+void tap.default.test(
+  'a release with invalid figures frees the slot and shows nothing',
+  async (t) => {
+    const fixture = new fixtures.SlotFixture();
+    const client = fixture.createClient();
+    const core = fixture.getCore('core-1');
+    const getUpstream = () => core.listSummaries()[0]!.summary.upstreams[0];
+    const known = start(client, fixtures.createAsk('c0'));
+    await fixture.clock.advance(10);
+    known.decision!.slot!.release(ANSWERED);
+    await fixture.clock.advance(10);
+    t.equal(getUpstream()?.usualMs, 50);
+    for (const tookMs of [-5, NaN, Infinity, 1e300, 'x', undefined]) {
+      const slot = start(client, fixtures.createAsk('c1'));
+      await fixture.clock.advance(10);
+      const { callId, service } = slot.decision!.slot!;
+      const json = JSON.stringify({ callId, service, result: 'answered', tookMs });
+      core.release(slotMessages.slotRelease.parse(JSON.parse(json)));
+      t.equal(fixture.countRunning('core-1'), 0, `freed after ${tookMs} ms`);
+      t.equal(getUpstream()?.usualMs, 50, 'and the usual time is the same');
+    }
+  },
+);
+
 // Guards against a slot that stays taken because the answer with it was lost.
 void tap.default.test('a slot whose answer was lost is returned', async (t) => {
   const fixture = new fixtures.SlotFixture();
--- a/packages/scheduling/src/answer-spread.ts
+++ b/packages/scheduling/src/answer-spread.ts
@@ -14,6 +14,9 @@
 
   /** Records how long an answer took relative to the typical service time. */
   public record(ratio: number): void {
+    if (!Number.isFinite(ratio)) {
+      return;
+    }
     const change = ratio > this.spread ? QUANTILE : QUANTILE - 1;
     this.spread = Math.min(MAX_SPREAD, Math.max(MIN_SPREAD, this.spread + STEP * change));
   }
--- a/packages/scheduling/src/call-spec.ts
+++ b/packages/scheduling/src/call-spec.ts
@@ -67,7 +67,7 @@
 export interface CallEnd {
   /** `not-run` if the upstream refused it as full; `unused` if the slot was not used or its use shows nothing. */
   readonly result: 'answered' | 'failed' | 'not-run' | 'unused';
-  /** Time from the send to the end of the answer, in milliseconds. */
+  /** Time from the send to the end of the answer, in milliseconds; NaN if it is not known. */
   readonly tookMs: number;
   readonly load?: statedLoads.StatedLoad | undefined;
 }
