Learn no service time from rejected calls

A whole answer that rejects its call, such as 404, counted as answered at the leader. Such answers often take no time, so the usual service time of the upstream became too short, and forecasts too early. The host's own service times already leave them out.

Their slots are returned as unused now; the stated load still counts.

--- a/packages/gateway/src/routed-attempts.ts
+++ b/packages/gateway/src/routed-attempts.ts
@@ -216,8 +216,8 @@
     if (!read.isWhole) {
       return this.createStreamed(job, attempt, answer, read.bytes);
     }
-    attempt.release(false, isFailure ? 'failed' : 'answered');
     const isServed = answer.status < FIRST_NON_SUCCESS_STATUS;
+    attempt.release(false, slotResults.getAnswerResult(isServed, isFailure));
     if (isServed && !generationCalls.isGeneration(job.call)) {
       const now = clock.now();
       known.load.serviceTime.recordAnswer(now - attempt.sentAt, load, now);
--- a/packages/gateway/src/slot-result.ts
+++ b/packages/gateway/src/slot-result.ts
@@ -15,6 +15,15 @@
   return kind === 'refused' ? 'not-run' : notAnswered;
 }
 
+/**
+ * Returns how a whole answer used its slot. One that rejects the call, as with 404, is often sent without any work and
+ * doesn't show how long calls take.
+ */
+export function getAnswerResult(isServed: boolean, isFailure: boolean): slotMessages.SlotResult {
+  const notServed = isFailure ? 'failed' : 'unused';
+  return isServed ? 'answered' : notServed;
+}
+
 /** Returns how a streamed answer that has ended used its slot. */
 export function getStreamResult(
   hasFailed: boolean,
