Count slots and calls by team, and log slots at the leader

Operators could not see which team is refused capacity. The leader counts team_calls_total for plain services and, where capacity is shared, for engines; entry hosts count slots_total, slot_wait_ms and team_answers_total. Requests that hosts withdraw count as asked only. The leader writes a line `slot` for a call that waited over 1 ms or was refused, within the budget that each kind of line has. Its answer names the expected time and the slowdown, which the line `route` of a plain call shows. Decisions are unchanged.

--- a/packages/gateway/src/call-scheduling-service.ts
+++ b/packages/gateway/src/call-scheduling-service.ts
@@ -2,6 +2,7 @@
 import type * as schemas from '@bramleyridge/schemas';
 
 import type * as slotMessages from './slot-messages.js';
+import type * as slotObservers from './slot-observer.js';
 
 /**
  * Interval at which waiting calls are looked at again without a release, in milliseconds: deadlines pass, and the list
@@ -20,9 +21,12 @@
   readonly random: () => number;
   /** Share of the limits that may be used here; undefined on the leader, which schedules for all hosts. */
   readonly getLimitShare?: () => number;
+  /** Is told of the requests and their decisions; by default, nobody is. */
+  readonly observer?: slotObservers.SlotObserver;
 }
 
 interface Pool {
+  readonly service: string;
   readonly scheduler: scheduling.CallScheduler;
   /** When refused callers may return. */
   readonly returnTimes: scheduling.CallReturnTimes;
@@ -50,7 +54,9 @@
     this.noteIncarnation(req);
     return new Promise((resolve) => {
       pool.settle.set(req.callId, resolve);
-      this.settleAll(pool, pool.scheduler.submit(createSpec(req, now), now));
+      const spec = createSpec(req, now);
+      this.options.observer?.recordAsked(req.service, spec);
+      this.settleAll(pool, pool.scheduler.submit(spec, now));
       void this.retryWaiting(pool, req.service);
     });
   }
@@ -62,7 +68,14 @@
       return;
     }
     const now = this.options.clock.now();
-    this.settleAll(pool, pool.scheduler.complete(callId, { result, tookMs, load }, now));
+    const settled = pool.scheduler.complete(callId, { result, tookMs, load }, now);
+    // A call that still waited is settled itself; its host has withdrawn it.
+    const withdrawn = settled.filter(({ spec }) => spec.callId === callId);
+    this.answer(pool, withdrawn);
+    this.settleAll(
+      pool,
+      settled.filter((item) => !withdrawn.includes(item)),
+    );
   }
 
   /** Registers the calls of a host that hold slots already. */
@@ -125,7 +138,7 @@
     }
     const now = this.options.clock.now();
     this.pools.forEach((pool) =>
-      this.settleAll(pool, pool.scheduler.dropHost(hostId, incarnation, now)),
+      this.answer(pool, pool.scheduler.dropHost(hostId, incarnation, now)),
     );
   }
 
@@ -157,15 +170,28 @@
 
   private settleAll(pool: Pool, settled: readonly scheduling.SettledCall[]): void {
     settled.forEach((item) => {
-      const { callId } = item.spec;
       if (item.kind === 'granted') {
         pool.returnTimes.recordGranted(this.options.clock.now());
       }
-      pool.settle.get(callId)?.(createRes(item));
+      this.options.observer?.recordSettled(pool.service, item, () => this.getLoad(pool, item));
+    });
+    this.answer(pool, settled);
+  }
+
+  /** Answers the requests of calls that were granted, refused or withdrawn. */
+  private answer(pool: Pool, settled: readonly scheduling.SettledCall[]): void {
+    settled.forEach((item) => {
+      const { callId } = item.spec;
+      pool.settle.get(callId)?.(createRes(item, () => this.getLoad(pool, item)));
       pool.settle.delete(callId);
     });
   }
 
+  private getLoad({ scheduler }: Pool, settled: scheduling.SettledCall): scheduling.ServiceLoad {
+    const upstreamId = settled.kind === 'granted' ? settled.upstreamId : undefined;
+    return scheduler.getLoad(upstreamId, this.options.clock.now());
+  }
+
   private findPool(service: string): Pool | undefined {
     const upstreams = this.options.findUpstreams(service);
     if (upstreams === undefined && !this.pools.has(service)) {
@@ -188,6 +214,7 @@
     const returnTimes = new scheduling.CallReturnTimes(random);
     const options = { getLimitShare, getWeight, random, retryTimes: returnTimes };
     const pool = {
+      service,
       scheduler: new scheduling.CallScheduler(options),
       returnTimes,
       settle: new Map<string, (res: slotMessages.SlotRes) => void>(),
@@ -214,10 +241,14 @@
   };
 }
 
-function createRes(settled: scheduling.SettledCall): slotMessages.SlotRes {
+function createRes(
+  settled: scheduling.SettledCall,
+  getLoad: () => scheduling.ServiceLoad,
+): slotMessages.SlotRes {
   const waitedMs = Math.round(settled.waitedMs);
   if (settled.kind === 'granted') {
-    return { upstreamId: settled.upstreamId, waitedMs };
+    const { expectedMs, slowdown } = getLoad();
+    return { upstreamId: settled.upstreamId, waitedMs, expectedMs, slowdown };
   }
   const { reason } = settled;
   return { waitedMs, refused: { reason, retryAfterMs: Math.round(settled.retryAfterMs) } };
--- a/packages/gateway/src/core-host.ts
+++ b/packages/gateway/src/core-host.ts
@@ -27,8 +27,10 @@
 import * as routedConfigurationStores from './routed-configuration-store.js';
 import * as schedulableUpstreams from './schedulable-upstreams.js';
 import type * as settingsWatchers from './settings-watcher.js';
+import * as slotReporters from './slot-reporter.js';
 import * as suspectRegistries from './suspect-registry.js';
 import * as suspectRelays from './suspect-relay.js';
+import * as teamCallCounters from './team-call-counter.js';
 import * as teamWeights from './team-weights.js';
 
 /** Deadline of a request between core hosts, in milliseconds; includes a slow disk's sync of 150 ms. */
@@ -60,6 +62,7 @@
   private readonly group: coreGroups.CoreGroup;
   private readonly discovery: coreDiscoveries.CoreDiscovery;
   private readonly teamWeights: teamWeights.TeamWeights;
+  private readonly teamCalls: teamCallCounters.TeamCallCounter;
   private readonly placement: placementServices.PlacementService;
   private readonly scheduling: callSchedulingServices.CallSchedulingService;
   private readonly suspects: suspectRegistries.SuspectRegistry;
@@ -151,6 +154,7 @@
       getSettings: () => options.settings.get(),
       findTable: () => this.findTable(),
     });
+    this.teamCalls = new teamCallCounters.TeamCallCounter(options.metrics);
     this.placement = new placementServices.PlacementService({
       clock,
       findService: (name) => this.findService(name),
@@ -166,6 +170,7 @@
         ),
         windowMs: settings.bounds.retryWindowMs,
       },
+      teamCalls: this.teamCalls,
       statesReturnTimes: () => options.settings.get().capacitySharing !== undefined,
       random,
     });
@@ -325,7 +330,7 @@
 
   /** Creates the scheduler of the calls of plain services, which is used while this host leads. */
   private createScheduling(): callSchedulingServices.CallSchedulingService {
-    const { clock, random } = this.options;
+    const { clock, log, random } = this.options;
     const upstreams = new schedulableUpstreams.SchedulableUpstreams({
       clock,
       findService: (name) => this.findService(name),
@@ -338,6 +343,11 @@
       findUpstreams: (service) => upstreams.find(service),
       getWeight: (team) => this.teamWeights.get(team),
       random,
+      observer: new slotReporters.SlotReporter({
+        calls: this.teamCalls,
+        getWeight: (team) => this.teamWeights.get(team),
+        log,
+      }),
     });
   }
 
--- a/packages/gateway/src/entry-host.ts
+++ b/packages/gateway/src/entry-host.ts
@@ -187,6 +187,7 @@
       engines: options.engines,
       findBudget: (service) => this.shares.find(service),
       availabilityZone,
+      isSharing: () => options.settings.get().capacitySharing !== undefined,
       clock,
       log,
       metrics: options.metrics,
@@ -308,7 +309,7 @@
   }
 
   private createSlotClient(): slotClients.SlotClient {
-    const { clock, log, random, settings } = this.options;
+    const { clock, log, metrics, random, settings } = this.options;
     const { availabilityZone, hostId } = settings.get();
     const weights = new teamWeights.TeamWeights({
       getSettings: () => settings.get(),
@@ -329,6 +330,7 @@
       }),
       clock,
       log,
+      metrics,
     });
   }
 
--- a/packages/gateway/src/picked-upstream.ts
+++ b/packages/gateway/src/picked-upstream.ts
@@ -15,4 +15,8 @@
   readonly isFallback: boolean;
   /** The slot that the call holds there; undefined where slots are not scheduled. */
   readonly slot?: heldSlots.HeldSlot | undefined;
+  /** Time that the call is expected to take there, in milliseconds, where slots are scheduled and it is known. */
+  readonly expectedMs?: number | undefined;
+  /** Slowdown that the upstream states, where slots are scheduled. */
+  readonly slowdown?: number | undefined;
 }
--- a/packages/gateway/src/placement-service.ts
+++ b/packages/gateway/src/placement-service.ts
@@ -5,6 +5,7 @@
 
 import type * as procedures from './core-procedures.js';
 import * as placementPools from './placement-pool.js';
+import type * as teamCallCounters from './team-call-counter.js';
 
 /**
  * Interval at which placement of waiting generations is retried, in milliseconds; an engine prefills 70 tokens
@@ -33,6 +34,8 @@
   readonly retryGrantLimits: requests.RetryGrantLimits;
   /** Returns whether refused generations are told when to return; by default, they are not. */
   readonly statesReturnTimes?: () => boolean;
+  /** Counts the calls of each team while capacity is shared among teams; by default, they are not counted. */
+  readonly teamCalls?: teamCallCounters.TeamCallCounter;
   /** Random numbers for these times. */
   readonly random?: () => number;
 }
@@ -47,8 +50,7 @@
 
   /** Places a generation; waits for capacity up to the request's time limit, then reports how full the pool is. */
   public async place(req: procedures.PlaceReq): Promise<procedures.PlaceRes> {
-    const { clock } = this.options;
-    const requestedAt = clock.now();
+    const requestedAt = this.options.clock.now();
     const pool = this.findPool(req.service);
     // A run with a fixed engine is only registered; it needs neither a list nor capacity.
     const needsEngine = req.need.fixedEngineId === undefined;
@@ -56,6 +58,22 @@
     if (pool === undefined || (needsEngine && !pool.hasList)) {
       return { placed: undefined, waitedMs: 0, isUnknown: true };
     }
+    if (!needsEngine) {
+      return this.settle(pool, req, requestedAt);
+    }
+    this.countCall(req, 'asked');
+    const res = await this.settle(pool, req, requestedAt);
+    this.countCall(req, res.placed === undefined ? 'refused' : 'granted');
+    return res;
+  }
+
+  private async settle(
+    pool: placementPools.PlacementPool,
+    req: procedures.PlaceReq,
+    requestedAt: number,
+  ): Promise<procedures.PlaceRes> {
+    const { clock } = this.options;
+    const needsEngine = req.need.fixedEngineId === undefined;
     pool.migrations.endMigration(req.need.callId);
     if (needsEngine && !pool.ledger.hasOpenEngine()) {
       return { placed: undefined, waitedMs: 0, full: this.describeFull(pool, req, requestedAt) };
@@ -126,6 +144,16 @@
     this.pools.get(service)?.ledger.recordStream(callId, engineId, stream, now);
   }
 
+  private countCall(
+    { rank, service, team }: procedures.PlaceReq,
+    result: teamCallCounters.TeamCallResult,
+  ): void {
+    const { teamCalls, teamWeights } = this.options;
+    if (teamWeights.isSharing()) {
+      teamCalls?.count({ service, team, priority: rank }, result);
+    }
+  }
+
   /** Describes a pool that has no capacity for a generation. */
   private describeFull(
     pool: placementPools.PlacementPool,
--- a/packages/gateway/src/routed-attempts.ts
+++ b/packages/gateway/src/routed-attempts.ts
@@ -419,6 +419,8 @@
       copyZone: picked.backupEngine?.listed.availabilityZone,
       waitedMs: picked.waitedMs,
       share: Number(picked.share.toFixed(2)),
+      expectedMs: picked.expectedMs && Math.round(picked.expectedMs),
+      slowdown: picked.slowdown && Number(picked.slowdown.toFixed(2)),
       attempt: job.tried.size,
       leftMs: Math.round(call.endsAt - clock.now()),
       listAgeMs: Math.round(directory.getAgeMs()),
--- a/packages/gateway/src/routed-flow.ts
+++ b/packages/gateway/src/routed-flow.ts
@@ -9,6 +9,7 @@
 import * as routedAttempts from './routed-attempts.js';
 import type * as routedJobs from './routed-job.js';
 import * as streamTimes from './stream-times.js';
+import * as teamCallCounters from './team-call-counter.js';
 import * as upstreamPickers from './upstream-picker.js';
 
 /** `Retry-After` of a call whose time ran out before it was sent, in seconds. */
@@ -24,6 +25,8 @@
 /** Options of `RoutedFlow`. */
 export interface RoutedFlowOptions extends routedAttempts.RoutedAttemptsOptions {
   readonly admission: callAdmissions.CallAdmission;
+  /** Whether capacity is shared among teams, so that answers are counted by team. */
+  readonly isSharing: () => boolean;
 }
 
 /** Details of a call's outcome, for the log. */
@@ -60,7 +63,7 @@
       tried: new Set(),
       upstreamId: undefined,
       resumes: 0,
-      times: new streamTimes.StreamTimes(call.arrivedAt, call.route.name, clock, metrics),
+      times: new streamTimes.StreamTimes(call.arrivedAt, call.route, clock, metrics),
     };
     findBudget(call.service.name).recordRequest();
     const timer = setTimeout(
@@ -110,6 +113,7 @@
       const status = answer.kind === 'whole' ? answer.head.status : answer.answer.status;
       await routedAnswers.deliverAnswer(res, answer, isStream, () => this.noteEvents(job));
       this.recordOutcome(job, 'complete', { status });
+      this.countAnswer(job, status);
     } catch (err) {
       if (job.abort.signal.reason instanceof CallerGone) {
         this.recordOutcome(job, 'caller-left', {});
@@ -187,6 +191,16 @@
       .some(({ upstreamId }) => upstreamId !== picked.upstreamId && !excluded.has(upstreamId));
   }
 
+  /** Counts a complete answer by its team, unless the upstream reports a failure. */
+  private countAnswer({ call, times }: routedJobs.RoutedJob, status: number): void {
+    const { isSharing, metrics } = this.options;
+    if (status < routedAttempts.FIRST_FAILURE_STATUS && isSharing()) {
+      const team = teamCallCounters.getTeamLabel(call.team?.name);
+      const result = times.isOnTime() ? 'on-time' : 'late';
+      metrics.count('teamAnswers', { route: call.route.name, team, result });
+    }
+  }
+
   private recordOutcome(job: routedJobs.RoutedJob, outcome: string, details: OutcomeDetails): void {
     const { clock, log, metrics } = this.options;
     const { arrivedAt, route } = job.call;
--- a/packages/gateway/src/slot-client.ts
+++ b/packages/gateway/src/slot-client.ts
@@ -1,5 +1,6 @@
 import * as scheduling from '@bramleyridge/scheduling';
 import * as schemas from '@bramleyridge/schemas';
+import type * as telemetry from '@bramleyridge/telemetry';
 
 import type * as callSchedulingServices from './call-scheduling-service.js';
 import type * as coreMeshes from './core-mesh.js';
@@ -27,6 +28,7 @@
   readonly local: callSchedulingServices.CallSchedulingService;
   readonly clock: schemas.Clock;
   readonly log: schemas.Log;
+  readonly metrics: telemetry.MetricSink;
 }
 
 /** A call that needs a slot. */
@@ -47,7 +49,14 @@
 
 /** A slot for a call, or why it gets none. */
 export type SlotDecision =
-  | { readonly slot: heldSlots.HeldSlot; readonly waitedMs: number }
+  | {
+      readonly slot: heldSlots.HeldSlot;
+      readonly waitedMs: number;
+      /** Time that the call is expected to take there, in milliseconds; `undefined` if it is not known. */
+      readonly expectedMs?: number | undefined;
+      /** Slowdown that the upstream stated; `undefined` if it states none now. */
+      readonly slowdown?: number | undefined;
+    }
   | {
       readonly slot: undefined;
       readonly waitedMs: number;
@@ -73,6 +82,16 @@
   public constructor(private readonly options: SlotClientOptions) {}
 
   public async request(ask: SlotAsk, signal?: AbortSignal): Promise<SlotDecision> {
+    const { clock, metrics } = this.options;
+    const { service } = ask;
+    const askedAt = clock.now();
+    const decision = await this.decide(ask, signal);
+    metrics.time('slotWaitMs', clock.now() - askedAt, { service });
+    metrics.count('slots', { service, decision: getLabel(decision) });
+    return decision;
+  }
+
+  private async decide(ask: SlotAsk, signal: AbortSignal | undefined): Promise<SlotDecision> {
     signal?.throwIfAborted();
     const req = this.createReq(ask);
     const leader = this.findAnsweringLeader();
@@ -145,7 +164,7 @@
   ): SlotDecision {
     // A caller that left meanwhile has withdrawn the request, and with it returned the slot.
     signal?.throwIfAborted();
-    const { refused, upstreamId, waitedMs } = res;
+    const { expectedMs, refused, slowdown, upstreamId, waitedMs } = res;
     if (upstreamId === undefined) {
       const reason = refused?.reason ?? 'no-upstream';
       return { slot: undefined, waitedMs, reason, retryAfterMs: refused?.retryAfterMs };
@@ -167,7 +186,7 @@
       // While this host schedules alone, its running calls count against its share.
       local.report(this.createReport([slot]));
     }
-    return { slot, waitedMs };
+    return { slot, waitedMs, expectedMs, slowdown };
   }
 
   private returnSlot(slot: heldSlots.HeldSlot, end: heldSlots.SlotEnd): void {
@@ -245,3 +264,11 @@
     });
   }
 }
+
+/** Returns the label of a decision in metrics; without an upstream that is known, no time to return is stated. */
+function getLabel(decision: SlotDecision): string {
+  if (decision.slot !== undefined) {
+    return decision.slot.isAlone ? 'alone' : 'granted';
+  }
+  return decision.retryAfterMs === undefined ? 'unknown' : 'refused';
+}
--- a/packages/gateway/src/slot-messages.ts
+++ b/packages/gateway/src/slot-messages.ts
@@ -28,6 +28,9 @@
 export const slotRes = z.object({
   upstreamId: z.string().optional(),
   waitedMs: z.number(),
+  /** Time that the call is expected to take there, in milliseconds, and the slowdown that the upstream stated. */
+  expectedMs: z.number().optional(),
+  slowdown: z.number().optional(),
   refused: z
     .object({ reason: z.enum(['no-time', 'no-upstream']), retryAfterMs: z.number() })
     .optional(),
--- a/packages/gateway/src/slot-picker.ts
+++ b/packages/gateway/src/slot-picker.ts
@@ -48,13 +48,14 @@
       if (decision.slot === undefined) {
         throw this.refuse(call, decision);
       }
-      const { slot, waitedMs } = decision;
+      const { expectedMs, slot, slowdown, waitedMs } = decision;
       const known = this.findUsable(call, slot.upstreamId);
       if (known !== undefined) {
         if (slot.isAlone) {
           fallback.recordColdSend(call, known);
         }
-        return { ...this.createPicked(known, waitedMs), isFallback: slot.isAlone, slot };
+        const picked = this.createPicked(known, waitedMs);
+        return { ...picked, isFallback: slot.isAlone, slot, expectedMs, slowdown };
       }
       slot.releaseUnused();
       passedOver.add(slot.upstreamId);
--- a/packages/gateway/src/stream-times.ts
+++ b/packages/gateway/src/stream-times.ts
@@ -14,8 +14,8 @@
   private lastAt: number;
 
   public constructor(
-    arrivedAt: number,
-    private readonly route: string,
+    private readonly arrivedAt: number,
+    private readonly route: schemas.Route,
     private readonly clock: schemas.Clock,
     private readonly metrics: telemetry.MetricSink,
   ) {
@@ -29,14 +29,24 @@
     this.lastAt = now;
     if (this.firstEventMs === undefined) {
       this.firstEventMs = sinceMs;
-      this.metrics.time('firstEventMs', sinceMs, { route: this.route });
+      this.metrics.time('firstEventMs', sinceMs, { route: this.route.name });
       return true;
     }
     this.longestGapMs = Math.max(this.longestGapMs, sinceMs);
-    this.metrics.time('eventGapMs', sinceMs, { route: this.route });
+    this.metrics.time('eventGapMs', sinceMs, { route: this.route.name });
     return false;
   }
 
+  /**
+   * Returns whether an answer that is complete now was on time: a stream by its first event and its longest gap, any
+   * other answer by its end.
+   */
+  public isOnTime(): boolean {
+    const { gapTargetMs = Infinity, targetMs } = this.route;
+    const answeredMs = this.firstEventMs ?? this.clock.now() - this.arrivedAt;
+    return answeredMs <= targetMs && this.longestGapMs <= gapTargetMs;
+  }
+
   /** Returns the latencies so far; empty for an answer without events. */
   public getLatency(): StreamLatency {
     return this.firstEventMs === undefined
--- a/packages/gateway/tests/placement-service.test.ts
+++ b/packages/gateway/tests/placement-service.test.ts
@@ -1,9 +1,11 @@
 import * as schemas from '@bramleyridge/schemas';
+import * as telemetry from '@bramleyridge/telemetry';
 import * as xoroshiro from 'pure-rand/generator/xoroshiro128plus';
 import * as tap from 'tap';
 
 import * as procedures from '../src/core-procedures.js';
 import * as placementServices from '../src/placement-service.js';
+import * as teamCallCounters from '../src/team-call-counter.js';
 import * as listedUpstreams from './support/create-listed-upstream.js';
 import * as sites from './support/small-site.js';
 
@@ -29,7 +31,11 @@
   };
 }
 
-function createService(clock: schemas.Clock, random?: () => number) {
+function createService(
+  clock: schemas.Clock,
+  random?: () => number,
+  metrics: telemetry.MetricSink = new telemetry.SilentMetrics(),
+) {
   const state = {
     list: undefined as readonly schemas.ListedUpstream[] | undefined,
     services: sites.createConfig(1).services,
@@ -48,6 +54,7 @@
       isSharing: () => state.weights !== undefined,
       get: (team) => state.weights?.[team] ?? 1,
     },
+    teamCalls: new teamCallCounters.TeamCallCounter(metrics),
     coldBounds: { coldOverage: 1.5, coldSlack: 5 },
     retryGrantLimits: { maxGrants: 1, maxGrantsForNewLeader: 1, windowMs: 1_000 },
     ...(random && { statesReturnTimes: () => true, random }),
@@ -396,3 +403,26 @@
   const placed = [await place('d1'), await place('d2'), await place('d3')];
   t.same(placed, ['e-2', 'e-2', 'e-2'], 'none on the slow one, though it is empty');
 });
+
+// Guards against counts of teams where capacity is not shared, and of runs that a host only registers.
+void tap.default.test('generations are counted by team where capacity is shared', async (t) => {
+  const metrics = new telemetry.TextMetrics();
+  const { service, state } = createService(new schemas.VirtualClock(), undefined, metrics);
+  const place = (team: string, fixedEngineId?: string) =>
+    service.place({ ...createReq(fixedEngineId), team });
+  state.list = [ENGINE];
+  await place('x');
+  t.notMatch(await metrics.render(), /team_calls_total/, 'not shared');
+  state.weights = {};
+  await place('x');
+  await place('y', 'e-1');
+  state.list = [];
+  await place('z');
+  const samples = (await metrics.render())
+    .split('\n')
+    .filter((line) => line.startsWith('bramleyridge_team_calls_total'))
+    .map((line) =>
+      /team="(\w+)",priority="0",result="(\w+)"\} (\d+)/.exec(line)!.slice(1).join(' '),
+    );
+  t.same(samples, ['x asked 1', 'x granted 1', 'z asked 1', 'z refused 1']);
+});
--- a/packages/gateway/tests/slot-client.test.ts
+++ b/packages/gateway/tests/slot-client.test.ts
@@ -203,3 +203,30 @@
   core.startLeading(2);
   t.equal(fixture.countRunning('core-1'), 1, 'the same term goes on');
 });
+
+// Guards against a log that grows with every call, and against lines that do not say why a call waited or was refused.
+void tap.default.test('the leader logs slots only after a wait or a refusal', async (t) => {
+  const fixture = new fixtures.SlotFixture();
+  const client = fixture.createClient();
+  const first = start(client, fixtures.createAsk('a~c1'));
+  await fixture.clock.advance(10);
+  t.same(fixture.coreLines, [], 'granted at once');
+  const second = start(client, fixtures.createAsk('c2', { priority: 4 }));
+  await fixture.clock.advance(60);
+  first.decision!.slot!.release({ ...ANSWERED, load: { running: 0, waiting: 0, slowdown: 2 } });
+  await fixture.clock.advance(10);
+  const line = { decision: 'slot', service: 'app', team: 'x', weight: 3, limit: 1, inFlight: 1 };
+  const granted = { ...line, request: 'c2', priority: 4, upstream: 'u1', waitedMs: 60 };
+  t.match(fixture.coreLines, [{ ...granted, expectedMs: Number }]);
+  t.match(second.decision, { expectedMs: Number, slowdown: 2 }, 'its host knows them too');
+  const abort = new AbortController();
+  start(client, fixtures.createAsk('c3', { team: undefined }), abort.signal);
+  await fixture.clock.advance(10);
+  abort.abort(new Error('left'));
+  await fixture.clock.advance(10);
+  t.equal(fixture.coreLines.length, 1, 'a withdrawn request is not refused');
+  start(client, fixtures.createAsk('a~c4', { dueInMs: 5, leftMs: 5 }));
+  await fixture.clock.advance(50);
+  const refused = { ...line, request: 'a~c4', reason: 'no-time', retryAfterMs: Number };
+  t.match(fixture.coreLines.slice(1), [refused]);
+});
--- a/packages/gateway/tests/support/slot-fixture.ts
+++ b/packages/gateway/tests/support/slot-fixture.ts
@@ -1,9 +1,12 @@
 import type * as scheduling from '@bramleyridge/scheduling';
 import * as schemas from '@bramleyridge/schemas';
+import * as telemetry from '@bramleyridge/telemetry';
 
 import * as callSchedulingServices from '../../src/call-scheduling-service.js';
 import * as slotClients from '../../src/slot-client.js';
 import type * as slotMessages from '../../src/slot-messages.js';
+import * as slotReporters from '../../src/slot-reporter.js';
+import * as teamCallCounters from '../../src/team-call-counter.js';
 
 /** Time that a message takes between hosts, in milliseconds. */
 const HOP_MS = 2;
@@ -23,6 +26,9 @@
   /** Requests that core hosts received, as `procedure host`. */
   public readonly received: string[] = [];
   public readonly events: string[] = [];
+  /** Log lines of core hosts. */
+  public readonly coreLines: object[] = [];
+  public readonly metrics = new telemetry.TextMetrics();
   public upstreams: readonly scheduling.SchedulableUpstream[] | undefined = [createUpstream('u1')];
   /** Upstreams that the list of entry hosts has; by default that of the leader. */
   public hostUpstreams: readonly scheduling.SchedulableUpstream[] | undefined;
@@ -37,6 +43,14 @@
         findUpstreams: () => this.upstreams,
         getWeight: () => 1,
         random: () => 0.5,
+        observer: new slotReporters.SlotReporter({
+          calls: new teamCallCounters.TeamCallCounter(this.metrics),
+          getWeight: (team) => (team === 'x' ? 3 : 1),
+          log: {
+            ...new schemas.SilentLog(),
+            info: (fields: object) => this.coreLines.push(fields),
+          } as never,
+        }),
       });
     this.services.set(coreId, service);
     return service;
@@ -68,6 +82,7 @@
         getLimitShare: () => 1 / entryHosts,
       }),
       clock,
+      metrics: this.metrics,
       log: { ...log, debug: () => {}, warn: () => {}, info: record } as never,
     });
   }
--- a/packages/gateway/tests/support/small-site.ts
+++ b/packages/gateway/tests/support/small-site.ts
@@ -35,6 +35,8 @@
   public readonly reportLeaving = new Set<string>();
   /** Metrics of the entry host; each core host has its own, as in separate processes. */
   public readonly metrics = new telemetry.TextMetrics();
+  /** Metrics of every core host that was started. */
+  public readonly coreMetrics: telemetry.TextMetrics[] = [];
   public readonly lines: Record<string, unknown>[] = [];
   public entry!: gateway.EntryHost;
   public entryPort = 0;
@@ -104,6 +106,8 @@
   /** Starts a core host with its data folder, if there is one. */
   public async startCore(ip: string): Promise<void> {
     const slot = this.cores.get(ip)!;
+    const metrics = new telemetry.TextMetrics();
+    this.coreMetrics.push(metrics);
     slot.host = new gateway.CoreHost({
       settings: slot.watch,
       codec: new testWires.TestCodec(),
@@ -118,7 +122,7 @@
       },
       clock: this.clock,
       log: this.createLog(ip),
-      metrics: new telemetry.TextMetrics(),
+      metrics,
       random: Math.random,
     });
     await slot.host.start();
--- a/packages/scheduling/src/call-scheduler.ts
+++ b/packages/scheduling/src/call-scheduler.ts
@@ -41,6 +41,18 @@
   readonly teams: readonly fairShareQueues.TeamShare[];
 }
 
+/** The load of one upstream or of all upstreams of a service, for logs. */
+export interface ServiceLoad {
+  /** Number of calls that may hold slots. */
+  readonly limit: number;
+  /** Number of calls that hold slots. */
+  readonly inFlight: number;
+  /** Time that a call is expected to take at one upstream, in milliseconds; `undefined` if it is not known. */
+  readonly expectedMs: number | undefined;
+  /** Slowdown that one upstream has stated; `undefined` while none is valid. */
+  readonly slowdown: number | undefined;
+}
+
 /**
  * Schedules the calls of one plain service: gives each a slot at the upstream where it is expected to finish first,
  * holds it until one is free, or refuses it at once if it can't be served in time.
@@ -138,6 +150,23 @@
     };
   }
 
+  /** Returns the load of an upstream, or of all upstreams without one. */
+  public getLoad(upstreamId: string | undefined, now: number): ServiceLoad {
+    const upstreams = this.capacity.list();
+    if (upstreamId === undefined) {
+      const limit = upstreams.reduce((sum, item) => sum + item.getLimit(), 0);
+      const inFlight = this.capacity.running.size;
+      return { limit, inFlight, expectedMs: undefined, slowdown: undefined };
+    }
+    const found = upstreams.find(({ facts }) => facts.upstreamId === upstreamId);
+    return {
+      limit: found?.getLimit() ?? 0,
+      inFlight: found?.running ?? 0,
+      expectedMs: found?.serviceTime.getCurrentMs(now),
+      slowdown: found?.serviceTime.findSlowdown(now),
+    };
+  }
+
   /** Refuses the waiting calls that can't be served before they expire, and in a shortage those that are late. */
   private sweep(now: number): callSpecs.SettledCall[] {
     if (this.queue.size === 0 || now < this.nextSweepAt) {
--- a/packages/scheduling/src/service-time.ts
+++ b/packages/scheduling/src/service-time.ts
@@ -97,7 +97,12 @@
 
   /** Returns how many times as long as usual work takes there now. */
   public getSlowdown(now: number): number {
-    return this.isSlowdownValid(now) ? this.slowdown : 1;
+    return this.findSlowdown(now) ?? 1;
+  }
+
+  /** Returns the stated slowdown; `undefined` while none is valid. */
+  public findSlowdown(now: number): number | undefined {
+    return this.isSlowdownValid(now) ? this.slowdown : undefined;
   }
 
   /** Returns whether the upstream has stated a slowdown within the last minute. */
--- a/packages/telemetry/src/metric-catalog.ts
+++ b/packages/telemetry/src/metric-catalog.ts
@@ -152,6 +152,30 @@
     help: 'Generations that the leader was asked to place',
     labels: ['result'],
   },
+  teamCalls: {
+    kind: 'counter',
+    name: 'team_calls_total',
+    help: 'Calls that asked the leader for capacity, by team and priority; kept where capacity is shared',
+    labels: ['service', 'team', 'priority', 'result'],
+  },
+  teamAnswers: {
+    kind: 'counter',
+    name: 'team_answers_total',
+    help: 'Complete answers by team and whether they were on time; kept where capacity is shared',
+    labels: ['route', 'team', 'result'],
+  },
+  slots: {
+    kind: 'counter',
+    name: 'slots_total',
+    help: 'Requests for slots at plain services: granted by the leader, taken alone, refused, or not decided',
+    labels: ['service', 'decision'],
+  },
+  slotWaitMs: {
+    kind: 'histogram',
+    name: 'slot_wait_ms',
+    help: 'From the request for a slot to its decision',
+    labels: ['service'],
+  },
   suspects: {
     kind: 'counter',
     name: 'suspects_total',
