Explain refusals by the schedule of a plain service

`bramleyctl explain` gave only the status of a call that got no slot. It now names the reason, the wait and the time to return and, with the leader's log, the weight of the team and the limit and calls in flight of the service; a generation refused for lack of capacity has its time to return as well.

--- a/packages/telemetry/src/call-trail.ts
+++ b/packages/telemetry/src/call-trail.ts
@@ -28,6 +28,9 @@
     'its engine broke off, and the retry budget did not allow another engine to resume it',
 };
 
+/** Reason with which a call gets no slot because no upstream may take it. */
+const NO_UPSTREAM = 'no-upstream';
+
 type Explain = (own: readonly LogLine[], all: readonly LogLine[]) => string | undefined;
 
 /** Determines why a call ended as it did, from the log lines of any number of processes. */
@@ -46,6 +49,7 @@
   (own) => (own.length === 0 ? 'no line has this identifier' : undefined),
   explainQuarantine,
   explainRefusal,
+  explainNoSlot,
   explainNoCapacity,
   explainRateLimit,
   explainRest,
@@ -103,10 +107,56 @@
     line &&
     `refused for lack of capacity at ${String(line.service)}: ${String(line.running)} generations` +
       ` were expected to fill ${getPercent(line.share)} of the engines, after ${String(line.waitedMs)} ms` +
-      ' of waiting; it did not run'
+      ` of waiting${describeReturn(line)}; it did not run`
+  );
+}
+
+/**
+ * Explains a refusal by the schedule of a plain service. The leader's line has the share and the limit that decided; it
+ * is missing where the entry host scheduled alone or where the leader's log is not searched.
+ */
+function explainNoSlot(own: readonly LogLine[]): string | undefined {
+  const refusals = own.filter(
+    ({ decision, reason }) => decision === 'slot' && reason !== undefined,
+  );
+  const refused = refusals.at(-1);
+  const line = findDecision(own, 'no-slot') ?? refused;
+  const end = findDecision(own, 'outcome');
+  // A call that has no outcome may run if it was sent before.
+  const mayHaveRun =
+    end === undefined ? findDecision(own, 'route') !== undefined : end.outcome !== 'not-run';
+  if (line === undefined || mayHaveRun) {
+    return undefined;
+  }
+  const why =
+    line.reason === NO_UPSTREAM
+      ? 'because no upstream of it may take calls'
+      : `for lack of time: no slot would be free early enough${describeShare(refused)}`;
+  return (
+    `refused by the schedule of ${String(line.service)} ${why}, after ${String(line.waitedMs)} ms of waiting` +
+    `${describeReturn(line)}; it did not run`
+  );
+}
+
+/** Describes the share of a refused call's team and the limit of the service. */
+function describeShare(refused: LogLine | undefined): string {
+  if (refused === undefined) {
+    return '';
+  }
+  const { inFlight, limit, priority, team, weight } = refused;
+  const named = team === undefined ? 'calls without a team' : `team ${String(team)}`;
+  return (
+    ` for the share of ${named} (weight ${String(weight)}, priority ${String(priority)}) with` +
+    ` ${String(inFlight)} calls in flight of at most ${String(limit)}`
   );
 }
 
+function describeReturn({ retryAfterMs }: LogLine): string {
+  return retryAfterMs === undefined
+    ? ''
+    : `, with ${String(Math.round(Number(retryAfterMs)))} ms until it may return`;
+}
+
 /** Explains a refusal for want of an upstream below its rate limit, with the limits that were last named. */
 function explainRateLimit(own: readonly LogLine[], all: readonly LogLine[]): string | undefined {
   const line = own.findLast(
--- a/packages/telemetry/tests/call-trail.test.ts
+++ b/packages/telemetry/tests/call-trail.test.ts
@@ -17,6 +17,36 @@
   outcome: 'incomplete',
 };
 
+const noRoom = {
+  decision: 'no-room',
+  request: 'c1',
+  service: 's',
+  share: 0.9,
+  running: 40,
+  waitedMs: 20,
+};
+const slot = {
+  decision: 'slot',
+  request: 'c1',
+  service: 'app',
+  priority: 7,
+  weight: 1,
+  waitedMs: 30,
+  limit: 12,
+  inFlight: 12,
+  reason: 'no-time',
+  retryAfterMs: 250,
+};
+const noSlot = {
+  decision: 'no-slot',
+  request: 'c1',
+  service: 'app',
+  reason: 'no-time',
+  waitedMs: 31,
+  retryAfterMs: 250,
+};
+
+// Guards against explanations that miss the cause, or that say of a call that was sent that it did not run.
 void tap.default.test('each kind of failure is explained by its cause', async (t) => {
   const cases = [
     {
@@ -39,6 +69,68 @@
       ],
       cause: /lack of capacity at s: 44 generations .* 89% .* 739 ms/,
     },
+    {
+      name: 'no capacity, with the time to return',
+      lines: [
+        { ...noRoom, retryAfterMs: 640 },
+        { decision: 'outcome', request: 'c1', outcome: 'not-run', status: 503 },
+      ],
+      cause: /after 20 ms of waiting, with 640 ms until it may return; it did not run/,
+    },
+    {
+      name: 'no slot for the share of its team',
+      lines: [
+        { time: 1, host: 'core', ...slot, team: 'x', weight: 3 },
+        { time: 2, host: 'h1', ...noSlot },
+        { time: 3, decision: 'outcome', request: 'c1', outcome: 'not-run', status: 503 },
+      ],
+      cause:
+        /by the schedule of app for lack of time: .* share of team x \(weight 3, priority 7\) with 12 calls in flight of at most 12, after 31 ms of waiting, with 250 ms until it may return; it did not run/,
+    },
+    {
+      name: 'no slot, without a team and with the log of the leader only',
+      lines: [slot],
+      cause: /share of calls without a team \(weight 1, priority 7\) .* after 30 ms/,
+    },
+    {
+      name: 'no slot, without the log of the leader',
+      lines: [noSlot, { decision: 'outcome', request: 'c1', outcome: 'not-run', status: 503 }],
+      cause: /lack of time: no slot would be free early enough, after 31 ms/,
+    },
+    {
+      name: 'no upstream for a slot',
+      lines: [
+        { ...noSlot, reason: 'no-upstream' },
+        { decision: 'outcome', request: 'c1', outcome: 'not-run', status: 503 },
+      ],
+      cause: /by the schedule of app because no upstream of it may take calls/,
+    },
+    {
+      name: 'no slot for another attempt of a call that was sent',
+      lines: [
+        route,
+        { time: 2, decision: 'upstream-failed', request: 'c1', upstream: 'e1', reason: 'lost' },
+        { time: 3, ...noSlot },
+        { time: 4, decision: 'outcome', request: 'c1', outcome: 'unknown', status: 502 },
+      ],
+      cause: /ended unknown with status 502/,
+    },
+    {
+      name: 'a slot after a wait',
+      lines: [
+        { time: 0, decision: 'slot', request: 'c1', service: 'app', upstream: 'e1', waitedMs: 40 },
+        { ...route, waitedMs: 40 },
+        {
+          time: 4,
+          decision: 'outcome',
+          request: 'c1',
+          outcome: 'complete',
+          status: 200,
+          tookMs: 90,
+        },
+      ],
+      cause: /complete with status 200 in 90 ms: 40 ms of waiting/,
+    },
     {
       name: 'every upstream has reached its rate limit',
       lines: [
