--- a/packages/cli/src/bramleyctl.ts
+++ b/packages/cli/src/bramleyctl.ts
@@ -98,6 +98,19 @@
           ? commands.explain(getClient(args), getOutput(args), args.request)
           : commands.explainFromLogs(getOutput(args), args.logs, args.request),
     )
+    .command(
+      'shares',
+      'show how many calls of each team asked for capacity and got it',
+      {
+        metrics: {
+          type: 'string',
+          array: true,
+          demandOption: true,
+          describe: 'addresses of the metrics of all core hosts',
+        },
+      },
+      (args) => commands.showShares(getOutput(args), args.metrics),
+    )
     .command('intents', 'list the intents in force', {}, (args) =>
       commands.listIntents(getClient(args), getOutput(args)),
     )
--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -8,6 +8,7 @@
 import * as exits from './exit-codes.js';
 import * as logFiles from './log-files.js';
 import * as clients from './operator-client.js';
+import * as teamShares from './team-shares.js';
 
 /** Interval at which `status --wait` polls, in milliseconds. */
 const STATUS_POLL_INTERVAL_MS = 100;
@@ -168,6 +169,18 @@
   }
 }
 
+/** Shows how many calls of each service, team and priority asked for capacity, got it and were refused. */
+export async function showShares(output: Output, addresses: readonly string[]): Promise<void> {
+  const texts = await Promise.all(addresses.map((address) => teamShares.readMetrics(address)));
+  const rows = teamShares.sumTeamCalls(texts);
+  print(output, rows, [
+    'service team priority asked granted refused',
+    ...rows.map(({ asked, granted, priority, refused, service, team }) =>
+      [service, team, priority, asked, granted, refused].join(' '),
+    ),
+  ]);
+}
+
 /** Lists the intents in force. */
 export async function listIntents(client: clients.OperatorClient, output: Output): Promise<void> {
   const { intents: list } = (await client.get('/declaration')) as schemas.Declaration;
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -3,3 +3,4 @@
 export * from './declaration-folder.js';
 export * from './exit-codes.js';
 export * from './operator-client.js';
+export * from './team-shares.js';
--- a/packages/cli/tests/cli.test.ts
+++ b/packages/cli/tests/cli.test.ts
@@ -1,9 +1,13 @@
 import * as childProcess from 'node:child_process';
+import { once } from 'node:events';
 import * as fs from 'node:fs';
+import * as http from 'node:http';
+import type * as net from 'node:net';
 import * as os from 'node:os';
 import * as path from 'node:path';
 import * as url from 'node:url';
 
+import * as telemetry from '@bramleyridge/telemetry';
 import * as tap from 'tap';
 
 const PROGRAM = url.fileURLToPath(new URL('../src/bramleyctl.js', import.meta.url));
@@ -13,6 +17,19 @@
   return childProcess.spawnSync(process.execPath, [PROGRAM, ...args], { encoding: 'utf8' });
 }
 
+/** Runs the program without blocking this process, which serves its requests. */
+async function runWhileServing(...args: string[]) {
+  const child = childProcess.spawn(process.execPath, [PROGRAM, ...args]);
+  const output = { stdout: '', stderr: '' };
+  (['stdout', 'stderr'] as const).forEach((name) =>
+    child[name].on('data', (part: Buffer) => {
+      output[name] += part.toString();
+    }),
+  );
+  const [code] = (await once(child, 'close')) as [number];
+  return { ...output, code };
+}
+
 function writeFolder(t: { teardown(handler: () => unknown): void }, files: Record<string, string>) {
   const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'bramleyridge-cli-'));
   t.teardown(() => fs.rmSync(folder, { recursive: true }));
@@ -95,3 +112,51 @@
     'an identifier that no line contains',
   );
 });
+
+// Guards against shares that leave out a host or a priority, and against totals that look complete when a host is silent.
+void tap.default.test('the calls of teams are summed up over the core hosts', async (t) => {
+  const metrics = [1, 2].map(() => new telemetry.TextMetrics());
+  const count = (host: number, team: string, priority: string, result: string) =>
+    metrics[host]!.count('teamCalls', { service: 'app', team, priority, result });
+  ['asked', 'granted'].forEach((result) => count(0, 'x', '10', result));
+  ['asked', 'refused'].forEach((result) => count(1, 'x', '10', result));
+  ['asked', 'granted'].forEach((result) => count(1, 'x', '2', result));
+  count(1, 'a "b\\', '0', 'asked');
+  metrics[0]!.count('teamAnswers', { route: 'r', team: 'x', result: 'late' });
+  const addresses = await Promise.all(
+    metrics.map(async (item) => {
+      const server = http.createServer((req, res) => {
+        void item
+          .render()
+          .then((text) => res.writeHead(req.url === '/metrics' ? 200 : 404).end(text));
+      });
+      t.teardown(() => server.close());
+      server.listen(0, '127.0.0.1');
+      await once(server, 'listening');
+      return `127.0.0.1:${(server.address() as net.AddressInfo).port}`;
+    }),
+  );
+  const done = await runWhileServing('shares', '--metrics', ...addresses);
+  t.equal(
+    done.stdout,
+    [
+      'service team priority asked granted refused',
+      'app a "b\\ 0 1 0 0',
+      'app x 2 1 1 0',
+      'app x 10 2 1 1\n',
+    ].join('\n'),
+  );
+  const json = await runWhileServing('shares', '--json', '--metrics', ...addresses);
+  t.same((JSON.parse(json.stdout) as unknown[])[2], {
+    service: 'app',
+    team: 'x',
+    priority: '10',
+    asked: 2,
+    granted: 1,
+    refused: 1,
+  });
+  const failed = await runWhileServing('shares', '--metrics', addresses[0]!, '127.0.0.1:9');
+  t.match(failed, { code: 1, stdout: '', stderr: /127\.0\.0\.1:9/ });
+  const missing = await runWhileServing('shares', '--metrics', `http://${addresses[0]!}/x`);
+  t.match(missing, { code: 1, stderr: /status 404/ });
+});
