Test the expected time in the line route

No test read the field through real messages between hosts, where an absent slowdown could arrive as null. The test of a small site now checks both.

--- a/packages/gateway/tests/sharing-metrics.test.ts
+++ b/packages/gateway/tests/sharing-metrics.test.ts
@@ -105,6 +105,9 @@
       return status === 200;
     });
     await site.call('/plain/x', { key: 's1' }, '');
+    const { expectedMs, slowdown } = site.lines.findLast(({ decision }) => decision === 'route')!;
+    t.equal(typeof expectedMs, isShared ? 'number' : 'undefined', 'in the line `route`');
+    t.equal(slowdown, undefined, 'the upstream states none');
     const hosts = [site.metrics, ...site.coreMetrics];
     const samples = (await Promise.all(hosts.map(listSamples))).flat();
     const expected = [
