Bound the bytes that an entry host holds for its calls

Callers that read slowly make an entry host hold answers for them, and nothing counted these bytes over all calls or bounded them.

HeldBytes counts request bodies, buffered answers, what waits in the upstream's body and what the caller's socket has not taken. With capacitySharing a host that holds more than capacitySharing.heldBytes (32 MB by default) refuses new calls as hostFull before their bodies are read. The gauge held_bytes shows the bytes.

--- a/packages/gateway/src/entry-host.ts
+++ b/packages/gateway/src/entry-host.ts
@@ -80,6 +80,7 @@
   private readonly poller: updatePollers.UpdatePoller;
   private readonly listReader: upstreamListReaders.UpstreamListReader;
   private readonly rateGrants: rateGrantClients.RateGrantClient;
+  private readonly held: requests.HeldBytes;
   private readonly gate: requests.UpstreamGate;
   private readonly client: requests.UpstreamClient;
   private readonly shares: retryShares.RetryShares;
@@ -109,6 +110,9 @@
       (zone) => options.settings.get().regions?.[zone],
     );
     this.drain = new requests.Drain(clock);
+    this.held = new requests.HeldBytes(() =>
+      hostSettings.findHeldBytesLimit(options.settings.get()),
+    );
     this.poller = this.createPoller();
     const placement = new placementClients.PlacementClient({
       mesh: this.mesh,
@@ -179,6 +183,7 @@
     this.flow = new routedFlows.RoutedFlow({
       wire,
       admission: new callAdmissions.CallAdmission(this.store, wire, clock, random),
+      held: this.held,
       directory: this.directory,
       picker: this.picker,
       client: this.client,
@@ -264,6 +269,7 @@
   private registerGauges(): void {
     const { metrics } = this.options;
     metrics.registerGauge('activeCalls', () => this.drain.getActive());
+    metrics.registerGauge('heldBytes', () => this.held.getBytes());
     metrics.registerGauge('configurationVersion', () => this.store.getVersion());
     metrics.registerGauge('listAgeMs', () => this.directory.getAgeMs());
     metrics.registerGauge('zonesEvacuated', () => this.evacuations.get().zones.length);
--- a/packages/gateway/src/host-settings.ts
+++ b/packages/gateway/src/host-settings.ts
@@ -24,10 +24,15 @@
   coldSlack: z.number().min(0).default(0),
 });
 
+/** Default limit of the bytes held for calls; entry hosts have 178 MB or more in total. */
+const DEFAULT_HELD_BYTES = 32 * 1024 * 1024;
+
 /** How scarce capacity is shared among teams. */
 export const capacitySharing = z.object({
   /** Weights of teams by name; override those of the configuration. */
   teamWeights: z.record(z.string(), z.number().positive()).default({}),
+  /** Number of bytes held for calls beyond which an entry host refuses new calls; 32 MB if absent. */
+  heldBytes: z.int().positive().optional(),
 });
 
 /** Schema of one host's settings for routed traffic. */
@@ -90,6 +95,12 @@
   return regions === undefined ? undefined : Object.keys(regions);
 }
 
+/** Returns the limit of the bytes held for calls; `undefined` if there is none. */
+export function findHeldBytesLimit(settings: HostSettings): number | undefined {
+  const { capacitySharing: sharing } = settings;
+  return sharing && (sharing.heldBytes ?? DEFAULT_HELD_BYTES);
+}
+
 /** Lists the core hosts that the settings name as seeds. */
 export function listSeedIds(settings: HostSettings): string[] {
   return settings.seeds.map((seed) => getCoreId(splitAddress(seed).host, settings.peerPort));
--- a/packages/gateway/src/routed-attempts.ts
+++ b/packages/gateway/src/routed-attempts.ts
@@ -196,6 +196,7 @@
   ): Promise<routedAnswers.RoutedAnswer> {
     const { clock, metrics, wire } = this.options;
     const { known, upstreamId } = attempt.picked;
+    job.held.beginAnswer(answer.body);
     const { load } = wire.readAnswer(answer);
     if (load !== undefined) {
       known.load.applyReport(load, clock.now());
@@ -212,7 +213,9 @@
     if (job.call.route.isStream && answer.status < FIRST_NON_SUCCESS_STATUS) {
       return this.createStreamed(job, attempt, answer, Buffer.alloc(0));
     }
-    const read = await requests.readAnswer(answer, MAX_BUFFERED_BYTES, upstreamId);
+    const read = await requests.readAnswer(answer, MAX_BUFFERED_BYTES, upstreamId, (bytes) =>
+      job.held.addAnswer(bytes),
+    );
     if (!read.isWhole) {
       return this.createStreamed(job, attempt, answer, read.bytes);
     }
@@ -320,6 +323,7 @@
         answer.body.destroy();
         throw new requests.UpstreamError('lost', 'resume', upstreamId);
       }
+      job.held.beginAnswer(answer.body);
       metrics.count('resumes', { result: 'resumed' });
       return this.createStreamed(job, attempt, answer, Buffer.alloc(0));
     } catch (err) {
--- a/packages/gateway/src/routed-flow.ts
+++ b/packages/gateway/src/routed-flow.ts
@@ -14,6 +14,12 @@
 /** `Retry-After` of a call whose time ran out before it was sent, in seconds. */
 const RETRY_AFTER_S = 1;
 
+/**
+ * `Retry-After` of a call that a full host refuses, in seconds: the load balancer usually sends the next one to another
+ * host.
+ */
+const HOST_FULL_RETRY_AFTER_S = 0.2;
+
 /**
  * Maximum number of times that a suspect is moved to another upstream because a suspect runs at the chosen one. After
  * an upstream has crashed there may be as many suspects as upstreams; without a limit, a suspect that finds none
@@ -24,6 +30,7 @@
 /** Options of `RoutedFlow`. */
 export interface RoutedFlowOptions extends routedAttempts.RoutedAttemptsOptions {
   readonly admission: callAdmissions.CallAdmission;
+  readonly held: requests.HeldBytes;
 }
 
 /** Details of a call's outcome, for the log. */
@@ -49,12 +56,26 @@
 
   /** Serves one call. */
   public async handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+    const held = this.options.held.begin(res);
+    try {
+      await this.handleHeld(req, res, held);
+    } finally {
+      this.options.held.end(held, res);
+    }
+  }
+
+  private async handleHeld(
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+    held: requests.HeldCall,
+  ): Promise<void> {
     const { clock, findBudget, metrics } = this.options;
-    const { call, body } = await this.admit(req);
+    const { call, body } = await this.admit(req, held);
     const abort = new AbortController();
     const job: routedJobs.RoutedJob = {
       call,
       body,
+      held,
       getDigest: createDigest(call, body),
       abort,
       tried: new Set(),
@@ -82,12 +103,16 @@
 
   private async admit(
     req: http.IncomingMessage,
+    held: requests.HeldCall,
   ): Promise<{ call: callAdmissions.AdmittedCall; body: Buffer }> {
     const { admission, clock, log, metrics, wire } = this.options;
     try {
       const call = admission.admit(req);
+      this.checkHeldBytes();
       const bodyTimeoutMs = Math.max(1, call.endsAt - clock.now());
-      return { call, body: await requests.readBody(req, { ...call.limits, bodyTimeoutMs }) };
+      const limits = { ...call.limits, bodyTimeoutMs };
+      const body = await requests.readBody(req, limits, (bytes) => held.addRequest(bytes));
+      return { call, body };
     } catch (err) {
       const refusal = requests.toRefusal(err);
       metrics.count('refusals', { reason: refusal.id });
@@ -103,11 +128,24 @@
     }
   }
 
+  private checkHeldBytes(): void {
+    if (this.options.held.isFull()) {
+      throw new schemas.Refusal({
+        id: 'hostFull',
+        step: 'admit',
+        status: 503,
+        outcome: 'not-run',
+        retryAfterS: HOST_FULL_RETRY_AFTER_S,
+      });
+    }
+  }
+
   private async serve(job: routedJobs.RoutedJob, res: http.ServerResponse): Promise<void> {
     const { isStream } = job.call.route;
     try {
       const answer = await this.requestAnswer(job);
       const status = answer.kind === 'whole' ? answer.head.status : answer.answer.status;
+      job.held.passAnswer();
       await routedAnswers.deliverAnswer(res, answer, isStream, () => this.noteEvents(job));
       this.recordOutcome(job, 'complete', { status });
     } catch (err) {
--- a/packages/gateway/src/routed-job.ts
+++ b/packages/gateway/src/routed-job.ts
@@ -1,3 +1,5 @@
+import type * as requests from '@bramleyridge/requests';
+
 import type * as callAdmissions from './call-admission.js';
 import type * as streamTimes from './stream-times.js';
 
@@ -5,6 +7,8 @@
 export interface RoutedJob {
   readonly call: callAdmissions.AdmittedCall;
   readonly body: Buffer;
+  /** Counts the bytes that this host holds for the call. */
+  readonly held: requests.HeldCall;
   /** Returns the digest that identifies repetitions of the call; computed on first use. */
   readonly getDigest: () => string;
   /** Aborts every attempt when the caller has disconnected or the deadline has passed. */
--- a/packages/requests/src/answer-body.ts
+++ b/packages/requests/src/answer-body.ts
@@ -12,12 +12,14 @@
 
 /**
  * Reads a response body until it ends or exceeds `maxBytes`. It counts as complete only if HTTP marks its end: a body
- * that is truncated or reset, with or without a length, is a connection error.
+ * that is truncated or reset, with or without a length, is a connection error. Calls `onBytes` with the size of each
+ * part.
  */
 export async function readAnswer(
   answer: upstreamClients.UpstreamAnswer,
   maxBytes: number,
   peer: string,
+  onBytes: (bytes: number) => void = () => {},
 ): Promise<AnswerBody> {
   const parts: Buffer[] = [];
   let size = 0;
@@ -29,6 +31,7 @@
       }
       parts.push(part);
       size += part.length;
+      onBytes(part.length);
     }
     return { bytes: Buffer.concat(parts), isWhole: false };
   } catch (err) {
--- a/packages/requests/src/http-io.ts
+++ b/packages/requests/src/http-io.ts
@@ -11,8 +11,15 @@
   readonly bodyTimeoutMs: number;
 }
 
-/** Reads a complete request body within the limits of size and time. */
-export function readBody(req: http.IncomingMessage, limits: BodyLimits): Promise<Buffer> {
+/**
+ * Reads a complete request body within the limits of size and time. Calls `onBytes` with the size of each part that is
+ * held.
+ */
+export function readBody(
+  req: http.IncomingMessage,
+  limits: BodyLimits,
+  onBytes: (bytes: number) => void = () => {},
+): Promise<Buffer> {
   return new Promise((resolve, reject) => {
     const parts: Buffer[] = [];
     let size = 0;
@@ -37,6 +44,7 @@
     req.on('data', (part: Buffer) => {
       size += part.length;
       parts.push(part);
+      onBytes(part.length);
       if (size > limits.bodyBytes) {
         refuse('bodyTooLarge', limits.bodyBytes);
       }
--- a/packages/requests/src/index.ts
+++ b/packages/requests/src/index.ts
@@ -19,6 +19,7 @@
 export * from './generation-event-splitter.js';
 export * from './generation-id-codec.js';
 export * from './end-to-end-headers.js';
+export * from './held-bytes.js';
 export * from './http-io.js';
 export * from './relay-generation.js';
 export * from './request-lifecycle.js';
--- a/packages/schemas/src/messages.ts
+++ b/packages/schemas/src/messages.ts
@@ -17,6 +17,7 @@
   generationGone: 'the generation is gone at the upstream; %s tokens were delivered',
   generationOfAnother: 'no generation of this team has this identifier',
   headersTooLarge: 'the headers are larger than %s bytes',
+  hostFull: 'this host holds too many bytes for slow callers; the call did not run',
   illegalMove: 'a %s cannot %s',
   keyReused: 'this Idempotency-Key was used with another request',
   linkClosed: 'the link to the peer is closed',
--- a/packages/telemetry/src/metric-catalog.ts
+++ b/packages/telemetry/src/metric-catalog.ts
@@ -78,6 +78,12 @@
     labels: ['class'],
   },
   activeCalls: { kind: 'gauge', name: 'active_calls', help: 'Calls under way', labels: [] },
+  heldBytes: {
+    kind: 'gauge',
+    name: 'held_bytes',
+    help: 'Bytes of requests and answers that this host holds',
+    labels: [],
+  },
   configurationVersion: {
     kind: 'gauge',
     name: 'configuration_version',
