--- a/packages/gateway/src/call-scheduling-service.ts
+++ b/packages/gateway/src/call-scheduling-service.ts
@@ -148,13 +148,16 @@
       return;
     }
     pool.isRetrying = true;
-    while (pool.settle.size > 0 && this.pools.get(service) === pool) {
-      await this.options.clock.sleep(RETRY_INTERVAL_MS);
-      if (this.pools.get(service) === pool) {
-        this.retry(pool, service);
+    try {
+      while (pool.settle.size > 0 && this.pools.get(service) === pool) {
+        await this.options.clock.sleep(RETRY_INTERVAL_MS);
+        if (this.pools.get(service) === pool) {
+          this.retry(pool, service);
+        }
       }
+    } finally {
+      pool.isRetrying = false;
     }
-    pool.isRetrying = false;
   }
 
   private retry(pool: Pool, service: string): void {
--- a/packages/gateway/src/slot-result.ts
+++ b/packages/gateway/src/slot-result.ts
@@ -24,11 +24,13 @@
   return isServed ? 'answered' : notServed;
 }
 
-/** Returns how a streamed answer that has ended used its slot. */
+/**
+ * Returns how a streamed answer that has ended used its slot. It lasts as long as its caller reads, so that one that was
+ * complete shows nothing about how long calls take.
+ */
 export function getStreamResult(
   hasFailed: boolean,
   isStoppedHere: boolean,
 ): slotMessages.SlotResult {
-  const broken = isStoppedHere ? 'unused' : 'failed';
-  return hasFailed ? broken : 'answered';
+  return hasFailed && !isStoppedHere ? 'failed' : 'unused';
 }
