Tell hosts that a call waits, so that a lost leader is noticed sooner

A host waited for the leader's answer for as long as the leader may hold a call, half a second, and 60 ms.

The leader now answers after 40 ms that a call still waits, and the host repeats the request, so a silent leader is noticed after 100 ms. The check of the time until a host decides alone became 100 ms instead of 560 (it failed with the former code), and new tests cover a call that waits longer than an answer may take, and a caller who leaves between two requests.

--- a/packages/gateway/src/call-scheduling-service.ts
+++ b/packages/gateway/src/call-scheduling-service.ts
@@ -10,6 +10,15 @@
  */
 const RETRY_INTERVAL_MS = 20;
 
+/**
+ * Time after which a host is told that its call still waits, in milliseconds. Without this, a leader that has lost power
+ * looks like one with a queue for as long as calls may wait, half a second.
+ */
+export const QUEUED_AFTER_MS = 40;
+
+/** Time for which a decision is kept for a host that has not repeated its request, in milliseconds. */
+const UNCLAIMED_TTL_MS = 1_000;
+
 /** Dependencies of the call scheduling service. */
 export interface CallSchedulingServiceOptions {
   readonly clock: schemas.Clock;
@@ -40,6 +49,8 @@
 export class CallSchedulingService {
   private readonly pools = new Map<string, Pool>();
   private readonly incarnations = new Map<string, string>();
+  /** Requests of other hosts that have not been answered with a decision, by call. */
+  private readonly pending = new Map<string, Promise<slotMessages.SlotRes>>();
   private term: number | undefined;
 
   public constructor(private readonly options: CallSchedulingServiceOptions) {}
@@ -61,6 +72,22 @@
     });
   }
 
+  /** Answers a request of another host with the decision, or after a short time that the call still waits. */
+  public async requestOrQueue(req: slotMessages.SlotReq): Promise<slotMessages.SlotRes> {
+    const decision = this.pending.get(req.callId) ?? this.requestPending(req);
+    const timer = new AbortController();
+    const queued = this.options.clock
+      .sleep(QUEUED_AFTER_MS, timer.signal)
+      .then(() => ({ waitedMs: QUEUED_AFTER_MS, isQueued: true }));
+    queued.catch(() => {});
+    const res = await Promise.race([decision, queued]);
+    timer.abort();
+    if (!('isQueued' in res) || res.isQueued !== true) {
+      this.pending.delete(req.callId);
+    }
+    return res;
+  }
+
   /** Frees the slot of a call, or withdraws its request. */
   public release({ callId, load, result, service, tookMs }: slotMessages.SlotRelease): void {
     const pool = this.pools.get(service);
@@ -123,9 +150,20 @@
       settle.forEach((resolve) => resolve({ waitedMs: 0, isUnknown: true })),
     );
     this.pools.clear();
+    this.pending.clear();
     this.incarnations.clear();
   }
 
+  private requestPending(req: slotMessages.SlotReq): Promise<slotMessages.SlotRes> {
+    const { clock } = this.options;
+    const decision = this.request(req);
+    this.pending.set(req.callId, decision);
+    void decision
+      .then(() => clock.sleep(UNCLAIMED_TTL_MS))
+      .then(() => this.pending.delete(req.callId));
+    return decision;
+  }
+
   /** Frees the slots of the earlier process of a host that has restarted. */
   private noteIncarnation({
     hostId,
--- a/packages/gateway/src/core-host.ts
+++ b/packages/gateway/src/core-host.ts
@@ -285,7 +285,7 @@
       },
       requestSlot: (req) => {
         this.ensureLeading('request-slot');
-        return this.scheduling.request(req);
+        return this.scheduling.requestOrQueue(req);
       },
       releaseSlot: async (req) => {
         this.ensureLeading('release-slot');
--- a/packages/gateway/src/slot-client.ts
+++ b/packages/gateway/src/slot-client.ts
@@ -1,15 +1,15 @@
-import * as scheduling from '@bramleyridge/scheduling';
+import type * as scheduling from '@bramleyridge/scheduling';
 import * as schemas from '@bramleyridge/schemas';
 import type * as telemetry from '@bramleyridge/telemetry';
 
-import type * as callSchedulingServices from './call-scheduling-service.js';
+import * as callSchedulingServices from './call-scheduling-service.js';
 import type * as coreMeshes from './core-mesh.js';
 import * as heldSlots from './held-slot.js';
 import type * as slotMessages from './slot-messages.js';
 
 /**
- * Time that the leader's answer may take beyond the time that it may hold the request, in milliseconds; about ten round
- * trips.
+ * Time that the leader's answer may take beyond the time after which it answers that a call waits, in milliseconds; about
+ * ten round trips.
  */
 const ANSWER_MARGIN_MS = 60;
 
@@ -114,13 +114,12 @@
     req: slotMessages.SlotReq,
     signal: AbortSignal | undefined,
   ): Promise<slotMessages.SlotRes | undefined> {
-    const { clock, findLeader, log, mesh } = this.options;
+    const { clock, findLeader, log } = this.options;
     this.reportSlots(leader);
-    const context = { deadlineMs: scheduling.getHoldMs(req) + ANSWER_MARGIN_MS };
     const withdraw = () => this.sendUnused(leader, req);
     signal?.addEventListener('abort', withdraw, { once: true });
     try {
-      return await mesh.get(leader).requestSlot.mutate(req, { context });
+      return await this.requestUntilDecided(leader, req, signal);
     } catch (err) {
       this.informedLeader = undefined;
       // A failed request to a former leader says nothing about the current one.
@@ -138,6 +137,26 @@
     }
   }
 
+  /** Repeats a request while the leader answers that the call waits; `undefined` if the caller leaves meanwhile. */
+  private async requestUntilDecided(
+    leader: string,
+    req: slotMessages.SlotReq,
+    signal: AbortSignal | undefined,
+  ): Promise<slotMessages.SlotRes | undefined> {
+    const { clock, mesh } = this.options;
+    const context = { deadlineMs: callSchedulingServices.QUEUED_AFTER_MS + ANSWER_MARGIN_MS };
+    const startedAt = clock.now();
+    while (signal?.aborted !== true) {
+      const elapsedMs = clock.now() - startedAt;
+      const limits = { dueInMs: req.dueInMs - elapsedMs, leftMs: req.leftMs - elapsedMs };
+      const res = await mesh.get(leader).requestSlot.mutate({ ...req, ...limits }, { context });
+      if (res.isQueued !== true) {
+        return res;
+      }
+    }
+    return undefined;
+  }
+
   private async requestAlone(
     req: slotMessages.SlotReq,
     { excludedAlone }: SlotAsk,
--- a/packages/gateway/src/slot-messages.ts
+++ b/packages/gateway/src/slot-messages.ts
@@ -27,7 +27,7 @@
   excluded: z.array(z.string()).readonly(),
 });
 
-/** Answer to the request for a slot: an upstream, a refusal, or neither if the leader can't decide. */
+/** Answer to the request for a slot: an upstream, a refusal, or neither if the call waits or the leader can't decide. */
 export const slotRes = z.object({
   upstreamId: z.string().optional(),
   waitedMs: z.number(),
@@ -39,6 +39,8 @@
     .optional(),
   /** Set if the leader has not read the list of upstreams, or lacks the service. */
   isUnknown: z.boolean().optional(),
+  /** Set while the call waits for a slot; its host repeats the request. */
+  isQueued: z.boolean().optional(),
 });
 
 /** Return of a slot, or withdrawal of a request that still waits for one. */
--- a/packages/gateway/tests/slot-client.test.ts
+++ b/packages/gateway/tests/slot-client.test.ts
@@ -68,10 +68,14 @@
   const client = fixture.createClient('h1', 'i1', 4);
   fixture.silent.add('core-1');
   const first = start(client, fixtures.createAsk('c0'));
-  await fixture.clock.advance(465);
-  t.equal(first.decision, undefined, 'held for as long as the leader may hold it');
-  await fixture.clock.advance(120);
-  t.equal(first.decision?.slot?.isAlone, true, 'then this host decides');
+  await fixture.clock.advance(95);
+  t.equal(first.decision, undefined, 'the leader may still answer');
+  await fixture.clock.advance(10);
+  t.equal(
+    first.decision?.slot?.isAlone,
+    true,
+    'then this host decides, long before the call is due',
+  );
   first.decision!.slot!.release(ANSWERED);
   const burst = Array.from({ length: 24 }, (_, i) =>
     start(client, fixtures.createAsk(`d${i}`, { dueInMs: 100, leftMs: 300 })),
@@ -101,6 +105,40 @@
   t.equal(fixture.countRunning('core-1'), 2);
 });
 
+// Guards against a leader with a queue that is taken for one that has lost power.
+void tap.default.test(
+  'a call waits at the leader for longer than an answer may take',
+  async (t) => {
+    const fixture = new fixtures.SlotFixture();
+    const client = fixture.createClient();
+    const first = start(client, fixtures.createAsk('c1'));
+    const second = start(client, fixtures.createAsk('c2'));
+    await fixture.clock.advance(250);
+    t.equal(second.decision, undefined, 'it waits');
+    first.decision!.slot!.release(ANSWERED);
+    await fixture.clock.advance(10);
+    t.equal(second.decision?.slot?.isAlone, false, 'it gets the slot from the leader');
+    t.equal(fixture.countRunning('core-1'), 1);
+    t.same(fixture.events, [], 'and the host has never scheduled alone');
+  },
+);
+
+// Guards against a slot that is taken for a caller who has left while the host was told that the call waits.
+void tap.default.test('a caller leaves between two requests for its slot', async (t) => {
+  const fixture = new fixtures.SlotFixture();
+  const client = fixture.createClient();
+  const first = start(client, fixtures.createAsk('c1'));
+  const abort = new AbortController();
+  const second = start(client, fixtures.createAsk('c2'), abort.signal);
+  await fixture.clock.advance(120);
+  abort.abort(new Error('gone'));
+  await fixture.clock.advance(60);
+  t.ok(second.err);
+  first.decision!.slot!.release(ANSWERED);
+  await fixture.clock.advance(60);
+  t.equal(fixture.countRunning('core-1'), 0, 'no slot is taken');
+});
+
 // Guards against a new leader that gives slots a second time which calls hold already.
 void tap.default.test('a new leader learns the running calls once', async (t) => {
   const fixture = new fixtures.SlotFixture();
--- a/packages/gateway/tests/support/slot-fixture.ts
+++ b/packages/gateway/tests/support/slot-fixture.ts
@@ -93,7 +93,7 @@
     const core = this.getCore(coreId);
     return {
       requestSlot: this.createProcedure(coreId, 'requestSlot', (req: slotMessages.SlotReq) =>
-        core.request(req),
+        core.requestOrQueue(req),
       ),
       releaseSlot: this.createProcedure(
         coreId,
