--- a/packages/gateway/src/call-scheduling-service.ts
+++ b/packages/gateway/src/call-scheduling-service.ts
@@ -30,7 +30,7 @@
   readonly random: () => number;
   /** Share of the limits that may be used here; undefined on the leader, which schedules for all hosts. */
   readonly getLimitShare?: () => number;
-  /** Is told of the requests and their decisions; by default, nobody is. */
+  /** Counts and logs the requests and their decisions; by default, nothing does. */
   readonly observer?: slotObservers.SlotObserver;
 }
 
--- a/packages/gateway/src/placement-service.ts
+++ b/packages/gateway/src/placement-service.ts
@@ -32,7 +32,7 @@
   readonly teamWeights: placementPools.ShareWeights;
   /** Limits of the retries that may be granted for one service. */
   readonly retryGrantLimits: requests.RetryGrantLimits;
-  /** Returns whether refused generations are told when to return; by default, they are not. */
+  /** Returns whether refusals state when the caller may return; by default, they do not. */
   readonly statesReturnTimes?: () => boolean;
   /** Counts the calls of each team while capacity is shared among teams; by default, they are not counted. */
   readonly teamCalls?: teamCallCounters.TeamCallCounter;
--- a/packages/routing/src/engine-reservation.ts
+++ b/packages/routing/src/engine-reservation.ts
@@ -5,15 +5,15 @@
 
 /**
  * Part of its wait for which a generation that does not fit may be overtaken by smaller ones. The
- * rest is left for runs to end on the engine that is then kept free for it: with half of the wait,
- * prompts of 7,000 tokens beside a flood of 1,200 were served 0.35 to 0.48 instead of 0.39 to 0.55.
+ * rest is left for runs to end on the engine that is then kept free for it; with less time left, a
+ * long prompt beside a flood of short ones is refused before enough of them have ended.
  */
 const MAX_OVERTAKEN_SHARE = 0.1;
 
 /**
  * Time for which the engine is still kept free after the wait of that generation is over, in
  * milliseconds; longer than the 2 s after which refused callers return. One wait is often too short
- * to free enough memory: without it, 0.19 to 0.43 of the same prompts were served.
+ * to free enough memory for a long prompt.
  */
 const HOLD_MS = 2_500;
 
--- a/packages/scheduling/src/team-accounts.ts
+++ b/packages/scheduling/src/team-accounts.ts
@@ -32,8 +32,9 @@
  * advances all lanes of a team, whatever the priority of the request. Each priority has a level,
  * the median of the positions at which its waiting lanes were served last; a lane that had nothing
  * waiting starts there. It is the median because single lanes may be far ahead, if only their small
- * requests fit, or far behind, if theirs do not fit. The level belongs to a priority because one that is rarely served falls behind
- * the others: a team that enters a frequently served one would otherwise take all of it for long.
+ * requests fit, or far behind, if theirs do not fit. The level belongs to a priority because one
+ * that is rarely served falls behind the others: a team that enters a frequently served one would
+ * otherwise take all of it for long.
  */
 export class TeamAccounts<R extends shareRequests.ShareRequest> {
   private readonly accounts = new Map<string, TeamAccount<R>>();
