Count how connects to upstreams end, and open them in one place

Logs and metrics could not tell apart why a cut host loses its calls: which connects are refused, which get no answer, how long they take and how much of a call's time is left. upstream_connects_total and upstream_connect_ms say so, and upstream-failed names the time left.

Connections to upstreams were opened by four modules.

--- a/packages/gateway/src/entry-host.ts
+++ b/packages/gateway/src/entry-host.ts
@@ -2,6 +2,7 @@
 import type * as http from 'node:http';
 
 import * as intents from '@bramleyridge/intents';
+import * as paths from '@bramleyridge/paths';
 import * as requests from '@bramleyridge/requests';
 import * as routing from '@bramleyridge/routing';
 import * as schemas from '@bramleyridge/schemas';
@@ -69,6 +70,8 @@
   readonly log: schemas.Log;
   readonly metrics: telemetry.MetricSink;
   readonly random: () => number;
+  /** Opens the connections to upstreams; TCP connections by default. */
+  readonly dialer?: paths.UpstreamDialer | undefined;
 }
 
 /** An entry host: admits calls, sends them to upstreams and delivers the answers. */
@@ -140,7 +143,9 @@
         this.rateGrants.reportLeaving([upstream.processId]);
       },
     });
+    const dialer = this.createDialer();
     this.client = new requests.UpstreamClient({
+      dialer,
       gate: this.gate,
       readNotice: (head) => wire.readNotice(head),
       connectMs: CONNECT_TIMEOUT_MS,
@@ -163,7 +168,7 @@
     const guard = new crashGuards.CrashGuard({
       suspects: this.suspects,
       directory: this.directory,
-      exitDetector: new requests.ProcessExitDetector(clock),
+      exitDetector: new requests.ProcessExitDetector(clock, requests.createListeningCheck(dialer)),
       clock,
       log,
       metrics: options.metrics,
@@ -314,6 +319,14 @@
     requests.sendJson(res, isPath ? status : 404, { version: this.store.getVersion() });
   }
 
+  private createDialer(): paths.UpstreamDialer {
+    const { clock, dialer, metrics } = this.options;
+    return new paths.MeteredDialer(dialer ?? new paths.TcpDialer(), clock, (result, tookMs) => {
+      metrics.count('upstreamConnects', { result });
+      metrics.time('upstreamConnectMs', tookMs, { result });
+    });
+  }
+
   private createSlotClient(): slotClients.SlotClient {
     const { clock, log, metrics, random, settings } = this.options;
     const { availabilityZone, hostId } = settings.get();
--- a/packages/gateway/src/routed-attempts.ts
+++ b/packages/gateway/src/routed-attempts.ts
@@ -109,6 +109,7 @@
       request: job.call.facts.requestId,
       upstream: upstreamId,
       reason: failure.kind,
+      leftMs: Math.round(job.call.endsAt - clock.now()),
       err: failure.message,
     });
   }
--- a/packages/requests/src/engine-client.ts
+++ b/packages/requests/src/engine-client.ts
@@ -1,6 +1,7 @@
 import type * as http from 'node:http';
 import type * as stream from 'node:stream';
 
+import * as paths from '@bramleyridge/paths';
 import type * as schemas from '@bramleyridge/schemas';
 import * as undici from 'undici';
 
@@ -47,15 +48,20 @@
   readonly gate: upstreamGates.UpstreamGate;
   readonly connectMs: number;
   readonly answerMs: number;
+  /** Opens the connections; TCP connections by default. */
+  readonly dialer?: paths.UpstreamDialer | undefined;
 }
 
 /** A client of the engines' published protocol. */
 export class EngineClient {
   private readonly agent: undici.Agent;
+  private readonly connect: undici.buildConnector.connector;
 
   public constructor(private readonly options: EngineClientOptions) {
+    const dialer = options.dialer ?? new paths.TcpDialer();
+    this.connect = paths.createConnector((address) => dialer.dial(address, options.connectMs));
     this.agent = new undici.Agent({
-      connect: { timeout: options.connectMs },
+      connect: this.connect,
       keepAliveTimeout: KEEP_ALIVE_MS,
       keepAliveMaxTimeout: KEEP_ALIVE_MS,
       // The relay has its own, shorter limit on the time between chunks.
@@ -187,7 +193,7 @@
 
   private createSingleUseClient(upstream: schemas.Upstream): undici.Client {
     return new undici.Client(new URL(upstream.url).origin, {
-      connect: { timeout: this.options.connectMs },
+      connect: this.connect,
       bodyTimeout: 0,
       headersTimeout: 0,
     });
--- a/packages/requests/src/process-exit-detector.ts
+++ b/packages/requests/src/process-exit-detector.ts
@@ -1,5 +1,4 @@
-import * as net from 'node:net';
-
+import * as paths from '@bramleyridge/paths';
 import type * as schemas from '@bramleyridge/schemas';
 
 import type * as upstreamClients from './upstream-client.js';
@@ -31,7 +30,9 @@
 
   public constructor(
     private readonly clock: schemas.Clock,
-    private readonly isListening: (url: string) => Promise<boolean> = connect,
+    private readonly isListening: (url: string) => Promise<boolean> = createListeningCheck(
+      new paths.TcpDialer(),
+    ),
   ) {}
 
   /** Returns whether the process has exited; one check serves all calls that broke off there at the same time. */
@@ -69,19 +70,20 @@
 }
 
 /**
- * Returns whether a process listens at the address. An address that does not respond may be behind a network
+ * Creates a check whether a process listens at an address. An address that does not respond may be behind a network
  * partition, and counts as listening.
  */
-function connect(url: string): Promise<boolean> {
-  const { hostname, port } = new URL(url);
-  return new Promise((resolve) => {
-    const socket = net.connect({ host: hostname, port: Number(port), timeout: CONNECT_TIMEOUT_MS });
-    const settle = (isListening: boolean) => {
+export function createListeningCheck(
+  dialer: paths.UpstreamDialer,
+): (url: string) => Promise<boolean> {
+  return async (url) => {
+    try {
+      const socket = await dialer.dial(new URL(url).host, CONNECT_TIMEOUT_MS);
+      socket.on('error', () => {});
       socket.destroy();
-      resolve(isListening);
-    };
-    socket.once('connect', () => settle(true));
-    socket.once('timeout', () => settle(true));
-    socket.once('error', (err: NodeJS.ErrnoException) => settle(err.code !== 'ECONNREFUSED'));
-  });
+      return true;
+    } catch (err) {
+      return (err as NodeJS.ErrnoException).code !== 'ECONNREFUSED';
+    }
+  };
 }
--- a/packages/requests/src/service-client.ts
+++ b/packages/requests/src/service-client.ts
@@ -1,3 +1,4 @@
+import type * as paths from '@bramleyridge/paths';
 import type * as schemas from '@bramleyridge/schemas';
 
 import * as answerBodies from './answer-body.js';
@@ -24,6 +25,8 @@
   readonly connectMs: number;
   readonly answerMs: number;
   readonly answerBytes: number;
+  /** Opens the connections; TCP connections by default. */
+  readonly dialer?: paths.UpstreamDialer | undefined;
 }
 
 /** Sends calls to plain services and reads their complete responses. */
--- a/packages/requests/src/upstream-client.ts
+++ b/packages/requests/src/upstream-client.ts
@@ -1,6 +1,7 @@
 import type * as http from 'node:http';
 import type * as stream from 'node:stream';
 
+import * as paths from '@bramleyridge/paths';
 import * as undici from 'undici';
 
 import * as resetMonitors from './reset-monitor.js';
@@ -61,6 +62,8 @@
   /** Decodes what an upstream states about itself in an answer. */
   readonly readNotice: (head: AnswerHead) => upstreamNotices.UpstreamNotice;
   readonly connectMs: number;
+  /** Opens the connections; TCP connections by default. */
+  readonly dialer?: paths.UpstreamDialer | undefined;
   /** Maximum number of pooled connections to one upstream; unlimited by default. */
   readonly connections?: number;
 }
@@ -69,10 +72,15 @@
 export class UpstreamClient {
   private readonly agent: undici.Agent;
   private readonly resets = new resetMonitors.ResetMonitor();
+  private readonly connect: undici.buildConnector.connector;
 
   public constructor(private readonly options: UpstreamClientOptions) {
+    const dialer = options.dialer ?? new paths.TcpDialer();
+    this.connect = this.resets.createConnector((address) =>
+      dialer.dial(address, options.connectMs),
+    );
     this.agent = new undici.Agent({
-      connect: this.resets.createConnector(options.connectMs),
+      connect: this.connect,
       connections: options.connections ?? null,
       pipelining: 1,
       keepAliveTimeout: KEEP_ALIVE_MS,
@@ -117,7 +125,7 @@
 
   private createSingleUseClient(target: UpstreamTarget): undici.Client {
     return new undici.Client(target.url, {
-      connect: this.resets.createConnector(this.options.connectMs),
+      connect: this.connect,
       bodyTimeout: 0,
       headersTimeout: 0,
     });
--- a/packages/telemetry/src/metric-catalog.ts
+++ b/packages/telemetry/src/metric-catalog.ts
@@ -35,6 +35,18 @@
     help: 'Sends to upstreams, by service and how they ended',
     labels: ['service', 'result'],
   },
+  upstreamConnects: {
+    kind: 'counter',
+    name: 'upstream_connects_total',
+    help: 'Attempts to connect to upstreams, by how they ended',
+    labels: ['result'],
+  },
+  upstreamConnectMs: {
+    kind: 'histogram',
+    name: 'upstream_connect_ms',
+    help: 'How long attempts to connect to upstreams took',
+    labels: ['result'],
+  },
   retries: {
     kind: 'counter',
     name: 'retries_total',
