--- /dev/null
+++ b/packages/gateway/tests/support/cut-dialer.ts
@@ -0,0 +1,143 @@
+import * as net from 'node:net';
+
+import type * as paths from '@bramleyridge/paths';
+
+/**
+ * What a host's connections to upstreams do while it is cut off. `hang`: open ones are silent, new ones get no answer;
+ * `silent`: new ones are accepted and then silent as well; `reset`: open ones are reset, new ones refused; `refused`: open
+ * ones live on, new ones are refused.
+ */
+export type CutKind = 'hang' | 'silent' | 'reset' | 'refused';
+
+interface Pair {
+  readonly near: net.Socket;
+  /** The connection to the upstream; `undefined` for one that was accepted during a cut. */
+  readonly far: net.Socket | undefined;
+}
+
+/** Dials upstreams for one host, and cuts the host off from all of them while others reach them. */
+export class CutDialer implements paths.UpstreamDialer {
+  /** Number of connections that were opened to upstreams. */
+  public opened = 0;
+  private kind: CutKind | undefined;
+  private readonly pairs = new Set<Pair>();
+  private readonly server = net.createServer({ pauseOnConnect: true }, (socket) => {
+    this.accepted.set(socket.remotePort!, socket);
+    this.server.emit(`accepted-${socket.remotePort}`);
+  });
+
+  /** Accepted connections that are not joined yet, by their remote ports. */
+  private readonly accepted = new Map<number, net.Socket>();
+
+  public async start(): Promise<void> {
+    await new Promise<void>((resolve) => {
+      this.server.listen(0, '127.0.0.1', resolve);
+    });
+  }
+
+  public cut(kind: CutKind): void {
+    this.kind = kind;
+    if (kind === 'reset') {
+      this.resetAll();
+    } else if (kind !== 'refused') {
+      this.pairs.forEach(({ near, far }) => [near, far].forEach((socket) => socket?.pause()));
+    }
+  }
+
+  public heal(): void {
+    this.kind = undefined;
+    this.pairs.forEach(({ near, far }) => {
+      if (far === undefined || near.destroyed || far.destroyed) {
+        near.destroy();
+        far?.destroy();
+      } else {
+        near.resume();
+        far.resume();
+      }
+    });
+  }
+
+  public stop(): void {
+    this.resetAll();
+    this.server.close();
+  }
+
+  public async dial(address: string, timeoutMs: number): Promise<net.Socket> {
+    if (this.kind === 'reset' || this.kind === 'refused') {
+      throw createConnectError('ECONNREFUSED', address);
+    }
+    if (this.kind === 'hang') {
+      await new Promise((resolve) => {
+        setTimeout(resolve, timeoutMs);
+      });
+      throw createConnectError('ETIMEDOUT', address);
+    }
+    const [host, port] = address.split(':');
+    const far = this.kind === 'silent' ? undefined : await connect(Number(port), host!);
+    this.opened += 1;
+    return this.join(far);
+  }
+
+  private async join(far: net.Socket | undefined): Promise<net.Socket> {
+    const { port } = this.server.address() as net.AddressInfo;
+    const own = await connect(port, '127.0.0.1');
+    const near = await this.takeAccepted(own.localPort!);
+    const pair = { near, far };
+    this.pairs.add(pair);
+    this.forward(pair, near, far);
+    if (far !== undefined) {
+      this.forward(pair, far, near);
+      near.resume();
+    }
+    return own;
+  }
+
+  private async takeAccepted(remotePort: number): Promise<net.Socket> {
+    if (!this.accepted.has(remotePort)) {
+      await new Promise((resolve) => {
+        this.server.once(`accepted-${remotePort}`, resolve);
+      });
+    }
+    const socket = this.accepted.get(remotePort)!;
+    this.accepted.delete(remotePort);
+    return socket;
+  }
+
+  private forward(pair: Pair, from: net.Socket, to: net.Socket | undefined): void {
+    const isSilent = () => this.kind === 'hang' || this.kind === 'silent';
+    from.on('error', () => {});
+    from.on('data', (bytes: Buffer) => to?.write(bytes));
+    from.on('close', (hadError: boolean) => {
+      if (isSilent()) {
+        return;
+      }
+      this.pairs.delete(pair);
+      if (hadError) {
+        to?.resetAndDestroy();
+      } else {
+        to?.destroySoon();
+      }
+    });
+  }
+
+  private resetAll(): void {
+    this.pairs.forEach(({ near, far }) => {
+      near.resetAndDestroy();
+      far?.resetAndDestroy();
+    });
+    this.pairs.clear();
+  }
+}
+
+function connect(port: number, host: string): Promise<net.Socket> {
+  return new Promise((resolve, reject) => {
+    const socket = net.connect(port, host);
+    socket.setNoDelay(true);
+    socket.once('connect', () => resolve(socket));
+    socket.once('error', reject);
+  });
+}
+
+function createConnectError(code: string, address: string): Error {
+  return Object.assign(new Error(`connect ${code} ${address}`), { code, syscall: 'connect' });
+}
--- a/packages/gateway/tests/support/small-site.ts
+++ b/packages/gateway/tests/support/small-site.ts
@@ -10,6 +10,7 @@
 import * as schemas from '@bramleyridge/schemas';
 import * as telemetry from '@bramleyridge/telemetry';
 
+import * as cutDialers from './cut-dialer.js';
 import * as testWires from './test-wire.js';
 
 /** Time after which `until` fails, in milliseconds. */
@@ -38,6 +39,8 @@
   /** Metrics of every core host that was started. */
   public readonly coreMetrics: telemetry.TextMetrics[] = [];
   public readonly lines: Record<string, unknown>[] = [];
+  /** Dialers of the entry hosts by host id, in the order of their start. */
+  public readonly dialers = new Map<string, cutDialers.CutDialer>();
   public entry!: gateway.EntryHost;
   public entryPort = 0;
   /** How hosts that start from now on share scarce capacity; absent by default. */
@@ -63,7 +66,7 @@
       this.addCore(`127.0.1.${i}`, true);
     }
     await Promise.all([...this.cores.keys()].map((ip) => this.startCore(ip)));
-    this.entry = this.createEntry('entry', this.metrics);
+    this.entry = await this.createEntry('entry', this.metrics);
     this.entryPort = await this.entry.start();
     this.t.teardown(() => {
       this.entry.kill();
@@ -75,7 +78,7 @@
   /** Starts another entry host. */
   public async addEntry(): Promise<void> {
     const hostId = `entry-${this.others.length + 2}`;
-    const host = this.createEntry(hostId, new telemetry.TextMetrics());
+    const host = await this.createEntry(hostId, new telemetry.TextMetrics());
     this.others.push({ host, port: await host.start() });
     this.t.teardown(() => host.kill());
   }
@@ -87,7 +90,7 @@
     const cores = [...this.cores.keys()];
     cores.forEach((ip) => this.stopCore(ip));
     await Promise.all(cores.map((ip) => this.startCore(ip)));
-    this.entry = this.createEntry('entry', new telemetry.TextMetrics());
+    this.entry = await this.createEntry('entry', new telemetry.TextMetrics());
     this.entryPort = await this.entry.start();
     await this.addEntry();
   }
@@ -268,10 +271,18 @@
     this.open.forEach((req) => req.destroy());
   }
 
-  private createEntry(hostId: string, metrics: telemetry.TextMetrics): gateway.EntryHost {
+  private async createEntry(
+    hostId: string,
+    metrics: telemetry.TextMetrics,
+  ): Promise<gateway.EntryHost> {
+    const dialer = new cutDialers.CutDialer();
+    await dialer.start();
+    this.dialers.set(hostId, dialer);
+    this.t.teardown(() => dialer.stop());
+    const ip = `127.0.3.${[...this.dialers.keys()].indexOf(hostId) + 1}`;
     return new gateway.EntryHost({
       settings: this.createWatch({
-        ...this.createSettings('127.0.0.1', false),
+        ...this.createSettings(ip, false),
         hostId,
         callerAddress: '127.0.0.1:0',
         readyAddress: '127.0.0.1:0',
@@ -285,6 +296,7 @@
       log: this.createLog(hostId),
       metrics,
       random: Math.random,
+      dialer,
     });
   }
 
