--- a/packages/daemon/src/completion-dispatcher.ts
+++ b/packages/daemon/src/completion-dispatcher.ts
@@ -1,6 +1,7 @@
 import type * as http from 'node:http';
 import type * as stream from 'node:stream';
 
+import type * as paths from '@bramleyridge/paths';
 import * as requests from '@bramleyridge/requests';
 import * as schemas from '@bramleyridge/schemas';
 
@@ -9,6 +10,7 @@
 import type * as generationRelays from './generation-relay.js';
 import type * as handlerContexts from './handler-context.js';
 import type * as poolClients from './pool-client.js';
+import * as teamPlaces from './team-place.js';
 
 /** Retry-After of a refusal after upstream failures, in seconds. */
 const RETRY_AFTER_S = 2;
@@ -85,6 +87,7 @@
       generation,
       team: job.team.name,
       model: job.body.model,
+      place: teamPlaces.createTeamPlace(job.team),
       upstream: grant.upstream,
       from: 0,
       body,
@@ -136,14 +139,15 @@
   public async resolveLostStart(
     upstream: schemas.Upstream,
     generation: string,
+    place: paths.PlaceRule,
   ): Promise<stream.Readable> {
     const { engines } = this.context;
     try {
-      return await engines.resume(upstream, generation, 0);
+      return await engines.resume(upstream, generation, 0, place);
     } catch (err) {
       const failure = requests.createUpstreamError(err, 'find-out', upstream.upstreamId);
       if (failure.kind === 'gone') {
-        const { state } = await engines.cancel(upstream, generation);
+        const { state } = await engines.cancel(upstream, generation, place);
         const kind = state === 'unknown' ? 'refused' : 'lost';
         throw new requests.UpstreamError(kind, 'find-out', upstream.upstreamId);
       }
@@ -214,15 +218,16 @@
   ): Promise<stream.Readable> {
     const { engines } = this.context;
     const { upstream } = grant;
+    const place = teamPlaces.createTeamPlace(job.team);
     const body = completionBodies.createEngineBody(job.body, grant.version, job.estimate);
     try {
-      return await engines.start(upstream, job.path, generation, body);
+      return await engines.start(upstream, job.path, generation, body, place);
     } catch (err) {
       const failure = requests.createUpstreamError(err, 'start', upstream.upstreamId);
       if (failure.kind !== 'lost') {
         throw failure;
       }
-      return this.resolveLostStart(upstream, generation);
+      return this.resolveLostStart(upstream, generation, place);
     }
   }
 
--- a/packages/daemon/src/completion-handler.ts
+++ b/packages/daemon/src/completion-handler.ts
@@ -9,6 +9,7 @@
 import * as completionJobs from './completion-job.js';
 import type * as generationRelays from './generation-relay.js';
 import type * as handlerContexts from './handler-context.js';
+import * as teamPlaces from './team-place.js';
 
 /** Retry-After of a response whose generation was lost, in seconds. */
 const RETRY_AFTER_S = 2;
@@ -157,8 +158,9 @@
       throw completionDispatchers.createRefusal('claimLost', 'unknown');
     }
     const isConnected = await this.adopt(value);
+    const place = teamPlaces.createTeamPlace(team);
     const body = await this.dispatcher
-      .resolveLostStart(upstream, value.call)
+      .resolveLostStart(upstream, value.call, place)
       .catch((err: unknown) => {
         if (err instanceof requests.UpstreamError && err.kind === 'refused') {
           return undefined;
@@ -173,6 +175,7 @@
       generation: value.call,
       team: team.name,
       model: job.body.model,
+      place,
       upstream,
       from: 0,
       body,
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -2,6 +2,7 @@
 import type * as net from 'node:net';
 
 import * as members from '@bramleyridge/members';
+import * as paths from '@bramleyridge/paths';
 import * as peers from '@bramleyridge/peers';
 import * as requests from '@bramleyridge/requests';
 import * as schemas from '@bramleyridge/schemas';
@@ -27,17 +28,26 @@
 /** Time for which the balancer may still send requests after readiness fails, in milliseconds. */
 const BALANCER_LAG_MS = 1_000;
 
+/** Requests that upstreams answer without effects, to probe the paths to them. */
+const ENGINE_PROBE = { method: 'GET', path: '/load' } as const;
+const SERVICE_PROBE = { method: 'HEAD', path: '/' } as const;
+
 /** Maximum size of the request headers, in bytes. */
 const MAX_HEADER_BYTES = 16_384;
 
 /** Time within which a client must send its headers, in milliseconds. */
 const HEADERS_TIMEOUT_MS = 10_000;
 
+/** Maximum number of connections to upstreams that a daemon relays for others. */
+const MAX_TUNNELS = 256;
+
 /** Dependencies of a daemon besides its settings. */
 export interface DaemonOptions {
   readonly log: schemas.Log;
   readonly clock?: schemas.Clock;
   readonly random?: () => number;
+  /** Opens the connections to upstreams; TCP connections by default. */
+  readonly dialer?: paths.UpstreamDialer | undefined;
 }
 
 /** One daemon. Its settings and the state of its zone determine which roles are active. */
@@ -58,6 +68,8 @@
   private readonly peerServer: peers.PeerServer;
   private readonly platform: platformPollers.PlatformPoller;
   private readonly server: http.Server;
+  private readonly links: paths.UpstreamLinks;
+  private readonly tunnels: paths.TunnelService;
   private isCut = false;
   private stopping: Promise<void> | undefined;
 
@@ -89,8 +101,16 @@
     metrics.registerGauge('upstreamsLimited', () => gate.countLimits());
     metrics.registerGauge('upstreamsResting', () => gate.countRests());
     metrics.registerGauge('upstreamsLeaving', () => gate.countLeaving());
+    this.links = this.createLinks(clock, random, metrics);
+    this.tunnels = new paths.TunnelService({
+      links: this.links,
+      isListed: (address) => this.findUpstream(address) !== undefined,
+      maxTunnels: MAX_TUNNELS,
+      record: (result) => metrics.count('tunnelsRelayed', { result }),
+    });
     const engines = new requests.EngineClient({
       gate,
+      links: this.links,
       connectMs: cfg.limits.upstreamConnectMs,
       answerMs: cfg.limits.upstreamSilenceMs,
     });
@@ -127,6 +147,7 @@
       keyring: this.keyring,
       log,
       isCut: () => this.isCut,
+      openTunnel: (req) => this.tunnels.open(req),
     });
     this.server = this.createHttpServer();
   }
@@ -253,6 +274,7 @@
       access: new teamAccess.TeamAccess(cfg, store, () => view.entries),
       services: new requests.ServiceClient({
         gate,
+        links: this.links,
         connectMs: cfg.limits.upstreamConnectMs,
         answerMs: cfg.limits.queueMs,
         answerBytes: cfg.limits.bodyBytes,
@@ -266,6 +288,50 @@
     };
   }
 
+  private createLinks(
+    clock: schemas.Clock,
+    random: () => number,
+    metrics: daemonMetrics.Metrics,
+  ): paths.UpstreamLinks {
+    const { cfg, keyring, options, view } = this;
+    const isOther = ({ daemonId }: { daemonId: string }) => daemonId !== cfg.daemonId;
+    const listOthers = (
+      listed: readonly Pick<
+        schemas.DaemonEntry,
+        'daemonId' | 'availabilityZone' | 'host' | 'peerPort'
+      >[],
+    ) =>
+      listed.filter(isOther).map(({ availabilityZone, host, peerPort }) => ({
+        availabilityZone,
+        address: `${host}:${peerPort}`,
+      }));
+    return new paths.UpstreamLinks({
+      availabilityZone: cfg.availabilityZone,
+      relays: {
+        listHosts: () => listOthers(view.getDirectory().members),
+        listReserves: () => listOthers(cfg.peers),
+      },
+      dialer: options.dialer,
+      openThrough: paths.createOpenThrough(keyring),
+      connectMs: cfg.limits.upstreamConnectMs,
+      findProbe: (address) => {
+        const upstream = this.findUpstream(address);
+        const isEngine = upstream?.kind === 'engine';
+        const probe = isEngine ? ENGINE_PROBE : SERVICE_PROBE;
+        return upstream && probe;
+      },
+      clock,
+      log: options.log,
+      random,
+      recordTunnel: (result) => metrics.count('tunnels', { result }),
+    });
+  }
+
+  private findUpstream(address: string): schemas.Upstream | undefined {
+    const { upstreams } = this.view.getDirectory();
+    return upstreams.find(({ url }) => new URL(url).host === address);
+  }
+
   private createSyncServer(): members.SyncServer {
     const { clock, control, leader, store, view } = this;
     return new members.SyncServer({
--- a/packages/daemon/src/generation-relay.ts
+++ b/packages/daemon/src/generation-relay.ts
@@ -1,6 +1,7 @@
 import type * as http from 'node:http';
 import type * as stream from 'node:stream';
 
+import type * as paths from '@bramleyridge/paths';
 import * as requests from '@bramleyridge/requests';
 import * as schemas from '@bramleyridge/schemas';
 
@@ -13,6 +14,8 @@
   readonly generation: string;
   readonly team: string;
   readonly model: string;
+  /** Where its bytes may be processed on their way. */
+  readonly place: paths.PlaceRule;
   readonly upstream: schemas.Upstream;
   readonly from: number;
   readonly body: stream.Readable | undefined;
@@ -68,6 +71,7 @@
         upstream: task.upstream,
         generation: task.generation,
         from: task.from,
+        place: task.place,
         silenceMs: cfg.limits.upstreamSilenceMs,
         clock,
         log,
@@ -125,7 +129,7 @@
     }
     this.recordOutcome(task, end);
     try {
-      await engines.cancel(upstream, generation);
+      await engines.cancel(upstream, generation, task.place);
     } catch (err) {
       log.warn({ step: 'cancel', peer: upstream.upstreamId, err: schemas.toError(err).message });
     }
--- a/packages/daemon/src/resume-handler.ts
+++ b/packages/daemon/src/resume-handler.ts
@@ -5,6 +5,7 @@
 
 import type * as generationRelays from './generation-relay.js';
 import type * as handlerContexts from './handler-context.js';
+import * as teamPlaces from './team-place.js';
 
 /** Resumes a generation for a caller that lost its connection; the caller may use any daemon. */
 export class ResumeHandler {
@@ -34,7 +35,8 @@
     }
     const from = getNextOffset(req, generation);
     const mayCancel = !(await this.adopt(id.daemonId, generation));
-    const body = await engines.resume(upstream, generation, from).catch((err: unknown) => {
+    const place = teamPlaces.createTeamPlace(team);
+    const body = await engines.resume(upstream, generation, from, place).catch((err: unknown) => {
       const failure = requests.createUpstreamError(err, 'resume', upstream.upstreamId);
       throw failure.kind === 'gone' ? createGenerationUnavailable(410) : failure;
     });
@@ -44,6 +46,7 @@
       generation,
       team: name,
       model: '',
+      place,
       upstream,
       from,
       body,
--- a/packages/daemon/src/service-call-handler.ts
+++ b/packages/daemon/src/service-call-handler.ts
@@ -4,6 +4,7 @@
 import * as schemas from '@bramleyridge/schemas';
 
 import type * as handlerContexts from './handler-context.js';
+import * as teamPlaces from './team-place.js';
 
 /** Methods that HTTP defines as idempotent. */
 const IDEMPOTENT_METHODS = new Set(['GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE']);
@@ -239,7 +240,7 @@
   return {
     team,
     service: service.name,
-    call: { method, path, headers, body, isRepeatable },
+    call: { method, path, headers, body, isRepeatable, place: teamPlaces.createTeamPlace(team) },
     key: req.headers['idempotency-key']?.toString(),
     requestHash: schemas.getSha256(`${method} ${path}\n${body.toString('base64')}`).slice(0, 32),
     excluded: new Set(),
--- a/packages/gateway/src/core-host.ts
+++ b/packages/gateway/src/core-host.ts
@@ -1,6 +1,7 @@
 import * as path from 'node:path';
 
 import * as consensus from '@bramleyridge/consensus';
+import * as paths from '@bramleyridge/paths';
 import * as peers from '@bramleyridge/peers';
 import * as requests from '@bramleyridge/requests';
 import type * as routing from '@bramleyridge/routing';
@@ -36,6 +37,12 @@
 /** Deadline of a request between core hosts, in milliseconds; includes a slow disk's sync of 150 ms. */
 const PEER_DEADLINE_MS = 500;
 
+/** Connect timeout to an upstream, in milliseconds. */
+const CONNECT_TIMEOUT_MS = 150;
+
+/** Maximum number of connections that this host relays for entry hosts that find no other relay. */
+const MAX_TUNNELS = 256;
+
 /** Options of `CoreHost`. */
 export interface CoreHostOptions {
   readonly settings: settingsWatchers.SettingsWatcher;
@@ -73,6 +80,8 @@
   private readonly upstreamList: upstreamListServices.UpstreamListService;
   private readonly updates: entryUpdateServices.EntryUpdateService;
   private readonly server: peers.PeerServer;
+  private readonly links: paths.UpstreamLinks;
+  private readonly tunnels: paths.TunnelService;
 
   public constructor(private readonly options: CoreHostOptions) {
     const { clock, codec, log, random, source } = options;
@@ -198,11 +207,19 @@
       rateLimits,
       clock,
     });
+    this.links = paths.createOwnLinks({ connectMs: CONNECT_TIMEOUT_MS });
+    this.tunnels = new paths.TunnelService({
+      links: this.links,
+      isListed: (address) => this.isListed(address),
+      maxTunnels: MAX_TUNNELS,
+      record: (result) => options.metrics.count('tunnelsRelayed', { result }),
+    });
     this.server = new peers.PeerServer(procedures.createCoreRouter(this.createHandlers()), {
       host: settings.ipAddress,
       port: settings.peerPort,
       keyring: undefined,
       log,
+      openTunnel: (req) => this.tunnels.open(req),
     });
   }
 
@@ -217,6 +234,7 @@
     );
     metrics.registerGauge('lossesBorne', () => this.findLeadership()?.countTolerableLosses() ?? -1);
     metrics.registerGauge('zonesEvacuated', () => this.group.evacuations.get().zones.length);
+    metrics.registerGauge('tunnelsHeld', () => this.tunnels.countOpen());
     metrics.registerGauge('entryHosts', () => this.entryRegistry.count());
     metrics.registerGauge('configurationVersion', () => this.group.state.get()?.version ?? -1);
   }
@@ -256,6 +274,13 @@
     this.group.stop();
     this.server.close();
     this.mesh.close();
+    void this.links.close();
+  }
+
+  /** Returns whether an address is that of an upstream; on a host that has no list, it may be. */
+  private isListed(address: string): boolean {
+    const list = this.upstreamList.getList();
+    return list === undefined || list.upstreams.some((item) => item.address === address);
   }
 
   private createHandlers(): procedures.CoreHandlers {
--- a/packages/gateway/src/core-procedures.ts
+++ b/packages/gateway/src/core-procedures.ts
@@ -1,5 +1,6 @@
 import * as consensus from '@bramleyridge/consensus';
 import * as intents from '@bramleyridge/intents';
+import * as paths from '@bramleyridge/paths';
 import * as peers from '@bramleyridge/peers';
 import * as requests from '@bramleyridge/requests';
 import * as routing from '@bramleyridge/routing';
@@ -46,8 +47,15 @@
   rateLimits: rateLimitCursor.optional(),
   /** Revision of the evacuated zones that the host has; not sent by hosts of the previous version. */
   evacuationRevision: z.int().optional(),
+  /** Where the host relays connections to upstreams; not sent by hosts that don't. */
+  relay: paths.relayCandidate.optional(),
+  /** Stamp of the list of relays that the host has. */
+  relayStamp: z.string().optional(),
 });
 
+/** Hosts that may relay connections to upstreams for the host that asked. */
+export const relayList = z.object({ stamp: z.string(), relays: z.array(paths.relayCandidate) });
+
 /** The list of upstreams that the leader has read. */
 export const upstreamList = z.object({
   stamp: z.string(),
@@ -166,6 +174,7 @@
   suspects: suspectUpdates.optional(),
   rateLimits: rateLimitUpdates.optional(),
   evacuations: intents.evacuatedZones.optional(),
+  relays: relayList.optional(),
   /**
    * The quarantine from the log, for a host that has had no contact with a leader yet and polls a core host that doesn't
    * lead.
@@ -268,6 +277,8 @@
 
 /** Request to place or register a generation. */
 export type PlaceReq = z.infer<typeof placeReq>;
+/** Hosts that may relay connections to upstreams for one host. */
+export type RelayList = z.infer<typeof relayList>;
 /** Position in the leader's changes to suspects. */
 export type SuspectCursor = z.infer<typeof suspectCursor>;
 /** Position in a core host's changes to rate limits. */
--- a/packages/gateway/src/entry-host.ts
+++ b/packages/gateway/src/entry-host.ts
@@ -18,6 +18,7 @@
 import * as httpListeners from './http-listener.js';
 import * as hostSettings from './host-settings.js';
 import type * as upstreamListReaders from './upstream-list-reader.js';
+import * as relayServers from './relay-server.js';
 import * as placementClients from './placement-client.js';
 import type * as ports from './ports.js';
 import * as suspectRelayClients from './suspect-relay-client.js';
@@ -42,6 +43,12 @@
 /** Maximum number of connections kept to one upstream; further calls wait a few milliseconds for one. */
 const MAX_CONNECTIONS = 16;
 
+/**
+ * Maximum number of connections that this host relays for others. Each costs some processor time for each event of its
+ * stream, beside this host's own calls.
+ */
+const MAX_TUNNELS = 48;
+
 /** Assumed number of entry hosts until the leader has reported it. */
 const ASSUMED_ENTRY_HOSTS = 16;
 
@@ -85,6 +92,9 @@
   private readonly rateGrants: rateGrantClients.RateGrantClient;
   private readonly held: requests.HeldBytes;
   private readonly gate: requests.UpstreamGate;
+  private readonly links: paths.UpstreamLinks;
+  private readonly tunnels: paths.TunnelService;
+  private readonly relayServer: relayServers.RelayServer;
   private readonly client: requests.UpstreamClient;
   private readonly shares: retryShares.RetryShares;
   private readonly suspects: suspectClients.SuspectClient;
@@ -97,6 +107,8 @@
   private acceptsUntil = Infinity;
   /** Number of entry hosts, as reported by a leader. */
   private entryHosts: number | undefined;
+  /** The hosts that relay connections for this one. */
+  private relays: procedures.RelayList = { stamp: '', relays: [] };
   /** Interval at which the leader reads the list, in milliseconds; 0 until a leader has reported it. */
   private listPeriodMs = 0;
   private stopping: Promise<void> | undefined;
@@ -143,13 +155,19 @@
         this.rateGrants.reportLeaving([upstream.processId]);
       },
     });
-    const dialer = this.createDialer();
+    this.links = this.createLinks();
+    options.engines.connectOver?.(this.links);
+    this.tunnels = new paths.TunnelService({
+      links: this.links,
+      isListed: (address) => this.directory.findByAddress(address) !== undefined,
+      maxTunnels: MAX_TUNNELS,
+      record: (result) => options.metrics.count('tunnelsRelayed', { result }),
+    });
+    this.relayServer = new relayServers.RelayServer({ ...settings, tunnels: this.tunnels, log });
     this.client = new requests.UpstreamClient({
-      dialer,
+      links: this.links,
       gate: this.gate,
       readNotice: (head) => wire.readNotice(head),
-      connectMs: CONNECT_TIMEOUT_MS,
-      connections: MAX_CONNECTIONS,
     });
     this.shares = new retryShares.RetryShares(
       clock,
@@ -168,7 +186,9 @@
     const guard = new crashGuards.CrashGuard({
       suspects: this.suspects,
       directory: this.directory,
-      exitDetector: new requests.ProcessExitDetector(clock, requests.createListeningCheck(dialer)),
+      exitDetector: new requests.ProcessExitDetector(clock, (url) =>
+        this.links.isListening(new URL(url).host),
+      ),
       clock,
       log,
       metrics: options.metrics,
@@ -223,6 +243,7 @@
   /** Starts listening; calls are served as soon as a configuration is in force. Returns the callers' port. */
   public async start(): Promise<number> {
     const settings = this.options.settings.get();
+    await this.relayServer.start();
     void this.poller.run();
     void this.listReader.run();
     await this.readinessListener.listen(settings.readyAddress ?? `${settings.ipAddress}:0`);
@@ -269,6 +290,7 @@
     this.suspects.stop();
     this.listReader.stop();
     this.mesh.close();
+    this.relayServer.close();
     void this.client.close();
   }
 
@@ -280,6 +302,10 @@
     metrics.registerGauge('listAgeMs', () => this.directory.getAgeMs());
     metrics.registerGauge('zonesEvacuated', () => this.evacuations.get().zones.length);
     metrics.registerGauge('upstreamsLive', () => this.directory.countLive());
+    metrics.registerGauge('pathsBlocked', () => this.links.state.listBlocked().length);
+    metrics.registerGauge('isCutOff', () => Number(this.links.state.isCutOff()));
+    metrics.registerGauge('tunnelsOpen', () => this.links.countTunnels());
+    metrics.registerGauge('tunnelsHeld', () => this.tunnels.countOpen());
     metrics.registerGauge('upstreamsLimited', () => this.gate.countLimits());
     metrics.registerGauge('upstreamsResting', () => this.gate.countRests());
     metrics.registerGauge('upstreamsLeaving', () => this.gate.countLeaving());
@@ -319,12 +345,35 @@
     requests.sendJson(res, isPath ? status : 404, { version: this.store.getVersion() });
   }
 
-  private createDialer(): paths.UpstreamDialer {
-    const { clock, dialer, metrics } = this.options;
-    return new paths.MeteredDialer(dialer ?? new paths.TcpDialer(), clock, (result, tookMs) => {
+  private createLinks(): paths.UpstreamLinks {
+    const { clock, log, metrics, random, settings } = this.options;
+    const ownDialer = this.options.dialer ?? new paths.TcpDialer();
+    const dialer = new paths.MeteredDialer(ownDialer, clock, (result, tookMs) => {
       metrics.count('upstreamConnects', { result });
       metrics.time('upstreamConnectMs', tookMs, { result });
     });
+    return new paths.UpstreamLinks({
+      availabilityZone: settings.get().availabilityZone,
+      relays: {
+        listHosts: () => this.relays.relays,
+        listReserves: () => this.poller.listCores().map((address) => ({ address })),
+      },
+      dialer,
+      connectMs: CONNECT_TIMEOUT_MS,
+      connections: MAX_CONNECTIONS,
+      findProbe: (address) => this.findProbe(address),
+      clock,
+      log,
+      random,
+      recordTunnel: (result) => metrics.count('tunnels', { result }),
+    });
+  }
+
+  /** Returns the health check of an upstream, which it answers on any path that works. */
+  private findProbe(address: string): paths.ProbeRequest | undefined {
+    const known = this.directory.findByAddress(address);
+    const service = known && this.store.findTable()?.findService(known.listed.service);
+    return service && { method: 'GET', path: service.healthPath };
   }
 
   private createSlotClient(): slotClients.SlotClient {
@@ -385,6 +434,8 @@
         suspects: this.suspects.getCursor(),
         rateLimits: this.rateGrants.getCursor(),
         evacuationRevision: this.evacuations.get().revision,
+        relay: this.relayServer.findCandidate(),
+        relayStamp: this.relays.stamp,
       }),
       onUpdates: (updates, isTrusted) => this.applyUpdates(updates, isTrusted),
     });
@@ -419,6 +470,7 @@
     if (updates.rateLimits !== undefined) {
       this.rateGrants.applyUpdates(updates.rateLimits, this.gate);
     }
+    this.relays = updates.relays ?? this.relays;
     this.listPeriodMs = updates.listPeriodMs ?? this.listPeriodMs;
     this.entryHosts = updates.entryHosts ?? this.entryHosts;
     const limits = this.store.findTable()?.config.limits;
--- a/packages/gateway/src/entry-update-service.ts
+++ b/packages/gateway/src/entry-update-service.ts
@@ -59,7 +59,7 @@
   /** Answers an entry host's poll: at once if there are updates, otherwise when its wait is over. */
   public async answer(req: procedures.UpdatesReq): Promise<procedures.UpdatesRes> {
     const { clock, entryRegistry, group, rateLimits, upstreamList, suspects } = this.options;
-    entryRegistry.recordPoll(req.hostId);
+    entryRegistry.recordPoll(req.hostId, req.relay);
     const end = clock.now() + req.waitMs;
     const wasLeading = group.isLeading();
     // An entry host that waited on a former leader would neither look for the new one nor receive updates on suspects.
@@ -111,6 +111,7 @@
       suspects: this.findSuspectUpdates(req),
       rateLimits: this.findRateLimitUpdates(req),
       evacuations: this.findNewEvacuations(req),
+      relays: this.findNewRelays(req),
       quarantined:
         isLeading || req.suspects?.term !== suspectClients.NO_TERM
           ? undefined
@@ -145,6 +146,15 @@
     return facts.revision > known ? facts : undefined;
   }
 
+  /** Returns the relays of a host if they differ from those that it has; `undefined` until all hosts have polled. */
+  private findNewRelays(req: procedures.UpdatesReq): procedures.RelayList | undefined {
+    if (req.relayStamp === undefined || !this.hasCompleteCount()) {
+      return undefined;
+    }
+    const list = this.options.entryRegistry.listRelays(req.hostId);
+    return list.stamp === req.relayStamp ? undefined : list;
+  }
+
   private findNewList(req: procedures.UpdatesReq): procedures.UpstreamList | undefined {
     const list = this.options.upstreamList.getList();
     const isNew = this.options.group.isLeading() && list?.stamp !== req.listStamp;
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -1,5 +1,6 @@
 import type * as http from 'node:http';
 
+import type * as paths from '@bramleyridge/paths';
 import type * as requests from '@bramleyridge/requests';
 import type * as scheduling from '@bramleyridge/scheduling';
 import type * as schemas from '@bramleyridge/schemas';
@@ -70,6 +71,8 @@
 
 /** Controls generations on engines, which are named by their addresses. */
 export interface EngineControl {
+  /** Sends orders over the host's links from now on; before, over connections of its own. */
+  connectOver?(links: paths.UpstreamLinks): void;
   /** Orders an engine to copy a generation's KV cache to another engine. */
   copyKvCache(order: KvCacheCopyOrder, signal: AbortSignal): Promise<KvCacheCopyResult>;
   /** Orders an engine to release a copy made on request, at both engines. */
--- a/packages/gateway/src/routed-attempts.ts
+++ b/packages/gateway/src/routed-attempts.ts
@@ -1,3 +1,4 @@
+import * as paths from '@bramleyridge/paths';
 import * as requests from '@bramleyridge/requests';
 import * as schemas from '@bramleyridge/schemas';
 import type * as telemetry from '@bramleyridge/telemetry';
@@ -31,6 +32,13 @@
  */
 const RESUME_WAIT_MS = 1_500;
 
+/**
+ * Time for which no upstream may be heard while a call waits, before its path is checked, in milliseconds; calls to
+ * plain services have twice their latency target if that is more. Prompts may wait for seconds at engines.
+ */
+const CALL_PATIENCE_MS = 300;
+const STREAM_PATIENCE_MS = 1_500;
+
 /** Lowest status that is not a success. */
 const FIRST_NON_SUCCESS_STATUS = 300;
 
@@ -95,8 +103,10 @@
   ): void {
     const { clock, directory, gate, log, metrics } = this.options;
     metrics.count('attempts', { service: job.call.service.name, result: failure.kind });
-    // One that has asked for rest is full, and gets no calls until its rest ends.
-    if (gate.isOpen(known)) {
+    // One that has asked for rest is full, and gets no calls until its rest ends. The loss of this host's path shows
+    // nothing about the upstream.
+    const isPathFailure = failure.cause() instanceof paths.PathBlockedError;
+    if (gate.isOpen(known) && !isPathFailure) {
       known.load.recordFailure(clock.now());
     }
     if (failure.kind === 'unreachable') {
@@ -185,7 +195,17 @@
     const { method, path } = call;
     return client.open(
       attempt.picked.known,
-      { method, path, headers, body, isRepeatable, permit, signal: abort.signal },
+      {
+        method,
+        path,
+        headers,
+        body,
+        isRepeatable,
+        permit,
+        place: directory.createPlaceRule(call.regions),
+        patienceMs: getPatienceMs(call),
+        signal: abort.signal,
+      },
       wire.createHeadClassifier(call.facts),
     );
   }
@@ -451,6 +471,10 @@
   };
 }
 
+function getPatienceMs({ route }: callAdmissions.AdmittedCall): number {
+  return route.isStream ? STREAM_PATIENCE_MS : Math.max(CALL_PATIENCE_MS, 2 * route.targetMs);
+}
+
 function createGuardedRun({ answerStartedAt, picked }: Attempt): crashGuards.GuardedRun {
   return { known: picked.known, answerStartedAt };
 }
--- a/packages/gateway/src/upstream-directory.ts
+++ b/packages/gateway/src/upstream-directory.ts
@@ -1,3 +1,4 @@
+import type * as paths from '@bramleyridge/paths';
 import type * as requests from '@bramleyridge/requests';
 import * as routing from '@bramleyridge/routing';
 import * as schemas from '@bramleyridge/schemas';
@@ -146,6 +147,24 @@
     return this.entries.get(upstreamId);
   }
 
+  /** Returns the listed upstream at an address, whether or not it accepts calls. */
+  public findByAddress(address: string): KnownUpstream | undefined {
+    return [...this.entries.values()].find(({ listed }) => listed.address === address);
+  }
+
+  /** Returns where the bytes of a call restricted to some regions may be processed; `undefined` for any place. */
+  public createPlaceRule(regions?: ReadonlySet<string>): paths.PlaceRule | undefined {
+    return (
+      regions && {
+        key: [...regions].sort().join(','),
+        allows: (zone) => {
+          const region = zone && this.findRegion(zone);
+          return region !== undefined && regions.has(region);
+        },
+      }
+    );
+  }
+
   /**
    * Returns whether new work may be sent to an upstream: its zone is not evacuated, and its region is one of `regions` if
    * the call is restricted to some. The rule holds however the upstream was selected: by the leader, by this host or for
--- /dev/null
+++ b/packages/paths/src/open-tunnels.ts
@@ -0,0 +1,100 @@
+import type * as stream from 'node:stream';
+
+import * as peers from '@bramleyridge/peers';
+import type * as schemas from '@bramleyridge/schemas';
+
+import * as firstSuccess from './first-success.js';
+import type * as relayCandidates from './relay-candidate.js';
+import type * as relayPools from './relay-pool.js';
+
+/** Time after which the next relay is tried beside one that has not answered, in milliseconds. */
+const STAGGER_MS = 40;
+
+/** Time limit for a relay's connect to the upstream, in milliseconds. */
+const RELAY_CONNECT_MS = 150;
+
+/** Time limit for a relay's answer, in milliseconds. */
+const ANSWER_TIMEOUT_MS = 250;
+
+/** Results that show that the relay itself can't help, whatever the state of the upstream. */
+const RELAY_FAILURES: ReadonlySet<string> = new Set(['lost', 'busy', 'cut']);
+
+/** Opens a tunnel through one relay. */
+export type OpenThrough = (
+  relay: relayCandidates.RelayCandidate,
+  req: peers.TunnelRequest,
+  timeoutMs: number,
+) => Promise<stream.Duplex>;
+
+/** Creates the function that opens tunnels over the network. */
+export function createOpenThrough(keyring?: peers.Keyring): OpenThrough {
+  return ({ address }, req, timeoutMs) => {
+    const at = address.lastIndexOf(':');
+    const host = address.slice(0, at);
+    const port = Number(address.slice(at + 1));
+    return peers.openTunnel({ host, port, keyring, timeoutMs }, req);
+  };
+}
+
+/** Why no relay has opened a tunnel. */
+export class NoRelayError extends Error {
+  public override readonly name = 'NoRelayError';
+
+  public constructor(
+    /** Whether a relay that reaches upstreams had its connection refused there. */
+    public readonly isRefused: boolean,
+    cause?: unknown,
+  ) {
+    super('no other host has opened a connection to the upstream', { cause });
+  }
+}
+
+/** Opens connections to upstreams through other hosts. */
+export class TunnelOpener {
+  public constructor(
+    private readonly pool: relayPools.RelayPool,
+    private readonly openThrough: OpenThrough,
+    private readonly clock: schemas.Clock,
+    private readonly record: (result: string) => void,
+  ) {}
+
+  /** Opens a connection through the first of several relays that reaches the upstream. */
+  public async open(address: string, place: relayCandidates.PlaceRule): Promise<stream.Duplex> {
+    const results: string[] = [];
+    const attempts = this.pool
+      .rank(place)
+      .map((relay) => () => this.openAt(relay, address, (result) => results.push(result)));
+    try {
+      return await firstSuccess.getFirstSuccess(attempts, STAGGER_MS, this.clock, (socket) =>
+        socket.destroy(),
+      );
+    } catch (err) {
+      throw new NoRelayError(results.includes('refused'), err);
+    }
+  }
+
+  private async openAt(
+    relay: relayCandidates.RelayCandidate,
+    address: string,
+    note: (result: string) => void,
+  ): Promise<stream.Duplex> {
+    try {
+      const req = { address, connectMs: RELAY_CONNECT_MS };
+      const socket = await this.openThrough(relay, req, ANSWER_TIMEOUT_MS);
+      const close = this.pool.recordOpened(relay.address);
+      // An error without a listener would end the process.
+      socket.on('error', () => {});
+      socket.once('close', close);
+      this.record('connected');
+      return socket;
+    } catch (err) {
+      const result = err instanceof peers.TunnelError ? err.result : 'lost';
+      if (RELAY_FAILURES.has(result)) {
+        this.pool.recordFailure(relay.address);
+      }
+      this.record(result);
+      note(result);
+      throw err;
+    }
+  }
+}
--- /dev/null
+++ b/packages/paths/src/relay-pool.ts
@@ -0,0 +1,101 @@
+import type * as schemas from '@bramleyridge/schemas';
+
+import type * as relayCandidates from './relay-candidate.js';
+
+/** Bounds of the time for which a relay that failed is passed over, in milliseconds; it doubles with each failure. */
+const MIN_REST_MS = 1_000;
+const MAX_REST_MS = 4_000;
+
+/** Maximum number of relays of each kind that are tried for one connection. */
+const MAX_HOSTS = 3;
+const MAX_RESERVES = 2;
+
+interface RelayState {
+  /** Number of tunnels that this host has open through it. */
+  open: number;
+  failures: number;
+  restsUntil: number;
+}
+
+/** Dependencies of the relay pool. */
+export interface RelayPoolOptions {
+  readonly source: relayCandidates.RelaySource;
+  readonly availabilityZone: string;
+  readonly clock: schemas.Clock;
+  readonly random: () => number;
+}
+
+/** Ranks the hosts that may relay connections for this host. */
+export class RelayPool {
+  private readonly states = new Map<string, RelayState>();
+
+  public constructor(private readonly options: RelayPoolOptions) {}
+
+  /**
+   * Lists the relays to try for one connection, in this order: hosts before reserves, those with fewer tunnels of this
+   * host first, so that many cut hosts spread over many relays. Relays that failed lately come last of their kind.
+   */
+  public rank(place: relayCandidates.PlaceRule): relayCandidates.RelayCandidate[] {
+    const { source } = this.options;
+    return [
+      ...this.rankKind(source.listHosts(), place).slice(0, MAX_HOSTS),
+      ...this.rankKind(source.listReserves(), place).slice(0, MAX_RESERVES),
+    ];
+  }
+
+  /** Records that a relay has opened a tunnel; the returned function records its end. */
+  public recordOpened(address: string): () => void {
+    const state = this.getState(address);
+    state.open += 1;
+    state.failures = 0;
+    state.restsUntil = -Infinity;
+    return () => {
+      state.open -= 1;
+    };
+  }
+
+  /** Records that a relay could not help. */
+  public recordFailure(address: string): void {
+    const state = this.getState(address);
+    const restMs = Math.min(MAX_REST_MS, MIN_REST_MS * 2 ** state.failures);
+    state.failures += 1;
+    state.restsUntil = this.options.clock.now() + restMs;
+  }
+
+  /** Counts the open tunnels. */
+  public countOpen(): number {
+    return [...this.states.values()].reduce((sum, { open }) => sum + open, 0);
+  }
+
+  private rankKind(
+    candidates: readonly relayCandidates.RelayCandidate[],
+    place: relayCandidates.PlaceRule,
+  ): relayCandidates.RelayCandidate[] {
+    const { availabilityZone, clock, random } = this.options;
+    const now = clock.now();
+    return candidates
+      .filter((item) => place.allows(item.availabilityZone))
+      .map((candidate) => {
+        const { open = 0, restsUntil = -Infinity } = this.states.get(candidate.address) ?? {};
+        const restMs = Math.max(0, restsUntil - now);
+        const isOtherZone = Number(candidate.availabilityZone !== availabilityZone);
+        return { candidate, rank: [restMs, open, isOtherZone, random()] };
+      })
+      .sort((left, right) => compare(left.rank, right.rank))
+      .map(({ candidate }) => candidate);
+  }
+
+  private getState(address: string): RelayState {
+    let state = this.states.get(address);
+    if (state === undefined) {
+      state = { open: 0, failures: 0, restsUntil: -Infinity };
+      this.states.set(address, state);
+    }
+    return state;
+  }
+}
+
+function compare(left: readonly number[], right: readonly number[]): number {
+  const at = left.findIndex((value, index) => value !== right[index]);
+  return at === -1 ? 0 : left[at]! - right[at]!;
+}
--- a/packages/paths/src/upstream-dialer.ts
+++ b/packages/paths/src/upstream-dialer.ts
@@ -1,6 +1,8 @@
+import * as net from 'node:net';
 import type * as stream from 'node:stream';
 
-import * as undici from 'undici';
+/** Time without traffic after which the system probes a connection, in milliseconds. */
+const KEEP_ALIVE_DELAY_MS = 60_000;
 
 /** Opens the connections of a host to upstreams. */
 export interface UpstreamDialer {
@@ -10,17 +12,31 @@
 
 /** Opens TCP connections. */
 export class TcpDialer implements UpstreamDialer {
-  public dial(address: string, timeoutMs: number): Promise<stream.Duplex> {
-    const connect = undici.buildConnector({ timeout: timeoutMs });
-    const { hostname, port, protocol } = new URL(`http://${address}`);
+  public dial(address: string, timeoutMs: number): Promise<net.Socket> {
+    const { hostname, port } = new URL(`http://${address}`);
     return new Promise((resolve, reject) => {
-      connect({ hostname, port, protocol }, (err, socket) => {
-        if (err === null) {
-          resolve(socket);
-        } else {
-          reject(err);
-        }
+      const socket = net.connect({
+        host: hostname,
+        port: Number(port === '' ? 80 : port),
+        noDelay: true,
+        keepAlive: true,
+        keepAliveInitialDelay: KEEP_ALIVE_DELAY_MS,
+      });
+      const timer = setTimeout(() => socket.destroy(createTimeoutError(address)), timeoutMs);
+      socket.once('connect', () => {
+        clearTimeout(timer);
+        resolve(socket);
+      });
+      // The listener stays: an error without one would end the process.
+      socket.on('error', (err) => {
+        clearTimeout(timer);
+        reject(err);
       });
     });
   }
 }
+
+function createTimeoutError(address: string): Error {
+  const message = `connect ETIMEDOUT ${address}`;
+  return Object.assign(new Error(message), { code: 'ETIMEDOUT', syscall: 'connect' });
+}
--- /dev/null
+++ b/packages/paths/tests/silence-watch.test.ts
@@ -0,0 +1,57 @@
+import * as stream from 'node:stream';
+
+import * as schemas from '@bramleyridge/schemas';
+import * as tap from 'tap';
+
+import * as paths from '../src/index.js';
+
+class CountingSocket extends stream.PassThrough {
+  public bytesRead = 0;
+}
+
+function createWatch(): {
+  watch: paths.SilenceWatch;
+  clock: schemas.VirtualClock;
+  silent: string[];
+} {
+  const clock = new schemas.VirtualClock();
+  const silent: string[] = [];
+  const watch = new paths.SilenceWatch(
+    clock,
+    (address) => silent.push(address),
+    () => {},
+  );
+  return { clock, silent, watch };
+}
+
+void tap.default.test('silence while a call waits is noticed, once a second', async (t) => {
+  const { clock, silent, watch } = createWatch();
+  const end = watch.begin('u1', 300);
+  await clock.advance(299);
+  watch.check();
+  t.same(silent, []);
+  await clock.advance(1);
+  watch.check();
+  await clock.advance(100);
+  watch.check();
+  t.same(silent, ['u1']);
+  end();
+  await clock.advance(2_000);
+  watch.check();
+  t.same(silent, ['u1'], 'no call waits');
+});
+
+// Guards against checks of paths each time that one upstream is slow.
+void tap.default.test('a slow upstream is not silence while others are heard', async (t) => {
+  const { clock, silent, watch } = createWatch();
+  const other = new CountingSocket();
+  watch.watch(other);
+  watch.begin('u1', 300);
+  for (let i = 0; i < 20; i += 1) {
+    await clock.advance(100);
+    other.bytesRead += 10;
+    watch.check();
+  }
+  t.same(silent, []);
+  watch.stop();
+});
--- a/packages/peers/src/frame.ts
+++ b/packages/peers/src/frame.ts
@@ -14,6 +14,8 @@
   | readonly [kind: 'cancel', id: number]
   | readonly [kind: 'result', id: number, output: unknown]
   | readonly [kind: 'failure', id: number, message: string, code: string]
+  | readonly [kind: 'tunnel', address: string, connectMs: number]
+  | readonly [kind: 'tunnelled', result: string]
   | readonly [kind: 'ping']
   | readonly [kind: 'pong'];
 
@@ -43,6 +45,13 @@
   private readonly packr = createPackr();
   private pending: Buffer = Buffer.alloc(0);
 
+  /** Returns the bytes that follow the last frame; no more frames are read after it. */
+  public takeRest(): Buffer {
+    const rest = this.pending;
+    this.pending = Buffer.alloc(0);
+    return rest;
+  }
+
   /** Appends bytes and yields every frame that is now complete. */
   public *push(bytes: Buffer): Generator<Frame> {
     this.pending = this.pending.length === 0 ? bytes : Buffer.concat([this.pending, bytes]);
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -7,3 +7,7 @@
 export * from './peer-link.js';
 export * from './peer-mesh.js';
 export * from './peer-server.js';
+export * from './relay-tunnel.js';
+export * from './tunnel-client.js';
+export * from './tunnel-messages.js';
+export * from './tunnel-socket.js';
--- a/packages/peers/src/peer-server.ts
+++ b/packages/peers/src/peer-server.ts
@@ -1,4 +1,5 @@
 import * as net from 'node:net';
+import type * as stream from 'node:stream';
 import * as tls from 'node:tls';
 
 import * as schemas from '@bramleyridge/schemas';
@@ -7,7 +8,14 @@
 import * as frames from './frame.js';
 import type * as keyrings from './keyring.js';
 import * as linkCounts from './link-counts.js';
+import * as relayTunnels from './relay-tunnel.js';
 import * as tlsOptions from './tls-options.js';
+import type * as tunnelMessages from './tunnel-messages.js';
+
+/** Opens a connection to an upstream for a peer, or says why not. */
+export type OpenTunnel = (
+  req: tunnelMessages.TunnelRequest,
+) => Promise<stream.Duplex | Exclude<tunnelMessages.TunnelResult, 'connected'>>;
 
 /** Options of {@link PeerServer}. */
 export interface PeerServerOptions {
@@ -18,6 +26,8 @@
   readonly log: schemas.Log;
   /** Whether incoming frames and their answers are dropped; failure tests simulate a network partition with it. */
   readonly isCut?: () => boolean;
+  /** Opens tunnels for peers; without it, none are opened. */
+  readonly openTunnel?: OpenTunnel | undefined;
 }
 
 interface Connection {
@@ -107,6 +117,32 @@
       connection.calls.get(frame[1])?.abort();
     } else if (frame[0] === 'call') {
       void this.handleCall(connection, frame);
+    } else if (frame[0] === 'tunnel') {
+      void this.handleTunnel(connection, { address: frame[1], connectMs: frame[2] });
+    }
+  }
+
+  /** Opens a tunnel; the connection carries nothing else from then on. */
+  private async handleTunnel(
+    connection: Connection,
+    req: tunnelMessages.TunnelRequest,
+  ): Promise<void> {
+    const { socket } = connection;
+    socket.removeAllListeners('data');
+    socket.pause();
+    const far = (await this.options.openTunnel?.(req).catch(() => 'busy' as const)) ?? 'busy';
+    const result = typeof far === 'string' ? far : 'connected';
+    if (socket.destroyed) {
+      if (typeof far !== 'string') {
+        far.destroy();
+      }
+      return;
+    }
+    this.send(connection, ['tunnelled', result]);
+    if (typeof far === 'string') {
+      socket.end();
+    } else {
+      relayTunnels.relayTunnel(socket, far);
     }
   }
 
--- /dev/null
+++ b/packages/peers/src/tunnel-client.ts
@@ -0,0 +1,94 @@
+import * as net from 'node:net';
+import * as tls from 'node:tls';
+import type * as stream from 'node:stream';
+
+import * as schemas from '@bramleyridge/schemas';
+
+import * as frames from './frame.js';
+import type * as keyrings from './keyring.js';
+import * as tlsOptions from './tls-options.js';
+import * as tunnelMessages from './tunnel-messages.js';
+import * as tunnelSockets from './tunnel-socket.js';
+
+/** Options of `openTunnel`. */
+export interface TunnelOptions {
+  readonly host: string;
+  readonly port: number;
+  /** Keys of the TLS connection; `undefined` on a trusted network, where the connection is plain TCP. */
+  readonly keyring: keyrings.Keyring | undefined;
+  /** Time limit for the peer's answer, in milliseconds. */
+  readonly timeoutMs: number;
+}
+
+/** Opens a connection to an upstream through a peer; rejects with a `TunnelError`. */
+export function openTunnel(
+  options: TunnelOptions,
+  req: tunnelMessages.TunnelRequest,
+): Promise<stream.Duplex> {
+  const peer = `${options.host}:${options.port}`;
+  return new Promise((resolve, reject) => {
+    const socket = connect(options);
+    const reader = new frames.FrameReader();
+    const settle = () => {
+      clearTimeout(timer);
+      socket.removeAllListeners('data');
+      socket.off('error', onLost);
+      socket.off('close', onLost);
+    };
+    const fail = (result: tunnelMessages.TunnelError['result'], cause?: unknown) => {
+      settle();
+      socket.on('error', () => {});
+      socket.destroy();
+      reject(new tunnelMessages.TunnelError(peer, result, cause));
+    };
+    const onLost = (cause?: unknown) => fail('lost', cause);
+    const timer = setTimeout(onLost, options.timeoutMs);
+    socket.setNoDelay(true);
+    socket.once('error', onLost);
+    socket.once('close', onLost);
+    socket.once(options.keyring === undefined ? 'connect' : 'secureConnect', () => {
+      socket.write(new frames.FrameWriter().encode(['tunnel', req.address, req.connectMs]));
+    });
+    socket.on('data', (bytes: Buffer) => {
+      try {
+        const result = findResult(reader, bytes);
+        if (result === 'connected') {
+          settle();
+          resolve(new tunnelSockets.TunnelSocket(socket, reader.takeRest()));
+        } else if (result !== undefined) {
+          fail(result);
+        }
+      } catch (err) {
+        fail('lost', schemas.toError(err));
+      }
+    });
+  });
+}
+
+function connect({ host, port, keyring }: TunnelOptions): net.Socket {
+  if (keyring === undefined) {
+    return net.connect({ host, port });
+  }
+  return tls.connect({
+    ...tlsOptions.pskOptions,
+    host,
+    port,
+    pskCallback: () => keyring.getActive(),
+    checkServerIdentity: () => undefined,
+  });
+}
+
+function findResult(
+  reader: frames.FrameReader,
+  bytes: Buffer,
+): tunnelMessages.TunnelResult | undefined {
+  const { value: frame } = reader.push(bytes).next();
+  if (frame === undefined) {
+    return undefined;
+  }
+  const result = frame[0] === 'tunnelled' ? frame[1] : 'lost';
+  if (!tunnelMessages.TUNNEL_RESULTS.includes(result as tunnelMessages.TunnelResult)) {
+    throw new Error(`unexpected answer: ${String(result)}`);
+  }
+  return result as tunnelMessages.TunnelResult;
+}
--- /dev/null
+++ b/packages/peers/src/tunnel-socket.ts
@@ -0,0 +1,103 @@
+import type * as net from 'node:net';
+import * as stream from 'node:stream';
+
+import * as tunnelMessages from './tunnel-messages.js';
+
+/**
+ * The near end of a tunnel. What the upstream sends arrives in chunks, the last of which marks a normal end: the peer
+ * may end at any time, and its connection then closes as if the upstream had finished.
+ */
+export class TunnelSocket extends stream.Duplex {
+  private pending: Buffer;
+  private hasEnded = false;
+
+  /** Takes over a connection to the peer; `rest` holds the bytes that arrived after the peer's answer. */
+  public constructor(
+    private readonly socket: net.Socket,
+    rest: Buffer,
+  ) {
+    super({ allowHalfOpen: false });
+    this.pending = rest;
+    socket.on('data', (bytes: Buffer) => this.receive(bytes));
+    socket.on('error', (err) => this.destroy(err));
+    socket.on('close', () => this.handleClose());
+    this.decode();
+  }
+
+  /** Lets the process end while the connection is open. */
+  public unref(): this {
+    this.socket.unref();
+    return this;
+  }
+
+  /** Keeps the process from ending while the connection is open. */
+  public ref(): this {
+    this.socket.ref();
+    return this;
+  }
+
+  public override _read(): void {
+    this.socket.resume();
+  }
+
+  public override _write(
+    chunk: Buffer,
+    encoding: BufferEncoding,
+    callback: (err?: Error | null) => void,
+  ): void {
+    this.socket.write(chunk, encoding, callback);
+  }
+
+  public override _final(callback: (err?: Error | null) => void): void {
+    this.socket.end();
+    callback();
+  }
+
+  public override _destroy(err: Error | null, callback: (err?: Error | null) => void): void {
+    this.socket.destroy();
+    callback(err);
+  }
+
+  private receive(bytes: Buffer): void {
+    this.pending = this.pending.length === 0 ? bytes : Buffer.concat([this.pending, bytes]);
+    this.decode();
+  }
+
+  private decode(): void {
+    const headBytes = tunnelMessages.CHUNK_HEAD_BYTES;
+    while (this.pending.length >= headBytes && !this.hasEnded) {
+      const length = this.pending.readUInt32BE(0);
+      if (length > tunnelMessages.MAX_CHUNK_BYTES) {
+        this.destroy(createBrokenError());
+        return;
+      }
+      if (this.pending.length < headBytes + length) {
+        return;
+      }
+      const chunk = this.pending.subarray(headBytes, headBytes + length);
+      this.pending = this.pending.subarray(headBytes + length);
+      this.deliver(chunk);
+    }
+  }
+
+  private deliver(chunk: Buffer): void {
+    if (chunk.length === 0) {
+      this.hasEnded = true;
+      this.push(null);
+    } else if (!this.push(chunk)) {
+      this.socket.pause();
+    }
+  }
+
+  private handleClose(): void {
+    if (!this.hasEnded) {
+      this.destroy(createBrokenError());
+    }
+  }
+}
+
+/** Creates the error of a tunnel without a normal end; the same as that of a connection that was reset. */
+function createBrokenError(): Error {
+  const message = 'the tunnel was closed before the end of the answer';
+  return Object.assign(new Error(message), { code: 'ECONNRESET', syscall: 'read' });
+}
--- a/packages/requests/src/engine-client.ts
+++ b/packages/requests/src/engine-client.ts
@@ -15,12 +15,6 @@
 /** The response header by which an upstream limits the calls per second that it takes from all hosts together. */
 export const RATE_LIMIT_HEADER = 'x-rate-limit';
 
-/**
- * How long an idle connection is kept, in milliseconds; shorter than any known middlebox time-out, which drops
- * connections silently.
- */
-const KEEP_ALIVE_MS = 4_000;
-
 /** The response header by which an upstream states that it leaves. */
 export const LEAVING_HEADER = 'x-leaving';
 
@@ -46,28 +40,26 @@
 /** Options of `EngineClient`; times in milliseconds. */
 export interface EngineClientOptions {
   readonly gate: upstreamGates.UpstreamGate;
+  /** The daemon's connections to upstreams; by default, connections of its own. */
+  readonly links?: paths.UpstreamLinks | undefined;
   readonly connectMs: number;
   readonly answerMs: number;
-  /** Opens the connections; TCP connections by default. */
-  readonly dialer?: paths.UpstreamDialer | undefined;
 }
 
+/** A request to an engine. */
+type EngineRequest = Omit<undici.Dispatcher.RequestOptions, 'origin'> & {
+  /** Whether it needs a new connection. */
+  readonly isFresh?: boolean;
+  /** Places in which its bytes may be processed on their way; any by default. */
+  readonly place?: paths.PlaceRule | undefined;
+};
+
 /** A client of the engines' published protocol. */
 export class EngineClient {
-  private readonly agent: undici.Agent;
-  private readonly connect: undici.buildConnector.connector;
+  private readonly links: paths.UpstreamLinks;
 
   public constructor(private readonly options: EngineClientOptions) {
-    const dialer = options.dialer ?? new paths.TcpDialer();
-    this.connect = paths.createConnector((address) => dialer.dial(address, options.connectMs));
-    this.agent = new undici.Agent({
-      connect: this.connect,
-      keepAliveTimeout: KEEP_ALIVE_MS,
-      keepAliveMaxTimeout: KEEP_ALIVE_MS,
-      // The relay has its own, shorter limit on the time between chunks.
-      bodyTimeout: 0,
-      headersTimeout: 0,
-    });
+    this.links = options.links ?? paths.createOwnLinks(options);
   }
 
   /** Starts a generation and returns its event stream once the engine has accepted it. */
@@ -76,6 +68,7 @@
     path: string,
     generation: string,
     body: string,
+    place?: paths.PlaceRule,
   ): Promise<stream.Readable> {
     const { gate } = this.options;
     gate.use(await gate.admit(upstream), upstream);
@@ -83,6 +76,7 @@
       path,
       method: 'POST',
       body,
+      place,
       headers: { 'content-type': 'application/json', 'x-request-id': generation },
     });
     gate.recordAnswer(upstream, readNotice(res.statusCode, res.headers));
@@ -103,6 +97,7 @@
     upstream: schemas.Upstream,
     generation: string,
     offset: number,
+    place?: paths.PlaceRule,
   ): Promise<stream.Readable> {
     const res = await this.request('resume', upstream, {
       path: `/v1/generations/${generation}/events`,
@@ -111,6 +106,7 @@
       // The previous connection may have been dropped silently, and so may others of the pool.
       reset: true,
       isFresh: true,
+      place,
     });
     if (res.statusCode === 200) {
       return res.body;
@@ -121,12 +117,17 @@
   }
 
   /** Cancels a generation; an engine that never started it guarantees not to start it later. */
-  public async cancel(upstream: schemas.Upstream, generation: string): Promise<CancelAnswer> {
+  public async cancel(
+    upstream: schemas.Upstream,
+    generation: string,
+    place?: paths.PlaceRule,
+  ): Promise<CancelAnswer> {
     const res = await this.request('cancel', upstream, {
       path: `/v1/generations/${generation}`,
       method: 'DELETE',
       signal: AbortSignal.timeout(this.options.answerMs),
       isFresh: true,
+      place,
     });
     return (await res.body.json()) as CancelAnswer;
   }
@@ -160,28 +161,35 @@
 
   /** Closes all connections. */
   public async close(): Promise<void> {
-    await this.agent.destroy();
+    await this.links.close();
   }
 
   private async request(
     step: string,
     upstream: schemas.Upstream,
-    {
-      isFresh,
-      ...reqOptions
-    }: Omit<undici.Dispatcher.RequestOptions, 'origin'> & { isFresh?: boolean },
+    { isFresh, place, ...reqOptions }: EngineRequest,
   ): Promise<undici.Dispatcher.ResponseData> {
-    const client = isFresh ? this.createSingleUseClient(upstream) : this.agent;
+    const { host, origin } = new URL(upstream.url);
+    const { answerMs } = this.options;
+    const client = isFresh
+      ? this.links.createClient(origin, place)
+      : this.links.getAgent(host, place);
+    const tracked = this.links.track(host, answerMs / 2);
+    const { signal } = reqOptions;
+    const signals = signal instanceof AbortSignal ? [signal, tracked.signal] : [tracked.signal];
     try {
-      const { origin } = new URL(upstream.url);
       // Limits the time until the response headers only; an abort signal with a time-out would also end the stream.
-      const limits = { headersTimeout: this.options.answerMs };
-      return await client.request({
+      const limits = { headersTimeout: answerMs };
+      const res = await client.request({
         ...limits,
         ...reqOptions,
         origin,
+        signal: reqOptions.method === 'POST' ? reqOptions.signal : AbortSignal.any(signals),
       } as undici.Dispatcher.RequestOptions);
+      res.body.once('close', tracked.end);
+      return res;
     } catch (err) {
+      tracked.end();
       throw upstreamErrors.createUpstreamError(err, step, upstream.upstreamId);
     } finally {
       if (client instanceof undici.Client) {
@@ -190,12 +198,4 @@
       }
     }
   }
-
-  private createSingleUseClient(upstream: schemas.Upstream): undici.Client {
-    return new undici.Client(new URL(upstream.url).origin, {
-      connect: this.connect,
-      bodyTimeout: 0,
-      headersTimeout: 0,
-    });
-  }
 }
--- a/packages/requests/src/index.ts
+++ b/packages/requests/src/index.ts
@@ -23,7 +23,6 @@
 export * from './http-io.js';
 export * from './relay-generation.js';
 export * from './request-lifecycle.js';
-export * from './reset-monitor.js';
 export * from './retry-budget.js';
 export * from './retry-grant-limiter.js';
 export * from './service-client.js';
--- a/packages/requests/src/process-exit-detector.ts
+++ b/packages/requests/src/process-exit-detector.ts
@@ -3,8 +3,8 @@
 
 import type * as upstreamClients from './upstream-client.js';
 
-/** The time limit for a connection to be accepted or refused, in milliseconds. */
-const CONNECT_TIMEOUT_MS = 200;
+/** The duration of a check from which on the upstream has not answered it, in milliseconds. */
+const CONNECT_TIMEOUT_MS = 140;
 
 /** How long a result is reused for other calls that broke off at the same upstream, in milliseconds. */
 const RESULT_TTL_MS = 500;
@@ -30,9 +30,8 @@
 
   public constructor(
     private readonly clock: schemas.Clock,
-    private readonly isListening: (url: string) => Promise<boolean> = createListeningCheck(
-      new paths.TcpDialer(),
-    ),
+    /** Returns whether a process listens at a URL, as far as any host can tell. */
+    private readonly isListening: (url: string) => Promise<boolean> = createOwnCheck(),
   ) {}
 
   /** Returns whether the process has exited; one check serves all calls that broke off there at the same time. */
@@ -69,21 +68,7 @@
   }
 }
 
-/**
- * Creates a check whether a process listens at an address. An address that does not respond may be behind a network
- * partition, and counts as listening.
- */
-export function createListeningCheck(
-  dialer: paths.UpstreamDialer,
-): (url: string) => Promise<boolean> {
-  return async (url) => {
-    try {
-      const socket = await dialer.dial(new URL(url).host, CONNECT_TIMEOUT_MS);
-      socket.on('error', () => {});
-      socket.destroy();
-      return true;
-    } catch (err) {
-      return (err as NodeJS.ErrnoException).code !== 'ECONNREFUSED';
-    }
-  };
+function createOwnCheck(): (url: string) => Promise<boolean> {
+  const links = paths.createOwnLinks({ connectMs: CONNECT_TIMEOUT_MS });
+  return (url) => links.isListening(new URL(url).host);
 }
--- a/packages/requests/src/relay-generation.ts
+++ b/packages/requests/src/relay-generation.ts
@@ -1,5 +1,6 @@
 import type * as stream from 'node:stream';
 
+import type * as paths from '@bramleyridge/paths';
 import type * as schemas from '@bramleyridge/schemas';
 
 import * as chunkReaders from './chunk-reader.js';
@@ -32,6 +33,8 @@
   readonly silenceMs: number;
   readonly clock: schemas.Clock;
   readonly log: schemas.Log;
+  /** Places in which its bytes may be processed on their way; any by default. */
+  readonly place?: paths.PlaceRule | undefined;
   /** Called with the next offset when new events have arrived, for capacity accounting. */
   readonly onProgress: (next: number) => void;
 }
@@ -85,8 +88,8 @@
   splitter: generationEventSplitters.GenerationEventSplitter,
 ): Promise<stream.Readable> {
   splitter.restart();
-  const { engines, generation, upstream } = options;
-  return engines.resume(upstream, generation, splitter.getNextOffset());
+  const { engines, generation, place, upstream } = options;
+  return engines.resume(upstream, generation, splitter.getNextOffset(), place);
 }
 
 async function* relayConnection(
--- a/packages/requests/src/service-client.ts
+++ b/packages/requests/src/service-client.ts
@@ -17,16 +17,18 @@
   readonly headers: Readonly<Record<string, string>>;
   readonly body: Buffer;
   readonly isRepeatable: boolean;
+  /** Places in which its bytes may be processed on their way; any by default. */
+  readonly place?: paths.PlaceRule | undefined;
 }
 
 /** Options of `ServiceClient`: times in milliseconds, sizes in bytes. */
 export interface ServiceClientOptions {
   readonly gate: upstreamGates.UpstreamGate;
+  /** The daemon's connections to upstreams; by default, connections of its own. */
+  readonly links?: paths.UpstreamLinks | undefined;
   readonly connectMs: number;
   readonly answerMs: number;
   readonly answerBytes: number;
-  /** Opens the connections; TCP connections by default. */
-  readonly dialer?: paths.UpstreamDialer | undefined;
 }
 
 /** Sends calls to plain services and reads their complete responses. */
--- a/packages/requests/src/upstream-client.ts
+++ b/packages/requests/src/upstream-client.ts
@@ -2,15 +2,17 @@
 import type * as stream from 'node:stream';
 
 import * as paths from '@bramleyridge/paths';
-import * as undici from 'undici';
+import type * as undici from 'undici';
 
-import * as resetMonitors from './reset-monitor.js';
 import * as upstreamErrors from './upstream-error.js';
 import type * as upstreamGates from './upstream-gate.js';
 import type * as upstreamNotices from './upstream-notice.js';
 
-/** How long an idle connection to an upstream is kept, in milliseconds; an upstream may announce a shorter time. */
-const KEEP_ALIVE_MS = 4_000;
+/** Time for which an upstream may be silent before the path to it is checked, in milliseconds. */
+const DEFAULT_PATIENCE_MS = 1_000;
+
+/** Default time limit for a connect, in milliseconds. */
+const DEFAULT_CONNECT_MS = 150;
 
 /** The upstream to which a call is sent. */
 export interface UpstreamTarget extends upstreamGates.GatedUpstream {
@@ -26,6 +28,10 @@
   readonly body: Buffer;
   readonly isRepeatable: boolean;
   readonly permit: upstreamGates.SendPermit;
+  /** Places in which its bytes may be processed on their way; any by default. */
+  readonly place?: paths.PlaceRule | undefined;
+  /** Time for which its upstream may be silent before the path to it is checked, in milliseconds. */
+  readonly patienceMs?: number | undefined;
   /** Aborts the attempt, when the caller has disconnected or the deadline has passed. */
   readonly signal: AbortSignal;
 }
@@ -61,34 +67,20 @@
   readonly gate: upstreamGates.UpstreamGate;
   /** Decodes what an upstream states about itself in an answer. */
   readonly readNotice: (head: AnswerHead) => upstreamNotices.UpstreamNotice;
-  readonly connectMs: number;
-  /** Opens the connections; TCP connections by default. */
-  readonly dialer?: paths.UpstreamDialer | undefined;
+  /** The host's connections to upstreams; by default, connections of its own that are made as given below. */
+  readonly links?: paths.UpstreamLinks | undefined;
+  readonly connectMs?: number | undefined;
   /** Maximum number of pooled connections to one upstream; unlimited by default. */
-  readonly connections?: number;
+  readonly connections?: number | undefined;
 }
 
 /** Sends calls to upstreams: one attempt on one connection, whose response head is checked. */
 export class UpstreamClient {
-  private readonly agent: undici.Agent;
-  private readonly resets = new resetMonitors.ResetMonitor();
-  private readonly connect: undici.buildConnector.connector;
+  private readonly links: paths.UpstreamLinks;
 
   public constructor(private readonly options: UpstreamClientOptions) {
-    const dialer = options.dialer ?? new paths.TcpDialer();
-    this.connect = this.resets.createConnector((address) =>
-      dialer.dial(address, options.connectMs),
-    );
-    this.agent = new undici.Agent({
-      connect: this.connect,
-      connections: options.connections ?? null,
-      pipelining: 1,
-      keepAliveTimeout: KEEP_ALIVE_MS,
-      keepAliveMaxTimeout: KEEP_ALIVE_MS,
-      // The sender of a call sets its time limit by the abort signal.
-      bodyTimeout: 0,
-      headersTimeout: 0,
-    });
+    const { connectMs = DEFAULT_CONNECT_MS, connections, links } = options;
+    this.links = links ?? paths.createOwnLinks({ connectMs, connections });
   }
 
   /**
@@ -102,9 +94,15 @@
     classify: ClassifyHead,
   ): Promise<UpstreamAnswer> {
     this.options.gate.use(call.permit, target);
-    const singleUseClient = call.isRepeatable ? undefined : this.createSingleUseClient(target);
+    const { links } = this;
+    const { host, origin } = new URL(target.url);
+    const singleUseClient = call.isRepeatable ? undefined : links.createClient(origin, call.place);
     try {
-      const answer = await this.request(singleUseClient ?? this.agent, target, call);
+      const answer = await this.request(
+        singleUseClient ?? links.getAgent(host, call.place),
+        target,
+        call,
+      );
       this.checkHead(target, answer, classify);
       if (singleUseClient !== undefined) {
         answer.body.once('close', () => {
@@ -120,15 +118,7 @@
 
   /** Closes all connections. */
   public async close(): Promise<void> {
-    await this.agent.destroy();
-  }
-
-  private createSingleUseClient(target: UpstreamTarget): undici.Client {
-    return new undici.Client(target.url, {
-      connect: this.connect,
-      bodyTimeout: 0,
-      headersTimeout: 0,
-    });
+    await this.links.close();
   }
 
   private async request(
@@ -136,20 +126,29 @@
     target: UpstreamTarget,
     call: OutgoingCall,
   ): Promise<UpstreamAnswer> {
-    const resetsBefore = this.resets.count(target.url);
-    const res = await dispatcher.request({
-      origin: target.url,
-      path: call.path,
-      method: call.method,
-      headers: call.headers,
-      body: call.body.length > 0 ? call.body : undefined,
-      reset: !call.isRepeatable,
-      signal: call.signal,
-    });
-    // An error between two reads would otherwise be uncaught and end the process; the next read reports it.
-    res.body.on('error', () => {});
-    const wasReset = () => this.resets.count(target.url) !== resetsBefore;
-    return { status: res.statusCode, headers: res.headers, body: res.body, wasReset };
+    const { links } = this;
+    const resetsBefore = links.resets.count(target.url);
+    const tracked = links.track(new URL(target.url).host, call.patienceMs ?? DEFAULT_PATIENCE_MS);
+    try {
+      const res = await dispatcher.request({
+        origin: target.url,
+        path: call.path,
+        method: call.method,
+        headers: call.headers,
+        body: call.body.length > 0 ? call.body : undefined,
+        reset: !call.isRepeatable,
+        // Another call that may run once can't be sent; the answer to this one may still arrive.
+        signal: call.isRepeatable ? AbortSignal.any([call.signal, tracked.signal]) : call.signal,
+      });
+      // An error between two reads would otherwise be uncaught and end the process; the next read reports it.
+      res.body.on('error', () => {});
+      res.body.once('close', tracked.end);
+      const wasReset = () => links.resets.count(target.url) !== resetsBefore;
+      return { status: res.statusCode, headers: res.headers, body: res.body, wasReset };
+    } catch (err) {
+      tracked.end();
+      throw err;
+    }
   }
 
   private checkHead(target: UpstreamTarget, answer: UpstreamAnswer, classify: ClassifyHead): void {
--- a/packages/telemetry/src/metric-catalog.ts
+++ b/packages/telemetry/src/metric-catalog.ts
@@ -47,6 +47,18 @@
     help: 'How long attempts to connect to upstreams took',
     labels: ['result'],
   },
+  tunnels: {
+    kind: 'counter',
+    name: 'tunnels_total',
+    help: 'Connections to upstreams that this host asked other hosts for, by their answers',
+    labels: ['result'],
+  },
+  tunnelsRelayed: {
+    kind: 'counter',
+    name: 'tunnels_relayed_total',
+    help: 'Connections to upstreams that other hosts asked this host for, by its answers',
+    labels: ['result'],
+  },
   retries: {
     kind: 'counter',
     name: 'retries_total',
@@ -114,6 +126,30 @@
     help: 'Upstreams that are listed and take work',
     labels: [],
   },
+  pathsBlocked: {
+    kind: 'gauge',
+    name: 'paths_blocked',
+    help: 'Upstreams that other hosts reach and this host does not',
+    labels: [],
+  },
+  isCutOff: {
+    kind: 'gauge',
+    name: 'is_cut_off',
+    help: 'Whether this host takes itself to be cut off from upstreams',
+    labels: [],
+  },
+  tunnelsOpen: {
+    kind: 'gauge',
+    name: 'tunnels_open',
+    help: 'Connections to upstreams that this host has open through other hosts',
+    labels: [],
+  },
+  tunnelsHeld: {
+    kind: 'gauge',
+    name: 'tunnels_held',
+    help: 'Connections to upstreams that this host relays for other hosts now',
+    labels: [],
+  },
   upstreamsLimited: {
     kind: 'gauge',
     name: 'upstreams_limited',
