--- a/packages/gateway/src/entry-host.ts
+++ b/packages/gateway/src/entry-host.ts
@@ -260,6 +260,16 @@
     return this.store.findTable() !== undefined && this.directory.hasList() && !isStopping;
   }
 
+  /** Counts the other entry hosts that this host may connect through. */
+  public countRelays(): number {
+    return this.relays.relays.length;
+  }
+
+  /** Counts the connections to upstreams that this host relays for others now. */
+  public countRelayed(): number {
+    return this.tunnels.countOpen();
+  }
+
   /** Stops gracefully: readiness fails first, and running calls finish. */
   public stop(): Promise<void> {
     this.stopping ??= this.stopGracefully();
