Check paths only where several upstreams are silent

It now takes calls that wait at two upstreams or more for their answers to begin, longer than they may. The tests' dialer holds back bytes that its peer does not read.

--- a/packages/fakes/src/cut-dialer.ts
+++ b/packages/fakes/src/cut-dialer.ts
@@ -109,7 +109,16 @@
   private forward(pair: Pair, from: net.Socket, to: net.Socket | undefined): void {
     const isSilent = () => this.kind === 'hang' || this.kind === 'silent';
     from.on('error', () => {});
-    from.on('data', (bytes: Buffer) => to?.write(bytes));
+    from.on('data', (bytes: Buffer) => {
+      if (to !== undefined && !to.write(bytes)) {
+        from.pause();
+        to.once('drain', () => {
+          if (!isSilent()) {
+            from.resume();
+          }
+        });
+      }
+    });
     from.on('close', (hadError: boolean) => {
       if (isSilent()) {
         return;
--- a/packages/paths/src/silence-watch.ts
+++ b/packages/paths/src/silence-watch.ts
@@ -5,6 +5,9 @@
 /** Interval at which open calls are checked, in milliseconds. */
 const CHECK_INTERVAL_MS = 100;
 
+/** Number of upstreams at which calls must wait, so that the silence of a single one is not taken for a lost path. */
+const MIN_SILENT = 2;
+
 /** Shortest time between two checks of one upstream, in milliseconds. */
 const RECHECK_MS = 1_000;
 
@@ -31,7 +34,7 @@
 export type OnSilence = (address: string, since: number) => void;
 
 /**
- * Notices that nothing arrives from any upstream while a call waits. A connection that hangs fails only by the call's
+ * Notices that nothing arrives from any upstream while calls wait at several. A connection that hangs fails only by the call's
  * deadline; until then it can't be told from a slow answer, unless other upstreams are heard meanwhile.
  */
 export class SilenceWatch {
@@ -84,14 +87,19 @@
     }
     this.receipts.forEach((receipt) => this.note(receipt));
     const now = this.clock.now();
-    for (const call of this.calls) {
-      const since = Math.max(call.sentAt, this.heardAt);
-      const isDue = now - (this.checkedAt.get(call.address) ?? -Infinity) >= RECHECK_MS;
-      if (isDue && now - since >= call.patienceMs) {
-        this.checkedAt.set(call.address, now);
-        this.onSilence(call.address, since);
-      }
+    const overdue = [...this.calls].filter(
+      ({ patienceMs, sentAt }) => now - Math.max(sentAt, this.heardAt) >= patienceMs,
+    );
+    if (new Set(overdue.map(({ address }) => address)).size < MIN_SILENT) {
+      return;
     }
+    const since = Math.max(this.heardAt, Math.min(...overdue.map(({ sentAt }) => sentAt)));
+    overdue
+      .filter(({ address }) => now - (this.checkedAt.get(address) ?? -Infinity) >= RECHECK_MS)
+      .forEach(({ address }) => {
+        this.checkedAt.set(address, now);
+        this.onSilence(address, since);
+      });
   }
 
   private note(receipt: ReceiptCheck): void {
--- a/packages/paths/src/upstream-links.ts
+++ b/packages/paths/src/upstream-links.ts
@@ -27,6 +27,12 @@
 /** Shortest time between two checks of one path, in milliseconds. */
 const CHECK_INTERVAL_MS = 1_000;
 
+/**
+ * Time for which other hosts are asked whether they reach an upstream that refuses connections, in milliseconds. A call
+ * that ends upstreams must not run again before it is known.
+ */
+const OTHERS_TIMEOUT_MS = 25;
+
 /** Interval at which blocked paths are probed, in milliseconds. */
 const REOPEN_INTERVAL_MS = 500;
 
@@ -58,6 +64,8 @@
 export interface TrackedCall {
   /** Aborted when the connection of the call turns out to be blocked; never for a call over another host. */
   readonly signal: AbortSignal;
+  /** Records that its answer has begun; how it goes on may depend on its reader. */
+  readonly begin: () => void;
   readonly end: () => void;
 }
 
@@ -128,7 +136,7 @@
   public track(address: string, patienceMs: number): TrackedCall {
     const abort = new AbortController();
     if (this.state.choose(address) === 'relayed') {
-      return { signal: abort.signal, end: () => {} };
+      return { signal: abort.signal, begin: () => {}, end: () => {} };
     }
     const unwatch = this.watch.begin(address, patienceMs);
     const open = this.openCalls.get(address) ?? new Set();
@@ -136,6 +144,7 @@
     open.add(abort);
     return {
       signal: abort.signal,
+      begin: unwatch,
       end: () => {
         unwatch();
         open.delete(abort);
@@ -159,12 +168,21 @@
         return true;
       }
     }
+    const isReached = await Promise.race([
+      this.isReachedByOthers(address),
+      this.options.clock.sleep(OTHERS_TIMEOUT_MS).then(() => undefined),
+    ]);
+    return isReached ?? this.state.isCutOff();
+  }
+
+  /** Returns whether another host reaches an upstream; `undefined` if none could tell. */
+  private async isReachedByOthers(address: string): Promise<boolean | undefined> {
     try {
       discard(await this.tunnels.open(address, relayCandidates.ANY_PLACE));
       this.state.recordBlocked(address, 'connect');
       return true;
     } catch (err) {
-      return !(err instanceof openTunnels.NoRelayError && err.isRefused) && this.state.isCutOff();
+      return err instanceof openTunnels.NoRelayError && err.isRefused ? false : undefined;
     }
   }
 
@@ -180,13 +198,7 @@
       return;
     }
     this.checkedAt.set(address, now);
-    this.tunnels.open(address, relayCandidates.ANY_PLACE).then(
-      (socket) => {
-        discard(socket);
-        this.state.recordBlocked(address, 'connect');
-      },
-      () => {},
-    );
+    void this.isReachedByOthers(address);
   }
 
   /** Counts the open connections through other hosts. */
--- a/packages/requests/src/engine-client.ts
+++ b/packages/requests/src/engine-client.ts
@@ -186,6 +186,7 @@
         origin,
         signal: reqOptions.method === 'POST' ? reqOptions.signal : AbortSignal.any(signals),
       } as undici.Dispatcher.RequestOptions);
+      tracked.begin();
       res.body.once('close', tracked.end);
       return res;
     } catch (err) {
--- a/packages/requests/src/upstream-client.ts
+++ b/packages/requests/src/upstream-client.ts
@@ -142,6 +142,7 @@
       });
       // An error between two reads would otherwise be uncaught and end the process; the next read reports it.
       res.body.on('error', () => {});
+      tracked.begin();
       res.body.once('close', tracked.end);
       const wasReset = () => links.resets.count(target.url) !== resetsBefore;
       return { status: res.statusCode, headers: res.headers, body: res.body, wasReset };
