Keep brittle upstreams below the rejections that end them

Upstreams may state that they end when they turn away more than N calls in a second. Nobody read that, rejections were counted by nobody over all hosts, and each host alone tried upstream after upstream.

While a service's upstreams say so, its calls get slots as they do where capacity is shared: the leader gives each upstream at most as many calls as it has slots, so that it has none to turn away, and spares one for a second that did so nevertheless. Without a leader the hosts use slots that belong to one host each, by the place that the leader gave them; where there are fewer slots than hosts they change their owner every 4 s. In both flows a host that has a call turned away pauses, the longer the more hosts there are. The statement holds for all upstreams of the service, travels like rate limits (also without a leader), and is known of one that has just come back.

--- a/packages/gateway/src/core-host.ts
+++ b/packages/gateway/src/core-host.ts
@@ -362,6 +362,7 @@
       findUpstreams: () => this.upstreamList.getList()?.upstreams,
       isEvacuated: (zone) => this.group.evacuations.has(zone),
       getEvacuationRevision: () => this.group.evacuations.get().revision,
+      findRejectionBound: (service) => this.gate.findRejectionBound(service),
     });
     return new callSchedulingServices.CallSchedulingService({
       clock,
--- a/packages/gateway/src/core-procedures.ts
+++ b/packages/gateway/src/core-procedures.ts
@@ -53,8 +53,12 @@
   relayStamp: z.string().optional(),
 });
 
-/** Hosts that may relay connections to upstreams for the host that asked. */
-export const relayList = z.object({ stamp: z.string(), relays: z.array(paths.relayCandidate) });
+/** Hosts that may relay connections to upstreams for the host that asked, and its place among all hosts. */
+export const relayList = z.object({
+  stamp: z.string(),
+  relays: z.array(paths.relayCandidate),
+  place: z.object({ index: z.int(), hosts: z.int() }).optional(),
+});
 
 /** The list of upstreams that the leader has read. */
 export const upstreamList = z.object({
--- a/packages/gateway/src/entry-host-registry.ts
+++ b/packages/gateway/src/entry-host-registry.ts
@@ -68,7 +68,9 @@
       .slice(0, RELAYS_PER_HOST)
       .map((other) => this.hosts.get(other)?.relay)
       .filter((relay) => relay !== undefined);
-    return { stamp: schemas.getSha256(JSON.stringify(relays)).slice(0, 16), relays };
+    const place = at === -1 ? undefined : { index: at, hosts: ring.length };
+    const stamp = schemas.getSha256(JSON.stringify([relays, place])).slice(0, 16);
+    return { stamp, relays, place };
   }
 
   private createRing(): string[] {
--- a/packages/gateway/src/entry-host.ts
+++ b/packages/gateway/src/entry-host.ts
@@ -149,6 +149,7 @@
       clock,
       log,
       random,
+      countHosts: () => this.entryHosts,
       count: (decision) => options.metrics.count('limitedSends', { decision }),
       onLeaving: (upstream) => {
         this.directory.noteLeaving(upstream);
@@ -195,7 +196,7 @@
     });
     const slots = this.createSlotClient();
     this.picker = new upstreamPickers.UpstreamPicker({
-      findSlots: () => options.settings.get().capacitySharing && slots,
+      findSlots: (service) => (this.isScheduled(service) ? slots : undefined),
       directory: this.directory,
       placer: placement,
       gate: this.gate,
@@ -316,6 +317,7 @@
     metrics.registerGauge('isCutOff', () => Number(this.links.state.isCutOff()));
     metrics.registerGauge('tunnelsOpen', () => this.links.countTunnels());
     metrics.registerGauge('tunnelsHeld', () => this.tunnels.countOpen());
+    metrics.registerGauge('servicesBrittle', () => this.gate.countBrittle());
     metrics.registerGauge('upstreamsLimited', () => this.gate.countLimits());
     metrics.registerGauge('upstreamsResting', () => this.gate.countRests());
     metrics.registerGauge('upstreamsLeaving', () => this.gate.countLeaving());
@@ -386,6 +388,12 @@
     return service && { method: 'GET', path: service.healthPath };
   }
 
+  /** Returns whether calls of a service need slots: capacity is shared, or too many calls at once end its upstreams. */
+  private isScheduled(service: string): boolean {
+    const isShared = this.options.settings.get().capacitySharing !== undefined;
+    return isShared || this.gate.findRejectionBound(service) !== undefined;
+  }
+
   private createSlotClient(): slotClients.SlotClient {
     const { clock, log, metrics, random, settings } = this.options;
     const { availabilityZone, hostId } = settings.get();
@@ -401,7 +409,11 @@
       findLeader: () => this.poller.findLeader(),
       local: new callSchedulingServices.CallSchedulingService({
         clock,
-        findUpstreams: (service) => schedulableUpstreams.findOnHost(this.directory, service),
+        findUpstreams: (service) =>
+          schedulableUpstreams.findOnHost(this.directory, service, {
+            maxRejectionsPerS: this.gate.findRejectionBound(service),
+            place: this.relays.place,
+          }),
         getWeight: (team) => weights.get(team),
         random,
         getLimitShare: () => 1 / Math.max(1, this.entryHosts ?? ASSUMED_ENTRY_HOSTS),
--- a/packages/gateway/src/schedulable-upstreams.ts
+++ b/packages/gateway/src/schedulable-upstreams.ts
@@ -1,4 +1,4 @@
-import type * as scheduling from '@bramleyridge/scheduling';
+import * as scheduling from '@bramleyridge/scheduling';
 import * as schemas from '@bramleyridge/schemas';
 
 import type * as upstreamDirectories from './upstream-directory.js';
@@ -16,12 +16,15 @@
   /** Returns whether an availability zone must get no new work; the revision changes with every such change. */
   readonly isEvacuated: (availabilityZone: string) => boolean;
   readonly getEvacuationRevision: () => number;
+  /** Returns how many calls a second an upstream of a service may turn away; `undefined` if it is not brittle. */
+  readonly findRejectionBound?: (service: string) => number | undefined;
 }
 
 interface CachedService {
   readonly listed: readonly schemas.ListedUpstream[];
   readonly evacuationRevision: number;
   readonly coldCallsPerS: number | undefined;
+  readonly maxRejectionsPerS: number | undefined;
   readonly upstreams: readonly scheduling.SchedulableUpstream[];
 }
 
@@ -44,16 +47,22 @@
     }
     const { coldCallsPerS } = facts;
     const evacuationRevision = getEvacuationRevision();
+    const maxRejectionsPerS = this.options.findRejectionBound?.(service);
     const cached = this.cache.get(service);
     const isSame =
       cached?.listed === listed &&
       cached.evacuationRevision === evacuationRevision &&
+      cached.maxRejectionsPerS === maxRejectionsPerS &&
       cached.coldCallsPerS === coldCallsPerS;
     if (isSame) {
       return cached.upstreams;
     }
-    const upstreams = this.create(service, listed, coldCallsPerS);
-    this.cache.set(service, { listed, evacuationRevision, coldCallsPerS, upstreams });
+    const upstreams = this.create(service, listed, coldCallsPerS).map((upstream) => ({
+      ...upstream,
+      maxRejectionsPerS,
+    }));
+    const key = { listed, evacuationRevision, coldCallsPerS, maxRejectionsPerS };
+    this.cache.set(service, { ...key, upstreams });
     return upstreams;
   }
 
@@ -77,20 +86,41 @@
   }
 }
 
-/** Returns the upstreams of a service that a host may use itself; undefined if it has no list. */
+/** What a host that schedules alone knows besides its list. */
+export interface HostSchedule {
+  /** Number of calls a second that an upstream may turn away; `undefined` if the service is not brittle. */
+  readonly maxRejectionsPerS: number | undefined;
+  /** The place of this host among all hosts; `undefined` until a leader has told it. */
+  readonly place: scheduling.HostPlace | undefined;
+}
+
+/**
+ * Returns the upstreams of a service that a host may use itself; undefined if it has no list. The slots of brittle
+ * upstreams are divided among the hosts; one that doesn't know its place has none.
+ */
 export function findOnHost(
   directory: upstreamDirectories.UpstreamDirectory,
   service: string,
+  schedule: HostSchedule = { maxRejectionsPerS: undefined, place: undefined },
 ): readonly scheduling.SchedulableUpstream[] | undefined {
-  return directory.hasList()
-    ? directory
-        .listLive(service)
-        .map(({ coldUntil, listed, processId, unlistedColdUntil, upstreamId }) => ({
-          upstreamId,
-          processId,
-          availabilityZone: listed.availabilityZone,
-          slots: listed.slots,
-          coldUntil: Math.max(coldUntil, unlistedColdUntil),
-        }))
-    : undefined;
+  if (!directory.hasList()) {
+    return undefined;
+  }
+  const { maxRejectionsPerS, place } = schedule;
+  const upstreams = directory
+    .listLive(service)
+    .map(({ coldUntil, listed, processId, unlistedColdUntil, upstreamId }) => ({
+      upstreamId,
+      processId,
+      availabilityZone: listed.availabilityZone,
+      slots: listed.slots,
+      coldUntil: Math.max(coldUntil, unlistedColdUntil),
+    }));
+  if (maxRejectionsPerS === undefined) {
+    return upstreams;
+  }
+  const owned = place && scheduling.getOwnedSlots(upstreams, place, Date.now());
+  return upstreams
+    .filter(({ upstreamId }) => owned?.has(upstreamId) === true)
+    .map((item) => ({ ...item, maxRejectionsPerS, ownedSlots: owned?.get(item.upstreamId) }));
 }
--- a/packages/gateway/src/upstream-directory.ts
+++ b/packages/gateway/src/upstream-directory.ts
@@ -20,6 +20,7 @@
   /** Identifies its process; a restart under the same upstream id gives another one. */
   readonly processId: string;
   readonly url: string;
+  readonly service: string;
   readonly listed: schemas.ListedUpstream;
   readonly load: routing.UpstreamLoad;
   /** End of its cold period after the start, on this host's clock in milliseconds. */
@@ -225,7 +226,7 @@
   }
 
   /** Records that an upstream's process has stated that it leaves. */
-  public noteLeaving({ processId, upstreamId }: Required<requests.GatedUpstream>): void {
+  public noteLeaving({ processId, upstreamId }: requests.UpstreamProcess): void {
     const entry = this.entries.get(upstreamId);
     if (entry !== undefined && entry.processId === processId) {
       entry.isLeaving = true;
@@ -253,6 +254,7 @@
       upstreamId: listed.upstreamId,
       processId: schemas.getProcessId(listed),
       url: `http://${listed.address}`,
+      service: listed.service,
       listed,
       load: previous?.load ?? new routing.UpstreamLoad(),
       coldUntil: this.getColdUntil(listed, previous),
--- a/packages/gateway/src/upstream-picker.ts
+++ b/packages/gateway/src/upstream-picker.ts
@@ -69,7 +69,7 @@
 /** Dependencies of the upstream picker. */
 export interface UpstreamPickerOptions {
   /** Provides slots for calls that are no generations; undefined while capacity is not shared among teams. */
-  readonly findSlots?: () => slotClients.SlotSource | undefined;
+  readonly findSlots?: (service: string) => slotClients.SlotSource | undefined;
   readonly directory: upstreamDirectories.UpstreamDirectory;
   readonly placer: GenerationPlacer;
   readonly gate: requests.UpstreamGate;
@@ -110,7 +110,7 @@
     signal?: AbortSignal,
   ): Promise<pickedUpstreams.PickedUpstream> {
     if (!generationCalls.isGeneration(call)) {
-      const slots = this.options.findSlots?.();
+      const slots = this.options.findSlots?.(call.service.name);
       return slots === undefined
         ? this.fallback.pick(call, tried)
         : this.pickBySlot(slots, call, tried, signal);
--- a/packages/gateway/tests/support/test-wire.ts
+++ b/packages/gateway/tests/support/test-wire.ts
@@ -62,6 +62,7 @@
     return {
       limit: requests.parseNamedLimit(headers['calls-per-s']),
       rest: requests.parseRequestedRest(status, headers['retry-after'], Date.now()),
+      maxRejectionsPerS: requests.parseNamedLimit(headers.brittle),
       isLeaving: headers.leaving === '1',
     };
   }
--- a/packages/requests/src/index.ts
+++ b/packages/requests/src/index.ts
@@ -1,6 +1,7 @@
 /** The handling of a request: claims, attempts and retries, relay, resumption, and draining at shutdown. */
 export * from './answer-body.js';
 export * from './run-attempts.js';
+export * from './brittle-services.js';
 export * from './call-digest.js';
 export * from './call-registry.js';
 export * from './claim-proposer.js';
@@ -21,6 +22,7 @@
 export * from './end-to-end-headers.js';
 export * from './held-bytes.js';
 export * from './http-io.js';
+export * from './rejection-guard.js';
 export * from './relay-generation.js';
 export * from './request-lifecycle.js';
 export * from './retry-budget.js';
--- a/packages/requests/src/upstream-client.ts
+++ b/packages/requests/src/upstream-client.ts
@@ -158,6 +158,9 @@
     if (verdict === 'answer' || verdict === 'not-run') {
       this.options.gate.recordAnswer(target, this.options.readNotice(answer));
     }
+    if (verdict === 'not-run') {
+      this.options.gate.recordRejection(target);
+    }
     if (verdict === 'answer') {
       return;
     }
--- a/packages/requests/src/upstream-gate.ts
+++ b/packages/requests/src/upstream-gate.ts
@@ -1,5 +1,7 @@
+import * as brittleServices from './brittle-services.js';
 import * as limitedSends from './limited-sends.js';
 import type * as rateLimitTables from './rate-limit-table.js';
+import * as rejectionGuards from './rejection-guard.js';
 import * as upstreamErrors from './upstream-error.js';
 import type * as upstreamNotices from './upstream-notice.js';
 import * as upstreamRests from './upstream-rests.js';
@@ -21,13 +23,20 @@
   readonly upstreamId: string;
   /** Identifies the process; by default, its upstream id. */
   readonly processId?: string;
+  /** The service that it belongs to; without one it is never known to be brittle. */
+  readonly service?: string | undefined;
 }
 
+/** An upstream process under the upstream's id. */
+export type UpstreamProcess = Required<Pick<GatedUpstream, 'upstreamId' | 'processId'>>;
+
 /** Dependencies of the gate. */
 export interface UpstreamGateOptions extends limitedSends.LimitedSendsOptions {
   readonly random: () => number;
+  /** Number of hosts that send to the same upstreams; `undefined` until it is known. */
+  readonly countHosts?: (() => number | undefined) | undefined;
   /** Called when an upstream first states that it leaves. */
-  readonly onLeaving?: (upstream: Required<GatedUpstream>) => void;
+  readonly onLeaving?: (upstream: UpstreamProcess) => void;
 }
 
 /** A run that broke off and is to resume at an upstream. */
@@ -73,6 +82,8 @@
 export class UpstreamGate {
   private readonly limited: limitedSends.LimitedSends;
   private readonly rests: upstreamRests.UpstreamRests;
+  private readonly brittle: brittleServices.BrittleServices;
+  private readonly rejections: rejectionGuards.RejectionGuard;
   /** Times at which processes first stated that they leave. */
   private readonly leavingSince = new Map<string, number>();
   /** Ids of those whose process ids are their upstream ids, which a later process may have too. */
@@ -81,11 +92,23 @@
   public constructor(private readonly options: UpstreamGateOptions) {
     this.limited = new limitedSends.LimitedSends(options);
     this.rests = new upstreamRests.UpstreamRests(options.clock, options.log);
+    this.brittle = new brittleServices.BrittleServices({
+      ...options,
+      report: (facts) => options.grantor.reportLimit(facts),
+    });
+    this.rejections = new rejectionGuards.RejectionGuard({
+      ...options,
+      countHosts: () => options.countHosts?.(),
+    });
   }
 
   /** Records what an upstream states in an answer to a call. */
   public recordAnswer(upstream: GatedUpstream, notice: upstreamNotices.UpstreamNotice): void {
     this.limited.recordAnswer(getProcessId(upstream), notice.limit);
+    if (upstream.service !== undefined) {
+      const { maxRejectionsPerS } = notice;
+      this.brittle.recordAnswer(upstream.service, getProcessId(upstream), maxRejectionsPerS);
+    }
     this.recordRestAndLeaving(upstream, notice);
   }
 
@@ -97,12 +120,18 @@
     if (notice.limit.kind !== 'none') {
       this.limited.recordAnswer(getProcessId(upstream), notice.limit);
     }
+    if (upstream.service !== undefined && notice.maxRejectionsPerS?.kind === 'named') {
+      const { maxRejectionsPerS } = notice;
+      this.brittle.recordAnswer(upstream.service, getProcessId(upstream), maxRejectionsPerS);
+    }
     this.recordRestAndLeaving(upstream, notice);
   }
 
   /** Applies what other hosts have reported about limits. */
   public mergeLimits(all: readonly rateLimitTables.RateLimitFacts[]): void {
-    all.forEach((facts) => this.limited.merge(facts));
+    all.forEach((facts) =>
+      brittleServices.isBrittleFacts(facts) ? this.brittle.merge(facts) : this.limited.merge(facts),
+    );
   }
 
   /** Applies which upstreams have stated to other hosts that they leave. */
@@ -125,7 +154,26 @@
 
   /** Lists what this host knows about limits. */
   public listLimits(): rateLimitTables.RateLimitFacts[] {
-    return this.limited.list();
+    return [...this.limited.list(), ...this.brittle.list()];
+  }
+
+  /** Returns how many calls a second an upstream of a service may turn away; `undefined` if it is not brittle. */
+  public findRejectionBound(service: string): number | undefined {
+    return this.brittle.findBound(service);
+  }
+
+  /** Counts the services whose upstreams are brittle. */
+  public countBrittle(): number {
+    return this.brittle.count();
+  }
+
+  /** Records that an upstream has turned a call away. */
+  public recordRejection(upstream: GatedUpstream): void {
+    const { service } = upstream;
+    const bound = service === undefined ? undefined : this.brittle.findBound(service);
+    if (bound !== undefined) {
+      this.rejections.recordRejection(getProcessId(upstream), bound);
+    }
   }
 
   /** Counts the upstreams that limit their rate. */
@@ -150,7 +198,8 @@
 
   /** Returns whether no upstream is passed over for what it has stated. */
   public areAllOpen(): boolean {
-    return this.limited.areAllOpen() && this.rests.count() === 0 && this.leavingSince.size === 0;
+    const isNoneResting = this.rests.count() === 0 && this.rejections.isEmpty();
+    return this.limited.areAllOpen() && isNoneResting && this.leavingSince.size === 0;
   }
 
   /** Returns whether a call may be sent to an upstream now, as far as is known without a grant. */
@@ -163,7 +212,9 @@
     const { clock, random } = this.options;
     const processIds = upstreams.filter((item) => !this.isLeaving(item)).map(getProcessId);
     const roomAt = Math.min(
-      ...processIds.map((id) => Math.max(this.limited.getRoomAt(id), this.rests.getEnd(id))),
+      ...processIds.map((id) =>
+        Math.max(this.limited.getRoomAt(id), this.rests.getEnd(id), this.rejections.getEnd(id)),
+      ),
     );
     const waitMs =
       processIds.length === 0 ? MAX_SPREAD_MS : Math.max(MIN_RETRY_MS, roomAt - clock.now());
@@ -273,7 +324,11 @@
 
   private getOpenAt(upstream: GatedUpstream): number {
     const processId = getProcessId(upstream);
-    return Math.max(this.limited.getClosedUntil(processId), this.rests.getEnd(processId));
+    return Math.max(
+      this.limited.getClosedUntil(processId),
+      this.rests.getEnd(processId),
+      this.rejections.getEnd(processId),
+    );
   }
 
   private withhold({ upstreamId }: GatedUpstream): upstreamErrors.UpstreamError {
--- a/packages/requests/src/upstream-notice.ts
+++ b/packages/requests/src/upstream-notice.ts
@@ -14,6 +14,8 @@
 export interface UpstreamNotice {
   /** Calls per second that it takes from all hosts together, for as long as its answers name the limit. */
   readonly limit: NamedLimit;
+  /** Number of calls in a second after which it ends if it turns away more; absent if it bears any number. */
+  readonly maxRejectionsPerS?: NamedLimit | undefined;
   /** Time for which it wants no calls from this host. */
   readonly rest: RequestedRest;
   /** Whether it leaves, and takes no new calls from any host. */
--- a/packages/scheduling/src/call-spec.ts
+++ b/packages/scheduling/src/call-spec.ts
@@ -37,6 +37,10 @@
   readonly coldUntil: number;
   /** Maximum number of calls per second while it is cold; `undefined` for no limit. */
   readonly coldCallsPerS?: number | undefined;
+  /** Number of calls in a second after which it ends if it turns away more; `undefined` if it bears any number. */
+  readonly maxRejectionsPerS?: number | undefined;
+  /** Number of its slots that this scheduler may use where others use the rest; `undefined` if they are not divided. */
+  readonly ownedSlots?: number | undefined;
 }
 
 /** Why a call gets no slot. */
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -1,3 +1,4 @@
+export * from './owned-slots.js';
 export * from './call-return-times.js';
 export * from './call-scheduler.js';
 export * from './call-spec.js';
--- a/packages/scheduling/src/upstream-slots.ts
+++ b/packages/scheduling/src/upstream-slots.ts
@@ -13,6 +13,12 @@
 /** Time over which the calls to a cold upstream are counted, in milliseconds. */
 const COLD_WINDOW_MS = 1_000;
 
+/** Time over which the rejections of a brittle upstream are counted, and for which it is then spared, in milliseconds. */
+const REJECTION_WINDOW_MS = 1_000;
+
+/** Share of the rejections that a brittle upstream bears at which it is spared. */
+const REJECTION_SHARE = 0.5;
+
 /** What the slots of one upstream depend on besides itself. */
 export interface UpstreamSlotsOptions {
   /** Counts the calls that hold slots there. */
@@ -29,6 +35,7 @@
   private readonly ends = new decayingCounts.DecayingCount();
   private readonly failures = new decayingCounts.DecayingCount();
   private coldSends: number[] = [];
+  private rejections: number[] = [];
   private pausedUntil = -Infinity;
 
   public constructor(
@@ -113,6 +120,22 @@
       this.applyLoad(load, now);
     }
     this.pauseIfShared(end, now);
+    if (result === 'not-run') {
+      this.spareIfBrittle(now);
+    }
+  }
+
+  /** Pauses an upstream that has turned away so many calls that a few more in this second would end it. */
+  private spareIfBrittle(now: number): void {
+    const { maxRejectionsPerS } = this.facts;
+    if (maxRejectionsPerS === undefined) {
+      return;
+    }
+    this.rejections = this.rejections.filter((at) => now - at < REJECTION_WINDOW_MS);
+    this.rejections.push(now);
+    if (this.rejections.length >= maxRejectionsPerS * REJECTION_SHARE) {
+      this.pausedUntil = now + REJECTION_WINDOW_MS;
+    }
   }
 
   private applyLoad(load: statedLoads.StatedLoad, now: number): void {
@@ -142,6 +165,13 @@
   }
 
   private getLimitPart(): number {
-    return this.limit.value * (this.options.getLimitShare?.() ?? 1);
+    const { maxRejectionsPerS, ownedSlots, slots } = this.facts;
+    if (ownedSlots !== undefined) {
+      return ownedSlots;
+    }
+    // A brittle upstream must not turn calls away, and may let none wait.
+    const limit =
+      maxRejectionsPerS === undefined ? this.limit.value : Math.min(this.limit.value, slots);
+    return limit * (this.options.getLimitShare?.() ?? 1);
   }
 }
--- a/packages/telemetry/src/metric-catalog.ts
+++ b/packages/telemetry/src/metric-catalog.ts
@@ -150,6 +150,12 @@
     help: 'Connections to upstreams that this host relays for other hosts now',
     labels: [],
   },
+  servicesBrittle: {
+    kind: 'gauge',
+    name: 'services_brittle',
+    help: 'Services whose upstreams end when they turn away many calls, as this host has it',
+    labels: [],
+  },
   upstreamsLimited: {
     kind: 'gauge',
     name: 'upstreams_limited',
