--- a/packages/gateway/src/entry-host.ts
+++ b/packages/gateway/src/entry-host.ts
@@ -198,6 +198,8 @@
     this.picker = new upstreamPickers.UpstreamPicker({
       findSlots: (service) => (this.isScheduled(service) ? slots : undefined),
       directory: this.directory,
+      findOwnedSlots: (service) =>
+        schedulableUpstreams.findOwnedSlots(this.directory, service, this.getSchedule(service)),
       placer: placement,
       gate: this.gate,
       availabilityZone,
@@ -394,6 +396,11 @@
     return isShared || this.gate.findRejectionBound(service) !== undefined;
   }
 
+  private getSchedule(service: string): schedulableUpstreams.HostSchedule {
+    const maxRejectionsPerS = this.gate.findRejectionBound(service);
+    return { maxRejectionsPerS, place: this.relays.place };
+  }
+
   private createSlotClient(): slotClients.SlotClient {
     const { clock, log, metrics, random, settings } = this.options;
     const { availabilityZone, hostId } = settings.get();
@@ -410,10 +417,7 @@
       local: new callSchedulingServices.CallSchedulingService({
         clock,
         findUpstreams: (service) =>
-          schedulableUpstreams.findOnHost(this.directory, service, {
-            maxRejectionsPerS: this.gate.findRejectionBound(service),
-            place: this.relays.place,
-          }),
+          schedulableUpstreams.findOnHost(this.directory, service, this.getSchedule(service)),
         getWeight: (team) => weights.get(team),
         random,
         getLimitShare: () => 1 / Math.max(1, this.entryHosts ?? ASSUMED_ENTRY_HOSTS),
--- a/packages/gateway/src/fallback-picker.ts
+++ b/packages/gateway/src/fallback-picker.ts
@@ -19,6 +19,8 @@
   readonly gate: requests.UpstreamGate;
   readonly availabilityZone: string;
   readonly coldSendQuota: routing.ColdSendQuota;
+  /** Returns how many slots this host has at the upstreams of a service that are brittle; `undefined` if none is. */
+  readonly findOwnedSlots?: (service: string) => ReadonlyMap<string, number> | undefined;
   readonly clock: schemas.Clock;
   readonly log: schemas.Log;
   readonly random: () => number;
@@ -72,6 +74,9 @@
   ): boolean {
     const { coldSendQuota } = this.options;
     const { upstreamId } = known;
+    if (!this.hasOwnSlot(known, now)) {
+      return false;
+    }
     return (
       coldCallsPerS === undefined ||
       !isMaybeCold(known, now) ||
@@ -79,6 +84,15 @@
     );
   }
 
+  /** Returns whether this host may send one more call to an upstream, if that is brittle. */
+  private hasOwnSlot(
+    { load, service, upstreamId }: upstreamDirectories.KnownUpstream,
+    now: number,
+  ): boolean {
+    const owned = this.options.findOwnedSlots?.(service);
+    return owned === undefined || load.getActiveCalls(now) < (owned.get(upstreamId) ?? 0);
+  }
+
   /** Counts a send to an upstream against this host's quota if the upstream is cold. */
   public recordColdSend(
     { service }: callAdmissions.AdmittedCall,
--- a/packages/gateway/src/schedulable-upstreams.ts
+++ b/packages/gateway/src/schedulable-upstreams.ts
@@ -95,9 +95,24 @@
 }
 
 /**
- * Returns the upstreams of a service that a host may use itself; undefined if it has no list. The slots of brittle
- * upstreams are divided among the hosts; one that doesn't know its place has none.
+ * Returns the slots that a host without a leader has at each upstream of a brittle service; `undefined` if the service is
+ * not brittle. A host that doesn't know its place has none.
  */
+export function findOwnedSlots(
+  directory: upstreamDirectories.UpstreamDirectory,
+  service: string,
+  { maxRejectionsPerS, place }: HostSchedule,
+): ReadonlyMap<string, number> | undefined {
+  if (maxRejectionsPerS === undefined) {
+    return undefined;
+  }
+  const upstreams = directory
+    .listLive(service)
+    .map(({ listed, upstreamId }) => ({ upstreamId, slots: listed.slots }));
+  return place === undefined ? new Map() : scheduling.getOwnedSlots(upstreams, place, Date.now());
+}
+
+/** Returns the upstreams of a service that a host may use itself; undefined if it has no list. */
 export function findOnHost(
   directory: upstreamDirectories.UpstreamDirectory,
   service: string,
@@ -106,21 +121,18 @@
   if (!directory.hasList()) {
     return undefined;
   }
-  const { maxRejectionsPerS, place } = schedule;
-  const upstreams = directory
+  const { maxRejectionsPerS } = schedule;
+  const owned = findOwnedSlots(directory, service, schedule);
+  return directory
     .listLive(service)
+    .filter(({ upstreamId }) => owned === undefined || owned.has(upstreamId))
     .map(({ coldUntil, listed, processId, unlistedColdUntil, upstreamId }) => ({
       upstreamId,
       processId,
       availabilityZone: listed.availabilityZone,
       slots: listed.slots,
       coldUntil: Math.max(coldUntil, unlistedColdUntil),
+      maxRejectionsPerS,
+      ownedSlots: owned?.get(upstreamId),
     }));
-  if (maxRejectionsPerS === undefined) {
-    return upstreams;
-  }
-  const owned = place && scheduling.getOwnedSlots(upstreams, place, Date.now());
-  return upstreams
-    .filter(({ upstreamId }) => owned?.has(upstreamId) === true)
-    .map((item) => ({ ...item, maxRejectionsPerS, ownedSlots: owned?.get(item.upstreamId) }));
 }
--- a/packages/gateway/src/upstream-picker.ts
+++ b/packages/gateway/src/upstream-picker.ts
@@ -70,6 +70,8 @@
 export interface UpstreamPickerOptions {
   /** Provides slots for calls that are no generations; undefined while capacity is not shared among teams. */
   readonly findSlots?: (service: string) => slotClients.SlotSource | undefined;
+  /** Returns how many slots this host has at the upstreams of a brittle service without a leader. */
+  readonly findOwnedSlots?: (service: string) => ReadonlyMap<string, number> | undefined;
   readonly directory: upstreamDirectories.UpstreamDirectory;
   readonly placer: GenerationPlacer;
   readonly gate: requests.UpstreamGate;
--- a/packages/gateway/tests/support/call-load.ts
+++ b/packages/gateway/tests/support/call-load.ts
@@ -48,13 +48,19 @@
       return;
     }
     const callId = String(req.headers['call-id']);
-    this.runs.set(callId, (this.runs.get(callId) ?? 0) + 1);
+    this.recordRun(req);
     setTimeout(() => {
       res.writeHead(200, { 'call-id': callId, 'content-length': 2 });
       res.end('ok');
     }, SERVICE_MS);
   }
 
+  /** Records that an upstream runs a call. */
+  public recordRun(req: http.IncomingMessage): void {
+    const callId = String(req.headers['call-id']);
+    this.runs.set(callId, (this.runs.get(callId) ?? 0) + 1);
+  }
+
   /** Waits until every host serves. */
   public async awaitServing(): Promise<void> {
     for (const port of this.listPorts()) {
--- a/packages/gateway/tests/upstream-picker.test.ts
+++ b/packages/gateway/tests/upstream-picker.test.ts
@@ -64,8 +64,10 @@
   placer: upstreamPickers.GenerationPlacer,
   directory = createDirectory(clock, ['e-1']),
   gate = requests.createLocalGate(clock, new schemas.SilentLog()),
+  findOwnedSlots?: () => ReadonlyMap<string, number>,
 ) {
   return new upstreamPickers.UpstreamPicker({
+    findOwnedSlots,
     directory,
     placer,
     availabilityZone: 'a',
@@ -292,3 +294,23 @@
     t.match((refusal as schemas.Refusal).options, { id: 'noRoom', status: 503, retryAfterS });
   }
 });
+
+// Guards against hosts without a leader that together send more runs to a brittle engine than it takes.
+void tap.default.test(
+  'without a leader, a host uses its own slots of brittle engines',
+  async (t) => {
+    const clock = new schemas.VirtualClock();
+    const directory = createDirectory(clock, ['e-1', 'e-2']);
+    const owned = new Map([['e-2', 1]]);
+    const picker = createPicker(
+      clock,
+      new FixedPlacer(undefined),
+      directory,
+      undefined,
+      () => owned,
+    );
+    t.equal((await picker.pick(createCall(), new Set())).upstreamId, 'e-2');
+    directory.find('e-2')!.load.trackCall(0);
+    await t.rejects(picker.pick(createCall(), new Set()), { name: 'noUpstream' });
+  },
+);
