Find working relays where other hosts are silent as well

A host now asks through several relays at once, core hosts among them, and passes over those that are silent.

--- a/packages/paths/src/open-tunnels.ts
+++ b/packages/paths/src/open-tunnels.ts
@@ -58,6 +58,17 @@
     private readonly record: (result: string) => void,
   ) {}
 
+  /** Lists functions that open a connection each through another relay; each records whether its relay could help. */
+  public listAttempts(
+    address: string,
+    place: relayCandidates.PlaceRule,
+  ): { readonly relay: string; readonly open: () => Promise<stream.Duplex> }[] {
+    return this.pool.rank(place).map((relay) => ({
+      relay: relay.address,
+      open: () => this.openAt(relay, address, () => {}),
+    }));
+  }
+
   /** Opens a connection through the first of several relays that reaches the upstream. */
   public async open(address: string, place: relayCandidates.PlaceRule): Promise<stream.Duplex> {
     const results: string[] = [];
--- a/packages/paths/src/silence-watch.ts
+++ b/packages/paths/src/silence-watch.ts
@@ -54,10 +54,7 @@
   public watch(socket: stream.Duplex): void {
     const receipt = new ReceiptCheck(socket);
     this.receipts.add(receipt);
-    socket.once('close', () => {
-      this.note(receipt);
-      this.receipts.delete(receipt);
-    });
+    socket.once('close', () => this.receipts.delete(receipt));
   }
 
   /**
@@ -67,7 +64,11 @@
   public begin(address: string, patienceMs: number): () => void {
     const call = { address, sentAt: this.clock.now(), patienceMs };
     this.calls.add(call);
-    this.timer ??= setInterval(() => this.check(), CHECK_INTERVAL_MS).unref();
+    if (this.timer === undefined) {
+      // Bytes that arrived while no call waited are not heard now.
+      this.receipts.forEach((receipt) => receipt.hasReceived());
+      this.timer = setInterval(() => this.check(), CHECK_INTERVAL_MS).unref();
+    }
     return () => {
       this.calls.delete(call);
     };
--- a/packages/paths/src/upstream-links.ts
+++ b/packages/paths/src/upstream-links.ts
@@ -252,9 +252,7 @@
       return;
     }
     const own = this.isAnswered(address, probe, () => this.connector.dial(address));
-    const relayed = this.isAnswered(address, probe, () =>
-      this.tunnels.open(address, relayCandidates.ANY_PLACE),
-    );
+    const relayed = this.isAnsweredThroughOthers(address, probe);
     const first = await Promise.race([own, relayed]);
     if (!(await relayed)) {
       return;
@@ -267,6 +265,26 @@
     }
   }
 
+  /**
+   * Returns whether an upstream answers through any of several relays. Those through which it is silent are passed over:
+   * they may be cut off as well, and then accept connections that lead nowhere.
+   */
+  private async isAnsweredThroughOthers(
+    address: string,
+    probe: upstreamProbes.ProbeRequest,
+  ): Promise<boolean> {
+    const attempts = this.tunnels
+      .listAttempts(address, relayCandidates.ANY_PLACE)
+      .map(async ({ open, relay }) => {
+        if (!(await this.isAnswered(address, probe, open))) {
+          this.pool.recordFailure(relay);
+          throw new Error('the upstream is silent');
+        }
+        return true;
+      });
+    return Promise.any(attempts).catch(() => false);
+  }
+
   private isAnswered(
     address: string,
     probe: upstreamProbes.ProbeRequest,
--- a/packages/paths/tests/silence-watch.test.ts
+++ b/packages/paths/tests/silence-watch.test.ts
@@ -67,3 +67,27 @@
   t.same(silent, []);
   watch.stop();
 });
+
+// Guards against a cut host that takes itself to reach upstreams, by bytes that arrived before the cut.
+void tap.default.test('bytes that arrived while no call waited are not heard later', async (t) => {
+  const clock = new schemas.VirtualClock();
+  let heard = 0;
+  const watch = new paths.SilenceWatch(
+    clock,
+    () => {},
+    () => {
+      heard += 1;
+    },
+  );
+  const sockets = [new CountingSocket(), new CountingSocket()];
+  sockets.forEach((socket) => {
+    watch.watch(socket);
+    socket.bytesRead = 100;
+  });
+  watch.begin('u1', 300);
+  sockets[0]!.destroy();
+  await clock.advance(100);
+  watch.check();
+  t.equal(heard, 0);
+  watch.stop();
+});
