Pause at brittle upstreams in the daemon's flow, too

Plain services and engines behind the OpenAI interface state by X-Brittle how many calls a second they may turn away; a daemon that has one turned away sends nothing there for a time that grows with the number of daemons. Before, the second call was sent at once (service-client).

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -93,6 +93,7 @@
     const gate = new requests.UpstreamGate({
       grantor: this.rateGrants,
       share: new requests.LeaderlessRateShare(cfg.daemonId, () => this.rateGrants.countDaemons()),
+      countHosts: () => this.rateGrants.countDaemons(),
       clock,
       log,
       random,
--- a/packages/requests/src/engine-client.ts
+++ b/packages/requests/src/engine-client.ts
@@ -15,6 +15,12 @@
 /** The response header by which an upstream limits the calls per second that it takes from all hosts together. */
 export const RATE_LIMIT_HEADER = 'x-rate-limit';
 
+/** The response header by which an upstream states after how many rejections in a second it ends. */
+export const BRITTLE_HEADER = 'x-brittle';
+
+/** The service under which engines count as brittle together. */
+const ENGINE_SERVICE = 'engines';
+
 /** The response header by which an upstream states that it leaves. */
 export const LEAVING_HEADER = 'x-leaving';
 
@@ -27,6 +33,9 @@
     limit: upstreamNotices.parseNamedLimit(headers[RATE_LIMIT_HEADER]),
     rest: upstreamNotices.parseRequestedRest(status, headers['retry-after'], Date.now()),
     isLeaving: headers[LEAVING_HEADER] === '1',
+    ...(headers[BRITTLE_HEADER] === undefined
+      ? {}
+      : { maxRejectionsPerS: upstreamNotices.parseNamedLimit(headers[BRITTLE_HEADER]) }),
   };
 }
 
@@ -79,12 +88,17 @@
       place,
       headers: { 'content-type': 'application/json', 'x-request-id': generation },
     });
-    gate.recordAnswer(upstream, readNotice(res.statusCode, res.headers));
+    const gated = { ...upstream, service: ENGINE_SERVICE };
+    gate.recordAnswer(gated, readNotice(res.statusCode, res.headers));
     if (res.statusCode === 200) {
       return res.body;
     }
     await res.body.dump();
-    const isNotRun = res.headers[NOT_RUN_HEADER] !== undefined || res.statusCode < 500;
+    const isRejected = res.headers[NOT_RUN_HEADER] !== undefined;
+    if (isRejected) {
+      gate.recordRejection(gated);
+    }
+    const isNotRun = isRejected || res.statusCode < 500;
     throw new upstreamErrors.UpstreamError(
       isNotRun ? 'refused' : 'lost',
       'start',
--- a/packages/requests/src/service-client.ts
+++ b/packages/requests/src/service-client.ts
@@ -44,8 +44,8 @@
     upstream: schemas.Upstream,
     call: ServiceCall,
   ): Promise<callRegistries.StoredResponse> {
-    const { upstreamId, url } = upstream;
-    const target = { upstreamId, url: new URL(url).origin };
+    const { service, upstreamId, url } = upstream;
+    const target = { upstreamId, service, url: new URL(url).origin };
     const permit = await this.options.gate.admit(target);
     const signal = AbortSignal.timeout(this.options.answerMs);
     const headers = pickServiceHeaders(call.headers);
--- a/packages/requests/tests/service-client.test.ts
+++ b/packages/requests/tests/service-client.test.ts
@@ -128,3 +128,17 @@
   }
   t.equal(counts.connections, shared + 3, 'each non-repeatable call opens a new one');
 });
+
+// Guards against daemons that go on sending calls to an upstream which ends when it turns away a few more.
+void tap.default.test('a brittle upstream that turns a call away gets a pause', async (t) => {
+  const client = createClient(t);
+  const { counts, port } = await listen(t, (_socket, res) => {
+    res.writeHead(503, { 'x-not-run': '1', 'x-brittle': '2' });
+    res.end();
+  });
+  const send = () =>
+    client.send(createUpstream(port), createCall(true)).catch((err: unknown) => err);
+  t.equal(((await send()) as requests.UpstreamError).kind, 'refused');
+  t.equal(((await send()) as requests.UpstreamError).kind, 'withheld');
+  t.equal(counts.requests, 1);
+});
