--- a/packages/paths/src/silence-watch.ts
+++ b/packages/paths/src/silence-watch.ts
@@ -40,6 +40,8 @@
 export class SilenceWatch {
   private readonly calls = new Set<OpenCall>();
   private readonly receipts = new Set<ReceiptCheck>();
+  /** Upstreams at which calls have waited too long since anything was heard; the calls may have ended since. */
+  private readonly silent = new Set<string>();
   private readonly checkedAt = new Map<string, number>();
   private heardAt = -Infinity;
   private timer: NodeJS.Timeout | undefined;
@@ -91,7 +93,8 @@
     const overdue = [...this.calls].filter(
       ({ patienceMs, sentAt }) => now - Math.max(sentAt, this.heardAt) >= patienceMs,
     );
-    if (new Set(overdue.map(({ address }) => address)).size < MIN_SILENT) {
+    overdue.forEach(({ address }) => this.silent.add(address));
+    if (overdue.length === 0 || this.silent.size < MIN_SILENT) {
       return;
     }
     const since = Math.max(this.heardAt, Math.min(...overdue.map(({ sentAt }) => sentAt)));
@@ -106,6 +109,7 @@
   private note(receipt: ReceiptCheck): void {
     if (receipt.hasReceived()) {
       this.heardAt = this.clock.now();
+      this.silent.clear();
       this.onHeard();
     }
   }
--- a/packages/paths/tests/silence-watch.test.ts
+++ b/packages/paths/tests/silence-watch.test.ts
@@ -91,3 +91,17 @@
   t.equal(heard, 0);
   watch.stop();
 });
+
+// Guards against a cut that goes unnoticed since a host has few calls at a time.
+void tap.default.test('calls that waited one after the other show silence, too', async (t) => {
+  const { clock, silent, watch } = createWatch();
+  const end = watch.begin('u1', 300);
+  await clock.advance(400);
+  watch.check();
+  end();
+  watch.begin('u2', 300);
+  await clock.advance(400);
+  watch.check();
+  t.same(silent, ['u2']);
+  watch.stop();
+});
