Ask relays that failed lately after the reserves

Where most hosts are cut off, each connection first asked three of them again before a core host: three connections in vain for each call.

--- a/packages/paths/src/relay-pool.ts
+++ b/packages/paths/src/relay-pool.ts
@@ -17,6 +17,13 @@
   restsUntil: number;
 }
 
+interface RankedRelay {
+  readonly candidate: relayCandidates.RelayCandidate;
+  /** Time for which it is still passed over, in milliseconds. */
+  readonly restMs: number;
+  readonly rank: readonly number[];
+}
+
 /** Dependencies of the relay pool. */
 export interface RelayPoolOptions {
   readonly source: relayCandidates.RelaySource;
@@ -33,14 +40,22 @@
 
   /**
    * Lists the relays to try for one connection, in this order: hosts before reserves, those with fewer tunnels of this
-   * host first, so that many cut hosts spread over many relays. Relays that failed lately come last of their kind.
+   * host first, so that many cut hosts spread over many relays. Relays that failed lately come last of all: where most
+   * hosts are cut off, the reserves are reached without asking each of them.
    */
   public rank(place: relayCandidates.PlaceRule): relayCandidates.RelayCandidate[] {
     const { source } = this.options;
-    return [
-      ...this.rankKind(source.listHosts(), place).slice(0, MAX_HOSTS),
-      ...this.rankKind(source.listReserves(), place).slice(0, MAX_RESERVES),
+    const hosts = this.rankKind(source.listHosts(), place);
+    const reserves = this.rankKind(source.listReserves(), place);
+    const isFresh = ({ restMs }: RankedRelay) => restMs === 0;
+    const fresh = [
+      ...hosts.filter(isFresh).slice(0, MAX_HOSTS),
+      ...reserves.filter(isFresh).slice(0, MAX_RESERVES),
     ];
+    const resting = [...hosts, ...reserves].filter((item) => !isFresh(item));
+    return [...fresh, ...resting]
+      .slice(0, MAX_HOSTS + MAX_RESERVES)
+      .map(({ candidate }) => candidate);
   }
 
   /** Records that a relay has opened a tunnel; the returned function records its end. */
@@ -70,7 +85,7 @@
   private rankKind(
     candidates: readonly relayCandidates.RelayCandidate[],
     place: relayCandidates.PlaceRule,
-  ): relayCandidates.RelayCandidate[] {
+  ): RankedRelay[] {
     const { availabilityZone, clock, random } = this.options;
     const now = clock.now();
     return candidates
@@ -79,10 +94,9 @@
         const { open = 0, restsUntil = -Infinity } = this.states.get(candidate.address) ?? {};
         const restMs = Math.max(0, restsUntil - now);
         const isOtherZone = Number(candidate.availabilityZone !== availabilityZone);
-        return { candidate, rank: [restMs, open, isOtherZone, random()] };
+        return { candidate, restMs, rank: [restMs, open, isOtherZone, random()] };
       })
-      .sort((left, right) => compare(left.rank, right.rank))
-      .map(({ candidate }) => candidate);
+      .sort((left, right) => compare(left.rank, right.rank));
   }
 
   private getState(address: string): RelayState {
