Take permits for probes of paths, and connect to peers in one place

A host that looks whether its path is open again sends a health check to an upstream, which may limit its rate or rest: such a check now needs a permit of the gate, as calls and the core hosts' probes do. The connect of tunnels and that of calls between hosts, written twice, are one function.

--- a/packages/gateway/src/entry-host.ts
+++ b/packages/gateway/src/entry-host.ts
@@ -376,6 +376,7 @@
       connectMs: CONNECT_TIMEOUT_MS,
       connections: MAX_CONNECTIONS,
       findProbe: (address) => this.findProbe(address),
+      admitProbe: (address) => this.admitProbe(address),
       listAddresses: () => this.directory.listAddresses(),
       clock,
       log,
@@ -384,6 +385,20 @@
     });
   }
 
+  private async admitProbe(address: string): Promise<boolean> {
+    const known = this.directory.findByAddress(address);
+    if (known === undefined) {
+      return false;
+    }
+    try {
+      this.gate.use(await this.gate.admit(known), known);
+      return true;
+    } catch {
+      // The upstream takes no more now, as the gate has logged and counted.
+      return false;
+    }
+  }
+
   /** Returns the health check of an upstream, which it answers on any path that works. */
   private findProbe(address: string): paths.ProbeRequest | undefined {
     const known = this.directory.findByAddress(address);
--- a/packages/paths/src/upstream-links.ts
+++ b/packages/paths/src/upstream-links.ts
@@ -53,6 +53,8 @@
   readonly connections?: number | undefined;
   /** Returns the request that probes an upstream; `undefined` if the upstream is not listed. */
   readonly findProbe: (address: string) => upstreamProbes.ProbeRequest | undefined;
+  /** Takes a permit for a probe, which an upstream counts like a call; returns whether there is one. */
+  readonly admitProbe?: ((address: string) => Promise<boolean>) | undefined;
   /** Lists the addresses of the upstreams; none by default. */
   readonly listAddresses?: (() => readonly string[]) | undefined;
   readonly clock: schemas.Clock;
@@ -311,12 +313,13 @@
     return Promise.any(attempts).catch(() => false);
   }
 
-  private isAnswered(
+  private async isAnswered(
     address: string,
     probe: upstreamProbes.ProbeRequest,
     open: () => Promise<stream.Duplex>,
   ): Promise<boolean> {
-    return upstreamProbes.isAnswered(address, probe, open, PROBE_TIMEOUT_MS);
+    const isAdmitted = (await this.options.admitProbe?.(address)) ?? true;
+    return isAdmitted && upstreamProbes.isAnswered(address, probe, open, PROBE_TIMEOUT_MS);
   }
 
   /** Aborts the calls on blocked paths, and looks for the time at which the paths are open again. */
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -1,4 +1,5 @@
 /** Peer-to-peer transport between daemons: tRPC over framed msgpack on TLS with pre-shared keys. */
+export * from './connect-to-peer.js';
 export * from './frame.js';
 export * from './keyring.js';
 export * from './link-counts.js';
--- a/packages/peers/src/peer-client.ts
+++ b/packages/peers/src/peer-client.ts
@@ -1,12 +1,10 @@
-import * as net from 'node:net';
-import * as tls from 'node:tls';
+import type * as net from 'node:net';
 
 import * as schemas from '@bramleyridge/schemas';
 
+import * as connectToPeers from './connect-to-peer.js';
 import * as frames from './frame.js';
-import type * as keyrings from './keyring.js';
 import * as linkCounts from './link-counts.js';
-import * as tlsOptions from './tls-options.js';
 
 /** Interval between pings on a connection, in milliseconds. */
 const PING_INTERVAL_MS = 4_000;
@@ -18,12 +16,8 @@
 const SILENCE_TIMEOUT_MS = 9_000;
 
 /** Options of {@link PeerClient}. */
-export interface PeerClientOptions {
+export interface PeerClientOptions extends connectToPeers.PeerEndpoint {
   readonly peer: string;
-  readonly host: string;
-  readonly port: number;
-  /** Keys of the TLS connection; `undefined` on a trusted network, where the connection is plain TCP. */
-  readonly keyring: keyrings.Keyring | undefined;
   readonly connectMs: number;
   /** Whether traffic from and to the peer is dropped; failure tests simulate a network partition with it. */
   readonly isCut?: () => boolean;
@@ -118,35 +112,20 @@
 
   private connect(): Promise<net.Socket> {
     return new Promise((resolve, reject) => {
-      const socket = this.openSocket();
-      socket.setNoDelay(true);
-      socket.setTimeout(this.options.connectMs, () => {
-        socket.destroy(this.createError('deadline', 'connect', [this.options.connectMs]));
-      });
-      socket.once(this.options.keyring === undefined ? 'connect' : 'secureConnect', () => {
+      const socket = connectToPeers.connectToPeer(this.options, () => {
         this.socket = socket;
         this.writer = new frames.FrameWriter();
         this.attachHandlers(socket);
         resolve(socket);
       });
+      socket.setNoDelay(true);
+      socket.setTimeout(this.options.connectMs, () => {
+        socket.destroy(this.createError('deadline', 'connect', [this.options.connectMs]));
+      });
       socket.once('error', (err) => reject(this.createError('linkClosed', 'connect', [], err)));
     });
   }
 
-  private openSocket(): net.Socket {
-    const { host, port, keyring } = this.options;
-    if (keyring === undefined) {
-      return net.connect({ host, port });
-    }
-    return tls.connect({
-      ...tlsOptions.pskOptions,
-      host,
-      port,
-      pskCallback: () => keyring.getActive(),
-      checkServerIdentity: () => undefined,
-    });
-  }
-
   private attachHandlers(socket: net.Socket): void {
     const reader = new frames.FrameReader();
     // A middlebox that lost its state for the connection drops packets without a reset, which shows only in the absence
--- a/packages/peers/src/tunnel-client.ts
+++ b/packages/peers/src/tunnel-client.ts
@@ -1,21 +1,14 @@
-import * as net from 'node:net';
-import * as tls from 'node:tls';
 import type * as stream from 'node:stream';
 
 import * as schemas from '@bramleyridge/schemas';
 
+import * as connectToPeers from './connect-to-peer.js';
 import * as frames from './frame.js';
-import type * as keyrings from './keyring.js';
-import * as tlsOptions from './tls-options.js';
 import * as tunnelMessages from './tunnel-messages.js';
 import * as tunnelSockets from './tunnel-socket.js';
 
 /** Options of `openTunnel`. */
-export interface TunnelOptions {
-  readonly host: string;
-  readonly port: number;
-  /** Keys of the TLS connection; `undefined` on a trusted network, where the connection is plain TCP. */
-  readonly keyring: keyrings.Keyring | undefined;
+export interface TunnelOptions extends connectToPeers.PeerEndpoint {
   /** Time limit for the peer's answer, in milliseconds. */
   readonly timeoutMs: number;
 }
@@ -27,7 +20,9 @@
 ): Promise<stream.Duplex> {
   const peer = `${options.host}:${options.port}`;
   return new Promise((resolve, reject) => {
-    const socket = connect(options);
+    const socket = connectToPeers.connectToPeer(options, () => {
+      socket.write(new frames.FrameWriter().encode(['tunnel', req.address, req.connectMs]));
+    });
     const reader = new frames.FrameReader();
     const settle = () => {
       clearTimeout(timer);
@@ -46,9 +41,6 @@
     socket.setNoDelay(true);
     socket.once('error', onLost);
     socket.once('close', onLost);
-    socket.once(options.keyring === undefined ? 'connect' : 'secureConnect', () => {
-      socket.write(new frames.FrameWriter().encode(['tunnel', req.address, req.connectMs]));
-    });
     socket.on('data', (bytes: Buffer) => {
       try {
         const result = findResult(reader, bytes);
@@ -65,19 +57,6 @@
   });
 }
 
-function connect({ host, port, keyring }: TunnelOptions): net.Socket {
-  if (keyring === undefined) {
-    return net.connect({ host, port });
-  }
-  return tls.connect({
-    ...tlsOptions.pskOptions,
-    host,
-    port,
-    pskCallback: () => keyring.getActive(),
-    checkServerIdentity: () => undefined,
-  });
-}
-
 function findResult(
   reader: frames.FrameReader,
   bytes: Buffer,
