Let relayed connections end before a planned stop

A host that stopped as planned closed the connections that it relayed for others at once, and cut their streams. It now opens no more of them and waits for those that are open, on the users' platform for three quarters of the time for a stop, 15 s as a daemon. cut-off-streams: a stream ends whole over the same connection. That the test failed before was not run; the code closed them without a wait.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -38,6 +38,9 @@
 /** Time within which a client must send its headers, in milliseconds. */
 const HEADERS_TIMEOUT_MS = 10_000;
 
+/** Time in a planned stop in which the connections that a daemon relays for others may end, in milliseconds. */
+const RELAY_STOP_MS = 15_000;
+
 /** Maximum number of connections to upstreams that a daemon relays for others. */
 const MAX_TUNNELS = 256;
 
@@ -201,7 +204,9 @@
     // The next heartbeat announces the stop, so that pools move to other owners while requests
     // finish here.
     this.view.refresh();
+    const relayed = this.tunnels.drain(this.clock, RELAY_STOP_MS);
     await drain.waitIdle(BALANCER_LAG_MS);
+    await relayed;
     this.shutDown();
     await new Promise<void>((resolve) => {
       this.server.close(() => resolve());
--- a/packages/gateway/src/core-host.ts
+++ b/packages/gateway/src/core-host.ts
@@ -43,6 +43,9 @@
 /** Maximum number of connections that this host relays for entry hosts that find no other relay. */
 const MAX_TUNNELS = 256;
 
+/** Share of the time for a planned stop in which the connections that this host relays for others may end. */
+const RELAY_STOP_SHARE = 0.75;
+
 /** Options of `CoreHost`. */
 export interface CoreHostOptions {
   readonly settings: settingsWatchers.SettingsWatcher;
@@ -262,7 +265,9 @@
     this.options.log.info({ event: 'stopping', role: 'core', isLeading: this.group.isLeading() });
     const departure = this.group.membership.leave();
     this.discovery.announceAll();
-    await departure;
+    const { clock, settings } = this.options;
+    const relayed = this.tunnels.drain(clock, settings.get().bounds.stopMs * RELAY_STOP_SHARE);
+    await Promise.all([departure, relayed]);
     this.kill();
   }
 
--- a/packages/gateway/src/entry-host.ts
+++ b/packages/gateway/src/entry-host.ts
@@ -49,6 +49,9 @@
  */
 const MAX_TUNNELS = 48;
 
+/** Share of the time for a planned stop in which the connections that this host relays for others may end. */
+const RELAY_STOP_SHARE = 0.75;
+
 /** Assumed number of entry hosts until the leader has reported it. */
 const ASSUMED_ENTRY_HOSTS = 16;
 
@@ -291,7 +294,10 @@
     log.info({ event: 'stopping', role: 'entry', active: this.drain.getActive() });
     this.drain.begin();
     this.acceptsUntil = this.options.clock.now() + BALANCER_LAG_MS;
+    const { stopMs } = this.options.settings.get().bounds;
+    const relayed = this.tunnels.drain(this.options.clock, stopMs * RELAY_STOP_SHARE);
     await this.drain.waitIdle(BALANCER_LAG_MS);
+    await relayed;
     await this.callerListener.close(CLOSE_GRACE_MS);
     this.readinessListener.kill();
     this.end();
--- a/packages/gateway/tests/cut-off-streams.test.ts
+++ b/packages/gateway/tests/cut-off-streams.test.ts
@@ -118,3 +118,19 @@
   site.others[0]!.host.kill();
   t.equal((await answer).body, WHOLE, 'it goes on through a core host');
 });
+
+// Guards against a planned stop that cuts streams which the host relays for another one.
+void tap.default.test('a stream outlasts the planned stop of its relay', async (t) => {
+  const { site } = await startSite(t);
+  site.dialers.get('entry')!.cut('reset');
+  const answer = draft(site, 'relayed');
+  const relay = site.others[0]!.host;
+  await site.until('relayed', () => relay.countRelayed() > 0);
+  const stopped = relay.stop();
+  t.equal((await answer).body, WHOLE);
+  await stopped;
+  t.notOk(
+    site.lines.some(({ decision }) => decision === 'resume'),
+    'over the same connection',
+  );
+});
--- a/packages/paths/src/tunnel-service.ts
+++ b/packages/paths/src/tunnel-service.ts
@@ -1,6 +1,7 @@
 import type * as stream from 'node:stream';
 
 import type * as peers from '@bramleyridge/peers';
+import * as schemas from '@bramleyridge/schemas';
 
 import type * as upstreamLinks from './upstream-links.js';
 
@@ -20,7 +21,9 @@
  * can't form a circle.
  */
 export class TunnelService {
+  private readonly ended = new schemas.ChangeSignal();
   private opened = 0;
+  private isStopping = false;
 
   public constructor(private readonly options: TunnelServiceOptions) {}
 
@@ -29,6 +32,18 @@
     return this.opened;
   }
 
+  /**
+   * Opens no more connections, and waits until those that are open have ended, for `timeoutMs` at most: a host that stops
+   * as planned must not cut the calls of others.
+   */
+  public async drain(clock: schemas.Clock, timeoutMs: number): Promise<void> {
+    this.isStopping = true;
+    const end = clock.now() + timeoutMs;
+    while (this.opened > 0 && clock.now() < end) {
+      await this.ended.wait(clock, end - clock.now());
+    }
+  }
+
   /** Opens a connection for a peer, or returns why not. */
   public async open(
     req: peers.TunnelRequest,
@@ -42,7 +57,7 @@
     address,
   }: peers.TunnelRequest): Promise<stream.Duplex | Exclude<peers.TunnelResult, 'connected'>> {
     const { isListed, links, maxTunnels } = this.options;
-    if (this.opened >= maxTunnels) {
+    if (this.isStopping || this.opened >= maxTunnels) {
       return 'busy';
     }
     if (!isListed(address)) {
@@ -66,5 +81,6 @@
 
   private end(): void {
     this.opened -= 1;
+    this.ended.notify();
   }
 }
