Take connects without an answer for calls that have not run

Since connects are timed by the host itself, one that got no answer ended with a code that was not known as that of a connect. The call counted as perhaps run: 502, and no other upstream was tried. Every error of the system call connect now proves that nothing was sent; upstream-client failed before. A relay on a busy host has 500 ms to answer, as others are tried beside it after 40 ms.

--- a/packages/paths/src/open-tunnels.ts
+++ b/packages/paths/src/open-tunnels.ts
@@ -14,7 +14,7 @@
 const RELAY_CONNECT_MS = 150;
 
 /** Time limit for a relay's answer, in milliseconds. */
-const ANSWER_TIMEOUT_MS = 250;
+const ANSWER_TIMEOUT_MS = 500;
 
 /** Results that show that the relay itself can't help, whatever the state of the upstream. */
 const RELAY_FAILURES: ReadonlySet<string> = new Set(['lost', 'busy', 'cut']);
--- a/packages/requests/src/upstream-error.ts
+++ b/packages/requests/src/upstream-error.ts
@@ -66,7 +66,7 @@
  */
 function isConnectFailure(err: unknown): boolean {
   const { syscall } = (err ?? {}) as { syscall?: string };
-  return CONNECT_CODES.has(getCode(err)) && (syscall === undefined || syscall === 'connect');
+  return syscall === undefined ? CONNECT_CODES.has(getCode(err)) : syscall === 'connect';
 }
 
 function getCode(err: unknown): string {
--- a/packages/requests/tests/upstream-client.test.ts
+++ b/packages/requests/tests/upstream-client.test.ts
@@ -1,5 +1,6 @@
 import * as net from 'node:net';
 
+import * as paths from '@bramleyridge/paths';
 import * as requests from '@bramleyridge/requests';
 import * as schemas from '@bramleyridge/schemas';
 import * as tap from 'tap';
@@ -235,3 +236,29 @@
     }
   }
 });
+
+// Guards against calls that end as perhaps run, and are not sent elsewhere, although no connection was made for them.
+void tap.default.test('a connect that gets no answer in time is unreachable', async (t) => {
+  const dialer = {
+    dial: (address: string) =>
+      Promise.reject(
+        Object.assign(new Error(`connect ETIMEDOUT ${address}`), {
+          code: 'ETIMEDOUT',
+          syscall: 'connect',
+        }),
+      ),
+  };
+  const client = new requests.UpstreamClient({
+    gate: requests.createLocalGate(new schemas.SystemClock(), new schemas.SilentLog()),
+    readNotice: () => requests.EMPTY_NOTICE,
+    links: paths.createOwnLinks({ connectMs: 100, dialer }),
+  });
+  t.teardown(() => client.close());
+  for (const isRepeatable of [true, false]) {
+    const target = { upstreamId: 'u1', url: 'http://127.0.0.1:1' };
+    const failure = await client
+      .open(target, createCall(isRepeatable), () => 'answer')
+      .catch((err: unknown) => err);
+    t.equal((failure as requests.UpstreamError).kind, 'unreachable');
+  }
+});
