--- a/packages/fakes/src/cut-dialer.ts
+++ b/packages/fakes/src/cut-dialer.ts
@@ -18,6 +18,7 @@
   /** Number of connections that were opened to upstreams. */
   public opened = 0;
   private kind: CutKind | undefined;
+  private readonly sockets = new Set<net.Socket>();
   private readonly pairs = new Set<Pair>();
   private readonly server = net.createServer({ pauseOnConnect: true }, (socket) => {
     this.accepted.set(socket.remotePort!, socket);
@@ -61,7 +62,11 @@
   /** Closes every connection. */
   public stop(): void {
     this.resetAll();
+    this.accepted.forEach((socket) => socket.destroy());
+    this.sockets.forEach((socket) => socket.destroy());
+    this.kind = 'refused';
     this.server.close();
+    this.server.unref();
   }
 
   /** Opens a connection to an IP address and port; rejects after `timeoutMs`. */
@@ -85,6 +90,8 @@
     const { port } = this.server.address() as net.AddressInfo;
     const own = await connect(port, '127.0.0.1');
     const near = await this.takeAccepted(own.localPort!);
+    near.unref();
+    [own, near, far].forEach((socket) => socket && this.sockets.add(socket));
     const pair = { near, far };
     this.pairs.add(pair);
     this.forward(pair, near, far);
@@ -145,6 +152,8 @@
   return new Promise((resolve, reject) => {
     const socket = net.connect(port, host);
     socket.setNoDelay(true);
+    // A connection that a test leaves open must not keep its process from ending.
+    socket.unref();
     socket.once('connect', () => resolve(socket));
     socket.once('error', reject);
   });
