--- a/packages/gateway/tests/cut-fleet.test.ts
+++ b/packages/gateway/tests/cut-fleet.test.ts
@@ -57,7 +57,7 @@
 async function playSeed(t: tap.Test, seed: number): Promise<void> {
   const plan = draw(seed);
   t.comment(JSON.stringify(plan));
-  const site = new smallSites.SmallSite(t);
+  const site = new smallSites.SmallSite(t, true);
   await site.start(3);
   for (let i = 1; i < plan.hosts; i += 1) {
     await site.addEntry();
--- a/packages/gateway/tests/cut-off-hosts.test.ts
+++ b/packages/gateway/tests/cut-off-hosts.test.ts
@@ -35,7 +35,7 @@
   site: smallSites.SmallSite;
   load: callLoads.CallLoad;
 }> {
-  const site = new smallSites.SmallSite(t);
+  const site = new smallSites.SmallSite(t, true);
   await site.start(3);
   for (let i = 1; i < HOSTS; i += 1) {
     await site.addEntry();
--- a/packages/gateway/tests/cut-off-streams.test.ts
+++ b/packages/gateway/tests/cut-off-streams.test.ts
@@ -53,7 +53,7 @@
   site: smallSites.SmallSite;
   engines: EngineStandIn;
 }> {
-  const site = new smallSites.SmallSite(t);
+  const site = new smallSites.SmallSite(t, true);
   const engines = new EngineStandIn();
   await site.start(3);
   await site.addEntry();
--- a/packages/gateway/tests/support/small-site.ts
+++ b/packages/gateway/tests/support/small-site.ts
@@ -54,7 +54,13 @@
   private readonly upstreams = new Map<string, http.Server>();
   private readonly open = new Set<http.ClientRequest>();
 
-  public constructor(private readonly t: Teardown) {}
+  private started = 0;
+
+  public constructor(
+    private readonly t: Teardown,
+    /** Whether entry hosts may be cut off from upstreams. */
+    private readonly canCut = false,
+  ) {}
 
   /** Starts an entry host and `coreCount` core hosts, the first three of which are the founders of the log. */
   public async start(coreCount: number): Promise<void> {
@@ -274,11 +280,14 @@
     hostId: string,
     metrics: telemetry.TextMetrics,
   ): Promise<gateway.EntryHost> {
-    const dialer = new fakes.CutDialer();
-    await dialer.start();
-    this.dialers.set(hostId, dialer);
-    this.t.teardown(() => dialer.stop());
-    const ip = `127.0.3.${[...this.dialers.keys()].indexOf(hostId) + 1}`;
+    const dialer = this.canCut ? new fakes.CutDialer() : undefined;
+    if (dialer !== undefined) {
+      await dialer.start();
+      this.dialers.set(hostId, dialer);
+      this.t.teardown(() => dialer.stop());
+    }
+    this.started += 1;
+    const ip = `127.0.3.${this.started}`;
     return new gateway.EntryHost({
       settings: this.createWatch({
         ...this.createSettings(ip, false),
