Log what prompts were made of when their upstream broke off

The logs of prompts that end engines could not tell calls with a part in common from one call that is sent again in other words: `run-lost` named the digest of the call only.

--- a/packages/gateway/src/crash-guard.ts
+++ b/packages/gateway/src/crash-guard.ts
@@ -3,6 +3,7 @@
 import * as schemas from '@bramleyridge/schemas';
 import type * as telemetry from '@bramleyridge/telemetry';
 
+import * as promptParts from './prompt-parts.js';
 import type * as routedJobs from './routed-job.js';
 import type * as suspectClients from './suspect-client.js';
 import type * as upstreamDirectories from './upstream-directory.js';
@@ -180,7 +181,17 @@
     const isAnnounced = directory.isLeaving(upstreamId);
     const digest = job.getDigest();
     const request = job.call.facts.requestId;
-    log.info({ decision: 'run-lost', request, digest, upstream: upstreamId, isAnnounced, isEarly });
+    log.info({
+      decision: 'run-lost',
+      request,
+      digest,
+      upstream: upstreamId,
+      route: job.call.route.name,
+      team: job.call.team?.name,
+      parts: promptParts.listSharedParts(job.call).map(({ partId }) => partId),
+      isAnnounced,
+      isEarly,
+    });
     if (isAnnounced || !(await exitDetector.hasExited(known))) {
       this.recordOutcome(job, run, 'over');
       return;
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -11,6 +11,8 @@
   readonly maxTokens: number;
   /** The caller's estimate of the answer's tokens; correct at the median, often far off. */
   readonly hintTokens: number | undefined;
+  /** The model that the caller names, if any. */
+  readonly model?: string | undefined;
   /** The parts of the prompt, in order; the last one belongs to the call or its session. */
   readonly prefixParts: readonly { readonly partId: string; readonly tokens: number }[];
 }
--- a/packages/gateway/tests/run-permits.test.ts
+++ b/packages/gateway/tests/run-permits.test.ts
@@ -51,7 +51,7 @@
 }
 
 function createJob(requestId: string): routedJobs.RoutedJob {
-  const call = { facts: { requestId }, service: { name: 'app' } };
+  const call = { facts: { requestId }, route: { name: 'plain' }, service: { name: 'app' } };
   return { call, getDigest: () => 'bad' } as unknown as routedJobs.RoutedJob;
 }
 
--- a/packages/gateway/tests/support/fleet-simulation.ts
+++ b/packages/gateway/tests/support/fleet-simulation.ts
@@ -182,7 +182,11 @@
     record.arrivals += 1;
     const tried = new Set<string>();
     const job = {
-      call: { facts: { requestId: `c${this.callCount}` }, service: { name: 'engines' } },
+      call: {
+        facts: { requestId: `c${this.callCount}` },
+        route: { name: 'drafts' },
+        service: { name: 'engines' },
+      },
       getDigest: () => name,
       tried,
     } as unknown as routedJobs.RoutedJob;
