Show that prompts with one bad part in common end engine after engine

Callers of a route lose their answers while calls with one part of their prompt, no two of them alike, crash each engine that begins to answer them. Nobody is refused for the part: the account knows whole calls only, and no call comes twice.

--- a/packages/gateway/tests/support/crashing-upstreams.ts
+++ b/packages/gateway/tests/support/crashing-upstreams.ts
@@ -16,9 +16,27 @@
 /** A call that an upstream received. */
 export interface Arrival {
   readonly body: string;
+  /** Parts of its prompt, as the caller named them. */
+  readonly parts: readonly string[];
   readonly at: number;
 }
 
+/** How upstreams crash and restart. */
+export interface CrashOptions {
+  /** Whether a call crashes its upstream. */
+  readonly isBad: (call: Pick<Arrival, 'body' | 'parts'>) => boolean;
+  /** Time that a crashed upstream takes to restart, in milliseconds. */
+  readonly restartMs: number;
+  /** Number of upstreams of each of the two services. */
+  readonly upstreams: number;
+}
+
+const DEFAULT_OPTIONS: CrashOptions = {
+  isBad: ({ body }) => body.startsWith('bad'),
+  restartMs: RESTART_MS,
+  upstreams: UPSTREAMS,
+};
+
 /** Upstreams that crash under bad calls and restart as new processes at the same address. */
 export class CrashingUpstreams {
   public readonly arrivals: Arrival[] = [];
@@ -27,7 +45,10 @@
   private processCount = 0;
   private isStopped = false;
 
-  public constructor(private readonly site: sites.SmallSite) {}
+  public constructor(
+    private readonly site: sites.SmallSite,
+    private readonly options: CrashOptions = DEFAULT_OPTIONS,
+  ) {}
 
   /** Prevents further restarts of upstreams; a restart after the test would keep the test process running. */
   public stop(): void {
@@ -46,6 +67,16 @@
     return this.arrivals.filter((item) => item.body === body && item.at > since).length;
   }
 
+  /** Counts the sends of calls with a part of their prompt after a given time. */
+  public countPartSince(part: string, since: number): number {
+    return this.arrivals.filter((item) => item.parts.includes(part) && item.at > since).length;
+  }
+
+  /** Lists the crashes of upstreams by calls with a part of their prompt, in order. */
+  public listPartCrashes(part: string): Arrival[] {
+    return this.crashes.filter((crash) => crash.parts.includes(part));
+  }
+
   /** Lists the crashes of upstreams by a call, in order. */
   public listCrashes(body: string): Arrival[] {
     return this.crashes.filter((crash) => crash.body === body);
@@ -68,17 +99,18 @@
         body += part.toString();
       });
       req.on('end', () => {
-        this.arrivals.push({ body, at: Date.now() });
+        const parts = (req.headers.parts?.toString() ?? '').split(',');
+        this.arrivals.push({ body, parts, at: Date.now() });
         if (req.headers['meant-for'] !== name) {
           res.writeHead(421, { 'not-run': 'moved', 'content-length': 0 });
           res.end();
           return;
         }
-        if (body.startsWith('bad')) {
+        if (this.options.isBad({ body, parts })) {
           setTimeout(() => {
             if (isUp) {
               isUp = false;
-              this.crashes.push({ body, at: Date.now() });
+              this.crashes.push({ body, parts, at: Date.now() });
               void this.restart(server);
             }
           }, RUN_MS);
@@ -95,7 +127,7 @@
     const { list } = this.site;
     const former = list.upstreams.find((item) => item.address === address)!;
     await new Promise((resolve) => {
-      setTimeout(resolve, RESTART_MS);
+      setTimeout(resolve, this.options.restartMs);
     });
     if (this.isStopped) {
       return;
@@ -118,27 +150,31 @@
  * Starts three core hosts, the given number of entry hosts and crashing upstreams of both services, and waits until all
  * hosts list them.
  */
-export async function createCrashingSite(t: tap.Test, entryHosts: number) {
+export async function createCrashingSite(
+  t: tap.Test,
+  entryHosts: number,
+  options: CrashOptions = DEFAULT_OPTIONS,
+) {
   const site = new sites.SmallSite(t);
   await site.start(3);
   for (let i = 1; i < entryHosts; i += 1) {
     await site.addEntry();
   }
-  const upstreams = new CrashingUpstreams(site);
+  const upstreams = new CrashingUpstreams(site, options);
   t.teardown(() => upstreams.stop());
-  for (let i = 0; i < UPSTREAMS; i += 1) {
+  for (let i = 0; i < options.upstreams; i += 1) {
     await upstreams.add('app');
     await upstreams.add('engines');
   }
   await site.declare({});
-  await waitUntilReady(site);
+  await waitUntilReady(site, options.upstreams);
   return { site, upstreams };
 }
 
 /** Waits until all entry hosts are ready and list all upstreams. */
-export async function waitUntilReady(site: sites.SmallSite): Promise<void> {
+export async function waitUntilReady(site: sites.SmallSite, upstreams = UPSTREAMS): Promise<void> {
   const hosts = [site.entry, ...site.others.map(({ host }) => host)];
   await site.until('ready', () =>
-    hosts.every((host) => host.isReady() && host.directory.countLive() === 2 * UPSTREAMS),
+    hosts.every((host) => host.isReady() && host.directory.countLive() === 2 * upstreams),
   );
 }
--- a/packages/gateway/tests/support/test-wire.ts
+++ b/packages/gateway/tests/support/test-wire.ts
@@ -20,8 +20,16 @@
       generation:
         tokens === undefined
           ? undefined
-          : { promptTokens: 100, maxTokens: tokens, hintTokens: tokens, prefixParts: [] },
-      forwardedHeaders: { 'call-id': headers['call-id']?.toString() ?? '' },
+          : {
+              promptTokens: 100,
+              maxTokens: tokens,
+              hintTokens: tokens,
+              prefixParts: readParts(headers),
+            },
+      forwardedHeaders: {
+        'call-id': headers['call-id']?.toString() ?? '',
+        ...(headers.parts === undefined ? {} : { parts: headers.parts }),
+      },
     };
   }
 
@@ -68,6 +76,11 @@
   }
 }
 
+function readParts(headers: http.IncomingHttpHeaders): { partId: string; tokens: number }[] {
+  const text = headers.parts?.toString() ?? '';
+  return text === '' ? [] : text.split(',').map((partId) => ({ partId, tokens: 50 }));
+}
+
 function formatReference(reference: gateway.KvCacheReference): string {
   return reference.kind === 'kept'
     ? reference.backupAddress
