Hold process ends against the parts that prompts share

What callers saw: engines ended one after the other, with all that ran there, while calls with one part of their prompt came at all hosts, no two alike.

Cause: a call was known by its digest only. What different calls have in common was read from their heads and used by nothing, so each bad call was the first of its kind. The class: an account of failures with one kind of subject, where the cause may be of another kind.

Change: the ledger, its relays and the replicated log hold parts of prompts beside calls. A part is recorded at each end of calls that had not answered for a second, and cleared by any answer that is written on it, at any host, so that what sound calls share is cleared all the time. The part that explains at least three ends best is barred, 250 ms after the third, by the leader, else by a core host that relays, else by the host itself; parts that were at as many ends are barred as well, and tried at once. A barred part is tried twice, alone, by a call without other suspect parts, with a permit that the log holds. Checked are admission, the send after the wait for a place and for a rate limit, resumes and hand-overs.

--- a/packages/gateway/src/crash-guard.ts
+++ b/packages/gateway/src/crash-guard.ts
@@ -3,6 +3,7 @@
 import * as schemas from '@bramleyridge/schemas';
 import type * as telemetry from '@bramleyridge/telemetry';
 
+import * as partGuards from './part-guard.js';
 import * as promptParts from './prompt-parts.js';
 import type * as routedJobs from './routed-job.js';
 import type * as suspectClients from './suspect-client.js';
@@ -41,9 +42,9 @@
   | { readonly kind: 'go' | 'elsewhere' }
   | { readonly kind: 'there'; readonly upstream: upstreamDirectories.KnownUpstream };
 
-/** A permit for one run of a suspect. */
+/** The permits for one run of a suspect, or of a call with barred parts. */
 interface RunPermit {
-  readonly permit: routing.Permit;
+  readonly permits: readonly routing.Permit[];
   /** Whether no other suspect runs on the permitted process. */
   readonly isAlone: boolean;
 }
@@ -59,8 +60,8 @@
 }
 
 /**
- * Stops calls that crash the upstreams that run them. Such a call is repeated under a new id on any host, and each time
- * it crashes an upstream with all runs on it. Every path to an upstream checks here first: attempts, retries and runs
+ * Stops calls that crash the upstreams that run them: a call that is repeated under a new id on any host, and calls whose
+ * prompts share a part that does. Each crashes an upstream with all runs on it. Every path to an upstream checks here first: attempts, retries and runs
  * that continue on another upstream.
  */
 export class CrashGuard {
@@ -69,9 +70,11 @@
   private readonly exitChecks = new Map<string, Promise<void>>();
   /** The permit for the current run of each job. */
   private readonly permits = new WeakMap<routedJobs.RoutedJob, RunPermit>();
+  private readonly parts: partGuards.PartGuard;
 
   public constructor(private readonly options: CrashGuardOptions) {
     options.suspects.attach(this.ledger);
+    this.parts = new partGuards.PartGuard({ ...options, ledger: this.ledger });
   }
 
   /** Waits for a pending exit check of the call's last run, then throws a refusal if the call is quarantined. */
@@ -80,12 +83,16 @@
     if (check !== undefined) {
       await Promise.race([check, this.options.clock.sleep(MAX_CHECK_WAIT_MS)]);
     }
-    if (this.ledger.size === 0) {
-      return;
-    }
-    const refusal = this.ledger.findQuarantineRefusal(job.getDigest(), this.options.clock.now());
-    if (refusal !== undefined) {
-      throw this.refuse(job, refusal);
+    this.ensureAdmitted(job);
+  }
+
+  /**
+   * Throws a refusal if the call or a part of its prompt was quarantined while the call waited, unless it has a permit
+   * for its send.
+   */
+  public confirm(job: routedJobs.RoutedJob): void {
+    if (!this.permits.has(job)) {
+      this.ensureAdmitted(job);
     }
   }
 
@@ -97,6 +104,32 @@
     job: routedJobs.RoutedJob,
     known: upstreamDirectories.KnownUpstream,
     mayShare: () => boolean,
+  ): Promise<PermitDecision> {
+    const decision = await this.permitCall(job, known, mayShare);
+    if (decision.kind === 'elsewhere' || this.parts.listBarred(job).length === 0) {
+      return decision;
+    }
+    const target = decision.kind === 'there' ? decision.upstream : known;
+    const isFixed = decision.kind === 'there' || mayShare();
+    const trial = await this.parts.requestTrial(job, getProcessId(target), isFixed);
+    const permits = [...(this.permits.get(job)?.permits ?? []), ...trial.permits];
+    if (trial.refused !== undefined || trial.isElsewhere) {
+      this.returnPermits(job, permits);
+    }
+    if (trial.refused !== undefined) {
+      throw this.refuse(job, trial.refused, 'partQuarantined');
+    }
+    if (trial.isElsewhere) {
+      return { kind: 'elsewhere' };
+    }
+    this.permits.set(job, { permits, isAlone: this.permits.get(job)?.isAlone ?? false });
+    return decision;
+  }
+
+  private async permitCall(
+    job: routedJobs.RoutedJob,
+    known: upstreamDirectories.KnownUpstream,
+    mayShare: () => boolean,
   ): Promise<PermitDecision> {
     if (!this.isTracked(job)) {
       return { kind: 'go' };
@@ -104,13 +137,13 @@
     const mayShareProcess = mayShare();
     const permit = await this.requestPermit(job.getDigest(), getProcessId(known), mayShareProcess);
     if (permit.kind === 'refused') {
-      throw this.refuse(job, permit);
+      throw this.refuse(job, permit, 'quarantined');
     }
     // A leader of the previous version does not report other suspects. If it had a choice, it picked a process without
     // them.
     const isIsolated = permit.kind === 'go' && !mayShareProcess;
     const isAlone = 'isAlone' in permit ? permit.isAlone === true : isIsolated;
-    this.permits.set(job, { permit, isAlone });
+    this.permits.set(job, { permits: [permit], isAlone });
     if (permit.kind !== 'there') {
       return permit;
     }
@@ -126,14 +159,19 @@
   /** Records the outcome of a run. */
   public recordOutcome(job: routedJobs.RoutedJob, run: GuardedRun, outcome: RunOutcome): void {
     const permitted = this.permits.get(job);
-    this.permits.delete(job);
     if (outcome === 'not-run' && permitted !== undefined) {
-      this.options.suspects.keepUnusedPermit(permitted.permit);
+      this.returnPermits(job, permitted.permits);
     }
+    this.permits.delete(job);
     if (outcome === 'lost') {
       this.startExitCheck(job, run, permitted?.isAlone ?? false);
       return;
     }
+    if (outcome === 'served') {
+      this.parts.recordAnswer(job);
+    } else {
+      this.parts.recordInconclusive(job, getProcessId(run.known));
+    }
     if (!this.isTracked(job)) {
       return;
     }
@@ -146,9 +184,35 @@
     }
   }
 
-  /** Returns whether the ledger has an entry for a call; with an empty ledger no digest is computed. */
+  /** Records that an answer goes on: an answer that is written for some time is on none of the parts that crash. */
+  public recordProgress(job: routedJobs.RoutedJob): void {
+    if (this.ledger.hasParts && job.times.getAnswerMs() >= EARLY_CRASH_MS) {
+      this.parts.recordAnswer(job);
+    }
+  }
+
+  /** Returns whether the ledger has an entry for a call; without any call in it, no digest is computed. */
   private isTracked(job: routedJobs.RoutedJob): boolean {
-    return this.ledger.size > 0 && this.ledger.has(job.getDigest());
+    return this.ledger.hasCalls && this.ledger.has(job.getDigest());
+  }
+
+  private ensureAdmitted(job: routedJobs.RoutedJob): void {
+    const refusal = this.ledger.hasCalls
+      ? this.ledger.findQuarantineRefusal(job.getDigest(), this.options.clock.now())
+      : undefined;
+    if (refusal !== undefined) {
+      throw this.refuse(job, refusal, 'quarantined');
+    }
+    const partRefusal = this.parts.findRefusal(job);
+    if (partRefusal !== undefined) {
+      throw this.refuse(job, partRefusal, 'partQuarantined');
+    }
+  }
+
+  /** Returns permits that were not used. */
+  private returnPermits(job: routedJobs.RoutedJob, permits: readonly routing.Permit[]): void {
+    this.permits.delete(job);
+    permits.forEach((permit) => this.options.suspects.keepUnusedPermit(permit));
   }
 
   private reportInconclusive(digest: string, { known }: GuardedRun): void {
@@ -202,6 +266,11 @@
     // The leader that granted the permit may have been replaced, and the next leader has no record of the run.
     const processEnd = { processId, isEarly, wasAlone };
     this.ledger.recordProcessEnd(digest, processEnd, clock.now());
+    if (isEarly) {
+      this.parts.recordEnd(job, processId);
+    } else {
+      this.parts.recordAnswer(job);
+    }
     const recorded = this.ledger.find(digest)?.ends.find((item) => item.processId === processId);
     suspects.report({ kind: 'ended', digest, end: recorded ?? processEnd });
   }
@@ -228,14 +297,18 @@
     return permit;
   }
 
-  private refuse(job: routedJobs.RoutedJob, { retryMs }: routing.PermitRefusal): schemas.Refusal {
+  private refuse(
+    job: routedJobs.RoutedJob,
+    { retryMs }: routing.PermitRefusal,
+    id: 'partQuarantined' | 'quarantined',
+  ): schemas.Refusal {
     const { log, metrics } = this.options;
-    const id = 'quarantined';
     metrics.count('refusals', { reason: id });
     log.info({
       decision: 'refuse',
       request: job.call.facts.requestId,
       digest: job.getDigest(),
+      parts: id === 'partQuarantined' ? this.parts.listBarred(job) : undefined,
       reason: id,
       retryMs: Math.round(retryMs),
       step: 'quarantine',
--- a/packages/gateway/src/routed-attempts.ts
+++ b/packages/gateway/src/routed-attempts.ts
@@ -131,7 +131,9 @@
   ): Promise<requests.SendPermit> {
     const { gate, guard, log, picker } = this.options;
     try {
-      return await gate.admit(picked.known);
+      const permit = await gate.admit(picked.known);
+      guard.confirm(job);
+      return permit;
     } catch (err) {
       picker.release(job.call, picked, upstreamPickers.UNSENT);
       guard.recordOutcome(job, { known: picked.known, answerStartedAt: undefined }, 'not-run');
--- a/packages/gateway/src/routed-flow.ts
+++ b/packages/gateway/src/routed-flow.ts
@@ -169,10 +169,11 @@
     }
   }
 
-  private noteEvents({ call, times }: routedJobs.RoutedJob): void {
-    if (times.recordEvents()) {
-      this.options.picker.reportEvent(call, 'begun');
+  private noteEvents(job: routedJobs.RoutedJob): void {
+    if (job.times.recordEvents()) {
+      this.options.picker.reportEvent(job.call, 'begun');
     }
+    this.options.guard.recordProgress(job);
   }
 
   private requestAnswer(job: routedJobs.RoutedJob): Promise<routedAnswers.RoutedAnswer> {
--- a/packages/gateway/src/stream-times.ts
+++ b/packages/gateway/src/stream-times.ts
@@ -37,6 +37,13 @@
     return false;
   }
 
+  /** Returns for how long events have been sent, in milliseconds; 0 before the first. */
+  public getAnswerMs(): number {
+    return this.firstEventMs === undefined
+      ? 0
+      : this.clock.now() - this.arrivedAt - this.firstEventMs;
+  }
+
   /**
    * Returns whether an answer that is complete now was on time: a stream by its first event and its longest gap, any
    * other answer by its end.
--- a/packages/gateway/src/suspect-registry.ts
+++ b/packages/gateway/src/suspect-registry.ts
@@ -3,6 +3,7 @@
 import type * as telemetry from '@bramleyridge/telemetry';
 
 import type * as procedures from './core-procedures.js';
+import * as verdictTasks from './verdict-task.js';
 
 /**
  * Time after which a new leader has a record of all runs of suspects, in milliseconds: those that its predecessor
@@ -23,15 +24,23 @@
   readonly propose: (entry: routing.QuarantineEntry) => Promise<unknown>;
 }
 
-/** The leader's registry of calls during which upstreams crashed, for all hosts. */
+/** The leader's registry of calls and parts of prompts during whose runs upstreams crashed, for all hosts. */
 export class SuspectRegistry {
   /** Notifies when there are updates for the hosts. */
   public readonly changed = new schemas.ChangeSignal();
   private ledger = new routing.CrashLedger();
   private term = -1;
   private leadingSince = 0;
-
-  public constructor(private readonly options: SuspectRegistryOptions) {}
+  private readonly verdicts: verdictTasks.VerdictTask;
+
+  public constructor(private readonly options: SuspectRegistryOptions) {
+    this.verdicts = new verdictTasks.VerdictTask({
+      getLedger: () => this.ledger,
+      clock: options.clock,
+      patienceMs: 0,
+      onBarred: (partIds) => this.shareBarred(partIds),
+    });
+  }
 
   /**
    * Starts a term as the leader with the entries of the replicated log; has no effect if the term has already started.
@@ -65,6 +74,7 @@
       return;
     }
     this.changed.notify();
+    this.verdicts.schedule();
     const loggedDigests = new Set(this.options.quarantine.list().map(({ digest }) => digest));
     all
       .map(({ digest }) => digest)
@@ -149,6 +159,18 @@
       this.recordInBackground(digest);
     }
     this.changed.notify();
+    this.verdicts.schedule();
+  }
+
+  private shareBarred(partIds: readonly string[]): void {
+    const { log, metrics } = this.options;
+    partIds.forEach((digest) => {
+      const ends = this.ledger.find(digest)?.ends.map(({ processId }) => processId);
+      log.info({ decision: 'part-barred', digest, ends });
+      metrics.count('suspects', { standing: 'quarantined' });
+      this.recordInBackground(digest);
+    });
+    this.changed.notify();
   }
 
   /** Returns whether the log has the current number of additional sends of a quarantined call. */
@@ -183,6 +205,7 @@
       metrics.count('suspects', { standing: 'cleared' });
       if (standing === 'quarantined') {
         this.recordInBackground(digest);
+        this.verdicts.decide();
       }
       this.changed.notify();
     }
--- a/packages/gateway/src/suspect-relay.ts
+++ b/packages/gateway/src/suspect-relay.ts
@@ -4,6 +4,7 @@
 import type * as coreGroups from './core-group.js';
 import type * as coreMeshes from './core-mesh.js';
 import type * as procedures from './core-procedures.js';
+import * as verdictTasks from './verdict-task.js';
 
 /** Interval at which a core host with reported suspects checks whether a leader is back, in milliseconds. */
 const LEADER_CHECK_MS = 200;
@@ -47,8 +48,20 @@
   private isExpiryScheduled = false;
   /** When the leader last failed to answer. */
   private leaderFailedAt = -Infinity;
-
-  public constructor(private readonly options: SuspectRelayOptions) {}
+  private readonly verdicts: verdictTasks.VerdictTask;
+
+  public constructor(private readonly options: SuspectRelayOptions) {
+    const { clock, log } = options;
+    this.verdicts = new verdictTasks.VerdictTask({
+      getLedger: () => this.ledger,
+      clock,
+      patienceMs: 0,
+      onBarred: (partIds) => {
+        log.info({ decision: 'part-barred', partIds, isRelayed: true });
+        this.changed.notify();
+      },
+    });
+  }
 
   /** Forwards a host's report to the leader or else records it here; returns whether the leader has received it. */
   public async report(req: procedures.SuspectReport): Promise<{ readonly isTaken: boolean }> {
@@ -90,6 +103,7 @@
         this.ledger.recordProcessEnd(digest, run.end, clock.now());
       } else if (kind === 'served') {
         this.ledger.clear(digest);
+        this.verdicts.decide();
       } else {
         this.ledger.recordInconclusiveRun(digest, run.processId);
       }
@@ -97,6 +111,7 @@
       log.info({ decision: 'suspect-relayed', digest, kind, standing, peer: hostId });
     });
     this.changed.notify();
+    this.verdicts.schedule();
   }
 
   private permitLocally(req: procedures.SuspectPermitReq): routing.Permit {
--- a/packages/gateway/tests/crashing-prompts.test.ts
+++ b/packages/gateway/tests/crashing-prompts.test.ts
@@ -60,7 +60,9 @@
     scenario.onRound?.(site, round * ROUND_MS);
     GOOD_PROMPTS.forEach((shared) => pending.push(send(shared)));
     if (round % 2 === 0) {
-      scenario.badPrompts.forEach((shared) => void send(shared));
+      scenario.badPrompts.forEach((shared) => {
+        void send(shared);
+      });
     }
     await new Promise((resolve) => {
       setTimeout(resolve, ROUND_MS);
--- a/packages/gateway/tests/support/fleet-simulation.ts
+++ b/packages/gateway/tests/support/fleet-simulation.ts
@@ -31,6 +31,21 @@
 /** Maximum number of sends of one call, retries included. */
 const MAX_SENDS = 2;
 
+/** Prompts that share parts, some of which crash every engine that begins an answer on them. */
+export interface PromptOptions {
+  /** Shared parts of each kind of good prompt; the bad parts come after those of a drawn kind, or before them. */
+  readonly kinds: readonly (readonly string[])[];
+  readonly badParts: readonly string[];
+  readonly isBadFirst: boolean;
+  /** Mean pause between two good prompts, and between two bursts of bad ones, in milliseconds. */
+  readonly goodPauseMs: number;
+  readonly badPauseMs: number;
+  /** Number of bad prompts that come at the same time. */
+  readonly burst: number;
+  /** How many of the good prompts have a long answer, as a share. */
+  readonly longShare: number;
+}
+
 /** The size of the simulated fleet and the rates of the drawn events. */
 export interface FleetSimulationOptions {
   readonly hosts: number;
@@ -53,9 +68,25 @@
   readonly leaderlessMs?: number;
   /** Number of core hosts that can be reached while there is no leader. */
   readonly relays?: number;
+  readonly prompts?: PromptOptions;
   readonly durationMs: number;
 }
 
+/** A drawn arrival of a call. */
+interface Arrival {
+  readonly name: string;
+  readonly runMs: number;
+  readonly isBad: boolean;
+  /** Shared parts of its prompt. */
+  readonly parts: readonly string[];
+}
+
+/** Whether the answer of a good prompt began at the first attempt. */
+interface PromptResult {
+  readonly at: number;
+  readonly hasBegun: boolean;
+}
+
 interface Engine {
   processId: string;
   upAt: number;
@@ -82,6 +113,8 @@
 /** The observations of one call over all its arrivals. */
 export class CallRecord {
   public readonly crashedAt: number[] = [];
+  /** The engine processes that calls with a bad part have crashed; each counts once. */
+  public readonly crashedProcesses = new Set<string>();
   public readonly sentAt: number[] = [];
   /** Times of all sends; `sentAt` has only those of hosts that count as connected. */
   public readonly allSentAt: number[] = [];
@@ -95,6 +128,12 @@
     return this.countLateOf(this.sentAt);
   }
 
+  /** Counts the same after the crash with the given number. */
+  public countLateAfter(crash: number): number {
+    const since = (this.crashedAt[crash - 1] ?? Infinity) + PROPAGATION_MS;
+    return this.sentAt.filter((at) => at > since).length;
+  }
+
   /** Counts the same for all hosts, also while there is no leader. */
   public countAllLate(): number {
     return this.countLateOf(this.allSentAt);
@@ -113,6 +152,10 @@
 export class FleetSimulation {
   public readonly clock = new schemas.VirtualClock();
   public readonly calls = new Map<string, CallRecord>();
+  /** The observations of all calls with each bad part. */
+  public readonly parts = new Map<string, CallRecord>();
+  /** The results of good prompts that came to connected hosts. */
+  public readonly promptResults: PromptResult[] = [];
   private readonly rng: ReturnType<typeof xoroshiro.xoroshiro128plus>;
   private readonly engines: Engine[] = [];
   private readonly hosts: Host[] = [];
@@ -151,6 +194,7 @@
       this.maybe(250, () => this.arrive('popular', 300));
       this.maybe(500, () => this.arrive(`draft-${at}`, 9_000));
       this.maybe(200, () => this.arrive(`check-${at}`, 400));
+      this.drawPrompts(at);
       this.maybe(crashMs, () => this.crash(this.engines[this.draw(this.engines.length)]!));
       this.maybe(leaderMs, () => this.loseLeader());
       this.maybe(hostMs, () => this.disrupt(this.hosts[this.draw(this.hosts.length)]!));
@@ -170,15 +214,41 @@
     return [...this.calls].flatMap(([name, record]) => (name.startsWith('bad') ? [] : [record]));
   }
 
+  private drawPrompts(at: number): void {
+    const { prompts } = this.options;
+    if (prompts === undefined) {
+      return;
+    }
+    const { badParts, badPauseMs, burst, goodPauseMs, isBadFirst, kinds, longShare } = prompts;
+    this.maybe(goodPauseMs, () => {
+      const parts = kinds[this.draw(kinds.length)]!;
+      const runMs = this.random() < longShare ? 4_000 : 100 + this.draw(400);
+      this.receive({ name: `prompt-${at}`, runMs, isBad: false, parts });
+    });
+    badParts.forEach((part) => {
+      this.maybe(badPauseMs, () => {
+        for (let i = 0; i < burst; i += 1) {
+          const others = kinds[this.draw(kinds.length)]!;
+          const parts = isBadFirst ? [part, ...others] : [...others, part];
+          this.receive({ name: `${part}-${at}-${i}`, runMs: CRASH_AFTER_MS, isBad: true, parts });
+        }
+      });
+    });
+  }
+
   private arrive(name: string, runMs: number): void {
+    this.receive({ name, runMs, isBad: name.startsWith('bad'), parts: [] });
+  }
+
+  private receive({ isBad, name, parts, runMs }: Arrival): void {
     const host = this.hosts[this.draw(this.hosts.length)]!;
     // Callers use no host that has received nothing from the core hosts since its start.
     if (host.leaderTerm === 0) {
       return;
     }
     this.callCount += 1;
-    const record = this.calls.get(name) ?? new CallRecord();
-    this.calls.set(name, record);
+    const record = this.findRecord(isBad, name, parts);
+    const startedAt = this.clock.now();
     record.arrivals += 1;
     const tried = new Set<string>();
     const job = {
@@ -189,15 +259,39 @@
       },
       getDigest: () => name,
       tried,
+      times: { getAnswerMs: () => runMs },
     } as unknown as routedJobs.RoutedJob;
-    this.serve(host, job, record, name.startsWith('bad'), runMs).catch((err: unknown) => {
-      if (err instanceof schemas.Refusal) {
+    if (parts.length > 0) {
+      Object.assign(job.call.facts, {
+        generation: { prefixParts: [...parts, name].map((partId) => ({ partId, tokens: 1 })) },
+      });
+    }
+    const note = (hasBegun: boolean) => {
+      if (parts.length > 0 && !isBad && host.connectedAt <= startedAt) {
+        this.promptResults.push({ at: startedAt, hasBegun });
+      }
+    };
+    this.serve(host, job, record, isBad, runMs).then(
+      () => note(record.served > 0),
+      (err: unknown) => {
+        if (!(err instanceof schemas.Refusal)) {
+          throw err;
+        }
         record.refused += 1;
         record.lastRefusedAt = this.clock.now();
-        return;
-      }
-      throw err;
-    });
+        note(false);
+      },
+    );
+  }
+
+  /** Returns the record of a call; calls with a bad part of their prompts share that of the part. */
+  private findRecord(isBad: boolean, name: string, parts: readonly string[]): CallRecord {
+    const badPart = isBad ? parts.find((part) => part.startsWith('bad')) : undefined;
+    const records = badPart === undefined ? this.calls : this.parts;
+    const key = badPart ?? name;
+    const record = records.get(key) ?? new CallRecord();
+    records.set(key, record);
+    return record;
   }
 
   private async serve(
@@ -266,12 +360,17 @@
     isBad: boolean,
     record: CallRecord,
   ): Promise<boolean> {
+    const { processId } = engine;
+    const hasParts = [...this.parts.values()].includes(record);
     return new Promise((resolve) => {
       const settle = (hasCrashed: boolean) => {
         engine.runs.delete(settle);
-        if (isBad && hasCrashed) {
+        if (isBad && hasCrashed && !record.crashedProcesses.has(processId)) {
           record.crashedAt.push(this.clock.now());
         }
+        if (hasParts && hasCrashed) {
+          record.crashedProcesses.add(processId);
+        }
         resolve(hasCrashed);
       };
       engine.runs.add(settle);
--- a/packages/routing/src/crash-ledger.ts
+++ b/packages/routing/src/crash-ledger.ts
@@ -1,3 +1,4 @@
+import * as partVerdicts from './part-verdict.js';
 import * as suspects from './suspect.js';
 
 /**
@@ -12,6 +13,9 @@
  */
 const MAX_CLEARED = 500;
 
+/** Maximum number of process ends kept per cleared part. */
+const MAX_CLEARED_ENDS = 32;
+
 /**
  * How long other suspects are kept away from a process on which a suspect runs, in milliseconds. A
  * faulty call ends its upstream when it starts to run, that is after queuing for a slot and after
@@ -27,6 +31,30 @@
  */
 const RETRY_DELAYS_MS = [3_000, 10_000] as const;
 
+/**
+ * The same delays for a barred part of prompts. The first trial at once is only for a part that may have been at the
+ * ends by chance, because another barred part explains them.
+ */
+const PART_TRIAL_DELAYS_MS = [0, 1_500, 10_000] as const;
+
+/** Number of trials that a part has used up when it is barred as the best explanation of the ends. */
+const BAD_PART_CHANCES = 1;
+
+/** Number of process ends from which a part that is not barred makes the trial of another one inconclusive. */
+const MIXED_TRIAL_ENDS = 2;
+
+/**
+ * Time from the third process end of a part until the part may be barred, in milliseconds. Meanwhile all hosts report
+ * the calls that they lost there, and the answers that are written on other parts.
+ */
+const VERDICT_DELAY_MS = 250;
+
+/**
+ * Additional delay before a call with other suspect parts is sent as the trial of a barred part, in milliseconds: its
+ * end would show nothing about either part.
+ */
+const MIXED_TRIAL_DELAY_MS = 3_000;
+
 /** Retry delay reported for a call that will not be sent again, in milliseconds. */
 const PERMANENT_REFUSAL_RETRY_MS = 300_000;
 
@@ -83,30 +111,49 @@
    * not start a new trial.
    */
   finishedPermitId: string | undefined;
+  /** When the part may be barred, on this host's clock; undefined while it was at too few ends, and for calls. */
+  verdictAt: number | undefined;
   /** Revision of the last change published to hosts; 0 while the call is only watched. */
   revision: number;
 }
 
 /**
- * Records the calls during which upstream processes ended. Everything that runs on an upstream ends
+ * Records the calls, and the parts of prompts, during whose runs upstream processes ended. Everything that runs on an upstream ends
  * with it, and most of those calls are not the cause, so a single end only makes a call a suspect.
  * From then on its runs are kept apart from other suspects, so that the next end can be attributed,
  * and a complete answer clears it at any time. A call is quarantined after two ends if no other
  * suspect ran during at least one of them, and after three ends in any case. A quarantined call is
  * sent twice more, so that a good call can be cleared, and never again after that. An end late in a
  * run counts half.
+ *
+ * A part of prompts is recorded at the ends of calls that had not written an answer for long, and
+ * cleared by any answer that is written on it. Calls with a suspect part are sent as others are. The
+ * part that explains the ends best is barred, and no call with it is sent except for two trials.
  */
 export class CrashLedger {
   /** Ordered by last change, the most recent last. */
   private readonly entries = new Map<string, Entry>();
   private cleared: { readonly digest: string; readonly revision: number }[] = [];
+  /** The process ends of cleared parts by part id; a host that reports one of them again makes no new suspect. */
+  private readonly clearedEnds = new Map<string, ReadonlySet<string>>();
+  private partCount = 0;
   private revision = 0;
 
-  /** Number of calls recorded. */
+  /** Number of calls and parts recorded. */
   public get size(): number {
     return this.entries.size;
   }
 
+  /** Whether any call is recorded. */
+  public get hasCalls(): boolean {
+    return this.entries.size > this.partCount;
+  }
+
+  /** Whether any part of prompts is recorded. */
+  public get hasParts(): boolean {
+    return this.partCount > 0;
+  }
+
   /** Whether the ledger has an entry for a call. */
   public has(digest: string): boolean {
     return this.entries.has(digest);
@@ -135,6 +182,9 @@
     knowsAllRuns = false,
   ): boolean {
     const entry = this.entries.get(digest) ?? createEntry(digest);
+    if (suspects.isPartId(digest)) {
+      return this.recordPartEnd(entry, end, now);
+    }
     const { trial } = entry;
     const isTrialEnd = trial?.processId === end.processId;
     // Another suspect may have been permitted there after the host received a permit that said there
@@ -148,15 +198,15 @@
   }
 
   /**
-   * Removes a call from the ledger because it was answered completely. Returns whether it had an
-   * entry.
+   * Removes a call from the ledger because it was answered completely, or a part of prompts on which
+   * an answer was written. Returns whether it had an entry.
    */
   public clear(digest: string): boolean {
     const entry = this.entries.get(digest);
     if (entry === undefined) {
       return false;
     }
-    this.entries.delete(digest);
+    this.forget(digest);
     if (entry.revision > 0) {
       this.revision += 1;
       this.cleared.push({ digest, revision: this.revision });
@@ -186,7 +236,7 @@
     permitId?: string,
   ): Permit {
     const entry = this.entries.get(digest);
-    if (entry === undefined || suspects.getStanding(entry.facts) === 'watched') {
+    if (entry === undefined || !needsPermit(entry)) {
       return { kind: 'go' };
     }
     // The answer to this request was lost. Refusing it now would use up a retry that never took
@@ -235,6 +285,66 @@
     return entry !== undefined && isQuarantined(entry) ? findRefusal(entry, now) : undefined;
   }
 
+  /**
+   * Returns the refusal of a call by the barred parts of its prompt; `undefined` if none is barred, or
+   * if the call may be sent as a trial of those that are. `partIds` names the shared parts of its
+   * prompt.
+   */
+  public findPartRefusal(partIds: readonly string[], now: number): PermitRefusal | undefined {
+    const entries = partIds.flatMap((id) => this.entries.get(id) ?? []);
+    const barred = entries.filter(isQuarantined);
+    const refusals = barred.flatMap((entry) => findRefusal(entry, now) ?? []);
+    const [longest] = refusals.sort((a, b) => b.retryMs - a.retryMs);
+    const mixed = entries.filter(
+      (entry) => isQuarantined(entry) || entry.facts.ends.length >= MIXED_TRIAL_ENDS,
+    );
+    if (longest !== undefined || mixed.length <= 1) {
+      return longest;
+    }
+    const waits = barred.map((entry) => getTrialAt(entry, now) + MIXED_TRIAL_DELAY_MS - now);
+    const retryMs = Math.max(0, ...waits);
+    return retryMs > 0 ? { kind: 'refused', retryMs } : undefined;
+  }
+
+  /** Returns which parts of a prompt are barred. */
+  public listBarred(partIds: readonly string[]): string[] {
+    return partIds.filter((id) => this.getStanding(id) === 'quarantined');
+  }
+
+  /**
+   * Bars the parts of prompts that explain process ends best, and those that were at as many ends for which another
+   * barred part is the better explanation: several parts may be bad at once, and where engines end faster than they
+   * answer, only a trial shows which. Returns their ids.
+   */
+  public barParts(now: number): string[] {
+    const barred: string[] = [];
+    for (;;) {
+      const found = partVerdicts.findBadPart(this.listParts());
+      const entry = found && this.entries.get(found.digest);
+      if (entry === undefined || !isVerdictDue(entry, now)) {
+        break;
+      }
+      const chances = Math.max(entry.facts.chances, BAD_PART_CHANCES);
+      this.update(entry, { ...entry.facts, isBarred: true, chances }, now);
+      barred.push(entry.facts.digest);
+    }
+    const others = this.listParts().flatMap(({ digest, ends, isBarred }) => {
+      const entry = this.entries.get(digest)!;
+      const isDue = isBarred !== true && isVerdictDue(entry, now);
+      return isDue && partVerdicts.isSufficient(ends) ? [entry] : [];
+    });
+    others.forEach((entry) => this.update(entry, { ...entry.facts, isBarred: true }, now));
+    return [...barred, ...others.map(({ facts }) => facts.digest)];
+  }
+
+  /** Returns when the next part of prompts may be barred; `undefined` if none is about to be. */
+  public findVerdictTime(now: number): number | undefined {
+    const times = [...this.entries.values()].flatMap(({ verdictAt }) =>
+      verdictAt !== undefined && verdictAt > now ? [verdictAt] : [],
+    );
+    return times.length === 0 ? undefined : Math.min(...times);
+  }
+
   /**
    * Decides whether a call may be sent to a process while there is no leader. Quarantined calls are
    * refused, since their retries must be recorded in the replicated log first.
@@ -268,6 +378,9 @@
   public merge(all: readonly suspects.SuspectFacts[], now: number): boolean {
     return all
       .map((facts) => {
+        if (this.isCleared(facts)) {
+          return false;
+        }
         const entry = this.entries.get(facts.digest) ?? createEntry(facts.digest);
         return this.update(entry, suspects.mergeFacts(entry.facts, facts), now);
       })
@@ -280,9 +393,9 @@
       const listed = new Set(all.map(({ digest }) => digest));
       [...this.entries]
         .filter(([digest, entry]) => isSuspect(entry) && !listed.has(digest))
-        .forEach(([digest]) => this.entries.delete(digest));
+        .forEach(([digest]) => this.remove(digest));
     }
-    cleared.forEach((digest) => this.entries.delete(digest));
+    cleared.forEach((digest) => this.forget(digest));
     this.merge(all, now);
   }
 
@@ -329,16 +442,63 @@
     const hasOther = [...this.entries.values()].some(
       (other) =>
         other.facts.digest !== facts.digest &&
+        !isPart(other.facts) &&
         other.facts.ends.length > 1 &&
         hasEnd(other.facts.ends),
     );
     return !hasOther && this.listTrialsAt(processId, now).length === 0;
   }
 
+  private listParts(): suspects.SuspectFacts[] {
+    return [...this.entries.values()].map(({ facts }) => facts).filter(isPart);
+  }
+
+  private recordPartEnd(entry: Entry, end: suspects.ProcessEnd, now: number): boolean {
+    const { digest } = entry.facts;
+    if (this.clearedEnds.get(digest)?.has(end.processId) === true) {
+      return false;
+    }
+    const facts = suspects.addEnds(entry.facts, [end]);
+    endTrial(entry, end.processId);
+    return this.update(entry, facts, now);
+  }
+
+  /** Whether a part was cleared after all process ends that another host has recorded of it. */
+  private isCleared({ digest, ends }: suspects.SuspectFacts): boolean {
+    const known = this.clearedEnds.get(digest);
+    return known !== undefined && ends.every(({ processId }) => known.has(processId));
+  }
+
+  private remove(digest: string): void {
+    if (this.entries.delete(digest) && suspects.isPartId(digest)) {
+      this.partCount -= 1;
+    }
+  }
+
+  /** Removes a call or part that was cleared. */
+  private forget(digest: string): void {
+    const entry = this.entries.get(digest);
+    this.remove(digest);
+    if (entry === undefined || !isPart(entry.facts)) {
+      return;
+    }
+    const ends = entry.facts.ends.map(({ processId }) => processId);
+    const known = [...(this.clearedEnds.get(digest) ?? []), ...ends];
+    this.clearedEnds.delete(digest);
+    this.clearedEnds.set(digest, new Set(known.slice(-MAX_CLEARED_ENDS)));
+    if (this.clearedEnds.size > MAX_CLEARED) {
+      const [oldest] = this.clearedEnds.keys();
+      this.clearedEnds.delete(oldest!);
+    }
+  }
+
   private update(entry: Entry, facts: suspects.SuspectFacts, now: number): boolean {
     if (suspects.areSame(entry.facts, facts)) {
       return false;
     }
+    if (isPart(facts) && facts.chances > entry.facts.chances) {
+      entry.retryBaseAt = now;
+    }
     entry.facts = facts;
     if (isSuspect(entry)) {
       this.revision += 1;
@@ -347,8 +507,12 @@
     if (isQuarantined(entry)) {
       entry.retryBaseAt ??= now;
     }
-    this.entries.delete(facts.digest);
+    if (isPart(facts) && facts.ends.length >= partVerdicts.MIN_PART_ENDS) {
+      entry.verdictAt ??= now + VERDICT_DELAY_MS;
+    }
+    this.remove(facts.digest);
     this.entries.set(facts.digest, entry);
+    this.partCount += isPart(facts) ? 1 : 0;
     this.evictOverflow();
     return true;
   }
@@ -388,22 +552,42 @@
   return suspects.getStanding(facts) === 'quarantined';
 }
 
-/** Returns the refusal of a quarantined call; `undefined` when a retry is due. */
-function findRefusal({ facts, retryBaseAt }: Entry, now: number): PermitRefusal | undefined {
-  const waitMs = RETRY_DELAYS_MS[facts.chances];
-  if (waitMs === undefined) {
+function isPart({ digest }: suspects.SuspectFacts): boolean {
+  return suspects.isPartId(digest);
+}
+
+function isVerdictDue({ verdictAt }: Entry, now: number): boolean {
+  return verdictAt !== undefined && verdictAt <= now;
+}
+
+/** Whether its sends are decided one by one. Many calls share a suspect part, and go on being sent until it is barred. */
+function needsPermit(entry: Entry): boolean {
+  return isPart(entry.facts) ? isQuarantined(entry) : isSuspect(entry);
+}
+
+/** Returns the refusal of a quarantined call or barred part; `undefined` when a retry is due. */
+function findRefusal(entry: Entry, now: number): PermitRefusal | undefined {
+  const trialAt = getTrialAt(entry, now);
+  if (trialAt === Infinity) {
     return { kind: 'refused', retryMs: PERMANENT_REFUSAL_RETRY_MS };
   }
-  const retryMs = (retryBaseAt ?? now) + waitMs - now;
+  const retryMs = trialAt - now;
   return retryMs > 0 ? { kind: 'refused', retryMs } : undefined;
 }
 
+/** Returns when a quarantined call or barred part may be sent again; `Infinity` if never. */
+function getTrialAt({ facts, retryBaseAt }: Entry, now: number): number {
+  const delays = isPart(facts) ? PART_TRIAL_DELAYS_MS : RETRY_DELAYS_MS;
+  return (retryBaseAt ?? now) + (delays[facts.chances] ?? Infinity);
+}
+
 function createEntry(digest: string): Entry {
   return {
     facts: { digest, ends: [], chances: 0 },
     retryBaseAt: undefined,
     trial: undefined,
     finishedPermitId: undefined,
+    verdictAt: undefined,
     revision: 0,
   };
 }
--- a/packages/schemas/src/messages.ts
+++ b/packages/schemas/src/messages.ts
@@ -41,6 +41,8 @@
   tooMany: 'team %s already has %s requests running, its limit',
   teamKey: 'the key of a team is needed',
   teamToken: 'a valid team token is needed as bearer token',
+  partQuarantined:
+    'upstreams ended each time they began an answer on a part of this prompt; the call was not sent',
   quarantined: 'upstreams ended each time they began to run this call; it was not sent to another',
   ranUnknown: 'the upstream was lost after the call was handed to it; whether it ran is not known',
   rateLimited:
