Close new connections unread at a saturated host

What callers saw: while a load balancer sent most new connections of a region to one host, they waited in the backlog of its listening socket for longer than they could, and nothing shed them.

Cause: the host took every connection and read every request. The event loop accepts a connection or two a turn, so what waits is invisible to the process; only that the loop is never idle shows it.

Connections of callers use at most half of the descriptors that the settings state. Kept connections and readiness are untouched.

--- a/packages/gateway/src/entry-host.ts
+++ b/packages/gateway/src/entry-host.ts
@@ -11,6 +11,7 @@
 import * as callAdmissions from './call-admission.js';
 import * as callSchedulingServices from './call-scheduling-service.js';
 import * as updatePollers from './update-poller.js';
+import * as connectionGates from './connection-gate.js';
 import * as coreMeshes from './core-mesh.js';
 import * as procedures from './core-procedures.js';
 import * as crashGuards from './crash-guard.js';
@@ -239,7 +240,14 @@
       countEntryHosts: () => this.entryHosts ?? ASSUMED_ENTRY_HOSTS,
       getPeriodMs: () => this.listPeriodMs,
     });
-    this.callerListener = new httpListeners.HttpListener((req, res) => this.serve(req, res));
+    this.callerListener = new httpListeners.HttpListener(
+      (req, res) => this.serve(req, res),
+      new connectionGates.ConnectionGate({ clock, log, metrics: options.metrics }),
+    );
+    const maxConnections = hostSettings.findMaxConnections(settings);
+    if (maxConnections !== undefined) {
+      this.callerListener.setMaxConnections(maxConnections);
+    }
     this.readinessListener = new httpListeners.HttpListener((req, res) =>
       this.answerReadinessProbe(req, res),
     );
--- a/packages/gateway/src/host-settings.ts
+++ b/packages/gateway/src/host-settings.ts
@@ -27,6 +27,12 @@
 /** Default limit of the bytes held for calls; entry hosts have 178 MB or more in total. */
 const DEFAULT_HELD_BYTES = 32 * 1024 * 1024;
 
+/**
+ * Share of the descriptors that connections of callers may use; calls need others for their upstreams, and a host without
+ * any could not reach the core hosts either.
+ */
+const MAX_CALLER_SHARE = 0.5;
+
 /** How scarce capacity is shared among teams. */
 export const capacitySharing = z.object({
   /** Weights of teams by name; override those of the configuration. */
@@ -63,6 +69,8 @@
   listAddress: address,
   /** Maximum number of requests to that list per second, for all hosts together. */
   listCallsPerS: z.number().positive(),
+  /** Number of descriptors that the process may open; absent where it is not limited. */
+  fileDescriptors: z.int().positive().optional(),
   bounds: deploymentBounds,
   /** Shares scarce capacity among teams by weight; absent where calls are served in the order of their arrival. */
   capacitySharing: capacitySharing.optional(),
@@ -101,6 +109,11 @@
   return sharing && (sharing.heldBytes ?? DEFAULT_HELD_BYTES);
 }
 
+/** Returns how many connections of callers an entry host takes; `undefined` if there is no limit. */
+export function findMaxConnections({ fileDescriptors }: HostSettings): number | undefined {
+  return fileDescriptors && Math.floor(fileDescriptors * MAX_CALLER_SHARE);
+}
+
 /** Lists the core hosts that the settings name as seeds. */
 export function listSeedIds(settings: HostSettings): string[] {
   return settings.seeds.map((seed) => getCoreId(splitAddress(seed).host, settings.peerPort));
--- a/packages/gateway/src/http-listener.ts
+++ b/packages/gateway/src/http-listener.ts
@@ -1,6 +1,7 @@
 import * as http from 'node:http';
 import type * as net from 'node:net';
 
+import type * as connectionGates from './connection-gate.js';
 import * as hostSettings from './host-settings.js';
 
 /** Interval at which connections are checked for header timeouts, in milliseconds. */
@@ -15,8 +16,13 @@
 /** HTTP server that listens on an address from the settings. */
 export class HttpListener {
   private readonly server: http.Server;
+  /** Connections from which no request was read yet. */
+  private readonly unread = new WeakSet<net.Socket>();
 
-  public constructor(handle: RequestHandler) {
+  public constructor(
+    handle: RequestHandler,
+    private readonly gate?: connectionGates.ConnectionGate,
+  ) {
     this.server = http.createServer(
       {
         maxHeaderSize: MAX_HEADER_BYTES,
@@ -27,13 +33,18 @@
         // Without these handlers, a connection that fails while it is read or written would end the process.
         req.on('error', () => {});
         res.on('error', () => {});
+        if (this.unread.delete(req.socket)) {
+          this.gate?.recordFirstRequest();
+        }
         handle(req, res);
       },
     );
+    this.server.prependListener('connection', (socket: net.Socket) => this.admit(socket));
   }
 
   /** Starts listening and returns the port. */
   public async listen(address: string): Promise<number> {
+    void this.gate?.run();
     const { host, port } = hostSettings.splitAddress(address);
     await new Promise<void>((resolve, reject) => {
       this.server.once('error', reject);
@@ -42,6 +53,11 @@
     return (this.server.address() as net.AddressInfo).port;
   }
 
+  /** Sets the maximum number of open connections; further ones are closed before anything is read from them. */
+  public setMaxConnections(connections: number): void {
+    this.server.maxConnections = connections;
+  }
+
   /** Sets the timeouts for receiving a request's headers and for idle connections. */
   public setTimeouts(headerTimeoutMs: number, idleTimeoutMs: number): void {
     this.server.headersTimeout = headerTimeoutMs;
@@ -50,6 +66,7 @@
 
   /** Stops listening and closes idle connections; the others are closed after `graceMs`. */
   public async close(graceMs: number): Promise<void> {
+    this.gate?.stop();
     await new Promise<void>((resolve) => {
       this.server.close(() => resolve());
       this.server.closeIdleConnections();
@@ -59,7 +76,16 @@
 
   /** Closes everything at once, like a killed process; for failure tests. */
   public kill(): void {
+    this.gate?.stop();
     this.server.closeAllConnections();
     this.server.close();
   }
+
+  private admit(socket: net.Socket): void {
+    if (this.gate?.admit() === false) {
+      socket.resetAndDestroy();
+      return;
+    }
+    this.unread.add(socket);
+  }
 }
--- a/packages/telemetry/src/metric-catalog.ts
+++ b/packages/telemetry/src/metric-catalog.ts
@@ -23,6 +23,12 @@
     help: 'Generations of the OpenAI API that ended',
     labels: ['outcome', 'team'],
   },
+  connectionsClosed: {
+    kind: 'counter',
+    name: 'connections_closed_total',
+    help: 'New connections of callers that were closed before anything was read from them',
+    labels: ['reason'],
+  },
   refusals: {
     kind: 'counter',
     name: 'refusals_total',
