--- a/packages/fakes/src/fake-engine.ts
+++ b/packages/fakes/src/fake-engine.ts
@@ -47,6 +47,9 @@
   reclaimAfterMs: number;
 }
 
+/** Time from the start of a generation on whose prompt an engine crashes until the crash, in milliseconds. */
+const CRASH_AFTER_MS = 40;
+
 /** Test double of a model engine that serves the published protocol. */
 export class FakeEngine {
   public readonly model: engineModels.EngineModel;
@@ -65,6 +68,8 @@
   public readonly record = new Map<string, generations.FakeGeneration>();
   /** Number of streams opened so far. */
   public streams = 0;
+  /** Whether the engine crashes when it begins an answer on a prompt; never by default. */
+  public crashesOn: (prompt: string) => boolean = () => false;
   public readonly orders: { order: schemas.Order; status: number }[] = [];
   private readonly tombstones = new Set<string>();
   private readonly server: servers.FakeServer;
@@ -74,7 +79,7 @@
   private cacheEvents: { prefix: string; isStored: boolean }[] = [];
   private firstCacheEvent = 0;
   private isStepping = false;
-  private isClosed = false;
+  public isClosed = false;
   private readonly reportTimer: NodeJS.Timeout;
 
   public constructor(private readonly options: FakeEngineOptions) {
@@ -150,6 +155,9 @@
     object: generations.StreamObject,
   ): generations.FakeGeneration {
     const prompt = generations.getPrompt(body);
+    if (this.crashesOn(prompt)) {
+      setTimeout(() => this.kill(), CRASH_AFTER_MS);
+    }
     const maxTokens = body.max_tokens ?? 4_096;
     const outputTokens = Math.min(
       body.fake_output_tokens ?? texts.getOutputTokens(prompt, maxTokens),
