Hold exits of upstreams against calls and prompts behind the OpenAI API, too

What callers saw: the same as behind the routed interface, and without any record: daemons sent prompts that share one bad message to one engine after the other, and a service call that makes its upstreams exit to four in a row.

Cause: the account of suspects lived in the entry hosts' flow only.

Change: the guard of parts and the task that bars them move to `requests` and serve both flows; the ledger is the same. Parts of a prompt are its messages but the last one, or the first 512 characters of a long text. Daemons tell each other, in their zone and one in each other zone, what they saw; facts merge in any order, so no owner or leader is needed to stop. One daemon of the zone, by hash, counts the trials. A daemon that starts asks three others. Checked are requests, the send after the wait for capacity, whole answers that are made again, and plain service calls.

Left: daemons keep suspects in memory; if all of them restart at once, an engine is lost for each of three ends again.

--- a/packages/daemon/src/completion-body.ts
+++ b/packages/daemon/src/completion-body.ts
@@ -13,6 +13,9 @@
 /** Length of the prompt prefix that is hashed for cache affinity, in characters. */
 const PREFIX_CHARS = 512;
 
+/** Maximum number of shared messages of one prompt that are tracked. */
+const MAX_PARTS = 16;
+
 const message = z.looseObject({ role: z.string(), content: z.unknown() });
 
 /** The schema of a completion request; other fields are passed through unchanged. */
@@ -77,3 +80,15 @@
     prefix_id: prefix,
   });
 }
+
+/**
+ * Returns the content hashes of the parts of a prompt that other prompts may share: all messages but the last, and the
+ * first characters of a long prompt or of a single long message.
+ */
+export function listSharedParts({ messages, prompt }: CompletionBody): string[] {
+  if (messages !== undefined && messages.length > 1) {
+    return messages.slice(0, -1).slice(0, MAX_PARTS).map(schemas.getContentHash);
+  }
+  const text = prompt ?? JSON.stringify(messages?.[0]?.content ?? '');
+  return text.length <= PREFIX_CHARS ? [] : [schemas.getContentHash(text.slice(0, PREFIX_CHARS))];
+}
--- a/packages/daemon/src/completion-dispatcher.ts
+++ b/packages/daemon/src/completion-dispatcher.ts
@@ -63,6 +63,7 @@
     const lifecycle = requests.createRequestLifecycle();
     const call = this.createCall();
     const grant = await this.requestCapacity(job, call, res);
+    await this.permit(job, call, grant);
     lifecycle.move('grant');
     const id: requests.GenerationId = {
       availabilityZone: cfg.availabilityZone,
@@ -76,6 +77,17 @@
     return { lifecycle, call, grant, generation: ids.encode(id, job.team.name) };
   }
 
+  /** Checks again after the wait for capacity whether the request may be sent. */
+  private async permit(job: Job, call: string, grant: poolClients.CapacityGrant): Promise<void> {
+    const { guard, poolClient } = this.context;
+    try {
+      await guard.permit(job.subject, grant.upstream.upstreamId);
+    } catch (err) {
+      poolClient.release(call, false);
+      throw err;
+    }
+  }
+
   private async startAttempt(job: Job, attempt: Attempt): Promise<generationRelays.RelayTask> {
     const { call, generation, grant, lifecycle } = attempt;
     lifecycle.move('dispatch');
@@ -86,6 +98,7 @@
       call,
       generation,
       team: job.team.name,
+      subject: job.subject,
       model: job.body.model,
       place: teamPlaces.createTeamPlace(job.team),
       upstream: grant.upstream,
@@ -115,6 +128,7 @@
     const failure = requests.createUpstreamError(err, 'start', grant.upstream.upstreamId);
     this.recordFailure(job, grant, generation, failure);
     if (failure.kind === 'lost') {
+      this.context.guard.recordLost(job.subject, grant.upstream, undefined);
       calls.set(generation, { state: 'lost' });
       lifecycle.move('doubt');
       throw createRefusal('ranUnknown', 'unknown', failure);
--- a/packages/daemon/src/completion-handler.ts
+++ b/packages/daemon/src/completion-handler.ts
@@ -50,6 +50,7 @@
     const body = requests.parseJson(completionBodies.completionBody, raw);
     const job = completionJobs.createJob(this.context, req, team, body, raw, path);
     budget.recordRequest();
+    await this.context.guard.admit(job.subject);
     if (job.key !== undefined && (await this.joinClaimedCall(job, res))) {
       return;
     }
--- a/packages/daemon/src/completion-job.ts
+++ b/packages/daemon/src/completion-job.ts
@@ -1,5 +1,7 @@
 import type * as http from 'node:http';
 
+import type * as requests from '@bramleyridge/requests';
+import * as routing from '@bramleyridge/routing';
 import * as schemas from '@bramleyridge/schemas';
 
 import * as completionBodies from './completion-body.js';
@@ -18,6 +20,8 @@
   readonly isChat: boolean;
   readonly key: string | undefined;
   readonly requestHash: string;
+  /** Identifies it among the calls that may make upstreams exit. */
+  readonly subject: requests.RunSubject;
   readonly isRepeatable: boolean;
   readonly excluded: string[];
   /** Number of engines that exited while they ran this request. */
@@ -51,6 +55,7 @@
   }
   const wantedClass = req.headers[schemas.CLASS_HEADER];
   const estimate = completionBodies.estimateRequest(body, wantedClass?.toString());
+  const requestHash = schemas.getSha256(raw.toString('utf8')).slice(0, 32);
   return {
     team,
     intent,
@@ -59,10 +64,26 @@
     path,
     isChat: path.includes('/chat/'),
     key: req.headers['idempotency-key']?.toString().slice(0, MAX_KEY_CHARS),
-    requestHash: schemas.getSha256(raw.toString('utf8')).slice(0, 32),
+    requestHash,
+    subject: createSubject(body, `${team.name}/${path}/${requestHash}`),
     isRepeatable: req.headers[schemas.REPEATABLE_HEADER] !== 'no',
     excluded: [],
     endedEngines: 0,
     attempt: 0,
   };
 }
+
+/** Creates what identifies a request and the parts of its prompt; the hashes are computed on first use. */
+function createSubject(body: completionBodies.CompletionBody, call: string): requests.RunSubject {
+  let partIds: readonly string[] | undefined;
+  return {
+    requestId: call,
+    getDigest: () => schemas.getContentHash(call),
+    listPartIds: () => {
+      partIds ??= completionBodies
+        .listSharedParts(body)
+        .map((part) => routing.createPartId('', body.model, part));
+      return partIds;
+    },
+  };
+}
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -22,6 +22,8 @@
 import * as platformPollers from './platform-poller.js';
 import * as poolClients from './pool-client.js';
 import * as poolManagers from './pool-manager.js';
+import * as runGuards from './run-guard.js';
+import * as suspectExchanges from './suspect-exchange.js';
 import * as rateGrants from './rate-grants.js';
 import * as teamAccess from './team-access.js';
 
@@ -66,6 +68,7 @@
   private readonly clock: schemas.Clock;
   private readonly keyring: peers.Keyring;
   private readonly rateGrants: rateGrants.RateGrants;
+  private readonly suspects: suspectExchanges.SuspectExchange;
   private readonly syncServer: members.SyncServer;
   private readonly syncClient: members.SyncClient;
   private readonly peerServer: peers.PeerServer;
@@ -93,6 +96,7 @@
     const { store, view, mesh } = this;
     const metrics = new daemonMetrics.Metrics(cfg);
     this.rateGrants = new rateGrants.RateGrants({ daemonId: cfg.daemonId, view, mesh, clock, log });
+    this.suspects = new suspectExchanges.SuspectExchange({ cfg, view, mesh, clock, log });
     const gate = new requests.UpstreamGate({
       grantor: this.rateGrants,
       share: new requests.LeaderlessRateShare(cfg.daemonId, () => this.rateGrants.countDaemons()),
@@ -167,6 +171,7 @@
     void this.poolManager.run();
     void this.context.poolClient.run();
     void this.context.claims.run();
+    void this.suspects.run();
     await new Promise<void>((resolve, reject) => {
       this.server.once('error', reject);
       this.server.listen(this.cfg.callerPort, this.cfg.host, resolve);
@@ -223,6 +228,7 @@
     this.poolManager.stop();
     this.context.poolClient.stop();
     this.context.claims.stop();
+    this.suspects.stop();
     this.control.stop();
     this.peerServer.close();
     this.mesh.close();
@@ -288,6 +294,14 @@
       }),
       poolClient: new poolClients.PoolClient({ ...shared, poolManager: this.poolManager }),
       claims: new claimServices.ClaimService({ ...shared, calls }),
+      guard: new runGuards.RunGuard({
+        exchange: this.suspects,
+        exitDetector: new requests.ProcessExitDetector(clock, (url) =>
+          this.links.isListening(new URL(url).host),
+        ),
+        clock,
+        log,
+      }),
       adoptions: new adoptionRegistries.AdoptionRegistry(),
       ids: new requests.GenerationIdCodec(() => this.keyring.listKeys()),
       budget: new requests.RetryBudget(clock),
@@ -395,6 +409,13 @@
         this.rateGrants.record(limit);
         shared.gate.mergeLimits([limit]);
       },
+      reportSuspects: async (report) => {
+        this.suspects.receive(report);
+        shared.guard.decideLater();
+        return true;
+      },
+      permitSuspect: async (req) => this.suspects.permit(req),
+      listSuspects: async () => this.suspects.list(),
       pool: async (report) => poolManager.applyReport(report),
       claim: async (req) => shared.claims.acceptor.handleClaim(req),
       recover: async (req) => shared.claims.acceptor.handleRecover(req),
--- a/packages/daemon/src/generation-relay.ts
+++ b/packages/daemon/src/generation-relay.ts
@@ -13,6 +13,8 @@
   readonly call: string;
   readonly generation: string;
   readonly team: string;
+  /** Identifies the request; undefined if this daemon has only its generation. */
+  readonly subject?: requests.RunSubject;
   readonly model: string;
   /** Where its bytes may be processed on their way. */
   readonly place: paths.PlaceRule;
@@ -65,6 +67,9 @@
   ): Promise<requests.RelayEnd> {
     const { adoptions, cfg, clock, engines, poolClient, log } = this.context;
     adoptions.register(task.generation, isConnected);
+    let answerStartedAt: number | undefined;
+    const getAnswerMs = () =>
+      answerStartedAt === undefined ? undefined : clock.now() - answerStartedAt;
     const relay = requests.relayGeneration(
       {
         engines,
@@ -75,7 +80,12 @@
         silenceMs: cfg.limits.upstreamSilenceMs,
         clock,
         log,
-        onProgress: (next) => poolClient.recordProgress(task.call, next),
+        onProgress: (next) => {
+          answerStartedAt ??= clock.now();
+          poolClient.recordProgress(task.call, next);
+          this.recordProgress(task, getAnswerMs());
+        },
+        onLost: () => this.recordLost(task, getAnswerMs()),
       },
       task.body,
     );
@@ -85,6 +95,7 @@
         close(end);
         poolClient.release(task.call, end.outcome === 'complete');
         this.recordOutcome(task, end);
+        this.recordServed(task, end);
         return end;
       }
       await relay.return({ outcome: 'incomplete', next: 0 });
@@ -95,6 +106,25 @@
     }
   }
 
+  private recordProgress({ subject }: RelayTask, answerMs = 0): void {
+    if (subject !== undefined) {
+      this.context.guard.recordProgress(subject, answerMs);
+    }
+  }
+
+  /** Reports a broken connection to the guard, at once: the generation is resumed for seconds before it is given up. */
+  private recordLost({ subject, upstream }: RelayTask, answerMs: number | undefined): void {
+    if (subject !== undefined) {
+      this.context.guard.recordLost(subject, upstream, answerMs);
+    }
+  }
+
+  private recordServed({ subject }: RelayTask, { outcome }: requests.RelayEnd): void {
+    if (subject !== undefined && outcome === 'complete') {
+      this.context.guard.recordServed(subject);
+    }
+  }
+
   private async pump(
     relay: AsyncGenerator<Buffer, requests.RelayEnd>,
     write: (bytes: Buffer) => Promise<void>,
--- a/packages/daemon/src/handler-context.ts
+++ b/packages/daemon/src/handler-context.ts
@@ -7,6 +7,7 @@
 import type * as decisionLogs from './decision-log.js';
 import type * as daemonMetrics from './metrics.js';
 import type * as peerMeshes from './peer-mesh.js';
+import type * as runGuards from './run-guard.js';
 import type * as poolClients from './pool-client.js';
 import type * as teamAccess from './team-access.js';
 
@@ -27,6 +28,7 @@
   readonly engines: requests.EngineClient;
   readonly services: requests.ServiceClient;
   readonly gate: requests.UpstreamGate;
+  readonly guard: runGuards.RunGuard;
   readonly poolClient: poolClients.PoolClient;
   readonly claims: claimServices.ClaimService;
   readonly calls: requests.CallRegistry;
--- a/packages/daemon/src/peer-router.ts
+++ b/packages/daemon/src/peer-router.ts
@@ -47,6 +47,33 @@
 /** A daemon's report on its generations to the owner of a pool. */
 export type PoolReport = z.infer<typeof poolReport>;
 
+/** What one daemon tells others about suspects: calls and parts of prompts during whose runs upstreams exited. */
+export const suspectReport = z.object({
+  daemonId: z.string(),
+  availabilityZone: z.string(),
+  /** Whether it was passed on by a daemon of another zone. */
+  isPassedOn: z.boolean(),
+  runs: z.array(routing.suspectRun),
+  facts: z.array(routing.suspectFacts),
+});
+
+/** What one daemon tells others about suspects. */
+export type SuspectReport = z.infer<typeof suspectReport>;
+
+/** Request for a permit to send a suspect. */
+export const suspectPermitReq = z.object({
+  digest: z.string(),
+  processId: z.string(),
+  /** Whether it may be sent where another suspect runs. */
+  mayShare: z.boolean(),
+  permitId: z.string(),
+  /** What the daemon has recorded about it. */
+  facts: routing.suspectFacts.optional(),
+});
+
+/** Request for a permit to send a suspect. */
+export type SuspectPermitReq = z.infer<typeof suspectPermitReq>;
+
 /** A change of the voters. */
 export const voterChange = z.object({ action: z.enum(['add', 'remove']), daemonId: z.string() });
 
@@ -77,6 +104,12 @@
   /** Records what another daemon has learned about a rate limit. */
   reportLimit(limit: requests.RateLimitFacts): Promise<void>;
   pool(report: PoolReport): Promise<void>;
+  /** Records what another daemon tells about suspects; resolves to true. */
+  reportSuspects(report: SuspectReport): Promise<boolean>;
+  /** Decides whether a suspect may be sent. */
+  permitSuspect(req: SuspectPermitReq): Promise<routing.Permit>;
+  /** Lists all suspects, for a daemon that starts. */
+  listSuspects(): Promise<routing.SuspectFacts[]>;
   claim(req: requests.ClaimReq): Promise<requests.ClaimRes>;
   recover(req: requests.RecoverReq): Promise<requests.RecoverRes>;
   /** Whether this daemon's claim acceptor has recovered its complete state. */
@@ -110,6 +143,13 @@
     reportLimit: t.procedure
       .input(requests.rateLimitFacts)
       .mutation(({ input }) => handlers.reportLimit(input)),
+    reportSuspects: t.procedure
+      .input(suspectReport)
+      .mutation(({ input }) => handlers.reportSuspects(input)),
+    permitSuspect: t.procedure
+      .input(suspectPermitReq)
+      .mutation(({ input }) => handlers.permitSuspect(input)),
+    listSuspects: t.procedure.mutation(() => handlers.listSuspects()),
     pool: t.procedure.input(poolReport).mutation(({ input }) => handlers.pool(input)),
     claim: t.procedure.input(requests.claimReq).mutation(({ input }) => handlers.claim(input)),
     recover: t.procedure
--- a/packages/daemon/src/service-call-handler.ts
+++ b/packages/daemon/src/service-call-handler.ts
@@ -15,6 +15,8 @@
   readonly call: requests.ServiceCall;
   readonly key: string | undefined;
   readonly requestHash: string;
+  /** Identifies it among the calls that may make upstreams exit. */
+  readonly subject: requests.RunSubject;
   readonly excluded: Set<string>;
   attempt: number;
 }
@@ -56,7 +58,7 @@
     return requests.runAttempts(
       { isRepeatable, maxRuns: Infinity, budget },
       {
-        choose: () => this.choose(job),
+        choose: () => this.choosePermitted(job),
         attempt: (upstream) => this.attempt(job, upstream),
         isFailure: () => false,
         recordFailure: (upstream) => job.excluded.add(upstream.upstreamId),
@@ -79,6 +81,7 @@
     try {
       const answer = await services.send(upstream, job.call);
       calls.set(call, { state: 'done', answer });
+      this.context.guard.recordServed(job.subject);
       return answer;
     } catch (err) {
       throw this.settleFailure(job, call, upstream, err);
@@ -107,6 +110,9 @@
     const failure = requests.createUpstreamError(err, 'service', upstream.upstreamId);
     this.recordDecision(job, call, upstream, failure.kind);
     const didNotRun = failure.kind !== 'lost';
+    if (!didNotRun) {
+      this.context.guard.recordLost(job.subject, upstream, undefined);
+    }
     this.context.calls.set(call, { state: didNotRun ? 'not-run' : 'lost' });
     if (didNotRun && failure.kind !== 'withheld') {
       this.refusedAt.set(upstream.upstreamId, this.context.clock.now());
@@ -140,6 +146,12 @@
     return undefined;
   }
 
+  private async choosePermitted(job: Job): Promise<schemas.Upstream> {
+    const upstream = this.choose(job);
+    await this.context.guard.permit(job.subject, upstream.upstreamId);
+    return upstream;
+  }
+
   /** Chooses the one of two random upstreams that has fewer outstanding calls of this daemon. */
   private choose(job: Job): schemas.Upstream {
     const { cfg, clock, gate, random, view } = this.context;
@@ -237,12 +249,20 @@
   const headers = Object.fromEntries(
     Object.entries(req.headers).map(([name, value]) => [name, String(value)]),
   );
+  const requestHash = schemas
+    .getSha256(`${method} ${path}\n${body.toString('base64')}`)
+    .slice(0, 32);
   return {
     team,
     service: service.name,
     call: { method, path, headers, body, isRepeatable, place: teamPlaces.createTeamPlace(team) },
     key: req.headers['idempotency-key']?.toString(),
-    requestHash: schemas.getSha256(`${method} ${path}\n${body.toString('base64')}`).slice(0, 32),
+    requestHash,
+    subject: {
+      requestId: requestHash,
+      getDigest: () => schemas.getContentHash([service.name, team.name, requestHash]),
+      listPartIds: () => [],
+    },
     excluded: new Set(),
     attempt: 0,
   };
--- a/packages/daemon/tests/crashing-prompts.test.ts
+++ b/packages/daemon/tests/crashing-prompts.test.ts
@@ -54,7 +54,6 @@
     await deployment.start(t);
     const engines = deployment.engines.slice(0, ENGINES);
     engines.forEach((engine) => {
-      // eslint-disable-next-line no-param-reassign -- the fault to inject
       engine.crashesOn = (prompt) => prompt.includes('bad message');
     });
     const daemons = deployment.running.flatMap(({ cfg }, index) =>
--- /dev/null
+++ b/packages/daemon/tests/suspect-exchange.test.ts
@@ -0,0 +1,115 @@
+import * as routing from '@bramleyridge/routing';
+import * as schemas from '@bramleyridge/schemas';
+import * as tap from 'tap';
+
+import * as suspectExchanges from '../src/suspect-exchange.js';
+
+const PART = routing.createPartId('', 'drafter', 'bad');
+
+/** Time by which a part is barred, in milliseconds. */
+const VERDICT_MS = 500;
+
+/** Daemons of two zones, each known to all others, whose messages arrive unless the receiver is cut off. */
+function createDaemons(ids: readonly string[]) {
+  const clock = new schemas.VirtualClock();
+  const exchanges = new Map<string, suspectExchanges.SuspectExchange>();
+  const cutOff = new Set<string>();
+  const getZone = (id: string) => id.split('-')[0]!;
+  const find = (id: string) => {
+    if (cutOff.has(id)) {
+      throw new Error('no answer');
+    }
+    return exchanges.get(id)!;
+  };
+  const call = <T, R>(handle: (input: T) => R) => ({
+    mutate: async (input: T) => Promise.resolve(structuredClone(handle(structuredClone(input)))),
+  });
+  const mesh = {
+    get: (id: string) => ({
+      reportSuspects: call((report: never) => {
+        find(id).receive(report);
+        return true;
+      }),
+      permitSuspect: call((req: never) => find(id).permit(req)),
+      listSuspects: call(() => find(id).list()),
+    }),
+  };
+  const add = (daemonId: string) => {
+    const availabilityZone = getZone(daemonId);
+    const members = ids
+      .filter((id) => getZone(id) === availabilityZone)
+      .map((id) => ({ daemonId: id, state: 'live' }));
+    const exchange = new suspectExchanges.SuspectExchange({
+      cfg: {
+        daemonId,
+        availabilityZone,
+        peers: ids.map((id) => ({ daemonId: id, availabilityZone: getZone(id) })) as never,
+      },
+      view: { getDirectory: () => ({ availabilityZone, members }) } as never,
+      mesh: mesh as never,
+      clock,
+      log: new schemas.SilentLog(),
+    });
+    exchanges.set(daemonId, exchange);
+    return exchange;
+  };
+  ids.forEach(add);
+  return { clock, cutOff, add, get: (id: string) => exchanges.get(id)! };
+}
+
+async function reportExits(daemons: ReturnType<typeof createDaemons>, id: string) {
+  const { clock } = daemons;
+  ['p1', 'p2', 'p3'].forEach((processId) => {
+    const end = { processId, isEarly: true, wasAlone: false, calls: [`call-${processId}`] };
+    daemons.get(id).ledger.recordProcessEnd(PART, end, clock.now());
+    daemons.get(id).report({ kind: 'ended', digest: PART, end });
+  });
+  await clock.advance(VERDICT_MS);
+}
+
+// Guards against each daemon, and each zone, losing engines of its own to the same part of prompts.
+void tap.default.test('exits at one daemon are known in all zones', async (t) => {
+  const ids = ['a-1', 'a-2', 'b-1', 'b-2', 'b-3'];
+  const daemons = createDaemons(ids);
+  await reportExits(daemons, 'a-1');
+  ids.forEach((id) => {
+    t.same(daemons.get(id).ledger.barParts(daemons.clock.now()), [PART], id);
+  });
+});
+
+void tap.default.test('a report that a daemon missed is sent again', async (t) => {
+  const daemons = createDaemons(['a-1', 'a-2']);
+  daemons.cutOff.add('a-2');
+  await reportExits(daemons, 'a-1');
+  t.equal(daemons.get('a-2').ledger.size, 0);
+  daemons.cutOff.delete('a-2');
+  await daemons.clock.advance(VERDICT_MS);
+  t.equal(daemons.get('a-2').ledger.find(PART)?.ends.length, 3);
+});
+
+// Guards against a restart that makes a daemon forget what is barred.
+void tap.default.test('a daemon that starts learns the suspects of its zone', async (t) => {
+  const daemons = createDaemons(['a-1', 'a-2']);
+  await reportExits(daemons, 'a-1');
+  daemons.get('a-1').ledger.barParts(daemons.clock.now());
+  const fresh = daemons.add('a-2');
+  const done = fresh.run();
+  await daemons.clock.advance(VERDICT_MS);
+  await done;
+  t.equal(fresh.ledger.getStanding(PART), 'quarantined');
+});
+
+// Guards against each daemon trying a barred part by itself.
+void tap.default.test('the trials of a part are counted by one daemon', async (t) => {
+  const ids = ['a-1', 'a-2', 'a-3', 'a-4'];
+  const daemons = createDaemons(ids);
+  await reportExits(daemons, 'a-1');
+  ids.forEach((id) => daemons.get(id).ledger.barParts(daemons.clock.now()));
+  await daemons.clock.advance(2_000);
+  const permits = await Promise.all(
+    ids.map((id) =>
+      daemons.get(id).requestPermit({ digest: PART, processId: `of-${id}`, mayShare: true }),
+    ),
+  );
+  t.equal(permits.filter((permit) => permit?.kind === 'go').length, 1);
+});
--- a/packages/fakes/src/fake-engine.ts
+++ b/packages/fakes/src/fake-engine.ts
@@ -155,9 +155,6 @@
     object: generations.StreamObject,
   ): generations.FakeGeneration {
     const prompt = generations.getPrompt(body);
-    if (this.crashesOn(prompt)) {
-      setTimeout(() => this.kill(), CRASH_AFTER_MS);
-    }
     const maxTokens = body.max_tokens ?? 4_096;
     const outputTokens = Math.min(
       body.fake_output_tokens ?? texts.getOutputTokens(prompt, maxTokens),
@@ -165,6 +162,10 @@
     );
     const generation = new generations.FakeGeneration(id, body.model, object, outputTokens);
     this.record.set(id, generation);
+    if (this.crashesOn(prompt)) {
+      setTimeout(() => this.kill(), CRASH_AFTER_MS);
+      return generation;
+    }
     this.model.submit({
       id,
       promptTokens: Math.max(1, Math.ceil(prompt.length / 4)),
--- a/packages/gateway/src/core-procedures.ts
+++ b/packages/gateway/src/core-procedures.ts
@@ -106,15 +106,8 @@
 /** Request of a host to send one call to a limited upstream, with what it knows about the limit. */
 export const rateGrantReq = z.object({ hostId: z.string(), limit: requests.rateLimitFacts });
 
-/** Outcome of a run of a suspect, or of a call that becomes one by this outcome. */
-export const suspectOutcome = z.discriminatedUnion('kind', [
-  z.object({ kind: z.literal('ended'), digest: z.string(), end: routing.processEnd }),
-  z.object({ kind: z.literal('served'), digest: z.string() }),
-  z.object({ kind: z.literal('over'), digest: z.string(), processId: z.string() }),
-]);
-
 /** Outcomes of suspects' runs, reported by one host. */
-export const suspectReport = z.object({ hostId: z.string(), runs: z.array(suspectOutcome) });
+export const suspectReport = z.object({ hostId: z.string(), runs: z.array(routing.suspectRun) });
 
 /** All suspects that a host has recorded. */
 export const shareSuspectsReq = z.object({
@@ -297,8 +290,6 @@
 export type LeavingReport = z.infer<typeof leavingReport>;
 /** Request to send one call to a limited upstream. */
 export type RateGrantReq = z.infer<typeof rateGrantReq>;
-/** Outcome of a suspect's run. */
-export type SuspectOutcome = z.infer<typeof suspectOutcome>;
 /** Outcomes of suspects' runs, reported by one host. */
 export type SuspectReport = z.infer<typeof suspectReport>;
 /** All suspects that a host has recorded. */
--- a/packages/gateway/src/crash-guard.ts
+++ b/packages/gateway/src/crash-guard.ts
@@ -1,9 +1,8 @@
-import type * as requests from '@bramleyridge/requests';
+import * as requests from '@bramleyridge/requests';
 import * as routing from '@bramleyridge/routing';
 import * as schemas from '@bramleyridge/schemas';
 import type * as telemetry from '@bramleyridge/telemetry';
 
-import * as partGuards from './part-guard.js';
 import * as promptParts from './prompt-parts.js';
 import type * as routedJobs from './routed-job.js';
 import type * as suspectClients from './suspect-client.js';
@@ -19,6 +18,9 @@
  */
 const MAX_CHECK_WAIT_MS = 30;
 
+/** Time for which a host waits for the leader or a relay to bar a part before it does so itself, in milliseconds. */
+const OWN_VERDICT_PATIENCE_MS = 1_000;
+
 /** The outcome of a run on an upstream. */
 export type RunOutcome =
   /** The answer was complete and not a failure. */
@@ -70,11 +72,17 @@
   private readonly exitChecks = new Map<string, Promise<void>>();
   /** The permit for the current run of each job. */
   private readonly permits = new WeakMap<routedJobs.RoutedJob, RunPermit>();
-  private readonly parts: partGuards.PartGuard;
+  private readonly parts: requests.PartGuard;
 
   public constructor(private readonly options: CrashGuardOptions) {
     options.suspects.attach(this.ledger);
-    this.parts = new partGuards.PartGuard({ ...options, ledger: this.ledger });
+    this.parts = new requests.PartGuard({
+      ledger: this.ledger,
+      sharing: options.suspects,
+      patienceMs: OWN_VERDICT_PATIENCE_MS,
+      clock: options.clock,
+      log: options.log,
+    });
   }
 
   /** Waits for a pending exit check of the call's last run, then throws a refusal if the call is quarantined. */
@@ -106,12 +114,12 @@
     mayShare: () => boolean,
   ): Promise<PermitDecision> {
     const decision = await this.permitCall(job, known, mayShare);
-    if (decision.kind === 'elsewhere' || this.parts.listBarred(job).length === 0) {
+    if (decision.kind === 'elsewhere' || this.parts.listBarred(createSubject(job)).length === 0) {
       return decision;
     }
     const target = decision.kind === 'there' ? decision.upstream : known;
     const isFixed = decision.kind === 'there' || mayShare();
-    const trial = await this.parts.requestTrial(job, getProcessId(target), isFixed);
+    const trial = await this.parts.requestTrial(createSubject(job), getProcessId(target), isFixed);
     const permits = [...(this.permits.get(job)?.permits ?? []), ...trial.permits];
     if (trial.refused !== undefined || trial.isElsewhere) {
       this.returnPermits(job, permits);
@@ -168,9 +176,9 @@
       return;
     }
     if (outcome === 'served') {
-      this.parts.recordAnswer(job);
+      this.parts.recordAnswer(createSubject(job));
     } else {
-      this.parts.recordInconclusive(job, getProcessId(run.known));
+      this.parts.recordInconclusive(createSubject(job), getProcessId(run.known));
     }
     if (!this.isTracked(job)) {
       return;
@@ -187,7 +195,7 @@
   /** Records that an answer goes on: an answer that is written for some time is on none of the parts that crash. */
   public recordProgress(job: routedJobs.RoutedJob): void {
     if (this.ledger.hasParts && job.times.getAnswerMs() >= EARLY_CRASH_MS) {
-      this.parts.recordAnswer(job);
+      this.parts.recordAnswer(createSubject(job));
     }
   }
 
@@ -203,7 +211,7 @@
     if (refusal !== undefined) {
       throw this.refuse(job, refusal, 'quarantined');
     }
-    const partRefusal = this.parts.findRefusal(job);
+    const partRefusal = this.parts.findRefusal(createSubject(job));
     if (partRefusal !== undefined) {
       throw this.refuse(job, partRefusal, 'partQuarantined');
     }
@@ -267,9 +275,9 @@
     const processEnd = { processId, isEarly, wasAlone };
     this.ledger.recordProcessEnd(digest, processEnd, clock.now());
     if (isEarly) {
-      this.parts.recordEnd(job, processId);
+      this.parts.recordEnd(createSubject(job), processId);
     } else {
-      this.parts.recordAnswer(job);
+      this.parts.recordAnswer(createSubject(job));
     }
     const recorded = this.ledger.find(digest)?.ends.find((item) => item.processId === processId);
     suspects.report({ kind: 'ended', digest, end: recorded ?? processEnd });
@@ -308,7 +316,7 @@
       decision: 'refuse',
       request: job.call.facts.requestId,
       digest: job.getDigest(),
-      parts: id === 'partQuarantined' ? this.parts.listBarred(job) : undefined,
+      parts: id === 'partQuarantined' ? this.parts.listBarred(createSubject(job)) : undefined,
       reason: id,
       retryMs: Math.round(retryMs),
       step: 'quarantine',
@@ -326,3 +334,11 @@
 function getProcessId({ listed, upstreamId }: upstreamDirectories.KnownUpstream): string {
   return schemas.getProcessId({ upstreamId, bornMs: listed.bornMs });
 }
+
+function createSubject({ call, getDigest }: routedJobs.RoutedJob): requests.RunSubject {
+  return {
+    requestId: call.facts.requestId,
+    getDigest,
+    listPartIds: () => promptParts.listPartIds(call),
+  };
+}
--- a/packages/gateway/src/suspect-client.ts
+++ b/packages/gateway/src/suspect-client.ts
@@ -53,7 +53,7 @@
  */
 export class SuspectClient {
   private ledger: routing.CrashLedger | undefined;
-  private reports: procedures.SuspectOutcome[] = [];
+  private reports: routing.SuspectRun[] = [];
   private synchronizedTerm = NO_TERM;
   private cursor = { term: NO_TERM, revision: -1 };
   /** Ids of permit requests without a usable answer, by call digest. */
@@ -107,7 +107,7 @@
   }
 
   /** Reports the outcome of a run to the leader; repeats it until a leader has received it. */
-  public report(run: procedures.SuspectOutcome): void {
+  public report(run: routing.SuspectRun): void {
     this.reports = [...this.reports, run].slice(-MAX_REPORTS);
     void this.flushReports();
   }
--- a/packages/gateway/src/suspect-registry.ts
+++ b/packages/gateway/src/suspect-registry.ts
@@ -1,9 +1,9 @@
+import * as requests from '@bramleyridge/requests';
 import * as routing from '@bramleyridge/routing';
 import * as schemas from '@bramleyridge/schemas';
 import type * as telemetry from '@bramleyridge/telemetry';
 
 import type * as procedures from './core-procedures.js';
-import * as verdictTasks from './verdict-task.js';
 
 /**
  * Time after which a new leader has a record of all runs of suspects, in milliseconds: those that its predecessor
@@ -31,10 +31,10 @@
   private ledger = new routing.CrashLedger();
   private term = -1;
   private leadingSince = 0;
-  private readonly verdicts: verdictTasks.VerdictTask;
+  private readonly verdicts: requests.VerdictTask;
 
   public constructor(private readonly options: SuspectRegistryOptions) {
-    this.verdicts = new verdictTasks.VerdictTask({
+    this.verdicts = new requests.VerdictTask({
       getLedger: () => this.ledger,
       clock: options.clock,
       patienceMs: 0,
--- a/packages/gateway/src/suspect-relay-client.ts
+++ b/packages/gateway/src/suspect-relay-client.ts
@@ -33,7 +33,7 @@
 
 /** Exchanges suspects with other hosts through the core hosts that can be reached while the leader cannot. */
 export class SuspectRelayClient {
-  private readonly reported = new WeakSet<procedures.SuspectOutcome>();
+  private readonly reported = new WeakSet<routing.SuspectRun>();
   private cursor = { epoch: 0, revision: -1 };
   private failures = 0;
   private isStopped = false;
@@ -58,7 +58,7 @@
   }
 
   /** Reports runs to every core host, each run once; returns whether one of them could forward them to the leader. */
-  public async report(runs: readonly procedures.SuspectOutcome[]): Promise<boolean> {
+  public async report(runs: readonly routing.SuspectRun[]): Promise<boolean> {
     const { hostId, listCores } = this.options;
     const unreported = runs.filter((run) => !this.reported.has(run));
     if (unreported.length === 0) {
--- a/packages/gateway/src/suspect-relay.ts
+++ b/packages/gateway/src/suspect-relay.ts
@@ -1,10 +1,10 @@
+import * as requests from '@bramleyridge/requests';
 import * as routing from '@bramleyridge/routing';
 import * as schemas from '@bramleyridge/schemas';
 
 import type * as coreGroups from './core-group.js';
 import type * as coreMeshes from './core-mesh.js';
 import type * as procedures from './core-procedures.js';
-import * as verdictTasks from './verdict-task.js';
 
 /** Interval at which a core host with reported suspects checks whether a leader is back, in milliseconds. */
 const LEADER_CHECK_MS = 200;
@@ -48,11 +48,11 @@
   private isExpiryScheduled = false;
   /** When the leader last failed to answer. */
   private leaderFailedAt = -Infinity;
-  private readonly verdicts: verdictTasks.VerdictTask;
+  private readonly verdicts: requests.VerdictTask;
 
   public constructor(private readonly options: SuspectRelayOptions) {
     const { clock, log } = options;
-    this.verdicts = new verdictTasks.VerdictTask({
+    this.verdicts = new requests.VerdictTask({
       getLedger: () => this.ledger,
       clock,
       patienceMs: 0,
--- a/packages/gateway/tests/run-permits.test.ts
+++ b/packages/gateway/tests/run-permits.test.ts
@@ -1,3 +1,4 @@
+import type * as routing from '@bramleyridge/routing';
 import * as schemas from '@bramleyridge/schemas';
 import * as telemetry from '@bramleyridge/telemetry';
 import * as tap from 'tap';
@@ -17,7 +18,7 @@
   const leader = {
     permit: undefined as object | undefined,
     requests: [] as procedures.SuspectPermitReq[],
-    reports: [] as procedures.SuspectOutcome[],
+    reports: [] as routing.SuspectRun[],
   };
   const api = {
     reportSuspects: {
--- a/packages/members/src/pool-ownership.ts
+++ b/packages/members/src/pool-ownership.ts
@@ -18,6 +18,15 @@
   return findOwner(`rate/${availabilityZone}/${processId}`, members);
 }
 
+/** The host that counts the sends of a quarantined call or part; `undefined` if no member is live. */
+export function findSuspectOwner(
+  availabilityZone: string,
+  digest: string,
+  members: readonly schemas.Member[],
+): schemas.Member | undefined {
+  return findOwner(`suspect/${availabilityZone}/${digest}`, members);
+}
+
 /** The preference order of a zone's hosts for the relay role. */
 export function rankRelays(
   availabilityZone: string,
--- a/packages/requests/src/relay-generation.ts
+++ b/packages/requests/src/relay-generation.ts
@@ -37,6 +37,8 @@
   readonly place?: paths.PlaceRule | undefined;
   /** Called with the next offset when new events have arrived, for capacity accounting. */
   readonly onProgress: (next: number) => void;
+  /** Called when the first connection to the engine broke, before the generation is resumed on another one. */
+  readonly onLost?: () => void;
 }
 
 /**
@@ -54,6 +56,7 @@
   );
   let body = started;
   let failures = 0;
+  let wasLost = false;
   for (;;) {
     const previousOffset = splitter.getNextOffset();
     try {
@@ -76,6 +79,10 @@
         reason: failure.message,
       });
     }
+    if (!wasLost) {
+      wasLost = true;
+      options.onLost?.();
+    }
     body?.destroy();
     body = undefined;
     failures = splitter.getNextOffset() > previousOffset ? 1 : failures + 1;
--- a/packages/routing/src/suspect.ts
+++ b/packages/routing/src/suspect.ts
@@ -71,6 +71,16 @@
   permitId: z.string().optional(),
 });
 
+/** Outcome of a run of a suspect, or of a call or part that becomes one by this outcome. */
+export const suspectRun = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('ended'), digest: z.string(), end: processEnd }),
+  z.object({ kind: z.literal('served'), digest: z.string() }),
+  z.object({ kind: z.literal('over'), digest: z.string(), processId: z.string() }),
+]);
+
+/** Outcome of a run of a suspect, or of a call or part that becomes one by this outcome. */
+export type SuspectRun = z.infer<typeof suspectRun>;
+
 /** The end of an upstream process during a call. */
 export type ProcessEnd = z.infer<typeof processEnd>;
 /** The facts recorded about a call, or a part of prompts, during whose runs upstream processes ended. */
