Take events that end inside one for truncated on any call

What callers saw: a stream of events without a length, from a call that is not declared as a stream, whose upstream broke off inside an event looked complete: plain services behind the OpenAI API, and routed calls whose route is no stream. Cause: only declared streams were checked for their last empty line. The check now goes by the content type as well, where the answer states no length; an empty body is left alone. Ruled out: generations behind the OpenAI API, which are complete with their closing event only.

--- a/packages/requests/src/answer-body.ts
+++ b/packages/requests/src/answer-body.ts
@@ -4,6 +4,9 @@
 /** The byte that ends each line of an event stream. */
 const LINE_FEED = 0x0a;
 
+/** The content type of streams of events. */
+const EVENTS_TYPE = 'text/event-stream';
+
 /** The body of a response as far as it was read, and whether that is all of it. */
 export interface AnswerBody {
   readonly bytes: Buffer;
@@ -27,7 +30,9 @@
     while (size <= maxBytes) {
       const part = await readPart(answer);
       if (part === undefined) {
-        return { bytes: Buffer.concat(parts), isWhole: true };
+        const bytes = Buffer.concat(parts);
+        checkEventsEnd(answer, bytes, false, peer);
+        return { bytes, isWhole: true };
       }
       parts.push(part);
       size += part.length;
@@ -58,10 +63,25 @@
   } catch (err) {
     throw upstreamErrors.createUpstreamError(err, 'relay-answer', peer);
   }
-  // A response without a length ends with its connection, and so does one whose upstream exited. Events end with an
-  // empty line, so a stream that ends elsewhere was truncated.
-  if (isStream && !last.equals(Buffer.from([LINE_FEED, LINE_FEED]))) {
-    throw new upstreamErrors.UpstreamError('lost', 'relay-answer', peer);
+  checkEventsEnd(answer, last, isStream, peer);
+}
+
+/**
+ * Throws if a stream of events ended inside an event. A response without a length ends with its connection, and so does
+ * one whose upstream exited; events end with an empty line, so a stream that ends elsewhere was truncated. Streams are
+ * recognized by their content type, too: a call may have such an answer though its route does not say so.
+ */
+function checkEventsEnd(
+  answer: upstreamClients.UpstreamAnswer,
+  bytes: Buffer,
+  isStream: boolean,
+  peer: string,
+): void {
+  const type = String(answer.headers['content-type'] ?? '');
+  const isBody = bytes.length > 0 && hasNoLength(answer);
+  const isEvents = isStream || (isBody && type.startsWith(EVENTS_TYPE));
+  if (isEvents && !bytes.subarray(-2).equals(Buffer.from([LINE_FEED, LINE_FEED]))) {
+    throw new upstreamErrors.UpstreamError('lost', 'read-events', peer);
   }
 }
 
--- a/packages/requests/tests/service-client.test.ts
+++ b/packages/requests/tests/service-client.test.ts
@@ -142,3 +142,28 @@
   t.equal(((await send()) as requests.UpstreamError).kind, 'withheld');
   t.equal(counts.requests, 1);
 });
+
+// Guards against a truncated stream of events that looks complete, because its call is not declared as a stream.
+void tap.default.test(
+  'events without a length that end inside an event are truncated',
+  async (t) => {
+    const cases = [
+      { name: 'complete', text: 'data: a\n\ndata: b\n\n', isWhole: true },
+      { name: 'inside an event', text: 'data: a\n\ndata: b\n', isWhole: false },
+      { name: 'empty', text: '', isWhole: true },
+    ];
+    for (const isRepeatable of [true, false]) {
+      for (const { isWhole, name, text } of cases) {
+        const head =
+          'HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nconnection: close\r\n\r\n';
+        const { port } = await listen(t, (socket) => socket.end(`${head}${text}`));
+        const sent = createClient(t).send(createUpstream(port), createCall(isRepeatable));
+        if (isWhole) {
+          t.equal((await sent).body.toString(), text, name);
+        } else {
+          await t.rejects(sent, { kind: 'lost' } as never, name);
+        }
+      }
+    }
+  },
+);
