Check parts again before the send, and don't hide a first run

A call whose digest had a permit was sent although a part of its prompt had been barred while it waited at a rate limit: the permit of a call counts for the call only now. A call that had run once, and whose second send was refused just before it, was answered as not run; the refusal for lack of an upstream had that check already. By reading, with a test for the second (it failed before).

--- a/packages/gateway/src/crash-guard.ts
+++ b/packages/gateway/src/crash-guard.ts
@@ -49,6 +49,8 @@
   readonly permits: readonly routing.Permit[];
   /** Whether no other suspect runs on the permitted process. */
   readonly isAlone: boolean;
+  /** Whether it is a trial of the barred parts of the call's prompt. */
+  readonly isPartTrial: boolean;
 }
 
 /** Dependencies of the crash guard. */
@@ -91,7 +93,8 @@
     if (check !== undefined) {
       await Promise.race([check, this.options.clock.sleep(MAX_CHECK_WAIT_MS)]);
     }
-    this.ensureAdmitted(job);
+    this.ensureCallAdmitted(job);
+    this.ensurePartsAdmitted(job);
   }
 
   /**
@@ -99,8 +102,12 @@
    * for its send.
    */
   public confirm(job: routedJobs.RoutedJob): void {
-    if (!this.permits.has(job)) {
-      this.ensureAdmitted(job);
+    const permitted = this.permits.get(job);
+    if (permitted === undefined) {
+      this.ensureCallAdmitted(job);
+    }
+    if (permitted?.isPartTrial !== true) {
+      this.ensurePartsAdmitted(job);
     }
   }
 
@@ -130,7 +137,8 @@
     if (trial.isElsewhere) {
       return { kind: 'elsewhere' };
     }
-    this.permits.set(job, { permits, isAlone: this.permits.get(job)?.isAlone ?? false });
+    const isAlone = this.permits.get(job)?.isAlone ?? false;
+    this.permits.set(job, { permits, isAlone, isPartTrial: true });
     return decision;
   }
 
@@ -151,7 +159,7 @@
     // them.
     const isIsolated = permit.kind === 'go' && !mayShareProcess;
     const isAlone = 'isAlone' in permit ? permit.isAlone === true : isIsolated;
-    this.permits.set(job, { permits: [permit], isAlone });
+    this.permits.set(job, { permits: [permit], isAlone, isPartTrial: false });
     if (permit.kind !== 'there') {
       return permit;
     }
@@ -204,16 +212,19 @@
     return this.ledger.hasCalls && this.ledger.has(job.getDigest());
   }
 
-  private ensureAdmitted(job: routedJobs.RoutedJob): void {
+  private ensureCallAdmitted(job: routedJobs.RoutedJob): void {
     const refusal = this.ledger.hasCalls
       ? this.ledger.findQuarantineRefusal(job.getDigest(), this.options.clock.now())
       : undefined;
     if (refusal !== undefined) {
       throw this.refuse(job, refusal, 'quarantined');
     }
-    const partRefusal = this.parts.findRefusal(createSubject(job));
-    if (partRefusal !== undefined) {
-      throw this.refuse(job, partRefusal, 'partQuarantined');
+  }
+
+  private ensurePartsAdmitted(job: routedJobs.RoutedJob): void {
+    const refusal = this.parts.findRefusal(createSubject(job));
+    if (refusal !== undefined) {
+      throw this.refuse(job, refusal, 'partQuarantined');
     }
   }
 
--- a/packages/requests/src/run-attempts.ts
+++ b/packages/requests/src/run-attempts.ts
@@ -107,7 +107,9 @@
 
   private async handleFailure(upstream: U, err: unknown): Promise<void> {
     if (err instanceof schemas.StepError && !(err instanceof upstreamErrors.UpstreamError)) {
-      throw err;
+      // So does the refusal of one that was quarantined while it waited for its next send.
+      const isNotRun = err instanceof schemas.Refusal && err.options.outcome === 'not-run';
+      throw isNotRun && this.runs > 0 ? createRefusal('ranUnknown', 'unknown', err) : err;
     }
     // An attempt that was aborted on this side is not a failure of the upstream.
     this.rules.signal?.throwIfAborted();
--- a/packages/requests/tests/run-attempts.test.ts
+++ b/packages/requests/tests/run-attempts.test.ts
@@ -56,6 +56,42 @@
   t.same(await run('unreachable', 2, once), { sends: 2, outcome: 'not-run', status: 503 });
 });
 
+// Guards against a call that ran on one upstream and is answered as not run, because its next send was refused.
+void tap.default.test(
+  'a refusal just before the second send does not hide the first run',
+  async (t) => {
+    const refuse = () => {
+      throw new schemas.Refusal({
+        id: 'partQuarantined',
+        step: 'quarantine',
+        status: 503,
+        outcome: 'not-run',
+      });
+    };
+    for (const { hasRun, outcome } of [
+      { hasRun: true, outcome: 'unknown' },
+      { hasRun: false, outcome: 'not-run' },
+    ]) {
+      let sends = 0;
+      const result = requests.runAttempts<Target, string>(
+        { isRepeatable: true, maxRuns: 2, budget: createBudget(9) },
+        {
+          choose: () => ({ upstreamId: `u${sends}` }),
+          attempt: async ({ upstreamId }) => {
+            sends += 1;
+            return sends === 1 && hasRun
+              ? Promise.reject(new requests.UpstreamError('lost', 'test', upstreamId))
+              : Promise.resolve().then(refuse);
+          },
+          isFailure: () => false,
+          recordFailure: () => {},
+        },
+      );
+      await t.rejects(result, { options: { outcome } } as never);
+    }
+  },
+);
+
 void tap.default.test(
   'retries that reach an upstream take from the budget, and end when it is empty',
   async (t) => {
