Don't lose the verdict on a part to a timer that fires early

Cause: the task slept until a verdict was due, decided, and then looked for verdicts in the future. A timer may fire a fraction of a millisecond early; the verdict was not due yet at the decision, and past when the next one was looked for. Ruled out: exits that were not noticed (`process-ended` at each end), a cleared part, changes of the leader.

Change: a verdict is due as long as it is later than the last decision, and a part that was not barred is judged again after each further end. The memory of cleared ends is a class of its own.

--- a/packages/requests/src/verdict-task.ts
+++ b/packages/requests/src/verdict-task.ts
@@ -14,13 +14,14 @@
 /** Bars parts of prompts once all hosts have had the time to report what they know. */
 export class VerdictTask {
   private isRunning = false;
+  /** Time of the last decision, which all verdicts up to then were part of. */
+  private decidedAt = -Infinity;
 
   public constructor(private readonly options: VerdictTaskOptions) {}
 
   /** Decides when the ledger's next decision is due; called after each process end. */
   public schedule(): void {
-    const { clock, getLedger } = this.options;
-    if (!this.isRunning && getLedger().findVerdictTime(clock.now()) !== undefined) {
+    if (!this.isRunning && this.findDueTime() !== undefined) {
       this.isRunning = true;
       void this.run();
     }
@@ -29,22 +30,28 @@
   /** Decides at once, after a barred part was freed: the ends that it explained are held against other parts again. */
   public decide(): void {
     const { clock, getLedger, onBarred } = this.options;
-    const barred = getLedger().barParts(clock.now());
+    this.decidedAt = clock.now();
+    const barred = getLedger().barParts(this.decidedAt);
     if (barred.length > 0) {
       onBarred(barred);
     }
   }
 
   private async run(): Promise<void> {
-    const { clock, getLedger, patienceMs } = this.options;
+    const { clock, patienceMs } = this.options;
     for (;;) {
-      const dueAt = getLedger().findVerdictTime(clock.now());
+      const dueAt = this.findDueTime();
       if (dueAt === undefined) {
         this.isRunning = false;
         return;
       }
-      await clock.sleep(dueAt - clock.now() + patienceMs);
+      await clock.sleep(Math.max(0, dueAt + patienceMs - clock.now()));
       this.decide();
     }
   }
+
+  /** Returns the time of the next verdict; a timer may fire early, so that one is due only after the last decision. */
+  private findDueTime(): number | undefined {
+    return this.options.getLedger().findVerdictTime(this.decidedAt);
+  }
 }
--- a/packages/routing/src/crash-ledger.ts
+++ b/packages/routing/src/crash-ledger.ts
@@ -1,3 +1,4 @@
+import * as clearedEnds from './cleared-ends.js';
 import * as partVerdicts from './part-verdict.js';
 import * as suspects from './suspect.js';
 
@@ -13,9 +14,6 @@
  */
 const MAX_CLEARED = 500;
 
-/** Maximum number of process ends kept per cleared part. */
-const MAX_CLEARED_ENDS = 32;
-
 /**
  * How long other suspects are kept away from a process on which a suspect runs, in milliseconds. A
  * faulty call ends its upstream when it starts to run, that is after queuing for a slot and after
@@ -134,8 +132,7 @@
   /** Ordered by last change, the most recent last. */
   private readonly entries = new Map<string, Entry>();
   private cleared: { readonly digest: string; readonly revision: number }[] = [];
-  /** The process ends of cleared parts by part id; a host that reports one of them again makes no new suspect. */
-  private readonly clearedEnds = new Map<string, ReadonlySet<string>>();
+  private readonly clearedEnds = new clearedEnds.ClearedEnds();
   private partCount = 0;
   private revision = 0;
 
@@ -306,6 +303,11 @@
     return retryMs > 0 ? { kind: 'refused', retryMs } : undefined;
   }
 
+  /** Whether a part was cleared after all process ends that another host has recorded of it. */
+  public isCleared(facts: suspects.SuspectFacts): boolean {
+    return this.clearedEnds.hasAll(facts.digest, listProcessIds(facts));
+  }
+
   /** Returns which parts of a prompt are barred. */
   public listBarred(partIds: readonly string[]): string[] {
     return partIds.filter((id) => this.getStanding(id) === 'quarantined');
@@ -337,10 +339,10 @@
     return [...barred, ...others.map(({ facts }) => facts.digest)];
   }
 
-  /** Returns when the next part of prompts may be barred; `undefined` if none is about to be. */
-  public findVerdictTime(now: number): number | undefined {
+  /** Returns when the first part of prompts may be barred after a given time; `undefined` if none is about to be. */
+  public findVerdictTime(after: number): number | undefined {
     const times = [...this.entries.values()].flatMap(({ verdictAt }) =>
-      verdictAt !== undefined && verdictAt > now ? [verdictAt] : [],
+      verdictAt !== undefined && verdictAt > after ? [verdictAt] : [],
     );
     return times.length === 0 ? undefined : Math.min(...times);
   }
@@ -455,7 +457,7 @@
 
   private recordPartEnd(entry: Entry, end: suspects.ProcessEnd, now: number): boolean {
     const { digest } = entry.facts;
-    if (this.clearedEnds.get(digest)?.has(end.processId) === true) {
+    if (this.clearedEnds.hasAll(digest, [end.processId])) {
       return false;
     }
     const facts = suspects.addEnds(entry.facts, [end]);
@@ -463,12 +465,6 @@
     return this.update(entry, facts, now);
   }
 
-  /** Whether a part was cleared after all process ends that another host has recorded of it. */
-  private isCleared({ digest, ends }: suspects.SuspectFacts): boolean {
-    const known = this.clearedEnds.get(digest);
-    return known !== undefined && ends.every(({ processId }) => known.has(processId));
-  }
-
   private remove(digest: string): void {
     if (this.entries.delete(digest) && suspects.isPartId(digest)) {
       this.partCount -= 1;
@@ -479,16 +475,8 @@
   private forget(digest: string): void {
     const entry = this.entries.get(digest);
     this.remove(digest);
-    if (entry === undefined || !isPart(entry.facts)) {
-      return;
-    }
-    const ends = entry.facts.ends.map(({ processId }) => processId);
-    const known = [...(this.clearedEnds.get(digest) ?? []), ...ends];
-    this.clearedEnds.delete(digest);
-    this.clearedEnds.set(digest, new Set(known.slice(-MAX_CLEARED_ENDS)));
-    if (this.clearedEnds.size > MAX_CLEARED) {
-      const [oldest] = this.clearedEnds.keys();
-      this.clearedEnds.delete(oldest!);
+    if (entry !== undefined && isPart(entry.facts)) {
+      this.clearedEnds.add(digest, listProcessIds(entry.facts));
     }
   }
 
@@ -508,7 +496,9 @@
       entry.retryBaseAt ??= now;
     }
     if (isPart(facts) && facts.ends.length >= partVerdicts.MIN_PART_ENDS) {
-      entry.verdictAt ??= now + VERDICT_DELAY_MS;
+      // A part that was not barred at its verdict is judged again after each further end.
+      const isPending = entry.verdictAt !== undefined && entry.verdictAt > now;
+      entry.verdictAt = isPending ? entry.verdictAt : now + VERDICT_DELAY_MS;
     }
     this.remove(facts.digest);
     this.entries.set(facts.digest, entry);
@@ -552,6 +542,10 @@
   return suspects.getStanding(facts) === 'quarantined';
 }
 
+function listProcessIds({ ends }: suspects.SuspectFacts): string[] {
+  return ends.map(({ processId }) => processId);
+}
+
 function isPart({ digest }: suspects.SuspectFacts): boolean {
   return suspects.isPartId(digest);
 }
