Give the gate of connections to hosts that have a process of their own

The gate goes by the utilization of the process. Tests with many hosts, their upstreams and callers in one process saturate it all, and `capacity-sharing` beside load ended with a connection reset by a host that was not busy itself.

--- a/packages/gateway/src/entry-host.ts
+++ b/packages/gateway/src/entry-host.ts
@@ -11,7 +11,7 @@
 import * as callAdmissions from './call-admission.js';
 import * as callSchedulingServices from './call-scheduling-service.js';
 import * as updatePollers from './update-poller.js';
-import * as connectionGates from './connection-gate.js';
+import type * as connectionGates from './connection-gate.js';
 import * as coreMeshes from './core-mesh.js';
 import * as procedures from './core-procedures.js';
 import * as crashGuards from './crash-guard.js';
@@ -83,6 +83,11 @@
   readonly random: () => number;
   /** Opens the connections to upstreams; TCP connections by default. */
   readonly dialer?: paths.UpstreamDialer | undefined;
+  /**
+   * Decides which new connections of callers the host takes; all by default. It goes by the utilization of the process,
+   * which must be this host's alone.
+   */
+  readonly gate?: connectionGates.ConnectionGate | undefined;
 }
 
 /** An entry host: admits calls, sends them to upstreams and delivers the answers. */
@@ -242,7 +247,7 @@
     });
     this.callerListener = new httpListeners.HttpListener(
       (req, res) => this.serve(req, res),
-      new connectionGates.ConnectionGate({ clock, log, metrics: options.metrics }),
+      options.gate,
     );
     const maxConnections = hostSettings.findMaxConnections(settings);
     if (maxConnections !== undefined) {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,4 +1,5 @@
 /** Routed traffic: the entry host and the core host, and the interfaces to be implemented for a platform. */
+export * from './connection-gate.js';
 export * from './core-host.js';
 export * from './entry-host.js';
 export * from './evacuation-service.js';
