--- a/packages/daemon/src/run-guard.ts
+++ b/packages/daemon/src/run-guard.ts
@@ -175,12 +175,11 @@
     id: 'partQuarantined' | 'quarantined',
   ): schemas.Refusal {
     this.options.log.info({
-      decision: 'refuse',
+      decision: 'quarantine',
       request: requestId,
       digest: getDigest(),
       reason: id,
       retryMs: Math.round(retryMs),
-      step: 'quarantine',
     });
     return new schemas.Refusal({
       id,
--- a/packages/routing/src/crash-ledger.ts
+++ b/packages/routing/src/crash-ledger.ts
@@ -116,13 +116,13 @@
 }
 
 /**
- * Records the calls, and the parts of prompts, during whose runs upstream processes ended. Everything that runs on an upstream ends
- * with it, and most of those calls are not the cause, so a single end only makes a call a suspect.
- * From then on its runs are kept apart from other suspects, so that the next end can be attributed,
- * and a complete answer clears it at any time. A call is quarantined after two ends if no other
- * suspect ran during at least one of them, and after three ends in any case. A quarantined call is
- * sent twice more, so that a good call can be cleared, and never again after that. An end late in a
- * run counts half.
+ * Records the calls, and the parts of prompts, during whose runs upstream processes ended. Everything
+ * that runs on an upstream ends with it, and most of those calls are not the cause, so a single end
+ * only makes a call a suspect. From then on its runs are kept apart from other suspects, so that the
+ * next end can be attributed, and a complete answer clears it at any time. A call is quarantined
+ * after two ends if no other suspect ran during at least one of them, and after three ends in any
+ * case. A quarantined call is sent twice more, so that a good call can be cleared, and never again
+ * after that. An end late in a run counts half.
  *
  * A part of prompts is recorded at the ends of calls that had not written an answer for long, and
  * cleared by any answer that is written on it. Calls with a suspect part are sent as others are. The
@@ -133,6 +133,7 @@
   private readonly entries = new Map<string, Entry>();
   private cleared: { readonly digest: string; readonly revision: number }[] = [];
   private readonly clearedEnds = new clearedEnds.ClearedEnds();
+  /** Number of parts among the entries. */
   private partCount = 0;
   private revision = 0;
 
