Give each exit of an engine one id at all daemons

Callers: sound prompts could be refused after two engines had exited, where three are due, and be blamed for an exit that a barred part had caused. Cause: a daemon identified an exit by the upstream and by its own clock, rounded to 2 s, at the time it noticed the exit. Calls that were lost by one exit were noticed up to 2.5 s later by a busy daemon, and on either side of a full second by two; each such notice was a further end of the parts of the call's prompt. Change: a call that was sent before a known exit, or within 2 s after it on a connection of the old process, was lost by that exit, however late that is noticed; ids that other daemons report are translated to the own one. Ruled out: a restart of the engine within 2 s; none of them restarts in that test.

--- a/packages/daemon/src/completion-dispatcher.ts
+++ b/packages/daemon/src/completion-dispatcher.ts
@@ -23,6 +23,8 @@
   readonly call: string;
   readonly grant: poolClients.CapacityGrant;
   readonly generation: string;
+  /** On the daemon's clock, in milliseconds. */
+  readonly sentAt: number;
 }
 
 /**
@@ -59,7 +61,7 @@
   }
 
   private async prepareAttempt(job: Job, res: http.ServerResponse): Promise<Attempt> {
-    const { cfg, ids, incarnation } = this.context;
+    const { cfg, clock, ids, incarnation } = this.context;
     const lifecycle = requests.createRequestLifecycle();
     const call = this.createCall();
     const grant = await this.requestCapacity(job, call, res);
@@ -74,7 +76,8 @@
       counter: call.slice(call.lastIndexOf('.') + 1),
       upstreamId: grant.upstream.upstreamId,
     };
-    return { lifecycle, call, grant, generation: ids.encode(id, job.team.name) };
+    const generation = ids.encode(id, job.team.name);
+    return { lifecycle, call, grant, generation, sentAt: clock.now() };
   }
 
   /** Checks again after the wait for capacity whether the request may be sent. */
@@ -116,7 +119,7 @@
    */
   private settleFailure(
     job: Job,
-    { generation, grant, lifecycle }: Attempt,
+    { generation, grant, lifecycle, sentAt }: Attempt,
     err: unknown,
     res: http.ServerResponse,
   ): void {
@@ -128,7 +131,7 @@
     const failure = requests.createUpstreamError(err, 'start', grant.upstream.upstreamId);
     this.recordFailure(job, grant, generation, failure);
     if (failure.kind === 'lost') {
-      this.context.guard.recordLost(job.subject, grant.upstream, undefined);
+      this.context.guard.recordLost(job.subject, grant.upstream, { sentAt });
       calls.set(generation, { state: 'lost' });
       lifecycle.move('doubt');
       throw createRefusal('ranUnknown', 'unknown', failure);
--- a/packages/daemon/src/generation-relay.ts
+++ b/packages/daemon/src/generation-relay.ts
@@ -7,6 +7,7 @@
 
 import * as callerStreams from './caller-stream.js';
 import type * as handlerContexts from './handler-context.js';
+import type * as runGuards from './run-guard.js';
 
 /** A generation to be relayed to a caller. */
 export interface RelayTask {
@@ -67,6 +68,7 @@
   ): Promise<requests.RelayEnd> {
     const { adoptions, cfg, clock, engines, poolClient, log } = this.context;
     adoptions.register(task.generation, isConnected);
+    const sentAt = clock.now();
     let answerStartedAt: number | undefined;
     const getAnswerMs = () =>
       answerStartedAt === undefined ? undefined : clock.now() - answerStartedAt;
@@ -85,7 +87,7 @@
           poolClient.recordProgress(task.call, next);
           this.recordProgress(task, getAnswerMs());
         },
-        onLost: () => this.recordLost(task, getAnswerMs()),
+        onLost: () => this.recordLost(task, { sentAt, answerMs: getAnswerMs() }),
       },
       task.body,
     );
@@ -113,9 +115,9 @@
   }
 
   /** Reports a broken connection to the guard, at once: the generation is resumed for seconds before it is given up. */
-  private recordLost({ subject, upstream }: RelayTask, answerMs: number | undefined): void {
+  private recordLost({ subject, upstream }: RelayTask, run: runGuards.LostRun): void {
     if (subject !== undefined) {
-      this.context.guard.recordLost(subject, upstream, answerMs);
+      this.context.guard.recordLost(subject, upstream, run);
     }
   }
 
--- a/packages/daemon/src/run-guard.ts
+++ b/packages/daemon/src/run-guard.ts
@@ -7,15 +7,16 @@
 /** Time after the first token beyond which a run is probably not the cause of an exit, in milliseconds. */
 const EARLY_EXIT_MS = 1_000;
 
-/**
- * Time within which reports of an exit of one upstream are about the same process, in milliseconds; the list gives no
- * other identity of a process than the upstream's.
- */
-const SAME_EXIT_MS = 2_000;
-
 /** Maximum wait of a call for the exit check of its last run, in milliseconds. */
 const MAX_CHECK_WAIT_MS = 30;
 
+/** A run that was lost; times on the daemon's clock, in milliseconds. */
+export interface LostRun {
+  readonly sentAt: number;
+  /** Time for which it had sent tokens; undefined if it had sent none. */
+  readonly answerMs?: number;
+}
+
 /** Dependencies of the run guard. */
 export interface RunGuardOptions {
   readonly exchange: suspectExchanges.SuspectExchange;
@@ -30,8 +31,6 @@
   private readonly parts: requests.PartGuard;
   /** Pending exit checks by call digest. */
   private readonly checks = new Map<string, Promise<void>>();
-  /** The last known exit of each upstream. */
-  private readonly exits = new Map<string, { readonly processId: string; readonly at: number }>();
 
   public constructor(private readonly options: RunGuardOptions) {
     const { clock, exchange, log } = options;
@@ -102,17 +101,14 @@
     }
   }
 
-  /**
-   * Records that the connection to an upstream broke after it had sent tokens for some time, in milliseconds; undefined
-   * if it had sent none. Checks in the background whether its process has exited.
-   */
+  /** Records that the connection to an upstream broke. Checks in the background whether its process has exited. */
   public recordLost(
     subject: requests.RunSubject,
     upstream: Pick<schemas.Upstream, 'service' | 'upstreamId' | 'url'>,
-    answerMs: number | undefined,
+    run: LostRun,
   ): void {
     const digest = subject.getDigest();
-    const check = this.checkExit(subject, upstream, answerMs).finally(() => {
+    const check = this.checkExit(subject, upstream, run).finally(() => {
       if (this.checks.get(digest) === check) {
         this.checks.delete(digest);
       }
@@ -123,7 +119,7 @@
   private async checkExit(
     subject: requests.RunSubject,
     { service = '', upstreamId, url }: Pick<schemas.Upstream, 'service' | 'upstreamId' | 'url'>,
-    answerMs: number | undefined,
+    { answerMs, sentAt }: LostRun,
   ): Promise<void> {
     const { clock, exchange, exitDetector, log } = this.options;
     const isEarly = answerMs === undefined || answerMs < EARLY_EXIT_MS;
@@ -133,8 +129,8 @@
     if (!(await exitDetector.hasExited({ upstreamId, service, url: new URL(url).origin }))) {
       return;
     }
-    const processId = this.findProcessId(upstreamId);
-    log.info({ event: 'process-ended', upstream: upstreamId, digest });
+    const processId = exchange.exits.identify(upstreamId, clock.now() - sentAt);
+    log.info({ event: 'process-ended', upstream: upstreamId, process: processId, digest });
     if (isEarly) {
       this.parts.recordEnd(subject, processId);
     } else {
@@ -145,18 +141,6 @@
     exchange.report({ kind: 'ended', digest, end });
   }
 
-  private findProcessId(upstreamId: string): string {
-    const now = this.options.clock.now();
-    const known = this.exits.get(upstreamId);
-    if (known !== undefined && now - known.at < SAME_EXIT_MS) {
-      return known.processId;
-    }
-    // All daemons that lose calls there notice the exit at the same time and have to give it the same id.
-    const processId = `${upstreamId}@${Math.round(Date.now() / SAME_EXIT_MS)}`;
-    this.exits.set(upstreamId, { processId, at: now });
-    return processId;
-  }
-
   private isQuarantined(subject: requests.RunSubject): boolean {
     return this.ledger.hasCalls && this.ledger.getStanding(subject.getDigest()) === 'quarantined';
   }
--- a/packages/daemon/src/service-call-handler.ts
+++ b/packages/daemon/src/service-call-handler.ts
@@ -71,20 +71,21 @@
     job: Job,
     upstream: schemas.Upstream,
   ): Promise<requests.StoredResponse | undefined> {
-    const { calls, services } = this.context;
+    const { calls, clock, services } = this.context;
     const call = this.createCall();
     if (job.key !== undefined && !(await this.claim(job, call, upstream))) {
       return this.joinClaimedCall(job);
     }
     this.recordDecision(job, call, upstream, 'chosen');
     const release = this.trackCall(upstream.upstreamId);
+    const sentAt = clock.now();
     try {
       const answer = await services.send(upstream, job.call);
       calls.set(call, { state: 'done', answer });
       this.context.guard.recordServed(job.subject);
       return answer;
     } catch (err) {
-      throw this.settleFailure(job, call, upstream, err);
+      throw this.settleFailure(job, call, upstream, { err, sentAt });
     } finally {
       release();
     }
@@ -105,13 +106,13 @@
     job: Job,
     call: string,
     upstream: schemas.Upstream,
-    err: unknown,
+    { err, sentAt }: { readonly err: unknown; readonly sentAt: number },
   ): requests.UpstreamError {
     const failure = requests.createUpstreamError(err, 'service', upstream.upstreamId);
     this.recordDecision(job, call, upstream, failure.kind);
     const didNotRun = failure.kind !== 'lost';
     if (!didNotRun) {
-      this.context.guard.recordLost(job.subject, upstream, undefined);
+      this.context.guard.recordLost(job.subject, upstream, { sentAt });
     }
     this.context.calls.set(call, { state: didNotRun ? 'not-run' : 'lost' });
     if (didNotRun && failure.kind !== 'withheld') {
--- a/packages/daemon/src/suspect-exchange.ts
+++ b/packages/daemon/src/suspect-exchange.ts
@@ -3,6 +3,7 @@
 import * as routing from '@bramleyridge/routing';
 import * as schemas from '@bramleyridge/schemas';
 
+import * as exitRegistries from './exit-registry.js';
 import type * as peerMeshes from './peer-mesh.js';
 import type * as peerRouters from './peer-router.js';
 
@@ -39,6 +40,7 @@
  */
 export class SuspectExchange implements requests.SuspectSharing {
   public readonly ledger = new routing.CrashLedger();
+  public readonly exits = new exitRegistries.ExitRegistry();
   private isStopped = false;
 
   public constructor(private readonly options: SuspectExchangeOptions) {}
@@ -54,7 +56,7 @@
           this.send(id, (peer, context) => peer.listSuspects.mutate(undefined, { context })),
         ),
       );
-      answers.forEach((facts) => this.ledger.merge(facts ?? [], clock.now()));
+      answers.forEach((facts) => this.ledger.merge(this.translate(facts ?? []), clock.now()));
       if (answers.some((facts) => facts !== undefined)) {
         return;
       }
@@ -106,7 +108,7 @@
     const { clock, log } = this.options;
     const { digest, facts, mayShare, permitId, processId } = req;
     if (facts !== undefined) {
-      this.ledger.merge([facts], clock.now());
+      this.ledger.merge(this.translate([facts]), clock.now());
     }
     const chances = this.ledger.find(digest)?.chances;
     const permit = this.ledger.permit(digest, processId, mayShare, clock.now(), permitId);
@@ -125,8 +127,9 @@
       this.record(run, now);
       log.info({ decision: 'suspect', kind: run.kind, digest: run.digest, peer: report.daemonId });
     });
-    const cleared = report.facts.filter((facts) => this.ledger.isCleared(facts));
-    this.ledger.merge(report.facts, now);
+    const facts = this.translate(report.facts);
+    const cleared = facts.filter((item) => this.ledger.isCleared(item));
+    this.ledger.merge(facts, now);
     if (cleared.length > 0) {
       const runs = cleared.map(({ digest }) => ({ kind: 'served', digest }) as const);
       this.sendReport(report.daemonId, this.createReport({ runs, facts: [] }));
@@ -138,7 +141,7 @@
 
   private record(run: routing.SuspectRun, now: number): void {
     if (run.kind === 'ended') {
-      this.ledger.recordProcessEnd(run.digest, run.end, now);
+      this.ledger.recordProcessEnd(run.digest, this.translateEnd(run.end), now);
     } else if (run.kind === 'served') {
       this.ledger.clear(run.digest);
     } else {
@@ -146,6 +149,18 @@
     }
   }
 
+  /** Returns facts that another daemon has told with the ids of exits that this daemon uses. */
+  private translate(all: readonly routing.SuspectFacts[]): routing.SuspectFacts[] {
+    return all.map((facts) => ({
+      ...facts,
+      ends: facts.ends.map((end) => this.translateEnd(end)),
+    }));
+  }
+
+  private translateEnd(end: routing.ProcessEnd): routing.ProcessEnd {
+    return { ...end, processId: this.exits.translate(end.processId) };
+  }
+
   private tell(content: Pick<peerRouters.SuspectReport, 'facts' | 'runs'>): void {
     const report = this.createReport(content);
     [...this.listZone(), ...this.listOtherZones()].forEach((id) => this.sendReport(id, report));
--- a/packages/daemon/tests/suspect-exchange.test.ts
+++ b/packages/daemon/tests/suspect-exchange.test.ts
@@ -114,6 +114,23 @@
   t.equal(permits.filter((permit) => permit?.kind === 'go').length, 1);
 });
 
+// Guards against one exit that counts as three because three daemons noticed it one after the other.
+void tap.default.test('an exit that several daemons notice counts once', async (t) => {
+  const ids = ['a-1', 'a-2', 'a-3', 'b-1'];
+  const daemons = createDaemons(ids);
+  ids.forEach((id, i) => {
+    const { exits, ledger } = daemons.get(id);
+    const processId = exits.translate(`engine-1@${100_990 + 10 * i}`);
+    const end = { processId, isEarly: true, wasAlone: false, calls: [`call-${id}`] };
+    ledger.recordProcessEnd(PART, end, daemons.clock.now());
+    daemons.get(id).report({ kind: 'ended', digest: PART, end });
+  });
+  await daemons.clock.advance(VERDICT_MS);
+  ids.forEach((id) => daemons.get(id).share([PART]));
+  await daemons.clock.advance(VERDICT_MS);
+  ids.forEach((id) => t.equal(daemons.get(id).ledger.find(PART)?.ends.length, 1, id));
+});
+
 // Guards against a daemon that goes on refusing a part that was answered at another one.
 void tap.default.test('a daemon that bars a cleared part is told so', async (t) => {
   const daemons = createDaemons(['a-1', 'a-2']);
