Send calls with a twice suspected part one after the other

Callers: prompts with a bad part that had waited together, for engines that were loading, were sent together and ended an engine each: six within 0.2 s in the logs of daemon/crashing-prompts on three cores. Cause: parts are barred from what earlier calls showed; calls that are sent at once show it too late. Change: from the second end of a part on, a daemon sends calls with it in turn: the next one goes when the last one has begun its answer or is known to be lost, and after the third end when the part was judged. No call waits for more than 1 s. Daemons of the OpenAI API only; hosts of the gateway send such calls as before.

--- a/packages/daemon/src/completion-dispatcher.ts
+++ b/packages/daemon/src/completion-dispatcher.ts
@@ -137,6 +137,7 @@
       throw createRefusal('ranUnknown', 'unknown', failure);
     }
     calls.set(generation, { state: 'not-run' });
+    this.context.guard.recordNotRun(job.subject);
     job.attempt += job.key === undefined ? 0 : 1;
     job.excluded.push(grant.upstream.upstreamId);
     // Nothing was sent to an engine that has reached its rate limit.
--- a/packages/daemon/src/run-guard.ts
+++ b/packages/daemon/src/run-guard.ts
@@ -65,19 +65,12 @@
 
   /** Decides whether a call may be sent to an upstream, as the trial of what is quarantined; throws a refusal if not. */
   public async permit(subject: requests.RunSubject, upstreamId: string): Promise<void> {
-    await this.admit(subject);
-    if (this.isQuarantined(subject)) {
-      const permit = await this.requestPermit(subject.getDigest(), upstreamId);
-      if (permit.kind === 'refused') {
-        throw this.refuse(subject, permit, 'quarantined');
-      }
-    }
-    if (this.parts.listBarred(subject).length === 0) {
-      return;
-    }
-    const { refused } = await this.parts.requestTrial(subject, upstreamId, true);
-    if (refused !== undefined) {
-      throw this.refuse(subject, refused, 'partQuarantined');
+    await this.parts.awaitTurn(subject);
+    try {
+      await this.permitRun(subject, upstreamId);
+    } catch (err) {
+      this.parts.endTurn(subject);
+      throw err;
     }
   }
 
@@ -86,8 +79,14 @@
     this.parts.decideLater();
   }
 
+  /** Records that an upstream certainly did not run a permitted call. */
+  public recordNotRun(subject: requests.RunSubject): void {
+    this.parts.endTurn(subject);
+  }
+
   /** Records a complete answer. */
   public recordServed(subject: requests.RunSubject): void {
+    this.parts.endTurn(subject);
     this.parts.recordAnswer(subject);
     if (this.ledger.hasCalls && this.ledger.clear(subject.getDigest())) {
       this.options.exchange.report({ kind: 'served', digest: subject.getDigest() });
@@ -96,6 +95,7 @@
 
   /** Records that tokens have arrived for some time, in milliseconds. */
   public recordProgress(subject: requests.RunSubject, answerMs: number): void {
+    this.parts.endTurn(subject);
     if (this.ledger.hasParts && answerMs >= EARLY_EXIT_MS) {
       this.parts.recordAnswer(subject);
     }
@@ -109,6 +109,7 @@
   ): void {
     const digest = subject.getDigest();
     const check = this.checkExit(subject, upstream, run).finally(() => {
+      this.parts.endTurn(subject);
       if (this.checks.get(digest) === check) {
         this.checks.delete(digest);
       }
@@ -116,6 +117,23 @@
     this.checks.set(digest, check);
   }
 
+  private async permitRun(subject: requests.RunSubject, upstreamId: string): Promise<void> {
+    await this.admit(subject);
+    if (this.isQuarantined(subject)) {
+      const permit = await this.requestPermit(subject.getDigest(), upstreamId);
+      if (permit.kind === 'refused') {
+        throw this.refuse(subject, permit, 'quarantined');
+      }
+    }
+    if (this.parts.listBarred(subject).length === 0) {
+      return;
+    }
+    const { refused } = await this.parts.requestTrial(subject, upstreamId, true);
+    if (refused !== undefined) {
+      throw this.refuse(subject, refused, 'partQuarantined');
+    }
+  }
+
   private async checkExit(
     subject: requests.RunSubject,
     { service = '', upstreamId, url }: Pick<schemas.Upstream, 'service' | 'upstreamId' | 'url'>,
--- a/packages/daemon/src/service-call-handler.ts
+++ b/packages/daemon/src/service-call-handler.ts
@@ -111,7 +111,9 @@
     const failure = requests.createUpstreamError(err, 'service', upstream.upstreamId);
     this.recordDecision(job, call, upstream, failure.kind);
     const didNotRun = failure.kind !== 'lost';
-    if (!didNotRun) {
+    if (didNotRun) {
+      this.context.guard.recordNotRun(job.subject);
+    } else {
       this.context.guard.recordLost(job.subject, upstream, { sentAt });
     }
     this.context.calls.set(call, { state: didNotRun ? 'not-run' : 'lost' });
--- a/packages/requests/src/part-guard.ts
+++ b/packages/requests/src/part-guard.ts
@@ -1,8 +1,17 @@
-import type * as routing from '@bramleyridge/routing';
+import * as routing from '@bramleyridge/routing';
 import type * as schemas from '@bramleyridge/schemas';
 
 import * as verdictTasks from './verdict-task.js';
 
+/**
+ * Number of process ends of a part from which calls with it are sent one after the other, until an answer begins: sent
+ * at once, as after a common wait, they would end as many engines as there are calls.
+ */
+const MIN_TURN_ENDS = routing.MIN_PART_ENDS - 1;
+
+/** Maximum time for which a call waits for the others that share a suspect part with it, in milliseconds. */
+const MAX_TURN_MS = 1_000;
+
 /** A call as the records of suspects know it. */
 export interface RunSubject {
   readonly requestId: string;
@@ -45,9 +54,20 @@
   readonly isElsewhere: boolean;
 }
 
+/** A call with suspect parts in progress. */
+interface Turn {
+  readonly requestId: string;
+  /** When others go on without its outcome, in milliseconds. */
+  readonly endsAt: number;
+  readonly ended: Promise<void>;
+  readonly end: () => void;
+}
+
 /** Stops calls whose prompts share a part that crashes the engines which begin an answer on it. */
 export class PartGuard {
   private readonly verdicts: verdictTasks.VerdictTask;
+  /** The call in progress by suspect part; it has not begun its answer. */
+  private readonly turns = new Map<string, Turn>();
 
   public constructor(private readonly options: PartGuardOptions) {
     const { clock, ledger, log, onBarred, patienceMs } = options;
@@ -74,6 +94,42 @@
     return ledger.hasParts ? ledger.listBarred(subject.listPartIds()) : [];
   }
 
+  /**
+   * Waits until no other call with the same suspect parts is without an answer, and no decision on them is due; then it
+   * is the turn of this call, until `endTurn`. Doesn't wait for long, since the parts may be sound.
+   */
+  public async awaitTurn(subject: RunSubject): Promise<void> {
+    const { clock, ledger } = this.options;
+    if (!ledger.hasParts) {
+      return;
+    }
+    const endsAt = clock.now() + MAX_TURN_MS;
+    for (;;) {
+      const partIds = this.listTurnParts(subject);
+      const turn = this.findTurn(partIds);
+      const ended = turn?.ended ?? this.findDecision(partIds);
+      const waitMs = Math.min(endsAt, turn?.endsAt ?? endsAt) - clock.now();
+      if (ended === undefined || waitMs <= 0) {
+        this.beginTurn(subject, partIds);
+        return;
+      }
+      await Promise.race([ended, clock.sleep(waitMs)]);
+    }
+  }
+
+  /** Ends the turn of a call: its answer has begun, or its run has ended. */
+  public endTurn({ requestId }: RunSubject): void {
+    if (this.turns.size === 0) {
+      return;
+    }
+    [...this.turns]
+      .filter(([, turn]) => turn.requestId === requestId)
+      .forEach(([partId, turn]) => {
+        this.turns.delete(partId);
+        turn.end();
+      });
+  }
+
   /** Requests a trial of the barred parts of a call on a process. */
   public async requestTrial(
     subject: RunSubject,
@@ -144,4 +200,33 @@
       sharing.report({ kind: 'over', digest, processId });
     });
   }
+
+  private listTurnParts(subject: RunSubject): string[] {
+    const { ledger } = this.options;
+    return subject
+      .listPartIds()
+      .filter((id) => (ledger.find(id)?.ends.length ?? 0) >= MIN_TURN_ENDS)
+      .filter((id) => ledger.getStanding(id) !== 'quarantined');
+  }
+
+  private findDecision(partIds: readonly string[]): Promise<void> | undefined {
+    const { ledger } = this.options;
+    const isOpen = partIds.some((id) => routing.isSufficient(ledger.find(id)?.ends ?? []));
+    return isOpen ? this.verdicts.findDecision() : undefined;
+  }
+
+  private findTurn(partIds: readonly string[]): Turn | undefined {
+    const now = this.options.clock.now();
+    const turns = partIds.flatMap((id) => this.turns.get(id) ?? []);
+    return turns.find(({ endsAt }) => endsAt > now);
+  }
+
+  private beginTurn({ requestId }: RunSubject, partIds: readonly string[]): void {
+    const endsAt = this.options.clock.now() + MAX_TURN_MS;
+    let end = () => {};
+    const ended = new Promise<void>((resolve) => {
+      end = resolve;
+    });
+    partIds.forEach((partId) => this.turns.set(partId, { requestId, endsAt, ended, end }));
+  }
 }
--- a/packages/requests/src/verdict-task.ts
+++ b/packages/requests/src/verdict-task.ts
@@ -13,7 +13,9 @@
 
 /** Bars parts of prompts once all hosts have had the time to report what they know. */
 export class VerdictTask {
-  private isRunning = false;
+  /** Resolves at the next decision; undefined while none is due. */
+  private decision: Promise<void> | undefined;
+  private endDecision = () => {};
   /** Time of the last decision, which all verdicts up to then were part of. */
   private decidedAt = -Infinity;
 
@@ -21,12 +23,17 @@
 
   /** Decides when the ledger's next decision is due; called after each process end. */
   public schedule(): void {
-    if (!this.isRunning && this.findDueTime() !== undefined) {
-      this.isRunning = true;
+    if (this.decision === undefined && this.findDueTime() !== undefined) {
+      this.awaitNext();
       void this.run();
     }
   }
 
+  /** Returns a promise of the next decision if one is due. */
+  public findDecision(): Promise<void> | undefined {
+    return this.decision;
+  }
+
   /** Decides at once, after a barred part was freed: the ends that it explained are held against other parts again. */
   public decide(): void {
     const { clock, getLedger, onBarred } = this.options;
@@ -42,14 +49,23 @@
     for (;;) {
       const dueAt = this.findDueTime();
       if (dueAt === undefined) {
-        this.isRunning = false;
+        this.decision = undefined;
+        this.endDecision();
         return;
       }
       await clock.sleep(Math.max(0, dueAt + patienceMs - clock.now()));
       this.decide();
+      this.endDecision();
+      this.awaitNext();
     }
   }
 
+  private awaitNext(): void {
+    this.decision = new Promise((resolve) => {
+      this.endDecision = resolve;
+    });
+  }
+
   /** Returns the time of the next verdict; a timer may fire early, so that one is due only after the last decision. */
   private findDueTime(): number | undefined {
     return this.options.getLedger().findVerdictTime(this.decidedAt);
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -20,6 +20,7 @@
 export * from './memory-forecast.js';
 export * from './memory-growth.js';
 export * from './migration-scheduler.js';
+export * from './part-verdict.js';
 export * from './placed-run.js';
 export * from './placement-order.js';
 export * from './placement-queue.js';
