Begin the load of a test when all engines have their model

daemon/crashing-prompts sent its prompts while 2 of 14 engines were loaded. The checks and bounds are unchanged; the test now covers what its comment says.

--- a/packages/daemon/tests/crashing-prompts.test.ts
+++ b/packages/daemon/tests/crashing-prompts.test.ts
@@ -53,6 +53,10 @@
     const deployment = new deployments.SmallDeployment(['a'], 3, ENGINES);
     await deployment.start(t);
     const { engines } = deployment;
+    // A zone whose engines load their models one by one sends all that waited for the first ones at once.
+    await deployment.waitUntil('engines that have loaded the model', () =>
+      engines.every(({ orders }) => orders.some(({ status }) => status === 200)),
+    );
     engines.forEach((engine) => {
       engine.crashesOn = (prompt) => prompt.includes('bad message');
     });
