Run the tests of loaded fleets one after the other

Change: the nine files that check real times of fleets under load run one at a time, with two others beside them instead of three; then four at a time as before. No test, check or bound is changed. The time of each file is printed.

--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -7,6 +7,21 @@
 import * as knownRedTests from '../packages/bench/dist/src/known-red.js';
 
 const CONCURRENT_FILES = 4;
+
+// Files whose tests run whole fleets under load in one process and check real times. They run one after the other, with
+// fewer others beside them: otherwise they measure how the files share the processors.
+const LOADED_FILES = [
+  'daemon/dist/tests/crashing-prompts',
+  'gateway/dist/tests/brittle-upstreams',
+  'gateway/dist/tests/capacity-sharing',
+  'gateway/dist/tests/connection-crowd',
+  'gateway/dist/tests/crashing-calls',
+  'gateway/dist/tests/crashing-prompts',
+  'gateway/dist/tests/cut-fleet',
+  'gateway/dist/tests/cut-off-hosts',
+  'gateway/dist/tests/leaderless-suspects',
+];
+const CONCURRENT_BESIDE_LOADED = 2;
 const FILE_TIMEOUT_MS = 180_000;
 const KNOWN_RED_FILE = 'KNOWN-RED.txt';
 
@@ -55,23 +70,35 @@
   .sort();
 const knownRedText = fs.existsSync(KNOWN_RED_FILE) ? fs.readFileSync(KNOWN_RED_FILE, 'utf8') : '';
 const knownRed = knownRedTests.parseKnownRed(knownRedText);
-const queue = [...files];
+const isLoaded = (file) => LOADED_FILES.some((name) => file.endsWith(`${name}.test.js`));
 const results = [];
-await Promise.all(
-  Array.from({ length: CONCURRENT_FILES }, async () => {
-    for (let file = queue.shift(); file !== undefined; file = queue.shift()) {
-      const result = await run(file);
-      const verdict = knownRedTests.judgeTestRun(result, knownRed);
-      results.push({ ...result, ...verdict });
-      const mark = verdict.failed > 0 ? 'FAIL' : 'ok  ';
-      console.log(`${mark} ${file}: ${result.passed} passed, ${verdict.failed} failed`);
-      verdict.knownFailures.forEach((name) => console.log(`known red: ${file} "${name}"`));
-      if (verdict.failed > 0 || verdict.knownFailures.length > 0) {
-        console.log(result.stdout + result.stderr);
-      }
+
+async function runAll(queue) {
+  for (let file = queue.shift(); file !== undefined; file = queue.shift()) {
+    const startedAt = Date.now();
+    const result = await run(file);
+    const verdict = knownRedTests.judgeTestRun(result, knownRed);
+    results.push({ ...result, ...verdict });
+    const mark = verdict.failed > 0 ? 'FAIL' : 'ok  ';
+    const tookS = Math.round((Date.now() - startedAt) / 1_000);
+    console.log(`${mark} ${file}: ${result.passed} passed, ${verdict.failed} failed, ${tookS} s`);
+    verdict.knownFailures.forEach((name) => console.log(`known red: ${file} "${name}"`));
+    if (verdict.failed > 0 || verdict.knownFailures.length > 0) {
+      console.log(result.stdout + result.stderr);
     }
-  }),
-);
+  }
+}
+
+function runLanes(count, queue) {
+  return Promise.all(Array.from({ length: count }, () => runAll(queue)));
+}
+
+const others = files.filter((file) => !isLoaded(file));
+const loaded = files.filter(isLoaded);
+await Promise.all([
+  runLanes(CONCURRENT_BESIDE_LOADED, others),
+  runAll(loaded).then(() => runLanes(CONCURRENT_FILES - CONCURRENT_BESIDE_LOADED, others)),
+]);
 if (knownRed.length > 0) console.log(`${KNOWN_RED_FILE}:\n${knownRedText.trim()}`);
 const passed = results.reduce((sum, item) => sum + item.passed, 0);
 const failed = results.reduce((sum, item) => sum + item.failed, 0);
