Repeat reports of suspects to daemons that are busy for seconds

Callers: a busy daemon went on sending prompts with a part that the others of its zone had barred; each ended an engine. Cause: a report was repeated five times, for 1.5 s at most, with a timeout of 100 ms each, and then dropped, although the daemon was listed as live. Change: reports are repeated for 10 s, with a timeout of 500 ms. Before and after: suspect-exchange, a daemon that is busy for 5 s knows 0 ends, 3 ends.

--- a/packages/daemon/src/suspect-exchange.ts
+++ b/packages/daemon/src/suspect-exchange.ts
@@ -7,14 +7,14 @@
 import type * as peerMeshes from './peer-mesh.js';
 import type * as peerRouters from './peer-router.js';
 
-/** Timeout of a report to another daemon, in milliseconds. */
-const REPORT_TIMEOUT_MS = 100;
+/** Timeout of a report to another daemon, in milliseconds: a daemon that is busy for that long misses it. */
+const REPORT_TIMEOUT_MS = 500;
 
 /** Timeout of a request for a permit, in milliseconds: only the few calls that may be trials wait for it. */
 const PERMIT_TIMEOUT_MS = 500;
 
-/** Number of times that a report is sent to a daemon that does not answer, and the pause in between, in milliseconds. */
-const MAX_SENDS = 5;
+/** Time for which a report is repeated to a daemon that does not answer, and the pause in between, in milliseconds. */
+const MAX_REPORT_MS = 10_000;
 const RETRY_PAUSE_MS = 200;
 
 /** Number of daemons that a daemon asks for their suspects when it starts. */
@@ -201,14 +201,16 @@
   }
 
   private async repeat(daemonId: string, report: peerRouters.SuspectReport): Promise<void> {
-    for (let sends = 0; sends < MAX_SENDS && !this.isStopped; sends += 1) {
+    const { clock } = this.options;
+    const endsAt = clock.now() + MAX_REPORT_MS;
+    while (!this.isStopped && clock.now() < endsAt) {
       const isTaken = await this.send(daemonId, (peer, context) =>
         peer.reportSuspects.mutate(report, { context }),
       );
       if (isTaken === true) {
         return;
       }
-      await this.options.clock.sleep(RETRY_PAUSE_MS);
+      await clock.sleep(RETRY_PAUSE_MS);
     }
   }
 
--- a/packages/daemon/tests/suspect-exchange.test.ts
+++ b/packages/daemon/tests/suspect-exchange.test.ts
@@ -87,6 +87,17 @@
   t.equal(daemons.get('a-2').ledger.find(PART)?.ends.length, 3);
 });
 
+// Guards against a daemon that goes on sending a barred part because it was busy for seconds while others reported.
+void tap.default.test('a report arrives at a daemon that was busy for seconds', async (t) => {
+  const daemons = createDaemons(['a-1', 'a-2']);
+  daemons.cutOff.add('a-2');
+  await reportExits(daemons, 'a-1');
+  await daemons.clock.advance(5_000);
+  daemons.cutOff.delete('a-2');
+  await daemons.clock.advance(VERDICT_MS);
+  t.equal(daemons.get('a-2').ledger.find(PART)?.ends.length, 3);
+});
+
 // Guards against a restart that makes a daemon forget what is barred.
 void tap.default.test('a daemon that starts learns the suspects of its zone', async (t) => {
   const daemons = createDaemons(['a-1', 'a-2']);
