--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -40,6 +40,9 @@
 /** Time after SIGTERM at which a process is killed. */
 const STOP_MS = 8_000;
 
+/** Time after which the script gives up. */
+const TIME_LIMIT_MS = 110_000;
+
 /** Timeout of one request of the operator. */
 const REQUEST_TIMEOUT_MS = 3_000;
 
@@ -341,6 +344,14 @@
   return isHeld ? HELD : BROKEN;
 }
 
+/** Ends everything that this script has started, if it takes too long. */
+setTimeout(() => {
+  note('could not run in time');
+  children.forEach(({ child }) => child.kill('SIGKILL'));
+  fs.rmSync(folder, { recursive: true, force: true });
+  process.exit(COULD_NOT_RUN);
+}, TIME_LIMIT_MS).unref();
+
 let status = COULD_NOT_RUN;
 try {
   status = await run();
