Log why replication to a host fails, and how much it lacks

The leader's log said "the link to the peer is closed" for a host that was up, and the host that closed the link named neither the peer nor what was sent. That fits three causes: a request over the frame limit, a request that takes longer than its deadline of 500 ms, or a host that isn't reachable.

The leader now logs the host, the next index, the bytes that the host lacks, the time that the request took and the error: once for each series of failures, then every 5 s, and once when it ends. The line about a frame that can't be read names the peer. Two gauges count the entries of the log and their bytes.

--- a/packages/consensus/src/entry-log.ts
+++ b/packages/consensus/src/entry-log.ts
@@ -1,10 +1,17 @@
+import * as schemas from '@bramleyridge/schemas';
+
 import * as quorums from './quorum.js';
 import type * as types from './types.js';
 import type * as wals from './wal.js';
 
+/** Size of an entry without its data, in bytes. */
+const ENTRY_HEAD_BYTES = 64;
+
 /** The log entries that a voter keeps in memory, after its last snapshot. */
 export class EntryLog {
   private entries: types.Entry[];
+  /** The size of each entry, in bytes. */
+  private sizes: number[];
   private base: { index: number; term: number; seating: types.VoterSet };
 
   public constructor(recovered: wals.RecoveredState, initialVoters: readonly types.VoterSlot[]) {
@@ -16,6 +23,7 @@
         snapshot === undefined ? { seats: [...initialVoters] } : getSnapshotVoterSet(snapshot),
     };
     this.entries = recovered.entries;
+    this.sizes = this.entries.map(measureEntry);
   }
 
   /** The index of the last entry. */
@@ -38,6 +46,13 @@
     return this.entries.length;
   }
 
+  /** The size of the entries from one index to another, in bytes; by default of all. */
+  public countBytes(from = this.base.index + 1, to = this.lastIndex): number {
+    const start = Math.max(0, from - this.base.index - 1);
+    const end = Math.max(start, to - this.base.index);
+    return this.sizes.slice(start, end).reduce((sum, bytes) => sum + bytes, 0);
+  }
+
   /** The term of an entry, or `undefined` if the log does not contain it. */
   public findTerm(index: number): number | undefined {
     if (index === this.base.index) {
@@ -65,6 +80,8 @@
     }
     this.entries.length = first.index - this.base.index - 1;
     this.entries.push(...entries);
+    this.sizes.length = this.entries.length - entries.length;
+    this.sizes.push(...entries.map(measureEntry));
   }
 
   /** The current voter set. As in Raft, a change takes effect when it is appended, not when it is committed. */
@@ -98,13 +115,16 @@
   public compactTo(index: number): void {
     const term = this.findTerm(index) ?? this.base.term;
     const voterSet = this.getVoterSetAt(index);
-    this.entries = this.entries.filter((item) => item.index > index);
+    const dropped = Math.max(0, index - this.base.index);
+    this.entries = this.entries.slice(dropped);
+    this.sizes = this.sizes.slice(dropped);
     this.base = { index, term, seating: voterSet };
   }
 
   /** Replaces the whole log by a snapshot from the leader. */
   public resetTo(snapshot: wals.Snapshot): void {
     this.entries = [];
+    this.sizes = [];
     this.base = {
       index: snapshot.lastIndex,
       term: snapshot.lastTerm,
@@ -113,6 +133,10 @@
   }
 }
 
+function measureEntry({ data }: types.Entry): number {
+  return ENTRY_HEAD_BYTES + schemas.estimateEncodedBytes(data);
+}
+
 function getSnapshotVoterSet({ voters, formerVoters }: wals.Snapshot): types.VoterSet {
   return formerVoters === undefined
     ? { seats: [...voters] }
--- a/packages/consensus/src/replicator.ts
+++ b/packages/consensus/src/replicator.ts
@@ -1,9 +1,14 @@
+import * as schemas from '@bramleyridge/schemas';
+
 import type * as leaderships from './leadership.js';
 import type * as types from './types.js';
 
 /** Maximum number of entries in one append request. */
 const MAX_ENTRIES = 256;
 
+/** Minimum time between two log lines about the same failing host, in milliseconds. */
+const FAILURE_LOG_INTERVAL_MS = 5_000;
+
 /** Replicates the leader's log to one other host. */
 export class Replicator {
   /** The highest index that is durable on the host. */
@@ -18,6 +23,9 @@
   private nextIndex: number;
   private stopped = false;
   private retiresAt = Infinity;
+  /** When the first of the current series of failures occurred; `undefined` after a success. */
+  private failingSince: number | undefined;
+  private failureLoggedAt = -Infinity;
 
   public constructor(
     public readonly slot: types.VoterSlot,
@@ -71,12 +79,46 @@
         await voter.adoptTerm(res.term, null);
         return false;
       }
+      this.logRecovery();
       return this.handleResponse(res, sentAt, commitIndexAtSend);
-    } catch {
+    } catch (err) {
+      this.logFailure(schemas.toError(err), sentAt);
       return false;
     }
   }
 
+  /** Logs what could not be sent: without its size, a request that is too large looks like a host that is down. */
+  private logFailure({ message }: Error, sentAt: number): void {
+    const { entries, options } = this.leadership.voter;
+    const now = options.clock.now();
+    this.failingSince ??= sentAt;
+    if (this.stopped || now - this.failureLoggedAt < FAILURE_LOG_INTERVAL_MS) {
+      return;
+    }
+    this.failureLoggedAt = now;
+    options.log.warn({
+      event: 'replication-failed',
+      peer: this.slot.daemonId,
+      nextIndex: this.nextIndex,
+      lastIndex: entries.lastIndex,
+      behindBytes: entries.countBytes(this.nextIndex),
+      tookMs: Math.round(now - sentAt),
+      failingMs: Math.round(now - this.failingSince),
+      err: message,
+    });
+  }
+
+  private logRecovery(): void {
+    if (this.failingSince === undefined) {
+      return;
+    }
+    const { clock, log } = this.leadership.voter.options;
+    const failedMs = Math.round(clock.now() - this.failingSince);
+    this.failingSince = undefined;
+    this.failureLoggedAt = -Infinity;
+    log.info({ event: 'replication-resumed', peer: this.slot.daemonId, failedMs });
+  }
+
   private send(): Promise<types.AppendRes> {
     const { voter, term } = this.leadership;
     const { transport } = voter.options;
--- a/packages/gateway/src/core-host.ts
+++ b/packages/gateway/src/core-host.ts
@@ -230,6 +230,8 @@
     const { metrics } = this.options;
     metrics.registerGauge('isLeading', () => Number(this.group.isLeading()));
     metrics.registerGauge('term', () => this.group.voter?.term ?? 0);
+    metrics.registerGauge('logEntries', () => this.group.voter?.entries.length ?? 0);
+    metrics.registerGauge('logBytes', () => this.group.voter?.entries.countBytes() ?? 0);
     metrics.registerGauge('seats', () => this.group.voter?.entries.getVoters().length ?? 0);
     metrics.registerGauge(
       'seatsSilent',
--- a/packages/peers/src/peer-server.ts
+++ b/packages/peers/src/peer-server.ts
@@ -101,7 +101,8 @@
           this.handleFrame(connection, frame);
         }
       } catch (err) {
-        this.options.log.warn({ step: 'read-frame', err: schemas.toError(err).message });
+        const { message } = schemas.toError(err);
+        this.options.log.warn({ step: 'read-frame', peer: socket.remoteAddress, err: message });
         socket.destroy();
       }
     });
--- a/packages/schemas/src/index.ts
+++ b/packages/schemas/src/index.ts
@@ -4,6 +4,7 @@
 export * from './daemon-config.js';
 export * from './declaration.js';
 export * from './digest.js';
+export * from './encoded-size.js';
 export * from './control.js';
 export * from './lifecycle.js';
 export * from './log.js';
--- a/packages/telemetry/src/metric-catalog.ts
+++ b/packages/telemetry/src/metric-catalog.ts
@@ -188,6 +188,18 @@
   },
   isLeading: { kind: 'gauge', name: 'is_leading', help: 'Whether this host leads', labels: [] },
   term: { kind: 'gauge', name: 'term', help: 'The term of the replicated log', labels: [] },
+  logEntries: {
+    kind: 'gauge',
+    name: 'log_entries',
+    help: 'Entries of the replicated log that this host keeps in memory',
+    labels: [],
+  },
+  logBytes: {
+    kind: 'gauge',
+    name: 'log_bytes',
+    help: 'Size of these entries, in bytes',
+    labels: [],
+  },
   seats: {
     kind: 'gauge',
     name: 'seats',
