Send large calls between hosts in parts, and bound what waits by progress

What hosts saw: a call or an answer that takes longer than its deadline, which was chosen for small messages, failed, and each repetition failed like the first. A call of over 16 MiB closed the connection at the receiver, with all other calls on it, and the sender repeated it.

Cause: one frame for each message, a deadline that doesn't know its size, and a limit that only the receiver checks.

Each end announces that it knows parts; a peer of the previous version, which answers the ping alone, gets the call in one frame as before. - A deadline is put off while the call makes progress: the peer has taken a part or a frame is arriving, within the last 500 ms. - The sender refuses what is over a limit, by an estimate that is never below the encoded size; the connection and its other calls stay. - A frame is joined once it is complete, not at each read. - A call whose deadline passed while its connection was opened isn't sent any more.

--- a/packages/fakes/src/index.ts
+++ b/packages/fakes/src/index.ts
@@ -9,4 +9,5 @@
 export * from './reserved-ports.js';
 export * from './memory-files.js';
 export * from './simulated-upstream.js';
+export * from './slow-link.js';
 export * from './token-text.js';
--- a/packages/peers/src/frame.ts
+++ b/packages/peers/src/frame.ts
@@ -5,13 +5,19 @@
 /** Size of a frame's length prefix. */
 const LENGTH_BYTES = 4;
 
-/** Largest frame that a peer accepts, in bytes; large enough for a snapshot of the configuration. */
+/** Largest frame that a peer accepts, in bytes. */
 export const MAX_FRAME_BYTES = 16 * 1024 * 1024;
 
 /** A message on the connection; its first element is the discriminant. */
 export type Frame =
   | readonly [kind: 'call', id: number, path: string, input: unknown]
   | readonly [kind: 'cancel', id: number]
+  /** Part of a call that is larger than one part; sent only to a peer that has announced `parts`. */
+  | readonly [kind: 'part', id: number, offset: number, bytes: Uint8Array, isLast: boolean]
+  /** Acknowledges the parts of a call, with the number of bytes received. */
+  | readonly [kind: 'taken', id: number, bytes: number]
+  /** Announces that this end knows calls in parts; hosts of the previous version ignore it. */
+  | readonly [kind: 'parts']
   | readonly [kind: 'result', id: number, output: unknown]
   | readonly [kind: 'failure', id: number, message: string, code: string]
   | readonly [kind: 'tunnel', address: string, connectMs: number]
@@ -43,33 +49,56 @@
 /** Buffers the bytes received on a connection and decodes complete frames. */
 export class FrameReader {
   private readonly packr = createPackr();
-  private pending: Buffer = Buffer.alloc(0);
+  /** Received bytes that belong to no complete frame yet; joined only when a frame is complete. */
+  private chunks: Buffer[] = [];
+  private length = 0;
 
   /** Returns the bytes that follow the last frame; no more frames are read after it. */
   public takeRest(): Buffer {
-    const rest = this.pending;
-    this.pending = Buffer.alloc(0);
+    const rest = Buffer.concat(this.chunks);
+    this.chunks = [];
+    this.length = 0;
     return rest;
   }
 
+  /** Whether a frame has begun to arrive. */
+  public isInFrame(): boolean {
+    return this.length > 0;
+  }
+
   /** Appends bytes and yields every frame that is now complete. */
   public *push(bytes: Buffer): Generator<Frame> {
-    this.pending = this.pending.length === 0 ? bytes : Buffer.concat([this.pending, bytes]);
-    while (this.pending.length >= LENGTH_BYTES) {
-      const length = this.pending.readUInt32BE(0);
-      if (length > MAX_FRAME_BYTES) {
-        throw new schemas.StepError({
-          id: 'frameTooLarge',
-          step: 'read-frame',
-          args: [length, MAX_FRAME_BYTES],
-        });
-      }
-      if (this.pending.length < LENGTH_BYTES + length) {
+    this.chunks.push(bytes);
+    this.length += bytes.length;
+    while (this.length >= LENGTH_BYTES) {
+      const end = LENGTH_BYTES + this.readFrameLength();
+      if (this.length < end) {
         return;
       }
-      const body = this.pending.subarray(LENGTH_BYTES, LENGTH_BYTES + length);
-      this.pending = this.pending.subarray(LENGTH_BYTES + length);
-      yield this.packr.unpack(body) as Frame;
+      const joined = this.join();
+      this.chunks = joined.length > end ? [joined.subarray(end)] : [];
+      this.length -= end;
+      yield this.packr.unpack(joined.subarray(LENGTH_BYTES, end)) as Frame;
+    }
+  }
+
+  private readFrameLength(): number {
+    const first = this.chunks[0]!;
+    const head = first.length >= LENGTH_BYTES ? first : this.join();
+    const length = head.readUInt32BE(0);
+    if (length > MAX_FRAME_BYTES) {
+      throw new schemas.StepError({
+        id: 'frameTooLarge',
+        step: 'read-frame',
+        args: [length, MAX_FRAME_BYTES],
+      });
     }
+    return length;
+  }
+
+  private join(): Buffer {
+    const joined = this.chunks.length === 1 ? this.chunks[0]! : Buffer.concat(this.chunks);
+    this.chunks = [joined];
+    return joined;
   }
 }
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -1,5 +1,6 @@
 /** Peer-to-peer transport between daemons: tRPC over framed msgpack on TLS with pre-shared keys. */
 export * from './connect-to-peer.js';
+export * from './call-parts.js';
 export * from './frame.js';
 export * from './keyring.js';
 export * from './link-counts.js';
--- a/packages/peers/src/peer-client.ts
+++ b/packages/peers/src/peer-client.ts
@@ -2,6 +2,7 @@
 
 import * as schemas from '@bramleyridge/schemas';
 
+import * as callParts from './call-parts.js';
 import * as connectToPeers from './connect-to-peer.js';
 import * as frames from './frame.js';
 import * as linkCounts from './link-counts.js';
@@ -15,6 +16,13 @@
 /** Time without a byte in either direction after which a connection is closed, in milliseconds. */
 const SILENCE_TIMEOUT_MS = 9_000;
 
+/**
+ * Time without progress after which a call fails past its deadline, in milliseconds. Progress is that the peer takes
+ * parts of the call or that an answer arrives. A large message over a slow link takes longer than the deadline of a
+ * small one, and each repetition would fail like the first.
+ */
+const PROGRESS_TIMEOUT_MS = 500;
+
 /** Options of {@link PeerClient}. */
 export interface PeerClientOptions extends connectToPeers.PeerEndpoint {
   readonly peer: string;
@@ -23,7 +31,19 @@
   readonly isCut?: () => boolean;
 }
 
+interface Call {
+  readonly id: number;
+  readonly path: string;
+  readonly input: unknown;
+  /** Size of the input, in bytes. */
+  readonly bytes: number;
+  readonly startedAt: number;
+}
+
 interface PendingCall {
+  /** When the peer last took a part of the call; `undefined` if it isn't sent in parts. */
+  progressAt?: number;
+  readonly sender?: callParts.CallPartSender;
   readonly startedAt: number;
   readonly path: string;
   readonly resolve: (output: unknown) => void;
@@ -39,32 +59,34 @@
   private lastReceivedAt = 0;
   private connecting: Promise<net.Socket> | undefined;
   private pendingCalls = new Map<number, PendingCall>();
+  private reader = new frames.FrameReader();
+  private partsAnswer = new PartsAnswer();
   private nextId = 1;
   private isClosed = false;
 
   public constructor(private readonly options: PeerClientOptions) {}
 
-  /** Calls a procedure. After the deadline, rejects and sends a `cancel` frame, upon which the peer aborts the call. */
+  /**
+   * Calls a procedure. After the deadline, unless the call makes progress, rejects and sends a `cancel` frame, upon which
+   * the peer aborts the call. Rejects at once a call that is too large for any peer.
+   */
   public async call(path: string, input: unknown, deadlineMs: number): Promise<unknown> {
-    const startedAt = performance.now();
-    const timeout = new Promise<never>((_, reject) => {
-      const timer = setTimeout(() => {
-        this.closeIfSilentSince(startedAt);
-        reject(this.createError('deadline', path, [deadlineMs]));
-      }, deadlineMs);
-      timer.unref();
-    });
+    const bytes = schemas.estimateEncodedBytes(input);
+    this.checkSize(path, bytes, callParts.MAX_CALL_BYTES);
+    const call: Call = { id: this.nextId, path, input, bytes, startedAt: performance.now() };
+    this.nextId += 1;
+    const over = new AbortController();
+    const timeout = this.rejectWithoutProgress(call, deadlineMs, over.signal);
     if (this.options.isCut?.()) {
       return timeout;
     }
-    const id = this.nextId;
-    this.nextId += 1;
     this.lastCallAt = performance.now();
     try {
-      return await Promise.race([this.exchange(id, path, input, startedAt), timeout]);
+      return await Promise.race([this.exchange(call, over.signal), timeout]);
     } finally {
-      if (this.pendingCalls.delete(id)) {
-        this.send(['cancel', id]);
+      over.abort(new Error('over'));
+      if (this.pendingCalls.delete(call.id)) {
+        this.send(['cancel', call.id]);
       }
     }
   }
@@ -75,19 +97,82 @@
     this.socket?.destroy();
   }
 
-  private async exchange(
-    id: number,
-    path: string,
-    input: unknown,
-    startedAt: number,
-  ): Promise<unknown> {
-    await this.getSocket();
+  /** Rejects after the deadline, or later once the call makes no more progress. */
+  private rejectWithoutProgress(
+    { id, path, startedAt }: Call,
+    deadlineMs: number,
+    over: AbortSignal,
+  ): Promise<never> {
+    return new Promise<never>((_, reject) => {
+      let timer: NodeJS.Timeout;
+      const check = () => {
+        const leftMs = this.getProgressAt(id) + PROGRESS_TIMEOUT_MS - performance.now();
+        if (leftMs > 0) {
+          timer = setTimeout(check, leftMs).unref();
+          return;
+        }
+        this.closeIfSilentSince(startedAt);
+        reject(this.createError('deadline', path, [deadlineMs]));
+      };
+      timer = setTimeout(check, deadlineMs).unref();
+      over.addEventListener('abort', () => clearTimeout(timer), { once: true });
+    });
+  }
+
+  private async exchange(call: Call, over: AbortSignal): Promise<unknown> {
+    const { bytes, id, input, path, startedAt } = call;
+    const socket = await this.getSocket();
+    const isLarge = bytes > callParts.PART_BYTES;
+    const isInParts = isLarge && (await this.peerTakesParts());
+    over.throwIfAborted();
+    if (socket.destroyed) {
+      throw this.createError('linkClosed', path);
+    }
+    if (isInParts) {
+      return this.exchangeInParts(call);
+    }
+    this.checkSize(path, bytes, frames.MAX_FRAME_BYTES);
     return new Promise((resolve, reject) => {
       this.pendingCalls.set(id, { startedAt, path, resolve, reject });
       this.send(['call', id, path, input]);
     });
   }
 
+  private exchangeInParts({ id, input, path, startedAt }: Call): Promise<unknown> {
+    const sender = new callParts.CallPartSender(path, input, ({ bytes, isLast, offset }) =>
+      this.send(['part', id, offset, bytes, isLast]),
+    );
+    return new Promise((resolve, reject) => {
+      const progressAt = performance.now();
+      this.pendingCalls.set(id, { startedAt, progressAt, path, sender, resolve, reject });
+      sender.advance(0);
+    });
+  }
+
+  /** Asks once for each connection; a peer of the previous version answers the ping alone. */
+  private peerTakesParts(): Promise<boolean> {
+    if (!this.partsAnswer.isKnown) {
+      this.send(['ping']);
+    }
+    return this.partsAnswer.promise;
+  }
+
+  private checkSize(path: string, bytes: number, maxBytes: number): void {
+    if (bytes > maxBytes) {
+      throw this.createError('frameTooLarge', path, [bytes, maxBytes]);
+    }
+  }
+
+  /** When a pending call last made progress; an answer that has begun to arrive may be that of any call. */
+  private getProgressAt(id: number): number {
+    const call = this.pendingCalls.get(id);
+    if (call === undefined) {
+      return -Infinity;
+    }
+    const receivedAt = this.reader.isInFrame() ? this.lastReceivedAt : -Infinity;
+    return Math.max(receivedAt, call.progressAt ?? -Infinity);
+  }
+
   private send(frame: frames.Frame): void {
     if (this.socket === undefined || this.socket.destroyed || this.options.isCut?.()) {
       return;
@@ -128,6 +213,10 @@
 
   private attachHandlers(socket: net.Socket): void {
     const reader = new frames.FrameReader();
+    const partsAnswer = new PartsAnswer();
+    this.reader = reader;
+    this.partsAnswer = partsAnswer;
+    this.send(['parts']);
     // A middlebox that lost its state for the connection drops packets without a reset, which shows only in the absence
     // of traffic. With pings, that absence means a broken connection; the next call opens a new one.
     socket.setTimeout(SILENCE_TIMEOUT_MS, () => socket.destroy());
@@ -147,6 +236,7 @@
     socket.on('error', () => socket.destroy());
     socket.on('close', () => {
       clearInterval(pingTimer);
+      partsAnswer.settle(false);
       const interrupted = this.pendingCalls;
       this.pendingCalls = new Map();
       interrupted.forEach((call) => call.reject(this.createError('linkClosed', call.path)));
@@ -175,9 +265,29 @@
   }
 
   private handleFrame(frame: frames.Frame): void {
-    if ((frame[0] !== 'result' && frame[0] !== 'failure') || this.options.isCut?.()) {
+    if (this.options.isCut?.()) {
       return;
     }
+    if (frame[0] === 'taken') {
+      this.handleTaken(frame[1], frame[2]);
+    } else if (frame[0] === 'parts' || frame[0] === 'pong') {
+      this.partsAnswer.settle(frame[0] === 'parts');
+    } else if (frame[0] === 'result' || frame[0] === 'failure') {
+      this.handleAnswer(frame);
+    }
+  }
+
+  private handleTaken(id: number, bytes: number): void {
+    const call = this.pendingCalls.get(id);
+    if (call !== undefined) {
+      call.progressAt = performance.now();
+      call.sender?.advance(bytes);
+    }
+  }
+
+  private handleAnswer(
+    frame: Extract<frames.Frame, readonly ['result' | 'failure', ...unknown[]]>,
+  ): void {
     const call = this.pendingCalls.get(frame[1]);
     this.pendingCalls.delete(frame[1]);
     if (call === undefined) {
@@ -200,6 +310,25 @@
   }
 }
 
+/** Whether the peer of one connection takes calls in parts, once it has answered. */
+class PartsAnswer {
+  public isKnown = false;
+  public readonly promise: Promise<boolean>;
+  private resolve: (takesParts: boolean) => void = () => {};
+
+  public constructor() {
+    this.promise = new Promise((resolve) => {
+      this.resolve = resolve;
+    });
+  }
+
+  /** Sets the answer; the first one counts. */
+  public settle(takesParts: boolean): void {
+    this.isKnown = true;
+    this.resolve(takesParts);
+  }
+}
+
 /** An error returned by the peer. */
 export class RemoteError extends Error {
   public override readonly name = 'RemoteError';
--- a/packages/peers/src/peer-server.ts
+++ b/packages/peers/src/peer-server.ts
@@ -5,6 +5,7 @@
 import * as schemas from '@bramleyridge/schemas';
 import * as trpc from '@trpc/server';
 
+import * as callParts from './call-parts.js';
 import * as frames from './frame.js';
 import type * as keyrings from './keyring.js';
 import * as linkCounts from './link-counts.js';
@@ -34,6 +35,8 @@
   readonly socket: net.Socket;
   readonly writer: frames.FrameWriter;
   readonly calls: Map<number, AbortController>;
+  /** Calls of which some parts have arrived. */
+  readonly partial: Map<number, callParts.CallPartCollector>;
 }
 
 /** Serves a tRPC router to the other daemons. */
@@ -83,7 +86,7 @@
   private handleConnection(socket: net.Socket): void {
     const reader = new frames.FrameReader();
     const writer = new frames.FrameWriter();
-    const connection: Connection = { socket, writer, calls: new Map() };
+    const connection: Connection = { socket, writer, calls: new Map(), partial: new Map() };
     const { calls } = connection;
     this.sockets.add(socket);
     socket.setNoDelay(true);
@@ -115,7 +118,12 @@
     if (frame[0] === 'ping') {
       this.send(connection, ['pong']);
     } else if (frame[0] === 'cancel') {
+      connection.partial.delete(frame[1]);
       connection.calls.get(frame[1])?.abort();
+    } else if (frame[0] === 'parts') {
+      this.send(connection, ['parts']);
+    } else if (frame[0] === 'part') {
+      this.handlePart(connection, frame);
     } else if (frame[0] === 'call') {
       void this.handleCall(connection, frame);
     } else if (frame[0] === 'tunnel') {
@@ -123,6 +131,25 @@
     }
   }
 
+  private handlePart(
+    connection: Connection,
+    [, id, offset, bytes, isLast]: Extract<frames.Frame, readonly ['part', ...unknown[]]>,
+  ): void {
+    const { partial } = connection;
+    const call = offset === 0 ? new callParts.CallPartCollector() : partial.get(id);
+    if (call?.receivedBytes !== offset) {
+      // The call was cancelled while this part was on its way.
+      return;
+    }
+    call.add({ offset, bytes, isLast });
+    partial.set(id, call);
+    this.send(connection, ['taken', id, call.receivedBytes]);
+    if (isLast) {
+      partial.delete(id);
+      void this.handleCall(connection, ['call', id, ...call.decode()]);
+    }
+  }
+
   /** Opens a tunnel; the connection carries nothing else from then on. */
   private async handleTunnel(
     connection: Connection,
@@ -155,7 +182,7 @@
     const abort = new AbortController();
     calls.set(id, abort);
     const reply = await this.callProcedure(path, input, abort.signal).then(
-      (output): frames.Frame => ['result', id, output],
+      (output): frames.Frame => createReply(id, path, output),
       (err: unknown): frames.Frame => ['failure', id, schemas.toError(err).message, getCode(err)],
     );
     calls.delete(id);
@@ -183,6 +210,16 @@
   }
 }
 
+function createReply(id: number, path: string, output: unknown): frames.Frame {
+  const bytes = schemas.estimateEncodedBytes(output);
+  if (bytes <= frames.MAX_FRAME_BYTES) {
+    return ['result', id, output];
+  }
+  const args = [bytes, frames.MAX_FRAME_BYTES];
+  const err = new schemas.StepError({ id: 'frameTooLarge', step: path, args });
+  return ['failure', id, err.message, err.id];
+}
+
 function getCode(err: unknown): string {
   const cause = err instanceof Error ? (err.cause ?? err) : err;
   return cause instanceof schemas.StepError ? cause.id : 'INTERNAL';
