Bound what a host is sent to catch up by bytes

Cause: a leader sent up to 256 entries in one request, whatever their size. 153 configurations of 173 KB are 26 MB, over the 16 MiB of a frame; the host closed the connection, and the leader repeated the same request.

--- a/packages/consensus/src/entry-log.ts
+++ b/packages/consensus/src/entry-log.ts
@@ -66,10 +66,24 @@
     return this.entries[index - this.base.index - 1];
   }
 
-  /** Returns up to `maxCount` entries starting at an index. */
-  public slice(from: number, maxCount: number): types.Entry[] {
+  /** Returns the entries starting at an index. */
+  public slice(from: number): types.Entry[] {
+    return this.entries.slice(from - this.base.index - 1);
+  }
+
+  /** Returns up to `maxCount` entries of up to `maxBytes` bytes starting at an index; at least one, if there is any. */
+  public sliceBatch(from: number, maxCount: number, maxBytes: number): types.Entry[] {
     const start = from - this.base.index - 1;
-    return this.entries.slice(start, start + maxCount);
+    let end = start;
+    let bytes = 0;
+    while (end < this.entries.length && end - start < maxCount) {
+      bytes += this.sizes[end]!;
+      if (end > start && bytes > maxBytes) {
+        break;
+      }
+      end += 1;
+    }
+    return this.entries.slice(start, end);
   }
 
   /** Appends entries, first truncating the log from the index of the first one. */
@@ -121,10 +135,15 @@
     this.base = { index, term, seating: voterSet };
   }
 
-  /** Replaces the whole log by a snapshot from the leader. */
+  /**
+   * Replaces the log by a snapshot from the leader. Entries after the snapshot stay if the log contains its last entry:
+   * this voter may have acknowledged them.
+   */
   public resetTo(snapshot: wals.Snapshot): void {
-    this.entries = [];
-    this.sizes = [];
+    const isPrefix = this.findTerm(snapshot.lastIndex) === snapshot.lastTerm;
+    const dropped = isPrefix ? snapshot.lastIndex - this.base.index : this.entries.length;
+    this.entries = this.entries.slice(dropped);
+    this.sizes = this.sizes.slice(dropped);
     this.base = {
       index: snapshot.lastIndex,
       term: snapshot.lastTerm,
--- a/packages/consensus/src/leadership.ts
+++ b/packages/consensus/src/leadership.ts
@@ -138,6 +138,11 @@
     return entry;
   }
 
+  /** The size of a snapshot of the state, in bytes. */
+  public getSnapshotBytes(): number {
+    return schemas.estimateEncodedBytes(this.voter.options.machine.getSnapshot());
+  }
+
   /** Resolves once all entries up to an index are committed. */
   public async awaitCommitted(index: number): Promise<void> {
     while (this.voter.commitIndex < index) {
--- a/packages/consensus/src/membership-change.ts
+++ b/packages/consensus/src/membership-change.ts
@@ -11,12 +11,12 @@
  */
 const UNRESPONSIVE_ELECTIONS = 2;
 
-/**
- * How long a responsive new voter may take to catch up, in election timeouts: 6 s with a timeout of 600 ms, enough for
- * a snapshot over a slow link.
- */
+/** How long a responsive new voter may take to catch up, in election timeouts, in addition to the time for its bytes. */
 const CATCH_UP_ELECTIONS = 10;
 
+/** Rate below which a new voter is too slow, in bytes per millisecond: 1 Mbit/s. */
+const MIN_CATCH_UP_BYTES_PER_MS = 125;
+
 /** The operations of the leader that a membership change uses. */
 export interface MembershipLog {
   readonly voter: voters.Voter;
@@ -27,6 +27,8 @@
   /** Appends a voter set, which is effective at once, and replicates to all its voters. */
   appendVoterSet(voterSet: types.VoterSet): types.Entry;
   awaitCommitted(index: number): Promise<void>;
+  /** The size of a snapshot of the state, in bytes. */
+  getSnapshotBytes(): number;
   /** Starts the replication to a host, which may not be a voter yet. */
   startPeer(slot: types.VoterSlot): replicators.Replicator;
   /** Stops the replication to hosts without a voter slot. */
@@ -118,8 +120,11 @@
     newVoters: readonly types.VoterSlot[],
     isDone: (peer: replicators.Replicator) => boolean,
   ): Promise<boolean> {
-    const { clock, timings } = this.log.voter.options;
+    const { entries, options } = this.log.voter;
+    const { clock, timings } = options;
     const startedAt = clock.now();
+    // What a new voter lacks at most; entries that are appended meanwhile are added as it acknowledges them.
+    const bytes = Math.min(entries.countBytes(), this.log.getSnapshotBytes());
     const peers = newVoters.map((slot) => this.log.startPeer(slot));
     while (!peers.every(isDone)) {
       if (!this.log.isActive()) {
@@ -130,7 +135,10 @@
         (peer) =>
           now - Math.max(peer.ackedAt, startedAt) > UNRESPONSIVE_ELECTIONS * timings.electionMs,
       );
-      if (isUnresponsive || now - startedAt > CATCH_UP_ELECTIONS * timings.electionMs) {
+      const ackedBytes = Math.min(...peers.map((peer) => peer.ackedBytes));
+      const allowedMs =
+        CATCH_UP_ELECTIONS * timings.electionMs + (bytes + ackedBytes) / MIN_CATCH_UP_BYTES_PER_MS;
+      if (isUnresponsive || now - startedAt > allowedMs) {
         return false;
       }
       await this.log.voter.changed.wait(clock, this.log.heartbeatMs);
--- a/packages/consensus/src/replicator.ts
+++ b/packages/consensus/src/replicator.ts
@@ -6,6 +6,21 @@
 /** Maximum number of entries in one append request. */
 const MAX_ENTRIES = 256;
 
+/** Maximum size of the entries in one append request, in bytes; a single entry may be larger. */
+const MAX_APPEND_BYTES = 512 * 1024;
+
+/** Size of a request during which heartbeats are sent beside it, in bytes. */
+const LARGE_REQUEST_BYTES = 64 * 1024;
+
+/** Rate at which a slow disk stores what it receives, in bytes per millisecond. */
+const STORE_BYTES_PER_MS = 2_048;
+
+/** Size of the entries that a host lacks above which a much smaller snapshot is sent instead, in bytes. */
+const MAX_BEHIND_BYTES = 2 * 1024 * 1024;
+
+/** How many times smaller the snapshot has to be: storing it takes more syncs than appending entries. */
+const MIN_SNAPSHOT_GAIN = 4;
+
 /** Minimum time between two log lines about the same failing host, in milliseconds. */
 const FAILURE_LOG_INTERVAL_MS = 5_000;
 
@@ -20,6 +35,8 @@
    * of sending, on the leader's clock.
    */
   public caughtUpAt = -Infinity;
+  /** The number of bytes that the host has acknowledged, of entries and snapshots. */
+  public ackedBytes = 0;
   private nextIndex: number;
   private stopped = false;
   private retiresAt = Infinity;
@@ -74,12 +91,13 @@
     const sentAt = voter.options.clock.now();
     const commitIndexAtSend = voter.commitIndex;
     try {
-      const res = await this.send();
+      const { bytes, res } = await this.send();
       if (res.term > voter.term) {
         await voter.adoptTerm(res.term, null);
         return false;
       }
       this.logRecovery();
+      this.ackedBytes += res.ok ? bytes : 0;
       return this.handleResponse(res, sentAt, commitIndexAtSend);
     } catch (err) {
       this.logFailure(schemas.toError(err), sentAt);
@@ -119,22 +137,87 @@
     log.info({ event: 'replication-resumed', peer: this.slot.daemonId, failedMs });
   }
 
-  private send(): Promise<types.AppendRes> {
-    const { voter, term } = this.leadership;
+  private async send(): Promise<{ readonly bytes: number; readonly res: types.AppendRes }> {
+    const { voter } = this.leadership;
     const { transport } = voter.options;
-    const prevIndex = this.nextIndex - 1;
-    const prevTerm = voter.entries.findTerm(prevIndex);
-    if (prevTerm === undefined || prevIndex < voter.entries.baseIndex) {
-      return transport.snapshot(this.slot.daemonId, this.createSnapshotReq());
+    const { daemonId } = this.slot;
+    if (this.needsSnapshot()) {
+      const req = this.createSnapshotReq();
+      const bytes = schemas.estimateEncodedBytes(req);
+      const sending = transport.snapshot(daemonId, req, bytes / STORE_BYTES_PER_MS);
+      return { bytes, res: await this.sendHeartbeatsDuring(sending, bytes) };
+    }
+    const entries = voter.entries.sliceBatch(this.nextIndex, MAX_ENTRIES, MAX_APPEND_BYTES);
+    const bytes = voter.entries.countBytes(this.nextIndex, this.nextIndex + entries.length - 1);
+    const req = this.createAppendReq(this.nextIndex - 1, entries);
+    const sending = transport.append(daemonId, req, bytes / STORE_BYTES_PER_MS);
+    return { bytes, res: await this.sendHeartbeatsDuring(sending, bytes) };
+  }
+
+  /**
+   * Whether to send a snapshot: the leader has discarded entries that the host lacks, or they are so large that the
+   * state is smaller. Sent one by one, large entries may come faster than a host that has missed many receives them.
+   */
+  private needsSnapshot(): boolean {
+    const { appliedIndex, entries } = this.leadership.voter;
+    if (entries.findTerm(this.nextIndex - 1) === undefined) {
+      return true;
     }
-    return transport.append(this.slot.daemonId, {
+    const bytes = entries.countBytes(this.nextIndex, appliedIndex);
+    return (
+      bytes > MAX_BEHIND_BYTES && bytes > MIN_SNAPSHOT_GAIN * this.leadership.getSnapshotBytes()
+    );
+  }
+
+  /**
+   * Sends heartbeats while a large request is on its way. A host that receives one for longer than the election timeout
+   * would otherwise take the leader for lost.
+   */
+  private async sendHeartbeatsDuring(
+    sending: Promise<types.AppendRes>,
+    bytes: number,
+  ): Promise<types.AppendRes> {
+    if (bytes <= LARGE_REQUEST_BYTES) {
+      return sending;
+    }
+    const over = new AbortController();
+    void this.sendHeartbeats(over.signal);
+    return sending.finally(() => over.abort(new Error('over')));
+  }
+
+  private async sendHeartbeats(signal: AbortSignal): Promise<void> {
+    const { clock } = this.leadership.voter.options;
+    await clock.sleep(this.leadership.heartbeatMs, signal).catch(() => {});
+    while (!signal.aborted && !this.stopped && this.leadership.isActive()) {
+      await this.sendHeartbeat().catch(() => {});
+      await clock.sleep(this.leadership.heartbeatMs, signal).catch(() => {});
+    }
+  }
+
+  private async sendHeartbeat(): Promise<void> {
+    const { voter } = this.leadership;
+    const sentAt = voter.options.clock.now();
+    const prevIndex = Math.max(this.matchIndex, voter.entries.baseIndex);
+    const req = this.createAppendReq(prevIndex, []);
+    const res = await voter.options.transport.append(this.slot.daemonId, req, 0);
+    if (res.term > voter.term) {
+      await voter.adoptTerm(res.term, null);
+    } else if (res.voterId === this.slot.voterId) {
+      this.ackedAt = Math.max(this.ackedAt, sentAt);
+      this.leadership.advanceCommit();
+    }
+  }
+
+  private createAppendReq(prevIndex: number, entries: readonly types.Entry[]): types.AppendReq {
+    const { term, voter } = this.leadership;
+    return {
       term,
       leader: voter.daemonId,
       prevIndex,
-      prevTerm,
-      entries: voter.entries.slice(this.nextIndex, MAX_ENTRIES),
+      prevTerm: voter.entries.findTerm(prevIndex) ?? 0,
+      entries: [...entries],
       commit: voter.commitIndex,
-    });
+    };
   }
 
   private createSnapshotReq(): types.SnapshotReq {
--- a/packages/consensus/src/types.ts
+++ b/packages/consensus/src/types.ts
@@ -86,8 +86,10 @@
 /** Sends requests to other voters. */
 export interface Transport {
   vote(peer: string, req: VoteReq): Promise<VoteRes>;
-  append(peer: string, req: AppendReq): Promise<AppendRes>;
-  snapshot(peer: string, req: SnapshotReq): Promise<AppendRes>;
+  /** `storeMs` is the time that the peer may need in addition to write the entries to its disk, in milliseconds. */
+  append(peer: string, req: AppendReq, storeMs: number): Promise<AppendRes>;
+  /** `storeMs` is the time that the peer may need in addition to write the snapshot to its disk, in milliseconds. */
+  snapshot(peer: string, req: SnapshotReq, storeMs: number): Promise<AppendRes>;
 }
 
 /** The replicated state machine. Commands are applied in log order, each once, and deterministically on every voter. */
--- a/packages/consensus/src/voter.ts
+++ b/packages/consensus/src/voter.ts
@@ -156,6 +156,8 @@
     }
     await this.follow(req.term, req.leader);
     if (req.lastIndex <= this.commitIndex) {
+      // An earlier copy of this snapshot may still be on its way to the disk.
+      await this.persist();
       return { ...this.createAppendRes(true, this.commitIndex), match: this.commitIndex };
     }
     const snapshot: wals.Snapshot = req;
@@ -164,7 +166,14 @@
     this.options.machine.restore(req.state);
     this.commitIndex = req.lastIndex;
     this.appliedIndex = req.lastIndex;
-    await this.options.wal.compact(snapshot, () => this.getLogState());
+    try {
+      await this.options.wal.compact(snapshot, () => this.getLogState());
+    } catch (err) {
+      // The state in memory is now ahead of the disk, which must not be acknowledged.
+      this.options.log.error({ step: 'store-snapshot', err: schemas.toError(err).message });
+      this.stop();
+      throw err;
+    }
     this.changed.notify();
     return { ...this.createAppendRes(true, req.lastIndex), match: req.lastIndex };
   }
@@ -331,7 +340,7 @@
 
   private getLogState() {
     const first = this.entries.baseIndex + 1;
-    const entries = this.entries.slice(first, this.entries.length);
+    const entries = this.entries.slice(first);
     return { term: this.term, votedFor: this.votedFor, entries };
   }
 }
--- a/packages/consensus/tests/support/cluster.ts
+++ b/packages/consensus/tests/support/cluster.ts
@@ -31,6 +31,10 @@
   public readonly nodes = new Map<string, Node>();
   public readonly faults: LinkFaults = { lossRate: 0, duplicateRate: 0, maxDelayMs: 5 };
   public snapshotEvery = 50;
+  /** Largest request that a voter accepts, in bytes. */
+  public maxRequestBytes = Infinity;
+  /** Bandwidth from one voter to another, in bytes per millisecond. */
+  public linkBytesPerMs = Infinity;
   private readonly blockedLinks = new Set<string>();
   private readonly rng: ReturnType<typeof xoroshiro.xoroshiro128plus>;
   private isSyncBroken = false;
@@ -148,7 +152,7 @@
       wal: new consensus.Wal(node.files),
       machine: {
         apply: (entry) => {
-          node.applied.push(String(entry.data));
+          node.applied.push(getCommandId(entry.data));
           return node.applied.length;
         },
         getSnapshot: () => [...node.applied],
@@ -159,9 +163,9 @@
       transport: {
         vote: (peer, req) => this.send(node.daemonId, peer, (o) => getVoter(o).handleVote(req)),
         append: (peer, req) =>
-          this.send(node.daemonId, peer, (o) => getVoter(o).handleAppend(structuredClone(req))),
+          this.sendLarge(node.daemonId, peer, req, (o, copy) => getVoter(o).handleAppend(copy)),
         snapshot: (peer, req) =>
-          this.send(node.daemonId, peer, (o) => getVoter(o).handleSnapshot(structuredClone(req))),
+          this.sendLarge(node.daemonId, peer, req, (o, copy) => getVoter(o).handleSnapshot(copy)),
       },
       clock: this.clock,
       log: new schemas.SilentLog(),
@@ -172,8 +176,38 @@
     await consensus.runElections(node.voter, node.abort.signal);
   }
 
-  private async send<T>(from: string, to: string, handle: (node: Node) => Promise<T>): Promise<T> {
-    const timeout = this.clock.sleep(DEADLINE_MS).then(() => {
+  /** Sends a request that takes its time on the link; its deadline is put off while it makes progress. */
+  private async sendLarge<Req, Res>(
+    from: string,
+    to: string,
+    req: Req,
+    handle: (node: Node, copy: Req) => Promise<Res>,
+  ): Promise<Res> {
+    const bytes = schemas.estimateEncodedBytes(req);
+    if (bytes > this.maxRequestBytes) {
+      throw new Error(`a request of ${bytes} bytes`);
+    }
+    const copy = structuredClone(req);
+    const linkMs = bytes / this.linkBytesPerMs;
+    return this.send(
+      from,
+      to,
+      async (node) => {
+        await this.clock.sleep(linkMs);
+        // The receiver may have been killed meanwhile.
+        return node.abort.signal.aborted ? this.never() : handle(node, copy);
+      },
+      DEADLINE_MS + linkMs,
+    );
+  }
+
+  private async send<T>(
+    from: string,
+    to: string,
+    handle: (node: Node) => Promise<T>,
+    deadlineMs = DEADLINE_MS,
+  ): Promise<T> {
+    const timeout = this.clock.sleep(deadlineMs).then(() => {
       throw new Error('deadline');
     });
     const times = this.random() < this.faults.duplicateRate ? 2 : 1;
@@ -208,6 +242,10 @@
   }
 }
 
+function getCommandId(data: unknown): string {
+  return typeof data === 'object' && data !== null ? (data as { id: string }).id : String(data);
+}
+
 function getVoter(node: Node): consensus.Voter {
   if (node.voter === undefined) {
     throw new Error('voter has not started yet');
--- a/packages/daemon/src/control-plane.ts
+++ b/packages/daemon/src/control-plane.ts
@@ -225,7 +225,7 @@
 function createTransport(mesh: peerMeshes.PeerMesh): consensus.Transport {
   return {
     vote: (peer, req) => mesh.get(peer).vote.mutate(req),
-    append: (peer, req) => mesh.get(peer).append.mutate(req),
-    snapshot: (peer, req) => mesh.get(peer).snapshot.mutate(req),
+    append: (peer, req, extraMs) => mesh.get(peer).append.mutate(req, { context: { extraMs } }),
+    snapshot: (peer, req, extraMs) => mesh.get(peer).snapshot.mutate(req, { context: { extraMs } }),
   };
 }
--- a/packages/gateway/src/core-group.ts
+++ b/packages/gateway/src/core-group.ts
@@ -228,7 +228,7 @@
 function createTransport(mesh: coreMeshes.CorePeers): consensus.Transport {
   return {
     vote: (peer, req) => mesh.get(peer).vote.mutate(req),
-    append: (peer, req) => mesh.get(peer).append.mutate(req),
-    snapshot: (peer, req) => mesh.get(peer).snapshot.mutate(req),
+    append: (peer, req, extraMs) => mesh.get(peer).append.mutate(req, { context: { extraMs } }),
+    snapshot: (peer, req, extraMs) => mesh.get(peer).snapshot.mutate(req, { context: { extraMs } }),
   };
 }
--- a/packages/peers/src/peer-link.ts
+++ b/packages/peers/src/peer-link.ts
@@ -4,7 +4,10 @@
 
 import type * as peerClients from './peer-client.js';
 
-/** Creates a tRPC link that sends every call through a peer client, with the deadline from the call's context. */
+/**
+ * Creates a tRPC link that sends every call through a peer client. The call's context may hold its `deadlineMs`, in place
+ * of the default, and `extraMs` to add to it.
+ */
 export function createPeerLink<TRouter extends trpc.AnyTRPCRouter>(
   client: peerClients.PeerClient,
   defaultDeadlineMs: number,
@@ -12,7 +15,8 @@
   return () =>
     ({ op }) =>
       observables.observable((observer) => {
-        const deadlineMs = Number(op.context.deadlineMs ?? defaultDeadlineMs);
+        const extraMs = Number(op.context.extraMs ?? 0);
+        const deadlineMs = Number(op.context.deadlineMs ?? defaultDeadlineMs) + extraMs;
         client.call(op.path, op.input, deadlineMs).then(
           (data) => {
             observer.next({ result: { type: 'data', data } });
