Compact the log by its bytes, and outlast a disk without space for it

Cause: the log was compacted after 256 entries (1,000 at daemons) and retained 200 of them, whatever their size: 256 entries of 0.4 MB are 100 MB in memory and on a disk of 128 MB, where the compacted file has to fit beside the old one. What didn't fit stayed as an unfinished file, and the failure ended the voter.

Change: - The log is compacted, too, when its applied entries have 8 MiB or its file has 24 MiB, and retains at most 2 MiB of entries. This goes for the logs of core hosts and of daemons. - A file that can't be replaced is unchanged, and says so; its unfinished replacement is removed, at once or when the folder is opened. A compaction that fails like this is tried again 5 s later, and the voter goes on.

--- a/packages/consensus/src/entry-log.ts
+++ b/packages/consensus/src/entry-log.ts
@@ -125,8 +125,22 @@
     return this.entries.filter((item) => item.kind === 'voters').at(-1)?.index ?? 0;
   }
 
-  /** Discards the entries up to an index, which a snapshot covers. */
-  public compactTo(index: number): void {
+  /**
+   * Discards the entries up to an index, which a snapshot covers, except for up to `maxCount` entries of up to `maxBytes`
+   * bytes before it.
+   */
+  public compact(index: number, maxCount: number, maxBytes: number): void {
+    let kept = index;
+    while (
+      kept > Math.max(this.base.index, index - maxCount) &&
+      this.countBytes(kept, index) <= maxBytes
+    ) {
+      kept -= 1;
+    }
+    this.discardTo(kept);
+  }
+
+  private discardTo(index: number): void {
     const term = this.findTerm(index) ?? this.base.term;
     const voterSet = this.getVoterSetAt(index);
     const dropped = Math.max(0, index - this.base.index);
--- a/packages/consensus/src/file-storage.ts
+++ b/packages/consensus/src/file-storage.ts
@@ -1,6 +1,11 @@
 import * as fs from 'node:fs/promises';
 import * as path from 'node:path';
 
+import * as schemas from '@bramleyridge/schemas';
+
+/** Ending of the name under which a file's replacement is written. */
+const REPLACEMENT_SUFFIX = '.new';
+
 /** File operations for durable state; tests inject an implementation that simulates crashes between them. */
 export interface FileStorage {
   read(name: string): Promise<Buffer | undefined>;
@@ -8,21 +13,34 @@
   append(name: string, bytes: Buffer): Promise<void>;
   sync(name: string): Promise<void>;
   truncate(name: string, length: number): Promise<void>;
-  /** Replaces a file atomically and syncs it: after a crash it has either the old or the new contents. */
+  /**
+   * Replaces a file atomically and syncs it: after a crash it has either the old or the new contents. Throws an
+   * `UnchangedFileError` if it certainly still has the old ones.
+   */
   replace(name: string, bytes: Buffer): Promise<void>;
   /** Closes open files; absent if the implementation keeps none open. */
   close?(): Promise<void>;
 }
 
+/** A file could not be replaced, for example because the disk is full, and has its old contents. */
+export class UnchangedFileError extends schemas.StepError {
+  public constructor(file: string, cause: unknown) {
+    super({ id: 'fileNotReplaced', step: 'replace-file', args: [file], cause });
+  }
+}
+
 /** Files in one data directory. */
 export class DirectoryStorage implements FileStorage {
   private readonly handles = new Map<string, fs.FileHandle>();
 
   public constructor(private readonly directory: string) {}
 
-  /** Creates the data directory. */
+  /** Creates the data directory, or removes what an interrupted replacement left in it. */
   public async open(): Promise<void> {
     await fs.mkdir(this.directory, { recursive: true });
+    const names = await fs.readdir(this.directory);
+    const unfinished = names.filter((name) => name.endsWith(REPLACEMENT_SUFFIX));
+    await Promise.all(unfinished.map((name) => fs.rm(path.join(this.directory, name))));
   }
 
   public async read(name: string): Promise<Buffer | undefined> {
@@ -54,11 +72,14 @@
 
   public async replace(name: string, bytes: Buffer): Promise<void> {
     const target = path.join(this.directory, name);
-    const temporaryPath = `${target}.new`;
-    const handle = await fs.open(temporaryPath, 'w');
-    await handle.writeFile(bytes);
-    await handle.sync();
-    await handle.close();
+    const temporaryPath = `${target}${REPLACEMENT_SUFFIX}`;
+    try {
+      await writeDurably(temporaryPath, bytes);
+    } catch (err) {
+      // The incomplete file would take the space that the next attempt needs.
+      await fs.rm(temporaryPath, { force: true }).catch(() => {});
+      throw new UnchangedFileError(name, err);
+    }
     await this.handles.get(name)?.close();
     this.handles.delete(name);
     await fs.rename(temporaryPath, target);
@@ -89,3 +110,13 @@
     await handle.close();
   }
 }
+
+async function writeDurably(file: string, bytes: Buffer): Promise<void> {
+  const handle = await fs.open(file, 'w');
+  try {
+    await handle.writeFile(bytes);
+    await handle.sync();
+  } finally {
+    await handle.close();
+  }
+}
--- a/packages/consensus/src/voter.ts
+++ b/packages/consensus/src/voter.ts
@@ -1,6 +1,7 @@
 import * as schemas from '@bramleyridge/schemas';
 
 import * as entryLogs from './entry-log.js';
+import * as fileStorage from './file-storage.js';
 import type * as geneses from './genesis.js';
 import * as leaderships from './leadership.js';
 import type * as types from './types.js';
@@ -9,9 +10,24 @@
 /** Number of entries in the log after which it is compacted into a snapshot. */
 const SNAPSHOT_INTERVAL_ENTRIES = 1_000;
 
+/** Size of the applied entries in the log after which it is compacted, in bytes. */
+const SNAPSHOT_INTERVAL_BYTES = 8 * 1024 * 1024;
+
+/**
+ * Size of the log's file after which it is compacted, in bytes. The file also holds entries that were replaced by those
+ * of another leader. During the compaction the disk holds two such files and two snapshots.
+ */
+const MAX_WAL_BYTES = 24 * 1024 * 1024;
+
 /** Number of entries retained before a snapshot, so that a follower slightly behind needs no snapshot. */
 const RETAINED_ENTRIES = 200;
 
+/** Size of the entries retained before a snapshot, in bytes. */
+const RETAINED_BYTES = 2 * 1024 * 1024;
+
+/** Time until the next compaction after one for which the disk had no space, in milliseconds. */
+const COMPACTION_RETRY_MS = 5_000;
+
 /** Dependencies and settings of a voter. */
 export interface VoterOptions {
   readonly daemonId: string;
@@ -45,6 +61,7 @@
   public caughtUpAt = -Infinity;
   private votedFor: string | null;
   private compacting = false;
+  private compactsAt = -Infinity;
   private loggedVoterSet = '';
   private readonly results = new Map<number, (result: unknown) => void>();
 
@@ -309,8 +326,9 @@
   }
 
   private async maybeCompact(): Promise<void> {
-    const every = this.options.snapshotEvery ?? SNAPSHOT_INTERVAL_ENTRIES;
-    if (this.compacting || this.stopped || this.entries.length < every) {
+    const { clock, log } = this.options;
+    const isAllowed = !this.compacting && !this.stopped && clock.now() >= this.compactsAt;
+    if (!isAllowed || !this.isCompactionDue()) {
       return;
     }
     this.compacting = true;
@@ -326,15 +344,33 @@
     try {
       await this.options.wal.compact(snapshot, () => this.compactLogState(lastIndex));
     } catch (err) {
-      this.options.log.error({ step: 'compact', err: schemas.toError(err).message });
-      this.stop();
+      log.error({
+        step: 'compact',
+        walBytes: this.options.wal.bytes,
+        err: schemas.toError(err).message,
+      });
+      if (err instanceof fileStorage.UnchangedFileError) {
+        this.compactsAt = clock.now() + COMPACTION_RETRY_MS;
+      } else {
+        this.stop();
+      }
     } finally {
       this.compacting = false;
     }
   }
 
+  private isCompactionDue(): boolean {
+    const { snapshotEvery = SNAPSHOT_INTERVAL_ENTRIES, wal } = this.options;
+    return (
+      this.entries.length >= snapshotEvery ||
+      this.entries.countBytes(this.entries.baseIndex + 1, this.appliedIndex) >=
+        SNAPSHOT_INTERVAL_BYTES ||
+      wal.bytes >= MAX_WAL_BYTES
+    );
+  }
+
   private compactLogState(index: number) {
-    this.entries.compactTo(Math.max(index - RETAINED_ENTRIES, this.entries.baseIndex));
+    this.entries.compact(index, RETAINED_ENTRIES, RETAINED_BYTES);
     return this.getLogState();
   }
 
--- a/packages/consensus/src/wal.ts
+++ b/packages/consensus/src/wal.ts
@@ -1,7 +1,7 @@
 import * as schemas from '@bramleyridge/schemas';
 
 import * as batchFrame from './batch-frame.js';
-import type * as fileStorage from './file-storage.js';
+import * as fileStorage from './file-storage.js';
 import type * as types from './types.js';
 
 const WAL_FILE = 'log.wal';
@@ -36,9 +36,15 @@
   private nextBatch: Promise<void> | undefined;
   private tail: Promise<void> = Promise.resolve();
   private failed: Error | undefined;
+  private fileBytes = 0;
 
   public constructor(private readonly files: fileStorage.FileStorage) {}
 
+  /** The size of the file, in bytes. */
+  public get bytes(): number {
+    return this.fileBytes;
+  }
+
   /** Reads the durable state and truncates a last batch that a crash left incomplete. */
   public async recover(): Promise<RecoveredState> {
     const state: RecoveredState = { term: 0, votedFor: null, snapshot: undefined, entries: [] };
@@ -48,6 +54,7 @@
     }
     const bytes = (await this.files.read(WAL_FILE)) ?? Buffer.alloc(0);
     const { batches, wholeBytes } = batchFrame.decodeBatchFile(WAL_FILE, bytes);
+    this.fileBytes = wholeBytes;
     if (wholeBytes < bytes.length) {
       await this.files.truncate(WAL_FILE, wholeBytes);
     }
@@ -74,7 +81,8 @@
 
   /**
    * Stores a snapshot and rewrites the log with what `getLogState` returns. Records that are queued meanwhile are
-   * written after it. They may repeat entries of the rewritten log; replaying a record twice has no effect.
+   * written after it. They may repeat entries of the rewritten log; replaying a record twice has no effect. Throws an
+   * `UnchangedFileError` if the disk has no space for it; the log can then be appended to as before.
    */
   public async compact(
     snapshot: Snapshot,
@@ -87,7 +95,9 @@
         { kind: 'vote', term, votedFor },
         { kind: 'entries', entries },
       ];
-      await this.files.replace(WAL_FILE, batchFrame.encodeBatch(records));
+      const bytes = batchFrame.encodeBatch(records);
+      await this.files.replace(WAL_FILE, bytes);
+      this.fileBytes = bytes.length;
     });
   }
 
@@ -101,7 +111,9 @@
     if (batch.length === 0) {
       return;
     }
-    await this.files.append(WAL_FILE, batchFrame.encodeBatch(batch));
+    const bytes = batchFrame.encodeBatch(batch);
+    this.fileBytes += bytes.length;
+    await this.files.append(WAL_FILE, bytes);
     await this.files.sync(WAL_FILE);
   }
 
@@ -114,6 +126,9 @@
     try {
       await work();
     } catch (err) {
+      if (err instanceof fileStorage.UnchangedFileError) {
+        throw err;
+      }
       this.failed = schemas.toError(err);
       throw this.failed;
     }
--- a/packages/schemas/src/messages.ts
+++ b/packages/schemas/src/messages.ts
@@ -13,6 +13,7 @@
   conflict: 'the plan %s was made on revision %s, but revision %s is in force: %s',
   deadline: 'no answer within %s ms',
   draining: 'this daemon is stopping; ask another',
+  fileNotReplaced: 'the file %s could not be replaced and is unchanged',
   frameTooLarge: 'a frame of %s bytes is over the limit of %s',
   generationGone: 'the generation is gone at the upstream; %s tokens were delivered',
   generationOfAnother: 'no generation of this team has this identifier',
