Build the table of routes in linear time

Cause: the list of a host's routes was copied for each route. A document of 36,000 routes (8.4 MB) blocked a host for 11 s on a full core, one of 18,000 (4.2 MB) for 0.85 s, during which it answers no heartbeat.

Change: routes are appended.

--- a/packages/routing/src/route-table.ts
+++ b/packages/routing/src/route-table.ts
@@ -9,7 +9,9 @@
   public constructor(public readonly config: schemas.RoutedConfig) {
     config.routes.forEach((route) => {
       const host = route.host.toLowerCase();
-      this.byHost.set(host, [...(this.byHost.get(host) ?? []), route]);
+      const routes = this.byHost.get(host) ?? [];
+      routes.push(route);
+      this.byHost.set(host, routes);
     });
     // Sorted by descending prefix length, so the first match is the longest.
     this.byHost.forEach((routes) =>
