Refuse at its acceptance what hosts could not hold or pass on

Cause: documents were accepted up to 16 MiB, but an entry of that size doesn't fit a frame, and a host with 110 MB of heap holds its routes only barely. Nothing bounded the entries that a leader appends before a majority has stored them.

Change: - A document of over 8 MiB (36,000 routes) is refused with 413, its size and the limit, on any core host; a command over 10 MiB is refused by the leader and, at daemons, by the host that the operator asks. - A leader takes no more commands while 20 MiB wait for a majority. The host that the operator asked tries again until its time is over, then answers 503, not run. - Plans, answers and deltas are bounded by the length of their JSON text, too, which is the same on every voter; the newest of each always stays.

By reading, a document of 8.4 MB and a third entry of 9 MiB without a majority were accepted before.

--- a/packages/consensus/src/index.ts
+++ b/packages/consensus/src/index.ts
@@ -1,6 +1,7 @@
 /** The replicated log: Raft elections, replication, membership changes and durable state. */
 export * from './batch-frame.js';
 export * from './run-elections.js';
+export * from './entry-limits.js';
 export * from './entry-log.js';
 export * from './file-storage.js';
 export * from './genesis.js';
--- a/packages/consensus/src/leadership.ts
+++ b/packages/consensus/src/leadership.ts
@@ -1,5 +1,6 @@
 import * as schemas from '@bramleyridge/schemas';
 
+import * as entryLimits from './entry-limits.js';
 import * as replicators from './replicator.js';
 import * as membershipChanges from './membership-change.js';
 import type * as types from './types.js';
@@ -84,11 +85,15 @@
     return this.voter.entries.findTerm(this.voter.commitIndex) === this.term;
   }
 
-  /** Appends a command to the log and resolves with its result once it is committed and applied. */
+  /**
+   * Appends a command to the log and resolves with its result once it is committed and applied. Rejects a command that is
+   * too large, and any while too much waits for a majority; neither is appended.
+   */
   public async propose(data: unknown): Promise<{ index: number; result: unknown }> {
     if (!this.active) {
       throw createNotLeader();
     }
+    this.checkRoom(entryLimits.measureCommand(data));
     const entry = this.append('command', data);
     const result = await this.awaitOutcome(entry);
     return { index: entry.index, result };
@@ -234,6 +239,14 @@
     return this.getLagMs(slot) <= MAX_LAG_ELECTIONS * this.voter.options.timings.electionMs;
   }
 
+  private checkRoom(bytes: number): void {
+    const { commitIndex, entries } = this.voter;
+    const waitingBytes = entries.countBytes(commitIndex + 1);
+    if (waitingBytes + bytes > entryLimits.MAX_UNCOMMITTED_BYTES) {
+      throw new schemas.StepError({ id: 'logFull', step: 'propose', args: [waitingBytes] });
+    }
+  }
+
   private isOwn(slot: types.VoterSlot): boolean {
     return slot.voterId === this.voter.voterId;
   }
--- a/packages/consensus/tests/large-entries.test.ts
+++ b/packages/consensus/tests/large-entries.test.ts
@@ -160,3 +160,21 @@
     }
   }
 });
+
+void tap.default.test('a leader refuses what it could not store', async (t) => {
+  // Guards against a leader that accepts an entry that no host takes, or more than its memory holds.
+  const { cluster, leader } = await start(79);
+  const pad = 'x'.repeat(9 * MIB);
+  const send = (data: unknown) => leader.leadership!.propose(data);
+  await t.rejects(send({ id: 'huge', pad: pad + pad }), /over the limit of 10485760/);
+  cluster.isolate(leader.daemonId);
+  const { lastIndex } = leader.entries;
+  const pending = ['a', 'b'].map((id) => send({ id, pad }).catch(() => {}));
+  await t.rejects(send({ id: 'c', pad }), /waits for a majority of its voters to store 18/);
+  t.equal(leader.entries.lastIndex, lastIndex + 2, 'nothing refused is appended');
+  cluster.heal();
+  await cluster.clock.advance(3_000);
+  await Promise.all(pending);
+  await propose(cluster, ['d'], 9 * MIB);
+  t.ok(cluster.getApplied(leader.daemonId).includes('d'), 'and later ones are accepted');
+});
--- a/packages/daemon/src/operator-api.ts
+++ b/packages/daemon/src/operator-api.ts
@@ -1,5 +1,6 @@
 import type * as http from 'node:http';
 
+import * as consensus from '@bramleyridge/consensus';
 import * as requests from '@bramleyridge/requests';
 import * as schemas from '@bramleyridge/schemas';
 import type * as polka from 'polka';
@@ -180,6 +181,7 @@
 
   private propose(command: schemas.Command): Promise<peerRouters.ProposeResult> {
     const { control, leader } = this.options;
+    consensus.measureCommand(command);
     return control.callLeader(
       () => leader.propose(command),
       (api) => api.propose.mutate(command, { context: { deadlineMs: LEADER_DEADLINE_MS } }),
--- a/packages/gateway/src/operator-service.ts
+++ b/packages/gateway/src/operator-service.ts
@@ -8,6 +8,12 @@
 /** Share of the acknowledgment time after which a request fails, so that the operator can still try another host. */
 const REQUEST_TIME_SHARE = 0.6;
 
+/**
+ * Largest document that operators may declare, in bytes; 36,000 routes. Every host keeps its routes in memory, and a core
+ * host also a few former documents.
+ */
+export const MAX_DOCUMENT_BYTES = 8 * 1024 * 1024;
+
 /** Options of `OperatorService`. */
 export interface OperatorServiceOptions {
   readonly group: coreGroups.CoreGroup;
@@ -58,6 +64,7 @@
   }
 
   private validate(text: string): schemas.RoutedConfig {
+    this.checkSize(text);
     const faults: string[] = [];
     try {
       const config = this.options.codec.decode(text);
@@ -77,4 +84,19 @@
       args: [faults.join('; ').slice(0, 2_000)],
     });
   }
+
+  private checkSize(text: string): void {
+    const bytes = Buffer.byteLength(text);
+    if (bytes <= MAX_DOCUMENT_BYTES) {
+      return;
+    }
+    this.options.log.info({ decision: 'refuse-document', bytes, limit: MAX_DOCUMENT_BYTES });
+    throw new schemas.Refusal({
+      id: 'documentTooLarge',
+      step: 'check-document',
+      status: 413,
+      outcome: 'not-run',
+      args: [bytes, MAX_DOCUMENT_BYTES],
+    });
+  }
 }
--- a/packages/gateway/tests/large-configurations.test.ts
+++ b/packages/gateway/tests/large-configurations.test.ts
@@ -1,3 +1,4 @@
+import * as gateway from '@bramleyridge/gateway';
 import * as tap from 'tap';
 
 import * as sites from './support/small-site.js';
@@ -44,3 +45,20 @@
   const document = await site.getOperatorService(wiped).read();
   t.equal(document?.version, version, 'two of three hosts read the newest document back');
 });
+
+void tap.default.test('a document that hosts could not hold is refused at once', async (t) => {
+  // Guards against a document that is accepted and then fails at each host that is to receive it.
+  const site = new sites.SmallSite(t);
+  await site.start(3);
+  await site.declare({});
+  const config = { ...sites.createConfig(2), comment: 'x'.repeat(gateway.MAX_DOCUMENT_BYTES) };
+  for (const ip of ['127.0.1.1', '127.0.1.2', '127.0.1.3']) {
+    await t.rejects(site.getOperatorService(ip).declare(JSON.stringify(config)), {
+      id: 'documentTooLarge',
+      message: /the document has 8\d+ bytes; the limit is 8388608/,
+      options: { status: 413, outcome: 'not-run' },
+    });
+  }
+  t.equal((await site.getOperatorService().read())?.version, 1, 'and changes nothing');
+  t.equal(await site.declare({}), 2, 'the next one is accepted');
+});
--- a/packages/intents/src/control-state.ts
+++ b/packages/intents/src/control-state.ts
@@ -2,18 +2,19 @@
 
 import * as diffs from './diff-declarations.js';
 import * as planLifecycle from './plan-lifecycle.js';
+import * as sizedHistories from './sized-history.js';
 
 /** How long after its creation a plan can be confirmed, in milliseconds. */
 export const PLAN_LIFETIME_MS = 24 * 3_600_000;
 
-/** Maximum number of plans kept, including decided ones. */
-const MAX_PLANS = 200;
+/** Plans kept, including decided ones, by count and by the length of their JSON text. */
+const MAX_PLANS = { count: 200, length: 8 * 1024 * 1024 };
 
-/** Maximum number of command results kept to answer repeated commands. */
-const MAX_RESULTS = 5_000;
+/** Command results kept to answer repeated commands, by count and by the length of their JSON text. */
+const MAX_RESULTS = { count: 5_000, length: 8 * 1024 * 1024 };
 
-/** Number of deltas kept for hosts that are a few revisions behind. */
-const MAX_DELTAS = 256;
+/** Deltas kept for hosts that are a few revisions behind, by count and by the length of their JSON text. */
+const MAX_DELTAS = { count: 256, length: 4 * 1024 * 1024 };
 
 type StoredPlan = schemas.Plan & { declaration: schemas.Declaration };
 
@@ -31,23 +32,31 @@
  */
 export class ControlState {
   private configuration: schemas.Configuration = createEmptyConfiguration();
-  private plans = new Map<string, StoredPlan>();
-  private results = new Map<string, schemas.CommandResult>();
-  private deltas: schemas.Delta[] = [];
+  private readonly plans = new sizedHistories.SizedHistory<StoredPlan>(
+    MAX_PLANS,
+    ({ changes, declaration }) => [changes, declaration],
+  );
+  private readonly results = new sizedHistories.SizedHistory<schemas.CommandResult>(
+    MAX_RESULTS,
+    (result) => result,
+  );
+  private readonly deltas = new sizedHistories.SizedHistory<schemas.Delta>(
+    MAX_DELTAS,
+    (delta) => delta,
+  );
 
   /** Applies one command; `index` is its log index. */
   public apply(command: schemas.Command, index: number): schemas.CommandResult {
     const resultKey = `${command.operator}/${command.requestId}`;
     // An operator that has lost the response repeats the command. Without the stored result a second plan would be
     // created, or a successful confirmation would be reported as refused.
-    const known = this.results.get(resultKey);
+    const known = this.results.find(resultKey);
     if (known !== undefined) {
       return known;
     }
     this.expirePlans(command.at);
     const result = this.execute(command, index);
     this.results.set(resultKey, result);
-    evictOldest(this.results, MAX_RESULTS);
     return result;
   }
 
@@ -58,32 +67,35 @@
 
   /** The deltas from a revision to the current one, or `undefined` if some of them are no longer kept. */
   public findDeltas(from: number): schemas.Delta[] | undefined {
-    const deltas = this.deltas.filter((delta) => delta.from >= from);
+    const deltas = this.deltas.list().filter((delta) => delta.from >= from);
     const isWhole = from === this.configuration.revision || deltas[0]?.from === from;
     return isWhole ? deltas : undefined;
   }
 
   /** Lists all plans that are kept, newest first. */
   public listPlans(): schemas.Plan[] {
-    return [...this.plans.values()].reverse().map(({ declaration, ...plan }) => plan);
+    return this.plans
+      .list()
+      .reverse()
+      .map(({ declaration, ...plan }) => plan);
   }
 
   /** Returns the full state. */
   public getSnapshot(): ControlSnapshot {
     return {
       configuration: this.configuration,
-      plans: [...this.plans.values()],
-      answers: [...this.results],
-      deltas: this.deltas,
+      plans: this.plans.list(),
+      answers: this.results.listEntries(),
+      deltas: this.deltas.list(),
     };
   }
 
   /** Replaces the full state. */
   public restore(snapshot: ControlSnapshot): void {
     this.configuration = snapshot.configuration;
-    this.plans = new Map(snapshot.plans.map((plan) => [plan.planId, plan]));
-    this.results = new Map(snapshot.answers);
-    this.deltas = [...snapshot.deltas];
+    this.plans.restore(snapshot.plans.map((plan) => [plan.planId, plan]));
+    this.results.restore(snapshot.answers);
+    this.deltas.restore(snapshot.deltas.map((delta) => [String(delta.to), delta]));
   }
 
   private execute(command: schemas.Command, index: number): schemas.CommandResult {
@@ -112,13 +124,12 @@
       declaration: command.declaration,
     };
     this.plans.set(plan.planId, plan);
-    evictOldest(this.plans, MAX_PLANS);
     const { declaration, ...publicPlan } = plan;
     return { kind: 'planned', plan: structuredClone(publicPlan) };
   }
 
   private confirm(command: Extract<schemas.Command, { kind: 'confirm' }>): schemas.CommandResult {
-    const plan = this.plans.get(command.planId);
+    const plan = this.plans.find(command.planId);
     if (plan === undefined) {
       return { kind: 'refused', id: 'noPlan', args: [command.planId] };
     }
@@ -158,7 +169,7 @@
     const isFirst = claimSeats.length === 0 || command.isFounding;
     this.applyRevision([], seats, isFirst ? command.holders : claimFounders);
     // Plans made before remain valid, since claim acceptors are not part of a declaration.
-    this.plans.forEach((plan) => {
+    this.plans.list().forEach((plan) => {
       if (plan.status === 'planned' && plan.baseRevision === revision) {
         plan.baseRevision = this.configuration.revision;
       }
@@ -174,12 +185,11 @@
     const from = this.configuration.revision;
     const delta = { from, to: from + 1, changes, claimSeats, claimFounders };
     this.configuration = applyDelta(this.configuration, delta);
-    this.deltas.push(delta);
-    this.deltas = this.deltas.slice(-MAX_DELTAS);
+    this.deltas.set(String(delta.to), delta);
   }
 
   private supersedeOthers(confirmed: StoredPlan): void {
-    this.plans.forEach((plan) => {
+    this.plans.list().forEach((plan) => {
       if (plan.status === 'planned' && plan.baseRevision < this.configuration.revision) {
         this.transitionPlan(plan, 'supersede');
         plan.supersededBy = `${confirmed.planId} of ${confirmed.operator}`;
@@ -188,15 +198,19 @@
   }
 
   private describeChangesSince(revision: number): string {
-    const changes = this.deltas.filter((delta) => delta.from >= revision).flatMap((s) => s.changes);
-    const confirmations = [...this.plans.values()]
+    const changes = this.deltas
+      .list()
+      .filter((delta) => delta.from >= revision)
+      .flatMap((delta) => delta.changes);
+    const confirmations = this.plans
+      .list()
       .filter((plan) => (plan.revision ?? 0) > revision)
       .map((plan) => `${plan.operator} confirmed ${plan.planId}`);
     return [...confirmations, ...changes.map(diffs.describeChange)].join('; ').slice(0, 2_000);
   }
 
   private expirePlans(now: number): void {
-    this.plans.forEach((plan) => {
+    this.plans.list().forEach((plan) => {
       if (plan.status === 'planned' && now - plan.createdAt > PLAN_LIFETIME_MS) {
         this.transitionPlan(plan, 'expire');
       }
@@ -241,9 +255,3 @@
   const kept: readonly string[] = change.after?.availabilityZones ?? [];
   return change.before.availabilityZones.some((zone) => !kept.includes(zone));
 }
-
-function evictOldest<V>(map: Map<string, V>, maxSize: number): void {
-  while (map.size > maxSize) {
-    map.delete(map.keys().next().value as string);
-  }
-}
--- a/packages/members/src/configuration-store.ts
+++ b/packages/members/src/configuration-store.ts
@@ -1,14 +1,17 @@
 import * as intents from '@bramleyridge/intents';
 import * as schemas from '@bramleyridge/schemas';
 
-/** Number of deltas kept for hosts that are a few revisions behind; others get the full configuration. */
-const MAX_DELTAS = 256;
+/**
+ * Deltas kept for hosts that are a few revisions behind, by count and by the length of their JSON text; others get the
+ * full configuration.
+ */
+const MAX_DELTAS = { count: 256, length: 1024 * 1024 };
 
 /** The configuration that is in force on this host. Its revision never decreases. */
 export class ConfigurationStore {
   public readonly changed = new schemas.ChangeSignal();
   private configuration = intents.createEmptyConfiguration();
-  private deltas: schemas.Delta[] = [];
+  private readonly deltas = new intents.SizedHistory<schemas.Delta>(MAX_DELTAS, (delta) => delta);
   private confirmedAt = -Infinity;
   private ready = false;
 
@@ -38,7 +41,7 @@
       return false;
     }
     this.configuration = configuration;
-    this.deltas = [];
+    this.deltas.restore([]);
     this.changed.notify();
     return true;
   }
@@ -51,9 +54,8 @@
     }
     newer.forEach((delta) => {
       this.configuration = intents.applyDelta(this.configuration, delta);
-      this.deltas.push(delta);
+      this.deltas.set(String(delta.to), delta);
     });
-    this.deltas = this.deltas.slice(-MAX_DELTAS);
     if (newer.length > 0) {
       this.changed.notify();
     }
@@ -65,7 +67,7 @@
     if (revision >= this.configuration.revision) {
       return {};
     }
-    const missing = this.deltas.filter((delta) => delta.from >= revision);
+    const missing = this.deltas.list().filter((delta) => delta.from >= revision);
     return missing[0]?.from === revision
       ? { deltas: missing }
       : { configuration: this.configuration };
--- a/packages/requests/src/http-io.ts
+++ b/packages/requests/src/http-io.ts
@@ -2,6 +2,9 @@
 
 import * as schemas from '@bramleyridge/schemas';
 
+/** Errors after which the request has not run and may be sent again. */
+const NOT_RUN_IDS = new Set<schemas.MessageId>(['claimRefused', 'logFull', 'notLeader']);
+
 /** An HTTP request with the parameters of its route. */
 export type ApiRequest = http.IncomingMessage & { readonly params: Record<string, string> };
 
@@ -131,7 +134,7 @@
     return err;
   }
   const id = err instanceof schemas.StepError ? err.id : 'ranUnknown';
-  const outcome = id === 'claimRefused' || id === 'notLeader' ? 'not-run' : 'unknown';
+  const outcome = NOT_RUN_IDS.has(id) ? 'not-run' : 'unknown';
   const status = outcome === 'not-run' ? 503 : 502;
   return new schemas.Refusal({
     id,
--- a/packages/schemas/src/messages.ts
+++ b/packages/schemas/src/messages.ts
@@ -13,6 +13,8 @@
   conflict: 'the plan %s was made on revision %s, but revision %s is in force: %s',
   deadline: 'no answer within %s ms',
   draining: 'this daemon is stopping; ask another',
+  documentTooLarge: 'the document has %s bytes; the limit is %s',
+  entryTooLarge: 'a command of %s bytes is over the limit of %s of the replicated log',
   fileNotReplaced: 'the file %s could not be replaced and is unchanged',
   frameTooLarge: 'a frame of %s bytes is over the limit of %s',
   generationGone: 'the generation is gone at the upstream; %s tokens were delivered',
@@ -24,6 +26,8 @@
   linkClosed: 'the link to the peer is closed',
   listRefused: 'the list of upstreams was refused with status %s',
   listTooLong: 'the list of upstreams has more than %s pages',
+  logFull:
+    'the replicated log waits for a majority of its voters to store %s bytes; send the command again later',
   noModel: 'no intent serves model %s for team %s in availability zone %s',
   noPlan: 'there is no plan %s',
   noRoute: 'there is nothing at %s %s',
