Let entry hosts fetch a large configuration in parts

Cause: a document of 0.65 MB was one answer to a poll, which allows 400 ms beyond its hold time. The host dropped what had arrived and asked for it again. The leader also held one copy of the answer for each of its hosts.

Change: - A core host compresses a document once for all hosts and sends at most 64 KiB of it with a poll's answer; the host fetches the rest in parts beside its polls.

--- a/packages/gateway/src/core-host.ts
+++ b/packages/gateway/src/core-host.ts
@@ -341,6 +341,7 @@
       relaySuspects: (req) => this.relay.report(req),
       relayPermit: (req) => this.relay.permit(req),
       awaitRelayed: (req) => this.relay.awaitChanges(req),
+      documentPart: async (req) => this.updates.getDocumentPart(req),
       declare: (document) => operatorService.declareAsLeader(document),
       read: () => operatorService.readAsLeader(),
       evacuate: (entry) => this.evacuations.proposeAsLeader(entry),
--- a/packages/gateway/src/core-procedures.ts
+++ b/packages/gateway/src/core-procedures.ts
@@ -30,6 +30,23 @@
 /** Position in a core host's changes to rate limits: the core host and the revision received last. */
 export const rateLimitCursor = z.object({ source: z.string(), revision: z.int() });
 
+/** Request for a part of a document, by its position in the compressed text, in bytes. */
+export const documentPartReq = z.object({
+  version: z.int(),
+  /** Identifies the compressed text. */
+  digest: z.string(),
+  offset: z.int().min(0),
+});
+
+/** Part of a compressed document. */
+export const documentPart = documentPartReq.extend({
+  totalBytes: z.int(),
+  bytes: z.custom<Uint8Array>((value) => value instanceof Uint8Array),
+});
+
+/** Answer to a request for a part; without one if the core host does not have it. */
+export const documentPartRes = z.object({ part: documentPart.optional() });
+
 /** Long poll of an entry host for state newer than what it has. */
 export const updatesReq = z.object({
   hostId: z.string(),
@@ -39,6 +56,10 @@
   waitMs: z.number(),
   /** Whether the list may be sent packed; hosts of the previous version take it as it is. */
   takesPacked: z.boolean().optional(),
+  /** Whether a document may be sent in parts; hosts of the previous version take it whole. */
+  takesDocumentParts: z.boolean().optional(),
+  /** Version that the host has begun to fetch in parts. */
+  fetchedVersion: z.int().optional(),
   /** Whether the answer may hold only the changes since the list that this host has. */
   takesChanges: z.boolean().optional(),
   /** Last position in the changes to suspects; not sent by hosts of the previous version. */
@@ -153,6 +174,8 @@
 /** Answer to an entry host's poll; holds only what the host lacks. */
 export const updatesRes = z.object({
   document: intents.declaredDocument.optional(),
+  /** The first part of a document. */
+  documentPart: documentPart.optional(),
   list: upstreamList.optional(),
   /** The list of upstreams, packed once for all hosts. */
   packedList: z.custom<Uint8Array>((value) => value instanceof Uint8Array).optional(),
@@ -272,6 +295,12 @@
   hasFailed: z.boolean(),
 });
 
+/** Request for a part of a document. */
+export type DocumentPartReq = z.infer<typeof documentPartReq>;
+/** Part of a compressed document. */
+export type DocumentPart = z.infer<typeof documentPart>;
+/** Answer to a request for a part. */
+export type DocumentPartRes = z.infer<typeof documentPartRes>;
 /** Request to place or register a generation. */
 export type PlaceReq = z.infer<typeof placeReq>;
 /** Hosts that may relay connections to upstreams for one host. */
@@ -361,6 +390,8 @@
   snapshot(req: consensus.SnapshotReq): Promise<consensus.AppendRes>;
   hello(req: HelloReq): Promise<HelloRes>;
   news(req: UpdatesReq): Promise<UpdatesRes>;
+  /** Returns a part of a document. */
+  documentPart(req: DocumentPartReq): Promise<DocumentPartRes>;
   /** Proposes a document, as the leader. */
   declare(document: intents.DeclaredDocument): Promise<intents.DeclareResult>;
   /** Places a generation, as the leader. */
@@ -419,6 +450,9 @@
       .mutation(({ input }) => handlers.snapshot(input)),
     hello: t.procedure.input(helloReq).mutation(({ input }) => handlers.hello(input)),
     news: t.procedure.input(updatesReq).mutation(({ input }) => handlers.news(input)),
+    documentPart: t.procedure
+      .input(documentPartReq)
+      .mutation(({ input }) => handlers.documentPart(input)),
     declare: t.procedure
       .input(intents.declaredDocument)
       .mutation(({ input }) => handlers.declare(input)),
--- a/packages/gateway/src/entry-host.ts
+++ b/packages/gateway/src/entry-host.ts
@@ -15,6 +15,7 @@
 import * as coreMeshes from './core-mesh.js';
 import * as procedures from './core-procedures.js';
 import * as crashGuards from './crash-guard.js';
+import * as documentFetchers from './document-fetcher.js';
 import * as entryListReaders from './entry-list-reader.js';
 import * as httpListeners from './http-listener.js';
 import * as hostSettings from './host-settings.js';
@@ -97,6 +98,7 @@
   private readonly evacuations = new intents.EvacuationState();
   private readonly mesh = new coreMeshes.CoreMesh(PEER_DEADLINE_MS);
   private readonly poller: updatePollers.UpdatePoller;
+  private readonly documents: documentFetchers.DocumentFetcher;
   private readonly listReader: upstreamListReaders.UpstreamListReader;
   private readonly rateGrants: rateGrantClients.RateGrantClient;
   private readonly held: requests.HeldBytes;
@@ -120,6 +122,8 @@
   private relays: procedures.RelayList = { stamp: '', relays: [] };
   /** Interval at which the leader reads the list, in milliseconds; 0 until a leader has reported it. */
   private listPeriodMs = 0;
+  /** Version from which on this host may serve; `undefined` until a core host has told it what is in force. */
+  private readyVersion: number | undefined;
   private stopping: Promise<void> | undefined;
 
   public constructor(private readonly options: EntryHostOptions) {
@@ -138,6 +142,7 @@
       hostSettings.findHeldBytesLimit(options.settings.get()),
     );
     this.poller = this.createPoller();
+    this.documents = this.createDocumentFetcher();
     const placement = new placementClients.PlacementClient({
       mesh: this.mesh,
       findLeader: () => this.poller.findLeader(),
@@ -319,6 +324,7 @@
 
   private end(): void {
     this.poller.stop();
+    this.documents.stop();
     this.suspects.stop();
     this.listReader.stop();
     this.mesh.close();
@@ -477,6 +483,20 @@
     });
   }
 
+  private createDocumentFetcher(): documentFetchers.DocumentFetcher {
+    const { clock, log } = this.options;
+    return new documentFetchers.DocumentFetcher({
+      mesh: this.mesh,
+      listCores: () => this.poller.listCoresByPreference(),
+      clock,
+      log,
+      onDocument: (document) => {
+        this.store.offer(document);
+        this.markReadyIfCurrent();
+      },
+    });
+  }
+
   private createPoller(): updatePollers.UpdatePoller {
     const { clock, log, random, settings } = this.options;
     return new updatePollers.UpdatePoller({
@@ -491,6 +511,8 @@
         listStamp: this.directory.getStamp(),
         waitMs,
         takesPacked: true,
+        takesDocumentParts: true,
+        fetchedVersion: this.documents.findVersion(),
         takesChanges: true,
         suspects: this.suspects.getCursor(),
         rateLimits: this.rateGrants.getCursor(),
@@ -506,12 +528,16 @@
     if (updates.document !== undefined) {
       this.store.offer(updates.document);
     }
+    if (updates.documentPart !== undefined) {
+      this.documents.receive(updates.documentPart);
+    }
     if (updates.evacuations !== undefined) {
       this.applyEvacuations(updates.evacuations);
     }
     if (isTrusted) {
-      this.store.markReady();
+      this.readyVersion ??= this.documents.findVersion() ?? this.store.getVersion();
     }
+    this.markReadyIfCurrent();
     const list = procedures.findList(updates);
     const changes = procedures.findListChanges(updates);
     if (list !== undefined) {
@@ -550,6 +576,13 @@
     }
   }
 
+  /** Marks the configuration as ready once it is that of the first answer that could be trusted, or a newer one. */
+  private markReadyIfCurrent(): void {
+    if (this.readyVersion !== undefined && this.store.getVersion() >= this.readyVersion) {
+      this.store.markReady();
+    }
+  }
+
   private applyEvacuations(facts: intents.EvacuatedZones): void {
     if (this.evacuations.restore(facts)) {
       this.options.log.info({ event: 'evacuations-in-force', ...facts });
--- a/packages/gateway/src/entry-update-service.ts
+++ b/packages/gateway/src/entry-update-service.ts
@@ -8,6 +8,7 @@
 import type * as upstreamListServices from './upstream-list-service.js';
 import type * as rateLimitServices from './rate-limit-service.js';
 import type * as suspectRegistries from './suspect-registry.js';
+import * as packedDocuments from './packed-documents.js';
 import * as suspectClients from './suspect-client.js';
 
 /**
@@ -19,6 +20,9 @@
 /** Interval of the check whether this host has lost the leadership, in milliseconds. */
 const LEADERSHIP_CHECK_INTERVAL_MS = 50;
 
+/** Length of a document that is sent whole, in characters. */
+const MAX_WHOLE_LENGTH = 16 * 1024;
+
 /** Options of `EntryUpdateService`. */
 export interface EntryUpdateServiceOptions {
   readonly group: coreGroups.CoreGroup;
@@ -35,9 +39,12 @@
  */
 export class EntryUpdateService {
   private readonly leadershipLost = new schemas.ChangeSignal();
+  private readonly documents: packedDocuments.PackedDocuments;
   private isStopped = false;
 
-  public constructor(private readonly options: EntryUpdateServiceOptions) {}
+  public constructor(private readonly options: EntryUpdateServiceOptions) {
+    this.documents = new packedDocuments.PackedDocuments(options.clock);
+  }
 
   /** Monitors whether this host loses the leadership, until stopped. */
   public async run(): Promise<void> {
@@ -78,9 +85,8 @@
   }
 
   private hasUpdates(req: procedures.UpdatesReq): boolean {
-    const version = this.options.group.state.get()?.version ?? -1;
     return (
-      version > req.version ||
+      this.findNewDocument(req) !== undefined ||
       this.findNewEvacuations(req) !== undefined ||
       this.findNewList(req) !== undefined ||
       this.findSuspectUpdates(req) !== undefined ||
@@ -90,7 +96,9 @@
 
   private createAnswer(req: procedures.UpdatesReq): procedures.UpdatesRes {
     const { entryRegistry, group, upstreamList, coreRegistry } = this.options;
-    const document = group.state.get();
+    const document = this.findNewDocument(req);
+    const isInParts =
+      req.takesDocumentParts === true && (document?.text.length ?? 0) > MAX_WHOLE_LENGTH;
     const isLeading = group.isLeading();
     const list = this.findNewList(req);
     const hasChanges = req.takesChanges === true && list !== undefined;
@@ -98,7 +106,8 @@
     const isWhole = list !== undefined && packedChanges === undefined;
     const isPacked = req.takesPacked === true && isWhole;
     return {
-      document: document !== undefined && document.version > req.version ? document : undefined,
+      document: isInParts ? undefined : document,
+      documentPart: document && isInParts ? this.documents.getFirstPart(document) : undefined,
       list: isWhole && !isPacked ? list : undefined,
       packedList: isPacked ? upstreamList.getPackedList() : undefined,
       packedChanges,
@@ -119,6 +128,18 @@
     };
   }
 
+  /** Returns a part of a document, if this host has that. */
+  public getDocumentPart(req: procedures.DocumentPartReq): procedures.DocumentPartRes {
+    return { part: this.documents.findPart(req, this.options.group.state.get()) };
+  }
+
+  /** Returns the document if the host neither has it nor has begun to fetch it. */
+  private findNewDocument(req: procedures.UpdatesReq): intents.DeclaredDocument | undefined {
+    const document = this.options.group.state.get();
+    const known = Math.max(req.version, req.fetchedVersion ?? -1);
+    return document !== undefined && document.version > known ? document : undefined;
+  }
+
   private hasCompleteCount(): boolean {
     const { clock, group } = this.options;
     return group.isLeading() && clock.now() - group.getLeadership().startedAt >= COUNT_DELAY_MS;
--- a/packages/gateway/src/update-poller.ts
+++ b/packages/gateway/src/update-poller.ts
@@ -98,6 +98,13 @@
     return [...new Set([...this.cores, ...this.options.listSeeds()])];
   }
 
+  /** Lists all known core hosts, first the leader and the host that answered last. */
+  public listCoresByPreference(): string[] {
+    const all = this.listCores();
+    const preferred = [this.findLeader(), this.lastTarget].filter((id) => id !== undefined);
+    return [...new Set([...preferred, ...all])];
+  }
+
   /** Stops polling. */
   public stop(): void {
     this.isStopped = true;
