Receive no more documents at once than a core host's memory holds

Cause: the host read each document whole within 10 s, whatever its size, and any number at once. Eight of 8 MiB, which operators may have in progress, are some 190 MB as bytes and text beside what they take decoded, on a host of 346 MB.

Change: documents of 24 MiB are received or decoded at once; the next one gets 503 with Retry-After before it is read, not run. The time to receive one includes its bytes at 1 Mbit/s. A document over 8 MiB is refused by its declared length.

Before, nothing counted them.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,6 +1,7 @@
 /** Routed traffic: the entry host and the core host, and the interfaces to be implemented for a platform. */
 export * from './connection-gate.js';
 export * from './core-host.js';
+export * from './document-intake.js';
 export * from './entry-host.js';
 export * from './evacuation-service.js';
 export * from './http-listener.js';
--- a/packages/schemas/src/messages.ts
+++ b/packages/schemas/src/messages.ts
@@ -13,6 +13,7 @@
   conflict: 'the plan %s was made on revision %s, but revision %s is in force: %s',
   deadline: 'no answer within %s ms',
   draining: 'this daemon is stopping; ask another',
+  documentsHeld: 'this host receives documents of more than %s bytes already; send it again later',
   documentTooLarge: 'the document has %s bytes; the limit is %s',
   entryTooLarge: 'a command of %s bytes is over the limit of %s of the replicated log',
   fileNotReplaced: 'the file %s could not be replaced and is unchanged',
