--- a/packages/consensus/tests/large-entries.test.ts
+++ b/packages/consensus/tests/large-entries.test.ts
@@ -85,12 +85,19 @@
   const cases = [
     { name: 'many entries', count: 60, bytes: 20 * KIB, maxRequestBytes: 600 * KIB },
     { name: 'large entries', count: 40, bytes: 500 * KIB, maxRequestBytes: MIB },
+    {
+      name: 'an entry that takes long',
+      count: 1,
+      bytes: 8 * MIB,
+      linkBytesPerMs: SLOW_BYTES_PER_MS,
+    },
   ];
-  for (const { bytes, count, maxRequestBytes, name } of cases) {
+  for (const { bytes, count, linkBytesPerMs, maxRequestBytes, name } of cases) {
     const { cluster, others } = await start(61);
     const ids = createIds(count);
     await propose(cluster, ids, bytes);
-    cluster.maxRequestBytes = maxRequestBytes;
+    cluster.maxRequestBytes = maxRequestBytes ?? Infinity;
+    cluster.linkBytesPerMs = linkBytesPerMs ?? Infinity;
     cluster.start('spare');
     await cluster.clock.advance(500);
     cluster.kill(others[0]!);
@@ -111,6 +118,8 @@
   cluster.linkBytesPerMs = SLOW_BYTES_PER_MS;
   cluster.start(late!);
   const { term } = cluster.findLeader()!;
+  await cluster.clock.advance(3_000);
+  t.same(cluster.getApplied(late!), createIds(60), 'sooner than its link carries all entries');
   await propose(cluster, createIds(20, 'd'), 170 * KIB);
   await cluster.clock.advance(3_000);
   t.same(cluster.getApplied(late!), [...createIds(60), ...createIds(20, 'd')]);
