Resume no run at an engine that has left for too long

Cause: an upstream that leaves was allowed for a run that goes on, without any bound, since a run may have been stopped for it; nothing asked for how long.

Change: the directory knows since when the list may have shown that an upstream leaves: since the former list was last known to be current. After the time that the settings give leaving upstreams (3 s) no run goes on there, also if it has waited for its permit until then; an upstream that is no longer listed gets none.

The stream of such a run still breaks: the copy is not made anew when only the engine that holds it leaves.

--- a/packages/gateway/src/entry-host.ts
+++ b/packages/gateway/src/entry-host.ts
@@ -235,6 +235,7 @@
       findBudget: (service) => this.shares.find(service),
       availabilityZone,
       isSharing: () => options.settings.get().capacitySharing !== undefined,
+      getLeavingBoundMs: () => options.settings.get().bounds.leavingMs,
       clock,
       log,
       metrics: options.metrics,
--- a/packages/gateway/src/routed-attempts.ts
+++ b/packages/gateway/src/routed-attempts.ts
@@ -15,6 +15,7 @@
 import type * as routedJobs from './routed-job.js';
 import type * as slotMessages from './slot-messages.js';
 import * as slotResults from './slot-result.js';
+import type * as upstreamDirectories from './upstream-directory.js';
 import * as upstreamPickers from './upstream-picker.js';
 
 /**
@@ -52,6 +53,8 @@
   readonly gate: requests.UpstreamGate;
   readonly guard: crashGuards.CrashGuard;
   readonly availabilityZone: string;
+  /** Returns the time after which a leaving upstream must get no more requests, in milliseconds. */
+  readonly getLeavingBoundMs: () => number;
   readonly metrics: telemetry.MetricSink;
 }
 
@@ -325,6 +328,11 @@
     if (next === undefined || permit === undefined) {
       return undefined;
     }
+    // The wait for the permit may have lasted until the upstream has left for too long.
+    if (!this.mayResumeAt(next.known)) {
+      this.options.picker.release(job.call, next, { ...upstreamPickers.UNSENT, hasFailed: true });
+      return undefined;
+    }
     job.resumes += 1;
     const attempt = this.begin(job, next);
     const { upstreamId } = next;
@@ -409,13 +417,11 @@
     job: routedJobs.RoutedJob,
     { run }: Attempt,
   ): Promise<pickedUpstreams.PickedUpstream | undefined> {
-    const { directory, findBudget, log, metrics, picker } = this.options;
+    const { findBudget, log, metrics, picker } = this.options;
     const { abort, call } = job;
     const mayRunAgain = isIdempotent(call) && job.tried.size < call.route.maxRuns;
     const backup =
-      run.backup !== undefined && directory.isPlacementAllowed(run.backup.at)
-        ? run.backup
-        : undefined;
+      run.backup !== undefined && this.mayResumeAt(run.backup.at) ? run.backup : undefined;
     const canResumeAtAll = backup !== undefined || mayRunAgain;
     if (!canResumeAtAll || job.resumes >= MAX_RESUMES || abort.signal.aborted) {
       return undefined;
@@ -431,6 +437,15 @@
       : picker.pickAt(call, backup.at);
   }
 
+  /** Returns whether a run may go on at an upstream; one that leaves takes it until the bound. */
+  private mayResumeAt(known: upstreamDirectories.KnownUpstream): boolean {
+    const { directory, getLeavingBoundMs } = this.options;
+    return (
+      directory.isPlacementAllowed(known) &&
+      directory.getListedLeavingMs(known.upstreamId) < getLeavingBoundMs()
+    );
+  }
+
   private logChoice(job: routedJobs.RoutedJob, { picked }: Attempt): void {
     const { availabilityZone, clock, directory, log } = this.options;
     const { call } = job;
--- a/packages/gateway/src/upstream-directory.ts
+++ b/packages/gateway/src/upstream-directory.ts
@@ -32,6 +32,8 @@
 interface Entry extends KnownUpstream {
   unlistedColdUntil: number;
   isLeaving: boolean;
+  /** When the list may first have shown that it leaves, on this host's clock in milliseconds. */
+  listedLeavingSince: number | undefined;
   isGone: boolean;
   skipUntil: number;
 }
@@ -75,6 +77,8 @@
 
   /** Applies a list; keeps the observed state of upstreams whose process has not changed. */
   public applyList(list: procedures.UpstreamList, ageMs: number): void {
+    // What is new on the list may have been there since this host last knew that the former one was current.
+    const newSince = this.readAt;
     this.confirmCurrent(ageMs);
     if (list.stamp === this.stamp) {
       return;
@@ -84,7 +88,7 @@
     this.entries = new Map(
       list.upstreams.map((listed) => [
         listed.upstreamId,
-        this.createEntry(listed, previous.get(listed.upstreamId)),
+        this.createEntry(listed, previous.get(listed.upstreamId), newSince),
       ]),
     );
     this.log.info({
@@ -138,6 +142,19 @@
     );
   }
 
+  /**
+   * Returns for how long the list may have shown that an upstream leaves, in milliseconds; 0 if it stays, infinite if it is
+   * no longer listed.
+   */
+  public getListedLeavingMs(upstreamId: string): number {
+    const entry = this.entries.get(upstreamId);
+    if (entry === undefined) {
+      return Infinity;
+    }
+    const { listedLeavingSince: since } = entry;
+    return since === undefined ? 0 : this.clock.now() - since;
+  }
+
   /** Returns the number of upstreams that accept work, of all services. */
   public countLive(): number {
     return [...this.entries.values()].filter((item) => this.acceptsWork(item)).length;
@@ -251,7 +268,11 @@
   }
 
   /** Creates an entry. The state of an earlier process under the same id is not carried over. */
-  private createEntry(listed: schemas.ListedUpstream, known: Entry | undefined): Entry {
+  private createEntry(
+    listed: schemas.ListedUpstream,
+    known: Entry | undefined,
+    newSince: number,
+  ): Entry {
     const hasRestarted = known !== undefined && schemas.hasRestarted(known.listed, listed);
     if (hasRestarted) {
       this.log.info({ event: 'upstream-reborn', upstream: listed.upstreamId });
@@ -268,6 +289,7 @@
       unlistedColdUntil: previous?.unlistedColdUntil ?? -Infinity,
       isLeaving:
         listed.isLeaving || listed.hasStatedLeaving === true || (previous?.isLeaving ?? false),
+      listedLeavingSince: listed.isLeaving ? (previous?.listedLeavingSince ?? newSince) : undefined,
       isGone: previous?.isGone ?? false,
       skipUntil: previous?.skipUntil ?? -Infinity,
     };
--- a/packages/gateway/tests/routed-calls.test.ts
+++ b/packages/gateway/tests/routed-calls.test.ts
@@ -16,6 +16,9 @@
 }
 
 /** Formats the event with a number. */
+/** Time after which a leaving upstream must get no more requests, as the settings of the site have it, in milliseconds. */
+const LEAVING_MS = 3_000;
+
 function event(n: number): string {
   return `id: ${n}\ndata: part ${n}\n\n`;
 }
@@ -283,6 +286,44 @@
   t.equal(resumedFrom, `${copy!.sourceAddress}/copy-2`);
 });
 
+void tap.default.test('a run goes on at a leaving engine only for so long', async (t) => {
+  // Guards against a request to an engine that may end at any moment, which would cut the caller's stream once more.
+  for (const { waitMs, resumes } of [
+    { waitMs: 500, resumes: 1 },
+    { waitMs: LEAVING_MS + 200, resumes: 0 },
+  ]) {
+    const site = await createSite(t);
+    let resumed = 0;
+    const stream = new TickingStream();
+    const serve = (req: http.IncomingMessage, res: http.ServerResponse) => {
+      if (req.headers['resume-from'] === undefined) {
+        stream.serve(req, res);
+        return;
+      }
+      resumed += 1;
+      res.writeHead(200, { 'call-id': req.headers['call-id'] });
+      res.end(event(Number(req.headers['last-event-id']) + 1));
+    };
+    await site.addUpstream('e-1', 'engines', serve);
+    await site.addUpstream('e-2', 'engines', serve);
+    await declareAndList(site);
+    const answer = site.call('/drafts/x', { tokens: '400' }, 'write').catch(() => undefined);
+    await site.until('started', () => site.lines.some((line) => line.decision === 'route'));
+    const { copyAt } = site.lines.find((line) => line.decision === 'route')!;
+    site.list.upstreams = site.list.upstreams.map((item) => ({
+      ...item,
+      isLeaving: item.upstreamId === copyAt,
+    }));
+    await site.until('listed', () => site.entry.directory.isLeaving(String(copyAt)));
+    await new Promise((resolve) => {
+      setTimeout(resolve, waitMs);
+    });
+    stream.crash();
+    await answer;
+    t.equal(resumed, resumes, `${waitMs} ms after the list has shown it`);
+  }
+});
+
 void tap.default.test(
   'an engine that reports that it is leaving gets no new work before the list shows it',
   async (t) => {
--- a/packages/gateway/tests/upstream-directory.test.ts
+++ b/packages/gateway/tests/upstream-directory.test.ts
@@ -16,7 +16,7 @@
     stamp += 1;
     directory.applyList({ stamp: String(stamp), upstreams }, 0);
   };
-  return { directory, apply };
+  return { clock, directory, apply };
 }
 
 void tap.default.test('an upstream that restarts under the same id is a new process', async (t) => {
@@ -66,3 +66,22 @@
   apply(createStarted(1_000));
   t.ok(directory.isLive('e-1'));
 });
+
+// Guards against requests to an engine for longer than it may have left, counted from when this host heard of it.
+void tap.default.test('a leaving upstream has left since the list may have shown it', async (t) => {
+  const { apply, clock, directory } = createDirectory();
+  apply(createStarted(1_000));
+  await clock.advance(400);
+  directory.confirmCurrent(100);
+  await clock.advance(500);
+  t.equal(directory.getListedLeavingMs('e-1'), 0, 'it stays');
+  apply(createStarted(1_000, { isLeaving: true }));
+  t.equal(directory.getListedLeavingMs('e-1'), 600, 'since the former list was last current');
+  await clock.advance(300);
+  apply(createStarted(1_000, { isLeaving: true, coldMs: 1 }));
+  t.equal(directory.getListedLeavingMs('e-1'), 900, 'a later list changes nothing');
+  apply(createStarted(2_000));
+  t.equal(directory.getListedLeavingMs('e-1'), 0, 'another process under the same id');
+  apply();
+  t.equal(directory.getListedLeavingMs('e-1'), Infinity, 'not listed');
+});
