Allow a new voter the time for the whole state

Cause, found when reading the change: the time that a new voter gets was counted by the entries that the leader still has, if these are smaller than the state. After a compaction they are, though the new voter is sent the state.

Change: the state counts in any case, entries up to four times its size.

--- a/packages/consensus/src/membership-change.ts
+++ b/packages/consensus/src/membership-change.ts
@@ -17,6 +17,9 @@
 /** Rate below which a new voter is too slow, in bytes per millisecond: 1 Mbit/s. */
 const MIN_CATCH_UP_BYTES_PER_MS = 125;
 
+/** How many times larger than the state entries may be that a new voter is sent in its place. */
+const MAX_STATES = 4;
+
 /** The operations of the leader that a membership change uses. */
 export interface MembershipLog {
   readonly voter: voters.Voter;
@@ -123,8 +126,9 @@
     const { entries, options } = this.log.voter;
     const { clock, timings } = options;
     const startedAt = clock.now();
-    // What a new voter lacks at most; entries that are appended meanwhile are added as it acknowledges them.
-    const bytes = Math.min(entries.countBytes(), this.log.getSnapshotBytes());
+    // What a new voter is sent: the state, or entries that are not much larger. More is added as it acknowledges it.
+    const stateBytes = this.log.getSnapshotBytes();
+    const bytes = Math.max(stateBytes, Math.min(entries.countBytes(), MAX_STATES * stateBytes));
     const peers = newVoters.map((slot) => this.log.startPeer(slot));
     while (!peers.every(isDone)) {
       if (!this.log.isActive()) {
--- a/packages/consensus/tests/large-entries.test.ts
+++ b/packages/consensus/tests/large-entries.test.ts
@@ -16,9 +16,9 @@
   readonly others: readonly string[];
 }
 
-async function start(seed: number): Promise<Site> {
+async function start(seed: number, snapshotEvery = 1_000): Promise<Site> {
   const cluster = new clusters.Cluster(THREE, seed);
-  cluster.snapshotEvery = 1_000;
+  cluster.snapshotEvery = snapshotEvery;
   await cluster.startAll();
   const leader = cluster.findLeader()!;
   return { cluster, leader, others: THREE.filter((id) => id !== leader.daemonId) };
@@ -104,18 +104,23 @@
 
 void tap.default.test('an empty host receives a large state over a slow link', async (t) => {
   // Guards against a new voter that is given up, again and again, while it receives what it needs.
-  const { cluster, others } = await start(83);
-  const id = 'x'.repeat(6 * MIB);
-  await propose(cluster, [id], 10);
-  cluster.linkBytesPerMs = SLOW_BYTES_PER_MS;
-  cluster.start('spare');
-  await cluster.clock.advance(500);
-  cluster.kill(others[0]!);
-  const results: boolean[] = [];
-  void startReplacement(cluster, others[0]!).then((result) => results.push(result));
-  await cluster.clock.advance(10_000);
-  t.same(results, [true], 'it becomes a voter at the first attempt');
-  t.equal(cluster.getApplied('spare')[0]?.length, id.length);
+  for (const { name, later } of [
+    { name: 'in an entry', later: 0 },
+    { name: 'in a snapshot', later: 60 },
+  ]) {
+    const { cluster, others } = await start(83, 50);
+    const id = 'x'.repeat(6 * MIB);
+    await propose(cluster, [id, ...createIds(later)], 10);
+    cluster.linkBytesPerMs = SLOW_BYTES_PER_MS;
+    cluster.start('spare');
+    await cluster.clock.advance(500);
+    cluster.kill(others[0]!);
+    const results: boolean[] = [];
+    void startReplacement(cluster, others[0]!).then((result) => results.push(result));
+    await cluster.clock.advance(10_000);
+    t.same(results, [true], `${name}: it becomes a voter at the first attempt`);
+    t.equal(cluster.getApplied('spare')[0]?.length, id.length);
+  }
 });
 
 void tap.default.test('a host that missed much catches up over a slow link', async (t) => {
