Count how long an unlisted upstream has left, and log when that ends a run

Cause: an upstream that the list no longer has got no run at once, though the time that it may still serve has just begun; and no line said that a run ended for it.

--- a/packages/gateway/src/routed-attempts.ts
+++ b/packages/gateway/src/routed-attempts.ts
@@ -439,11 +439,14 @@
 
   /** Returns whether a run may go on at an upstream; one that leaves takes it until the bound. */
   private mayResumeAt(known: upstreamDirectories.KnownUpstream): boolean {
-    const { directory, getLeavingBoundMs } = this.options;
-    return (
-      directory.isPlacementAllowed(known) &&
-      directory.getListedLeavingMs(known.upstreamId) < getLeavingBoundMs()
-    );
+    const { directory, getLeavingBoundMs, log } = this.options;
+    const leavingMs = directory.getListedLeavingMs(known.upstreamId);
+    if (leavingMs >= getLeavingBoundMs()) {
+      const { upstreamId: upstream } = known;
+      log.info({ decision: 'resume-refused', reason: 'leaving', upstream, leavingMs });
+      return false;
+    }
+    return directory.isPlacementAllowed(known);
   }
 
   private logChoice(job: routedJobs.RoutedJob, { picked }: Attempt): void {
--- a/packages/gateway/src/upstream-directory.ts
+++ b/packages/gateway/src/upstream-directory.ts
@@ -14,6 +14,9 @@
  */
 const UNLISTED_COLD_MS = 3_000;
 
+/** How long an upstream is remembered that the list no longer has, in milliseconds; longer than any call lasts. */
+const KEEP_GONE_MS = 600_000;
+
 /** An upstream with its listed properties and the state that this host has observed. */
 export interface KnownUpstream {
   readonly upstreamId: string;
@@ -43,6 +46,8 @@
   /** Notifies when a different list is applied. */
   public readonly changed = new schemas.ChangeSignal();
   private entries = new Map<string, Entry>();
+  /** When the list may first have shown an upstream as leaving or gone, for those that it no longer has. */
+  private readonly goneSince = new Map<string, number>();
   private stamp = '';
   private readAt = -Infinity;
 
@@ -91,6 +96,7 @@
         this.createEntry(listed, previous.get(listed.upstreamId), newSince),
       ]),
     );
+    this.recordGone(previous, newSince);
     this.log.info({
       event: 'upstreams-listed',
       count: this.entries.size,
@@ -142,16 +148,10 @@
     );
   }
 
-  /**
-   * Returns for how long the list may have shown that an upstream leaves, in milliseconds; 0 if it stays, infinite if it is
-   * no longer listed.
-   */
+  /** Returns for how long the list may have shown that an upstream leaves or is gone, in milliseconds; 0 if it stays. */
   public getListedLeavingMs(upstreamId: string): number {
     const entry = this.entries.get(upstreamId);
-    if (entry === undefined) {
-      return Infinity;
-    }
-    const { listedLeavingSince: since } = entry;
+    const since = entry === undefined ? this.goneSince.get(upstreamId) : entry.listedLeavingSince;
     return since === undefined ? 0 : this.clock.now() - since;
   }
 
@@ -304,6 +304,20 @@
     return isSame ? previous.coldUntil : this.clock.now() + listed.coldMs;
   }
 
+  /** Records which upstreams the list no longer has, for as long as runs may still refer to them. */
+  private recordGone(previous: ReadonlyMap<string, Entry>, newSince: number): void {
+    previous.forEach(({ listedLeavingSince }, upstreamId) => {
+      if (!this.entries.has(upstreamId)) {
+        this.goneSince.set(upstreamId, listedLeavingSince ?? newSince);
+      }
+    });
+    this.goneSince.forEach((since, upstreamId) => {
+      if (this.entries.has(upstreamId) || this.clock.now() - since > KEEP_GONE_MS) {
+        this.goneSince.delete(upstreamId);
+      }
+    });
+  }
+
   private acceptsWork(entry: Entry, regions?: ReadonlySet<string>): boolean {
     const { isGone, isLeaving, listed } = entry;
     const isStaying = !isGone && !isLeaving && listed.saysLeaving !== true;
