--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -8,8 +8,8 @@
 const STORM_CHANGES = 25;
 const STORM_GAP_MS = 60;
 const COMPACTION_BYTES = 8 * 1024 * 1024;
-const FREEZE_MS = 3_800;
-const TRIALS = 5;
+const FREEZE_MS = 3_000;
+const TRIALS = 8;
 /** Time from which no further freeze is begun, so that the case ends in time. */
 const LAST_TRIAL_MS = 65_000;
 
@@ -65,6 +65,11 @@
   testCase.note(`a storm of ${sent.length} changes is over; newest acknowledged: ${acked}`);
 }
 
+/** Two operators send changes in quick succession at the same time. */
+async function stormTogether(isOver) {
+  await Promise.all([storm(STORM_CHANGES, isOver), storm(STORM_CHANGES, isOver)]);
+}
+
 async function findLeader() {
   for (const core of deployment.cores) {
     if ((await deployment.readGauge(core.ip, 'is_leading')) === 1) {
@@ -80,21 +85,21 @@
 async function freezeFollower(follower) {
   let isDue = false;
   const isCompactionDue = async () => {
-    isDue = (await logBytes(follower)) >= COMPACTION_BYTES;
-    if (isDue) {
+    const isNowDue = !isDue && (await logBytes(follower)) >= COMPACTION_BYTES;
+    if (isNowDue && !isDue) {
+      isDue = true;
       testCase.signal(follower.program, 'SIGSTOP');
     }
     return isDue;
   };
   for (let storms = 0; storms < 9 && !isDue; storms += 1) {
-    await storm(STORM_CHANGES, isCompactionDue);
+    await stormTogether(isCompactionDue);
   }
   const frozenAt = testCase.now();
-  await storm(STORM_CHANGES);
-  await storm(STORM_CHANGES);
+  await stormTogether();
   await harness.sleep(Math.max(0, frozenAt + FREEZE_MS - testCase.now()));
   testCase.signal(follower.program, 'SIGCONT');
-  await harness.sleep(3_000);
+  await harness.sleep(2_000);
   await change();
   await harness.sleep(300);
   const behind = await deployment.readGauge(follower.ip, 'configuration_version');
@@ -120,7 +125,7 @@
     }
   } else {
     for (let i = 0; i < 8; i += 1) {
-      await storm(STORM_CHANGES);
+      await stormTogether();
     }
   }
   // Long after the freeze, a machine of the core is removed for good, and an empty one takes its place.
