--- a/packages/consensus/src/voter.ts
+++ b/packages/consensus/src/voter.ts
@@ -25,6 +25,9 @@
 /** Size of the entries retained before a snapshot, in bytes. */
 const RETAINED_BYTES = 2 * 1024 * 1024;
 
+/** Minimum time between two log lines about refused entries, in milliseconds; a leader may repeat them without a pause. */
+const REFUSAL_LOG_INTERVAL_MS = 5_000;
+
 /** Time until the next compaction after one for which the disk had no space, in milliseconds. */
 const COMPACTION_RETRY_MS = 5_000;
 
@@ -63,6 +66,7 @@
   private compacting = false;
   private compactsAt = -Infinity;
   private loggedVoterSet = '';
+  private refusalLoggedAt = -Infinity;
   private readonly results = new Map<number, (result: unknown) => void>();
 
   public constructor(
@@ -139,6 +143,7 @@
     await this.follow(req.term, req.leader);
     const prevTerm = this.entries.findTerm(req.prevIndex);
     if (prevTerm !== req.prevTerm) {
+      this.logRefusal(req);
       const hint = Math.min(req.prevIndex - 1, this.entries.lastIndex);
       return this.createAppendRes(false, Math.max(hint, this.commitIndex));
     }
@@ -191,6 +196,7 @@
       this.stop();
       throw err;
     }
+    this.options.log.info({ event: 'snapshot-stored', ...this.describeLog() });
     this.changed.notify();
     return { ...this.createAppendRes(true, req.lastIndex), match: req.lastIndex };
   }
@@ -314,6 +320,31 @@
     return { term: this.term, ok, match: 0, hint, voterId: this.voterId };
   }
 
+  /** Logs entries that don't follow the log here. A voter that refuses all of them looks like one that keeps up. */
+  private logRefusal({ leader, prevIndex, prevTerm, term }: types.AppendReq): void {
+    const now = this.options.clock.now();
+    if (now - this.refusalLoggedAt < REFUSAL_LOG_INTERVAL_MS) {
+      return;
+    }
+    this.refusalLoggedAt = now;
+    this.options.log.warn({
+      event: 'append-refused',
+      peer: leader,
+      term,
+      prevIndex,
+      prevTerm,
+      ownTerm: this.entries.findTerm(prevIndex),
+      ...this.describeLog(),
+    });
+  }
+
+  /** The positions that decide what this voter accepts, for log lines. */
+  private describeLog() {
+    const { commitIndex, entries } = this;
+    const { baseIndex, lastIndex, lastTerm } = entries;
+    return { baseIndex, commitIndex, lastIndex, lastTerm };
+  }
+
   private applyNext(): void {
     const entry = this.entries.find(this.appliedIndex + 1);
     if (entry === undefined) {
@@ -343,6 +374,7 @@
     };
     try {
       await this.options.wal.compact(snapshot, () => this.compactLogState(lastIndex));
+      log.info({ event: 'compacted', snapshotIndex: lastIndex, ...this.describeLog() });
     } catch (err) {
       log.error({
         step: 'compact',
