Let an append take effect in one step, before it waits for the disk

Operators could lose configurations that had been acknowledged: a voter that had acknowledged entries to a new leader truncated them again for an older one.

Cause: handleAppend stored a new term first, waited for the disk, and only then compared and changed the log, without a second look at the term. While the append of term 2 waited, the voter could vote in term 3 and acknowledge entries of its leader. When the disk went on, the append of term 2 continued and replaced them, in memory and on disk.

Evidence: the new test, on a disk whose syncs are held back. After: the append of term 2 is refused, 11 to 14 of term 3 are on the disk.

Change: a request is checked and takes effect in memory in one step; the records of the term and of the entries go to the disk in one batch, and only the answer waits for it. Votes do the same, and adoptTerm has no effect if a later term came meanwhile. Nothing that was read before a wait is acted on after it, so the order of events on the disk no longer matters to what the log holds. An append that brings a new term costs one sync instead of two.

--- a/packages/consensus/src/voter.ts
+++ b/packages/consensus/src/voter.ts
@@ -123,11 +123,10 @@
     if (req.pre) {
       return { term: this.term, granted: req.term > this.term, voterId: this.voterId };
     }
-    if (req.term > this.term || (req.term === this.term && this.votedFor === null)) {
-      await this.adoptTerm(req.term, req.candidate.voterId);
-    }
+    const canVote = req.term > this.term || (req.term === this.term && this.votedFor === null);
+    const records = canVote ? [this.enterTerm(req.term, req.candidate.voterId)] : [];
     // A duplicate request must not be answered before the vote for the first one is on disk.
-    await this.persist();
+    await this.persist(...records);
     const granted = req.term === this.term && this.votedFor === req.candidate.voterId;
     if (granted) {
       this.recordLeaderContact();
@@ -140,30 +139,21 @@
     if (this.stopped || req.term < this.term) {
       return this.createAppendRes(false, this.entries.lastIndex);
     }
-    await this.follow(req.term, req.leader);
-    const prevTerm = this.entries.findTerm(req.prevIndex);
-    if (prevTerm !== req.prevTerm) {
-      this.logRefusal(req);
-      const hint = Math.min(req.prevIndex - 1, this.entries.lastIndex);
-      return this.createAppendRes(false, Math.max(hint, this.commitIndex));
-    }
-    const firstNew = req.entries.findIndex(
-      (entry) => this.entries.findTerm(entry.index) !== entry.term,
-    );
-    const newEntries = firstNew < 0 ? [] : req.entries.slice(firstNew);
-    if (newEntries[0] !== undefined && newEntries[0].index <= this.commitIndex) {
-      return this.createAppendRes(false, this.commitIndex);
+    // The request is checked and takes effect in memory without a wait in between: during one, a later leader's entries
+    // could arrive, and this request would truncate them. Only the answer waits for the disk.
+    const termRecords = this.follow(req.term, req.leader);
+    const hint = this.findConflict(req);
+    if (hint !== undefined) {
+      await this.persistTerm(termRecords);
+      return this.createAppendRes(false, hint);
     }
-    this.entries.append(newEntries);
-    this.logVoterSet();
-    const match = req.prevIndex + req.entries.length;
+    const entryRecords = this.appendNew(req.entries);
     // Sync even if no entry is new: the write of an earlier copy of these entries may still be pending.
-    await this.persist(
-      ...(newEntries.length > 0 ? [{ kind: 'entries', entries: newEntries } as const] : []),
-    );
+    await this.persist(...termRecords, ...entryRecords);
     if (req.term !== this.term) {
       return this.createAppendRes(false, this.entries.lastIndex);
     }
+    const match = req.prevIndex + req.entries.length;
     this.commitTo(Math.min(req.commit, match));
     if (this.commitIndex >= req.commit) {
       this.caughtUpAt = this.options.clock.now();
@@ -176,19 +166,21 @@
     if (this.stopped || req.term < this.term) {
       return this.createAppendRes(false, this.entries.lastIndex);
     }
-    await this.follow(req.term, req.leader);
+    const termRecords = this.follow(req.term, req.leader);
     if (req.lastIndex <= this.commitIndex) {
       // An earlier copy of this snapshot may still be on its way to the disk.
-      await this.persist();
+      await this.persist(...termRecords);
       return { ...this.createAppendRes(true, this.commitIndex), match: this.commitIndex };
     }
     const snapshot: wals.Snapshot = req;
+    const persisting = this.persistTerm(termRecords);
     this.entries.resetTo(snapshot);
     this.logVoterSet();
     this.options.machine.restore(req.state);
     this.commitIndex = req.lastIndex;
     this.appliedIndex = req.lastIndex;
     try {
+      await persisting;
       await this.options.wal.compact(snapshot, () => this.getLogState());
     } catch (err) {
       // The state in memory is now ahead of the disk, which must not be acknowledged.
@@ -201,16 +193,12 @@
     return { ...this.createAppendRes(true, req.lastIndex), match: req.lastIndex };
   }
 
-  /** Adopts a term and the vote granted in it. Resolves once both are on disk, so that no response precedes them. */
+  /**
+   * Adopts a later term and the vote granted in it; has no effect on an earlier one. Resolves once both are on disk, so
+   * that no response precedes them.
+   */
   public async adoptTerm(term: number, votedFor: string | null): Promise<void> {
-    if (term > this.term) {
-      this.leadership?.stop('higher term');
-      this.leadership = undefined;
-      this.leader = undefined;
-    }
-    this.term = term;
-    this.votedFor = votedFor;
-    await this.persist({ kind: 'vote', term, votedFor });
+    await this.persist(...(term > this.term ? [this.enterTerm(term, votedFor)] : []));
   }
 
   /** Appends records to the write-ahead log. A voter whose disk fails stops, since it can't make anything durable. */
@@ -278,15 +266,62 @@
     this.changed.notify();
   }
 
-  private async follow(term: number, leader: string): Promise<void> {
-    this.recordLeaderContact();
+  /** Enters a term in memory; returns the record that must be on disk before any response to the request. */
+  private enterTerm(term: number, votedFor: string | null): wals.WalRecord {
     if (term > this.term) {
-      await this.adoptTerm(term, null);
+      this.leadership?.stop('higher term');
+      this.leadership = undefined;
+      this.leader = undefined;
     }
+    this.term = term;
+    this.votedFor = votedFor;
+    return { kind: 'vote', term, votedFor };
+  }
+
+  /** Follows a leader; returns the records that must be on disk before any response to it. */
+  private follow(term: number, leader: string): wals.WalRecord[] {
+    this.recordLeaderContact();
+    const records = term > this.term ? [this.enterTerm(term, null)] : [];
     if (this.leader !== leader) {
       this.leader = leader;
       this.changed.notify();
     }
+    return records;
+  }
+
+  private async persistTerm(records: readonly wals.WalRecord[]): Promise<void> {
+    if (records.length > 0) {
+      await this.persist(...records);
+    }
+  }
+
+  /** The index after which the leader has to resume, if its entries don't follow the log here. */
+  private findConflict(req: types.AppendReq): number | undefined {
+    if (this.entries.findTerm(req.prevIndex) !== req.prevTerm) {
+      this.logRefusal(req);
+      const hint = Math.min(req.prevIndex - 1, this.entries.lastIndex);
+      return Math.max(hint, this.commitIndex);
+    }
+    const firstNew = this.findFirstNew(req.entries);
+    return firstNew !== undefined && firstNew.index <= this.commitIndex
+      ? this.commitIndex
+      : undefined;
+  }
+
+  private findFirstNew(entries: readonly types.Entry[]): types.Entry | undefined {
+    return entries.find((entry) => this.entries.findTerm(entry.index) !== entry.term);
+  }
+
+  /** Appends the entries that the log lacks in memory; returns the records to persist. */
+  private appendNew(entries: readonly types.Entry[]): wals.WalRecord[] {
+    const firstNew = this.findFirstNew(entries);
+    if (firstNew === undefined) {
+      return [];
+    }
+    const newEntries = entries.slice(entries.indexOf(firstNew));
+    this.entries.append(newEntries);
+    this.logVoterSet();
+    return [{ kind: 'entries', entries: newEntries }];
   }
 
   private recordLeaderContact(): void {
--- /dev/null
+++ b/packages/consensus/tests/overlapping-writes.test.ts
@@ -0,0 +1,41 @@
+import * as tap from 'tap';
+
+import * as followers from './support/follower.js';
+
+const { createAppend, createEntries } = followers;
+
+void tap.default.test(
+  'an append whose leader was deposed while the disk stood still',
+  async (t) => {
+    // Guards against the loss of acknowledged entries, which an older leader's append would truncate.
+    const { clock, disk, files, voter } = await followers.startFollower();
+    await voter.handleAppend(createAppend(1, { index: 0, term: 0 }, createEntries(1, 1, 10)));
+    disk.hold('sync');
+    const older = voter.handleAppend(
+      createAppend(2, { index: 10, term: 1 }, createEntries(2, 11, 12)),
+    );
+    await clock.advance(2 * followers.ELECTION_MS);
+    const [, , candidate] = followers.VOTERS;
+    const vote = voter.handleVote({
+      pre: false,
+      term: 3,
+      candidate: candidate!,
+      lastIndex: 10,
+      lastTerm: 1,
+    });
+    const newer = voter.handleAppend(
+      createAppend(3, { index: 10, term: 1 }, createEntries(3, 11, 14)),
+    );
+    await disk.releaseAll();
+    t.match(await older, { ok: false }, 'the older append is refused');
+    t.match(await newer, { ok: true, match: 14 });
+    await vote;
+    t.equal(voter.entries.lastIndex, 14);
+    const durable = await followers.readDurableTerms(files);
+    t.same(
+      [11, 12, 13, 14].map((index) => durable.get(index)),
+      [3, 3, 3, 3],
+      'on the disk',
+    );
+  },
+);
