--- a/packages/consensus/src/entry-log.ts
+++ b/packages/consensus/src/entry-log.ts
@@ -61,6 +61,15 @@
     return this.find(index)?.term;
   }
 
+  /** The term of an entry; throws if the log does not contain it. */
+  public getTerm(index: number): number {
+    const term = this.findTerm(index);
+    if (term === undefined) {
+      throw new Error(`entry ${index} is missing`);
+    }
+    return term;
+  }
+
   /** An entry, or `undefined` if the log does not contain it. */
   public find(index: number): types.Entry | undefined {
     return this.entries[index - this.base.index - 1];
@@ -127,9 +136,12 @@
 
   /**
    * Discards the entries up to an index, which a snapshot covers, except for up to `maxCount` entries of up to `maxBytes`
-   * bytes before it.
+   * bytes before it. Has no effect if the log begins after this index: a later snapshot has replaced it meanwhile.
    */
   public compact(index: number, maxCount: number, maxBytes: number): void {
+    if (index <= this.base.index) {
+      return;
+    }
     let kept = index;
     while (
       kept > Math.max(this.base.index, index - maxCount) &&
@@ -141,9 +153,9 @@
   }
 
   private discardTo(index: number): void {
-    const term = this.findTerm(index) ?? this.base.term;
+    const term = this.getTerm(index);
     const voterSet = this.getVoterSetAt(index);
-    const dropped = Math.max(0, index - this.base.index);
+    const dropped = index - this.base.index;
     this.entries = this.entries.slice(dropped);
     this.sizes = this.sizes.slice(dropped);
     this.base = { index, term, seating: voterSet };
--- a/packages/consensus/src/replicator.ts
+++ b/packages/consensus/src/replicator.ts
@@ -228,7 +228,7 @@
       term,
       leader: voter.daemonId,
       lastIndex,
-      lastTerm: voter.entries.findTerm(lastIndex) ?? 0,
+      lastTerm: voter.entries.getTerm(lastIndex),
       voters: voterSet.seats,
       formerVoters: voterSet.former,
       state: structuredClone(voter.options.machine.getSnapshot()),
--- a/packages/consensus/src/voter.ts
+++ b/packages/consensus/src/voter.ts
@@ -402,7 +402,7 @@
     const voterSet = this.entries.getVoterSetAt(lastIndex);
     const snapshot: wals.Snapshot = {
       lastIndex,
-      lastTerm: this.entries.findTerm(lastIndex) ?? 0,
+      lastTerm: this.entries.getTerm(lastIndex),
       voters: voterSet.seats,
       formerVoters: voterSet.former,
       state: structuredClone(this.options.machine.getSnapshot()),
--- a/packages/consensus/tests/overlapping-writes.test.ts
+++ b/packages/consensus/tests/overlapping-writes.test.ts
@@ -39,3 +39,22 @@
     );
   },
 );
+
+void tap.default.test('a snapshot that arrives while the log is compacted', async (t) => {
+  // Guards against a follower that refuses all later entries, since its log ends before its commit index.
+  for (const lastIndex of [6, 100]) {
+    const { disk, files, state, voter } = await followers.startFollower({ snapshotEvery: 5 });
+    disk.hold('replace');
+    await voter.handleAppend(createAppend(1, { index: 0, term: 0 }, createEntries(1, 1, 5), 5));
+    t.equal(disk.waitingCount, 1, 'the compaction waits for the disk');
+    const snapshot = voter.handleSnapshot(followers.createSnapshot(1, lastIndex));
+    await disk.releaseAll();
+    t.match(await snapshot, { ok: true, match: lastIndex });
+    const next = createEntries(1, lastIndex + 1, lastIndex + 3);
+    const append = createAppend(1, { index: lastIndex, term: 1 }, next, lastIndex + 3);
+    t.match(await voter.handleAppend(append), { ok: true, match: lastIndex + 3 });
+    t.equal(state.applied.length, lastIndex + 3, 'all commands are applied');
+    const durable = await followers.readDurableTerms(files);
+    t.equal(durable.size, lastIndex + 3, 'and on the disk');
+  }
+});
