--- a/packages/consensus/src/voter.ts
+++ b/packages/consensus/src/voter.ts
@@ -64,6 +64,8 @@
   public caughtUpAt = -Infinity;
   private votedFor: string | null;
   private compacting = false;
+  /** The snapshot from a leader that is being stored. */
+  private storing: { readonly lastIndex: number; readonly done: Promise<void> } | undefined;
   private compactsAt = -Infinity;
   private loggedVoterSet = '';
   private refusalLoggedAt = -Infinity;
@@ -166,30 +168,15 @@
     if (this.stopped || req.term < this.term) {
       return this.createAppendRes(false, this.entries.lastIndex);
     }
-    const termRecords = this.follow(req.term, req.leader);
-    if (req.lastIndex <= this.commitIndex) {
-      // An earlier copy of this snapshot may still be on its way to the disk.
-      await this.persist(...termRecords);
-      return { ...this.createAppendRes(true, this.commitIndex), match: this.commitIndex };
-    }
-    const snapshot: wals.Snapshot = req;
-    const persisting = this.persistTerm(termRecords);
-    this.entries.resetTo(snapshot);
-    this.logVoterSet();
-    this.options.machine.restore(req.state);
-    this.commitIndex = req.lastIndex;
-    this.appliedIndex = req.lastIndex;
-    try {
-      await persisting;
-      await this.options.wal.compact(snapshot, () => this.getLogState());
-    } catch (err) {
-      // The state in memory is now ahead of the disk, which must not be acknowledged.
-      this.options.log.error({ step: 'store-snapshot', err: schemas.toError(err).message });
-      this.stop();
-      throw err;
+    await Promise.all([
+      this.persistTerm(this.follow(req.term, req.leader)),
+      req.lastIndex > this.commitIndex ? this.storeSnapshot(req) : undefined,
+    ]);
+    // The entries that it covers may be applied here, but still be on their way to the disk.
+    await this.persist();
+    if (req.term !== this.term || req.lastIndex > this.commitIndex) {
+      return this.createAppendRes(false, this.entries.lastIndex);
     }
-    this.options.log.info({ event: 'snapshot-stored', ...this.describeLog() });
-    this.changed.notify();
     return { ...this.createAppendRes(true, req.lastIndex), match: req.lastIndex };
   }
 
@@ -289,6 +276,54 @@
     return records;
   }
 
+  /**
+   * Stores a snapshot from the leader. The log and the state here are replaced only once it is on the disk. If memory
+   * were ahead meanwhile, entries that follow the snapshot would be acknowledged, and a compaction would rewrite the
+   * log's file without the entries before it; both are lost if the snapshot can't be stored or the power fails.
+   */
+  private async storeSnapshot(snapshot: types.SnapshotReq): Promise<void> {
+    const { storing } = this;
+    if (storing !== undefined && storing.lastIndex >= snapshot.lastIndex) {
+      // A leader without an answer sends it again; on a disk that stands still, each copy would take memory.
+      await storing.done;
+      return;
+    }
+    const done = this.options.wal.compact(snapshot, () => this.install(snapshot));
+    this.storing = { lastIndex: snapshot.lastIndex, done };
+    try {
+      await done;
+    } catch (err) {
+      const isUnchanged = err instanceof fileStorage.UnchangedFileError;
+      this.options.log.error({ step: 'store-snapshot', err: schemas.toError(err).message });
+      if (!isUnchanged) {
+        this.stop();
+      }
+      throw err;
+    } finally {
+      this.finishStoring(done);
+    }
+    this.options.log.info({ event: 'snapshot-stored', ...this.describeLog() });
+  }
+
+  private finishStoring(done: Promise<void>): void {
+    if (this.storing?.done === done) {
+      this.storing = undefined;
+    }
+  }
+
+  /** Replaces the log and the state by a snapshot, unless this voter has come further while it was stored. */
+  private install(snapshot: types.SnapshotReq): wals.LogState {
+    if (snapshot.lastIndex > this.commitIndex) {
+      this.entries.resetTo(snapshot);
+      this.logVoterSet();
+      this.options.machine.restore(snapshot.state);
+      this.commitIndex = snapshot.lastIndex;
+      this.appliedIndex = snapshot.lastIndex;
+      this.changed.notify();
+    }
+    return this.getLogState();
+  }
+
   private async persistTerm(records: readonly wals.WalRecord[]): Promise<void> {
     if (records.length > 0) {
       await this.persist(...records);
@@ -436,12 +471,12 @@
     );
   }
 
-  private compactLogState(index: number) {
+  private compactLogState(index: number): wals.LogState {
     this.entries.compact(index, RETAINED_ENTRIES, RETAINED_BYTES);
     return this.getLogState();
   }
 
-  private getLogState() {
+  private getLogState(): wals.LogState {
     const first = this.entries.baseIndex + 1;
     const entries = this.entries.slice(first);
     return { term: this.term, votedFor: this.votedFor, entries };
--- a/packages/consensus/src/wal.ts
+++ b/packages/consensus/src/wal.ts
@@ -22,6 +22,13 @@
   readonly state: unknown;
 }
 
+/** What the log's file holds: the term, the vote granted in it, and the entries. */
+export interface LogState {
+  readonly term: number;
+  readonly votedFor: string | null;
+  readonly entries: readonly types.Entry[];
+}
+
 /** The durable state of a voter, as recovered after a restart. */
 export interface RecoveredState {
   term: number;
@@ -37,6 +44,8 @@
   private tail: Promise<void> = Promise.resolve();
   private failed: Error | undefined;
   private fileBytes = 0;
+  /** The last index that the snapshot file covers. */
+  private snapshotIndex = 0;
 
   public constructor(private readonly files: fileStorage.FileStorage) {}
 
@@ -63,6 +72,7 @@
     await this.files.sync(WAL_FILE);
     (batches as WalRecord[][]).flat().forEach((record) => replay(state, record));
     const base = state.snapshot?.lastIndex ?? 0;
+    this.snapshotIndex = base;
     state.entries = state.entries.filter((entry) => entry.index > base);
     return state;
   }
@@ -80,25 +90,32 @@
   }
 
   /**
-   * Stores a snapshot and rewrites the log with what `getLogState` returns. Records that are queued meanwhile are
-   * written after it. They may repeat entries of the rewritten log; replaying a record twice has no effect. Throws an
-   * `UnchangedFileError` if the disk has no space for it; the log can then be appended to as before.
+   * Stores a snapshot, then rewrites the log with what `getLogState` returns at that moment. Records that are queued
+   * meanwhile are written after it. They may repeat entries of the rewritten log; replaying a record twice has no
+   * effect. Throws an `UnchangedFileError` if the disk has no space for it; the log can then be appended to as before.
    */
-  public async compact(
-    snapshot: Snapshot,
-    getLogState: () => { term: number; votedFor: string | null; entries: readonly types.Entry[] },
-  ): Promise<void> {
-    await this.enqueue(() => this.files.replace(SNAPSHOT_FILE, batchFrame.encodeBatch(snapshot)));
-    await this.enqueue(async () => {
-      const { term, votedFor, entries } = getLogState();
-      const records: WalRecord[] = [
-        { kind: 'vote', term, votedFor },
-        { kind: 'entries', entries },
-      ];
-      const bytes = batchFrame.encodeBatch(records);
-      await this.files.replace(WAL_FILE, bytes);
-      this.fileBytes = bytes.length;
-    });
+  public async compact(snapshot: Snapshot, getLogState: () => LogState): Promise<void> {
+    await this.enqueue(() => this.storeSnapshot(snapshot));
+    await this.enqueue(() => this.rewriteLog(getLogState()));
+  }
+
+  private async storeSnapshot(snapshot: Snapshot): Promise<void> {
+    // A later snapshot may have been stored while this one waited. The log may no longer hold the entries between them.
+    if (snapshot.lastIndex <= this.snapshotIndex) {
+      return;
+    }
+    await this.files.replace(SNAPSHOT_FILE, batchFrame.encodeBatch(snapshot));
+    this.snapshotIndex = snapshot.lastIndex;
+  }
+
+  private async rewriteLog({ term, votedFor, entries }: LogState): Promise<void> {
+    const records: WalRecord[] = [
+      { kind: 'vote', term, votedFor },
+      { kind: 'entries', entries },
+    ];
+    const bytes = batchFrame.encodeBatch(records);
+    await this.files.replace(WAL_FILE, bytes);
+    this.fileBytes = bytes.length;
   }
 
   private enqueue(work: () => Promise<void>): Promise<void> {
--- a/packages/consensus/tests/overlapping-writes.test.ts
+++ b/packages/consensus/tests/overlapping-writes.test.ts
@@ -1,6 +1,7 @@
 import * as tap from 'tap';
 
 import * as followers from './support/follower.js';
+import * as heldDisks from './support/held-disk.js';
 
 const { createAppend, createEntries } = followers;
 
@@ -58,3 +59,73 @@
     t.equal(durable.size, lastIndex + 3, 'and on the disk');
   }
 });
+
+void tap.default.test('a snapshot for which the disk has no space', async (t) => {
+  // Guards against a second copy that is acknowledged though the first one was never stored.
+  const { disk, files, state, voter } = await followers.startFollower();
+  await voter.handleAppend(createAppend(1, { index: 0, term: 0 }, createEntries(1, 1, 5), 5));
+  disk.hold('replace');
+  disk.freeBytes = 500;
+  const copies = [1, 2].map(() =>
+    voter.handleSnapshot(followers.createSnapshot(1, 100)).catch(() => ({ ok: false })),
+  );
+  const next = voter
+    .handleAppend(createAppend(1, { index: 100, term: 1 }, createEntries(1, 101, 103)))
+    .catch(() => ({ ok: false }));
+  await disk.releaseAll();
+  const answers = await Promise.all([...copies, next]);
+  const durable = await followers.readDurableTerms(files);
+  t.equal(durable.size, 5, 'the disk holds what it held before');
+  t.same(
+    answers.map(({ ok }) => ok),
+    [false, false, false],
+    'nothing else is acknowledged',
+  );
+  t.equal(state.applied.length, 5, 'the state is that of the disk');
+  t.equal(voter.stopped, false, 'the voter goes on');
+  disk.freeBytes = Infinity;
+  t.match(await voter.handleSnapshot(followers.createSnapshot(1, 100)), { ok: true, match: 100 });
+  t.equal((await followers.readDurableTerms(files)).size, 100);
+});
+
+void tap.default.test('a power failure while a snapshot waits for the disk', async (t) => {
+  // Guards against the loss of acknowledged entries, when a compaction rewrites the log without them before the snapshot
+  // that covers them is stored.
+  const { disk, files, voter } = await followers.startFollower({ snapshotEvery: 5 });
+  disk.hold('replace');
+  await voter.handleAppend(createAppend(1, { index: 0, term: 0 }, createEntries(1, 1, 5), 5));
+  disk.hold('sync', 'replace');
+  const later = voter.handleAppend(createAppend(1, { index: 5, term: 1 }, createEntries(1, 6, 8)));
+  await heldDisks.settle();
+  // The compaction's snapshot is stored, and the rewrite of the log waits behind the append.
+  await disk.releaseOne();
+  const snapshot = voter.handleSnapshot(followers.createSnapshot(1, 100));
+  let acknowledged = 5;
+  void later.then(({ match }) => {
+    acknowledged = match;
+  });
+  while (disk.waitingCount > 0) {
+    await disk.releaseOne();
+    const durable = await followers.readDurableTerms(files);
+    t.ok(durable.size >= acknowledged, `${durable.size} of ${acknowledged} entries are left`);
+  }
+  t.match(await later, { ok: true, match: 8 });
+  t.match(await snapshot, { ok: true, match: 100 });
+});
+
+void tap.default.test('a compaction that waits behind a later snapshot', async (t) => {
+  // Guards against the loss of the entries between two snapshots, of which the earlier one is stored last.
+  const { disk, files, voter } = await followers.startFollower({ snapshotEvery: 5 });
+  await voter.handleAppend(createAppend(1, { index: 0, term: 0 }, createEntries(1, 1, 5)));
+  disk.hold('sync', 'replace');
+  const commit = voter.handleAppend(createAppend(1, { index: 5, term: 1 }, [], 5));
+  const snapshot = voter.handleSnapshot(followers.createSnapshot(1, 100));
+  await heldDisks.settle();
+  while (disk.waitingCount > 0) {
+    await disk.releaseOne();
+  }
+  t.match(await commit, { ok: true });
+  t.match(await snapshot, { ok: true, match: 100 });
+  const durable = await followers.readDurableTerms(files);
+  t.equal(durable.size, 100, 'the acknowledged entries are on the disk');
+});
--- a/packages/consensus/tests/support/held-disk.ts
+++ b/packages/consensus/tests/support/held-disk.ts
@@ -6,7 +6,8 @@
 
 /** A disk whose operations wait until they are released, and which may have no space. */
 export class HeldDisk implements consensus.FileStorage {
-  public isFull = false;
+  /** Size of the largest write for which there is space, in bytes. */
+  public freeBytes = Infinity;
   private held: readonly DiskOperation[] = [];
   private waiting: (() => void)[] = [];
 
@@ -41,7 +42,7 @@
 
   public async append(name: string, bytes: Buffer): Promise<void> {
     await this.pass('append');
-    if (this.isFull) {
+    if (bytes.length > this.freeBytes) {
       throw createNoSpace();
     }
     await this.files.append(name, bytes);
@@ -58,7 +59,7 @@
 
   public async replace(name: string, bytes: Buffer): Promise<void> {
     await this.pass('replace');
-    if (this.isFull) {
+    if (bytes.length > this.freeBytes) {
       throw new consensus.UnchangedFileError(name, createNoSpace());
     }
     await this.files.replace(name, bytes);
