Refuse entries of a leadership that has ended

Operators could lose configurations that had been acknowledged, after a leader was deposed while it changed the voters.

Cause: a membership change waits for peers (barrier, commit of the joint set, new voters) and then appends the next voter set. The wait ends in one turn of the microtask queue and the change goes on in a later one; if the next leader's entries came in between, the entry of the ended leadership was appended behind them. The last term of the log then was the earlier one, so that this voter granted votes to candidates without entries that it had acknowledged, and a voter set was in force here that nobody else had.

Change: the check whether the leadership is active and the append are one step, for every kind of entry.

--- a/packages/consensus/src/leadership.ts
+++ b/packages/consensus/src/leadership.ts
@@ -260,7 +260,15 @@
     }
   }
 
+  /**
+   * Appends an entry, and checks in the same step that this voter still leads: a membership change waits for peers and
+   * may go on after another leader has taken over. Behind its entries, one of this term would lower the last term of the
+   * log, and the voter would vote for candidates that lack what it has acknowledged.
+   */
   private append(kind: types.Entry['kind'], data: unknown): types.Entry {
+    if (!this.active) {
+      throw createNotLeader();
+    }
     const index = this.voter.entries.lastIndex + 1;
     const entry: types.Entry = { index, term: this.term, kind, data };
     this.voter.entries.append([entry]);
