Give up an election when the leader has answered meanwhile

Two core hosts could hold a lease at once, so that one of them read back an older configuration.

Cause: a voter whose leader is silent collects pre-votes and then enters the next term, if its term is still the same. A heartbeat that arrives in between doesn't change the term. The voter acknowledges it, which extends the leader's lease by its promise not to vote, and then votes for itself. With the votes of others that have heard nothing it leads while the lease still runs.

Evidence: the new test holds the pre-votes back, sends a heartbeat and lets them go. After: it stays in term 1, and holds its election once the leader is silent.

Change: an election ends if the voter has had contact with a leader since it began. Votes are not concerned: handleVote checks and votes in one step.

--- a/packages/consensus/src/run-elections.ts
+++ b/packages/consensus/src/run-elections.ts
@@ -51,6 +51,7 @@
 }
 
 async function runElection(voter: voters.Voter): Promise<VoteTally> {
+  const { lastLeaderContactAt } = voter;
   const term = voter.term + 1;
   // Without a pre-vote, a voter behind a one-way partition would keep raising the term
   // and depose a leader that still reaches the majority.
@@ -58,6 +59,11 @@
   if (!preVote.hasMajority || voter.term + 1 !== term || voter.stopped) {
     return preVote;
   }
+  // The pre-votes may have taken long. Who has acknowledged a heartbeat since has extended the leader's lease, and its own
+  // vote for itself could make it a second leader within that lease.
+  if (voter.lastLeaderContactAt !== lastLeaderContactAt) {
+    return preVote;
+  }
   await voter.adoptTerm(term, voter.voterId);
   const tally = await collectVotes(voter, term, false);
   if (tally.hasMajority && voter.term === term && !voter.stopped) {
