Test for comments in an event stream in linear time

Cause: the pattern that tells lines of comments from events repeats a group whose line feed is optional, so that a line with n colons splits in 2^(n-1) ways. All of them are tried when a line without a leading colon follows, for each event, on the only thread of the process.

Change: in the new pattern each line can match in one way only.

--- a/packages/requests/src/sse-event-splitter.ts
+++ b/packages/requests/src/sse-event-splitter.ts
@@ -5,8 +5,8 @@
 /** The line with the identifier of an event. */
 const ID_LINE = /^id: ?(.*)$/m;
 
-/** What holds no event: lines of comments only. */
-const COMMENTS = /^(?::.*\n?)+$/;
+/** What holds no event: lines of comments only. Each line can match in one way only, so a test takes linear time. */
+const COMMENTS = /^:[^\n\r]*(?:\n:[^\n\r]*)*\n?$/;
 
 /** Returns the number of complete events in bytes of a stream. */
 export function countSseEvents(bytes: Buffer): number {
