--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -1,5 +1,6 @@
 import * as airbnb from 'eslint-config-airbnb-extended';
 import prettier from 'eslint-config-prettier';
+import * as regexp from 'eslint-plugin-regexp';
 import * as tseslint from 'typescript-eslint';
 
 export default tseslint.config(
@@ -10,6 +11,14 @@
   airbnb.plugins.typescriptEslint,
   ...airbnb.extensions.base.typescript,
   airbnb.rules.typescript.typescriptEslint ?? {},
+  {
+    // A pattern that backtracks may take time by the power of the text that it tests, on the only thread of the process.
+    plugins: { regexp },
+    rules: {
+      'regexp/no-super-linear-backtracking': ['error', { report: 'potential' }],
+      'regexp/no-super-linear-move': ['error', { report: 'potential' }],
+    },
+  },
   {
     files: ['packages/**/*.ts', 'platform/**/*.ts'],
     languageOptions: { parserOptions: { projectService: true } },
--- a/packages/cli/src/team-shares.ts
+++ b/packages/cli/src/team-shares.ts
@@ -10,7 +10,7 @@
 const SAMPLE = /^bramleyridge_team_calls_total\{(.*)\} (\S+)/;
 
 /** A label in the text format, whose value may contain escaped characters. */
-const LABEL = /(\w+)="((?:[^"\\]|\\.)*)"/g;
+const LABEL = /\b(\w+)="((?:[^"\\]|\\.)*)"/g;
 
 /** Calls of one team and priority that asked for capacity of one service, since the core hosts started. */
 export interface TeamCalls {
