Divide the slots of upstreams without enumerating them

Cause: getOwnedSlots builds a list with one element for each slot that the list of upstreams names. The number is whatever the entry says, and entries may come from other writers. An entry of 40 bytes with 3,000,000,000 slots fills the memory of the process.

Evidence: the new test ends with 'JavaScript heap out of memory' after 5 s on the code before (heap of 500 MB), and passes after, with each slot owned once.

Change: slots are ranges, and a host's part is computed. The other numbers that peers, operators, callers and upstreams send were read through: none is a bound of a loop or the length of a list beside this one.

--- a/packages/scheduling/src/owned-slots.ts
+++ b/packages/scheduling/src/owned-slots.ts
@@ -30,21 +30,37 @@
   const sorted = [...upstreams].sort((left, right) =>
     left.upstreamId < right.upstreamId ? -1 : 1,
   );
-  const slots = sorted.flatMap(({ slots: count, upstreamId }) =>
-    Array.from({ length: Math.max(1, Math.floor(count)) }, () => upstreamId),
-  );
-  const owned = new Map<string, number>();
-  const add = (upstreamId: string | undefined) => {
-    if (upstreamId !== undefined) {
-      owned.set(upstreamId, (owned.get(upstreamId) ?? 0) + 1);
-    }
-  };
-  if (slots.length >= hosts) {
-    slots.filter((_, slot) => slot % hosts === index % hosts).forEach(add);
-    return owned;
+  const ranges = listRanges(sorted);
+  const total = ranges.at(-1)?.end ?? 0;
+  if (total >= hosts) {
+    const place = index % hosts;
+    return new Map(
+      ranges
+        .map(({ end, start, upstreamId }) => {
+          const count = countUntil(end, place, hosts) - countUntil(start, place, hosts);
+          return [upstreamId, count] as const;
+        })
+        .filter(([, count]) => count > 0),
+    );
   }
   const period = Math.floor(timeOfDayMs / PERIOD_MS);
   const isUsed = timeOfDayMs % PERIOD_MS < PERIOD_MS * USED_PART;
-  add(isUsed ? slots[(index + period * slots.length) % hosts] : undefined);
-  return owned;
+  const slot = (index + period * total) % hosts;
+  const owner = ranges.find(({ end }) => slot < end);
+  return new Map(isUsed && owner !== undefined ? [[owner.upstreamId, 1]] : []);
+}
+
+/** Numbers the slots of all upstreams consecutively. A list may name any number of slots, so they are not enumerated. */
+function listRanges(upstreams: readonly SlottedUpstream[]) {
+  let end = 0;
+  return upstreams.map(({ slots, upstreamId }) => {
+    const start = end;
+    end += Math.max(1, Math.floor(slots));
+    return { upstreamId, start, end };
+  });
+}
+
+/** Returns how many of the slots below `end` belong to the host at a place. */
+function countUntil(end: number, place: number, hosts: number): number {
+  return Math.max(0, Math.ceil((end - place) / hosts));
 }
--- a/packages/scheduling/tests/owned-slots.test.ts
+++ b/packages/scheduling/tests/owned-slots.test.ts
@@ -60,3 +60,24 @@
 void tap.default.test('slots that change their owner rest before', async (t) => {
   t.equal(sumOwned(createUpstreams(1, 2), 10, 3_500).size, 0);
 });
+
+void tap.default.test('upstreams with any number of slots are divided', async (t) => {
+  // Guards against a host that enumerates as many slots as an entry of the list names, and does nothing else meanwhile.
+  const upstreams = [
+    { upstreamId: 'a', slots: 3 },
+    { upstreamId: 'b', slots: 3_000_000_000 },
+    { upstreamId: 'c', slots: 5 },
+  ];
+  const hosts = 7;
+  const parts = Array.from({ length: hosts }, (_, index) =>
+    scheduling.getOwnedSlots(upstreams, { hosts, index }, 0),
+  );
+  upstreams.forEach(({ slots, upstreamId }) => {
+    const owned = parts.map((part) => part.get(upstreamId) ?? 0);
+    t.equal(
+      owned.reduce((sum, count) => sum + count, 0),
+      slots,
+      `each slot of ${upstreamId} has one owner`,
+    );
+  });
+});
