Join the parts of a tunnel's chunk once

Cause: the near end of a tunnel joined what it held with each part that arrived, while the chunk was incomplete. A chunk of 1 MB in small parts takes time by the square of their number.

Change: frames and chunks share one queue of bytes that joins them when a message is complete.

--- a/packages/peers/src/frame.ts
+++ b/packages/peers/src/frame.ts
@@ -2,6 +2,8 @@
 
 import * as schemas from '@bramleyridge/schemas';
 
+import * as byteQueues from './byte-queue.js';
+
 /** Size of a frame's length prefix. */
 const LENGTH_BYTES = 4;
 
@@ -49,56 +51,42 @@
 /** Buffers the bytes received on a connection and decodes complete frames. */
 export class FrameReader {
   private readonly packr = createPackr();
-  /** Received bytes that belong to no complete frame yet; joined only when a frame is complete. */
-  private chunks: Buffer[] = [];
-  private length = 0;
+  private readonly pending = new byteQueues.ByteQueue();
 
   /** Returns the bytes that follow the last frame; no more frames are read after it. */
   public takeRest(): Buffer {
-    const rest = Buffer.concat(this.chunks);
-    this.chunks = [];
-    this.length = 0;
-    return rest;
+    return this.pending.take();
   }
 
   /** Whether a frame has begun to arrive. */
   public isInFrame(): boolean {
-    return this.length > 0;
+    return this.pending.length > 0;
   }
 
   /** Appends bytes and yields every frame that is now complete. */
   public *push(bytes: Buffer): Generator<Frame> {
-    this.chunks.push(bytes);
-    this.length += bytes.length;
-    while (this.length >= LENGTH_BYTES) {
-      const end = LENGTH_BYTES + this.readFrameLength();
-      if (this.length < end) {
+    this.pending.push(bytes);
+    for (;;) {
+      const length = this.pending.peekLength();
+      if (length === undefined) {
         return;
       }
-      const joined = this.join();
-      this.chunks = joined.length > end ? [joined.subarray(end)] : [];
-      this.length -= end;
-      yield this.packr.unpack(joined.subarray(LENGTH_BYTES, end)) as Frame;
-    }
-  }
-
-  private readFrameLength(): number {
-    const first = this.chunks[0]!;
-    const head = first.length >= LENGTH_BYTES ? first : this.join();
-    const length = head.readUInt32BE(0);
-    if (length > MAX_FRAME_BYTES) {
-      throw new schemas.StepError({
-        id: 'frameTooLarge',
-        step: 'read-frame',
-        args: [length, MAX_FRAME_BYTES],
-      });
+      checkLength(length);
+      const end = LENGTH_BYTES + length;
+      if (this.pending.length < end) {
+        return;
+      }
+      yield this.packr.unpack(this.pending.take(end).subarray(LENGTH_BYTES)) as Frame;
     }
-    return length;
   }
+}
 
-  private join(): Buffer {
-    const joined = this.chunks.length === 1 ? this.chunks[0]! : Buffer.concat(this.chunks);
-    this.chunks = [joined];
-    return joined;
+function checkLength(length: number): void {
+  if (length > MAX_FRAME_BYTES) {
+    throw new schemas.StepError({
+      id: 'frameTooLarge',
+      step: 'read-frame',
+      args: [length, MAX_FRAME_BYTES],
+    });
   }
 }
--- a/packages/peers/src/tunnel-socket.ts
+++ b/packages/peers/src/tunnel-socket.ts
@@ -1,6 +1,7 @@
 import type * as net from 'node:net';
 import * as stream from 'node:stream';
 
+import * as byteQueues from './byte-queue.js';
 import * as tunnelMessages from './tunnel-messages.js';
 
 /**
@@ -10,7 +11,7 @@
 export class TunnelSocket extends stream.Duplex {
   /** Number of bytes that the upstream has sent. */
   public bytesRead = 0;
-  private pending: Buffer;
+  private readonly pending = new byteQueues.ByteQueue();
   private hasEnded = false;
 
   /** Takes over a connection to the peer; `rest` holds the bytes that arrived after the peer's answer. */
@@ -19,11 +20,10 @@
     rest: Buffer,
   ) {
     super({ allowHalfOpen: false });
-    this.pending = rest;
     socket.on('data', (bytes: Buffer) => this.receive(bytes));
     socket.on('error', (err) => this.destroy(err));
     socket.on('close', () => this.handleClose());
-    this.decode();
+    this.receive(rest);
   }
 
   /** Lets the process end while the connection is open. */
@@ -61,24 +61,21 @@
   }
 
   private receive(bytes: Buffer): void {
-    this.pending = this.pending.length === 0 ? bytes : Buffer.concat([this.pending, bytes]);
-    this.decode();
-  }
-
-  private decode(): void {
-    const headBytes = tunnelMessages.CHUNK_HEAD_BYTES;
-    while (this.pending.length >= headBytes && !this.hasEnded) {
-      const length = this.pending.readUInt32BE(0);
+    this.pending.push(bytes);
+    while (!this.hasEnded) {
+      const length = this.pending.peekLength();
+      if (length === undefined) {
+        return;
+      }
       if (length > tunnelMessages.MAX_CHUNK_BYTES) {
         this.destroy(createBrokenError());
         return;
       }
-      if (this.pending.length < headBytes + length) {
+      const end = tunnelMessages.CHUNK_HEAD_BYTES + length;
+      if (this.pending.length < end) {
         return;
       }
-      const chunk = this.pending.subarray(headBytes, headBytes + length);
-      this.pending = this.pending.subarray(headBytes + length);
-      this.deliver(chunk);
+      this.deliver(this.pending.take(end).subarray(tunnelMessages.CHUNK_HEAD_BYTES));
     }
   }
 
