Begin the copy of claims anew when their acceptor restarts

A peer that restarts between two pages, and recovers itself, numbers its records anew, so the pages after the cursor don't complete the copy. The acceptor took it for whole and voted without records that a majority had.

Change: a page of a later epoch than the first one ends the copy; the recovery tries again.

--- a/packages/requests/src/claim-acceptor.ts
+++ b/packages/requests/src/claim-acceptor.ts
@@ -13,6 +13,8 @@
 
 const NO_BALLOT: types.Ballot = [0, ''];
 
+const NO_EPOCH: types.AcceptorEpoch = [0, 0];
+
 interface StoredRecord extends types.ClaimRecord {
   /** Increases with each change; the cursor of a recovery refers to it. */
   sequence: number;
@@ -52,7 +54,7 @@
     this.slots = slots;
     this.slot = slot;
     this.epochs = slots.map(
-      (item, i) => types.mergeEpochs([this.epochs[i] ?? [0, 0]], [[item.since, 0]])[0]!,
+      (item, i) => types.mergeEpochs([this.epochs[i] ?? NO_EPOCH], [[item.since, 0]])[0]!,
     );
     if (slot < 0) {
       this.complete = false;
@@ -102,7 +104,7 @@
 
   /** Returns a page of the stored claims, and stores the new epoch of the slot that is recovering. */
   public handleRecover(req: types.RecoverReq): types.RecoverRes {
-    const merged = types.mergeEpochs([this.epochs[req.seat] ?? [0, 0]], [req.mark]);
+    const merged = types.mergeEpochs([this.epochs[req.seat] ?? NO_EPOCH], [req.mark]);
     this.epochs[req.seat] = merged[0]!;
     const rest = [...this.records.values()].filter((record) => record.sequence > req.cursor);
     const page = rest.slice(0, PAGE_RECORDS);
@@ -167,16 +169,18 @@
     const { transport } = this.options;
     const epoch = this.epochs[this.slot]!;
     let cursor = 0;
+    let peerEpoch: types.AcceptorEpoch | undefined;
     try {
       for (;;) {
         const res = await transport.recover(daemonId, { seat: this.slot, mark: epoch, cursor });
-        const isStale = types.isLater(
-          this.epochs[res.seat] ?? [0, 0],
-          res.marks[res.seat] ?? [0, 0],
-        );
-        if (!res.isComplete || res.seat < 0 || isStale) {
+        const resEpoch = res.marks[res.seat] ?? NO_EPOCH;
+        const isStale = types.isLater(this.epochs[res.seat] ?? NO_EPOCH, resEpoch);
+        // A peer that has restarted numbers its records anew, so that pages after this cursor don't complete the copy.
+        const hasRestarted = peerEpoch !== undefined && types.isLater(resEpoch, peerEpoch);
+        if (!res.isComplete || res.seat < 0 || isStale || hasRestarted) {
           return;
         }
+        peerEpoch = resEpoch;
         res.records.forEach((record) => this.merge(record));
         cursor = res.cursor;
         if (res.isLast) {
