Lint changes of durable state that follow a wait

A rule of our own reports assignments to an object's fields, and calls that change a log or a state, after an await in the same function, for the sources of the log and of the claims. A synchronous method that checks and changes in one step takes their place. The write-ahead log is left out, since its operations run one at a time.

Not seen by the rule: a change in a method that is called after a wait and doesn't check, and a wait at the end of a loop's body.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -3,6 +3,8 @@
 import * as regexp from 'eslint-plugin-regexp';
 import * as tseslint from 'typescript-eslint';
 
+import noChangeAfterAwait from './scripts/lint/no-change-after-await.mjs';
+
 export default tseslint.config(
   { ignores: ['**/dist/**', '**/.tap/**', 'run/**', 'target/**', 'journal/**'] },
   airbnb.plugins.stylistic,
@@ -52,5 +54,12 @@
       'no-void': ['error', { allowAsStatement: true }],
     },
   },
+  {
+    // State that survives failures. The write-ahead log is left out: its operations run one at a time.
+    files: ['packages/consensus/src/**/*.ts', 'packages/requests/src/claim-*.ts'],
+    ignores: ['packages/consensus/src/wal.ts', 'packages/consensus/src/file-storage.ts'],
+    plugins: { local: { rules: { 'no-change-after-await': noChangeAfterAwait } } },
+    rules: { 'local/no-change-after-await': 'error' },
+  },
   prettier,
 );
--- a/packages/consensus/src/leadership.ts
+++ b/packages/consensus/src/leadership.ts
@@ -330,13 +330,18 @@
     const { clock, timings } = this.voter.options;
     while (this.active) {
       await clock.sleep(timings.electionMs / 2);
-      const sinceAckMs = clock.now() - Math.max(this.getMajorityAckedAt(), this.startedAt);
-      if (this.active && sinceAckMs > 2 * timings.electionMs) {
-        this.voter.leadership = undefined;
-        this.voter.leader = undefined;
-        this.stop('no majority answers');
-        this.voter.changed.notify();
-      }
+      this.stepDownIfSilent();
+    }
+  }
+
+  private stepDownIfSilent(): void {
+    const { clock, timings } = this.voter.options;
+    const sinceAckMs = clock.now() - Math.max(this.getMajorityAckedAt(), this.startedAt);
+    if (this.active && sinceAckMs > 2 * timings.electionMs) {
+      this.voter.leadership = undefined;
+      this.voter.leader = undefined;
+      this.stop('no majority answers');
+      this.voter.changed.notify();
     }
   }
 
--- a/packages/consensus/src/replicator.ts
+++ b/packages/consensus/src/replicator.ts
@@ -97,8 +97,7 @@
         return false;
       }
       this.logRecovery();
-      this.ackedBytes += res.ok ? bytes : 0;
-      return this.handleResponse(res, sentAt, commitIndexAtSend);
+      return this.handleResponse(res, bytes, sentAt, commitIndexAtSend);
     } catch (err) {
       this.logFailure(schemas.toError(err), sentAt);
       return false;
@@ -203,11 +202,15 @@
     if (res.term > voter.term) {
       await voter.adoptTerm(res.term, null);
     } else if (res.voterId === this.slot.voterId) {
-      this.ackedAt = Math.max(this.ackedAt, sentAt);
+      this.recordAck(sentAt);
       this.leadership.advanceCommit();
     }
   }
 
+  private recordAck(sentAt: number): void {
+    this.ackedAt = Math.max(this.ackedAt, sentAt);
+  }
+
   private createAppendReq(prevIndex: number, entries: readonly types.Entry[]): types.AppendReq {
     const { term, voter } = this.leadership;
     return {
@@ -235,13 +238,19 @@
     };
   }
 
-  private handleResponse(res: types.AppendRes, sentAt: number, commitIndexAtSend: number): boolean {
+  private handleResponse(
+    res: types.AppendRes,
+    bytes: number,
+    sentAt: number,
+    commitIndexAtSend: number,
+  ): boolean {
+    this.ackedBytes += res.ok ? bytes : 0;
     // A host that lost its disk answers at the same address with a different id. The entries that its old data
     // directory acknowledged are gone, so this response must not count towards a majority.
     if (res.voterId !== this.slot.voterId) {
       return false;
     }
-    this.ackedAt = Math.max(this.ackedAt, sentAt);
+    this.recordAck(sentAt);
     if (res.ok) {
       this.matchIndex = Math.max(this.matchIndex, res.match);
       this.nextIndex = Math.max(this.nextIndex, res.match + 1);
--- a/packages/consensus/src/voter.ts
+++ b/packages/consensus/src/voter.ts
@@ -157,9 +157,7 @@
     }
     const match = req.prevIndex + req.entries.length;
     this.commitTo(Math.min(req.commit, match));
-    if (this.commitIndex >= req.commit) {
-      this.caughtUpAt = this.options.clock.now();
-    }
+    this.recordCaughtUp(req.commit);
     return { ...this.createAppendRes(true, match), match };
   }
 
@@ -282,14 +280,7 @@
    * log's file without the entries before it; both are lost if the snapshot can't be stored or the power fails.
    */
   private async storeSnapshot(snapshot: types.SnapshotReq): Promise<void> {
-    const { storing } = this;
-    if (storing !== undefined && storing.lastIndex >= snapshot.lastIndex) {
-      // A leader without an answer sends it again; on a disk that stands still, each copy would take memory.
-      await storing.done;
-      return;
-    }
-    const done = this.options.wal.compact(snapshot, () => this.install(snapshot));
-    this.storing = { lastIndex: snapshot.lastIndex, done };
+    const done = this.startStoring(snapshot);
     try {
       await done;
     } catch (err) {
@@ -305,6 +296,17 @@
     this.options.log.info({ event: 'snapshot-stored', ...this.describeLog() });
   }
 
+  /** Begins to store a snapshot, or returns the end of storing one that covers as much. */
+  private startStoring(snapshot: types.SnapshotReq): Promise<void> {
+    // A leader without an answer sends it again; on a disk that stands still, each copy would take memory.
+    if (this.storing !== undefined && this.storing.lastIndex >= snapshot.lastIndex) {
+      return this.storing.done;
+    }
+    const done = this.options.wal.compact(snapshot, () => this.install(snapshot));
+    this.storing = { lastIndex: snapshot.lastIndex, done };
+    return done;
+  }
+
   private finishStoring(done: Promise<void>): void {
     if (this.storing?.done === done) {
       this.storing = undefined;
@@ -359,6 +361,12 @@
     return [{ kind: 'entries', entries: newEntries }];
   }
 
+  private recordCaughtUp(leaderCommit: number): void {
+    if (this.commitIndex >= leaderCommit) {
+      this.caughtUpAt = this.options.clock.now();
+    }
+  }
+
   private recordLeaderContact(): void {
     this.lastLeaderContactAt = this.options.clock.now();
     this.hasLeaderContact = true;
@@ -445,19 +453,24 @@
     try {
       await this.options.wal.compact(snapshot, () => this.compactLogState(lastIndex));
       log.info({ event: 'compacted', snapshotIndex: lastIndex, ...this.describeLog() });
+      this.finishCompaction();
     } catch (err) {
       log.error({
         step: 'compact',
         walBytes: this.options.wal.bytes,
         err: schemas.toError(err).message,
       });
-      if (err instanceof fileStorage.UnchangedFileError) {
-        this.compactsAt = clock.now() + COMPACTION_RETRY_MS;
-      } else {
-        this.stop();
-      }
-    } finally {
-      this.compacting = false;
+      this.finishCompaction(err);
+    }
+  }
+
+  /** Ends a compaction. Without space for it, the log can still be appended to; after other errors it can't. */
+  private finishCompaction(err?: unknown): void {
+    this.compacting = false;
+    if (err instanceof fileStorage.UnchangedFileError) {
+      this.compactsAt = this.options.clock.now() + COMPACTION_RETRY_MS;
+    } else if (err !== undefined) {
+      this.stop();
     }
   }
 
--- a/packages/requests/src/claim-acceptor.ts
+++ b/packages/requests/src/claim-acceptor.ts
@@ -142,29 +142,36 @@
   }
 
   private async recover(since: number): Promise<void> {
-    const { clock, log } = this.options;
+    const { clock } = this.options;
     const isCurrent = () => this.slots[this.slot]?.since === since;
     while (isCurrent() && !this.complete) {
       const copied = new Set<number>();
       const others = this.slots.filter((_, i) => i !== this.slot);
       await Promise.all(others.map((item) => this.copyFrom(item.daemonId, copied)));
-      // A majority that included this slot has at least floor(n/2) of the n - 1 others. Copying from n - floor(n/2) of
-      // them leaves out fewer than that, so at least one member of each such majority is among those copied.
-      const needed = this.slots.length - Math.floor(this.slots.length / 2);
-      if (isCurrent() && copied.size >= needed) {
-        this.complete = true;
-        log.info({
-          decision: 'claim-seat',
-          seat: this.slot,
-          reason: 'recovered',
-          from: copied.size,
-        });
-      } else {
+      if (!isCurrent() || !this.completeIfCovered(copied)) {
         await clock.sleep(RECOVERY_RETRY_MS);
       }
     }
   }
 
+  /** Begins to vote if the slots whose records were copied cover every majority that included this one. */
+  private completeIfCovered(copied: ReadonlySet<number>): boolean {
+    // A majority that included this slot has at least floor(n/2) of the n - 1 others. Copying from n - floor(n/2) of
+    // them leaves out fewer than that, so at least one member of each such majority is among those copied.
+    const needed = this.slots.length - Math.floor(this.slots.length / 2);
+    if (copied.size < needed) {
+      return false;
+    }
+    this.complete = true;
+    this.options.log.info({
+      decision: 'claim-seat',
+      seat: this.slot,
+      reason: 'recovered',
+      from: copied.size,
+    });
+    return true;
+  }
+
   private async copyFrom(daemonId: string, copied: Set<number>): Promise<void> {
     const { transport } = this.options;
     const epoch = this.epochs[this.slot]!;
--- a/packages/requests/src/claim-proposer.ts
+++ b/packages/requests/src/claim-proposer.ts
@@ -54,8 +54,7 @@
     proposed: types.ClaimValue | undefined,
   ): Promise<types.ClaimValue | undefined> {
     for (let i = 0; i < MAX_ROUNDS; i += 1) {
-      this.counter += 1;
-      const ballot: types.Ballot = [this.counter, this.options.daemonId];
+      const ballot = this.createBallot();
       const promise = await this.sendToAcceptors({ key, ballot });
       if (promise.hasMajority) {
         const value = promise.accepted?.value ?? proposed;
@@ -66,14 +65,23 @@
         if (acceptance.hasMajority) {
           return value;
         }
-        this.counter = Math.max(this.counter, acceptance.highest[0]);
+        this.raiseCounter(acceptance.highest);
       }
-      this.counter = Math.max(this.counter, promise.highest[0]);
+      this.raiseCounter(promise.highest);
       await this.options.clock.sleep(this.options.random() * BACKOFF_MS * (i + 1));
     }
     throw new schemas.StepError({ id: 'claimRefused', step: 'claim' });
   }
 
+  private createBallot(): types.Ballot {
+    this.counter += 1;
+    return [this.counter, this.options.daemonId];
+  }
+
+  private raiseCounter([highest]: types.Ballot): void {
+    this.counter = Math.max(this.counter, highest);
+  }
+
   private async sendToAcceptors(req: Omit<types.ClaimReq, 'since'>): Promise<PhaseResult> {
     const { getAcceptors, transport } = this.options;
     const acceptors = getAcceptors();
