Pause between refusals of the same entries

Cause: a refusal counts as an answer, after which the next request follows without a pause if the follower is behind; that is right only while refusals bring the leader closer to the entries that the follower has.

Change: a refusal that names the same position again is followed by the pause of a failed request.

--- a/packages/consensus/src/replicator.ts
+++ b/packages/consensus/src/replicator.ts
@@ -258,9 +258,12 @@
       this.caughtUpAt =
         res.match >= commitIndexAtSend ? Math.max(this.caughtUpAt, sentAt) : this.caughtUpAt;
       this.leadership.advanceCommit();
-    } else {
-      this.nextIndex = Math.max(1, res.hint + 1);
+      return true;
     }
-    return true;
+    // Without progress the same request would follow at once, from a voter whose disk has failed for as long as it is up.
+    const nextIndex = Math.max(1, res.hint + 1);
+    const hasProgress = nextIndex !== this.nextIndex;
+    this.nextIndex = nextIndex;
+    return hasProgress;
   }
 }
