Play schedules of five voters with held, slow and full disks

Guards against the loss of accepted commands, two leases at once, and voters that fall behind for good, for the group as a whole: disks stand still for up to 20 steps, take 40 ms a write or have no space, beside the kills and partitions of the other schedules, with 20 commands in each step. Voters whose disk fails are opened again, as on a core host. At the end all voters have to have what the leader has.

Also: wording of two comments of the voter.

--- a/packages/consensus/src/run-elections.ts
+++ b/packages/consensus/src/run-elections.ts
@@ -59,8 +59,8 @@
   if (!preVote.hasMajority || voter.term + 1 !== term || voter.stopped) {
     return preVote;
   }
-  // The pre-votes may have taken long. Who has acknowledged a heartbeat since has extended the leader's lease, and its own
-  // vote for itself could make it a second leader within that lease.
+  // A voter that acknowledged a heartbeat while it waited for pre-votes has extended the leader's lease. Its vote for
+  // itself could make it a second leader within that lease.
   if (voter.lastLeaderContactAt !== lastLeaderContactAt) {
     return preVote;
   }
--- a/packages/consensus/src/voter.ts
+++ b/packages/consensus/src/voter.ts
@@ -25,7 +25,7 @@
 /** Size of the entries retained before a snapshot, in bytes. */
 const RETAINED_BYTES = 2 * 1024 * 1024;
 
-/** Minimum time between two log lines about refused entries, in milliseconds; a leader may repeat them without a pause. */
+/** Minimum time between two log lines about refused entries, in milliseconds. */
 const REFUSAL_LOG_INTERVAL_MS = 5_000;
 
 /** Time until the next compaction after one for which the disk had no space, in milliseconds. */
@@ -284,9 +284,8 @@
     try {
       await done;
     } catch (err) {
-      const isUnchanged = err instanceof fileStorage.UnchangedFileError;
       this.options.log.error({ step: 'store-snapshot', err: schemas.toError(err).message });
-      if (!isUnchanged) {
+      if (!(err instanceof fileStorage.UnchangedFileError)) {
         this.stop();
       }
       throw err;
--- a/packages/consensus/tests/history.test.ts
+++ b/packages/consensus/tests/history.test.ts
@@ -1,6 +1,7 @@
 import * as fc from 'fast-check';
 import * as tap from 'tap';
 
+import type * as clusters from './support/cluster.js';
 import * as histories from './support/history.js';
 import * as schedules from './support/schedule.js';
 
@@ -60,6 +61,13 @@
 const REPLACEMENT_RUNS = Number(process.env.SEAT_RUNS ?? 60);
 const REPLACEMENT_SEED = Number(process.env.SEAT_SEED ?? 20261204);
 
+/** Settings of schedules with faults of disks; each step has so many commands that logs are compacted. */
+const DISK_SETTLE: schedules.SettleOptions = { settleSteps: 100, writesPerStep: 20 };
+
+/** Number of generated schedules with faults of disks, and their seed; both can be set for a long run. */
+const DISK_RUNS = Number(process.env.DISK_HISTORY_RUNS ?? 40);
+const DISK_SEED = Number(process.env.DISK_HISTORY_SEED ?? 20261206);
+
 void tap.default.test('accepted commands survive crashes and partitions', async (t) => {
   // Guarantee to operators: every later read contains an accepted command, once, and all reads agree on the order.
   // Voters are killed (also during a write), partitioned one-way and both ways, reconnected and restarted, in schedules
@@ -99,6 +107,40 @@
   },
 );
 
+void tap.default.test('accepted commands survive held, slow and full disks', async (t) => {
+  // Guards against the loss of accepted commands, two leases at once and voters that fall behind for good, when requests
+  // overtake the disk of earlier ones. Disks stand still for up to 20 steps, in which some hundred commands are accepted.
+  let snapshots = 0;
+  const property = fc.asyncProperty(
+    fc.nat(1_000_000),
+    fc.array(
+      fc.oneof(
+        { arbitrary: schedules.faultArbitrary, weight: 1 },
+        { arbitrary: schedules.diskFaultArbitrary, weight: 2 },
+      ),
+      { minLength: 10, maxLength: 40 },
+    ),
+    async (seed, faults) => {
+      const prepare = (cluster: clusters.Cluster) => {
+        Object.assign(cluster, { snapshotEvery: 20 });
+      };
+      const run = await schedules.runSchedule(seed, faults, prepare, DISK_SETTLE);
+      const voters = [...run.cluster.nodes.values()].map(({ voter }) => voter);
+      snapshots += voters.filter((voter) => (voter?.entries.baseIndex ?? 0) > 0).length;
+      const violations = histories.findViolations(run.history);
+      const behind = await run.findBehind();
+      if (violations.length + behind.length + run.leaseViolations > 0 || !run.isServing()) {
+        throw new Error(
+          `${violations.slice(0, 3).join('; ')}; leases held twice: ${run.leaseViolations}; ` +
+            `serves: ${run.isServing()}; behind: ${behind.join()}`,
+        );
+      }
+    },
+  );
+  await t.resolves(fc.assert(property, { numRuns: DISK_RUNS, seed: DISK_SEED }));
+  t.ok(snapshots > DISK_RUNS, `${snapshots} logs were compacted`);
+});
+
 void tap.default.test('accepted commands survive the loss of two disks at a time', async (t) => {
   // Guarantee to operators: every later read contains an accepted command. Hosts come back with empty disks under their
   // old names and get a voter slot again from the leader; more disks are lost in the meantime, and other hosts are
--- a/packages/consensus/tests/support/cluster.ts
+++ b/packages/consensus/tests/support/cluster.ts
@@ -3,14 +3,21 @@
 import * as schemas from '@bramleyridge/schemas';
 import * as xoroshiro from 'pure-rand/generator/xoroshiro128plus';
 
+import * as slowDisks from './slow-disk.js';
+
 const TIMINGS: consensus.Timings = { electionMs: 300, leaseMs: 200 };
 
+/** Time until a voter whose disk failed is opened again, in milliseconds. */
+const REOPEN_MS = 500;
+
 /** Deadline of a request, in milliseconds. */
 const DEADLINE_MS = 150;
 
 interface Node {
   readonly daemonId: string;
   files: fakes.MemoryFiles;
+  /** The condition of its disk, also after a restart. */
+  readonly disk: slowDisks.DiskCondition;
   voter: consensus.Voter | undefined;
   applied: string[];
   abort: AbortController;
@@ -71,6 +78,7 @@
     const node: Node = {
       daemonId,
       files,
+      disk: this.nodes.get(daemonId)?.disk ?? { delayMs: 0, heldUntil: 0, isFull: false },
       voter: undefined,
       applied: [],
       abort: new AbortController(),
@@ -118,6 +126,11 @@
     this.blockedLinks.clear();
   }
 
+  /** Changes the condition of a voter's disk. */
+  public changeDisk(daemonId: string, condition: Partial<slowDisks.DiskCondition>): void {
+    Object.assign(this.nodes.get(daemonId)?.disk ?? {}, condition);
+  }
+
   /** The voters that currently consider themselves leader. */
   public listLeaders(): consensus.Voter[] {
     return [...this.nodes.values()].flatMap((node) => (node.voter?.isLeader() ? [node.voter] : []));
@@ -146,10 +159,19 @@
       clock: this.clock,
       signal: node.abort.signal,
     });
+    while (!node.abort.signal.aborted) {
+      await this.runVoter(node, genesis);
+      await this.clock.sleep(REOPEN_MS);
+    }
+  }
+
+  /** Runs a voter until it stops, since its disk failed. */
+  private async runVoter(node: Node, genesis: consensus.Genesis): Promise<void> {
+    node.applied = [];
     node.voter = await consensus.Voter.create({
       daemonId: node.daemonId,
       genesis,
-      wal: new consensus.Wal(node.files),
+      wal: new consensus.Wal(new slowDisks.SlowDisk(node.files, this.clock, node.disk)),
       machine: {
         apply: (entry) => {
           node.applied.push(getCommandId(entry.data));
@@ -173,7 +195,7 @@
       random: () => this.random(),
       snapshotEvery: this.snapshotEvery,
     });
-    await consensus.runElections(node.voter, node.abort.signal);
+    await consensus.runElections(node.voter, node.abort.signal).catch(() => node.voter?.stop());
   }
 
   /** Sends a request that takes its time on the link; its deadline is put off while it makes progress. */
--- a/packages/consensus/tests/support/history.ts
+++ b/packages/consensus/tests/support/history.ts
@@ -39,8 +39,9 @@
     if (read.seen.some((id, i) => id !== longest[i])) {
       violations.push(`the read at ${read.from} saw a different order than other reads`);
     }
+    const seen = new Set(read.seen);
     writes.forEach((write) => {
-      const isSeen = read.seen.includes(write.id);
+      const isSeen = seen.has(write.id);
       if (write.accepted && write.to < read.from && !isSeen) {
         violations.push(
           `${write.id}, accepted at ${write.to}, is missing from the read at ${read.from}`,
--- a/packages/consensus/tests/support/schedule.ts
+++ b/packages/consensus/tests/support/schedule.ts
@@ -12,6 +12,11 @@
 /** Minimum number of steps at the end for the voters to recover. */
 const SETTLE_STEPS = 20;
 
+/** Time within which voters with sound disks have all entries, in milliseconds. */
+const CATCH_UP_MS = 3_000;
+
+const SOUND_DISK = { delayMs: 0, heldUntil: 0, isFull: false };
+
 const EMPTY_VOTER_SET: consensus.VoterSet = { seats: [] };
 
 /** Number of disks that five voters may lose at once. */
@@ -24,6 +29,8 @@
       readonly at: number;
     }
   | { readonly kind: 'one-way'; readonly at: number; readonly to: number }
+  | { readonly kind: 'hold-disk'; readonly at: number; readonly steps: number }
+  | { readonly kind: 'slow-disk' | 'full-disk' | 'sound-disk'; readonly at: number }
   | { readonly kind: 'kill-leader' | 'isolate-leader' | 'heal' | 'restart' | 'none' };
 
 /** Any fault except the loss of a disk. */
@@ -48,6 +55,22 @@
   }),
 );
 
+/** A fault of a disk, or its end. */
+export const diskFaultArbitrary: fc.Arbitrary<Fault> = fc.oneof(
+  fc.record({
+    kind: fc.constant('hold-disk' as const),
+    at: fc.nat(VOTERS.length - 1),
+    steps: fc.integer({ min: 1, max: 20 }),
+  }),
+  fc.record({
+    kind: fc.constantFrom('slow-disk' as const, 'full-disk' as const, 'sound-disk' as const),
+    at: fc.nat(VOTERS.length - 1),
+  }),
+);
+
+/** Time that each write to a slow disk takes, in milliseconds. */
+const SLOW_DISK_MS = 40;
+
 /** One run of a schedule: injects its faults and records the operations that operators perform meanwhile. */
 export class ScheduleRun {
   public readonly history: histories.Op[] = [];
@@ -67,6 +90,8 @@
     public readonly cluster: clusters.Cluster,
     /** How long a voter may lag before another host gets its slot, in milliseconds. */
     private readonly replaceAfterMs: number,
+    /** Number of commands that are proposed in each step. */
+    private readonly writesPerStep = 1,
   ) {}
 
   /** Whether a command was accepted that was proposed after all faults were repaired. */
@@ -100,6 +125,20 @@
       case 'one-way':
         this.cluster.block(this.names[fault.at]!, this.names[fault.to]!);
         break;
+      case 'hold-disk':
+        this.cluster.changeDisk(this.names[fault.at]!, {
+          heldUntil: this.cluster.clock.now() + fault.steps * STEP_MS,
+        });
+        break;
+      case 'slow-disk':
+        this.cluster.changeDisk(this.names[fault.at]!, { delayMs: SLOW_DISK_MS });
+        break;
+      case 'full-disk':
+        this.cluster.changeDisk(this.names[fault.at]!, { isFull: true });
+        break;
+      case 'sound-disk':
+        this.cluster.changeDisk(this.names[fault.at]!, SOUND_DISK);
+        break;
       case 'wipe':
         this.wipe(this.names[fault.at]!);
         break;
@@ -117,6 +156,22 @@
     }
   }
 
+  /** Makes all disks sound. */
+  public repairDisks(): void {
+    this.names.forEach((name) => this.cluster.changeDisk(name, SOUND_DISK));
+  }
+
+  /** The voters that have not applied what the leader has, after a time in which nothing is proposed. */
+  public async findBehind(): Promise<string[]> {
+    const leader = this.cluster.findLeader();
+    const applied = this.cluster.getApplied(leader?.daemonId ?? '').length;
+    await this.cluster.clock.advance(CATCH_UP_MS);
+    const slots = leader?.entries.getVoters() ?? [];
+    return slots
+      .map(({ daemonId }) => daemonId)
+      .filter((name) => this.cluster.getApplied(name).length < applied);
+  }
+
   public restartAll(): void {
     this.down.forEach((id) => {
       this.cluster.kill(id);
@@ -127,7 +182,9 @@
 
   public async step(): Promise<void> {
     this.cluster.listLeaders().forEach((leader) => {
-      this.write(leader);
+      for (let i = 0; i < this.writesPerStep; i += 1) {
+        this.write(leader);
+      }
       void this.read(leader);
     });
     for (let i = 0; i < 6; i += 1) {
@@ -252,6 +309,8 @@
   readonly replaceAfterMs?: number;
   /** Maximum number of steps until a command must be accepted again. */
   readonly settleSteps?: number;
+  /** Number of commands that are proposed in each step. */
+  readonly writesPerStep?: number;
 }
 
 /** Runs a schedule, then repairs all faults and lets the voters recover. */
@@ -259,7 +318,11 @@
   seed: number,
   faults: readonly Fault[],
   prepare: (cluster: clusters.Cluster) => void = () => {},
-  { replaceAfterMs: maxLagMs = Infinity, settleSteps = SETTLE_STEPS }: SettleOptions = {},
+  {
+    replaceAfterMs: maxLagMs = Infinity,
+    settleSteps = SETTLE_STEPS,
+    writesPerStep,
+  }: SettleOptions = {},
 ): Promise<ScheduleRun> {
   const cluster = new clusters.Cluster(VOTERS, seed);
   prepare(cluster);
@@ -267,13 +330,14 @@
   cluster.faults.lossRate = 0.02;
   cluster.faults.duplicateRate = 0.05;
   cluster.faults.maxDelayMs = 40;
-  const run = new ScheduleRun(cluster, maxLagMs);
+  const run = new ScheduleRun(cluster, maxLagMs, writesPerStep);
   for (const fault of faults) {
     run.inject(fault);
     void run.repairVoterSlots();
     await run.step();
   }
   cluster.heal();
+  run.repairDisks();
   run.restartAll();
   run.recoveredAt = cluster.clock.now();
   for (let i = 0; i < SETTLE_STEPS || (i < settleSteps && !run.isServing()); i += 1) {
