Log an error that ends a process in one structured line

What operators saw: entry hosts ended, and the last line of their logs was 'TypeError: Invalid URL' without time, step or peer. Three hypotheses of the incident fit that line.

An error that nothing handles now leaves one line, process-failed, with host, origin, type, step, peer and the stacks of all causes, on standard error, where it is written before the process ends. Exit code 1 stays.

--- a/packages/daemon/src/bramleyridged.ts
+++ b/packages/daemon/src/bramleyridged.ts
@@ -2,6 +2,7 @@
 import * as fs from 'node:fs';
 
 import * as schemas from '@bramleyridge/schemas';
+import * as telemetry from '@bramleyridge/telemetry';
 import * as pino from 'pino';
 import * as yargs from 'yargs';
 
@@ -22,6 +23,17 @@
   return process.exit(EXIT_BAD_CONFIG);
 }
 
+/** Reports errors that end the process on standard error, where a line is written at once. */
+function reportFatalErrors({ daemonId }: schemas.DaemonConfig): void {
+  const out = pino.destination({ dest: process.stderr.fd, sync: true });
+  const reporter = new telemetry.FatalErrorReporter({
+    log: pino.pino({ base: { daemon: daemonId } }, out),
+    source: process,
+    end: (exitCode) => process.exit(exitCode),
+  });
+  reporter.start();
+}
+
 async function main(): Promise<void> {
   const args = await yargs
     .default(process.argv.slice(2))
@@ -42,6 +54,7 @@
     return;
   }
   const log = pino.pino({ level: cfg.logLevel, base: { daemon: cfg.daemonId } });
+  reportFatalErrors(cfg);
   const daemon = new daemons.Daemon(cfg, { log });
   const stop = () => {
     void daemon.stop().then(() => process.exit(0));
--- a/packages/schemas/src/index.ts
+++ b/packages/schemas/src/index.ts
@@ -3,6 +3,7 @@
 export * from './clock.js';
 export * from './daemon-config.js';
 export * from './declaration.js';
+export * from './describe-error.js';
 export * from './digest.js';
 export * from './encoded-size.js';
 export * from './control.js';
