Parse an upstream's address once, where it is read

What callers saw: every host that picked one entry of the platform's list ended with exit status 1, and the calls on it were cut (FAULT, LOST). A restarted host ended again.

Cause: the address 10.1.1.1:99999 passes the pattern of the list, and the URL made of it is parsed again for each use: to send, to track silence, to check whether the process has exited. The last of these throws in a promise that nobody handles. The class: text from outside that is checked loosely where it is read and parsed again where it is used.

Change: an address is an IP address and a port from 1 to 65535 (schemas.address) in the platform's list and in the settings. An entry without one is left out and logged with its fault. A host leaves such entries out of a leader's list, too, since a leader of the previous version distributes them. Behind that, calls, silence, resets and exit checks go by the address as it was read. The URL's host lacked a port of 80, so that paths of such upstreams were never recorded as blocked; that ends with it.

The test files of exit checks and of the client take an address or createTarget in place of a URL; what they check stays.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -296,8 +296,8 @@
       claims: new claimServices.ClaimService({ ...shared, calls }),
       guard: new runGuards.RunGuard({
         exchange: this.suspects,
-        exitDetector: new requests.ProcessExitDetector(clock, (url) =>
-          this.links.isListening(new URL(url).host),
+        exitDetector: new requests.ProcessExitDetector(clock, (address) =>
+          this.links.isListening(address),
         ),
         clock,
         log,
@@ -350,7 +350,7 @@
 
   private findUpstream(address: string): schemas.Upstream | undefined {
     const { upstreams } = this.view.getDirectory();
-    return upstreams.find(({ url }) => new URL(url).host === address);
+    return upstreams.find((upstream) => requests.createTarget(upstream).address === address);
   }
 
   private createSyncServer(): members.SyncServer {
--- a/packages/daemon/src/run-guard.ts
+++ b/packages/daemon/src/run-guard.ts
@@ -136,15 +136,16 @@
 
   private async checkExit(
     subject: requests.RunSubject,
-    { service = '', upstreamId, url }: Pick<schemas.Upstream, 'service' | 'upstreamId' | 'url'>,
+    upstream: Pick<schemas.Upstream, 'service' | 'upstreamId' | 'url'>,
     { answerMs, sentAt }: LostRun,
   ): Promise<void> {
     const { clock, exchange, exitDetector, log } = this.options;
+    const { upstreamId } = upstream;
     const isEarly = answerMs === undefined || answerMs < EARLY_EXIT_MS;
     const digest = subject.getDigest();
     const request = subject.requestId;
     log.info({ decision: 'run-lost', request, digest, upstream: upstreamId, isEarly });
-    if (!(await exitDetector.hasExited({ upstreamId, service, url: new URL(url).origin }))) {
+    if (!(await exitDetector.hasExited(requests.createTarget(upstream)))) {
       return;
     }
     const processId = exchange.exits.identify(upstreamId, clock.now() - sentAt);
--- a/packages/gateway/src/core-mesh.ts
+++ b/packages/gateway/src/core-mesh.ts
@@ -1,7 +1,7 @@
 import * as peers from '@bramleyridge/peers';
+import * as schemas from '@bramleyridge/schemas';
 
 import type * as procedures from './core-procedures.js';
-import * as hostSettings from './host-settings.js';
 
 /** Typed client of one core host. */
 export type CoreApi = peers.PeerApi<procedures.CoreRouter>;
@@ -22,7 +22,7 @@
   }
 
   public get(coreId: string): CoreApi {
-    const { host, port } = hostSettings.splitAddress(coreId);
+    const { host, port } = schemas.splitAddress(coreId);
     return this.links.getAt(coreId, { host, peerPort: port });
   }
 
--- a/packages/gateway/src/entry-host.ts
+++ b/packages/gateway/src/entry-host.ts
@@ -201,8 +201,8 @@
     const guard = new crashGuards.CrashGuard({
       suspects: this.suspects,
       directory: this.directory,
-      exitDetector: new requests.ProcessExitDetector(clock, (url) =>
-        this.links.isListening(new URL(url).host),
+      exitDetector: new requests.ProcessExitDetector(clock, (address) =>
+        this.links.isListening(address),
       ),
       clock,
       log,
--- a/packages/gateway/src/host-settings.ts
+++ b/packages/gateway/src/host-settings.ts
@@ -1,8 +1,6 @@
+import * as schemas from '@bramleyridge/schemas';
 import * as z from 'zod';
 
-/** An IP address and a port. */
-export const address = z.string().regex(/^[^:\s]+:\d{1,5}$/, 'an IP address and a port');
-
 /** The deployment's service-level bounds, from which this host derives its own times and limits. */
 export const deploymentBounds = z.object({
   /** Time within which a host that can reach the others again must be up to date, in milliseconds. */
@@ -49,24 +47,24 @@
   regions: z.record(z.string(), z.string()).optional(),
   ipAddress: z.string().min(1),
   /** Address for callers; on entry hosts. */
-  callerAddress: address.optional(),
+  callerAddress: schemas.listenAddress.optional(),
   /** Address of the load balancer's readiness probe; on entry hosts. */
-  readyAddress: address.optional(),
+  readyAddress: schemas.listenAddress.optional(),
   /** Address for operators; on core hosts. */
-  operatorAddress: address.optional(),
+  operatorAddress: schemas.listenAddress.optional(),
   /** Address at which metrics are scraped; absent where they are not kept. */
-  metricsAddress: address.optional(),
+  metricsAddress: schemas.listenAddress.optional(),
   /** Port on which core hosts listen for entry hosts and each other. */
   peerPort: z.int().min(1).max(65_535),
   /** Operator addresses of some core hosts. */
-  seeds: z.array(address),
+  seeds: z.array(schemas.address),
   /** Whether the whole deployment starts for the first time, with empty disks. */
   isFirstStart: z.boolean(),
   dataFolder: z.string().min(1).optional(),
   /** Number of core hosts that may be lost at once. */
   lossesToBear: z.int().min(0),
   /** Address from which the list of upstreams is read. */
-  listAddress: address,
+  listAddress: schemas.address,
   /** Maximum number of requests to that list per second, for all hosts together. */
   listCallsPerS: z.number().positive(),
   /** Number of descriptors that the process may open; absent where it is not limited. */
@@ -87,12 +85,6 @@
   read(): HostSettings;
 }
 
-/** Splits an address into host and port. */
-export function splitAddress(value: string): { readonly host: string; readonly port: number } {
-  const at = value.lastIndexOf(':');
-  return { host: value.slice(0, at), port: Number(value.slice(at + 1)) };
-}
-
 /** Returns the name of a core host, which is also the address on which it listens for peers. */
 export function getCoreId(ipAddress: string, peerPort: number): string {
   return `${ipAddress}:${peerPort}`;
@@ -116,5 +108,7 @@
 
 /** Lists the core hosts that the settings name as seeds. */
 export function listSeedIds(settings: HostSettings): string[] {
-  return settings.seeds.map((seed) => getCoreId(splitAddress(seed).host, settings.peerPort));
+  return settings.seeds.map((seed) =>
+    getCoreId(schemas.splitAddress(seed).host, settings.peerPort),
+  );
 }
--- a/packages/gateway/src/http-listener.ts
+++ b/packages/gateway/src/http-listener.ts
@@ -1,8 +1,9 @@
 import * as http from 'node:http';
 import type * as net from 'node:net';
 
+import * as schemas from '@bramleyridge/schemas';
+
 import type * as connectionGates from './connection-gate.js';
-import * as hostSettings from './host-settings.js';
 
 /** Interval at which connections are checked for header timeouts, in milliseconds. */
 const TIMEOUT_CHECK_INTERVAL_MS = 500;
@@ -45,7 +46,7 @@
   /** Starts listening and returns the port. */
   public async listen(address: string): Promise<number> {
     void this.gate?.run();
-    const { host, port } = hostSettings.splitAddress(address);
+    const { host, port } = schemas.splitAddress(address);
     await new Promise<void>((resolve, reject) => {
       this.server.once('error', reject);
       this.server.listen(port, host, resolve);
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -151,4 +151,6 @@
   readonly calls: number;
   /** Number of entries that could not be decoded; they yield no upstream. */
   readonly unreadable: number;
+  /** What is wrong with some of these entries, for the log. */
+  readonly faults?: readonly string[] | undefined;
 }
--- a/packages/gateway/src/upstream-directory.ts
+++ b/packages/gateway/src/upstream-directory.ts
@@ -22,7 +22,10 @@
   readonly upstreamId: string;
   /** Identifies its process; a restart under the same upstream id gives another one. */
   readonly processId: string;
-  readonly url: string;
+  /** IP address and port. */
+  readonly address: string;
+  /** Scheme, address and port. */
+  readonly origin: string;
   readonly service: string;
   readonly listed: schemas.ListedUpstream;
   readonly load: routing.UpstreamLoad;
@@ -93,7 +96,7 @@
     const previous = this.entries;
     this.stamp = list.stamp;
     this.entries = new Map(
-      list.upstreams.map((listed) => [
+      this.listUsable(list).map((listed) => [
         listed.upstreamId,
         this.createEntry(listed, previous.get(listed.upstreamId), newSince),
       ]),
@@ -288,6 +291,16 @@
     }
   }
 
+  /** Lists the upstreams with a valid address; a leader of the previous version distributes any address. */
+  private listUsable({ upstreams }: procedures.UpstreamList): schemas.ListedUpstream[] {
+    const usable = upstreams.filter(({ address }) => schemas.address.safeParse(address).success);
+    if (usable.length < upstreams.length) {
+      const unusable = upstreams.length - usable.length;
+      this.log.warn({ event: 'upstreams-without-address', count: unusable });
+    }
+    return usable;
+  }
+
   /** Creates an entry. The state of an earlier process under the same id is not carried over. */
   private createEntry(
     listed: schemas.ListedUpstream,
@@ -302,7 +315,8 @@
     return {
       upstreamId: listed.upstreamId,
       processId: schemas.getProcessId(listed),
-      url: `http://${listed.address}`,
+      address: listed.address,
+      origin: `http://${listed.address}`,
       service: listed.service,
       listed,
       load: previous?.load ?? new routing.UpstreamLoad(),
--- a/packages/gateway/src/upstream-list-reader.ts
+++ b/packages/gateway/src/upstream-list-reader.ts
@@ -95,7 +95,7 @@
       const read = await source.list(peer, signal, monitor);
       this.lastCallCount = read.calls;
       this.failures = 0;
-      this.logUnreadable(read.unreadable, peer);
+      this.logUnreadable(read, peer);
       const upstreams = keepLatestStarts(read.upstreams);
       onList({ stamp: schemas.getContentHash(upstreams), upstreams });
       if (this.isFailing) {
@@ -149,10 +149,11 @@
     return { signal: abort.signal, monitor, end: () => clearTimeout(timer) };
   }
 
-  /** Logs the number of unreadable entries when it changes; another writer may leave them in the list for long. */
-  private logUnreadable(unreadable: number, peer: string): void {
+  /** Logs the unreadable entries when their number changes; another writer may leave them in the list for long. */
+  private logUnreadable({ faults, unreadable }: ports.ListReadResult, peer: string): void {
     if (unreadable !== this.unreadableCount) {
-      this.options.log.warn({ event: 'list-entries-unreadable', count: unreadable, peer });
+      const { log } = this.options;
+      log.warn({ event: 'list-entries-unreadable', count: unreadable, faults, peer });
     }
     this.unreadableCount = unreadable;
   }
--- a/packages/gateway/tests/upstream-directory.test.ts
+++ b/packages/gateway/tests/upstream-directory.test.ts
@@ -47,6 +47,18 @@
   t.notOk(directory.hasRestarted(known));
 });
 
+// Guards against calls to an address that can't be connected to, as a leader of the previous version distributes it.
+void tap.default.test('a listed upstream without a usable address is left out', async (t) => {
+  const { directory, apply } = createDirectory();
+  const other = listedUpstreams.createListedUpstream('e-2', {});
+  apply(createStarted(1_000, { address: '10.1.1.1:99999' }), other);
+  t.equal(directory.find('e-1'), undefined);
+  t.ok(directory.isLive('e-2'));
+  const [from, stamp] = [directory.getStamp(), 'next'];
+  directory.applyChanges({ from, stamp, changed: [{ ...other, address: '%:80' }], gone: [] }, 0);
+  t.equal(directory.find('e-2'), undefined, 'neither is one whose address has become unusable');
+});
+
 // Guards against new calls to a process that leaves after this host has read the platform's list by itself, which does
 // not show the statement that the leader had distributed.
 void tap.default.test('a statement from the leader holds for the process', async (t) => {
--- a/packages/paths/src/open-tunnels.ts
+++ b/packages/paths/src/open-tunnels.ts
@@ -1,7 +1,7 @@
 import type * as stream from 'node:stream';
 
 import * as peers from '@bramleyridge/peers';
-import type * as schemas from '@bramleyridge/schemas';
+import * as schemas from '@bramleyridge/schemas';
 
 import * as firstSuccess from './first-success.js';
 import type * as relayCandidates from './relay-candidate.js';
@@ -29,9 +29,7 @@
 /** Creates the function that opens tunnels over the network. */
 export function createOpenThrough(keyring?: peers.Keyring): OpenThrough {
   return ({ address }, req, timeoutMs) => {
-    const at = address.lastIndexOf(':');
-    const host = address.slice(0, at);
-    const port = Number(address.slice(at + 1));
+    const { host, port } = schemas.splitAddress(address);
     return peers.openTunnel({ host, port, keyring, timeoutMs }, req);
   };
 }
--- a/packages/paths/src/reset-monitor.ts
+++ b/packages/paths/src/reset-monitor.ts
@@ -5,8 +5,8 @@
   private readonly counts = new Map<string, number>();
 
   /** Returns how many connections to an address have ended with an error so far. */
-  public count(url: string): number {
-    return this.counts.get(new URL(url).host) ?? 0;
+  public count(address: string): number {
+    return this.counts.get(address) ?? 0;
   }
 
   /** Monitors a connection from its first byte on. */
@@ -23,7 +23,7 @@
     socket.once('end', () => socket.write('', onError));
   }
 
-  private countError(host: string): void {
-    this.counts.set(host, (this.counts.get(host) ?? 0) + 1);
+  private countError(address: string): void {
+    this.counts.set(address, (this.counts.get(address) ?? 0) + 1);
   }
 }
--- a/packages/paths/src/upstream-dialer.ts
+++ b/packages/paths/src/upstream-dialer.ts
@@ -1,23 +1,25 @@
 import * as net from 'node:net';
 import type * as stream from 'node:stream';
 
+import * as schemas from '@bramleyridge/schemas';
+
 /** Time without traffic after which the system probes a connection, in milliseconds. */
 const KEEP_ALIVE_DELAY_MS = 60_000;
 
 /** Opens the connections of a host to upstreams. */
 export interface UpstreamDialer {
-  /** Opens a connection to an IP address and port; rejects with the system's error, or after `timeoutMs`. */
+  /** Opens a connection to a host and port; rejects with the system's error, or after `timeoutMs`. */
   dial(address: string, timeoutMs: number): Promise<stream.Duplex>;
 }
 
 /** Opens TCP connections. */
 export class TcpDialer implements UpstreamDialer {
   public dial(address: string, timeoutMs: number): Promise<net.Socket> {
-    const { hostname, port } = new URL(`http://${address}`);
+    const { host, port } = schemas.splitAddress(address);
     return new Promise((resolve, reject) => {
       const socket = net.connect({
-        host: hostname,
-        port: Number(port === '' ? 80 : port),
+        host,
+        port,
         noDelay: true,
         keepAlive: true,
         keepAliveInitialDelay: KEEP_ALIVE_DELAY_MS,
--- a/packages/requests/src/engine-client.ts
+++ b/packages/requests/src/engine-client.ts
@@ -7,6 +7,7 @@
 
 import * as boundedBodies from './bounded-body.js';
 import * as upstreamErrors from './upstream-error.js';
+import * as upstreamTargets from './upstream-target.js';
 import type * as upstreamGates from './upstream-gate.js';
 import * as upstreamNotices from './upstream-notice.js';
 
@@ -224,12 +225,12 @@
     upstream: schemas.Upstream,
     { isFresh, place, ...reqOptions }: EngineRequest,
   ): Promise<undici.Dispatcher.ResponseData> {
-    const { host, origin } = new URL(upstream.url);
+    const { address, origin } = upstreamTargets.createTarget(upstream);
     const { answerMs, connectMs } = this.options;
     const client = isFresh
       ? this.links.createClient(origin, place)
-      : this.links.getAgent(host, place);
-    const tracked = this.links.track(host, answerMs / 2);
+      : this.links.getAgent(address, place);
+    const tracked = this.links.track(address, answerMs / 2);
     const { signal } = reqOptions;
     // Informational responses start the time limit of the headers anew. The limit ends with the headers: as a signal of
     // its own it would also end the stream.
--- a/packages/requests/src/index.ts
+++ b/packages/requests/src/index.ts
@@ -32,6 +32,7 @@
 export * from './retry-grant-limiter.js';
 export * from './service-client.js';
 export * from './upstream-client.js';
+export * from './upstream-target.js';
 export * from './upstream-error.js';
 export * from './upstream-gate.js';
 export * from './upstream-notice.js';
--- a/packages/requests/src/process-exit-detector.ts
+++ b/packages/requests/src/process-exit-detector.ts
@@ -1,7 +1,7 @@
 import * as paths from '@bramleyridge/paths';
 import type * as schemas from '@bramleyridge/schemas';
 
-import type * as upstreamClients from './upstream-client.js';
+import type * as upstreamTargets from './upstream-target.js';
 
 /** The duration of a check from which on the upstream has not answered it, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 140;
@@ -15,6 +15,9 @@
  */
 const RECHECK_DELAYS_MS = [5, 20, 120] as const;
 
+/** An upstream whose process may have exited. */
+export type ExitSubject = Pick<upstreamTargets.UpstreamTarget, 'address' | 'upstreamId'>;
+
 interface ExitCheck {
   readonly startedAt: number;
   readonly hasExited: Promise<boolean>;
@@ -30,33 +33,33 @@
 
   public constructor(
     private readonly clock: schemas.Clock,
-    /** Returns whether a process listens at a URL, as far as any host can tell. */
-    private readonly isListening: (url: string) => Promise<boolean> = createOwnCheck(),
+    /** Returns whether a process listens at an address, as far as any host can tell. */
+    private readonly isListening: (address: string) => Promise<boolean> = createOwnCheck(),
   ) {}
 
   /** Returns whether the process has exited; one check serves all calls that broke off there at the same time. */
-  public hasExited({ upstreamId, url }: upstreamClients.UpstreamTarget): Promise<boolean> {
+  public hasExited({ address, upstreamId }: ExitSubject): Promise<boolean> {
     const now = this.clock.now();
     this.evictBefore(now - RESULT_TTL_MS);
     const current = this.checks.get(upstreamId);
     if (current !== undefined) {
       return current.hasExited;
     }
-    const hasExited = this.check(url);
+    const hasExited = this.check(address);
     this.checks.set(upstreamId, { startedAt: now, hasExited });
     return hasExited;
   }
 
-  private async check(url: string): Promise<boolean> {
+  private async check(address: string): Promise<boolean> {
     const startedAt = this.clock.now();
-    let stillListens = await this.isListening(url);
+    let stillListens = await this.isListening(address);
     const hasTimedOut = this.clock.now() - startedAt >= CONNECT_TIMEOUT_MS;
     for (const pauseMs of hasTimedOut ? [] : RECHECK_DELAYS_MS) {
       if (!stillListens) {
         return true;
       }
       await this.clock.sleep(pauseMs);
-      stillListens = await this.isListening(url);
+      stillListens = await this.isListening(address);
     }
     return !stillListens;
   }
@@ -68,7 +71,7 @@
   }
 }
 
-function createOwnCheck(): (url: string) => Promise<boolean> {
+function createOwnCheck(): (address: string) => Promise<boolean> {
   const links = paths.createOwnLinks({ connectMs: CONNECT_TIMEOUT_MS });
-  return (url) => links.isListening(new URL(url).host);
+  return (address) => links.isListening(address);
 }
--- a/packages/requests/src/service-client.ts
+++ b/packages/requests/src/service-client.ts
@@ -7,6 +7,7 @@
 import * as endToEndHeaders from './end-to-end-headers.js';
 import * as upstreamClients from './upstream-client.js';
 import * as upstreamErrors from './upstream-error.js';
+import * as upstreamTargets from './upstream-target.js';
 import type * as upstreamGates from './upstream-gate.js';
 import type * as upstreamNotices from './upstream-notice.js';
 
@@ -44,8 +45,8 @@
     upstream: schemas.Upstream,
     call: ServiceCall,
   ): Promise<callRegistries.StoredResponse> {
-    const { service, upstreamId, url } = upstream;
-    const target = { upstreamId, service, url: new URL(url).origin };
+    const { upstreamId } = upstream;
+    const target = upstreamTargets.createTarget(upstream);
     const permit = await this.options.gate.admit(target);
     const signal = AbortSignal.timeout(this.options.answerMs);
     const headers = pickServiceHeaders(call.headers);
--- a/packages/requests/src/upstream-client.ts
+++ b/packages/requests/src/upstream-client.ts
@@ -7,6 +7,7 @@
 import * as upstreamErrors from './upstream-error.js';
 import type * as upstreamGates from './upstream-gate.js';
 import type * as upstreamNotices from './upstream-notice.js';
+import type * as upstreamTargets from './upstream-target.js';
 
 /** Time for which an upstream may be silent before the path to it is checked, in milliseconds. */
 const DEFAULT_PATIENCE_MS = 1_000;
@@ -14,12 +15,6 @@
 /** Default time limit for a connect, in milliseconds. */
 const DEFAULT_CONNECT_MS = 150;
 
-/** The upstream to which a call is sent. */
-export interface UpstreamTarget extends upstreamGates.GatedUpstream {
-  /** Scheme, address and port. */
-  readonly url: string;
-}
-
 /** A call as it is sent to an upstream. */
 export interface OutgoingCall {
   readonly method: string;
@@ -89,17 +84,18 @@
    * arrived. On a new connection a failure to connect is reliably `unreachable`, and every later failure is `lost`.
    */
   public async open(
-    target: UpstreamTarget,
+    target: upstreamTargets.UpstreamTarget,
     call: OutgoingCall,
     classify: ClassifyHead,
   ): Promise<UpstreamAnswer> {
     this.options.gate.use(call.permit, target);
     const { links } = this;
-    const { host, origin } = new URL(target.url);
-    const singleUseClient = call.isRepeatable ? undefined : links.createClient(origin, call.place);
+    const singleUseClient = call.isRepeatable
+      ? undefined
+      : links.createClient(target.origin, call.place);
     try {
       const answer = await this.request(
-        singleUseClient ?? links.getAgent(host, call.place),
+        singleUseClient ?? links.getAgent(target.address, call.place),
         target,
         call,
       );
@@ -123,15 +119,15 @@
 
   private async request(
     dispatcher: undici.Dispatcher,
-    target: UpstreamTarget,
+    target: upstreamTargets.UpstreamTarget,
     call: OutgoingCall,
   ): Promise<UpstreamAnswer> {
     const { links } = this;
-    const resetsBefore = links.resets.count(target.url);
-    const tracked = links.track(new URL(target.url).host, call.patienceMs ?? DEFAULT_PATIENCE_MS);
+    const resetsBefore = links.resets.count(target.address);
+    const tracked = links.track(target.address, call.patienceMs ?? DEFAULT_PATIENCE_MS);
     try {
       const res = await dispatcher.request({
-        origin: target.url,
+        origin: target.origin,
         path: call.path,
         method: call.method,
         headers: call.headers,
@@ -144,7 +140,7 @@
       res.body.on('error', () => {});
       tracked.begin();
       res.body.once('close', tracked.end);
-      const wasReset = () => links.resets.count(target.url) !== resetsBefore;
+      const wasReset = () => links.resets.count(target.address) !== resetsBefore;
       return { status: res.statusCode, headers: res.headers, body: res.body, wasReset };
     } catch (err) {
       tracked.end();
@@ -152,7 +148,11 @@
     }
   }
 
-  private checkHead(target: UpstreamTarget, answer: UpstreamAnswer, classify: ClassifyHead): void {
+  private checkHead(
+    target: upstreamTargets.UpstreamTarget,
+    answer: UpstreamAnswer,
+    classify: ClassifyHead,
+  ): void {
     const verdict = classify(answer);
     // Any other head may be that of another process or call, and says nothing about this upstream.
     if (verdict === 'answer' || verdict === 'not-run') {
--- a/packages/requests/tests/process-exit-detector.test.ts
+++ b/packages/requests/tests/process-exit-detector.test.ts
@@ -9,26 +9,26 @@
 // A connection may be reset while its process keeps running. Treating that as an exit would hold calls back without
 // need; only an address that refuses connections proves that the process has exited.
 
-async function listen(): Promise<{ readonly server: http.Server; readonly url: string }> {
+async function listen(): Promise<{ readonly server: http.Server; readonly address: string }> {
   const server = http.createServer();
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
   });
-  return { server, url: `http://127.0.0.1:${(server.address() as net.AddressInfo).port}` };
+  return { server, address: `127.0.0.1:${(server.address() as net.AddressInfo).port}` };
 }
 
 void tap.default.test('a process has exited when its address refuses connections', async (t) => {
-  const { server, url } = await listen();
+  const { server, address } = await listen();
   t.teardown(() => server.close());
   const detector = new processExitDetectors.ProcessExitDetector(new schemas.SystemClock());
   t.equal(
-    await detector.hasExited({ upstreamId: 'p1', url }),
+    await detector.hasExited({ upstreamId: 'p1', address }),
     false,
     'the address accepts connections',
   );
   server.close();
   t.equal(
-    await detector.hasExited({ upstreamId: 'p2', url }),
+    await detector.hasExited({ upstreamId: 'p2', address }),
     true,
     'the address refuses connections',
   );
@@ -41,7 +41,7 @@
     checks += 1;
     return Promise.resolve(false);
   });
-  const target = { upstreamId: 'p1', url: 'http://127.0.0.1:1' };
+  const target = { upstreamId: 'p1', address: '127.0.0.1:1' };
   const all = await Promise.all(Array.from({ length: 24 }, () => detector.hasExited(target)));
   t.same([checks, new Set(all).size, all[0]], [1, 1, true]);
   await detector.hasExited({ ...target, upstreamId: 'p2' });
@@ -60,7 +60,7 @@
     const detector = new processExitDetectors.ProcessExitDetector(clock, async () =>
       Promise.resolve(answers.shift() ?? true),
     );
-    const target = { upstreamId: 'p1', url: 'http://127.0.0.1:1' };
+    const target = { upstreamId: 'p1', address: '127.0.0.1:1' };
     const exited = detector.hasExited(target);
     await clock.advance(1_000);
     t.equal(await exited, true);
--- a/packages/requests/tests/upstream-client.test.ts
+++ b/packages/requests/tests/upstream-client.test.ts
@@ -34,7 +34,7 @@
     server.close();
   });
   const { port } = server.address() as net.AddressInfo;
-  return { upstreamId: 'u1', url: `http://127.0.0.1:${port}` };
+  return requests.createTarget({ upstreamId: 'u1', url: `http://127.0.0.1:${port}` });
 }
 
 function createClient(t: Teardown): requests.UpstreamClient {
@@ -174,7 +174,7 @@
     t.teardown(() => server.close());
     const client = createClient(t);
     const body = Buffer.alloc(300_000, 'b');
-    const target = { upstreamId: 'u1', url: `http://127.0.0.1:${port}` };
+    const target = requests.createTarget({ upstreamId: 'u1', url: `http://127.0.0.1:${port}` });
     const call = { ...createCall(true), method: 'POST', body };
     const answer = await client.open(target, call, createClassifier('r1'));
     t.equal((await requests.readAnswer(answer, 10_000, 'u1')).bytes.toString(), 'earl');
@@ -255,7 +255,7 @@
   });
   t.teardown(() => client.close());
   for (const isRepeatable of [true, false]) {
-    const target = { upstreamId: 'u1', url: 'http://127.0.0.1:1' };
+    const target = requests.createTarget({ upstreamId: 'u1', url: 'http://127.0.0.1:1' });
     const failure = await client
       .open(target, createCall(isRepeatable), () => 'answer')
       .catch((err: unknown) => err);
--- a/packages/schemas/src/index.ts
+++ b/packages/schemas/src/index.ts
@@ -1,4 +1,5 @@
 /** Schemas, messages, errors and small utilities shared by the other packages. */
+export * from './address.js';
 export * from './change-signal.js';
 export * from './clock.js';
 export * from './daemon-config.js';
