Contain the failure of an exit check

The check whether an upstream's process has exited runs in a promise that nobody waits for, unless the same call comes again. Whatever it threw ended the host. It is now logged as task-failed, with task and peer, and counts as no evidence, since nothing is known of the process then.

Test: gateway/tests/run-permits, 'a failed exit check ends neither the host nor later calls', ends with the uncaught TypeError without the change.

--- a/packages/gateway/src/crash-guard.ts
+++ b/packages/gateway/src/crash-guard.ts
@@ -242,11 +242,24 @@
 
   private startExitCheck(job: routedJobs.RoutedJob, run: GuardedRun, wasAlone: boolean): void {
     const digest = job.getDigest();
-    const check = this.checkExit(job, run, wasAlone).finally(() => {
-      if (this.exitChecks.get(digest) === check) {
-        this.exitChecks.delete(digest);
-      }
-    });
+    const check = this.checkExit(job, run, wasAlone)
+      .catch((err: unknown) => {
+        const { upstreamId } = run.known;
+        const description = schemas.describeError(err);
+        this.options.log.error({
+          ...description,
+          event: 'task-failed',
+          task: 'check-exit',
+          peer: upstreamId,
+        });
+        // Without a check, nothing is known of the process.
+        this.recordOutcome(job, run, 'over');
+      })
+      .finally(() => {
+        if (this.exitChecks.get(digest) === check) {
+          this.exitChecks.delete(digest);
+        }
+      });
     this.exitChecks.set(digest, check);
   }
 
--- a/packages/gateway/tests/run-permits.test.ts
+++ b/packages/gateway/tests/run-permits.test.ts
@@ -12,7 +12,7 @@
 const CHECK_MS = 10;
 
 /** Creates a guard whose leader answers as the test sets, and records the requests and reports that the leader gets. */
-function createGuard() {
+function createGuard(check: () => boolean = () => true) {
   const clock = new schemas.VirtualClock();
   const log = new schemas.SilentLog();
   const leader = {
@@ -43,7 +43,7 @@
   const guard = new crashGuards.CrashGuard({
     suspects: client,
     directory: { isLeaving: () => false, noteUnreachable: () => {}, noteEnded: () => {} } as never,
-    exitDetector: { hasExited: async () => clock.sleep(CHECK_MS).then(() => true) } as never,
+    exitDetector: { hasExited: async () => clock.sleep(CHECK_MS).then(check) } as never,
     clock,
     log,
     metrics: new telemetry.TextMetrics(),
@@ -69,6 +69,20 @@
   return leader.reports.at(-1);
 }
 
+// Guards against a host that ends because the check of one upstream failed.
+void tap.default.test('a failed exit check ends neither the host nor later calls', async (t) => {
+  const site = createGuard(() => {
+    throw new TypeError('Invalid URL');
+  });
+  const { clock, guard, leader, client } = site;
+  t.equal(await crashRun(site, 'c1', 'p1'), undefined, 'no end is reported');
+  const admitted = guard.admit(createJob('c2'));
+  await clock.advance(CHECK_MS);
+  await t.resolves(admitted);
+  t.same(leader.requests, [], 'the call is no suspect');
+  client.stop();
+});
+
 // Guards against a later send that is not counted because its permit request has the id of a run that already took
 // place.
 void tap.default.test(
--- a/packages/schemas/src/index.ts
+++ b/packages/schemas/src/index.ts
@@ -21,3 +21,4 @@
 export * from './upstream.js';
 export * from './listed-upstream.js';
 export * from './routed-config.js';
+export * from './run-in-background.js';
