Describe a value that is nested too deeply for the log

An entry of the list whose field is nested 200,000 deep made the read of the whole list fail with a RangeError, since the fault that is logged shows the value found. The former list stayed in use for as long as the entry existed. The same held for a document whose fault lies in such a value.

The fault now says 'a deeply nested object' in that case.

Test: platform/tests/upstream-list, 'a deeply nested entry does not hide the others', failed with 'Maximum call stack size exceeded' before.

--- a/packages/schemas/src/parse.ts
+++ b/packages/schemas/src/parse.ts
@@ -13,11 +13,19 @@
           : undefined,
       input,
     );
-    const shown = JSON.stringify(value)?.slice(0, 80) ?? 'nothing';
-    return `${path}: ${issue.message} (found ${shown})`;
+    return `${path}: ${issue.message} (found ${showValue(value)})`;
   });
 }
 
+function showValue(value: unknown): string {
+  try {
+    return JSON.stringify(value)?.slice(0, 80) ?? 'nothing';
+  } catch {
+    // The value is nested more deeply than the stack allows.
+    return `a deeply nested ${typeof value}`;
+  }
+}
+
 /** Parses a value with a schema; throws one error that lists every fault. */
 export function parse<T>(schema: z.ZodType<T>, input: unknown, step: string): T {
   const result = schema.safeParse(input);
