Give the row 'a comment with figures' its figures

Spreading an iterator into an object gives an empty one, so the row had a comment without colons and passed on any pattern. It has 60 fields now.

Evidence: on the pattern before the text of the row as it was ends at once, and the new one doesn't end within 5 s. The test passes on this code.

--- a/packages/requests/tests/wrong-bytes.test.ts
+++ b/packages/requests/tests/wrong-bytes.test.ts
@@ -6,7 +6,7 @@
 
 /** Wrong bytes of an upstream before an event, as JavaScript expressions. */
 const WRONG_BYTES: Record<string, string> = {
-  'a comment with figures': `': ' + JSON.stringify({ ...Array(60).keys() }) + '\\n'`,
+  'a comment with figures': `': ' + JSON.stringify(Object.fromEntries([...Array(60).keys()].map((i) => ['k' + i, i]))) + '\\n'`,
   'bare colons': `':'.repeat(60) + '\\n'`,
   'lines of comments': `': a:b\\n'.repeat(20_000)`,
   'a large comment': `':' + 'x:'.repeat(450_000) + '\\n'`,
