--- a/packages/gateway/src/call-admission.ts
+++ b/packages/gateway/src/call-admission.ts
@@ -91,6 +91,9 @@
     if (team === undefined && table.needsKey(route)) {
       throw createRefusal('teamKey', 401, []);
     }
+    if (team !== undefined && !schemas.isHeaderText(team.name)) {
+      throw createRefusal('teamUnsendable', 503, [JSON.stringify(team.name.slice(0, 80))]);
+    }
     return team;
   }
 }
--- a/packages/gateway/src/operator-service.ts
+++ b/packages/gateway/src/operator-service.ts
@@ -67,7 +67,9 @@
     this.checkSize(text);
     const faults: string[] = [];
     try {
-      const config = this.options.codec.decode(text);
+      // What was acknowledged is acknowledged again, even if a former version took it.
+      const isHeld = this.options.group.state.get()?.text === text;
+      const config = this.options.codec.decode(text, isHeld ? 'log' : 'operator');
       faults.push(...intents.checkRoutedConfig(config));
       if (faults.length === 0) {
         return config;
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -106,10 +106,16 @@
   readNotice(head: requests.AnswerHead): requests.UpstreamNotice;
 }
 
+/** Where a document comes from: an operator who declares it, or the log, which may hold what a former version took. */
+export type DocumentOrigin = 'operator' | 'log';
+
 /** Decodes operators' documents. */
 export interface DocumentCodec {
-  /** Returns the configuration that a document declares; throws an error that lists its faults. */
-  decode(text: string): schemas.RoutedConfig;
+  /**
+   * Returns the configuration that a document declares; throws an error that lists its faults. What can't be served is a
+   * fault only of an operator's document; one from the log must be loaded.
+   */
+  decode(text: string, origin: DocumentOrigin): schemas.RoutedConfig;
 }
 
 /** Answer of an upstream to a probe. */
--- a/packages/gateway/src/routed-attempts.ts
+++ b/packages/gateway/src/routed-attempts.ts
@@ -102,7 +102,8 @@
     try {
       return await this.receive(job, attempt, await this.send(job, attempt, permit, undefined));
     } catch (err) {
-      attempt.release(true, slotResults.getFailureResult(err, job.abort.signal));
+      const result = slotResults.getFailureResult(err, job.abort.signal);
+      attempt.release(result !== 'unused' || job.abort.signal.aborted, result);
       this.recordEnd(job, attempt, err);
       throw err;
     }
--- a/packages/gateway/src/routed-configuration-store.ts
+++ b/packages/gateway/src/routed-configuration-store.ts
@@ -40,7 +40,7 @@
       return;
     }
     try {
-      this.table = new routing.RouteTable(this.codec.decode(document.text));
+      this.table = new routing.RouteTable(this.codec.decode(document.text, 'log'));
       this.log.info({
         event: 'configuration-in-force',
         version: document.version,
--- a/packages/requests/src/upstream-error.ts
+++ b/packages/requests/src/upstream-error.ts
@@ -3,7 +3,7 @@
 /**
  * What is certain about a failed call: `unreachable` and `refused` calls did not run, `lost` ones may have run, and
  * after `gone` the process or the generation that was addressed no longer exists. A `withheld` call was not sent, since
- * the upstream takes no more calls now.
+ * the upstream takes no more calls now or the call can't be written as an HTTP request.
  */
 export type FailureKind = 'unreachable' | 'refused' | 'lost' | 'gone' | 'withheld';
 
@@ -16,6 +16,9 @@
   'UND_ERR_CONNECT_TIMEOUT',
 ]);
 
+/** The code of errors of an HTTP client that refuses to write a request, as with a line break in a header. */
+const UNSENDABLE_CODE = 'UND_ERR_INVALID_ARG';
+
 /** The message for each kind of failure. */
 const MESSAGE_IDS = {
   unreachable: 'upstreamUnreachable',
@@ -34,7 +37,7 @@
     cause?: unknown,
   ) {
     super({
-      id: MESSAGE_IDS[kind],
+      id: isUnsendable(cause) ? 'callUnsendable' : MESSAGE_IDS[kind],
       step,
       peer,
       cause,
@@ -49,13 +52,23 @@
   }
 }
 
-/** Wraps an error as `unreachable` if it occurred before any byte was sent, and as `lost` otherwise. */
+/** Wraps an error as `unreachable` or `withheld` if it occurred before any byte was sent, and as `lost` otherwise. */
 export function createUpstreamError(err: unknown, step: string, peer: string): UpstreamError {
   if (err instanceof UpstreamError) {
     return err;
   }
-  const kind = isConnectFailure(err) ? 'unreachable' : 'lost';
-  return new UpstreamError(kind, step, peer, err);
+  return new UpstreamError(getFailureKind(err), step, peer, err);
+}
+
+function getFailureKind(err: unknown): FailureKind {
+  if (isUnsendable(err)) {
+    return 'withheld';
+  }
+  return isConnectFailure(err) ? 'unreachable' : 'lost';
+}
+
+function isUnsendable(err: unknown): boolean {
+  return getCode(err) === UNSENDABLE_CODE;
 }
 
 /**
--- a/packages/requests/tests/upstream-client.test.ts
+++ b/packages/requests/tests/upstream-client.test.ts
@@ -279,3 +279,29 @@
     t.equal(((await failure) as requests.UpstreamError).kind, 'lost');
   }
 });
+
+// Guards against a call that was never written, and yet counts as one that its upstream may have run.
+void tap.default.test('a call that can not be written as a request is withheld', async (t) => {
+  let calls = 0;
+  const upstream = await listen(t, () => {
+    calls += 1;
+  });
+  const client = createClient(t);
+  const cases = [
+    { name: 'a line break in a header', change: { headers: { 'x-id': 'a\r\nb' } } },
+    { name: 'a character that is no byte', change: { headers: { 'x-id': '\u5317' } } },
+    { name: 'a blank in the path', change: { path: '/x y' } },
+  ];
+  for (const { change, name } of cases) {
+    for (const isRepeatable of [true, false]) {
+      const call = { ...createCall(isRepeatable), ...change };
+      const expected = { kind: 'withheld', id: 'callUnsendable' } as never;
+      await t.rejects(
+        client.open(upstream, call, () => 'answer'),
+        expected,
+        name,
+      );
+    }
+  }
+  t.equal(calls, 0);
+});
--- a/packages/schemas/src/index.ts
+++ b/packages/schemas/src/index.ts
@@ -7,6 +7,7 @@
 export * from './describe-error.js';
 export * from './digest.js';
 export * from './encoded-size.js';
+export * from './header-text.js';
 export * from './control.js';
 export * from './lifecycle.js';
 export * from './log.js';
--- a/packages/schemas/src/messages.ts
+++ b/packages/schemas/src/messages.ts
@@ -45,6 +45,8 @@
   planExpired: 'the plan %s is %s and cannot be confirmed',
   queueFull: 'the queue of team %s is full: %s requests wait',
   tooMany: 'team %s already has %s requests running, its limit',
+  teamUnsendable:
+    'the name of team %s has characters that no header can carry to an upstream; its calls run once it is renamed',
   teamKey: 'the key of a team is needed',
   teamToken: 'a valid team token is needed as bearer token',
   partQuarantined:
@@ -58,6 +60,7 @@
   timeOver:
     'the answer was not complete within the time allowed; whether the call ran is not known',
   timeOverNotRun: 'no upstream could take the call within the time allowed; it did not run',
+  callUnsendable: 'the call cannot be written as an HTTP request; it was not sent',
   upstreamRefused: 'the upstream refused the call as not run',
   upstreamWithheld: 'the upstream takes no more calls at the moment; the call was not sent',
   upstreamUnreachable: 'the upstream could not be reached; the call did not run',
