Take every error of a connect for one before the send

What callers saw: 502, ranUnknown, without a repeat, for a call whose connection was never opened, and an exit check of its upstream.

Cause: an error counted as one before the send by four codes, or by the system call connect. A name that doesn't resolve, a port that doesn't exist or a relay that isn't there counted as lost.

Change: the connector marks the error with which it ends; whatever it is, nothing was sent over that connection.

--- a/packages/paths/src/create-connector.ts
+++ b/packages/paths/src/create-connector.ts
@@ -1,8 +1,11 @@
 import type * as net from 'node:net';
 import type * as stream from 'node:stream';
 
+import * as schemas from '@bramleyridge/schemas';
 import * as undici from 'undici';
 
+import * as connectFailures from './connect-failure.js';
+
 /** Opens a connection to an address. */
 export type OpenConnection = (address: string) => Promise<stream.Duplex>;
 
@@ -11,7 +14,7 @@
   const secure = undici.buildConnector({});
   return (options, callback) => {
     const port = options.port === '' ? getDefaultPort(options.protocol) : options.port;
-    open(`${options.hostname}:${port}`).then(
+    open(schemas.formatAddress({ host: options.hostname, port: Number(port) })).then(
       (socket) => {
         // The HTTP client uses only what any duplex stream offers.
         const httpSocket = socket as net.Socket;
@@ -21,7 +24,7 @@
           callback(null, httpSocket);
         }
       },
-      (err: Error) => callback(err, null),
+      (err: unknown) => callback(connectFailures.markConnectFailure(err), null),
     );
   };
 }
--- a/packages/paths/src/index.ts
+++ b/packages/paths/src/index.ts
@@ -1,6 +1,7 @@
 /** How a host reaches upstreams: its own connections, and those through other hosts. */
 export * from './bounded-client.js';
 export * from './create-connector.js';
+export * from './connect-failure.js';
 export * from './create-own-links.js';
 export * from './metered-dialer.js';
 export * from './open-tunnels.js';
--- a/packages/requests/src/upstream-error.ts
+++ b/packages/requests/src/upstream-error.ts
@@ -1,3 +1,4 @@
+import * as paths from '@bramleyridge/paths';
 import * as schemas from '@bramleyridge/schemas';
 
 /**
@@ -76,6 +77,9 @@
  * same error codes but from another system call than `connect`.
  */
 function isConnectFailure(err: unknown): boolean {
+  if (paths.isConnectFailure(err)) {
+    return true;
+  }
   const { syscall } = (err ?? {}) as { syscall?: string };
   return syscall === undefined ? CONNECT_CODES.has(getCode(err)) : syscall === 'connect';
 }
