Give an address one form

What callers saw: a truncated answer without a length counted as whole at an upstream listed with a leading zero in its port, or with an IPv6 address. Calls went by the text of the list, connections and resets by the parsed URL.

Change: where an address is read it is put into the form that a URL gives it, IPv6 addresses in brackets, and connections use the same form. A host does so for a leader's list, too, and leaves out names that no header can carry.

--- a/packages/gateway/src/upstream-directory.ts
+++ b/packages/gateway/src/upstream-directory.ts
@@ -291,12 +291,19 @@
     }
   }
 
-  /** Lists the upstreams with a valid address; a leader of the previous version distributes any address. */
+  /**
+   * Lists the upstreams to which a call can be addressed, with their addresses in the form by which paths are compared. A
+   * leader of the previous version distributes other ones, too.
+   */
   private listUsable({ upstreams }: procedures.UpstreamList): schemas.ListedUpstream[] {
-    const usable = upstreams.filter(({ address }) => schemas.address.safeParse(address).success);
+    const usable = upstreams.flatMap((listed) => {
+      const { data: address } = schemas.address.safeParse(listed.address);
+      const isUsable = address !== undefined && schemas.isHeaderText(listed.upstreamId);
+      return isUsable ? [{ ...listed, address }] : [];
+    });
     if (usable.length < upstreams.length) {
-      const unusable = upstreams.length - usable.length;
-      this.log.warn({ event: 'upstreams-without-address', count: unusable });
+      const count = upstreams.length - usable.length;
+      this.log.warn({ event: 'upstreams-without-address', count });
     }
     return usable;
   }
--- a/packages/gateway/tests/upstream-directory.test.ts
+++ b/packages/gateway/tests/upstream-directory.test.ts
@@ -57,6 +57,9 @@
   const [from, stamp] = [directory.getStamp(), 'next'];
   directory.applyChanges({ from, stamp, changed: [{ ...other, address: '%:80' }], gone: [] }, 0);
   t.equal(directory.find('e-2'), undefined, 'neither is one whose address has become unusable');
+  apply({ ...other, address: '127.0.0.1:08080' }, { ...other, upstreamId: 'e-\n' });
+  t.match(directory.findByAddress('127.0.0.1:8080'), { origin: 'http://127.0.0.1:8080' });
+  t.equal(directory.countLive(), 1, 'neither is one whose name no header can carry');
 });
 
 // Guards against new calls to a process that leaves after this host has read the platform's list by itself, which does
--- a/packages/schemas/src/address.ts
+++ b/packages/schemas/src/address.ts
@@ -19,6 +19,11 @@
   return net.isIP(host) === 0 || Number(port) > MAX_PORT ? undefined : { host, port: Number(port) };
 }
 
+/** Joins a host and a port; an IPv6 address is put in brackets. */
+export function formatAddress({ host, port }: ParsedAddress): string {
+  return `${net.isIPv6(host) ? `[${host}]` : host}:${port}`;
+}
+
 /** Splits an address at its last colon; its host may be a name, and neither part is checked. */
 export function splitAddress(text: string): ParsedAddress {
   const at = text.lastIndexOf(':');
@@ -26,10 +31,25 @@
   return { host, port: Number(text.slice(at + 1)) };
 }
 
+/** Returns the one form of an address by which calls and connections can be compared; `undefined` if it is none. */
+function findCanonicalForm(text: string): string | undefined {
+  const parsed = parseAddress(text);
+  if (parsed === undefined) {
+    return undefined;
+  }
+  const { hostname } = new URL(`http://${formatAddress(parsed)}`);
+  return `${hostname}:${parsed.port}`;
+}
+
 /** An address to listen at; port 0 lets the system choose. */
-export const listenAddress = z
-  .string()
-  .refine((text) => parseAddress(text) !== undefined, 'must be an IP address and a port');
+export const listenAddress = z.string().transform((text, context) => {
+  const canonicalForm = findCanonicalForm(text);
+  if (canonicalForm === undefined) {
+    context.addIssue({ code: 'custom', message: 'must be an IP address and a port' });
+    return z.NEVER;
+  }
+  return canonicalForm;
+});
 
 /** An address to connect to: an IP address and a port from 1 to 65535. */
 export const address = listenAddress.refine(
