--- a/packages/schemas/src/messages.ts
+++ b/packages/schemas/src/messages.ts
@@ -27,6 +27,7 @@
   linkClosed: 'the link to the peer is closed',
   listRefused: 'the list of upstreams was refused with status %s',
   listTooLong: 'the list of upstreams has more than %s pages',
+  listUnreadable: 'none of the %s entries of the list of upstreams can be used; the first: %s',
   logFull:
     'the replicated log waits for a majority of its voters to store %s bytes; send the command again later',
   noModel: 'no intent serves model %s for team %s in availability zone %s',
