--- a/packages/fakes/src/cut-dialer.ts
+++ b/packages/fakes/src/cut-dialer.ts
@@ -126,12 +126,19 @@
         });
       }
     });
+    let wasReset = false;
+    // A reset that arrives together with data is reported as a plain end; an empty write fails after a reset.
+    from.once('end', () =>
+      from.write('', (err) => {
+        wasReset = Boolean(err);
+      }),
+    );
     from.on('close', (hadError: boolean) => {
       if (isSilent()) {
         return;
       }
       this.pairs.delete(pair);
-      if (hadError) {
+      if (hadError || wasReset) {
         to?.resetAndDestroy();
       } else {
         to?.destroySoon();
