Take a body without a length or chunks for one that its connection ends

What callers saw: a 200 with an empty or short body, framed as whole, where the upstream's answer had a transfer coding other than the chunked one and its connection was reset.

Cause: an answer counts as complete if HTTP marks its end. One without a length ends with its connection, and the HTTP library reports a reset as such an end, so that resets are looked for where an answer has neither a length nor a transfer coding. Only the chunked coding, as the last one, marks an end, though; with any other, the connection does, too.

Change: whether the end of a body is that of its connection follows from the last coding, as in the HTTP library's parser.

--- a/packages/requests/src/answer-body.ts
+++ b/packages/requests/src/answer-body.ts
@@ -7,6 +7,9 @@
 /** The content type of streams of events. */
 const EVENTS_TYPE = 'text/event-stream';
 
+/** The transfer codings of a body whose end is marked: the last of them is the chunked one. */
+const CHUNKED_LAST = /(?:^|,)\s*chunked\s*$/i;
+
 /** The body of a response as far as it was read, and whether that is all of it. */
 export interface AnswerBody {
   readonly bytes: Buffer;
@@ -102,8 +105,10 @@
   return part;
 }
 
+/** Returns whether the end of a body is that of its connection, as it also is with other codings than the chunked one. */
 function hasNoLength({ headers }: upstreamClients.UpstreamAnswer): boolean {
-  return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+  const isChunked = CHUNKED_LAST.test(String(headers['transfer-encoding'] ?? ''));
+  return headers['content-length'] === undefined && !isChunked;
 }
 
 function readNext({ body }: upstreamClients.UpstreamAnswer): Promise<Buffer | undefined> {
