Parse the entries of the daemons' list of upstreams one by one

Callers saw: one bad entry of the platform's list and all daemons of a zone kept the list that they had read before, so that calls went on to engines that were gone and none went to new ones. A URL such as `mailto:a` or one with port 0 was accepted and failed at each call to it.

Cause: the list was parsed as one array, and its URLs were checked for their syntax only.

Change: `schemas.parseEntries` parses the entries of a list one by one. `schemas.httpUrl` is the URL of a host that can be connected to; the address of the platform in the settings is one as well. A body that is no list stays an error, which keeps the former list.

Conclusion: an entry that can't be read costs only the upstream that it names.

--- a/packages/daemon/src/platform-poller.ts
+++ b/packages/daemon/src/platform-poller.ts
@@ -15,6 +15,7 @@
 /** Polls the platform's list of upstreams while `isActive` returns true. */
 export class PlatformPoller {
   private isStopped = false;
+  private unreadableCount = 0;
 
   public constructor(
     private readonly options: {
@@ -44,7 +45,10 @@
     }
   }
 
-  /** Reads the list once; when the platform does not answer, the previous list stays in use. */
+  /**
+   * Reads the list once. Unreadable entries are left out; when the platform does not answer with a list, the previous
+   * one stays in use.
+   */
   public async poll(): Promise<void> {
     const { availabilityZone, log, onUpstreams, url } = this.options;
     if (url === undefined) {
@@ -57,7 +61,9 @@
       });
       const body = await requests.readBoundedJson(res.body, MAX_LIST_BYTES);
       const list = schemas.parse(schemas.platformList, body, 'platform-list');
-      onUpstreams(list.upstreams);
+      const read = schemas.parseEntries(schemas.upstream, list.upstreams);
+      this.logUnreadable(read, url);
+      onUpstreams(read.entries);
     } catch (err) {
       log.warn({ step: 'platform-list', peer: url, err: schemas.toError(err).message });
     }
@@ -67,4 +73,16 @@
   public stop(): void {
     this.isStopped = true;
   }
+
+  /** Logs the unreadable entries when their number changes, since they may stay in the list for long. */
+  private logUnreadable(
+    { faults, unreadable }: schemasTypes.ParsedEntries<schemasTypes.Upstream>,
+    peer: string,
+  ): void {
+    if (unreadable !== this.unreadableCount) {
+      const { log } = this.options;
+      log.warn({ event: 'list-entries-unreadable', count: unreadable, faults, peer });
+    }
+    this.unreadableCount = unreadable;
+  }
 }
--- a/packages/schemas/src/daemon-config.ts
+++ b/packages/schemas/src/daemon-config.ts
@@ -1,5 +1,6 @@
 import * as z from 'zod';
 
+import * as httpUrls from './http-url.js';
 import * as names from './names.js';
 
 /** Identity and addresses of a daemon of the deployment, for its peers. */
@@ -51,7 +52,7 @@
     claimSeats: z.array(names.name).default([]),
     keysFile: z.string().min(1),
     operators: z.array(operatorToken).min(1),
-    platformUrl: z.url().optional(),
+    platformUrl: httpUrls.httpUrl.optional(),
     statsd: z.strictObject({ host: z.string(), port: names.port }).optional(),
     logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
     limits: limits.prefault({}),
--- a/packages/schemas/src/upstream.ts
+++ b/packages/schemas/src/upstream.ts
@@ -1,5 +1,6 @@
 import * as z from 'zod';
 
+import * as httpUrls from './http-url.js';
 import * as names from './names.js';
 
 /** An upstream as listed by the platform; the list lags behind the actual state. */
@@ -8,7 +9,7 @@
   kind: z.enum(['engine', 'service']),
   service: names.name.optional(),
   availabilityZone: names.name,
-  url: z.url(),
+  url: httpUrls.httpUrl,
   state: z.enum(['live', 'leaving']),
   checksFencing: z.boolean().default(false),
 });
@@ -16,8 +17,8 @@
 /** An upstream as listed by the platform. */
 export type Upstream = z.infer<typeof upstream>;
 
-/** Response of the platform to GET /v1/hosts. */
-export const platformList = z.object({ upstreams: z.array(upstream) });
+/** Response of the platform to GET /v1/hosts. Its entries are parsed one by one, since one may be unreadable. */
+export const platformList = z.object({ upstreams: z.array(z.unknown()) });
 
 /** Load report of an engine, as of the time `at`; it is read later. */
 export const loadReport = z.object({
