Read messages between daemons item by item, and never unread

Callers saw: one report, upstream or suspect that a daemon of another version sent could not be read by its peer. As a request it was refused with all that came with it, at each repetition: a zone whose relay reported one such daemon got no configuration any more, and the owner of a pool heard of no end of a call. As an answer it was used unread: an upstream without a host failed each use of the directory, a broken configuration came into force, and a list of suspects or an acceptor's answer without its fields ended the daemon, in a promise that nobody handles. A slot number of in a request to recover claims made an acceptor keep an array of that length.

Cause: lists of messages were parsed as one array, and answers weren't parsed at all.

Change: `schemas.syncReq` and `schemas.syncRes` read daemons and upstreams one by one; so do the reports of pools and suspects, and the list of suspects. What is left out is logged once per change of its count. Strict stay each frame, the sender's own report, the configuration (a part of it isn't what an operator declared) and pages of claims (a call whose claim was left out could run twice). An unreadable configuration costs only itself, and both ends pause for a heartbeat, as the peer would send it again at once. Fields of a newer version in a configuration are kept, as answers were used unread before. Answers to grants, permits, claims and of the identity are parsed where they arrive.

Not covered: the answers to votes and entries of the log are read by `consensus` as they come.

Conclusion: a message costs only what can't be read of it, and an answer that isn't one counts as none.

--- a/packages/daemon/src/claim-service.ts
+++ b/packages/daemon/src/claim-service.ts
@@ -43,11 +43,18 @@
     const { cfg, clock, incarnation, log, mesh, random, store } = options;
     const context = { deadlineMs: cfg.timings.claimDeadlineMs };
     const transport: requests.ClaimTransport = {
-      claim: async (daemonId, req) =>
-        daemonId === cfg.daemonId
-          ? this.acceptor.handleClaim(req)
-          : mesh.get(daemonId).claim.mutate(req, { context }),
-      recover: (daemonId, req) => mesh.get(daemonId).recover.mutate(req, { context }),
+      claim: async (daemonId, req) => {
+        if (daemonId === cfg.daemonId) {
+          return this.acceptor.handleClaim(req);
+        }
+        const answer = await mesh.get(daemonId).claim.mutate(req, { context });
+        return schemas.parse(requests.claimRes, answer, 'read-claim');
+      },
+      // A page of claims is read as a whole: a call whose claim was left out could run twice.
+      recover: async (daemonId, req) => {
+        const answer = await mesh.get(daemonId).recover.mutate(req, { context });
+        return schemas.parse(requests.recoverRes, answer, 'read-claims');
+      },
     };
     const { daemonId } = cfg;
     this.acceptor = new requests.ClaimAcceptor({ daemonId, incarnation, clock, log, transport });
--- a/packages/daemon/src/control-plane.ts
+++ b/packages/daemon/src/control-plane.ts
@@ -4,6 +4,7 @@
 import * as intents from '@bramleyridge/intents';
 import type * as members from '@bramleyridge/members';
 import * as schemas from '@bramleyridge/schemas';
+import * as z from 'zod';
 
 import type * as peerMeshes from './peer-mesh.js';
 import type * as peerRouters from './peer-router.js';
@@ -14,6 +15,12 @@
 /** Pause between two attempts to reach the leader, in milliseconds. */
 const LEADER_RETRY_PAUSE_MS = 100;
 
+const genesis: z.ZodType<consensus.Genesis> = z.object({
+  voterId: z.string(),
+  voters: z.array(z.object({ daemonId: z.string(), voterId: z.string() })),
+  founders: z.array(z.string()).optional(),
+});
+
 /** Dependencies of the control plane. */
 export interface ControlPlaneOptions {
   readonly cfg: schemas.DaemonConfig;
@@ -153,7 +160,7 @@
       daemonId: cfg.daemonId,
       founders: firstVoters,
       listPeers: () => firstVoters,
-      fetchGenesis: (peer) => mesh.get(peer).genesis.mutate(),
+      fetchGenesis: (peer) => this.fetchGenesis(peer),
       clock,
       signal,
     });
@@ -172,6 +179,11 @@
     await consensus.runElections(this.voter, signal);
   }
 
+  private async fetchGenesis(daemonId: string): Promise<consensus.Genesis> {
+    const answer = await this.options.mesh.get(daemonId).genesis.mutate();
+    return schemas.parse(genesis, answer, 'read-genesis');
+  }
+
   private createMachine(): consensus.StateMachine {
     return {
       apply: (entry) => {
@@ -206,7 +218,7 @@
       await leadership.removeVoter(change.daemonId);
       return;
     }
-    const { voterId } = await this.options.mesh.get(change.daemonId).genesis.mutate();
+    const { voterId } = await this.fetchGenesis(change.daemonId);
     await leadership.addVoter({ daemonId: change.daemonId, voterId });
   }
 
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -150,14 +150,17 @@
       activeChanged: view.changed,
       onUpstreams: (list) => view.setUpstreams(list),
     });
-    this.peerServer = new peers.PeerServer(peerRouters.createPeerRouter(this.createHandlers()), {
-      host: cfg.host,
-      port: cfg.peerPort,
-      keyring: this.keyring,
-      log,
-      isCut: () => this.isCut,
-      openTunnel: (req) => this.tunnels.open(req),
-    });
+    this.peerServer = new peers.PeerServer(
+      peerRouters.createPeerRouter(this.createHandlers(), log),
+      {
+        host: cfg.host,
+        port: cfg.peerPort,
+        keyring: this.keyring,
+        log,
+        isCut: () => this.isCut,
+        openTunnel: (req) => this.tunnels.open(req),
+      },
+    );
     this.server = this.createHttpServer();
   }
 
@@ -359,6 +362,7 @@
       store,
       view,
       clock,
+      log: this.options.log,
       findLeader: () => control.findLeader(),
       findZoneStatus: () => (control.voter?.isLeader() ? leader.zones : undefined),
       getEntries: () => this.getEntries(),
@@ -379,11 +383,8 @@
       log: this.options.log,
       heartbeatMs: cfg.timings.heartbeatMs,
       deadlineMs: cfg.timings.peerDeadlineMs,
-      sync: async (peer, req, deadlineMs) => {
-        const res = await mesh.sync(peer, req, deadlineMs);
-        this.control.setLeaderHint(res.leader);
-        return res;
-      },
+      sync: (peer, req, deadlineMs) => mesh.sync(peer, req, deadlineMs),
+      onLeader: (leader) => this.control.setLeaderHint(leader),
     });
   }
 
--- a/packages/daemon/src/peer-mesh.ts
+++ b/packages/daemon/src/peer-mesh.ts
@@ -43,12 +43,12 @@
     return this.links.getAt(daemonId, address);
   }
 
-  /** Sends one heartbeat to a peer. */
+  /** Sends one heartbeat to a peer; resolves to the answer as it arrived. */
   public sync(
     peer: members.PeerAddress,
     req: schemas.SyncReq,
     deadlineMs: number,
-  ): Promise<schemas.SyncRes> {
+  ): Promise<unknown> {
     return this.getAt(peer.daemonId, peer).sync.mutate(req, { context: { deadlineMs } });
   }
 
--- a/packages/daemon/src/peer-router.ts
+++ b/packages/daemon/src/peer-router.ts
@@ -18,15 +18,15 @@
   version: z.string().optional(),
   reason: z.string(),
   queuedMs: z.number(),
-  pressure: z.number(),
+  /** Not finite for an upstream without any memory. */
+  pressure: z.custom<number>((value) => typeof value === 'number'),
   retryAfterS: z.number(),
 });
 
 /** The reply to a request for capacity. */
 export type GrantResult = z.infer<typeof grantResult>;
 
-/** A daemon's report on its generations to the owner of a pool. */
-export const poolReport = z.object({
+const poolReport = z.object({
   model: z.string(),
   daemonId: z.string(),
   /** The common prefix of all call ids of this process; the rest of an id is its number. */
@@ -39,26 +39,40 @@
    * The number and the tokens of each ended call, and 1 if it completed, as a flat list of triples.
    */
   finished: z.array(z.int()),
-  registered: z.array(routing.runningGeneration),
+  registered: z.array(z.unknown()),
   /** Upstreams that this daemon found to be leaving or dead. */
   leaving: z.array(z.string()),
 });
 
 /** A daemon's report on its generations to the owner of a pool. */
-export type PoolReport = z.infer<typeof poolReport>;
+export type PoolReport = Omit<z.infer<typeof poolReport>, 'registered'> & {
+  readonly registered: routing.RunningGeneration[];
+};
 
-/** What one daemon tells others about suspects: calls and parts of prompts during whose runs upstreams exited. */
-export const suspectReport = z.object({
+const suspectReport = z.object({
   daemonId: z.string(),
   availabilityZone: z.string(),
   /** Whether it was passed on by a daemon of another zone. */
   isPassedOn: z.boolean(),
-  runs: z.array(routing.suspectRun),
-  facts: z.array(routing.suspectFacts),
+  runs: z.array(z.unknown()),
+  facts: z.array(z.unknown()),
 });
 
-/** What one daemon tells others about suspects. */
-export type SuspectReport = z.infer<typeof suspectReport>;
+/** What one daemon tells others about suspects: calls and parts of prompts during whose runs upstreams exited. */
+export type SuspectReport = Omit<z.infer<typeof suspectReport>, 'facts' | 'runs'> & {
+  readonly runs: routing.SuspectRun[];
+  readonly facts: routing.SuspectFacts[];
+};
+
+const isAlone = z.boolean().optional();
+
+/** Answer to the request for a permit to send a suspect. */
+export const suspectPermit: z.ZodType<routing.Permit> = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('go'), isAlone }),
+  z.object({ kind: z.literal('elsewhere') }),
+  z.object({ kind: z.literal('there'), processId: z.string(), isAlone }),
+  z.object({ kind: z.literal('refused'), retryMs: z.number() }),
+]);
 
 /** Request for a permit to send a suspect. */
 export const suspectPermitReq = z.object({
@@ -120,8 +134,14 @@
 
 const t = trpc.initTRPC.create();
 
-/** Creates the router of the procedures between daemons; callers set a deadline on every call. */
-export function createPeerRouter(handlers: PeerHandlers) {
+/**
+ * Creates the router of the procedures between daemons; callers set a deadline on every call. A message that doesn't fit
+ * its schema is refused. Entries of the lists in a report are read one by one: a daemon of another version may send
+ * some that can't be read here, with every report.
+ */
+export function createPeerRouter(handlers: PeerHandlers, log: schemas.Log) {
+  const poolFaults = new schemas.EntryFaultLog(log, 'pool-report-unreadable');
+  const suspectFaults = new schemas.EntryFaultLog(log, 'suspect-report-unreadable');
   return t.router({
     genesis: t.procedure.mutation(() => handlers.genesis()),
     vote: t.procedure.input(consensus.voteReq).mutation(({ input }) => handlers.vote(input)),
@@ -143,14 +163,24 @@
     reportLimit: t.procedure
       .input(requests.rateLimitFacts)
       .mutation(({ input }) => handlers.reportLimit(input)),
-    reportSuspects: t.procedure
-      .input(suspectReport)
-      .mutation(({ input }) => handlers.reportSuspects(input)),
+    reportSuspects: t.procedure.input(suspectReport).mutation(({ input }) => {
+      const runs = schemas.parseEntries(routing.suspectRun, input.runs);
+      const facts = schemas.parseEntries(routing.suspectFacts, input.facts);
+      suspectFaults.record(input.daemonId, {
+        unreadable: runs.unreadable + facts.unreadable,
+        faults: [...runs.faults, ...facts.faults],
+      });
+      return handlers.reportSuspects({ ...input, runs: runs.entries, facts: facts.entries });
+    }),
     permitSuspect: t.procedure
       .input(suspectPermitReq)
       .mutation(({ input }) => handlers.permitSuspect(input)),
     listSuspects: t.procedure.mutation(() => handlers.listSuspects()),
-    pool: t.procedure.input(poolReport).mutation(({ input }) => handlers.pool(input)),
+    pool: t.procedure.input(poolReport).mutation(({ input }) => {
+      const registered = schemas.parseEntries(routing.runningGeneration, input.registered);
+      poolFaults.record(input.daemonId, registered);
+      return handlers.pool({ ...input, registered: registered.entries });
+    }),
     claim: t.procedure.input(requests.claimReq).mutation(({ input }) => handlers.claim(input)),
     recover: t.procedure
       .input(requests.recoverReq)
--- a/packages/daemon/src/platform-poller.ts
+++ b/packages/daemon/src/platform-poller.ts
@@ -15,7 +15,7 @@
 /** Polls the platform's list of upstreams while `isActive` returns true. */
 export class PlatformPoller {
   private isStopped = false;
-  private unreadableCount = 0;
+  private readonly faults: schemas.EntryFaultLog;
 
   public constructor(
     private readonly options: {
@@ -28,7 +28,9 @@
       readonly activeChanged: schemasTypes.ChangeSignal;
       readonly onUpstreams: (upstreams: schemasTypes.Upstream[]) => void;
     },
-  ) {}
+  ) {
+    this.faults = new schemas.EntryFaultLog(options.log, 'list-entries-unreadable');
+  }
 
   /** Polls until stopped. */
   public async run(): Promise<void> {
@@ -62,7 +64,7 @@
       const body = await requests.readBoundedJson(res.body, MAX_LIST_BYTES);
       const list = schemas.parse(schemas.platformList, body, 'platform-list');
       const read = schemas.parseEntries(schemas.upstream, list.upstreams);
-      this.logUnreadable(read, url);
+      this.faults.record(url, read);
       onUpstreams(read.entries);
     } catch (err) {
       log.warn({ step: 'platform-list', peer: url, err: schemas.toError(err).message });
@@ -73,16 +75,4 @@
   public stop(): void {
     this.isStopped = true;
   }
-
-  /** Logs the unreadable entries when their number changes, since they may stay in the list for long. */
-  private logUnreadable(
-    { faults, unreadable }: schemasTypes.ParsedEntries<schemasTypes.Upstream>,
-    peer: string,
-  ): void {
-    if (unreadable !== this.unreadableCount) {
-      const { log } = this.options;
-      log.warn({ event: 'list-entries-unreadable', count: unreadable, faults, peer });
-    }
-    this.unreadableCount = unreadable;
-  }
 }
--- a/packages/daemon/src/pool-client.ts
+++ b/packages/daemon/src/pool-client.ts
@@ -3,7 +3,7 @@
 import * as schemas from '@bramleyridge/schemas';
 
 import type * as peerMeshes from './peer-mesh.js';
-import type * as peerRouters from './peer-router.js';
+import * as peerRouters from './peer-router.js';
 import type * as poolManagers from './pool-manager.js';
 
 /** Interval between two full progress reports to owners, in milliseconds. */
@@ -165,11 +165,13 @@
       return undefined;
     }
     try {
-      return owner.daemonId === cfg.daemonId
-        ? await poolManager.grant(model, req)
-        : await mesh
-            .getAt(owner.daemonId, owner)
-            .grant.mutate({ model, req }, { context: { deadlineMs: GRANT_DEADLINE_MS } });
+      if (owner.daemonId === cfg.daemonId) {
+        return await poolManager.grant(model, req);
+      }
+      const answer = await mesh
+        .getAt(owner.daemonId, owner)
+        .grant.mutate({ model, req }, { context: { deadlineMs: GRANT_DEADLINE_MS } });
+      return schemas.parse(peerRouters.grantResult, answer, 'read-grant');
     } catch (err) {
       const { message } = schemas.toError(err);
       log.warn({ step: 'ask-owner', peer: owner.daemonId, err: message });
--- a/packages/daemon/src/rate-grants.ts
+++ b/packages/daemon/src/rate-grants.ts
@@ -46,7 +46,13 @@
     }
     return owner === undefined
       ? undefined
-      : this.send(owner, (peer, context) => peer.grantSend.mutate(limit, { context }));
+      : this.send(owner, async (peer, context) =>
+          schemas.parse(
+            requests.rateGrantAnswer,
+            await peer.grantSend.mutate(limit, { context }),
+            'read-grant',
+          ),
+        );
   }
 
   /** Tells all daemons of the zone about a limit. */
--- a/packages/daemon/src/suspect-exchange.ts
+++ b/packages/daemon/src/suspect-exchange.ts
@@ -2,10 +2,11 @@
 import type * as requests from '@bramleyridge/requests';
 import * as routing from '@bramleyridge/routing';
 import * as schemas from '@bramleyridge/schemas';
+import * as z from 'zod';
 
 import * as exitRegistries from './exit-registry.js';
 import type * as peerMeshes from './peer-mesh.js';
-import type * as peerRouters from './peer-router.js';
+import * as peerRouters from './peer-router.js';
 
 /** Timeout of a report to another daemon, in milliseconds: a daemon that is busy for that long misses it. */
 const REPORT_TIMEOUT_MS = 500;
@@ -41,9 +42,12 @@
 export class SuspectExchange implements requests.SuspectSharing {
   public readonly ledger = new routing.CrashLedger();
   public readonly exits = new exitRegistries.ExitRegistry();
+  private readonly faults: schemas.EntryFaultLog;
   private isStopped = false;
 
-  public constructor(private readonly options: SuspectExchangeOptions) {}
+  public constructor(private readonly options: SuspectExchangeOptions) {
+    this.faults = new schemas.EntryFaultLog(options.log, 'suspect-list-unreadable');
+  }
 
   /** Asks other daemons of the zone for their suspects, once at the start. */
   public async run(): Promise<void> {
@@ -53,7 +57,9 @@
       const asked = this.listZone().slice(0, MAX_ASKED);
       const answers = await Promise.all(
         asked.map((id) =>
-          this.send(id, (peer, context) => peer.listSuspects.mutate(undefined, { context })),
+          this.send(id, async (peer, context) =>
+            this.readFacts(id, await peer.listSuspects.mutate(undefined, { context })),
+          ),
         ),
       );
       answers.forEach((facts) => this.ledger.merge(this.translate(facts ?? []), clock.now()));
@@ -100,7 +106,13 @@
       return this.permit(req);
     }
     const context = { deadlineMs: PERMIT_TIMEOUT_MS };
-    return this.send(owner, (peer) => peer.permitSuspect.mutate(req, { context }));
+    return this.send(owner, async (peer) =>
+      schemas.parse(
+        peerRouters.suspectPermit,
+        await peer.permitSuspect.mutate(req, { context }),
+        'read-permit',
+      ),
+    );
   }
 
   /** Decides whether a suspect may be sent, as the daemon that counts its sends. */
@@ -149,6 +161,14 @@
     }
   }
 
+  /** Reads the suspects that another daemon has listed one by one; throws if they are no list. */
+  private readFacts(peer: string, answer: unknown): routing.SuspectFacts[] {
+    const listed = schemas.parse(z.array(z.unknown()), answer, 'read-suspects');
+    const read = schemas.parseEntries(routing.suspectFacts, listed);
+    this.faults.record(peer, read);
+    return read.entries;
+  }
+
   /** Returns facts that another daemon has told with the ids of exits that this daemon uses. */
   private translate(all: readonly routing.SuspectFacts[]): routing.SuspectFacts[] {
     return all.map((facts) => ({
--- a/packages/members/src/sync-client.ts
+++ b/packages/members/src/sync-client.ts
@@ -35,11 +35,10 @@
   readonly log: schemas.Log;
   readonly heartbeatMs: number;
   readonly deadlineMs: number;
-  readonly sync: (
-    peer: PeerAddress,
-    req: schemas.SyncReq,
-    deadlineMs: number,
-  ) => Promise<schemas.SyncRes>;
+  /** Sends a heartbeat and resolves to the answer as it arrived. */
+  readonly sync: (peer: PeerAddress, req: schemas.SyncReq, deadlineMs: number) => Promise<unknown>;
+  /** Called with the leader that a peer names. */
+  readonly onLeader?: (daemonId: string | undefined) => void;
 }
 
 /** Keeps a host's configuration and view of its zone up to date, with one heartbeat in flight at a time. */
@@ -52,7 +51,11 @@
   private leader: string | undefined;
   private isStopped = false;
 
-  public constructor(private readonly options: SyncClientOptions) {}
+  private readonly faults: schemas.EntryFaultLog;
+
+  public constructor(private readonly options: SyncClientOptions) {
+    this.faults = new schemas.EntryFaultLog(options.log, 'heartbeat-answer-unreadable');
+  }
 
   /** Loads the highest revision from the zone and the voters, then sends heartbeats until stopped. */
   public async run(): Promise<void> {
@@ -80,8 +83,10 @@
     try {
       const res = await this.exchange(target, heartbeatMs);
       this.applyResponse(target, res);
-      // Two peers that each assume that the other has updates must not exchange messages in a busy loop.
-      await clock.sleep(Math.max(0, MIN_HEARTBEAT_GAP_MS - (clock.now() - askedAt)));
+      // Two peers that each assume that the other has updates must not exchange messages in a busy loop, nor must a peer
+      // send again at once what can't be read.
+      const gapMs = res.unreadable?.lacksPart ? heartbeatMs : MIN_HEARTBEAT_GAP_MS;
+      await clock.sleep(Math.max(0, gapMs - (clock.now() - askedAt)));
     } catch (err) {
       this.failedAt.set(target.daemonId, clock.now());
       const { message } = schemas.toError(err);
@@ -150,7 +155,10 @@
       waitMs: Math.round(waitMs),
       configuration,
     };
-    const res = await sync(target, req, waitMs + deadlineMs);
+    const answer = await sync(target, req, waitMs + deadlineMs);
+    const res = schemas.parse(schemas.syncRes, answer, 'read-sync');
+    this.faults.record(target.daemonId, res.unreadable ?? { unreadable: 0, faults: [] });
+    this.options.onLeader?.(res.leader);
     this.lastBeats = current;
     return res;
   }
--- a/packages/members/src/sync-server.ts
+++ b/packages/members/src/sync-server.ts
@@ -1,4 +1,4 @@
-import type * as schemas from '@bramleyridge/schemas';
+import * as schemas from '@bramleyridge/schemas';
 
 import type * as configurationStores from './configuration-store.js';
 import type * as zoneStatuses from './zone-status.js';
@@ -9,6 +9,7 @@
   readonly store: configurationStores.ConfigurationStore;
   readonly view: zoneViews.ZoneView;
   readonly clock: schemas.Clock;
+  readonly log: schemas.Log;
   /** The leader's name, if this host is a voter and has one. */
   readonly findLeader: () => string | undefined;
   /** The status of all zones on the leader; `undefined` on other hosts. */
@@ -18,13 +19,24 @@
   readonly isLeased: () => boolean;
 }
 
+const NOTHING_UNREADABLE: schemas.UnreadableEntries = { unreadable: 0, faults: [] };
+
 /** Answers heartbeats by long polling: at once if there are updates, else when the requested wait is over. */
 export class SyncServer {
-  public constructor(private readonly options: SyncServerOptions) {}
+  private readonly faults: schemas.EntryFaultLog;
+
+  public constructor(private readonly options: SyncServerOptions) {
+    this.faults = new schemas.EntryFaultLog(options.log, 'heartbeat-unreadable');
+  }
 
   /** Handles one heartbeat. */
   public async handle(req: schemas.SyncReq): Promise<schemas.SyncRes> {
     const { store, view, clock } = this.options;
+    this.faults.record(req.from, req.unreadable ?? NOTHING_UNREADABLE);
+    if (req.unreadable?.lacksPart) {
+      // The sender would send what can't be read again at once.
+      await clock.sleep(req.waitMs);
+    }
     if (req.configuration !== undefined) {
       store.offer(req.configuration);
     }
--- a/packages/members/tests/members.test.ts
+++ b/packages/members/tests/members.test.ts
@@ -44,6 +44,7 @@
       store,
       view,
       clock: this.clock,
+      log: new schemas.SilentLog(),
       findLeader: () => 'v1',
       findZoneStatus: () => (isLeader ? this.status : undefined),
       getEntries: () => (isLeader ? this.status.getEntries() : view.entries),
--- a/packages/requests/src/claim-types.ts
+++ b/packages/requests/src/claim-types.ts
@@ -12,6 +12,14 @@
 /** The epoch of an acceptor slot. */
 export type AcceptorEpoch = z.infer<typeof acceptorEpoch>;
 
+/** Highest number of an acceptor slot; a claim group has a few. */
+const MAX_SLOT = 255;
+
+/** Epochs by slot; an acceptor that isn't configured yet knows those of some slots only. */
+const epochs = z.array(
+  acceptorEpoch.nullish().transform((epoch): AcceptorEpoch => epoch ?? [0, 0]),
+);
+
 /** The value of a claim: which daemon runs the call, and on which upstream. Contains no prompt and no response. */
 export const claimValue = z.object({
   call: z.string(),
@@ -53,7 +61,7 @@
   ok: z.boolean(),
   seat: z.int(),
   /** For each slot, the latest epoch that this acceptor has seen. */
-  marks: z.array(acceptorEpoch),
+  marks: epochs,
   promised: ballot,
   accepted: z.object({ ballot, value: claimValue }).optional(),
 });
@@ -62,7 +70,11 @@
 export type ClaimRes = z.infer<typeof claimRes>;
 
 /** A request of a recovering acceptor for a page of another acceptor's records. */
-export const recoverReq = z.object({ seat: z.int(), mark: acceptorEpoch, cursor: z.int() });
+export const recoverReq = z.object({
+  seat: z.int().min(0).max(MAX_SLOT),
+  mark: acceptorEpoch,
+  cursor: z.int(),
+});
 
 /** A request for a page of an acceptor's records. */
 export type RecoverReq = z.infer<typeof recoverReq>;
@@ -71,7 +83,7 @@
 export const recoverRes = z.object({
   seat: z.int(),
   isComplete: z.boolean(),
-  marks: z.array(acceptorEpoch),
+  marks: epochs,
   records: z.array(claimRecord),
   cursor: z.int(),
   isLast: z.boolean(),
--- a/packages/schemas/src/control.ts
+++ b/packages/schemas/src/control.ts
@@ -6,8 +6,8 @@
 export const change = z.object({
   kind: z.enum(['team', 'intent', 'service']),
   name: z.string(),
-  before: declarations.declarationFile.optional(),
-  after: declarations.declarationFile.optional(),
+  before: declarations.storedFile.optional(),
+  after: declarations.storedFile.optional(),
 });
 
 /** One difference between two declarations. */
@@ -44,7 +44,7 @@
 /** The configuration in force: the declaration and the state that the system maintains with it. */
 export const configuration = z.object({
   revision: z.int(),
-  declaration: declarations.declaration,
+  declaration: declarations.storedDeclaration,
   claimSeats: z.array(claimAcceptorSlot),
   /** `daemonId@incarnation` of the first acceptors of the claim group, which have no earlier claims to recover. */
   claimFounders: z.array(z.string()),
--- a/packages/schemas/src/declaration.ts
+++ b/packages/schemas/src/declaration.ts
@@ -64,6 +64,23 @@
 /** The complete declaration of the operators. */
 export type Declaration = z.infer<typeof declaration>;
 
+/**
+ * A declaration file that is in force. It may have fields of a newer version, which are kept: daemons are updated one by
+ * one, and the older ones must go on serving under a configuration that a newer one has put in force.
+ */
+export const storedFile: z.ZodType<DeclarationFile> = z.discriminatedUnion('kind', [
+  team.loose(),
+  intent.loose(),
+  service.loose(),
+]);
+
+/** A declaration that is in force; see {@link storedFile}. */
+export const storedDeclaration: z.ZodType<Declaration> = z.looseObject({
+  teams: z.array(team.loose()),
+  intents: z.array(intent.loose()),
+  services: z.array(service.loose()),
+});
+
 /** Merges declaration files into one declaration, sorted by name so that equal content has equal JSON. */
 export function createDeclaration(files: readonly DeclarationFile[]): Declaration {
   const byName = (a: { name: string }, b: { name: string }) => (a.name < b.name ? -1 : 1);
--- a/packages/schemas/src/members.ts
+++ b/packages/schemas/src/members.ts
@@ -1,6 +1,6 @@
 import * as z from 'zod';
 
-import * as control from './control.js';
+import * as names from './names.js';
 import * as upstreams from './upstream.js';
 
 /** States of a daemon as determined by its zone's relay. */
@@ -15,8 +15,8 @@
   incarnation: z.number(),
   availabilityZone: z.string(),
   host: z.string(),
-  peerPort: z.int(),
-  callerPort: z.int(),
+  peerPort: names.port,
+  callerPort: names.port,
   isLeaving: z.boolean(),
   revision: z.int(),
 });
@@ -53,41 +53,3 @@
 
 /** URLs at which callers reach each zone, for redirects. */
 export type ZoneEntries = z.infer<typeof zoneEntries>;
-
-/** A heartbeat, answered by long polling: at once if there are updates, otherwise after `waitMs` milliseconds. */
-export const syncReq = z.object({
-  from: z.string(),
-  incarnation: z.number(),
-  availabilityZone: z.string(),
-  /** Reports that changed since the receiver last answered; all of them after it set `needsBeats`. */
-  beats: z.array(heartbeat),
-  isWhole: z.boolean(),
-  /** Daemons that the sender reported before and reports no longer. */
-  dropped: z.array(z.string()),
-  revision: z.int(),
-  directoryStamp: z.string(),
-  entriesStamp: z.string(),
-  waitMs: z.int(),
-  /** Sent after the receiver set `needsConfiguration`. */
-  configuration: control.configuration.optional(),
-});
-
-/** A heartbeat. */
-export type SyncReq = z.infer<typeof syncReq>;
-
-/** Answer to a heartbeat; contains only what the sender does not have yet. */
-export const syncRes = z.object({
-  revision: z.int(),
-  deltas: z.array(control.delta).optional(),
-  configuration: control.configuration.optional(),
-  directory: directory.optional(),
-  entries: zoneEntries.optional(),
-  /** Time since a leader confirmed that `revision` is the newest, in milliseconds. */
-  ageMs: z.number(),
-  leader: z.string().optional(),
-  needsBeats: z.boolean(),
-  needsConfiguration: z.boolean(),
-});
-
-/** Answer to a heartbeat. */
-export type SyncRes = z.infer<typeof syncRes>;
--- a/packages/schemas/src/parse.ts
+++ b/packages/schemas/src/parse.ts
@@ -1,3 +1,5 @@
+import * as util from 'node:util';
+
 import type * as z from 'zod';
 
 import * as stepError from './step-error.js';
@@ -13,16 +15,17 @@
           : undefined,
       input,
     );
-    return `${path}: ${issue.message} (found ${showValue(value)})`;
+    const shown = describeValue(value).slice(0, 80);
+    return `${path}: ${issue.message} (found ${shown})`;
   });
 }
 
-function showValue(value: unknown): string {
+function describeValue(value: unknown): string {
   try {
-    return JSON.stringify(value)?.slice(0, 80) ?? 'nothing';
+    return JSON.stringify(value) ?? 'nothing';
   } catch {
-    // The value is nested more deeply than the stack allows.
-    return `a deeply nested ${typeof value}`;
+    // JSON can't express a large integer, or a value that is nested more deeply than the stack allows.
+    return util.inspect(value, { depth: 1 });
   }
 }
 
