--- a/packages/schemas/src/index.ts
+++ b/packages/schemas/src/index.ts
@@ -27,3 +27,4 @@
 export * from './listed-upstream.js';
 export * from './routed-config.js';
 export * from './run-in-background.js';
+export * from './run-round.js';
