Go on after answers of a core host in a wrong shape

What callers saw: an entry host that polls a core host with a fault, or of another version, ends with status 1, and with it every call on it.

Cause: three answers of core hosts were cast to their type and used as they are. An answer to a poll without the list of core hosts, a part of a document without bytes, and relayed suspects without changes threw outside the handling of the request, in loops that nobody waits for.

Change: these answers are parsed by the schemas that the procedures already have. The loops of an entry host and of a core host (polls, list, discovery, document, relayed suspects, engines' probes, voter slots, waiting calls) log a failed round and go on after their usual pause. Tasks that nobody waits for run by schemas.runInBackground, with a step and, where there is one, a peer. A listener logs a failed accept in place of ending.

Fixtures of placement and slots pass a silent log; what they check stays.

--- a/packages/gateway/src/call-scheduling-service.ts
+++ b/packages/gateway/src/call-scheduling-service.ts
@@ -1,5 +1,5 @@
 import * as scheduling from '@bramleyridge/scheduling';
-import type * as schemas from '@bramleyridge/schemas';
+import * as schemas from '@bramleyridge/schemas';
 
 import type * as slotMessages from './slot-messages.js';
 import type * as slotObservers from './slot-observer.js';
@@ -22,6 +22,7 @@
 /** Dependencies of the call scheduling service. */
 export interface CallSchedulingServiceOptions {
   readonly clock: schemas.Clock;
+  readonly log: schemas.Log;
   /** Returns the upstreams of a plain service that take calls; undefined if the service or its list is not known. */
   readonly findUpstreams: (
     service: string,
@@ -68,7 +69,8 @@
       const spec = createSpec(req, now);
       this.options.observer?.recordAsked(req.service, spec);
       this.settleAll(pool, pool.scheduler.submit(spec, now));
-      void this.retryWaiting(pool, req.service);
+      const task = { log: this.options.log, step: 'retry-waiting' };
+      schemas.runInBackground(() => this.retryWaiting(pool, req.service), task);
     });
   }
 
@@ -158,9 +160,12 @@
     const { clock } = this.options;
     const decision = this.request(req);
     this.pending.set(req.callId, decision);
-    void decision
-      .then(() => clock.sleep(UNCLAIMED_TTL_MS))
-      .then(() => this.pending.delete(req.callId));
+    const forget = async () => {
+      await decision;
+      await clock.sleep(UNCLAIMED_TTL_MS);
+      this.pending.delete(req.callId);
+    };
+    schemas.runInBackground(forget, { log: this.options.log, step: 'forget-decision' });
     return decision;
   }
 
@@ -186,11 +191,13 @@
       return;
     }
     pool.isRetrying = true;
+    const { clock, log } = this.options;
     try {
       while (pool.settle.size > 0 && this.pools.get(service) === pool) {
-        await this.options.clock.sleep(RETRY_INTERVAL_MS);
+        await clock.sleep(RETRY_INTERVAL_MS);
         if (this.pools.get(service) === pool) {
-          this.retry(pool, service);
+          const retry = () => this.retry(pool, service);
+          await schemas.runRound(retry, { log, step: 'retry-waiting' });
         }
       }
     } finally {
--- a/packages/gateway/src/connection-gate.ts
+++ b/packages/gateway/src/connection-gate.ts
@@ -1,6 +1,6 @@
 import * as perfHooks from 'node:perf_hooks';
 
-import type * as schemas from '@bramleyridge/schemas';
+import * as schemas from '@bramleyridge/schemas';
 import type * as telemetry from '@bramleyridge/telemetry';
 
 /** Interval at which the utilization of the event loop is sampled, in milliseconds. */
@@ -66,6 +66,12 @@
     this.measureUtilization = options.measureUtilization ?? createUtilizationMeter();
   }
 
+  /** Starts the sampling. */
+  public start(): void {
+    const { log } = this.options;
+    schemas.runInBackground(() => this.run(), { log, step: 'gate-connections' });
+  }
+
   /** Samples the utilization of the event loop until stopped. */
   public async run(): Promise<void> {
     const { clock } = this.options;
--- a/packages/gateway/src/core-discovery.ts
+++ b/packages/gateway/src/core-discovery.ts
@@ -28,18 +28,22 @@
 
   /** Announces this host at a fixed interval until stopped. */
   public async run(): Promise<void> {
-    const { clock, listSeeds, registry } = this.options;
-    while (!this.isStopped) {
+    const { clock, listSeeds, log, registry } = this.options;
+    const announceAll = () => {
       registry.addNames(listSeeds());
       this.announceAll();
+    };
+    while (!this.isStopped) {
+      await schemas.runRound(announceAll, { log, step: 'greet' });
       await clock.sleep(ANNOUNCE_INTERVAL_MS);
     }
   }
 
   /** Announces this host to every known core host, without waiting for their answers. */
   public announceAll(): void {
-    this.options.registry.listOthers().forEach((coreId) => {
-      void this.announce(coreId);
+    const { log, registry } = this.options;
+    registry.listOthers().forEach((peer) => {
+      schemas.runInBackground(() => this.announce(peer), { log, step: 'greet', peer });
     });
   }
 
--- a/packages/gateway/src/core-group.ts
+++ b/packages/gateway/src/core-group.ts
@@ -72,13 +72,14 @@
   /** Runs this host's voter until stopped. A voter whose disk failed is reopened from what the disk holds. */
   public async run(): Promise<void> {
     const { signal } = this.stopping;
-    void this.membership.run(signal);
+    const { log } = this.options;
+    schemas.runInBackground(() => this.membership.run(signal), { log, step: 'membership' });
     while (!signal.aborted) {
       try {
         await this.runVoter();
       } catch (err) {
         const { message } = schemas.toError(err);
-        this.options.log.warn({ event: 'disk-lost', step: 'open-log', err: message });
+        log.warn({ event: 'disk-lost', step: 'open-log', err: message });
       }
       await this.options.clock.sleep(REOPEN_DELAY_MS, signal).catch(() => {});
     }
--- a/packages/gateway/src/core-host.ts
+++ b/packages/gateway/src/core-host.ts
@@ -169,6 +169,7 @@
     this.teamCalls = new teamCallCounters.TeamCallCounter(options.metrics);
     this.placement = new placementServices.PlacementService({
       clock,
+      log,
       findService: (name) => this.findService(name),
       findUpstreams: () => this.upstreamList.getList()?.upstreams,
       isEvacuated: (zone) => this.group.evacuations.has(zone),
@@ -252,11 +253,12 @@
   public async start(): Promise<void> {
     this.registerGauges();
     await this.server.listen();
-    void this.discovery.run();
-    void this.group.run();
-    void this.updates.run();
+    const { log } = this.options;
+    schemas.runInBackground(() => this.discovery.run(), { log, step: 'discovery' });
+    schemas.runInBackground(() => this.group.run(), { log, step: 'core-group' });
+    schemas.runInBackground(() => this.updates.run(), { log, step: 'updates' });
     this.upstreamList.run();
-    this.options.log.info({ event: 'started', role: 'core', peer: this.coreId });
+    log.info({ event: 'started', role: 'core', peer: this.coreId });
   }
 
   /**
@@ -281,7 +283,8 @@
     this.group.stop();
     this.server.close();
     this.mesh.close();
-    void this.links.close();
+    const { log } = this.options;
+    schemas.runInBackground(() => this.links.close(), { log, step: 'close-links' });
   }
 
   /** Returns whether an address is that of an upstream; on a host that has no list, it may be. */
@@ -374,6 +377,7 @@
     });
     return new callSchedulingServices.CallSchedulingService({
       clock,
+      log: this.options.log,
       findUpstreams: (service) => upstreams.find(service),
       getWeight: (team) => this.teamWeights.get(team),
       random,
--- a/packages/gateway/src/document-fetcher.ts
+++ b/packages/gateway/src/document-fetcher.ts
@@ -2,7 +2,7 @@
 import * as schemas from '@bramleyridge/schemas';
 
 import type * as coreMeshes from './core-mesh.js';
-import type * as procedures from './core-procedures.js';
+import * as procedures from './core-procedures.js';
 import * as packedDocuments from './packed-documents.js';
 
 /** Consecutive failures after which a version is given up; the next poll announces it again. */
@@ -46,7 +46,7 @@
       this.deliver(first.version, [first.bytes]);
     } else if (this.current === undefined) {
       this.current = first;
-      void this.run();
+      schemas.runInBackground(() => this.run(), { log: this.options.log, step: 'fetch-document' });
     } else {
       this.next = first;
     }
@@ -58,9 +58,13 @@
   }
 
   private async run(): Promise<void> {
+    const { log } = this.options;
     while (this.current !== undefined && !this.isStopped) {
       const first: procedures.DocumentPart = this.current;
-      const parts = await this.fetch(first);
+      const parts = await schemas.runRound(() => this.fetch(first), {
+        log,
+        step: 'fetch-document',
+      });
       if (parts !== undefined) {
         this.deliver(first.version, parts);
       }
@@ -111,9 +115,8 @@
       return undefined;
     }
     try {
-      const { part } = await mesh.get(peer).documentPart.mutate(req);
-      // tRPC infers the types of a JSON round trip, but the peer protocol's frames carry bytes unchanged.
-      return part as procedures.DocumentPart | undefined;
+      const answer = await mesh.get(peer).documentPart.mutate(req);
+      return schemas.parse(procedures.documentPartRes, answer, 'fetch-document').part;
     } catch (err) {
       log.debug({ step: 'fetch-document', peer, err: schemas.toError(err).message });
       return undefined;
--- a/packages/gateway/src/entry-host.ts
+++ b/packages/gateway/src/entry-host.ts
@@ -253,29 +253,32 @@
     });
     this.callerListener = new httpListeners.HttpListener(
       (req, res) => this.serve(req, res),
+      log,
       options.gate,
     );
     const maxConnections = hostSettings.findMaxConnections(settings);
     if (maxConnections !== undefined) {
       this.callerListener.setMaxConnections(maxConnections);
     }
-    this.readinessListener = new httpListeners.HttpListener((req, res) =>
-      this.answerReadinessProbe(req, res),
+    this.readinessListener = new httpListeners.HttpListener(
+      (req, res) => this.answerReadinessProbe(req, res),
+      log,
     );
     this.registerGauges();
   }
 
   /** Starts listening; calls are served as soon as a configuration is in force. Returns the callers' port. */
   public async start(): Promise<number> {
+    const { log } = this.options;
     const settings = this.options.settings.get();
     await this.relayServer.start();
-    void this.poller.run();
-    void this.listReader.run();
+    schemas.runInBackground(() => this.poller.run(), { log, step: 'updates' });
+    schemas.runInBackground(() => this.listReader.run(), { log, step: 'read-list' });
     await this.readinessListener.listen(settings.readyAddress ?? `${settings.ipAddress}:0`);
     const port = await this.callerListener.listen(
       settings.callerAddress ?? `${settings.ipAddress}:0`,
     );
-    this.options.log.info({ event: 'started', role: 'entry', peer: settings.hostId });
+    log.info({ event: 'started', role: 'entry', peer: settings.hostId });
     return port;
   }
 
@@ -330,7 +333,8 @@
     this.listReader.stop();
     this.mesh.close();
     this.relayServer.close();
-    void this.client.close();
+    const { log } = this.options;
+    schemas.runInBackground(() => this.client.close(), { log, step: 'close-links' });
   }
 
   private registerGauges(): void {
@@ -363,10 +367,28 @@
       return;
     }
     const done = this.drain.enter();
-    void this.flow
-      .handle(req, res)
-      .catch((err: unknown) => this.refuse(req, res, err))
-      .finally(() => (res.writableFinished || res.destroyed ? done() : res.once('close', done)));
+    schemas.runInBackground(() => this.answer(req, res, done), {
+      log: this.options.log,
+      step: 'answer',
+    });
+  }
+
+  private async answer(
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+    done: () => void,
+  ): Promise<void> {
+    try {
+      await this.flow.handle(req, res);
+    } catch (err) {
+      this.refuse(req, res, err);
+    } finally {
+      if (res.writableFinished || res.destroyed) {
+        done();
+      } else {
+        res.once('close', done);
+      }
+    }
   }
 
   private refuse(req: http.IncomingMessage, res: http.ServerResponse, err: unknown): void {
@@ -458,6 +480,7 @@
       findLeader: () => this.poller.findLeader(),
       local: new callSchedulingServices.CallSchedulingService({
         clock,
+        log,
         findUpstreams: (service) =>
           schedulableUpstreams.findOnHost(this.directory, service, this.getSchedule(service)),
         getWeight: (team) => weights.get(team),
--- a/packages/gateway/src/http-listener.ts
+++ b/packages/gateway/src/http-listener.ts
@@ -22,6 +22,7 @@
 
   public constructor(
     handle: RequestHandler,
+    log: schemas.Log,
     private readonly gate?: connectionGates.ConnectionGate,
   ) {
     this.server = http.createServer(
@@ -40,12 +41,16 @@
         handle(req, res);
       },
     );
+    // An accept that fails, such as for want of descriptors, concerns one connection; without a handler it would end the process.
+    this.server.on('error', (err) => {
+      log.warn({ event: 'listener-failed', step: 'listen', err: err.message });
+    });
     this.server.prependListener('connection', (socket: net.Socket) => this.admit(socket));
   }
 
   /** Starts listening and returns the port. */
   public async listen(address: string): Promise<number> {
-    void this.gate?.run();
+    this.gate?.start();
     const { host, port } = schemas.splitAddress(address);
     await new Promise<void>((resolve, reject) => {
       this.server.once('error', reject);
--- a/packages/gateway/src/leaving-engine-monitor.ts
+++ b/packages/gateway/src/leaving-engine-monitor.ts
@@ -70,14 +70,10 @@
 
   /** Probes until stopped. */
   public async run(): Promise<void> {
-    const { clock, isActive, listEngines, pauseMs } = this.options;
+    const { clock, isActive, log, pauseMs } = this.options;
     while (!this.isStopped) {
       if (isActive()) {
-        const engines = listEngines();
-        this.removeUnlisted(engines);
-        this.selectEngines(engines).forEach((engine) => {
-          void this.probeEngine(engine);
-        });
+        await schemas.runRound(() => this.probeAll(), { log, step: 'probe-engines' });
       }
       await clock.sleep(pauseMs);
     }
@@ -94,6 +90,17 @@
     return ageMs < UNCONFIRMED_TRUST_MS;
   }
 
+  /** Starts a probe of each engine that is due, without waiting for the answers. */
+  private probeAll(): void {
+    const { listEngines, log } = this.options;
+    const engines = listEngines();
+    this.removeUnlisted(engines);
+    this.selectEngines(engines).forEach((engine) => {
+      const task = { log, step: 'probe', peer: engine.address };
+      schemas.runInBackground(() => this.probeEngine(engine), task);
+    });
+  }
+
   /**
    * Selects the engines to probe in this round. If there are too many, probes only those with runs or a trusted leaving
    * report, and if these are too many, probes them in rotation.
--- a/packages/gateway/src/membership-manager.ts
+++ b/packages/gateway/src/membership-manager.ts
@@ -58,19 +58,23 @@
 
   /** Checks the voter slots at a fixed interval until stopped. */
   public async run(signal: AbortSignal): Promise<void> {
-    const { clock, isLeading } = this.options;
+    const { clock, log } = this.options;
     while (!signal.aborted) {
-      const voter = this.options.findVoter();
-      if (isLeading() && voter?.leadership !== undefined) {
-        this.logSilentVoters(voter.leadership);
-        await this.replaceVoters(voter, voter.leadership);
-      }
+      await schemas.runRound(() => this.checkVoters(), { log, step: 'check-seats' });
       await clock
         .sleep(this.isLeaving ? LEAVE_POLL_INTERVAL_MS : CHECK_INTERVAL_MS, signal)
         .catch(() => {});
     }
   }
 
+  private async checkVoters(): Promise<void> {
+    const voter = this.options.findVoter();
+    if (this.options.isLeading() && voter?.leadership !== undefined) {
+      this.logSilentVoters(voter.leadership);
+      await this.replaceVoters(voter, voter.leadership);
+    }
+  }
+
   /**
    * Waits until this host is no longer a voter, as long as a spare can take its slot. A host that stopped as a voter
    * would count as lost until it is back or replaced, and another loss could occur before that.
--- a/packages/gateway/src/placement-service.ts
+++ b/packages/gateway/src/placement-service.ts
@@ -1,7 +1,7 @@
 import * as requests from '@bramleyridge/requests';
 import type * as routing from '@bramleyridge/routing';
 import type * as scheduling from '@bramleyridge/scheduling';
-import type * as schemas from '@bramleyridge/schemas';
+import * as schemas from '@bramleyridge/schemas';
 
 import type * as procedures from './core-procedures.js';
 import * as placementPools from './placement-pool.js';
@@ -19,6 +19,7 @@
 /** Dependencies of the placement service. */
 export interface PlacementServiceOptions {
   readonly clock: schemas.Clock;
+  readonly log: schemas.Log;
   /** Returns a service of the configuration in force with the properties of its engines. */
   readonly findService: (name: string) => schemas.RoutedService | undefined;
   /** Returns the list of upstreams; undefined until this leader has read one. */
@@ -95,7 +96,7 @@
         },
       });
       pool.dispatch(this.options.clock.now());
-      void this.retryWaiting(pool, req.service);
+      this.startRetrying(pool, req.service);
     });
     const now = clock.now();
     const full = placed === undefined ? this.describeFull(pool, req, requestedAt) : undefined;
@@ -112,7 +113,7 @@
     const expiresAt = this.options.clock.now() + patienceMs;
     const targetEngineId = await new Promise<string | undefined>((resolve) => {
       pool.migrations.offer({ callId, engineId, excluded, expiresAt, settle: resolve });
-      void this.retryWaiting(pool, service);
+      this.startRetrying(pool, service);
     });
     return { takerId: targetEngineId };
   }
@@ -170,16 +171,25 @@
     return { ...summary, retryAfterMs: Math.round(retryAfterMs) };
   }
 
+  private startRetrying(pool: placementPools.PlacementPool, service: string): void {
+    const task = { log: this.options.log, step: 'retry-waiting' };
+    schemas.runInBackground(() => this.retryWaiting(pool, service), task);
+  }
+
   /** Retries waiting placements and migrations while there are any. */
   private async retryWaiting(pool: placementPools.PlacementPool, service: string): Promise<void> {
     if (pool.isRetrying) {
       return;
     }
     pool.isRetrying = true;
-    while (pool.waitingCount > 0 || pool.migrations.size > 0) {
-      await this.options.clock.sleep(RETRY_INTERVAL_MS);
+    const { clock, log } = this.options;
+    const retry = () => {
       this.findPool(service);
-      pool.dispatch(this.options.clock.now());
+      pool.dispatch(clock.now());
+    };
+    while (pool.waitingCount > 0 || pool.migrations.size > 0) {
+      await clock.sleep(RETRY_INTERVAL_MS);
+      await schemas.runRound(retry, { log, step: 'retry-waiting' });
     }
     pool.isRetrying = false;
   }
--- a/packages/gateway/src/rate-grant-client.ts
+++ b/packages/gateway/src/rate-grant-client.ts
@@ -60,17 +60,20 @@
 
   /** Reports a limit; if the report is lost, the next request for a grant holds the same. */
   public reportLimit(limit: requests.RateLimitFacts): void {
-    void this.sendLimit(limit);
+    const { log } = this.options;
+    schemas.runInBackground(() => this.sendLimit(limit), { log, step: 'report-limit' });
   }
 
   /** Reports to the leader that upstream processes leave; a lost report is repeated when the leader's list lacks them. */
   public reportLeaving(processIds: string[]): void {
-    const { findLeader, hostId } = this.options;
-    const leader = findLeader();
-    if (leader !== undefined) {
-      void this.request(leader, (api, options) =>
-        api.reportLeaving.mutate({ hostId, processIds }, options),
-      );
+    const { findLeader, hostId, log } = this.options;
+    const peer = findLeader();
+    if (peer !== undefined) {
+      const report = () =>
+        this.request(peer, (api, options) =>
+          api.reportLeaving.mutate({ hostId, processIds }, options),
+        );
+      schemas.runInBackground(report, { log, step: 'report-leaving', peer });
     }
   }
 
@@ -84,7 +87,8 @@
     gate.mergeLimits(limits);
     const known = gate.listLimits();
     if (isNewSource && known.length > 0) {
-      void this.sendLimits(source, known);
+      const task = { log: this.options.log, step: 'report-limits', peer: source };
+      schemas.runInBackground(() => this.sendLimits(source, known), task);
     }
   }
 
--- a/packages/gateway/src/routed-attempts.ts
+++ b/packages/gateway/src/routed-attempts.ts
@@ -302,10 +302,15 @@
     bytes: Buffer,
   ): Streamed {
     attempt.answerStartedAt = this.options.clock.now();
+    const { log } = this.options;
+    const peer = attempt.picked.upstreamId;
     if (generationCalls.wantsBackup(job.call)) {
-      void this.migrations.run(job, attempt.run);
+      const migrate = () => this.migrations.run(job, attempt.run);
+      schemas.runInBackground(migrate, { log, step: 'migrate', peer });
     }
-    void engineRestarts.abortOnEngineRestart(this.options, attempt.run, answer);
+    const watchEngine = () =>
+      engineRestarts.abortOnEngineRestart(this.options, attempt.run, answer);
+    schemas.runInBackground(watchEngine, { log, step: 'watch-engine', peer });
     const paceMeter = this.createPaceMeter(job, attempt, answer);
     return {
       kind: 'coming',
--- a/packages/gateway/src/suspect-client.ts
+++ b/packages/gateway/src/suspect-client.ts
@@ -68,10 +68,12 @@
 
   /** Sets the ledger of this host's suspects, before anything is shared, and starts the relay client. */
   public attach(ledger: routing.CrashLedger): void {
-    const { clock, relays } = this.options;
+    const { clock, log, relays } = this.options;
     this.ledger = ledger;
     // One core host may not have all suspects, so its changes never remove entries that it lacks.
-    void relays?.run((changes) => ledger.apply({ ...changes, isWhole: false }, clock.now()));
+    const apply = (changes: routing.SuspectChanges) =>
+      ledger.apply({ ...changes, isWhole: false }, clock.now());
+    schemas.runInBackground(async () => relays?.run(apply), { log, step: 'relay-suspects' });
   }
 
   /** Returns the term and revision of the last updates applied. */
@@ -87,7 +89,8 @@
       this.synchronizedTerm = term;
     }
     if (term !== this.synchronizedTerm) {
-      void this.sendSuspects(term);
+      const { log } = this.options;
+      schemas.runInBackground(() => this.sendSuspects(term), { log, step: 'share-suspects' });
       return;
     }
     const now = this.options.clock.now();
@@ -109,7 +112,8 @@
   /** Reports the outcome of a run to the leader; repeats it until a leader has received it. */
   public report(run: routing.SuspectRun): void {
     this.reports = [...this.reports, run].slice(-MAX_REPORTS);
-    void this.flushReports();
+    const { log } = this.options;
+    schemas.runInBackground(() => this.flushReports(), { log, step: 'report-suspects' });
   }
 
   /**
@@ -244,7 +248,8 @@
       this.reports = this.reports.filter((run) => !sent.has(run));
       return true;
     }
-    void this.scheduleRetry();
+    const { log } = this.options;
+    schemas.runInBackground(() => this.scheduleRetry(), { log, step: 'report-suspects' });
     return false;
   }
 
--- a/packages/gateway/src/suspect-relay-client.ts
+++ b/packages/gateway/src/suspect-relay-client.ts
@@ -2,7 +2,7 @@
 import * as schemas from '@bramleyridge/schemas';
 
 import type * as coreMeshes from './core-mesh.js';
-import type * as procedures from './core-procedures.js';
+import * as procedures from './core-procedures.js';
 
 /** Timeout of a request to one core host, in milliseconds; short, because a call waits for the answer. */
 const REQUEST_TIMEOUT_MS = 60;
@@ -42,12 +42,21 @@
 
   /** Polls for the suspects that other hosts have reported while the leader cannot be reached, until stopped. */
   public async run(onChanges: (changes: routing.SuspectChanges) => void): Promise<void> {
-    const { clock, reachesLeader, leaderChanged } = this.options;
+    const { clock, reachesLeader, leaderChanged, log } = this.options;
     while (!this.isStopped) {
       if (reachesLeader()) {
         await leaderChanged.wait(clock, LEADER_CHECK_MS);
       } else {
-        await this.poll(onChanges);
+        const isHandled = await schemas.runRound(
+          async () => {
+            await this.poll(onChanges);
+            return true;
+          },
+          { log, step: 'apply-relayed' },
+        );
+        if (isHandled !== true) {
+          await clock.sleep(RETRY_PAUSE_MS);
+        }
       }
     }
   }
@@ -103,9 +112,11 @@
     const res =
       target === undefined
         ? undefined
-        : await this.request(target, (api) =>
-            api.awaitRelayed.mutate({ hostId, ...this.cursor, waitMs: POLL_WAIT_MS }, { context }),
-          );
+        : await this.request(target, async (api) => {
+            const req = { hostId, ...this.cursor, waitMs: POLL_WAIT_MS };
+            const answer = await api.awaitRelayed.mutate(req, { context });
+            return schemas.parse(procedures.relayedUpdatesRes, answer, 'read-relayed');
+          });
     if (res?.relayed !== undefined) {
       const { changes, epoch } = res.relayed;
       this.cursor = { epoch, revision: changes.revision };
--- a/packages/gateway/src/suspect-relay.ts
+++ b/packages/gateway/src/suspect-relay.ts
@@ -173,7 +173,8 @@
 
   private noteUse(): void {
     this.usedAt = this.options.clock.now();
-    void this.dropWhenUnused();
+    const { log } = this.options;
+    schemas.runInBackground(() => this.dropWhenUnused(), { log, step: 'drop-suspects' });
   }
 
   /** Drops the collected suspects when a leader is back or no entry host has sent a request for a while. */
--- a/packages/gateway/src/update-poller.ts
+++ b/packages/gateway/src/update-poller.ts
@@ -1,7 +1,7 @@
 import * as schemas from '@bramleyridge/schemas';
 
 import type * as coreMeshes from './core-mesh.js';
-import type * as procedures from './core-procedures.js';
+import * as procedures from './core-procedures.js';
 
 /**
  * Time for which a core host holds a poll open while there are no updates, in milliseconds. Together with the answer
@@ -67,11 +67,12 @@
 
   /** Polls until stopped. */
   public async run(): Promise<void> {
-    const { clock } = this.options;
+    const { clock, log } = this.options;
     while (!this.isStopped) {
       const polledAt = clock.now();
       const wasLeaderReachable = this.reachesLeader();
-      const isCurrentAnswer = (await this.poll()) && this.isCurrent === true;
+      const isAnswered = await schemas.runRound(() => this.poll(), { log, step: 'poll-core' });
+      const isCurrentAnswer = isAnswered === true && this.isCurrent === true;
       if (this.reachesLeader() !== wasLeaderReachable) {
         this.leaderChanged.notify();
       }
@@ -127,9 +128,8 @@
     try {
       const req = createRequest(target === this.lastTarget ? HOLD_MS : 0);
       const context = { deadlineMs: req.waitMs + ANSWER_MARGIN_MS };
-      const updates = await mesh.get(target).news.mutate(req, { context });
-      // tRPC infers the types of a JSON round trip, but the peer protocol's frames carry bytes unchanged.
-      this.handleAnswer(target, updates as procedures.UpdatesRes);
+      const answer = await mesh.get(target).news.mutate(req, { context });
+      this.handleAnswer(target, schemas.parse(procedures.updatesRes, answer, 'read-updates'));
       return true;
     } catch (err) {
       this.failedAt.set(target, clock.now());
--- a/packages/gateway/src/upstream-list-reader.ts
+++ b/packages/gateway/src/upstream-list-reader.ts
@@ -65,11 +65,11 @@
 
   /** Reads until stopped. */
   public async run(): Promise<void> {
-    const { clock, getPauseMs, idlePauseMs, isActive } = this.options;
+    const { clock, getPauseMs, idlePauseMs, isActive, log } = this.options;
     while (!this.isStopped) {
       const wasActive = isActive();
       if (wasActive) {
-        await this.readOnce();
+        await schemas.runRound(() => this.readOnce(), { log, step: 'read-list' });
       }
       const pauseMs = getPauseMs(this.lastCallCount);
       await clock.sleep(wasActive ? pauseMs * this.getBackoffFactor() : (idlePauseMs ?? pauseMs));
--- a/packages/gateway/src/upstream-list-service.ts
+++ b/packages/gateway/src/upstream-list-service.ts
@@ -120,8 +120,9 @@
 
   /** Starts reading the list and probing engines; both continue until stopped. */
   public run(): void {
-    void this.reader.run();
-    void this.leavingEngines.run();
+    const { log } = this.options;
+    schemas.runInBackground(() => this.reader.run(), { log, step: 'read-list' });
+    schemas.runInBackground(() => this.leavingEngines.run(), { log, step: 'probe-engines' });
   }
 
   /** Stops both tasks. */
@@ -205,10 +206,13 @@
   private scheduleRebuild(): void {
     if (!this.isRebuildScheduled) {
       this.isRebuildScheduled = true;
-      void this.options.clock.sleep(CHANGE_BATCH_MS).then(() => {
+      const { clock, log } = this.options;
+      const rebuild = async () => {
+        await clock.sleep(CHANGE_BATCH_MS);
         this.isRebuildScheduled = false;
         this.rebuild();
-      });
+      };
+      schemas.runInBackground(rebuild, { log, step: 'rebuild-list' });
     }
   }
 
--- a/packages/gateway/tests/placement-service.test.ts
+++ b/packages/gateway/tests/placement-service.test.ts
@@ -46,6 +46,7 @@
   };
   const service = new placementServices.PlacementService({
     clock,
+    log: new schemas.SilentLog(),
     findService: (name) => state.services.find((item) => item.name === name),
     findUpstreams: () => state.list,
     isEvacuated: (zone) => state.evacuated.includes(zone),
--- a/packages/gateway/tests/support/busy-listener-main.ts
+++ b/packages/gateway/tests/support/busy-listener-main.ts
@@ -13,13 +13,17 @@
   metrics: new telemetry.TextMetrics(),
 });
 
-const listener = new httpListeners.HttpListener((_req, res) => {
-  const end = getProcessorMs() + REQUEST_MS;
-  while (getProcessorMs() < end) {
-    // Stands for the work of a call on a small host.
-  }
-  res.end('ok');
-}, gate);
+const listener = new httpListeners.HttpListener(
+  (_req, res) => {
+    const end = getProcessorMs() + REQUEST_MS;
+    while (getProcessorMs() < end) {
+      // Stands for the work of a call on a small host.
+    }
+    res.end('ok');
+  },
+  new schemas.SilentLog(),
+  gate,
+);
 
 process.on('disconnect', () => process.exit(0));
 void listener.listen('127.0.0.1:0').then((port) => process.send?.(port));
--- a/packages/gateway/tests/support/slot-fixture.ts
+++ b/packages/gateway/tests/support/slot-fixture.ts
@@ -42,6 +42,7 @@
       this.services.get(coreId) ??
       new callSchedulingServices.CallSchedulingService({
         clock: this.clock,
+        log: new schemas.SilentLog(),
         findUpstreams: () => this.upstreams,
         getWeight: () => 1,
         random: () => 0.5,
@@ -78,6 +79,7 @@
       findLeader: () => this.leader,
       local: new callSchedulingServices.CallSchedulingService({
         clock,
+        log: new schemas.SilentLog(),
         findUpstreams: () => this.hostUpstreams ?? this.upstreams,
         getWeight: () => 1,
         random: () => 0.5,
