Stop a voter when an entry fails to apply

What operators would have seen: a follower whose state machine throws at an entry counts it as applied, and acknowledges what follows: its state lacks the entry for good. A leader ends instead, by a promise that nobody handles, and after it the next one. A voter whose elections fail stays and votes.

Cause: the index of the applied entry was raised before the entry was applied, and errors of the leader's tasks had no handler.

Change: Voter.fail stops a voter whose state is in doubt: it logs voter-failed and neither votes nor acknowledges; its host opens it again from its disk after the usual pause. So do a failed entry, compaction, commit, replication, check of the majority, and election. Heartbeats beside a large request and the end of a membership change only log: the next round follows, and both have handlers.

--- a/packages/consensus/src/leadership.ts
+++ b/packages/consensus/src/leadership.ts
@@ -46,9 +46,11 @@
   public start(): void {
     this.syncPeers();
     this.append('noop', null);
-    void this.monitorQuorum();
-    void this.finishMembershipChange();
-    this.voter.options.log.info({ decision: 'lead', term: this.term, peer: this.voter.daemonId });
+    const { log } = this.voter.options;
+    // Without it, a leader that has lost its majority would not step down.
+    this.monitorQuorum().catch((err: unknown) => this.voter.fail('monitor-quorum', err));
+    schemas.runInBackground(() => this.finishMembershipChange(), { log, step: 'finish-seats' });
+    log.info({ decision: 'lead', term: this.term, peer: this.voter.daemonId });
   }
 
   /** Stops the tasks and rejects proposals whose outcome is unknown. */
@@ -167,7 +169,8 @@
     running?.stop();
     const peer = new replicators.Replicator(slot, this);
     this.peers.set(slot.voterId, peer);
-    void peer.run();
+    // Without it, a voter would get no entries from a leader that looks sound.
+    peer.run().catch((err: unknown) => this.voter.fail('replicate', err));
     return peer;
   }
 
@@ -274,27 +277,28 @@
     this.voter.entries.append([entry]);
     this.voter.logVoterSet();
     this.appended.notify();
-    this.voter.persist({ kind: 'entries', entries: [entry] }).then(
-      () => {
+    this.voter
+      .persist({ kind: 'entries', entries: [entry] })
+      .then(() => {
         this.durableIndex = Math.max(this.durableIndex, index);
         this.advanceCommit();
-      },
-      () => {},
-    );
+      })
+      .catch((err: unknown) => this.voter.fail('commit', err));
     return entry;
   }
 
   private awaitOutcome(entry: types.Entry): Promise<unknown> {
     return new Promise((resolve, reject) => {
       this.pendingProposals.push({ entry, reject });
-      void this.voter.awaitResult(entry.index).then((result) => {
+      const settle = (result: unknown) => {
         const currentTerm = this.voter.entries.findTerm(entry.index);
         if (currentTerm === undefined || currentTerm === entry.term) {
           resolve(result);
         } else {
           reject(createNotLeader());
         }
-      });
+      };
+      this.voter.awaitResult(entry.index).then(settle).catch(reject);
     });
   }
 
--- a/packages/consensus/src/replicator.ts
+++ b/packages/consensus/src/replicator.ts
@@ -180,7 +180,9 @@
       return sending;
     }
     const over = new AbortController();
-    void this.sendHeartbeats(over.signal);
+    const { log } = this.leadership.voter.options;
+    const task = { log, step: 'send-heartbeats', peer: this.slot.daemonId };
+    schemas.runInBackground(() => this.sendHeartbeats(over.signal), task);
     return sending.finally(() => over.abort(new Error('over')));
   }
 
--- a/packages/consensus/src/run-elections.ts
+++ b/packages/consensus/src/run-elections.ts
@@ -14,8 +14,20 @@
   readonly granted: ReadonlySet<string>;
 }
 
-/** Runs until the voter stops: waits for the leader to time out, then starts an election. */
+/**
+ * Runs until the voter stops: waits for the leader to time out, then starts an election. After an unexpected error the
+ * voter stops, since one that stands for no election must not go on to vote and acknowledge; the error is thrown.
+ */
 export async function runElections(voter: voters.Voter, signal: AbortSignal): Promise<void> {
+  try {
+    await runUntilStopped(voter, signal);
+  } catch (err) {
+    voter.fail('elect', err);
+    throw err;
+  }
+}
+
+async function runUntilStopped(voter: voters.Voter, signal: AbortSignal): Promise<void> {
   const { clock, random, timings } = voter.options;
   let lastLoggedAt = -Infinity;
   while (!voter.stopped && !signal.aborted) {
@@ -82,7 +94,7 @@
     lastIndex: voter.entries.lastIndex,
     lastTerm: voter.entries.lastTerm,
   };
-  return new Promise((resolve) => {
+  return new Promise((resolve, reject) => {
     const granted = new Set([voter.voterId]);
     const refused = new Set<string>();
     const settle = () => {
@@ -96,10 +108,11 @@
       .listVoters()
       .filter((slot) => slot.voterId !== voter.voterId)
       .forEach((slot) => {
-        void requestVote(voter, slot, req).then((isGranted) => {
+        const record = (isGranted: boolean) => {
           (isGranted ? granted : refused).add(slot.voterId);
           settle();
-        });
+        };
+        requestVote(voter, slot, req).then(record).catch(reject);
       });
   });
 }
--- a/packages/consensus/src/voter.ts
+++ b/packages/consensus/src/voter.ts
@@ -204,11 +204,9 @@
       return;
     }
     this.commitIndex = target;
-    while (this.appliedIndex < this.commitIndex) {
-      this.applyNext();
-    }
+    this.applyCommitted();
     this.changed.notify();
-    void this.maybeCompact();
+    this.maybeCompact().catch((err: unknown) => this.fail('compact', err));
   }
 
   /**
@@ -243,6 +241,22 @@
     this.changed.notify();
   }
 
+  /**
+   * Stops this voter after an error that leaves its state in doubt, so that it neither votes nor acknowledges; its host
+   * opens it again from what the disk holds. A failed disk has stopped it before, with a log line of its own.
+   */
+  public fail(step: string, err: unknown): void {
+    if (!this.stopped) {
+      this.options.log.error({
+        ...schemas.describeError(err),
+        event: 'voter-failed',
+        task: step,
+        ...this.describeLog(),
+      });
+      this.stop();
+    }
+  }
+
   /** Becomes the leader of the current term. */
   public becomeLeader(): void {
     this.leader = this.daemonId;
@@ -422,13 +436,25 @@
     return { baseIndex, commitIndex, lastIndex, lastTerm };
   }
 
+  /** Applies the committed entries. After one that fails, the state would lack it for good. */
+  private applyCommitted(): void {
+    try {
+      while (this.appliedIndex < this.commitIndex) {
+        this.applyNext();
+      }
+    } catch (err) {
+      this.fail('apply', err);
+      throw err;
+    }
+  }
+
   private applyNext(): void {
     const entry = this.entries.find(this.appliedIndex + 1);
     if (entry === undefined) {
       throw new Error(`entry ${this.appliedIndex + 1} is missing`);
     }
-    this.appliedIndex = entry.index;
     const result = entry.kind === 'command' ? this.options.machine.apply(entry) : undefined;
+    this.appliedIndex = entry.index;
     this.results.get(entry.index)?.(result);
     this.results.delete(entry.index);
   }
