Make what a configuration declares usable wherever it is used

What callers saw, by declared datum, each of them acknowledged: - a timeoutMs over 2^31 - 1 ms: the timer fires at once, and every call without a shorter time of its own is refused as out of time; - a healthCheckPath that is no request path: the check of a silent path to an upstream can't be sent, so that the path counts as blocked, and a core host's probes all fail; - a key with a blank inside or outside ASCII: 401 to whoever uses it; - a host with a port: 404; - weights whose sum is not finite: every call goes to the first service of the split, even one of weight 0; - a service with half of a surrogate pair in its name: an answer that states that its upstream is brittle throws, and the call counts as lost.

Cause: each datum is accepted in one form and used in a narrower one.

A host is matched with its port first, then without. Weights are drawn relative to the largest one, and weight 0 is never drawn.

Conclusion, from reading: names of regions, zones, routes, numbers of slots and tokens, connectionLimit, coldPerS and handleS are only compared or bounded, and harmless. Left: maxHeaderBytes over the 65,536 bytes of the parser is acknowledged, and larger heads get 431; a pathPrefix outside visible ASCII matches no call.

--- a/packages/gateway/src/call-admission.ts
+++ b/packages/gateway/src/call-admission.ts
@@ -74,8 +74,8 @@
     req: http.IncomingMessage,
     path: string,
   ): schemas.Route {
-    const host = (req.headers.host ?? '').toLowerCase().replace(/:\d+$/, '');
-    const route = table.findRoute(host, path);
+    const host = (req.headers.host ?? '').toLowerCase();
+    const route = table.findRoute(host, path) ?? table.findRoute(host.replace(/:\d+$/, ''), path);
     if (route === undefined) {
       throw createRefusal('noRoute', 404, [req.method ?? '', path.slice(0, 200)]);
     }
--- a/packages/requests/src/brittle-services.ts
+++ b/packages/requests/src/brittle-services.ts
@@ -98,7 +98,9 @@
 }
 
 function createId(service: string, processId: string): string {
-  return `${ID_PREFIX}${encodeURIComponent(service)}/${processId}`;
+  // A URI can't hold half of a surrogate pair.
+  const name = encodeURIComponent(service.replace(/\p{Surrogate}/gu, '\ufffd'));
+  return `${ID_PREFIX}${name}/${processId}`;
 }
 
 function getService(id: string): string {
--- a/packages/requests/tests/brittle-services.test.ts
+++ b/packages/requests/tests/brittle-services.test.ts
@@ -42,6 +42,14 @@
   t.equal(services.findBound('app'), undefined);
 });
 
+// Guards against answers that fail to be recorded since the name of their service can't be written as a URI.
+void tap.default.test('a service may have any name', async (t) => {
+  const { services } = createServices();
+  t.doesNotThrow(() => services.recordAnswer('\ud800', 'p1', STATED));
+  services.recordAnswer('a/b %2f \u5317', 'p2', STATED);
+  t.equal(services.findBound('a/b %2f \u5317'), 4);
+});
+
 // Guards against hosts that send as before to upstreams of which only another host has heard that they are brittle.
 void tap.default.test('hosts report it to each other', async (t) => {
   const { reported, services } = createServices();
--- a/packages/routing/src/route-table.ts
+++ b/packages/routing/src/route-table.ts
@@ -46,12 +46,16 @@
 }
 
 /** Draws the service for one call by the weights of its route. */
-export function drawService(route: schemas.Route, random: () => number): string {
-  const total = route.targets.reduce((sum, target) => sum + target.weight, 0);
-  let rest = random() * total;
-  const drawn = route.targets.find((target) => {
-    rest -= target.weight;
+export function drawService({ targets }: schemas.Route, random: () => number): string {
+  // Weights may be so large that their sum is not finite.
+  const largest = Math.max(...targets.map(({ weight }) => weight));
+  const weighted = targets
+    .map(({ service, weight }) => ({ service, share: weight / largest }))
+    .filter(({ share }) => share > 0);
+  let rest = random() * weighted.reduce((sum, { share }) => sum + share, 0);
+  const drawn = weighted.find(({ share }) => {
+    rest -= share;
     return rest < 0;
   });
-  return (drawn ?? route.targets[0]!).service;
+  return (drawn ?? weighted[0] ?? targets[0]!).service;
 }
--- a/packages/schemas/src/clock.ts
+++ b/packages/schemas/src/clock.ts
@@ -1,3 +1,11 @@
+/** Longest time for which a timer can be set, in milliseconds; Node.js fires a longer one at once. */
+const MAX_TIMER_MS = 2 ** 31 - 1;
+
+/** Returns a duration that a timer can have. */
+export function boundTimerMs(ms: number): number {
+  return Math.min(ms, MAX_TIMER_MS);
+}
+
 /** Source of time; tests and replays pass their own implementation. */
 export interface Clock {
   /** Returns the milliseconds of a monotonic clock. */
@@ -25,7 +33,7 @@
       const timer = setTimeout(() => {
         signal?.removeEventListener('abort', onAbort);
         resolve();
-      }, ms);
+      }, boundTimerMs(ms));
       signal?.addEventListener('abort', onAbort, { once: true });
     });
   }
--- a/packages/schemas/src/header-text.ts
+++ b/packages/schemas/src/header-text.ts
@@ -41,3 +41,16 @@
 export const headerText = z
   .string()
   .refine(isHeaderText, 'must have no control characters, and no blanks at its ends');
+
+/** A path that can be the target of a request: visible characters of ASCII after a slash. */
+const REQUEST_PATH = /^\/[\x21-\x7e]*$/;
+
+/** Returns whether a path can be the target of a request. */
+export function isRequestPath(path: string): boolean {
+  return REQUEST_PATH.test(path);
+}
+
+/** A path that can be the target of a request. */
+export const requestPath = z
+  .string()
+  .refine(isRequestPath, 'must begin with a slash and have only visible characters of ASCII');
