Exclude unusable upstreams from a leader's slots, and close failed exit checks

- Beside a leader of the previous version, a host left out entries without a usable address, and the leader still granted slots there: after three of them the call got 503, though a good upstream had room.
The host now names them as excluded.
Test: gateway/tests/slot-picker, 'upstreams without a usable address are excluded', refused without the change.
- A trial without the line that reports a failed exit check as over passed all tests. gateway/tests/run-permits now checks the report (fails in that trial).
A throw of that report ends nothing else either.

--- a/packages/gateway/src/crash-guard.ts
+++ b/packages/gateway/src/crash-guard.ts
@@ -253,7 +253,11 @@
           peer: upstreamId,
         });
         // Without a check, nothing is known of the process.
-        this.recordOutcome(job, run, 'over');
+        schemas.runInBackground(async () => this.recordOutcome(job, run, 'over'), {
+          log: this.options.log,
+          step: 'record-outcome',
+          peer: upstreamId,
+        });
       })
       .finally(() => {
         if (this.exitChecks.get(digest) === check) {
--- a/packages/gateway/src/slot-picker.ts
+++ b/packages/gateway/src/slot-picker.ts
@@ -71,17 +71,19 @@
   ): slotClients.SlotAsk {
     const { clock, directory, fallback } = this.options;
     const now = clock.now();
+    const { name } = call.service;
     const unusable = directory
-      .listAll(call.service.name)
-      .filter((known) => !usable.includes(known));
+      .listAll(name)
+      .filter((known) => !usable.includes(known))
+      .map(({ upstreamId }) => upstreamId);
     return {
       requestId: call.facts.requestId,
-      service: call.service.name,
+      service: name,
       team: call.team?.name,
       priority: generationCalls.getPriority(call),
       dueInMs: call.arrivedAt + call.route.targetMs - now,
       leftMs: call.endsAt - now,
-      excluded: [...new Set([...passedOver, ...unusable.map(({ upstreamId }) => upstreamId)])],
+      excluded: [...new Set([...passedOver, ...unusable, ...directory.listUnusable(name)])],
       excludedAlone: usable
         .filter((known) => !fallback.mayReceiveCall(call.service, known, now))
         .map(({ upstreamId }) => upstreamId),
--- a/packages/gateway/src/upstream-directory.ts
+++ b/packages/gateway/src/upstream-directory.ts
@@ -51,6 +51,8 @@
   /** Notifies when a different list is applied. */
   public readonly changed = new schemas.ChangeSignal();
   private entries = new Map<string, Entry>();
+  /** Listed upstreams that no call can be addressed to. */
+  private unusable: schemas.ListedUpstream[] = [];
   /** When the list may first have shown an upstream as leaving or gone, for those that it no longer has. */
   private readonly goneSince = new Map<string, number>();
   private stamp = '';
@@ -141,6 +143,13 @@
     return [...this.entries.values()].filter(({ listed }) => listed.service === service);
   }
 
+  /** Lists the upstreams of a service that no call can be addressed to; another host may choose them. */
+  public listUnusable(service: string): string[] {
+    return this.unusable
+      .filter((listed) => listed.service === service)
+      .map(({ upstreamId }) => upstreamId);
+  }
+
   /** Lists the upstreams of all services whose processes have stated in answers that they leave, as the list shows it. */
   public listStatedLeaving(): KnownUpstream[] {
     return [...this.entries.values()].filter(({ listed }) => listed.hasStatedLeaving === true);
@@ -296,14 +305,18 @@
    * leader of the previous version distributes other ones, too.
    */
   private listUsable({ upstreams }: procedures.UpstreamList): schemas.ListedUpstream[] {
-    const usable = upstreams.flatMap((listed) => {
+    const usable: schemas.ListedUpstream[] = [];
+    this.unusable = [];
+    upstreams.forEach((listed) => {
       const { data: address } = schemas.address.safeParse(listed.address);
-      const isUsable = address !== undefined && schemas.isHeaderText(listed.upstreamId);
-      return isUsable ? [{ ...listed, address }] : [];
+      if (address !== undefined && schemas.isHeaderText(listed.upstreamId)) {
+        usable.push({ ...listed, address });
+      } else {
+        this.unusable.push(listed);
+      }
     });
-    if (usable.length < upstreams.length) {
-      const count = upstreams.length - usable.length;
-      this.log.warn({ event: 'upstreams-without-address', count });
+    if (this.unusable.length > 0) {
+      this.log.warn({ event: 'upstreams-without-address', count: this.unusable.length });
     }
     return usable;
   }
--- a/packages/gateway/tests/run-permits.test.ts
+++ b/packages/gateway/tests/run-permits.test.ts
@@ -83,6 +83,20 @@
   client.stop();
 });
 
+// Guards against a suspect whose run stays open with the leader because the check after it failed.
+void tap.default.test('a run whose exit check failed is reported as over', async (t) => {
+  const checks = [
+    () => true,
+    () => {
+      throw new TypeError('Invalid URL');
+    },
+  ];
+  const site = createGuard(() => checks.shift()!());
+  t.match(await crashRun(site, 'c1', 'p1'), { kind: 'ended' });
+  t.match(await crashRun(site, 'c2', 'p2'), { kind: 'over', processId: 'p2' });
+  site.client.stop();
+});
+
 // Guards against a later send that is not counted because its permit request has the id of a run that already took
 // place.
 void tap.default.test(
--- a/packages/gateway/tests/slot-picker.test.ts
+++ b/packages/gateway/tests/slot-picker.test.ts
@@ -122,6 +122,22 @@
   t.same(slots.returned, ['new unused']);
 });
 
+// Guards against calls refused for lack of an upstream while a leader grants slots where no call can be addressed to.
+void tap.default.test('upstreams without a usable address are excluded', async (t) => {
+  const ids = ['bad1', 'bad2', 'bad3', 'u1'];
+  const { directory, picker, slots } = createFixture(['u1'], ids);
+  const upstreams = ids.map((id) =>
+    listedUpstreams.createListedUpstream(id, {
+      service: 'app',
+      address: id === 'u1' ? '127.0.0.1:1' : '10.1.1.1:99999',
+    }),
+  );
+  directory.applyList({ stamp: 's2', upstreams }, 0);
+  const picked = await picker.pick(createCall(), new Set());
+  t.equal(picked.upstreamId, 'u1');
+  t.same(slots.returned, [], 'at the first attempt');
+});
+
 // Guards against calls that run after a refusal, and against refusals without the time that the leader named.
 void tap.default.test('a call without a slot is refused as not run', async (t) => {
   const { picker, slots } = createFixture(['u1']);
--- a/packages/gateway/tests/upstream-directory.test.ts
+++ b/packages/gateway/tests/upstream-directory.test.ts
@@ -53,6 +53,7 @@
   const other = listedUpstreams.createListedUpstream('e-2', {});
   apply(createStarted(1_000, { address: '10.1.1.1:99999' }), other);
   t.equal(directory.find('e-1'), undefined);
+  t.same(directory.listUnusable(other.service), ['e-1']);
   t.ok(directory.isLive('e-2'));
   const [from, stamp] = [directory.getStamp(), 'next'];
   directory.applyChanges({ from, stamp, changed: [{ ...other, address: '%:80' }], gone: [] }, 0);
