Cut the answers to calls of both faces short

Callers repeat a call that is refused or closed before it has reached an upstream: the entry process turns new connections away while its processor is busy.

A test process did not exit at first and used a core: gdb shows Node.js in CleanupHandles, waiting for a connection that was reset while its end was being sent, by the cutting dialer or the upstream of the test.

--- a/packages/fakes/src/cut-dialer.ts
+++ b/packages/fakes/src/cut-dialer.ts
@@ -1,5 +1,7 @@
 import * as net from 'node:net';
 
+import * as resetConnections from './reset-connection.js';
+
 /**
  * What a host's connections to upstreams do while it is cut off. `hang`: open ones are silent, new ones get no answer;
  * `silent`: new ones are accepted and then silent as well; `reset`: open ones are reset, new ones refused; `refused`: open
@@ -138,8 +140,8 @@
         return;
       }
       this.pairs.delete(pair);
-      if (hadError || wasReset) {
-        to?.resetAndDestroy();
+      if ((hadError || wasReset) && to !== undefined) {
+        resetConnections.resetConnection(to);
       } else {
         to?.destroySoon();
       }
@@ -148,8 +150,7 @@
 
   private resetAll(): void {
     this.pairs.forEach(({ near, far }) => {
-      near.resetAndDestroy();
-      far?.resetAndDestroy();
+      [near, far].forEach((socket) => socket && resetConnections.resetConnection(socket));
     });
     this.pairs.clear();
   }
--- a/packages/fakes/src/index.ts
+++ b/packages/fakes/src/index.ts
@@ -8,6 +8,7 @@
 export * from './fake-server.js';
 export * from './fake-service.js';
 export * from './reserved-ports.js';
+export * from './reset-connection.js';
 export * from './memory-files.js';
 export * from './short-answer-play.js';
 export * from './short-answer-upstream.js';
--- a/packages/fakes/src/short-answer-play.ts
+++ b/packages/fakes/src/short-answer-play.ts
@@ -80,7 +80,7 @@
     if (this.options.kinds[kind] === undefined) {
       return { bytes: Buffer.from('HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n') };
     }
-    this.runs.set(callId, (this.runs.get(callId) ?? 0) + 1);
+    this.recordRun(callId);
     const { framing, length, end } = this.findCase(index) ?? {
       framing: 'length',
       length: Infinity,
@@ -130,38 +130,77 @@
           caller = await this.call(kind, 'good', caller);
         }
       }
-      caller.close();
+      caller?.close();
     };
     await Promise.all(Array.from({ length: concurrency }, playNext));
   }
 
-  /** Makes a call; repeats it as callers do while it is refused as not run. */
-  private async call(kind: string, target: string, former?: strictCallers.StrictCaller) {
-    const caller = former?.isOpen() ? former : await this.options.connect();
+  /** Records that a call has reached an upstream. */
+  public recordRun(callId: string): void {
+    this.runs.set(callId, (this.runs.get(callId) ?? 0) + 1);
+  }
+
+  /** Makes a call on a connection of its own, like `sendUntilRead`. */
+  public async send(create: (callId: string) => string): Promise<strictCallers.StrictAnswer> {
+    const { answer, caller } = await this.sendUntilRead(create, undefined);
+    caller.close();
+    return answer;
+  }
+
+  private async call(
+    kind: string,
+    target: string,
+    former?: strictCallers.StrictCaller,
+  ): Promise<strictCallers.StrictCaller | undefined> {
+    const known = this.findCase(target);
+    const create = (callId: string) =>
+      this.options.createCall(`/${kind}/${target}/${callId}`, callId);
+    try {
+      const { answer, caller, callId } = await this.sendUntilRead(create, former);
+      this.judge(kind, known, callId, answer).forEach((fault) => this.note(kind, known, fault));
+      return caller;
+    } catch (err) {
+      this.note(kind, known, String(err));
+      former?.close();
+      return undefined;
+    }
+  }
+
+  /**
+   * Makes a call; repeats it as callers do while it is refused as not run, or its connection is closed before the call
+   * has reached an upstream.
+   */
+  private async sendUntilRead(
+    create: (callId: string) => string,
+    former: strictCallers.StrictCaller | undefined,
+  ) {
+    let caller = former;
     for (let tries = 1; ; tries += 1) {
+      caller = caller?.isOpen() === true ? caller : await this.connect();
       this.lastCall += 1;
       // All identifiers have the same length, and so have the answers that differ by them only.
       const callId = `c${String(this.lastCall).padStart(6, '0')}`;
-      const path = `/${kind}/${target}/${callId}`;
-      const known = this.findCase(target);
+      const answer = await caller.send(create(callId));
+      const isRefused = REFUSED.has(answer.status) || answer.status === 0;
+      if (!isRefused || this.runs.has(callId) || tries === MAX_TRIES) {
+        return { answer, caller, callId };
+      }
+      this.count(`not run: ${answer.status}`);
+      await pause();
+    }
+  }
+
+  private async connect(): Promise<strictCallers.StrictCaller> {
+    for (let tries = 1; ; tries += 1) {
       try {
-        const answer = await caller.send(this.options.createCall(path, callId));
-        const isRefused = REFUSED.has(answer.status) && !this.runs.has(callId);
-        if (!isRefused || tries === MAX_TRIES) {
-          this.judge(kind, known, callId, answer).forEach((fault) =>
-            this.note(kind, known, `${fault} (${callId})`),
-          );
-          return caller;
-        }
-        this.count('refused as not run');
+        return await this.options.connect();
       } catch (err) {
-        this.note(kind, known, String(err));
-        caller.close();
-        return caller;
+        if (tries === MAX_TRIES) {
+          throw err;
+        }
       }
-      await new Promise((resolve) => {
-        setTimeout(resolve, RETRY_MS);
-      });
+      this.count('connections refused');
+      await pause();
     }
   }
 
@@ -234,6 +273,12 @@
   }
 }
 
+function pause(): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, RETRY_MS);
+  });
+}
+
 function describe({ end, framing, length }: ShortCase): string {
   return `${framing}, ${end} after ${length} bytes`;
 }
--- a/packages/fakes/src/short-answer-upstream.ts
+++ b/packages/fakes/src/short-answer-upstream.ts
@@ -1,5 +1,7 @@
 import * as net from 'node:net';
 
+import * as resetConnections from './reset-connection.js';
+
 /** How a connection ends after an answer that was cut short: by a close or a reset, at once or a little later. */
 export type ConnectionEnd = 'close' | 'reset' | 'late close' | 'late reset';
 
@@ -82,7 +84,7 @@
 function send(socket: net.Socket, { bytes, end }: ShortAnswer): void {
   const finish = () => {
     if (end?.endsWith('reset')) {
-      socket.resetAndDestroy();
+      resetConnections.resetConnection(socket);
     } else if (end !== undefined) {
       socket.end();
     }
