Contain frames and identities of peers that are wrong

What callers saw: by reading, none in the record; each of these ends a host with status 1, with every call on it.

Cause, three places: a tunnel whose first bytes are no chunk emits its error before its user has it; a tunnel that can't be opened for an error of the host's own, and an answer that can't be encoded, reject promises that nobody handles; an identity such as 'constructor' finds a property of every object among the keys and throws in a callback of TLS, before any key is checked.

Change: a tunnel has a listener from its start, and its reads report the error; calls and tunnels of peers run by schemas.runInBackground, and such a tunnel is answered as busy; an answer that can't be made is a failure; identities are looked up as own properties; a failed accept is logged.

--- a/packages/peers/src/keyring.ts
+++ b/packages/peers/src/keyring.ts
@@ -23,8 +23,9 @@
 
   /** Returns the key of an identity, or `undefined` if it was rotated out. */
   public findKey(identity: string): Buffer | undefined {
-    const key = this.file.keys[identity];
-    return key === undefined ? undefined : Buffer.from(key, 'base64');
+    // A peer may state any identity, also the name of a property that every object has.
+    const isKnown = Object.hasOwn(this.file.keys, identity);
+    return isKnown ? Buffer.from(this.file.keys[identity]!, 'base64') : undefined;
   }
 
   /** Returns every valid key, the active one first. */
--- a/packages/peers/src/peer-server.ts
+++ b/packages/peers/src/peer-server.ts
@@ -31,6 +31,8 @@
   readonly openTunnel?: OpenTunnel | undefined;
 }
 
+type CallFrame = Extract<frames.Frame, readonly ['call', ...unknown[]]>;
+
 interface Connection {
   readonly socket: net.Socket;
   readonly writer: frames.FrameWriter;
@@ -50,6 +52,10 @@
     private readonly options: PeerServerOptions,
   ) {
     this.server = this.createServer();
+    // An accept that fails, such as for want of descriptors, concerns one connection; without a handler it would end the process.
+    this.server.on('error', (err) => {
+      options.log.warn({ event: 'listener-failed', step: 'accept-peer', err: err.message });
+    });
   }
 
   /** Starts to listen and returns the port. */
@@ -125,9 +131,10 @@
     } else if (frame[0] === 'part') {
       this.handlePart(connection, frame);
     } else if (frame[0] === 'call') {
-      void this.handleCall(connection, frame);
+      this.startCall(connection, frame);
     } else if (frame[0] === 'tunnel') {
-      void this.handleTunnel(connection, { address: frame[1], connectMs: frame[2] });
+      const req = { address: frame[1], connectMs: frame[2] };
+      this.runInBackground(() => this.handleTunnel(connection, req), connection, 'open-tunnel');
     }
   }
 
@@ -146,7 +153,7 @@
     this.send(connection, ['taken', id, call.receivedBytes]);
     if (isLast) {
       partial.delete(id);
-      void this.handleCall(connection, ['call', id, ...call.decode()]);
+      this.startCall(connection, ['call', id, ...call.decode()]);
     }
   }
 
@@ -158,7 +165,7 @@
     const { socket } = connection;
     socket.removeAllListeners('data');
     socket.pause();
-    const far = (await this.options.openTunnel?.(req).catch(() => 'busy' as const)) ?? 'busy';
+    const far = await this.openTunnel(connection, req);
     const result = typeof far === 'string' ? far : 'connected';
     if (socket.destroyed) {
       if (typeof far !== 'string') {
@@ -174,17 +181,38 @@
     }
   }
 
-  private async handleCall(
-    connection: Connection,
-    [, id, path, input]: Extract<frames.Frame, readonly ['call', ...unknown[]]>,
-  ): Promise<void> {
+  /** Opens a connection for a tunnel; what this host can't open for an error of its own counts as busy. */
+  private async openTunnel(
+    { socket }: Connection,
+    req: tunnelMessages.TunnelRequest,
+  ): Promise<Awaited<ReturnType<OpenTunnel>>> {
+    try {
+      return (await this.options.openTunnel?.(req)) ?? 'busy';
+    } catch (err) {
+      const { message } = schemas.toError(err);
+      this.options.log.warn({ step: 'open-tunnel', peer: socket.remoteAddress, err: message });
+      return 'busy';
+    }
+  }
+
+  private startCall(connection: Connection, frame: CallFrame): void {
+    this.runInBackground(() => this.handleCall(connection, frame), connection, 'answer-peer');
+  }
+
+  private runInBackground(run: () => Promise<void>, { socket }: Connection, step: string): void {
+    const { log } = this.options;
+    schemas.runInBackground(run, { log, step, peer: socket.remoteAddress });
+  }
+
+  private async handleCall(connection: Connection, [, id, path, input]: CallFrame): Promise<void> {
     const { calls, socket } = connection;
     const abort = new AbortController();
     calls.set(id, abort);
-    const reply = await this.callProcedure(path, input, abort.signal).then(
-      (output): frames.Frame => createReply(id, path, output),
-      (err: unknown): frames.Frame => ['failure', id, schemas.toError(err).message, getCode(err)],
-    );
+    const reply = await this.callProcedure(path, input, abort.signal)
+      .then((output): frames.Frame => createReply(id, path, output))
+      .catch((err: unknown): frames.Frame => {
+        return ['failure', id, schemas.toError(err).message, getCode(err)];
+      });
     calls.delete(id);
     if (!socket.destroyed && !abort.signal.aborted && !this.options.isCut?.()) {
       this.send(connection, reply);
--- a/packages/peers/src/tunnel-socket.ts
+++ b/packages/peers/src/tunnel-socket.ts
@@ -20,6 +20,8 @@
     rest: Buffer,
   ) {
     super({ allowHalfOpen: false });
+    // The first bytes may break the tunnel before its user has it; the error would end the process. Reads report it again.
+    this.on('error', () => {});
     socket.on('data', (bytes: Buffer) => this.receive(bytes));
     socket.on('error', (err) => this.destroy(err));
     socket.on('close', () => this.handleClose());
--- a/packages/peers/tests/tunnel.test.ts
+++ b/packages/peers/tests/tunnel.test.ts
@@ -5,6 +5,7 @@
 import * as trpc from '@trpc/server';
 import * as tap from 'tap';
 
+import * as frames from '../src/frame.js';
 import * as peers from '../src/index.js';
 
 interface Teardown {
@@ -47,6 +48,20 @@
   return peers.openTunnel(options, { address, connectMs: 100 });
 }
 
+/** Encodes a frame, of whatever shape. */
+function encode(frame: unknown): Buffer {
+  return new frames.FrameWriter().encode(frame as frames.Frame);
+}
+
+/** Encodes a call whose input is arrays within arrays. */
+function createDeepCall(depth: number): Buffer {
+  const head = Buffer.from([0x94, 0xa4, ...Buffer.from('call'), 1, 0xa1, 0x78]);
+  const body = Buffer.concat([head, Buffer.alloc(depth, 0x91), Buffer.from([0])]);
+  const length = Buffer.alloc(4);
+  length.writeUInt32BE(body.length);
+  return Buffer.concat([length, body]);
+}
+
 /** Reads until the stream ends or breaks. */
 async function readAll(source: stream.Duplex): Promise<{ text: string; isBroken: boolean }> {
   const parts: Buffer[] = [];
@@ -143,3 +158,52 @@
   const port = await listen(t, (socket) => socket.on('error', () => {}));
   await t.rejects(open(port), { name: 'TunnelError', result: 'lost' });
 });
+
+// Guards against a host that ends by an error without a listener, when what follows a peer's answer is no chunk.
+void tap.default.test('a tunnel whose first bytes are no chunk breaks', async (t) => {
+  const endless = Buffer.alloc(8, 0xff);
+  const port = await listen(t, (socket) => {
+    socket.on('error', () => {});
+    socket.once('data', () => {
+      socket.write(Buffer.concat([encode(['tunnelled', 'connected']), endless]));
+    });
+  });
+  const tunnel = await open(port);
+  t.match(await readAll(tunnel), { text: '', isBroken: true });
+});
+
+// Guards against a host that ends, or a server that stops, by frames that no peer of this version sends.
+void tap.default.test('frames of a wrong shape end only their connection', async (t) => {
+  const { port } = await startPeer(t, () => {
+    throw new TypeError('no address');
+  });
+  const wrong: readonly unknown[] = [
+    null,
+    7,
+    'ping',
+    [],
+    {},
+    ['call'],
+    ['call', {}, {}, {}],
+    ['call', 1, 7, null],
+    ['call', 1, '__proto__', null],
+    ['part', 1, 0, 'text', true],
+    ['part', 1, 0, Buffer.from([0xc1]), true],
+    ['part', 1, 0, null, true],
+    ['tunnel'],
+    ['tunnel', 5, {}],
+    ['tunnel', null, null],
+    ['cancel', {}],
+  ];
+  const others = [createDeepCall(50_000), Buffer.alloc(64, 0xff), Buffer.alloc(64)];
+  for (const bytes of [...wrong.map(encode), ...others]) {
+    const socket = await connect(port);
+    socket.on('error', () => {});
+    socket.write(bytes);
+    await new Promise((resolve) => {
+      setTimeout(resolve, 20);
+    });
+    socket.destroy();
+  }
+  await t.rejects(open(port), /busy/, 'the server still answers');
+});
