Run tasks that nobody waits for under a handler in paths and requests

Checks of paths, the search for open paths, a claim acceptor's copy and the verdicts on parts of prompts ran in promises without a handler: whatever they threw ended the process. They run by schemas.runInBackground, and the two loops among them (open paths, verdicts) survive a failed round. An acceptor whose copy fails does not vote. An answer of an acceptor that can't be counted fails the claim in place of the process. An engine's answer has a listener for errors between two reads, as a service's had.

No test of its own shows a failure before.

--- a/packages/fakes/src/fake-engine.ts
+++ b/packages/fakes/src/fake-engine.ts
@@ -290,7 +290,12 @@
   private startStepping(): void {
     if (!this.isStepping) {
       this.isStepping = true;
-      void this.runSteps();
+      // A stand-in with a fault ends loudly, outside the promise.
+      this.runSteps().catch((err: Error) => {
+        setImmediate(() => {
+          throw err;
+        });
+      });
     }
   }
 
--- a/packages/gateway/src/suspect-registry.ts
+++ b/packages/gateway/src/suspect-registry.ts
@@ -37,6 +37,7 @@
     this.verdicts = new requests.VerdictTask({
       getLedger: () => this.ledger,
       clock: options.clock,
+      log: options.log,
       patienceMs: 0,
       onBarred: (partIds) => this.shareBarred(partIds),
     });
--- a/packages/gateway/src/suspect-relay.ts
+++ b/packages/gateway/src/suspect-relay.ts
@@ -55,6 +55,7 @@
     this.verdicts = new requests.VerdictTask({
       getLedger: () => this.ledger,
       clock,
+      log,
       patienceMs: 0,
       onBarred: (partIds) => {
         log.info({ decision: 'part-barred', partIds, isRelayed: true });
--- a/packages/paths/src/first-success.ts
+++ b/packages/paths/src/first-success.ts
@@ -40,11 +40,12 @@
           }
         },
       );
-      void clock.sleep(staggerMs).then(() => {
+      const startAfterPause = () => {
         if (own === started) {
           startNext();
         }
-      });
+      };
+      clock.sleep(staggerMs).then(startAfterPause).catch(reject);
     };
     if (attempts.length === 0) {
       reject(new Error('there is nothing to try'));
--- a/packages/paths/src/upstream-links.ts
+++ b/packages/paths/src/upstream-links.ts
@@ -1,6 +1,6 @@
 import type * as stream from 'node:stream';
 
-import type * as schemas from '@bramleyridge/schemas';
+import * as schemas from '@bramleyridge/schemas';
 import type * as undici from 'undici';
 
 import * as boundedClients from './bounded-client.js';
@@ -111,7 +111,8 @@
     this.watch = new silenceWatches.SilenceWatch(
       clock,
       (address, since) => {
-        void this.checkSilence(address, since);
+        const task = { log, step: 'check-silence', peer: address };
+        schemas.runInBackground(() => this.checkSilence(address, since), task);
       },
       () => this.state.recordReached(),
     );
@@ -227,7 +228,9 @@
       return;
     }
     this.checkedAt.set(address, now);
-    void this.isReachedByOthers(address);
+    const { log } = this.options;
+    const task = { log, step: 'check-path', peer: address };
+    schemas.runInBackground(() => this.isReachedByOthers(address), task);
   }
 
   /** Counts the open connections through other hosts. */
@@ -327,7 +330,8 @@
   private handleBlocked(): void {
     this.abortBlockedCalls();
     if (!this.isReopening && !this.isClosed) {
-      void this.reopen();
+      const { log } = this.options;
+      schemas.runInBackground(() => this.reopen(), { log, step: 'reopen-paths' });
     }
   }
 
@@ -340,11 +344,11 @@
   }
 
   private async reopen(): Promise<void> {
-    const { clock } = this.options;
+    const { clock, log } = this.options;
     this.isReopening = true;
     while (this.state.listBlocked().length > 0 && !this.isClosed) {
       await clock.sleep(REOPEN_INTERVAL_MS);
-      await this.probeBlocked();
+      await schemas.runRound(() => this.probeBlocked(), { log, step: 'reopen-paths' });
     }
     this.isReopening = false;
   }
--- a/packages/requests/src/claim-acceptor.ts
+++ b/packages/requests/src/claim-acceptor.ts
@@ -1,4 +1,4 @@
-import type * as schemas from '@bramleyridge/schemas';
+import * as schemas from '@bramleyridge/schemas';
 
 import * as types from './claim-types.js';
 
@@ -68,7 +68,9 @@
       this.records.clear();
       this.complete = isFounder;
       if (!isFounder) {
-        void this.recover(slots[slot]!.since);
+        const { log } = this.options;
+        const { since } = slots[slot]!;
+        schemas.runInBackground(() => this.recover(since), { log, step: 'recover-claims' });
       }
     }
   }
--- a/packages/requests/src/claim-proposer.ts
+++ b/packages/requests/src/claim-proposer.ts
@@ -92,9 +92,9 @@
       throw new schemas.StepError({ id: 'claimRefused', step: 'claim' });
     }
     let pending = acceptors.length;
-    await new Promise<void>((resolve) => {
+    await new Promise<void>((resolve, reject) => {
       acceptors.forEach((acceptor) => {
-        void transport
+        transport
           .claim(acceptor.daemonId, { ...req, since })
           .then((res) => responses.push(res))
           .catch(() => {})
@@ -103,7 +103,8 @@
             if (pending === 0 || countAgreed(responses) >= needed) {
               resolve();
             }
-          });
+          })
+          .catch(reject);
       });
     });
     return this.combine(responses, needed);
--- a/packages/requests/src/engine-client.ts
+++ b/packages/requests/src/engine-client.ts
@@ -249,6 +249,8 @@
       } as undici.Dispatcher.RequestOptions);
       tracked.begin();
       this.recordProcess(upstream.upstreamId, readProcess(res.headers));
+      // An error between two reads would otherwise be uncaught and end the process; the next read reports it.
+      res.body.on('error', () => {});
       res.body.once('close', tracked.end);
       return res;
     } catch (err) {
--- a/packages/requests/src/part-guard.ts
+++ b/packages/requests/src/part-guard.ts
@@ -74,6 +74,7 @@
     this.verdicts = new verdictTasks.VerdictTask({
       getLedger: () => ledger,
       clock,
+      log,
       patienceMs,
       onBarred: (partIds) => {
         log.info({ decision: 'part-barred', partIds, isOwn: true });
--- a/packages/requests/src/upstream-client.ts
+++ b/packages/requests/src/upstream-client.ts
@@ -101,13 +101,11 @@
       );
       this.checkHead(target, answer, classify);
       if (singleUseClient !== undefined) {
-        answer.body.once('close', () => {
-          void singleUseClient.destroy();
-        });
+        answer.body.once('close', () => destroyClient(singleUseClient));
       }
       return answer;
     } catch (err) {
-      void singleUseClient?.destroy();
+      destroyClient(singleUseClient);
       throw upstreamErrors.createUpstreamError(err, 'send', target.upstreamId);
     }
   }
@@ -170,3 +168,8 @@
     throw new upstreamErrors.UpstreamError(FAILURE_KINDS[verdict], verdict, target.upstreamId);
   }
 }
+
+/** Closes the connection of a call; when that fails, it is closed already, or ends with its process. */
+function destroyClient(client: undici.Client | undefined): void {
+  client?.destroy().catch(() => {});
+}
--- a/packages/requests/src/verdict-task.ts
+++ b/packages/requests/src/verdict-task.ts
@@ -1,10 +1,11 @@
 import type * as routing from '@bramleyridge/routing';
-import type * as schemas from '@bramleyridge/schemas';
+import * as schemas from '@bramleyridge/schemas';
 
 /** Options of `VerdictTask`. */
 export interface VerdictTaskOptions {
   readonly getLedger: () => routing.CrashLedger;
   readonly clock: schemas.Clock;
+  readonly log: schemas.Log;
   /** Time for which this host leaves the decision to others, in milliseconds. */
   readonly patienceMs: number;
   /** Called with the ids of parts of prompts that are barred from now on. */
@@ -25,7 +26,7 @@
   public schedule(): void {
     if (this.decision === undefined && this.findDueTime() !== undefined) {
       this.awaitNext();
-      void this.run();
+      schemas.runInBackground(() => this.run(), { log: this.options.log, step: 'bar-parts' });
     }
   }
 
@@ -45,7 +46,7 @@
   }
 
   private async run(): Promise<void> {
-    const { clock, patienceMs } = this.options;
+    const { clock, log, patienceMs } = this.options;
     for (;;) {
       const dueAt = this.findDueTime();
       if (dueAt === undefined) {
@@ -54,7 +55,7 @@
         return;
       }
       await clock.sleep(Math.max(0, dueAt + patienceMs - clock.now()));
-      this.decide();
+      await schemas.runRound(() => this.decide(), { log, step: 'bar-parts' });
       this.endDecision();
       this.awaitNext();
     }
--- a/packages/requests/tests/verdict-task.test.ts
+++ b/packages/requests/tests/verdict-task.test.ts
@@ -28,6 +28,7 @@
   const task = new requests.VerdictTask({
     getLedger: () => ledger,
     clock,
+    log: new schemas.SilentLog(),
     patienceMs: 0,
     onBarred: (partIds) => barred.push(...partIds),
   });
