--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -54,6 +54,15 @@
       'no-void': ['error', { allowAsStatement: true }],
     },
   },
+  {
+    // A promise that nobody handles ends the process when it rejects: schemas.runInBackground takes a task that nobody waits for.
+    files: ['packages/*/src/**/*.ts', 'platform/src/**/*.ts'],
+    ignores: ['packages/daemon/src/**/*.ts'],
+    rules: {
+      '@typescript-eslint/no-floating-promises': ['error', { ignoreVoid: false }],
+      'no-void': 'error',
+    },
+  },
   {
     // State that survives failures. The write-ahead log is left out: its operations run one at a time.
     files: ['packages/consensus/src/**/*.ts', 'packages/requests/src/claim-*.ts'],
