Check settings where they are read, and log a fault of a change once

What operators and callers saw: a host whose ipAddress is no IP address started and served nothing; a duration over 2^31 - 1 ms, such as that of a planned stop, fires at once; a settings file that can't be read wrote one warning every two seconds.

Cause: ipAddress was any text, durations any positive number, and each failed read was logged.

Change: ipAddress is an IP address, durations are at most what a timer can have, and a fault of a change is logged once until it changes or a read succeeds. The former settings stay in force, as before.

An empty list of seeds is still allowed, since a host that ends for it would end again, and a later change can fill it.

--- a/packages/gateway/src/host-settings.ts
+++ b/packages/gateway/src/host-settings.ts
@@ -1,22 +1,25 @@
 import * as schemas from '@bramleyridge/schemas';
 import * as z from 'zod';
 
+/** A duration, which ends up in timers. */
+const duration = z.number().positive().transform(schemas.boundTimerMs);
+
 /** The deployment's service-level bounds, from which this host derives its own times and limits. */
 export const deploymentBounds = z.object({
   /** Time within which a host that can reach the others again must be up to date, in milliseconds. */
-  reachMs: z.number().positive(),
+  reachMs: duration,
   /** Time within which an operator's order must be acknowledged, in milliseconds. */
-  acknowledgeMs: z.number().positive(),
+  acknowledgeMs: duration,
   /** Time for which calls may still be sent to an upstream that is leaving, in milliseconds. */
-  leavingMs: z.number().positive(),
+  leavingMs: duration,
   /** Maximum duration of a planned stop, in milliseconds. */
-  stopMs: z.number().positive(),
+  stopMs: duration,
   /** Maximum number of retries per request, for all hosts together. */
   retryRatio: z.number().min(0),
   /** Maximum number of retries beyond the ratio in one window, for all hosts together. */
   retrySlack: z.number().min(0),
   /** Length of that window, in milliseconds. */
-  retryWindowMs: z.number().positive(),
+  retryWindowMs: duration,
   /** Multiple of its declared rate that a cold upstream tolerates, and the number of calls in a second beyond that. */
   coldOverage: z.number().min(1).default(1),
   coldSlack: z.number().min(0).default(0),
@@ -45,7 +48,7 @@
   availabilityZone: z.string().min(1),
   /** Region of each availability zone of the deployment; absent where the settings don't give it. */
   regions: z.record(z.string(), z.string()).optional(),
-  ipAddress: z.string().min(1),
+  ipAddress: schemas.ipAddress,
   /** Address for callers; on entry hosts. */
   callerAddress: schemas.listenAddress.optional(),
   /** Address of the load balancer's readiness probe; on entry hosts. */
--- a/packages/gateway/src/settings-watcher.ts
+++ b/packages/gateway/src/settings-watcher.ts
@@ -9,6 +9,8 @@
 export class SettingsWatcher {
   private current: hostSettings.HostSettings;
   private isStopped = false;
+  /** Why the last read failed; `undefined` if it did not. */
+  private lastFault: string | undefined;
 
   public constructor(
     private readonly source: hostSettings.SettingsSource,
@@ -35,12 +37,18 @@
   public reread(reason: 'time' | 'signal'): void {
     try {
       const next = this.source.read();
+      this.lastFault = undefined;
       if (JSON.stringify(next) !== JSON.stringify(this.current)) {
         this.current = next;
         this.log.info({ event: 'settings-changed', reason, seeds: next.seeds });
       }
     } catch (err) {
-      this.log.warn({ event: 'settings-unreadable', reason, err: schemas.toError(err).message });
+      const { message } = schemas.toError(err);
+      // The file is read every few seconds.
+      if (message !== this.lastFault) {
+        this.log.warn({ event: 'settings-unreadable', reason, err: message });
+      }
+      this.lastFault = message;
     }
   }
 
--- a/packages/schemas/src/address.ts
+++ b/packages/schemas/src/address.ts
@@ -31,6 +31,9 @@
   return { host, port: Number(text.slice(at + 1)) };
 }
 
+/** An IP address. */
+export const ipAddress = z.string().refine((text) => net.isIP(text) !== 0, 'must be an IP address');
+
 /** Returns the one form of an address by which calls and connections can be compared; `undefined` if it is none. */
 function findCanonicalForm(text: string): string | undefined {
   const parsed = parseAddress(text);
