Leave out a seed that is no address

What operators saw: a process that doesn't start, with badConfig, for a settings file that it accepted before, although its other seeds are good.

Change: such a seed is left out and logged as seeds-unusable. Any other address of the settings is still an error, which names its field.

--- a/packages/gateway/src/host-settings.ts
+++ b/packages/gateway/src/host-settings.ts
@@ -42,8 +42,7 @@
   heldBytes: z.int().positive().optional(),
 });
 
-/** Schema of one host's settings for routed traffic. */
-export const hostSettings = z.object({
+const settingsFields = z.object({
   hostId: z.string().min(1),
   availabilityZone: z.string().min(1),
   /** Region of each availability zone of the deployment; absent where the settings don't give it. */
@@ -60,7 +59,7 @@
   /** Port on which core hosts listen for entry hosts and each other. */
   peerPort: z.int().min(1).max(65_535),
   /** Operator addresses of some core hosts. */
-  seeds: z.array(schemas.address),
+  seeds: z.array(z.string()),
   /** Whether the whole deployment starts for the first time, with empty disks. */
   isFirstStart: z.boolean(),
   dataFolder: z.string().min(1).optional(),
@@ -77,6 +76,20 @@
   capacitySharing: capacitySharing.optional(),
 });
 
+/**
+ * Schema of one host's settings for routed traffic. A seed that is no address is left out, since the others are enough
+ * to start with.
+ */
+export const hostSettings = settingsFields.transform(({ seeds, ...fields }) => {
+  const isUsable = (seed: string) => schemas.address.safeParse(seed).success;
+  const unusableSeeds = seeds.filter((seed) => !isUsable(seed));
+  return {
+    ...fields,
+    seeds: seeds.filter(isUsable),
+    ...(unusableSeeds.length > 0 ? { unusableSeeds } : {}),
+  };
+});
+
 /** How scarce capacity is shared among teams. */
 export type CapacitySharing = z.infer<typeof capacitySharing>;
 
--- a/packages/gateway/src/settings-watcher.ts
+++ b/packages/gateway/src/settings-watcher.ts
@@ -18,6 +18,7 @@
     private readonly log: schemas.Log,
   ) {
     this.current = source.read();
+    this.logUnusableSeeds();
   }
 
   /** Returns the settings in force. */
@@ -41,6 +42,7 @@
       if (JSON.stringify(next) !== JSON.stringify(this.current)) {
         this.current = next;
         this.log.info({ event: 'settings-changed', reason, seeds: next.seeds });
+        this.logUnusableSeeds();
       }
     } catch (err) {
       const { message } = schemas.toError(err);
@@ -52,6 +54,13 @@
     }
   }
 
+  private logUnusableSeeds(): void {
+    const { unusableSeeds } = this.current;
+    if (unusableSeeds !== undefined) {
+      this.log.warn({ event: 'seeds-unusable', seeds: unusableSeeds });
+    }
+  }
+
   /** Stops the periodic reads. */
   public stop(): void {
     this.isStopped = true;
