Keep a daemon up when a datum makes one of its tasks fail

Callers saw: a redirect to another zone whose address a header can't carry ended the daemon with all calls on it (`TypeError [ERR_INVALID_CHAR]` for "location", thrown while the refusal was written, in a promise without a handler). The address comes from another daemon's heartbeat, whose host could be any text, and the path from the caller.

Cause: the handler of a failed call could fail itself. By reading, seven tasks of a daemon, the load polls, the exit check of a lost run and the close of the connections were promises without a handler, and a round that failed ended its task for good; a failed first poll failed each later grant of its pool.

Change: hosts of heartbeats and URLs of other zones are parsed where they are read; `createLocation` encodes what a header can't carry. Handlers of callers and operators, and all tasks, run with `schemas.runInBackground`, which logs a failure; tasks in rounds go on with the next round after a pause (`runRounds`, the heartbeats, the ticks of each pool). A failed exit check is logged and frees its turn. An error of the listening socket, and of any response, has a listener. The wait for a call's outcome is limited to 60 s, as a timer of more than 2^31 ms fires at once.

Not shown by a test: the handlers of exit checks, ticks, polls and closes, for which no datum was found.

Conclusion: a failure costs the call or the round that it happens in.

--- a/packages/daemon/src/caller-api.ts
+++ b/packages/daemon/src/caller-api.ts
@@ -61,14 +61,32 @@
       if (this.context.drain.isDraining()) {
         res.setHeader('connection', 'close');
       }
-      void handle(req, res)
-        .catch((err: unknown) => this.refuse(req, res, err))
-        .finally(() =>
-          res.writableFinished || res.destroyed ? leave() : res.once('close', leave),
-        );
+      schemas.runInBackground(() => this.run(req, res, handle, leave), {
+        log: this.context.log,
+        step: 'serve-caller',
+      });
     };
   }
 
+  private async run(
+    req: requests.ApiRequest,
+    res: http.ServerResponse,
+    handle: Handler,
+    leave: () => void,
+  ): Promise<void> {
+    try {
+      await handle(req, res);
+    } catch (err) {
+      this.refuse(req, res, err);
+    } finally {
+      if (res.writableFinished || res.destroyed) {
+        leave();
+      } else {
+        res.once('close', leave);
+      }
+    }
+  }
+
   private refuse(req: http.IncomingMessage, res: http.ServerResponse, err: unknown): void {
     const refusal = requests.toRefusal(err);
     this.context.metrics.count('refusals', { reason: refusal.id });
@@ -84,7 +102,13 @@
       res.destroy();
       return;
     }
-    requests.sendRefusal(req, res, refusal);
+    try {
+      requests.sendRefusal(req, res, refusal);
+    } catch (failure) {
+      // Without an answer, the caller must not wait for one.
+      res.destroy();
+      throw failure;
+    }
   }
 
   private listModels(req: http.IncomingMessage, res: http.ServerResponse): void {
--- a/packages/daemon/src/claim-service.ts
+++ b/packages/daemon/src/claim-service.ts
@@ -3,6 +3,7 @@
 import * as schemas from '@bramleyridge/schemas';
 
 import type * as peerMeshes from './peer-mesh.js';
+import * as runRounds from './run-rounds.js';
 
 /** Time for which one request waits for the end of a claimed call at its owner, in milliseconds. */
 const OUTCOME_WAIT_MS = 2_000;
@@ -13,6 +14,9 @@
 /** Longest interval between two removals of expired claims, in milliseconds. */
 const EXPIRY_INTERVAL_MS = 30_000;
 
+/** Pause after a failed change of the acceptors, in milliseconds. */
+const FAILURE_PAUSE_MS = 1_000;
+
 /** The claim of a key, and the state of the claimed call as far as it can be determined. */
 export interface ClaimedCall {
   readonly value: requests.ClaimValue;
@@ -70,12 +74,18 @@
   /** Applies changes of the claim acceptors and removes expired claims, until stopped. */
   public async run(): Promise<void> {
     const { clock, store } = this.options;
-    while (!this.isStopped) {
-      const { claimSeats, claimFounders } = store.get();
-      this.acceptor.configure(claimSeats, claimFounders);
-      this.acceptor.expire();
-      await store.changed.wait(clock, EXPIRY_INTERVAL_MS);
-    }
+    await runRounds.runRounds({
+      ...this.options,
+      step: 'configure-claims',
+      isStopped: () => this.isStopped,
+      failurePauseMs: FAILURE_PAUSE_MS,
+      round: async () => {
+        const { claimSeats, claimFounders } = store.get();
+        this.acceptor.configure(claimSeats, claimFounders);
+        this.acceptor.expire();
+        await store.changed.wait(clock, EXPIRY_INTERVAL_MS);
+      },
+    });
   }
 
   /** Stops the task and the acceptor, whose recovery would otherwise go on. */
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -168,17 +168,20 @@
   public async start(): Promise<{ callerPort: number; peerPort: number }> {
     const peerPort = await this.peerServer.listen();
     await this.control.start();
-    void this.syncClient.run();
-    void this.platform.run();
-    void this.leader.run();
-    void this.poolManager.run();
-    void this.context.poolClient.run();
-    void this.context.claims.run();
-    void this.suspects.run();
+    this.runInBackground('heartbeats', () => this.syncClient.run());
+    this.runInBackground('platform-list', () => this.platform.run());
+    this.runInBackground('leader-tasks', () => this.leader.run());
+    this.runInBackground('pools', () => this.poolManager.run());
+    this.runInBackground('report-generations', () => this.context.poolClient.run());
+    this.runInBackground('claims', () => this.context.claims.run());
+    this.runInBackground('list-suspects', () => this.suspects.run());
     await new Promise<void>((resolve, reject) => {
       this.server.once('error', reject);
       this.server.listen(this.cfg.callerPort, this.cfg.host, resolve);
     });
+    this.server.on('error', (err) => {
+      this.options.log.error({ event: 'server-failed', ...schemas.describeError(err) });
+    });
     const callerPort = (this.server.address() as net.AddressInfo).port;
     this.options.log.info({ step: 'started', callerPort, peerPort, ...this.cfg.timings });
     return { callerPort, peerPort };
@@ -235,11 +238,15 @@
     this.control.stop();
     this.peerServer.close();
     this.mesh.close();
-    void this.context.engines.close();
-    void this.context.services.close();
+    this.runInBackground('close-engines', () => this.context.engines.close());
+    this.runInBackground('close-services', () => this.context.services.close());
     this.context.metrics.close();
   }
 
+  private runInBackground(step: string, run: () => Promise<unknown>): void {
+    schemas.runInBackground(run, { log: this.options.log, step });
+  }
+
   private describeLinks(): object {
     const counts = this.mesh.getCounts();
     counts.add(this.peerServer.counts);
@@ -440,14 +447,15 @@
       control: this.control,
       leader: this.leader,
       decisions: this.context.decisions,
+      log: this.options.log,
       getDeclaration: () => this.store.get().declaration,
       describeLinks: () => this.describeLinks(),
       reloadKeys: () => this.keyring.reload(),
-      drain: () => {
-        void this.stop();
-      },
+      drain: () => this.runInBackground('stop', () => this.stop()),
     }).addTo(app);
     server.on('connection', (socket) => socket.setNoDelay(true));
+    // An 'error' event without a listener, as after a client reset, would terminate the process.
+    server.on('request', (_req, res) => res.on('error', () => {}));
     server.on('request', app.handler.bind(app) as never);
     return server;
   }
--- a/packages/daemon/src/leader-tasks.ts
+++ b/packages/daemon/src/leader-tasks.ts
@@ -72,7 +72,10 @@
 
   /** Runs until stopped; idle while another daemon leads. */
   public async run(): Promise<void> {
-    void this.platform.run();
+    schemas.runInBackground(() => this.platform.run(), {
+      log: this.options.log,
+      step: 'platform-list',
+    });
     while (!this.isStopped) {
       if (this.isLeader()) {
         await this.round().catch((err: unknown) => {
--- a/packages/daemon/src/operator-api.ts
+++ b/packages/daemon/src/operator-api.ts
@@ -27,6 +27,7 @@
   readonly control: controlPlanes.ControlPlane;
   readonly leader: leaderTasks.LeaderTasks;
   readonly decisions: decisionLogs.DecisionLog;
+  readonly log: schemas.Log;
   readonly getDeclaration: () => schemas.Declaration;
   /** Returns this daemon's role in the control plane and the traffic counts of its links. */
   readonly describeLinks: () => object;
@@ -101,11 +102,9 @@
     return (request, res) => {
       const req = request as unknown as requests.ApiRequest;
       res.on('error', () => {});
-      void this.run(req, res, handle).catch((err: unknown) => {
-        const refusal = requests.toRefusal(err);
-        if (!res.headersSent) {
-          requests.sendRefusal(req, res, refusal);
-        }
+      schemas.runInBackground(() => this.run(req, res, handle), {
+        log: this.options.log,
+        step: 'serve-operator',
       });
     };
   }
@@ -115,7 +114,15 @@
     res: http.ServerResponse,
     handle: Handler,
   ): Promise<void> {
-    await handle(req, res, this.authenticate(req));
+    try {
+      await handle(req, res, this.authenticate(req));
+    } catch (err) {
+      if (res.headersSent) {
+        res.destroy();
+        return;
+      }
+      requests.sendRefusal(req, res, requests.toRefusal(err));
+    }
   }
 
   private authenticate(req: http.IncomingMessage): string {
--- a/packages/daemon/src/peer-router.ts
+++ b/packages/daemon/src/peer-router.ts
@@ -187,7 +187,7 @@
       .mutation(({ input }) => handlers.recover(input)),
     holdsClaims: t.procedure.mutation(() => handlers.holdsClaims()),
     outcome: t.procedure
-      .input(z.object({ call: z.string(), waitMs: z.int() }))
+      .input(z.object({ call: z.string(), waitMs: schemas.waitMs }))
       .mutation(({ input }) => handlers.outcome(input)),
     adopt: t.procedure
       .input(z.object({ generation: z.string() }))
--- a/packages/daemon/src/pool-client.ts
+++ b/packages/daemon/src/pool-client.ts
@@ -5,6 +5,7 @@
 import type * as peerMeshes from './peer-mesh.js';
 import * as peerRouters from './peer-router.js';
 import type * as poolManagers from './pool-manager.js';
+import * as runRounds from './run-rounds.js';
 
 /** Interval between two full progress reports to owners, in milliseconds. */
 const PROGRESS_INTERVAL_MS = 2_000;
@@ -70,12 +71,18 @@
   public async run(): Promise<void> {
     const { clock } = this.options;
     let nextFullReportAt = clock.now();
-    while (!this.isStopped) {
-      await this.updates.wait(clock, Math.max(0, nextFullReportAt - clock.now()));
-      const isWhole = clock.now() >= nextFullReportAt;
-      nextFullReportAt = isWhole ? clock.now() + PROGRESS_INTERVAL_MS : nextFullReportAt;
-      await this.flush(isWhole);
-    }
+    await runRounds.runRounds({
+      ...this.options,
+      step: 'report-generations',
+      isStopped: () => this.isStopped,
+      failurePauseMs: RETRY_PAUSE_MS,
+      round: async () => {
+        await this.updates.wait(clock, Math.max(0, nextFullReportAt - clock.now()));
+        const isWhole = clock.now() >= nextFullReportAt;
+        nextFullReportAt = isWhole ? clock.now() + PROGRESS_INTERVAL_MS : nextFullReportAt;
+        await this.flush(isWhole);
+      },
+    });
   }
 
   /** Stops the task. */
--- a/packages/daemon/src/pool-manager.ts
+++ b/packages/daemon/src/pool-manager.ts
@@ -66,10 +66,12 @@
     for (let i = 0; !this.isStopped; i += 1) {
       await clock.sleep(TICK_INTERVAL_MS);
       this.pools.forEach((pool, model) => {
-        this.withdrawAbandoned(pool);
-        pool.owner.tick();
+        this.tick(model, pool);
         if (i % ticksPerReport === 0) {
-          void this.pollLoads(model, pool);
+          schemas.runInBackground(() => this.pollLoads(model, pool), {
+            log: this.options.log,
+            step: 'poll-loads',
+          });
         }
       });
     }
@@ -147,10 +149,26 @@
       polls: 0,
     };
     this.pools.set(model, pool);
-    pool.firstPoll = this.pollLoads(model, pool);
+    pool.firstPoll = this.pollLoads(model, pool).catch((err: unknown) => {
+      this.logFailure(model, 'first-poll', err);
+    });
     return pool;
   }
 
+  /** Checks one pool for timed-out requests and silent daemons; a failure concerns this pool only. */
+  private tick(model: string, pool: Pool): void {
+    try {
+      this.withdrawAbandoned(pool);
+      pool.owner.tick();
+    } catch (err) {
+      this.logFailure(model, 'tick', err);
+    }
+  }
+
+  private logFailure(model: string, task: string, err: unknown): void {
+    this.options.log.error({ event: 'task-failed', task, model, ...schemas.describeError(err) });
+  }
+
   private createOwner(model: string): routing.PoolOwner {
     const { clock, store } = this.options;
     const intents = this.listIntents(model);
--- a/packages/daemon/src/resume-handler.ts
+++ b/packages/daemon/src/resume-handler.ts
@@ -3,6 +3,7 @@
 import * as requests from '@bramleyridge/requests';
 import * as schemas from '@bramleyridge/schemas';
 
+import * as createLocations from './create-location.js';
 import type * as generationRelays from './generation-relay.js';
 import type * as handlerContexts from './handler-context.js';
 import * as teamPlaces from './team-place.js';
@@ -78,13 +79,13 @@
     if (zone === cfg.availabilityZone) {
       return;
     }
-    const url = view.entries.urls[zone]?.[0];
+    const location = createLocations.createLocation(view.entries.urls[zone]?.[0], path);
     throw new schemas.Refusal({
       id: 'generationOfAnother',
       step: 'resume',
-      status: url === undefined ? 503 : 307,
+      status: location === undefined ? 503 : 307,
       outcome: 'unknown',
-      location: url === undefined ? undefined : `${url}${path}`,
+      location,
     });
   }
 }
--- a/packages/daemon/src/run-guard.ts
+++ b/packages/daemon/src/run-guard.ts
@@ -108,12 +108,24 @@
     run: LostRun,
   ): void {
     const digest = subject.getDigest();
-    const check = this.checkExit(subject, upstream, run).finally(() => {
-      this.parts.endTurn(subject);
-      if (this.checks.get(digest) === check) {
-        this.checks.delete(digest);
-      }
-    });
+    const check = this.checkExit(subject, upstream, run)
+      .catch((err: unknown) => {
+        // Without a check, nothing is known of the process.
+        const { upstreamId } = upstream;
+        const description = schemas.describeError(err);
+        this.options.log.error({
+          ...description,
+          event: 'task-failed',
+          task: 'check-exit',
+          peer: upstreamId,
+        });
+      })
+      .finally(() => {
+        this.parts.endTurn(subject);
+        if (this.checks.get(digest) === check) {
+          this.checks.delete(digest);
+        }
+      });
     this.checks.set(digest, check);
   }
 
--- a/packages/daemon/src/team-access.ts
+++ b/packages/daemon/src/team-access.ts
@@ -3,6 +3,8 @@
 import type * as members from '@bramleyridge/members';
 import * as schemas from '@bramleyridge/schemas';
 
+import * as createLocations from './create-location.js';
+
 const BEARER = /^Bearer (.+)$/i;
 
 /** Authenticates teams and checks in which zones their data may be handled. */
@@ -40,13 +42,14 @@
       return;
     }
     const urls = team.availabilityZones.flatMap((other) => this.getEntries().urls[other] ?? []);
+    const location = createLocations.createLocation(urls[0], path);
     throw new schemas.Refusal({
       id: 'notPermitted',
       step: 'place',
-      status: urls.length > 0 ? 307 : 403,
+      status: location === undefined ? 403 : 307,
       outcome: 'not-run',
       args: [team.name, zone],
-      location: urls[0] === undefined ? undefined : `${urls[0]}${path}`,
+      location,
     });
   }
 
--- a/packages/members/src/sync-client.ts
+++ b/packages/members/src/sync-client.ts
@@ -59,9 +59,16 @@
 
   /** Loads the highest revision from the zone and the voters, then sends heartbeats until stopped. */
   public async run(): Promise<void> {
-    await this.loadHighestRevision();
+    const { clock, heartbeatMs, log } = this.options;
     while (!this.isStopped) {
-      await this.sendHeartbeat();
+      try {
+        // Returns at once when the highest revision has been loaded.
+        await this.loadHighestRevision();
+        await this.sendHeartbeat();
+      } catch (err) {
+        log.error({ event: 'round-failed', task: 'heartbeat', ...schemas.describeError(err) });
+        await clock.sleep(heartbeatMs);
+      }
     }
   }
 
--- a/packages/schemas/src/members.ts
+++ b/packages/schemas/src/members.ts
@@ -1,5 +1,6 @@
 import * as z from 'zod';
 
+import * as httpUrls from './http-url.js';
 import * as names from './names.js';
 import * as upstreams from './upstream.js';
 
@@ -14,7 +15,7 @@
   daemonId: z.string(),
   incarnation: z.number(),
   availabilityZone: z.string(),
-  host: z.string(),
+  host: httpUrls.host,
   peerPort: names.port,
   callerPort: names.port,
   isLeaving: z.boolean(),
--- a/packages/schemas/src/sync-message.ts
+++ b/packages/schemas/src/sync-message.ts
@@ -2,6 +2,7 @@
 
 import * as control from './control.js';
 import type * as entryFaultLogs from './entry-fault-log.js';
+import * as httpUrls from './http-url.js';
 import * as members from './members.js';
 import * as entryParses from './parse-entries.js';
 import * as upstreams from './upstream.js';
@@ -9,6 +10,9 @@
 /** Longest time for which an answer may be held back, in milliseconds. */
 const MAX_WAIT_MS = 60_000;
 
+/** Time for which a peer lets an answer be held back, in milliseconds; a timer can't wait for any time. */
+export const waitMs = z.int().transform((ms) => Math.min(ms, MAX_WAIT_MS));
+
 /** What a reader of a heartbeat or its answer left out. */
 export interface UnreadableParts extends entryFaultLogs.UnreadableEntries {
   /** Whether a part that is only valid as a whole, such as the configuration, is among them. */
@@ -27,7 +31,7 @@
   revision: z.int(),
   directoryStamp: z.string(),
   entriesStamp: z.string(),
-  waitMs: z.int().transform((ms) => Math.min(ms, MAX_WAIT_MS)),
+  waitMs,
   /** Sent after the receiver set `needsConfiguration`. */
   configuration: z.unknown().optional(),
 });
@@ -110,12 +114,25 @@
         members: reader.readEntries(members.member, listed.members),
         upstreams: reader.readEntries(upstreams.upstream, listed.upstreams),
       },
-      entries: reader.readPart('entries', members.zoneEntries, entries),
+      entries: readZoneEntries(reader, entries),
       ...reader.describe(),
     };
   },
 );
 
+const zoneEntriesFrame = z.object({
+  stamp: z.string(),
+  urls: z.record(z.string(), z.array(z.unknown())),
+});
+
+function readZoneEntries(reader: PartReader, value: unknown): members.ZoneEntries | undefined {
+  const read = reader.readPart('entries', zoneEntriesFrame, value);
+  const urls = Object.entries(read?.urls ?? {}).map(
+    ([zone, listed]) => [zone, reader.readEntries(httpUrls.httpUrl, listed)] as const,
+  );
+  return read && { stamp: read.stamp, urls: Object.fromEntries(urls) };
+}
+
 /** Reads the parts of one message and records what it leaves out. */
 class PartReader {
   private unreadable = 0;
