Lint promises that nobody handles in the daemon, too

The last four places behind void have a handler: reports of suspects and limits, the start of a voter, the stop on a signal. The rule has no exception in src any more.

Tests that run fleets with hostile data and short answers run one after the other, as the others of their kind do.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -57,7 +57,6 @@
   {
     // A promise that nobody handles ends the process when it rejects: schemas.runInBackground takes a task that nobody waits for.
     files: ['packages/*/src/**/*.ts', 'platform/src/**/*.ts'],
-    ignores: ['packages/daemon/src/**/*.ts'],
     rules: {
       '@typescript-eslint/no-floating-promises': ['error', { ignoreVoid: false }],
       'no-void': 'error',
--- a/packages/daemon/src/bramleyridged.ts
+++ b/packages/daemon/src/bramleyridged.ts
@@ -57,7 +57,11 @@
   reportFatalErrors(cfg);
   const daemon = new daemons.Daemon(cfg, { log });
   const stop = () => {
-    void daemon.stop().then(() => process.exit(0));
+    const end = async () => {
+      await daemon.stop();
+      process.exit(0);
+    };
+    schemas.runInBackground(end, { log, step: 'stop' });
   };
   process.on('SIGTERM', stop);
   process.on('SIGINT', stop);
--- a/packages/daemon/src/control-plane.ts
+++ b/packages/daemon/src/control-plane.ts
@@ -52,7 +52,7 @@
     }
     const files = this.options.files ?? (await this.openStorage());
     this.identity = await consensus.openIdentity(files);
-    void this.runVoter(files).catch((err: unknown) => {
+    this.runVoter(files).catch((err: unknown) => {
       if (!this.stopping.signal.aborted) {
         this.options.log.error({ step: 'voter', err: schemas.toError(err).message });
       }
--- a/packages/daemon/src/rate-grants.ts
+++ b/packages/daemon/src/rate-grants.ts
@@ -57,13 +57,15 @@
 
   /** Tells all daemons of the zone about a limit. */
   public reportLimit(limit: requests.RateLimitFacts): void {
-    const { clock, daemonId } = this.options;
+    const { clock, daemonId, log } = this.options;
     this.record(limit);
     this.toldAt.set(limit.processId, clock.now());
     this.listLive()
       .filter((id) => id !== daemonId)
       .forEach((id) => {
-        void this.send(id, (peer, context) => peer.reportLimit.mutate(limit, { context }));
+        const report = () =>
+          this.send(id, (peer, context) => peer.reportLimit.mutate(limit, { context }));
+        schemas.runInBackground(report, { log, step: 'report-limit', peer: id });
       });
   }
 
--- a/packages/daemon/src/suspect-exchange.ts
+++ b/packages/daemon/src/suspect-exchange.ts
@@ -217,7 +217,8 @@
   }
 
   private sendReport(daemonId: string, report: peerRouters.SuspectReport): void {
-    void this.repeat(daemonId, report);
+    const task = { log: this.options.log, step: 'report-suspects', peer: daemonId };
+    schemas.runInBackground(() => this.repeat(daemonId, report), task);
   }
 
   private async repeat(daemonId: string, report: peerRouters.SuspectReport): Promise<void> {
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -12,6 +12,9 @@
 // fewer others beside them: otherwise they measure how the files share the processors.
 const LOADED_FILES = [
   'daemon/dist/tests/crashing-prompts',
+  'daemon/dist/tests/hostile-data',
+  'daemon/dist/tests/short-completions',
+  'daemon/dist/tests/short-heads',
   'gateway/dist/tests/brittle-upstreams',
   'gateway/dist/tests/capacity-sharing',
   'gateway/dist/tests/connection-crowd',
@@ -20,6 +23,9 @@
   'gateway/dist/tests/cut-fleet',
   'gateway/dist/tests/cut-off-hosts',
   'gateway/dist/tests/leaderless-suspects',
+  'gateway/dist/tests/short-heads',
+  'platform/dist/tests/hostile-data',
+  'platform/dist/tests/short-heads',
 ];
 const CONCURRENT_BESIDE_LOADED = 2;
 const FILE_TIMEOUT_MS = 180_000;
