Read lists entry by entry with one function in both faces

The platform's list and the daemons' list had the same loop, and its log line, twice; rounds of the daemons' tasks and of hosts, too. schemas.parseEntries, EntryFaultLog and runRound serve both.

--- a/packages/daemon/src/run-rounds.ts
+++ b/packages/daemon/src/run-rounds.ts
@@ -16,10 +16,8 @@
 export async function runRounds(options: RoundsOptions): Promise<void> {
   const { clock, failurePauseMs, isStopped, log, round, step } = options;
   while (!isStopped()) {
-    try {
-      await round();
-    } catch (err) {
-      log.error({ event: 'round-failed', task: step, ...schemas.describeError(err) });
+    const hasSucceeded = await schemas.runRound(() => round().then(() => true), { log, step });
+    if (hasSucceeded !== true) {
       await clock.sleep(failurePauseMs);
     }
   }
--- a/packages/gateway/src/upstream-list-reader.ts
+++ b/packages/gateway/src/upstream-list-reader.ts
@@ -57,11 +57,13 @@
   private isStopped = false;
   private isFailing = false;
   private lastCallCount = 1;
-  private unreadableCount = 0;
+  private readonly faults: schemas.EntryFaultLog;
   /** Number of consecutive failed reads. */
   private failures = 0;
 
-  public constructor(private readonly options: UpstreamListReaderOptions) {}
+  public constructor(private readonly options: UpstreamListReaderOptions) {
+    this.faults = new schemas.EntryFaultLog(options.log, 'list-entries-unreadable');
+  }
 
   /** Reads until stopped. */
   public async run(): Promise<void> {
@@ -95,7 +97,8 @@
       const read = await source.list(peer, signal, monitor);
       this.lastCallCount = read.calls;
       this.failures = 0;
-      this.logUnreadable(read, peer);
+      const { faults = [], unreadable } = read;
+      this.faults.record(peer, { faults, unreadable });
       const upstreams = keepLatestStarts(read.upstreams);
       onList({ stamp: schemas.getContentHash(upstreams), upstreams });
       if (this.isFailing) {
@@ -148,15 +151,6 @@
     };
     return { signal: abort.signal, monitor, end: () => clearTimeout(timer) };
   }
-
-  /** Logs the unreadable entries when their number changes; another writer may leave them in the list for long. */
-  private logUnreadable({ faults, unreadable }: ports.ListReadResult, peer: string): void {
-    if (unreadable !== this.unreadableCount) {
-      const { log } = this.options;
-      log.warn({ event: 'list-entries-unreadable', count: unreadable, faults, peer });
-    }
-    this.unreadableCount = unreadable;
-  }
 }
 
 /** Keeps, of entries with the same id, the one that started last; the others belong to processes that have exited. */
