Attack every listener with callers that send and don't read

Clients that nobody controls ended a process. 25 cases start the system's own processes on loopback, with the heap limits of deploy/system.toml and the memory of the smallest machines (200 MB and 400 descriptors an entry host, 346 MB a core host, 256 MB a daemon), and check only that the process lives, that peak memory (VmHWM) and descriptors stay under these bounds, and that an ordinary call is served while the hostile connections are open and after they are closed. Crowd and bounds are fixed here, before the product changes. One such file runs at a time, after all other tests.

An assertion about how long anything took was ruled out; a caller's own patience of 30 s is the only time.

--- a/packages/bench/src/deployment.ts
+++ b/packages/bench/src/deployment.ts
@@ -23,6 +23,8 @@
   /** URL of a platform that is already running; no test doubles are started then. */
   readonly platformUrl?: string;
   readonly logLevel?: schemas.DaemonConfig['logLevel'];
+  /** Arguments of Node.js for each daemon. */
+  readonly nodeArgs?: readonly string[];
 }
 
 /** One daemon of a deployment. */
@@ -219,7 +221,7 @@
   private spawn(daemonId: string, configFile: string): children.Child {
     const program = children.getProgram('daemon', 'bramleyridged.js');
     const logFile = path.join(this.shape.folder, `${daemonId}.log`);
-    return new children.Child([program, '--config', configFile], logFile);
+    return new children.Child([program, '--config', configFile], logFile, this.shape.nodeArgs);
   }
 }
 
--- a/packages/fakes/src/index.ts
+++ b/packages/fakes/src/index.ts
@@ -10,6 +10,8 @@
 export * from './reserved-ports.js';
 export * from './reset-connection.js';
 export * from './memory-files.js';
+export * from './misbehaving-caller.js';
+export * from './process-watch.js';
 export * from './short-answer-play.js';
 export * from './short-answer-upstream.js';
 export * from './simulated-upstream.js';
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -27,6 +27,12 @@
   'platform/dist/tests/hostile-data',
   'platform/dist/tests/short-heads',
 ];
+// Files whose tests measure the memory of processes under attack. Each runs alone, after all others.
+const LONE_FILES = [
+  'bench/dist/tests/misbehaving-callers',
+  'platform/dist/tests/misbehaving-callers',
+  'platform/dist/tests/misbehaving-peers',
+];
 const CONCURRENT_BESIDE_LOADED = 2;
 const FILE_TIMEOUT_MS = 180_000;
 const KNOWN_RED_FILE = 'KNOWN-RED.txt';
@@ -76,7 +82,9 @@
   .sort();
 const knownRedText = fs.existsSync(KNOWN_RED_FILE) ? fs.readFileSync(KNOWN_RED_FILE, 'utf8') : '';
 const knownRed = knownRedTests.parseKnownRed(knownRedText);
-const isLoaded = (file) => LOADED_FILES.some((name) => file.endsWith(`${name}.test.js`));
+const isListed = (file, names) => names.some((name) => file.endsWith(`${name}.test.js`));
+const isLoaded = (file) => isListed(file, LOADED_FILES);
+const isLone = (file) => isListed(file, LONE_FILES);
 const results = [];
 
 async function runAll(queue) {
@@ -99,12 +107,13 @@
   return Promise.all(Array.from({ length: count }, () => runAll(queue)));
 }
 
-const others = files.filter((file) => !isLoaded(file));
+const others = files.filter((file) => !isLoaded(file) && !isLone(file));
 const loaded = files.filter(isLoaded);
 await Promise.all([
   runLanes(CONCURRENT_BESIDE_LOADED, others),
   runAll(loaded).then(() => runLanes(CONCURRENT_FILES - CONCURRENT_BESIDE_LOADED, others)),
 ]);
+await runAll(files.filter(isLone));
 if (knownRed.length > 0) console.log(`${KNOWN_RED_FILE}:\n${knownRedText.trim()}`);
 const passed = results.reduce((sum, item) => sum + item.passed, 0);
 const failed = results.reduce((sum, item) => sum + item.failed, 0);
