Keep a request body as bytes, not as its chunks

Callers saw connections reset by a host that had ended: one body of 1 MB in chunks of one byte, inside all limits, ran it out of heap. Cause: each part of a body was kept as a Buffer of its own, some hundred bytes for one, and counted as one byte. Evidence: an entry host, a core host and a daemon each ended (heap out of memory) under 1 to 8 such bodies.

Small parts are now copied into blocks that grow from 1 to 64 KB, and the memory of the blocks is what is counted, so that a body takes at most twice its bytes whatever its chunks are. A first part, and parts from 4 KB, stay as they are: nothing is copied for bodies that arrive whole. A larger buffer by the declared length was ruled out: it lets a caller reserve memory that it never fills.

--- a/packages/requests/src/http-io.ts
+++ b/packages/requests/src/http-io.ts
@@ -15,8 +15,8 @@
 }
 
 /**
- * Reads a complete request body within the limits of size and time. Calls `onBytes` with the size of each part that is
- * held.
+ * Reads a complete request body within the limits of size and time. Calls `onBytes` with the memory that each part
+ * takes, in bytes.
  */
 export function readBody(
   req: http.IncomingMessage,
@@ -24,8 +24,7 @@
   onBytes: (bytes: number) => void = () => {},
 ): Promise<Buffer> {
   return new Promise((resolve, reject) => {
-    const parts: Buffer[] = [];
-    let size = 0;
+    const body = new schemas.ByteBlocks();
     const refuse = (id: 'bodyTooLarge' | 'bodyTooSlow' | 'linkClosed', arg: number) => {
       clearTimeout(timer);
       req.pause();
@@ -45,16 +44,18 @@
       return;
     }
     req.on('data', (part: Buffer) => {
-      size += part.length;
-      parts.push(part);
-      onBytes(part.length);
-      if (size > limits.bodyBytes) {
+      const formerBytes = body.allocatedBytes;
+      body.push(part);
+      if (body.allocatedBytes > formerBytes) {
+        onBytes(body.allocatedBytes - formerBytes);
+      }
+      if (body.length > limits.bodyBytes) {
         refuse('bodyTooLarge', limits.bodyBytes);
       }
     });
     req.on('end', () => {
       clearTimeout(timer);
-      resolve(Buffer.concat(parts));
+      resolve(body.take());
     });
     req.on('error', () => refuse('linkClosed', 0));
     req.on('aborted', () => refuse('linkClosed', 0));
--- a/packages/schemas/src/index.ts
+++ b/packages/schemas/src/index.ts
@@ -1,5 +1,6 @@
 /** Schemas, messages, errors and small utilities shared by the other packages. */
 export * from './address.js';
+export * from './byte-blocks.js';
 export * from './change-signal.js';
 export * from './clock.js';
 export * from './daemon-config.js';
