Give up unfinished bodies when they take too much together

Callers saw a host run past the memory of its machine while 60 callers sent 3.75 MB each and stopped just short of the end: 307 to 320 MB of 200 on an entry host, 328 MB of 256 on a daemon, 321 MB through the interface for operators. Where capacity is shared there was a limit, and the same callers kept every ordinary call out for as long as they stayed (no call served in 30 s).

Cause: bytes were limited under one contract only, and checked when a call arrives, never while its body does. An unfinished body had the same right as any other.

All entry hosts and daemons now limit the bytes that they hold for calls (`callerLimits. heldBytes`, `limits.heldBytes`, 32 MB by default, as before where capacity is shared). Request bodies have three quarters; beyond it, the largest unfinished body is refused with 503, as not run, which is certain since nothing was sent, and its connection is closed. Bodies of up to 16 KB and complete ones are not given up. A new call is refused only if what can't be given up fills the limit. Refusing the newcomer was ruled out: it is what kept ordinary calls out.

--- a/packages/daemon/src/completion-handler.ts
+++ b/packages/daemon/src/completion-handler.ts
@@ -36,10 +36,10 @@
     res: http.ServerResponse,
     path: string,
   ): Promise<void> {
-    const { access, budget, cfg } = this.context;
+    const { access, budget, cfg, held } = this.context;
     const team = access.authenticate(req);
     access.checkZoneAllowed(team, path);
-    const raw = await requests.readBody(req, cfg.limits);
+    const raw = await requests.readHeldBody(req, res, cfg.limits, held);
     const body = requests.parseJson(completionBodies.completionBody, raw);
     const job = completionJobs.createJob(this.context, req, team, body, raw, path);
     budget.recordRequest();
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -316,9 +316,16 @@
       ids: new requests.GenerationIdCodec(() => this.keyring.listKeys()),
       budget: new requests.RetryBudget(clock),
       drain: new requests.Drain(clock),
+      held: this.createHeldBytes(own.metrics),
     };
   }
 
+  private createHeldBytes(metrics: daemonMetrics.Metrics): requests.HeldBytes {
+    const held = new requests.HeldBytes(() => this.cfg.limits.heldBytes);
+    metrics.registerGauge('heldBytes', () => held.getBytes());
+    return held;
+  }
+
   private createLinks(
     clock: schemas.Clock,
     random: () => number,
@@ -448,6 +455,7 @@
       leader: this.leader,
       decisions: this.context.decisions,
       log: this.options.log,
+      held: this.context.held,
       getDeclaration: () => this.store.get().declaration,
       describeLinks: () => this.describeLinks(),
       reloadKeys: () => this.keyring.reload(),
--- a/packages/daemon/src/handler-context.ts
+++ b/packages/daemon/src/handler-context.ts
@@ -36,5 +36,7 @@
   readonly ids: requests.GenerationIdCodec;
   readonly budget: requests.RetryBudget;
   readonly drain: requests.Drain;
+  /** Bytes held for calls. */
+  readonly held: requests.HeldBytes;
   readonly random: () => number;
 }
--- a/packages/daemon/src/operator-api.ts
+++ b/packages/daemon/src/operator-api.ts
@@ -28,6 +28,8 @@
   readonly leader: leaderTasks.LeaderTasks;
   readonly decisions: decisionLogs.DecisionLog;
   readonly log: schemas.Log;
+  /** Bytes held for calls. */
+  readonly held: requests.HeldBytes;
   readonly getDeclaration: () => schemas.Declaration;
   /** Returns this daemon's role in the control plane and the traffic counts of its links. */
   readonly describeLinks: () => object;
@@ -146,7 +148,7 @@
     res: http.ServerResponse,
     operator: string,
   ): Promise<void> {
-    const raw = await requests.readBody(req, this.options.cfg.limits);
+    const raw = await this.readBody(req, res);
     const body = requests.parseJson(planBody, raw);
     const { requestId, files } = body;
     const declaration = schemas.createDeclaration(files);
@@ -169,7 +171,7 @@
     res: http.ServerResponse,
     operator: string,
   ): Promise<void> {
-    const raw = await requests.readBody(req, this.options.cfg.limits);
+    const raw = await this.readBody(req, res);
     const { requestId } = requests.parseJson(confirmBody, raw);
     const planId = req.params.id ?? '';
     const command = { kind: 'confirm' as const, requestId, operator, at: Date.now(), planId };
@@ -186,6 +188,11 @@
     requests.sendJson(res, 200, result);
   }
 
+  private readBody(req: http.IncomingMessage, res: http.ServerResponse): Promise<Buffer> {
+    const { cfg, held } = this.options;
+    return requests.readHeldBody(req, res, cfg.limits, held);
+  }
+
   private propose(command: schemas.Command): Promise<peerRouters.ProposeResult> {
     const { control, leader } = this.options;
     consensus.measureCommand(command);
@@ -214,7 +221,7 @@
   }
 
   private async changeVoters(req: requests.ApiRequest, res: http.ServerResponse): Promise<void> {
-    const raw = await requests.readBody(req, this.options.cfg.limits);
+    const raw = await this.readBody(req, res);
     const change = requests.parseJson(peerRouters.voterChange, raw);
     const { control } = this.options;
     await control.callLeader(
--- a/packages/daemon/src/service-call-handler.ts
+++ b/packages/daemon/src/service-call-handler.ts
@@ -38,11 +38,11 @@
     name: string,
     path: string,
   ): Promise<void> {
-    const { access, budget, cfg } = this.context;
+    const { access, budget, cfg, held } = this.context;
     const team = access.authenticate(req);
     access.checkZoneAllowed(team, `/services/${name}${path}`);
     const service = this.findService(name);
-    const body = await requests.readBody(req, cfg.limits);
+    const body = await requests.readHeldBody(req, res, cfg.limits, held);
     budget.recordRequest();
     const job = createJob(req, team, service, path, body);
     const answer = (await this.joinClaimedCall(job)) ?? (await this.run(job));
--- a/packages/gateway/src/document-intake.ts
+++ b/packages/gateway/src/document-intake.ts
@@ -38,7 +38,11 @@
           bodyBytes: operatorServices.MAX_DOCUMENT_BYTES,
           bodyTimeoutMs: TIMEOUT_MS + declaredBytes / MIN_BYTES_PER_MS,
         },
-        (bytes) => call.addRequest(declaredBytes > 0 ? 0 : bytes),
+        {
+          addRequest: (bytes) => call.addRequest(declaredBytes > 0 ? 0 : bytes),
+          beginBody: () => {},
+          endBody: () => {},
+        },
       );
       return await handle(body.toString('utf8'));
     } finally {
--- a/packages/gateway/src/entry-host.ts
+++ b/packages/gateway/src/entry-host.ts
@@ -139,7 +139,7 @@
     );
     this.drain = new requests.Drain(clock);
     this.held = new requests.HeldBytes(() =>
-      hostSettings.findHeldBytesLimit(options.settings.get()),
+      hostSettings.getHeldBytesLimit(options.settings.get()),
     );
     this.poller = this.createPoller();
     this.documents = this.createDocumentFetcher();
@@ -397,7 +397,7 @@
       res.destroy();
       return;
     }
-    const mayReadRest = refusal.id !== 'bodyTooLarge' && refusal.id !== 'bodyTooSlow';
+    const mayReadRest = refusal.options.step !== requests.READ_BODY_STEP;
     requests.sendRefusal(req, res, refusal, mayReadRest);
   }
 
--- a/packages/gateway/src/host-settings.ts
+++ b/packages/gateway/src/host-settings.ts
@@ -25,20 +25,26 @@
   coldSlack: z.number().min(0).default(0),
 });
 
-/** Default limit of the bytes held for calls; entry hosts have 178 MB or more in total. */
-const DEFAULT_HELD_BYTES = 32 * 1024 * 1024;
-
 /**
  * Share of the descriptors that connections of callers may use; calls need others for their upstreams, and a host without
  * any could not reach the core hosts either.
  */
 const MAX_CALLER_SHARE = 0.5;
 
+/** What callers may hold on an entry host. */
+export const callerLimits = z.strictObject({
+  /** Number of bytes held for calls, beyond which new ones are refused; unfinished bodies have three quarters of it. */
+  heldBytes: z
+    .int()
+    .positive()
+    .default(32 * 1_024 * 1_024),
+});
+
 /** How scarce capacity is shared among teams. */
 export const capacitySharing = z.object({
   /** Weights of teams by name; override those of the configuration. */
   teamWeights: z.record(z.string(), z.number().positive()).default({}),
-  /** Number of bytes held for calls beyond which an entry host refuses new calls; 32 MB if absent. */
+  /** Overrides the number of held bytes of `callerLimits`. */
   heldBytes: z.int().positive().optional(),
 });
 
@@ -71,6 +77,7 @@
   listCallsPerS: z.number().positive(),
   /** Number of descriptors that the process may open; absent where it is not limited. */
   fileDescriptors: z.int().positive().optional(),
+  callerLimits: callerLimits.optional(),
   bounds: deploymentBounds,
   /** Shares scarce capacity among teams by weight; absent where calls are served in the order of their arrival. */
   capacitySharing: capacitySharing.optional(),
@@ -111,10 +118,10 @@
   return regions === undefined ? undefined : Object.keys(regions);
 }
 
-/** Returns the limit of the bytes held for calls; `undefined` if there is none. */
-export function findHeldBytesLimit(settings: HostSettings): number | undefined {
-  const { capacitySharing: sharing } = settings;
-  return sharing && (sharing.heldBytes ?? DEFAULT_HELD_BYTES);
+/** Returns the limit of the bytes held for calls. */
+export function getHeldBytesLimit(settings: HostSettings): number {
+  const { heldBytes } = callerLimits.parse(settings.callerLimits ?? {});
+  return settings.capacitySharing?.heldBytes ?? heldBytes;
 }
 
 /** Returns how many connections of callers an entry host takes; `undefined` if there is no limit. */
--- a/packages/gateway/src/routed-flow.ts
+++ b/packages/gateway/src/routed-flow.ts
@@ -15,12 +15,6 @@
 /** `Retry-After` of a call whose time ran out before it was sent, in seconds. */
 const RETRY_AFTER_S = 1;
 
-/**
- * `Retry-After` of a call that a full host refuses, in seconds: the load balancer usually sends the next one to another
- * host.
- */
-const HOST_FULL_RETRY_AFTER_S = 0.2;
-
 /**
  * Maximum number of times that a suspect is moved to another upstream because a suspect runs at the chosen one. After
  * an upstream has crashed there may be as many suspects as upstreams; without a limit, a suspect that finds none
@@ -113,7 +107,7 @@
       this.checkHeldBytes();
       const bodyTimeoutMs = Math.max(1, call.endsAt - clock.now());
       const limits = { ...call.limits, bodyTimeoutMs };
-      const body = await requests.readBody(req, limits, (bytes) => held.addRequest(bytes));
+      const body = await requests.readBody(req, limits, held);
       return { call, body };
     } catch (err) {
       const refusal = requests.toRefusal(err);
@@ -132,13 +126,7 @@
 
   private checkHeldBytes(): void {
     if (this.options.held.isFull()) {
-      throw new schemas.Refusal({
-        id: 'hostFull',
-        step: 'admit',
-        status: 503,
-        outcome: 'not-run',
-        retryAfterS: HOST_FULL_RETRY_AFTER_S,
-      });
+      throw requests.createHostFull();
     }
   }
 
--- a/packages/requests/src/http-io.ts
+++ b/packages/requests/src/http-io.ts
@@ -2,37 +2,79 @@
 
 import * as schemas from '@bramleyridge/schemas';
 
+import type * as heldBytes from './held-bytes.js';
+
 /** Errors after which the request has not run and may be sent again. */
 const NOT_RUN_IDS = new Set<schemas.MessageId>(['claimRefused', 'logFull', 'notLeader']);
 
 /** An HTTP request with the parameters of its route. */
 export type ApiRequest = http.IncomingMessage & { readonly params: Record<string, string> };
 
+/** Step of the refusals while a body is read; the connections of such calls can't be used for others. */
+export const READ_BODY_STEP = 'read-body';
+
+/**
+ * `Retry-After` of a call that a full host refuses, in seconds: the load balancer usually sends the next one to another
+ * host.
+ */
+const HOST_FULL_RETRY_AFTER_S = 0.2;
+
+type BodyRefusalId = 'bodyTooLarge' | 'bodyTooSlow' | 'hostFull' | 'linkClosed';
+
+const BODY_REFUSAL_STATUSES: Readonly<Record<BodyRefusalId, number>> = {
+  bodyTooLarge: 413,
+  bodyTooSlow: 408,
+  hostFull: 503,
+  linkClosed: 408,
+};
+
 /** The limits on a request body: its size in bytes, and the time to receive it in milliseconds. */
 export interface BodyLimits {
   readonly bodyBytes: number;
   readonly bodyTimeoutMs: number;
 }
 
-/**
- * Reads a complete request body within the limits of size and time. Calls `onBytes` with the memory that each part
- * takes, in bytes.
- */
+/** Account of the memory that a request body takes while it is read. */
+export type BodyAccount = Pick<heldBytes.HeldCall, 'addRequest' | 'beginBody' | 'endBody'>;
+
+/** Reads a complete request body within the limits of size, of time and of the account, if there is one. */
 export function readBody(
   req: http.IncomingMessage,
   limits: BodyLimits,
-  onBytes: (bytes: number) => void = () => {},
+  account?: BodyAccount,
 ): Promise<Buffer> {
   return new Promise((resolve, reject) => {
     const body = new schemas.ByteBlocks();
-    const refuse = (id: 'bodyTooLarge' | 'bodyTooSlow' | 'linkClosed', arg: number) => {
+    const end = () => {
       clearTimeout(timer);
+      account?.endBody();
+    };
+    const refuse = (id: BodyRefusalId, arg = 0) => {
+      end();
       req.pause();
-      const status = id === 'bodyTooLarge' ? 413 : 408;
+      req.off('data', receive);
+      body.clear();
       reject(
-        new schemas.Refusal({ id, step: 'read-body', status, outcome: 'not-run', args: [arg] }),
+        new schemas.Refusal({
+          id,
+          step: READ_BODY_STEP,
+          status: BODY_REFUSAL_STATUSES[id],
+          outcome: 'not-run',
+          args: [arg],
+          retryAfterS: id === 'hostFull' ? HOST_FULL_RETRY_AFTER_S : undefined,
+        }),
       );
     };
+    const receive = (part: Buffer) => {
+      const formerBytes = body.allocatedBytes;
+      body.push(part);
+      if (body.allocatedBytes > formerBytes) {
+        account?.addRequest(body.allocatedBytes - formerBytes);
+      }
+      if (body.length > limits.bodyBytes) {
+        refuse('bodyTooLarge', limits.bodyBytes);
+      }
+    };
     // Without it a client that sends a byte per second would hold memory and its place among the running requests
     // forever.
     const timer = setTimeout(
@@ -43,22 +85,49 @@
       refuse('bodyTooLarge', limits.bodyBytes);
       return;
     }
-    req.on('data', (part: Buffer) => {
-      const formerBytes = body.allocatedBytes;
-      body.push(part);
-      if (body.allocatedBytes > formerBytes) {
-        onBytes(body.allocatedBytes - formerBytes);
-      }
-      if (body.length > limits.bodyBytes) {
-        refuse('bodyTooLarge', limits.bodyBytes);
-      }
-    });
+    account?.beginBody(() => refuse('hostFull'));
+    req.on('data', receive);
     req.on('end', () => {
-      clearTimeout(timer);
+      end();
       resolve(body.take());
     });
-    req.on('error', () => refuse('linkClosed', 0));
-    req.on('aborted', () => refuse('linkClosed', 0));
+    req.on('error', () => refuse('linkClosed'));
+    req.on('aborted', () => refuse('linkClosed'));
+  });
+}
+
+/**
+ * Reads a complete request body and counts it until the response is closed. Throws a refusal if the host holds too many
+ * bytes.
+ */
+export async function readHeldBody(
+  req: http.IncomingMessage,
+  res: http.ServerResponse,
+  limits: BodyLimits,
+  held: heldBytes.HeldBytes,
+): Promise<Buffer> {
+  if (held.isFull()) {
+    throw createHostFull();
+  }
+  const call = held.begin(res);
+  try {
+    const body = await readBody(req, limits, call);
+    res.once('close', () => held.end(call, res));
+    return body;
+  } catch (err) {
+    held.end(call, res);
+    throw err;
+  }
+}
+
+/** Creates the refusal of a call for which this host has no memory. */
+export function createHostFull(): schemas.Refusal {
+  return new schemas.Refusal({
+    id: 'hostFull',
+    step: 'admit',
+    status: 503,
+    outcome: 'not-run',
+    retryAfterS: HOST_FULL_RETRY_AFTER_S,
   });
 }
 
--- a/packages/requests/tests/held-bytes.test.ts
+++ b/packages/requests/tests/held-bytes.test.ts
@@ -99,3 +99,31 @@
   t.comment(`${medianMs.toFixed(3)} ms`);
   t.ok(medianMs < 0.1);
 });
+
+void tap.default.test(
+  'unfinished bodies beyond their share are given up, the largest first',
+  async (t) => {
+    // Guards against callers that hold the memory with bodies that they never end.
+    const held = new requests.HeldBytes(() => 100 * 1_024);
+    const givenUp: string[] = [];
+    const begin = (name: string, kb: number) => {
+      const call = held.begin(new FakeResponse());
+      call.beginBody(() => givenUp.push(name));
+      call.addRequest(kb * 1_024);
+      return call;
+    };
+    begin('a', 30);
+    begin('b', 40);
+    t.same(givenUp, [], 'they fit');
+    const small = begin('c', 10);
+    t.same(givenUp, ['b']);
+    t.equal(held.getBytes(), 40 * 1_024, 'its bytes are released');
+    const whole = begin('d', 34);
+    whole.endBody();
+    begin('e', 16);
+    t.same(givenUp, ['b', 'a'], 'a complete body is not given up');
+    small.addRequest(5 * 1_024);
+    begin('f', 20);
+    t.same(givenUp, ['b', 'a', 'f'], 'nor are small ones');
+  },
+);
--- a/packages/schemas/src/daemon-config.ts
+++ b/packages/schemas/src/daemon-config.ts
@@ -19,6 +19,8 @@
 const operatorToken = z.strictObject({ operator: names.name, sha256: names.sha256 });
 
 const limits = z.strictObject({
+  /** Bytes held for calls, beyond which new ones are refused; unfinished bodies have three quarters of it. */
+  heldBytes: z.int().min(65_536).default(33_554_432),
   bodyBytes: z.int().min(1024).default(4_194_304),
   bodyTimeoutMs: z.int().min(100).default(10_000),
   queueMs: z.int().min(100).default(60_000),
