Limit the connections of callers and the requests that they send ahead

Callers saw hosts end that had been sent many requests on one connection by somebody who read no answer: entry hosts (calls with a new key each; requests to readiness and metrics), core hosts (reads by an operator) and daemons (calls to services, completions), all out of heap; an entry host had 5,430 descriptors of 400 open.

Cause: Node.js starts a handler for every request of a connection as soon as it is read, 2,400 of them in one read of 64 KB, whether or not the answers before are taken; nothing bounded them. Beside it: when such a connection closes, only the response whose turn it is hears of it, so that the handlers of the others waited forever and a planned stop with them.

`CallerConnections` stands at every HTTP listener of both faces (callers, operators, readiness, metrics). One connection may have 32 unanswered requests (16 for operators and probes), all together half as many ahead as there may be connections; the next request closes its connection, and what was not begun never runs. At the limit of connections the one that has waited longest for its caller, idle or with an unfinished body, is closed, so that idle connections keep nobody out; before, newcomers were closed. A caller that takes nothing of its answer, or sends nothing of its body, for 60 s is disconnected; a call that waits for its upstream is not. Each closure counts in connections_closed_total by reason and has a log line, one a second at most.

Pausing the socket was ruled out: what one read held is parsed already, and reading any body resumes it. Node's own maxRequestsPerSocket counts a connection's whole life.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -74,6 +74,7 @@
   private readonly peerServer: peers.PeerServer;
   private readonly platform: platformPollers.PlatformPoller;
   private readonly server: http.Server;
+  private readonly connections: requests.CallerConnections;
   private readonly links: paths.UpstreamLinks;
   private readonly tunnels: paths.TunnelService;
   private isCut = false;
@@ -162,6 +163,7 @@
       },
     );
     this.server = this.createHttpServer();
+    this.connections = this.limitConnections();
   }
 
   /** Starts listening, joins the zone and serves requests; resolves to the bound ports. */
@@ -461,10 +463,30 @@
       reloadKeys: () => this.keyring.reload(),
       drain: () => this.runInBackground('stop', () => this.stop()),
     }).addTo(app);
-    server.on('connection', (socket) => socket.setNoDelay(true));
-    // An 'error' event without a listener, as after a client reset, would terminate the process.
-    server.on('request', (_req, res) => res.on('error', () => {}));
-    server.on('request', app.handler.bind(app) as never);
+    const handle = app.handler.bind(app) as unknown as http.RequestListener;
+    server.on('connection', (socket) => {
+      socket.setNoDelay(true);
+      this.connections.open(socket);
+    });
+    server.on('request', (req, res) => {
+      // An 'error' event without a listener, as after a client reset, would terminate the process.
+      res.on('error', () => {});
+      if (this.connections.admit(req, res)) {
+        handle(req, res);
+      }
+    });
     return server;
   }
+
+  private limitConnections(): requests.CallerConnections {
+    const { metrics } = this.context;
+    const connections = new requests.CallerConnections(this.server, {
+      listener: 'callers',
+      limits: this.cfg.limits,
+      log: this.options.log,
+      onClosed: (reason) => metrics.count('connectionsClosed', { reason }),
+    });
+    metrics.registerGauge('callerConnections', () => connections.count());
+    return connections;
+  }
 }
--- a/packages/gateway/src/entry-host.ts
+++ b/packages/gateway/src/entry-host.ts
@@ -251,18 +251,16 @@
       countEntryHosts: () => this.entryHosts ?? ASSUMED_ENTRY_HOSTS,
       getPeriodMs: () => this.listPeriodMs,
     });
-    this.callerListener = new httpListeners.HttpListener(
-      (req, res) => this.serve(req, res),
+    this.callerListener = new httpListeners.HttpListener((req, res) => this.serve(req, res), {
+      name: 'callers',
       log,
-      options.gate,
-    );
-    const maxConnections = hostSettings.findMaxConnections(settings);
-    if (maxConnections !== undefined) {
-      this.callerListener.setMaxConnections(maxConnections);
-    }
+      limits: hostSettings.getCallerLimits(settings),
+      gate: options.gate,
+      onClosed: (reason) => options.metrics.count('connectionsClosed', { reason }),
+    });
     this.readinessListener = new httpListeners.HttpListener(
       (req, res) => this.answerReadinessProbe(req, res),
-      log,
+      { name: 'readiness', log },
     );
     this.registerGauges();
   }
@@ -339,6 +337,7 @@
 
   private registerGauges(): void {
     const { metrics } = this.options;
+    metrics.registerGauge('callerConnections', () => this.callerListener.countConnections());
     metrics.registerGauge('activeCalls', () => this.drain.getActive());
     metrics.registerGauge('heldBytes', () => this.held.getBytes());
     metrics.registerGauge('configurationVersion', () => this.store.getVersion());
--- a/packages/gateway/src/host-settings.ts
+++ b/packages/gateway/src/host-settings.ts
@@ -1,3 +1,4 @@
+import type * as requests from '@bramleyridge/requests';
 import * as schemas from '@bramleyridge/schemas';
 import * as z from 'zod';
 
@@ -25,14 +26,26 @@
   coldSlack: z.number().min(0).default(0),
 });
 
+/** Descriptors of a host whose settings don't limit them. */
+const DEFAULT_DESCRIPTORS = 4_096;
+
 /**
  * Share of the descriptors that connections of callers may use; calls need others for their upstreams, and a host without
  * any could not reach the core hosts either.
  */
 const MAX_CALLER_SHARE = 0.5;
 
+/** Share of the descriptors that connections of operators may use on a core host. */
+const MAX_OPERATOR_SHARE = 0.1;
+
 /** What callers may hold on an entry host. */
 export const callerLimits = z.strictObject({
+  /** Number of connections; half of the descriptors if absent. */
+  connections: z.int().min(1).optional(),
+  /** Number of requests of one connection that are not answered. */
+  requestsPerConnection: z.int().min(1).default(32),
+  /** Time for which a caller may neither finish a request nor take its answer, in milliseconds. */
+  stallMs: z.int().min(1_000).default(60_000),
   /** Number of bytes held for calls, beyond which new ones are refused; unfinished bodies have three quarters of it. */
   heldBytes: z
     .int()
@@ -124,9 +137,23 @@
   return settings.capacitySharing?.heldBytes ?? heldBytes;
 }
 
-/** Returns how many connections of callers an entry host takes; `undefined` if there is no limit. */
-export function findMaxConnections({ fileDescriptors }: HostSettings): number | undefined {
-  return fileDescriptors && Math.floor(fileDescriptors * MAX_CALLER_SHARE);
+/** Returns what the callers of an entry host may hold. */
+export function getCallerLimits(settings: HostSettings): requests.ConnectionLimits {
+  const limits = callerLimits.parse(settings.callerLimits ?? {});
+  return { ...limits, connections: limits.connections ?? getShare(settings, MAX_CALLER_SHARE) };
+}
+
+/** Returns what the operators of a core host may hold; up to eight of their orders are under way at once. */
+export function getOperatorLimits(settings: HostSettings): requests.ConnectionLimits {
+  return {
+    connections: getShare(settings, MAX_OPERATOR_SHARE),
+    requestsPerConnection: 16,
+    stallMs: 30_000,
+  };
+}
+
+function getShare({ fileDescriptors = DEFAULT_DESCRIPTORS }: HostSettings, share: number): number {
+  return Math.max(1, Math.floor(fileDescriptors * share));
 }
 
 /** Lists the core hosts that the settings name as seeds. */
--- a/packages/gateway/src/http-listener.ts
+++ b/packages/gateway/src/http-listener.ts
@@ -1,6 +1,7 @@
 import * as http from 'node:http';
 import type * as net from 'node:net';
 
+import * as requests from '@bramleyridge/requests';
 import * as schemas from '@bramleyridge/schemas';
 
 import type * as connectionGates from './connection-gate.js';
@@ -11,20 +12,39 @@
 /** Maximum size of the headers that the parser accepts, in bytes; the configured limit is below it. */
 const MAX_HEADER_BYTES = 65_536;
 
+/** Limits of a listener whose callers are probes and other programs of the operators. */
+const DEFAULT_LIMITS: requests.ConnectionLimits = {
+  connections: 32,
+  requestsPerConnection: 16,
+  stallMs: 10_000,
+};
+
+/** Options of `HttpListener`. */
+export interface HttpListenerOptions {
+  /** Names the listener in the log. */
+  readonly name: string;
+  readonly log: schemas.Log;
+  /** What its callers may hold; the limits for probes by default. */
+  readonly limits?: requests.ConnectionLimits | undefined;
+  readonly gate?: connectionGates.ConnectionGate | undefined;
+  /** Called when a connection is closed because of the limits. */
+  readonly onClosed?: ((reason: requests.CloseReason) => void) | undefined;
+}
+
 /** Answers one request; must not throw. */
 export type RequestHandler = (req: http.IncomingMessage, res: http.ServerResponse) => void;
 
 /** HTTP server that listens on an address from the settings. */
 export class HttpListener {
   private readonly server: http.Server;
+  private readonly gate: connectionGates.ConnectionGate | undefined;
+  private readonly connections: requests.CallerConnections;
   /** Connections from which no request was read yet. */
   private readonly unread = new WeakSet<net.Socket>();
 
-  public constructor(
-    handle: RequestHandler,
-    log: schemas.Log,
-    private readonly gate?: connectionGates.ConnectionGate,
-  ) {
+  public constructor(handle: RequestHandler, options: HttpListenerOptions) {
+    const { limits = DEFAULT_LIMITS, log, name, onClosed } = options;
+    this.gate = options.gate;
     this.server = http.createServer(
       {
         maxHeaderSize: MAX_HEADER_BYTES,
@@ -35,6 +55,9 @@
         // Without these handlers, a connection that fails while it is read or written would end the process.
         req.on('error', () => {});
         res.on('error', () => {});
+        if (!this.connections.admit(req, res)) {
+          return;
+        }
         if (this.unread.delete(req.socket)) {
           this.gate?.recordFirstRequest();
         }
@@ -45,6 +68,12 @@
     this.server.on('error', (err) => {
       log.warn({ event: 'listener-failed', step: 'listen', err: err.message });
     });
+    this.connections = new requests.CallerConnections(this.server, {
+      listener: name,
+      limits,
+      log,
+      onClosed,
+    });
     this.server.prependListener('connection', (socket: net.Socket) => this.admit(socket));
   }
 
@@ -59,9 +88,14 @@
     return (this.server.address() as net.AddressInfo).port;
   }
 
-  /** Sets the maximum number of open connections; further ones are closed before anything is read from them. */
-  public setMaxConnections(connections: number): void {
-    this.server.maxConnections = connections;
+  /** Changes what callers may hold. */
+  public setLimits(limits: requests.ConnectionLimits): void {
+    this.connections.setLimits(limits);
+  }
+
+  /** Returns the number of open connections. */
+  public countConnections(): number {
+    return this.connections.count();
   }
 
   /** Sets the timeouts for receiving a request's headers and for idle connections. */
@@ -93,5 +127,6 @@
       return;
     }
     this.unread.add(socket);
+    this.connections.open(socket);
   }
 }
--- a/packages/gateway/tests/support/busy-listener-main.ts
+++ b/packages/gateway/tests/support/busy-listener-main.ts
@@ -21,8 +21,12 @@
     }
     res.end('ok');
   },
-  new schemas.SilentLog(),
-  gate,
+  {
+    name: 'callers',
+    log: new schemas.SilentLog(),
+    limits: { connections: 4_096, requestsPerConnection: 16, stallMs: 60_000 },
+    gate,
+  },
 );
 
 process.on('disconnect', () => process.exit(0));
--- a/packages/requests/src/index.ts
+++ b/packages/requests/src/index.ts
@@ -6,6 +6,7 @@
 export * from './brittle-services.js';
 export * from './call-digest.js';
 export * from './call-registry.js';
+export * from './caller-connections.js';
 export * from './claim-proposer.js';
 export * from './claim-acceptor.js';
 export * from './claim-types.js';
--- a/packages/schemas/src/daemon-config.ts
+++ b/packages/schemas/src/daemon-config.ts
@@ -19,6 +19,12 @@
 const operatorToken = z.strictObject({ operator: names.name, sha256: names.sha256 });
 
 const limits = z.strictObject({
+  /** Connections of callers and operators. */
+  connections: z.int().min(16).default(1_024),
+  /** Requests of one connection that are not answered. */
+  requestsPerConnection: z.int().min(1).default(32),
+  /** Time for which a caller may neither finish a request nor take its answer, in milliseconds. */
+  stallMs: z.int().min(1_000).default(60_000),
   /** Bytes held for calls, beyond which new ones are refused; unfinished bodies have three quarters of it. */
   heldBytes: z.int().min(65_536).default(33_554_432),
   bodyBytes: z.int().min(1024).default(4_194_304),
--- a/packages/telemetry/src/metric-catalog.ts
+++ b/packages/telemetry/src/metric-catalog.ts
@@ -26,7 +26,7 @@
   connectionsClosed: {
     kind: 'counter',
     name: 'connections_closed_total',
-    help: 'New connections of callers that were closed before anything was read from them',
+    help: 'Connections of callers that were closed since the host is saturated or they hold too much',
     labels: ['reason'],
   },
   refusals: {
@@ -107,6 +107,12 @@
     help: 'How long a generation waited for room',
     labels: ['class'],
   },
+  callerConnections: {
+    kind: 'gauge',
+    name: 'caller_connections',
+    help: 'Open connections of callers',
+    labels: [],
+  },
   activeCalls: { kind: 'gauge', name: 'active_calls', help: 'Calls under way', labels: [] },
   heldBytes: {
     kind: 'gauge',
