Don't wait in a planned stop for callers that neither send nor read

Operators saw an entry host that had not ended 30 s after SIGTERM: four callers had not finished their bodies, four read nothing of a large answer. A planned stop waits until every call has ended, and nothing ended these. During a stop the time for which a caller may send or take nothing is half the time for the stop (4 s of 8) instead of 60 s; calls that run, wait, or are being read keep all their time.

--- a/packages/gateway/src/entry-host.ts
+++ b/packages/gateway/src/entry-host.ts
@@ -54,6 +54,9 @@
 /** Share of the time for a planned stop in which the connections that this host relays for others may end. */
 const RELAY_STOP_SHARE = 0.75;
 
+/** Share of the time for a planned stop in which callers must finish what they send or take their answers. */
+const STALL_STOP_SHARE = 0.5;
+
 /** Assumed number of entry hosts until the leader has reported it. */
 const ASSUMED_ENTRY_HOSTS = 16;
 
@@ -314,7 +317,11 @@
     log.info({ event: 'stopping', role: 'entry', active: this.drain.getActive() });
     this.drain.begin();
     this.acceptsUntil = this.options.clock.now() + BALANCER_LAG_MS;
-    const { stopMs } = this.options.settings.get().bounds;
+    const settings = this.options.settings.get();
+    const { stopMs } = settings.bounds;
+    const limits = hostSettings.getCallerLimits(settings);
+    const stallMs = Math.min(limits.stallMs, stopMs * STALL_STOP_SHARE);
+    this.callerListener.setLimits({ ...limits, stallMs });
     const relayed = this.tunnels.drain(this.options.clock, stopMs * RELAY_STOP_SHARE);
     await this.drain.waitIdle(BALANCER_LAG_MS);
     await relayed;
