Limit what connections between hosts hold

Whoever reaches a host's port for other hosts could fill its memory: 20 and 30 connections with a frame that lacks one byte of 15 MB took 392 MB of 200 on an entry host and 543 MB of 346 on a core host. Idle connections took every descriptor (976 and 1,027 of 400, 3,028 of 2,048 on a daemon), and the host reached nobody.

Cause: a frame has a limit, but neither their number nor the connections had one, and a call in parts may hold 64 MB, as often as a peer likes. Parts of one byte cost some hundred bytes each, as bodies did. Answers to a peer that doesn't read were queued without limit.

`PeerConnections` counts, from the accept on, so before any handshake: connections (half of the descriptors of a core host, 96 on an entry host, 768 on a daemon; beyond it the oldest without a complete frame is closed), the memory of unfinished frames and calls (96 MB; 1 MB on an entry host, whose frames are 16 KB at most), and unanswered calls (2,048 of one connection, 8,192 of all; further ones fail as not run). A host reads no more from a peer that doesn't take its answers. Counted in peer_connections_closed_total, with a log line.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -160,6 +160,8 @@
         log,
         isCut: () => this.isCut,
         openTunnel: (req) => this.tunnels.open(req),
+        limits: { ...peers.DEFAULT_PEER_LIMITS, connections: cfg.limits.peerConnections },
+        onClosed: (reason) => metrics.count('peerConnectionsClosed', { reason }),
       },
     );
     this.server = this.createHttpServer();
--- a/packages/gateway/src/core-host.ts
+++ b/packages/gateway/src/core-host.ts
@@ -224,6 +224,8 @@
       keyring: undefined,
       log,
       openTunnel: (req) => this.tunnels.open(req),
+      limits: hostSettings.getPeerLimits(settings),
+      onClosed: (reason) => options.metrics.count('peerConnectionsClosed', { reason }),
     });
   }
 
--- a/packages/gateway/src/entry-host.ts
+++ b/packages/gateway/src/entry-host.ts
@@ -181,7 +181,13 @@
       maxTunnels: MAX_TUNNELS,
       record: (result) => options.metrics.count('tunnelsRelayed', { result }),
     });
-    this.relayServer = new relayServers.RelayServer({ ...settings, tunnels: this.tunnels, log });
+    this.relayServer = new relayServers.RelayServer({
+      ...settings,
+      maxConnections: hostSettings.getRelayConnections(settings),
+      tunnels: this.tunnels,
+      log,
+      onClosed: (reason) => options.metrics.count('peerConnectionsClosed', { reason }),
+    });
     this.client = new requests.UpstreamClient({
       links: this.links,
       gate: this.gate,
--- a/packages/gateway/src/host-settings.ts
+++ b/packages/gateway/src/host-settings.ts
@@ -1,3 +1,4 @@
+import * as peers from '@bramleyridge/peers';
 import type * as requests from '@bramleyridge/requests';
 import * as schemas from '@bramleyridge/schemas';
 import * as z from 'zod';
@@ -35,8 +36,13 @@
  */
 const MAX_CALLER_SHARE = 0.5;
 
-/** Share of the descriptors that connections of operators may use on a core host. */
+/** Shares of the descriptors that connections of operators and of other hosts may use on a core host. */
 const MAX_OPERATOR_SHARE = 0.1;
+const MAX_PEER_SHARE = 0.5;
+
+/** Connections of other hosts to an entry host: twice as many as it relays at once. */
+const MAX_RELAY_CONNECTIONS = 96;
+const MAX_RELAY_SHARE = 0.1;
 
 /** What callers may hold on an entry host. */
 export const callerLimits = z.strictObject({
@@ -53,6 +59,17 @@
     .default(32 * 1_024 * 1_024),
 });
 
+/** What other hosts may hold on a core host. */
+export const peerLimits = z.strictObject({
+  /** Number of connections; half of the descriptors if absent. */
+  connections: z.int().min(1).optional(),
+  /** Number of calls that are not answered, of one connection and of all. */
+  callsPerConnection: z.int().min(1).default(peers.DEFAULT_PEER_LIMITS.callsPerConnection),
+  calls: z.int().min(1).default(peers.DEFAULT_PEER_LIMITS.calls),
+  /** Number of bytes of unfinished frames and calls. */
+  heldBytes: z.int().positive().default(peers.DEFAULT_PEER_LIMITS.heldBytes),
+});
+
 /** How scarce capacity is shared among teams. */
 export const capacitySharing = z.object({
   /** Weights of teams by name; override those of the configuration. */
@@ -91,6 +108,7 @@
   /** Number of descriptors that the process may open; absent where it is not limited. */
   fileDescriptors: z.int().positive().optional(),
   callerLimits: callerLimits.optional(),
+  peerLimits: peerLimits.optional(),
   bounds: deploymentBounds,
   /** Shares scarce capacity among teams by weight; absent where calls are served in the order of their arrival. */
   capacitySharing: capacitySharing.optional(),
@@ -152,6 +170,21 @@
   };
 }
 
+/** Returns what other hosts may hold on a core host. */
+export function getPeerLimits(settings: HostSettings): peers.PeerLimits {
+  const limits = peerLimits.parse(settings.peerLimits ?? {});
+  return {
+    ...peers.DEFAULT_PEER_LIMITS,
+    ...limits,
+    connections: limits.connections ?? getShare(settings, MAX_PEER_SHARE),
+  };
+}
+
+/** Returns how many connections of other hosts an entry host takes, which relays some of them to upstreams. */
+export function getRelayConnections(settings: HostSettings): number {
+  return Math.min(MAX_RELAY_CONNECTIONS, getShare(settings, MAX_RELAY_SHARE));
+}
+
 function getShare({ fileDescriptors = DEFAULT_DESCRIPTORS }: HostSettings, share: number): number {
   return Math.max(1, Math.floor(fileDescriptors * share));
 }
--- a/packages/gateway/src/relay-server.ts
+++ b/packages/gateway/src/relay-server.ts
@@ -3,13 +3,25 @@
 import * as schemas from '@bramleyridge/schemas';
 import * as trpc from '@trpc/server';
 
+/** What other hosts may hold: they ask for tunnels only, each over a connection of its own. */
+const LIMITS: Omit<peers.PeerLimits, 'connections'> = {
+  callsPerConnection: 16,
+  calls: 256,
+  frameBytes: 16 * 1_024,
+  heldBytes: 1_024 * 1_024,
+};
+
 /** Options of `RelayServer`. */
 export interface RelayServerOptions {
   readonly ipAddress: string;
   readonly peerPort: number;
   readonly availabilityZone: string;
+  /** Number of connections that other hosts may have open. */
+  readonly maxConnections: number;
   readonly tunnels: paths.TunnelService;
   readonly log: schemas.Log;
+  /** Called when a connection is closed because of the limits. */
+  readonly onClosed: (reason: peers.PeerCloseReason) => void;
 }
 
 /** Relays connections to upstreams for other hosts, on an entry host. */
@@ -43,13 +55,15 @@
   }
 
   private async listen(port: number): Promise<void> {
-    const { ipAddress, log, tunnels } = this.options;
+    const { ipAddress, log, maxConnections, onClosed, tunnels } = this.options;
     const server = new peers.PeerServer(trpc.initTRPC.create().router({}), {
       host: ipAddress,
       port,
       keyring: undefined,
       log,
       openTunnel: (req) => tunnels.open(req),
+      limits: { ...LIMITS, connections: maxConnections },
+      onClosed,
     });
     this.port = await server.listen();
     this.server = server;
--- a/packages/peers/src/byte-queue.ts
+++ b/packages/peers/src/byte-queue.ts
@@ -1,3 +1,5 @@
+import * as schemas from '@bramleyridge/schemas';
+
 /** Size of the lengths that precede messages, in bytes. */
 const LENGTH_BYTES = 4;
 
@@ -6,42 +8,30 @@
  * a message in many small parts would take time by the square of their number.
  */
 export class ByteQueue {
-  private parts: Buffer[] = [];
-  private size = 0;
+  private readonly blocks = new schemas.ByteBlocks();
 
   /** The number of bytes that are queued. */
   public get length(): number {
-    return this.size;
+    return this.blocks.length;
+  }
+
+  /** The number of bytes of memory that they take. */
+  public get allocatedBytes(): number {
+    return this.blocks.allocatedBytes;
   }
 
   /** Adds received bytes. */
   public push(bytes: Buffer): void {
-    if (bytes.length > 0) {
-      this.parts.push(bytes);
-      this.size += bytes.length;
-    }
+    this.blocks.push(bytes);
   }
 
   /** Reads the length at the front, which stays; `undefined` if it has not arrived. */
   public peekLength(): number | undefined {
-    if (this.size < LENGTH_BYTES) {
-      return undefined;
-    }
-    const first = this.parts[0]!;
-    return (first.length >= LENGTH_BYTES ? first : this.join()).readUInt32BE(0);
+    return this.blocks.peek(LENGTH_BYTES)?.readUInt32BE(0);
   }
 
   /** Removes bytes from the front; all of them by default. */
-  public take(count = this.size): Buffer {
-    const joined = this.join();
-    this.parts = count < joined.length ? [joined.subarray(count)] : [];
-    this.size -= count;
-    return joined.subarray(0, count);
-  }
-
-  private join(): Buffer {
-    const joined = this.parts.length === 1 ? this.parts[0]! : Buffer.concat(this.parts);
-    this.parts = [joined];
-    return joined;
+  public take(count = this.length): Buffer {
+    return this.blocks.take(count);
   }
 }
--- a/packages/peers/src/call-parts.ts
+++ b/packages/peers/src/call-parts.ts
@@ -46,26 +46,30 @@
 
 /** Collects the parts of one call. */
 export class CallPartCollector {
-  private readonly parts: Uint8Array[] = [];
-  private length = 0;
+  private readonly body = new schemas.ByteBlocks();
 
   /** The number of bytes received. */
   public get receivedBytes(): number {
-    return this.length;
+    return this.body.length;
+  }
+
+  /** The memory that the received parts take, in bytes. */
+  public get allocatedBytes(): number {
+    return this.body.allocatedBytes;
   }
 
   /** Adds a part; throws if the call is larger than {@link MAX_CALL_BYTES}. */
   public add({ bytes }: CallPart): void {
-    this.length += bytes.length;
-    if (this.length > MAX_CALL_BYTES) {
-      const args = [this.length, MAX_CALL_BYTES];
+    const length = this.body.length + bytes.length;
+    if (length > MAX_CALL_BYTES) {
+      const args = [length, MAX_CALL_BYTES];
       throw new schemas.StepError({ id: 'frameTooLarge', step: 'read-part', args });
     }
-    this.parts.push(bytes);
+    this.body.push(Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength));
   }
 
   /** Decodes the complete call. */
   public decode(): readonly [path: string, input: unknown] {
-    return packr.unpack(Buffer.concat(this.parts)) as [string, unknown];
+    return packr.unpack(this.body.take()) as [string, unknown];
   }
 }
--- a/packages/peers/src/frame.ts
+++ b/packages/peers/src/frame.ts
@@ -53,6 +53,14 @@
   private readonly packr = createPackr();
   private readonly pending = new byteQueues.ByteQueue();
 
+  /** Accepts frames of up to `maxBytes`. */
+  public constructor(private readonly maxBytes = MAX_FRAME_BYTES) {}
+
+  /** Returns the memory that the unfinished frame takes, in bytes. */
+  public getHeldBytes(): number {
+    return this.pending.allocatedBytes;
+  }
+
   /** Returns the bytes that follow the last frame; no more frames are read after it. */
   public takeRest(): Buffer {
     return this.pending.take();
@@ -71,7 +79,7 @@
       if (length === undefined) {
         return;
       }
-      checkLength(length);
+      checkLength(length, this.maxBytes);
       const end = LENGTH_BYTES + length;
       if (this.pending.length < end) {
         return;
@@ -81,12 +89,12 @@
   }
 }
 
-function checkLength(length: number): void {
-  if (length > MAX_FRAME_BYTES) {
+function checkLength(length: number, maxBytes: number): void {
+  if (length > maxBytes) {
     throw new schemas.StepError({
       id: 'frameTooLarge',
       step: 'read-frame',
-      args: [length, MAX_FRAME_BYTES],
+      args: [length, maxBytes],
     });
   }
 }
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -6,6 +6,7 @@
 export * from './link-counts.js';
 export * from './packed-value.js';
 export * from './peer-client.js';
+export * from './peer-connections.js';
 export * from './peer-link.js';
 export * from './peer-mesh.js';
 export * from './peer-server.js';
--- a/packages/peers/src/peer-server.ts
+++ b/packages/peers/src/peer-server.ts
@@ -9,6 +9,7 @@
 import * as frames from './frame.js';
 import type * as keyrings from './keyring.js';
 import * as linkCounts from './link-counts.js';
+import * as peerConnections from './peer-connections.js';
 import * as relayTunnels from './relay-tunnel.js';
 import * as tlsOptions from './tls-options.js';
 import type * as tunnelMessages from './tunnel-messages.js';
@@ -18,6 +19,9 @@
   req: tunnelMessages.TunnelRequest,
 ) => Promise<stream.Duplex | Exclude<tunnelMessages.TunnelResult, 'connected'>>;
 
+/** Time for a TLS handshake, in milliseconds. */
+const HANDSHAKE_TIMEOUT_MS = 10_000;
+
 /** Options of {@link PeerServer}. */
 export interface PeerServerOptions {
   readonly host: string;
@@ -29,12 +33,18 @@
   readonly isCut?: () => boolean;
   /** Opens tunnels for peers; without it, none are opened. */
   readonly openTunnel?: OpenTunnel | undefined;
+  /** What peers may hold; {@link peerConnections.DEFAULT_PEER_LIMITS} by default. */
+  readonly limits?: peerConnections.PeerLimits | undefined;
+  /** Called when a connection is closed because of the limits. */
+  readonly onClosed?: ((reason: peerConnections.PeerCloseReason) => void) | undefined;
 }
 
 type CallFrame = Extract<frames.Frame, readonly ['call', ...unknown[]]>;
 
 interface Connection {
   readonly socket: net.Socket;
+  /** What the peer holds. */
+  readonly held: peerConnections.PeerConnection;
   readonly writer: frames.FrameWriter;
   readonly calls: Map<number, AbortController>;
   /** Calls of which some parts have arrived. */
@@ -46,12 +56,18 @@
   public readonly counts = new linkCounts.LinkCounts();
   private readonly server: net.Server;
   private readonly sockets = new Set<net.Socket>();
+  private readonly limits: peerConnections.PeerLimits;
+  private readonly connections: peerConnections.PeerConnections;
 
   public constructor(
     private readonly router: trpc.AnyTRPCRouter,
     private readonly options: PeerServerOptions,
   ) {
+    const { limits = peerConnections.DEFAULT_PEER_LIMITS, log, onClosed } = options;
+    this.limits = limits;
+    this.connections = new peerConnections.PeerConnections({ limits, log, onClosed });
     this.server = this.createServer();
+    this.server.prependListener('connection', (socket) => this.connections.open(socket));
     // An accept that fails, such as for want of descriptors, concerns one connection; without a handler it would end the process.
     this.server.on('error', (err) => {
       options.log.warn({ event: 'listener-failed', step: 'accept-peer', err: err.message });
@@ -82,7 +98,10 @@
     }
     const pskCallback = (_socket: tls.TLSSocket, identity: string) =>
       keyring.findKey(identity) ?? null;
-    const server = tls.createServer({ ...tlsOptions.pskOptions, pskCallback }, onConnection);
+    const server = tls.createServer(
+      { ...tlsOptions.pskOptions, pskCallback, handshakeTimeout: HANDSHAKE_TIMEOUT_MS },
+      onConnection,
+    );
     server.on('tlsClientError', (err, socket) => {
       log.warn({ step: 'accept-peer', peer: socket.remoteAddress, err: err.message });
     });
@@ -90,9 +109,14 @@
   }
 
   private handleConnection(socket: net.Socket): void {
-    const reader = new frames.FrameReader();
+    const held = this.connections.find(socket);
+    if (held === undefined) {
+      socket.destroy();
+      return;
+    }
+    const reader = new frames.FrameReader(this.limits.frameBytes);
     const writer = new frames.FrameWriter();
-    const connection: Connection = { socket, writer, calls: new Map(), partial: new Map() };
+    const connection: Connection = { socket, held, writer, calls: new Map(), partial: new Map() };
     const { calls } = connection;
     this.sockets.add(socket);
     socket.setNoDelay(true);
@@ -107,8 +131,11 @@
       this.counts.recordReceived(bytes.length);
       try {
         for (const frame of reader.push(bytes)) {
+          held.hasFrame = true;
           this.handleFrame(connection, frame);
         }
+        this.connections.setHeldBytes(held, reader.getHeldBytes() + countPartialBytes(connection));
+        this.pauseUntilDrain(socket);
       } catch (err) {
         const { message } = schemas.toError(err);
         this.options.log.warn({ step: 'read-frame', peer: socket.remoteAddress, err: message });
@@ -117,6 +144,14 @@
     });
   }
 
+  /** Reads no more from a peer that doesn't read; otherwise the answers to what it sends would fill the memory. */
+  private pauseUntilDrain(socket: net.Socket): void {
+    if (socket.writableNeedDrain && !socket.isPaused()) {
+      socket.pause();
+      socket.once('drain', () => socket.resume());
+    }
+  }
+
   private handleFrame(connection: Connection, frame: frames.Frame): void {
     if (this.options.isCut?.()) {
       return;
@@ -143,6 +178,10 @@
     [, id, offset, bytes, isLast]: Extract<frames.Frame, readonly ['part', ...unknown[]]>,
   ): void {
     const { partial } = connection;
+    if (!partial.has(id) && partial.size >= this.limits.callsPerConnection) {
+      const args = [this.limits.callsPerConnection];
+      throw new schemas.StepError({ id: 'peerBusy', step: 'read-part', args });
+    }
     const call = offset === 0 ? new callParts.CallPartCollector() : partial.get(id);
     if (call?.receivedBytes !== offset) {
       // The call was cancelled while this part was on its way.
@@ -196,7 +235,24 @@
   }
 
   private startCall(connection: Connection, frame: CallFrame): void {
-    this.runInBackground(() => this.handleCall(connection, frame), connection, 'answer-peer');
+    const end = this.connections.beginCall(connection.held);
+    if (typeof end === 'string') {
+      this.refuseCall(connection, frame, end);
+      return;
+    }
+    const run = () => this.handleCall(connection, frame).finally(end);
+    this.runInBackground(run, connection, 'answer-peer');
+  }
+
+  private refuseCall(
+    connection: Connection,
+    [, id, path]: CallFrame,
+    why: 'busy' | 'closed',
+  ): void {
+    if (why === 'busy') {
+      const err = new schemas.StepError({ id: 'peerBusy', step: path, args: [this.limits.calls] });
+      this.send(connection, ['failure', id, err.message, err.id]);
+    }
   }
 
   private runInBackground(run: () => Promise<void>, { socket }: Connection, step: string): void {
@@ -238,6 +294,14 @@
   }
 }
 
+function countPartialBytes({ partial }: Connection): number {
+  let bytes = 0;
+  partial.forEach((call) => {
+    bytes += call.allocatedBytes;
+  });
+  return bytes;
+}
+
 function createReply(id: number, path: string, output: unknown): frames.Frame {
   const bytes = schemas.estimateEncodedBytes(output);
   if (bytes <= frames.MAX_FRAME_BYTES) {
--- a/packages/schemas/src/daemon-config.ts
+++ b/packages/schemas/src/daemon-config.ts
@@ -19,8 +19,9 @@
 const operatorToken = z.strictObject({ operator: names.name, sha256: names.sha256 });
 
 const limits = z.strictObject({
-  /** Connections of callers and operators. */
+  /** Connections of callers and operators, and of other daemons. */
   connections: z.int().min(16).default(1_024),
+  peerConnections: z.int().min(16).default(768),
   /** Requests of one connection that are not answered. */
   requestsPerConnection: z.int().min(1).default(32),
   /** Time for which a caller may neither finish a request nor take its answer, in milliseconds. */
--- a/packages/schemas/src/messages.ts
+++ b/packages/schemas/src/messages.ts
@@ -43,6 +43,7 @@
   operatorToken: 'a valid operator token is needed',
   orderRefused: 'the engine refused the order with status %s',
   orderOvertaken: 'other orders on availability zones came in between; send it again',
+  peerBusy: 'the peer has %s calls already that it has not answered; the call did not run',
   planExpired: 'the plan %s is %s and cannot be confirmed',
   queueFull: 'the queue of team %s is full: %s requests wait',
   tooMany: 'team %s already has %s requests running, its limit',
--- a/packages/telemetry/src/metric-catalog.ts
+++ b/packages/telemetry/src/metric-catalog.ts
@@ -113,6 +113,12 @@
     help: 'Open connections of callers',
     labels: [],
   },
+  peerConnectionsClosed: {
+    kind: 'counter',
+    name: 'peer_connections_closed_total',
+    help: 'Connections of other hosts that were closed since they hold too much',
+    labels: ['reason'],
+  },
   activeCalls: { kind: 'gauge', name: 'active_calls', help: 'Calls under way', labels: [] },
   heldBytes: {
     kind: 'gauge',
