Let each host have one poll that waits, at the cost of one wait

A core host ended, out of heap, when 20 connections asked for updates 10,000 times each without reading. Cause: a poll that waits took six waits of their own, each with a timer, an AbortController and its promises, over 10 KB together; five of them stayed until the end of the wait after the first had woken. A host could have any number of polls waiting, for as long as it named.

A poll now waits on all signals with one timer (`ChangeSignal.waitAny`), for 10 s at most (hosts ask for 0.5 s), and a host's next poll ends the one before it: a host has one at a time, and an earlier one can only be of a connection that it has given up.

--- a/packages/gateway/src/entry-update-service.ts
+++ b/packages/gateway/src/entry-update-service.ts
@@ -23,6 +23,9 @@
 /** Length of a document that is sent whole, in characters. */
 const MAX_WHOLE_LENGTH = 16 * 1024;
 
+/** Longest time for which a poll waits for updates, in milliseconds. */
+const MAX_WAIT_MS = 10_000;
+
 /** Options of `EntryUpdateService`. */
 export interface EntryUpdateServiceOptions {
   readonly group: coreGroups.CoreGroup;
@@ -40,6 +43,8 @@
 export class EntryUpdateService {
   private readonly leadershipLost = new schemas.ChangeSignal();
   private readonly documents: packedDocuments.PackedDocuments;
+  /** Signals that end the polls that wait, by host. */
+  private readonly polls = new Map<string, schemas.ChangeSignal>();
   private isStopped = false;
 
   public constructor(private readonly options: EntryUpdateServiceOptions) {
@@ -67,23 +72,38 @@
   public async answer(req: procedures.UpdatesReq): Promise<procedures.UpdatesRes> {
     const { clock, entryRegistry, group, rateLimits, upstreamList, suspects } = this.options;
     entryRegistry.recordPoll(req.hostId, req.relay);
-    const end = clock.now() + req.waitMs;
+    const end = clock.now() + Math.min(req.waitMs, MAX_WAIT_MS);
     const wasLeading = group.isLeading();
+    const replaced = this.replacePoll(req.hostId);
+    const isLatest = () => this.polls.get(req.hostId) === replaced;
     // An entry host that waited on a former leader would neither look for the new one nor receive updates on suspects.
-    const mayHold = () => clock.now() < end && (!wasLeading || group.isLeading());
+    const mayHold = () => isLatest() && clock.now() < end && (!wasLeading || group.isLeading());
+    const signals = [
+      replaced,
+      this.leadershipLost,
+      group.state.changed,
+      upstreamList.changed,
+      suspects.changed,
+      rateLimits.changed,
+      group.evacuations.changed,
+    ];
     while (!this.hasUpdates(req) && mayHold()) {
-      await Promise.race([
-        this.leadershipLost.wait(clock, end - clock.now()),
-        group.state.changed.wait(clock, end - clock.now()),
-        upstreamList.changed.wait(clock, end - clock.now()),
-        suspects.changed.wait(clock, end - clock.now()),
-        rateLimits.changed.wait(clock, end - clock.now()),
-        group.evacuations.changed.wait(clock, end - clock.now()),
-      ]);
+      await schemas.ChangeSignal.waitAny(signals, clock, end - clock.now());
+    }
+    if (isLatest()) {
+      this.polls.delete(req.hostId);
     }
     return this.createAnswer(req);
   }
 
+  /** Ends the former poll of a host, which waits for one at a time, and returns the signal that ends the new one. */
+  private replacePoll(hostId: string): schemas.ChangeSignal {
+    this.polls.get(hostId)?.notify();
+    const replaced = new schemas.ChangeSignal();
+    this.polls.set(hostId, replaced);
+    return replaced;
+  }
+
   private hasUpdates(req: procedures.UpdatesReq): boolean {
     return (
       this.findNewDocument(req) !== undefined ||
--- a/packages/schemas/src/change-signal.ts
+++ b/packages/schemas/src/change-signal.ts
@@ -12,16 +12,25 @@
   }
 
   /** Resolves at the next `notify`, or after `ms`, whichever comes first. */
-  public async wait(clock: clocks.Clock, ms: number): Promise<void> {
+  public wait(clock: clocks.Clock, ms: number): Promise<void> {
+    return ChangeSignal.waitAny([this], clock, ms);
+  }
+
+  /** Resolves at the next `notify` of any of the signals, or after `ms`, whichever comes first. */
+  public static async waitAny(
+    signals: readonly ChangeSignal[],
+    clock: clocks.Clock,
+    ms: number,
+  ): Promise<void> {
     const abort = new AbortController();
     let resolveWaiter = () => {};
     const notified = new Promise<void>((resolve) => {
       resolveWaiter = resolve;
     });
-    this.waiters.add(resolveWaiter);
+    signals.forEach(({ waiters }) => waiters.add(resolveWaiter));
     const slept = clock.sleep(ms, abort.signal).catch(() => {});
     await Promise.race([notified, slept]);
-    this.waiters.delete(resolveWaiter);
+    signals.forEach(({ waiters }) => waiters.delete(resolveWaiter));
     abort.abort(new Error('woken'));
   }
 }
