Refuse new keys where there is no room to remember them

A daemon kept any number of calls with an Idempotency-Key for ten minutes and their claims for an hour; only the bodies of answers were counted. And one call that ran for long kept every later one from expiring.

A bound may not forget a key that a resend names: with a claim gone the call could run again. One team may have half of the calls. Where bodies of answers take over 32 MB, the oldest of the team with the most are dropped, no longer anybody's oldest; the key remains and a resend is told that the outcome is unknown, as before. Evicting keys was ruled out.

Not measured: the memory of a claim.

--- a/packages/daemon/src/claim-service.ts
+++ b/packages/daemon/src/claim-service.ts
@@ -33,6 +33,8 @@
   readonly mesh: peerMeshes.PeerMesh;
   readonly calls: requests.CallRegistry;
   readonly random: () => number;
+  /** Number of claims from which new keys are refused. */
+  readonly maxClaims?: number;
 }
 
 /**
@@ -61,7 +63,14 @@
       },
     };
     const { daemonId } = cfg;
-    this.acceptor = new requests.ClaimAcceptor({ daemonId, incarnation, clock, log, transport });
+    this.acceptor = new requests.ClaimAcceptor({
+      daemonId,
+      incarnation,
+      clock,
+      log,
+      transport,
+      maxClaims: options.maxClaims,
+    });
     this.proposer = new requests.ClaimProposer({
       daemonId: `${daemonId}@${incarnation}`,
       transport,
--- a/packages/daemon/src/completion-dispatcher.ts
+++ b/packages/daemon/src/completion-dispatcher.ts
@@ -229,7 +229,7 @@
   private async claim(job: Job, { generation, grant }: Attempt): Promise<boolean> {
     const { calls, claims } = this.context;
     const key = claims.createKey(job.team.name, job.key ?? '', job.attempt);
-    calls.open(generation);
+    calls.open(generation, job.team.name);
     const { upstreamId } = grant.upstream;
     const value = await claims.claim(key, generation, upstreamId, job.requestHash);
     if (value.call !== generation) {
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -15,6 +15,7 @@
 import * as decisionLogs from './decision-log.js';
 import type * as handlerContexts from './handler-context.js';
 import * as leaderTasks from './leader-tasks.js';
+import * as memoryShares from './memory-shares.js';
 import * as daemonMetrics from './metrics.js';
 import * as operatorApis from './operator-api.js';
 import * as peerMeshes from './peer-mesh.js';
@@ -291,7 +292,10 @@
     const { clock, gate } = own;
     const { cfg, incarnation, mesh, store, view } = this;
     const { log } = this.options;
-    const calls = new requests.CallRegistry(clock);
+    const maxCalls = cfg.limits.keyedCalls ?? memoryShares.getDefaultKeyedCalls();
+    const calls = new requests.CallRegistry(clock, maxCalls);
+    own.metrics.registerGauge('keyedCalls', () => calls.count());
+    own.metrics.registerGauge('claims', () => this.context.claims.acceptor.getSize());
     const callPrefix = `${cfg.availabilityZone}.${cfg.daemonId}.${incarnation.toString(36)}.`;
     const shared = { cfg, incarnation, callPrefix, log, store, view, mesh, ...own };
     return {
@@ -307,7 +311,11 @@
         answerBytes: cfg.limits.bodyBytes,
       }),
       poolClient: new poolClients.PoolClient({ ...shared, poolManager: this.poolManager }),
-      claims: new claimServices.ClaimService({ ...shared, calls }),
+      claims: new claimServices.ClaimService({
+        ...shared,
+        calls,
+        maxClaims: cfg.limits.claims ?? memoryShares.getDefaultClaims(),
+      }),
       guard: new runGuards.RunGuard({
         exchange: this.suspects,
         exitDetector: new requests.ProcessExitDetector(clock, (address) =>
--- a/packages/daemon/src/service-call-handler.ts
+++ b/packages/daemon/src/service-call-handler.ts
@@ -101,7 +101,7 @@
 
   private async claim(job: Job, call: string, upstream: schemas.Upstream): Promise<boolean> {
     const { calls, claims } = this.context;
-    calls.open(call);
+    calls.open(call, job.team.name);
     const key = claims.createKey(job.team.name, job.key ?? '', job.attempt);
     const value = await claims.claim(key, call, upstream.upstreamId, job.requestHash);
     if (value.call !== call) {
--- a/packages/requests/src/call-registry.ts
+++ b/packages/requests/src/call-registry.ts
@@ -4,7 +4,7 @@
 /** How long the response of a finished call is kept for resends, in milliseconds. */
 const RETENTION_MS = 600_000;
 
-/** The total size of the response bodies that are kept, in bytes; the oldest calls are removed beyond it. */
+/** The total size of the response bodies that are kept, in bytes; the oldest are dropped beyond it. */
 const MAX_STORED_BYTES = 32 * 1024 * 1024;
 
 /** The response of a plain service, as it is kept for a resend. */
@@ -29,24 +29,63 @@
 /** The state of a call at the daemon that claimed it. */
 export type CallState = z.infer<typeof callState>;
 
+/** Memory of an entry beside the body of its response, in bytes. */
+export const CALL_ENTRY_BYTES = 1_024;
+
+/** Share of the entries that one team may have. */
+const TEAM_SHARE = 0.5;
+
+/** Number of the oldest entries that are checked with each new one. */
+const CHECKED_ENTRIES = 64;
+
 interface CallEntry {
   state: CallState;
   at: number;
+  readonly team: string;
   readonly changed: schemas.ChangeSignal;
 }
 
-/** The calls that this daemon claimed, queried by daemons that receive a resend. */
+/** What the calls of one team take. */
+interface TeamUse {
+  entries: number;
+  storedBytes: number;
+  /** Calls whose responses are kept, the oldest first. */
+  readonly stored: Map<string, CallEntry>;
+}
+
+/**
+ * The calls that this daemon claimed, queried by daemons that receive a resend. A call stays for as long as a resend may
+ * join it; when there is no room, new keys are refused instead.
+ */
 export class CallRegistry {
   private readonly entries = new Map<string, CallEntry>();
-  private bytes = 0;
+  private readonly teams = new Map<string, TeamUse>();
+  private storedBytes = 0;
+
+  /** Keeps up to `maxEntries` calls. */
+  public constructor(
+    private readonly clock: schemas.Clock,
+    private readonly maxEntries = Infinity,
+  ) {}
 
-  public constructor(private readonly clock: schemas.Clock) {}
+  /** Returns the number of calls that are kept. */
+  public count(): number {
+    return this.entries.size;
+  }
 
-  /** Registers a call before it is claimed. */
-  public open(call: string): void {
+  /** Registers a call before it is claimed; throws if there is no room for another one of its team. */
+  public open(call: string, team: string): void {
     this.expire();
+    const use = this.teams.get(team) ?? { entries: 0, storedBytes: 0, stored: new Map() };
+    if (this.entries.size >= this.maxEntries || use.entries >= this.maxEntries * TEAM_SHARE) {
+      const args = [team, use.entries];
+      throw new schemas.StepError({ id: 'keysFull', step: 'register-call', args });
+    }
+    use.entries += 1;
+    this.teams.set(team, use);
     const changed = new schemas.ChangeSignal();
-    this.entries.set(call, { state: { state: 'running' }, at: this.clock.now(), changed });
+    const state = { state: 'running' } as const;
+    this.entries.set(call, { state, at: this.clock.now(), team, changed });
   }
 
   /** Updates the state of a call; a call that is not registered is ignored. */
@@ -55,9 +94,9 @@
     if (entry === undefined) {
       return;
     }
-    entry.state = state;
+    this.replaceState(call, entry, state);
     entry.at = this.clock.now();
-    this.bytes += state.state === 'done' ? state.answer.body.length : 0;
+    this.dropResponses();
     entry.changed.notify();
   }
 
@@ -81,13 +120,68 @@
 
   private expire(): void {
     const oldest = this.clock.now() - RETENTION_MS;
+    let checked = 0;
     for (const [call, entry] of this.entries) {
-      const isEvictable = entry.at < oldest || this.bytes > MAX_STORED_BYTES;
-      if (!isEvictable || entry.state.state === 'running') {
+      checked += 1;
+      if (checked > CHECKED_ENTRIES) {
         return;
       }
-      this.bytes -= entry.state.state === 'done' ? entry.state.answer.body.length : 0;
-      this.entries.delete(call);
+      if (entry.at < oldest && entry.state.state !== 'running') {
+        this.remove(call, entry);
+      }
+    }
+  }
+
+  private remove(call: string, entry: CallEntry): void {
+    this.replaceState(call, entry, { state: 'lost' });
+    this.entries.delete(call);
+    const use = this.teams.get(entry.team);
+    if (use === undefined) {
+      return;
+    }
+    use.entries -= 1;
+    if (use.entries === 0) {
+      this.teams.delete(entry.team);
     }
   }
+
+  /** Drops the oldest responses of the team that has the most, while all take too much; a resend is then told so. */
+  private dropResponses(): void {
+    while (this.storedBytes > MAX_STORED_BYTES) {
+      const [oldest] = this.findLargestTeam()?.stored ?? [];
+      if (oldest === undefined) {
+        return;
+      }
+      this.replaceState(...oldest, { state: 'lost' });
+    }
+  }
+
+  private findLargestTeam(): TeamUse | undefined {
+    let largest: TeamUse | undefined;
+    this.teams.forEach((use) => {
+      if (use.storedBytes > (largest?.storedBytes ?? 0)) {
+        largest = use;
+      }
+    });
+    return largest;
+  }
+
+  private replaceState(call: string, entry: CallEntry, state: CallState): void {
+    const bytes = countStoredBytes(state) - countStoredBytes(entry.state);
+    entry.state = state;
+    this.storedBytes += bytes;
+    const use = this.teams.get(entry.team);
+    if (use === undefined) {
+      return;
+    }
+    use.storedBytes += bytes;
+    use.stored.delete(call);
+    if (state.state === 'done') {
+      use.stored.set(call, entry);
+    }
+  }
+}
+
+function countStoredBytes(state: CallState): number {
+  return state.state === 'done' ? state.answer.body.length : 0;
 }
--- a/packages/requests/src/claim-acceptor.ts
+++ b/packages/requests/src/claim-acceptor.ts
@@ -5,6 +5,12 @@
 /** How long an acceptor keeps a claim, in milliseconds. Operators publish this period to callers. */
 export const CLAIM_RETENTION_MS = 3_600_000;
 
+/** Memory of a claim, in bytes. */
+export const CLAIM_BYTES = 1_024;
+
+/** Shortest interval between two log lines on refused claims, in milliseconds. */
+const FULL_LOG_INTERVAL_MS = 10_000;
+
 /** Maximum number of claims in one page of a recovery. */
 const PAGE_RECORDS = 2_000;
 
@@ -27,6 +33,8 @@
   readonly clock: schemas.Clock;
   readonly log: schemas.Log;
   readonly transport: types.ClaimTransport;
+  /** Number of claims from which new keys are refused; those that are stored stay. No limit by default. */
+  readonly maxClaims?: number | undefined;
 }
 
 /**
@@ -43,6 +51,7 @@
   private complete = false;
   private records = new Map<string, StoredRecord>();
   private sequence = 0;
+  private fullLoggedAt = -Infinity;
 
   public constructor(private readonly options: ClaimAcceptorOptions) {}
 
@@ -89,7 +98,8 @@
   public handleClaim(req: types.ClaimReq): types.ClaimRes {
     const stored = this.records.get(req.key);
     const promised = stored?.promised ?? NO_BALLOT;
-    const isRefused = !this.complete || types.isHigher(promised, req.ballot);
+    const isFull = stored === undefined && this.isFull();
+    const isRefused = isFull || !this.complete || types.isHigher(promised, req.ballot);
     if (!isRefused) {
       const accepted =
         req.value === undefined ? stored?.accepted : { ballot: req.ballot, value: req.value };
@@ -133,6 +143,19 @@
     }
   }
 
+  /** Returns whether no more keys fit. A claim is never removed early: its call could run a second time. */
+  private isFull(): boolean {
+    const { clock, log, maxClaims = Infinity } = this.options;
+    if (this.records.size < maxClaims) {
+      return false;
+    }
+    if (clock.now() - this.fullLoggedAt >= FULL_LOG_INTERVAL_MS) {
+      this.fullLoggedAt = clock.now();
+      log.warn({ decision: 'refuse-claims', claims: this.records.size, limit: maxClaims });
+    }
+    return true;
+  }
+
   private store(record: types.ClaimRecord): void {
     this.sequence += 1;
     this.records.delete(record.key);
--- a/packages/requests/src/http-io.ts
+++ b/packages/requests/src/http-io.ts
@@ -5,7 +5,12 @@
 import type * as heldBytes from './held-bytes.js';
 
 /** Errors after which the request has not run and may be sent again. */
-const NOT_RUN_IDS = new Set<schemas.MessageId>(['claimRefused', 'logFull', 'notLeader']);
+const NOT_RUN_IDS = new Set<schemas.MessageId>([
+  'claimRefused',
+  'keysFull',
+  'logFull',
+  'notLeader',
+]);
 
 /** An HTTP request with the parameters of its route. */
 export type ApiRequest = http.IncomingMessage & { readonly params: Record<string, string> };
--- a/packages/requests/tests/claim-acceptor.test.ts
+++ b/packages/requests/tests/claim-acceptor.test.ts
@@ -56,3 +56,23 @@
   t.equal(acceptor.getSize(), 3, 'with all records');
   acceptor.configure([], []);
 });
+
+void tap.default.test('a full acceptor refuses new keys and keeps those that it has', async (t) => {
+  // Guards against claims without end that fill the memory, and against a key that is forgotten and runs twice.
+  const acceptor = new requests.ClaimAcceptor({
+    daemonId: 'a',
+    incarnation: 1,
+    clock: new schemas.VirtualClock(),
+    log: new schemas.SilentLog(),
+    transport: { claim: () => new Promise(() => {}), recover: () => new Promise(() => {}) },
+    maxClaims: 3,
+  });
+  acceptor.configure(SLOTS, ['a@1', 'b@1', 'c@1']);
+  const claim = (key: string, counter: number) =>
+    acceptor.handleClaim({ key, ballot: [counter, 'x'], since: SLOTS.map(({ since }) => since) });
+  const results = Array.from({ length: 100 }, (_, i) => claim(`k${i}`, 1).ok);
+  t.equal(results.filter(Boolean).length, 3);
+  t.equal(acceptor.getSize(), 3);
+  t.ok(claim('k0', 2).ok, 'a key that it has can still be settled');
+  acceptor.configure([], []);
+});
--- a/packages/schemas/src/daemon-config.ts
+++ b/packages/schemas/src/daemon-config.ts
@@ -28,6 +28,9 @@
   stallMs: z.int().min(1_000).default(60_000),
   /** Bytes held for calls, beyond which new ones are refused; unfinished bodies have three quarters of it. */
   heldBytes: z.int().min(65_536).default(33_554_432),
+  /** Calls with a key whose answers are remembered, and claims of keys; shares of the heap if absent. */
+  keyedCalls: z.int().min(16).optional(),
+  claims: z.int().min(16).optional(),
   bodyBytes: z.int().min(1024).default(4_194_304),
   bodyTimeoutMs: z.int().min(100).default(10_000),
   queueMs: z.int().min(100).default(60_000),
--- a/packages/schemas/src/messages.ts
+++ b/packages/schemas/src/messages.ts
@@ -24,6 +24,8 @@
   hostFull: 'this host holds too many bytes for slow callers; the call did not run',
   illegalMove: 'a %s cannot %s',
   keyReused: 'this Idempotency-Key was used with another request',
+  keysFull:
+    'no more keys of team %s can be remembered, which has %s calls with one; the call did not run',
   linkClosed: 'the link to the peer is closed',
   listRefused: 'the list of upstreams was refused with status %s',
   listTooLong: 'the list of upstreams has more than %s pages',
--- a/packages/telemetry/src/metric-catalog.ts
+++ b/packages/telemetry/src/metric-catalog.ts
@@ -119,6 +119,18 @@
     help: 'Connections of other hosts that were closed since they hold too much',
     labels: ['reason'],
   },
+  keyedCalls: {
+    kind: 'gauge',
+    name: 'keyed_calls',
+    help: 'Calls with a key that this host remembers for resends',
+    labels: [],
+  },
+  claims: {
+    kind: 'gauge',
+    name: 'claims',
+    help: 'Claims of keys that this host keeps',
+    labels: [],
+  },
   activeCalls: { kind: 'gauge', name: 'active_calls', help: 'Calls under way', labels: [] },
   heldBytes: {
     kind: 'gauge',
