End the handlers of a closed connection before they reach upstreams

Beside load (average 20), a host that had closed 20 connections with requests ahead had 1,196 descriptors of 400 open, though their calls no longer counted. Cause: the socket reports its end only after the handlers that one read has begun have gone on, and each had opened a connection to an upstream by then for a caller that was gone. The requests of a connection that is closed by a limit are now ended in the same step.

--- a/packages/requests/src/caller-connections.ts
+++ b/packages/requests/src/caller-connections.ts
@@ -126,7 +126,9 @@
   }
 
   private handleClose(connection: CallerConnection): void {
-    this.connections.delete(connection.socket);
+    if (!this.connections.delete(connection.socket)) {
+      return;
+    }
     const open = [...connection.requests.keys()];
     this.ahead -= Math.max(0, open.length - 1);
     connection.requests.clear();
@@ -161,8 +163,10 @@
     }
   }
 
-  private close({ socket }: CallerConnection, reason: CloseReason): void {
-    socket.destroy();
+  private close(connection: CallerConnection, reason: CloseReason): void {
+    connection.socket.destroy();
+    // At once: handlers that have just begun would otherwise connect to upstreams before the socket reports its end.
+    this.handleClose(connection);
     this.record(reason);
   }
 
