Count no bytes of a connection whose port is in use again

The bytes of a closed connection were given back only if its entry still stood; a peer that connects again from the same port before the end is reported replaced the entry, and its bytes counted until the host would close sound connections. Found by reading; a test with five such connections fails on the code before (1 failed) and passes now.

--- a/packages/peers/src/peer-connections.ts
+++ b/packages/peers/src/peer-connections.ts
@@ -144,10 +144,11 @@
   }
 
   private remove(connection: PeerConnection): void {
+    // The port of a closed connection may be in use again before its end is reported.
     if (this.connections.get(connection.key) === connection) {
       this.connections.delete(connection.key);
-      this.heldBytes -= connection.heldBytes;
     }
+    this.heldBytes -= connection.heldBytes;
     connection.heldBytes = 0;
   }
 
--- a/packages/peers/tests/peer-connections.test.ts
+++ b/packages/peers/tests/peer-connections.test.ts
@@ -13,6 +13,19 @@
   });
 }
 
+void tap.default.test('a port that is in use again counts anew', async (t) => {
+  // Guards against bytes of closed connections that add up until every host is closed.
+  const { closed, connections } = createConnections({ heldBytes: 100 });
+  for (let i = 0; i < 5; i += 1) {
+    const former = createSocket(1);
+    connections.open(former);
+    connections.setHeldBytes(connections.find(former)!, 60);
+    connections.open(createSocket(1));
+    former.emit('close');
+  }
+  t.same(closed, []);
+});
+
 function createConnections(limits: Partial<peers.PeerLimits>) {
   const closed: string[] = [];
   const connections = new peers.PeerConnections({
