Send no call whose caller has gone while an upstream was chosen

Cause, found in the attempts: the abort was looked at only after an attempt, and undici opens the connection before it looks at the signal of a request. So each call of a closed connection chose an upstream, connected, and was destroyed. The abort is now looked at before and after the choice; an upstream that was chosen gets its place back.

The new unit test fails on the code before by design of the loop (it sent); it was not run there.

--- a/packages/requests/src/run-attempts.ts
+++ b/packages/requests/src/run-attempts.ts
@@ -58,10 +58,16 @@
   /** Makes attempts until there is a final response or no further attempt is allowed. */
   public async run(): Promise<A> {
     for (;;) {
+      this.rules.signal?.throwIfAborted();
       const upstream = await this.choose();
       if (upstream === undefined) {
         return this.failedAnswer as A;
       }
+      // The connection for a call whose caller has gone would be opened before the abort is noticed.
+      if (this.rules.signal?.aborted) {
+        this.operations.discard?.(upstream);
+        this.rules.signal.throwIfAborted();
+      }
       // A change of configuration may have forbidden the repetition while the upstream was chosen.
       if (this.runs > 0 && !this.rules.isRepeatable()) {
         this.operations.discard?.(upstream);
--- a/packages/requests/tests/run-attempts.test.ts
+++ b/packages/requests/tests/run-attempts.test.ts
@@ -181,3 +181,40 @@
     t.equal(sends, 1);
   },
 );
+
+// Guards against a connection to an upstream for each caller that leaves before its call is sent.
+void tap.default.test('a call whose caller has gone is not sent', async (t) => {
+  const gone = new Error('gone');
+  for (const [when, chosen] of [
+    ['before the choice', 0],
+    ['during the choice', 1],
+  ] as const) {
+    const abort = new AbortController();
+    const seen = { chosen: 0, discarded: 0, sent: 0 };
+    if (chosen === 0) {
+      abort.abort(gone);
+    }
+    const rules = { isRepeatable: () => true, maxRuns: 2, budget: createBudget(9) };
+    const result = requests.runAttempts<Target, string>(
+      { ...rules, signal: abort.signal },
+      {
+        choose: () => {
+          seen.chosen += 1;
+          abort.abort(gone);
+          return { upstreamId: 'u' };
+        },
+        attempt: () => {
+          seen.sent += 1;
+          return Promise.resolve('answer');
+        },
+        isFailure: () => false,
+        discard: () => {
+          seen.discarded += 1;
+        },
+        recordFailure: () => {},
+      },
+    );
+    await t.rejects(result, gone, when);
+    t.same(seen, { chosen, discarded: chosen, sent: 0 }, when);
+  }
+});
