--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -31,6 +31,7 @@
 const LONE_FILES = [
   'bench/dist/tests/misbehaving-callers',
   'platform/dist/tests/misbehaving-callers',
+  'platform/dist/tests/misbehaving-connections',
   'platform/dist/tests/misbehaving-peers',
 ];
 const CONCURRENT_BESIDE_LOADED = 2;
