Attack with heads, and with bodies that nobody reads

What one client can make a process hold that nothing counts, asked of the diff: heads, and the body of a call that is refused but whose refusal waits behind another answer.

--- a/packages/bench/tests/misbehaving-callers.test.ts
+++ b/packages/bench/tests/misbehaving-callers.test.ts
@@ -209,6 +209,34 @@
   ),
 );
 
+// Guards against heads of many small headers, which take many times their bytes for as long as the body is not ended.
+void tap.default.test('heads of many headers', (t) => {
+  const headers = Array.from({ length: 1_900 }, (_, i) => `${i.toString(36)}:\r\n`).join('');
+  return check(t, ({ caller }, connect) =>
+    connect(caller).open(1_000, () =>
+      fakes.createUnfinishedBody({ head: `${CONFIRM_HEAD}${headers}`, bytes: 1 }),
+    ),
+  );
+});
+
+// Guards against bodies that nobody reads since their refusals wait behind the answer to a call that runs.
+void tap.default.test('bodies of refused calls behind a generation', (t) =>
+  check(t, ({ caller }, connect) => {
+    const messages = [{ role: 'user', content: 'a' }];
+    const slow = { model: 'spot-drafter', messages, max_tokens: 4_000, fake_output_tokens: 4_000 };
+    return connect(caller).open(120, () =>
+      Buffer.concat([
+        Buffer.from(createPost('/v1/chat/completions', TOKEN, JSON.stringify(slow))),
+        fakes.createUnfinishedBody({
+          head: 'POST /v1/completions HTTP/1.1\r\nhost: a\r\n',
+          bytes: 100 * KB,
+          chunkBytes: 1,
+        }),
+      ]),
+    );
+  }),
+);
+
 // Guards against idle connections that take every descriptor.
 void tap.default.test('idle connections to both listeners', (t) =>
   check(t, async ({ caller, peer }, connect) => {
