--- a/packages/consensus/src/index.ts
+++ b/packages/consensus/src/index.ts
@@ -4,6 +4,7 @@
 export * from './entry-limits.js';
 export * from './entry-log.js';
 export * from './file-storage.js';
+export * from './founding.js';
 export * from './genesis.js';
 export * from './leadership.js';
 export * from './quorum.js';
--- a/packages/gateway/src/core-discovery.ts
+++ b/packages/gateway/src/core-discovery.ts
@@ -57,7 +57,7 @@
     const { group, registry } = this.options;
     registry.recordAnnouncement(req);
     registry.addNames(req.known);
-    return { known: registry.listAll(), leader: group.voter?.leader };
+    return { known: registry.listHeard(), leader: group.voter?.leader };
   }
 
   private async announce(peer: string): Promise<void> {
@@ -65,7 +65,7 @@
     try {
       const { voterId } = group.getIdentity();
       const { isLeaving } = group.membership;
-      const known = registry.listAll();
+      const known = registry.listHeard();
       const announcement = { coreId, voterId, availabilityZone, isLeaving, known };
       const res = await mesh.get(peer).hello.mutate(announcement);
       registry.addNames(res.known);
--- a/packages/gateway/src/core-group.ts
+++ b/packages/gateway/src/core-group.ts
@@ -59,6 +59,7 @@
   public readonly membership: membershipManagers.MembershipManager;
   public voter: consensus.Voter | undefined;
   private identity: consensus.Genesis | undefined;
+  private founding: consensus.Founding | undefined;
   private readonly stopping = new AbortController();
 
   public constructor(private readonly options: CoreGroupOptions) {
@@ -102,6 +103,14 @@
     return this.identity;
   }
 
+  /** Answers a proposal for the initial voters; rejects before the data folder is open. */
+  public async handleFounding(req: consensus.FoundingReq): Promise<consensus.FoundingRes> {
+    if (this.founding === undefined) {
+      throw new schemas.StepError({ id: 'notLeader', step: 'found-log' });
+    }
+    return this.founding.handle(req);
+  }
+
   /** Returns this host's voter; throws before the log is open. */
   public getVoter(): consensus.Voter {
     if (this.voter === undefined) {
@@ -170,16 +179,20 @@
   private async runVoter(): Promise<void> {
     const { clock, coreId, founders, log, mesh, random, registry } = this.options;
     const { signal } = this.stopping;
+    await this.founding?.close();
     const files = await this.options.openFiles();
     const identity = await consensus.openIdentity(files, founders);
     this.identity = identity;
+    const agreement = new consensus.Founding(files, identity);
+    this.founding = agreement;
     this.identity = await consensus.agreeGenesis({
       files,
       identity,
       daemonId: coreId,
       founders: identity.founders ?? [],
       listPeers: () => registry.listOthers(),
-      fetchGenesis: (peer) => mesh.get(peer).genesis.mutate(),
+      fetchGenesis: async (peer) => mesh.get(peer).genesis.mutate(),
+      founding: { agreement, send: (peer, req) => sendFounding(mesh, peer, req) },
       clock,
       signal,
     });
@@ -226,6 +239,15 @@
   }
 }
 
+async function sendFounding(
+  mesh: coreMeshes.CorePeers,
+  peer: string,
+  req: consensus.FoundingReq,
+): Promise<consensus.FoundingRes> {
+  const answer = await mesh.get(peer).found.mutate(req);
+  return schemas.parse(consensus.foundingRes, answer, 'found-log');
+}
+
 function createTransport(mesh: coreMeshes.CorePeers): consensus.Transport {
   return {
     vote: (peer, req) => mesh.get(peer).vote.mutate(req),
--- a/packages/gateway/src/core-host-registry.ts
+++ b/packages/gateway/src/core-host-registry.ts
@@ -26,6 +26,8 @@
   public leaderHint: string | undefined;
   /** Time of the last announcement of each other core host or, before the first, at which its name was added. */
   private readonly lastSeenAt = new Map<string, number>();
+  /** Names of the core hosts among them that have announced themselves here. */
+  private readonly announced = new Set<string>();
   private readonly announcements = new Map<string, ReceivedAnnouncement>();
 
   public constructor(
@@ -45,6 +47,7 @@
   public recordAnnouncement(announcement: CoreAnnouncement): void {
     const receivedAt = this.clock.now();
     this.lastSeenAt.set(announcement.coreId, receivedAt);
+    this.announced.add(announcement.coreId);
     this.announcements.set(announcement.voterId, { announcement, receivedAt });
   }
 
@@ -54,13 +57,19 @@
     // Otherwise a host that was replaced permanently would be contacted, and named to other hosts, for ever.
     [...this.lastSeenAt]
       .filter(([, at]) => now - at > EXPIRY_MS)
-      .forEach(([coreId]) => this.lastSeenAt.delete(coreId));
+      .forEach(([coreId]) => {
+        this.lastSeenAt.delete(coreId);
+        this.announced.delete(coreId);
+      });
     return [...this.lastSeenAt.keys()];
   }
 
-  /** Lists all core hosts by name, including this one. */
-  public listAll(): string[] {
-    return [this.ownId, ...this.listOthers()];
+  /**
+   * Lists the core hosts by name that this one can vouch for: itself and those that it has heard. Hosts that passed on what
+   * they were told would remind each other of one that is gone.
+   */
+  public listHeard(): string[] {
+    return [this.ownId, ...this.listOthers().filter((coreId) => this.announced.has(coreId))];
   }
 
   /** Lists the hosts that could take a voter slot, with the time since their last announcement. */
--- a/packages/gateway/src/core-host.ts
+++ b/packages/gateway/src/core-host.ts
@@ -95,7 +95,7 @@
     this.group = new coreGroups.CoreGroup({
       coreId: this.coreId,
       availabilityZone: settings.availabilityZone,
-      founders: settings.isFirstStart ? hostSettings.listSeedIds(settings) : [],
+      founders: hostSettings.listFounderIds(settings),
       voterSlotCount: 2 * settings.lossesToBear + 1,
       openFiles: () => openFolder(settings.dataFolder ?? ''),
       mesh: this.mesh,
@@ -224,6 +224,7 @@
       keyring: undefined,
       log,
       openTunnel: (req) => this.tunnels.open(req),
+      leaving: this.tunnels.leaving,
       limits: hostSettings.getPeerLimits(settings),
       onClosed: (reason) => options.metrics.count('peerConnectionsClosed', { reason }),
     });
@@ -299,6 +300,7 @@
     const { operatorService, group } = this;
     return {
       genesis: async () => group.getIdentity(),
+      found: (req) => group.handleFounding(req),
       vote: (req) => group.getVoter().handleVote(req),
       append: (req) => group.getVoter().handleAppend(req),
       snapshot: (req) => group.getVoter().handleSnapshot(req),
--- a/packages/gateway/src/core-procedures.ts
+++ b/packages/gateway/src/core-procedures.ts
@@ -293,6 +293,9 @@
   service: z.string(),
   callId: z.string(),
   hasFailed: z.boolean(),
+  /** The host, and whether an answer began, if that shows anything; not sent by hosts of the previous version. */
+  hostId: z.string().optional(),
+  hasAnswered: z.boolean().optional(),
 });
 
 /** Request for a part of a document. */
@@ -385,6 +388,8 @@
 /** Handlers of the procedures that a core host offers to peers and entry hosts. */
 export interface CoreHandlers {
   genesis(): Promise<consensus.Genesis>;
+  /** Answers a proposal for the initial voters, as a founder. */
+  found(req: consensus.FoundingReq): Promise<consensus.FoundingRes>;
   vote(req: consensus.VoteReq): Promise<consensus.VoteRes>;
   append(req: consensus.AppendReq): Promise<consensus.AppendRes>;
   snapshot(req: consensus.SnapshotReq): Promise<consensus.AppendRes>;
@@ -443,6 +448,7 @@
 export function createCoreRouter(handlers: CoreHandlers) {
   return t.router({
     genesis: t.procedure.mutation(() => handlers.genesis()),
+    found: t.procedure.input(consensus.foundingReq).mutation(({ input }) => handlers.found(input)),
     vote: t.procedure.input(consensus.voteReq).mutation(({ input }) => handlers.vote(input)),
     append: t.procedure.input(consensus.appendReq).mutation(({ input }) => handlers.append(input)),
     snapshot: t.procedure
--- a/packages/gateway/src/host-settings.ts
+++ b/packages/gateway/src/host-settings.ts
@@ -44,12 +44,20 @@
 const MAX_RELAY_CONNECTIONS = 96;
 const MAX_RELAY_SHARE = 0.1;
 
+/** Descriptors of a host for its listeners, files, connections to core hosts, and checks of upstreams. */
+const RESERVED_DESCRIPTORS = 100;
+
 /** What callers may hold on an entry host. */
 export const callerLimits = z.strictObject({
   /** Number of connections; half of the descriptors if absent. */
   connections: z.int().min(1).optional(),
   /** Number of requests of one connection that are not answered. */
   requestsPerConnection: z.int().min(1).default(32),
+  /** Memory of the heads of requests that are not answered, in bytes; beyond it, large ones are given up. */
+  headBytes: z
+    .int()
+    .min(65_536)
+    .default(16 * 1_024 * 1_024),
   /** Time for which a caller may neither finish a request nor take its answer, in milliseconds. */
   stallMs: z.int().min(1_000).default(60_000),
   /** Number of bytes held for calls, beyond which new ones are refused; unfinished bodies have three quarters of it. */
@@ -166,6 +174,7 @@
   return {
     connections: getShare(settings, MAX_OPERATOR_SHARE),
     requestsPerConnection: 16,
+    headBytes: 4 * 1_024 * 1_024,
     stallMs: 30_000,
   };
 }
@@ -185,13 +194,29 @@
   return Math.min(MAX_RELAY_CONNECTIONS, getShare(settings, MAX_RELAY_SHARE));
 }
 
+/** Returns how many connections of callers and to upstreams an entry host may have, both together. */
+export function getCallConnections(settings: HostSettings): number {
+  const { fileDescriptors = DEFAULT_DESCRIPTORS } = settings;
+  return Math.max(2, fileDescriptors - getRelayConnections(settings) - RESERVED_DESCRIPTORS);
+}
+
 function getShare({ fileDescriptors = DEFAULT_DESCRIPTORS }: HostSettings, share: number): number {
   return Math.max(1, Math.floor(fileDescriptors * share));
 }
 
 /** Lists the core hosts that the settings name as seeds. */
 export function listSeedIds(settings: HostSettings): string[] {
-  return settings.seeds.map((seed) =>
+  const ids = settings.seeds.map((seed) =>
     getCoreId(schemas.splitAddress(seed).host, settings.peerPort),
   );
+  return [...new Set(ids)];
+}
+
+/**
+ * Lists the hosts that found the log; none for a host that may only join. Seeds that are no addresses stand for hosts that
+ * never answer: without them, a majority of those that are left could found a second log.
+ */
+export function listFounderIds(settings: HostSettings): string[] {
+  const { isFirstStart, unusableSeeds = [] } = settings;
+  return isFirstStart ? [...listSeedIds(settings), ...new Set(unusableSeeds)] : [];
 }
--- a/packages/gateway/tests/membership-losses.test.ts
+++ b/packages/gateway/tests/membership-losses.test.ts
@@ -216,3 +216,21 @@
     }
   }
 }
+
+// Guards against a log that is never founded, so that no configuration is ever accepted.
+void tap.default.test('a host that is lost just after the first start is replaced', async (t) => {
+  for (const lost of ['a', 'b', 'c']) {
+    const site = new coreSites.CoreSite(1, 1);
+    const started = site.start(['a', 'b', 'c']);
+    site.kill(lost);
+    await started;
+    t.ok(site.findLeader(), `without ${lost}`);
+    site.add('d');
+    await site.clock.advance(4_000);
+    t.ok(await site.declare(), 'a configuration is accepted');
+    t.same(
+      site.listVoters(),
+      ['a', 'b', 'c', 'd'].filter((name) => name !== lost),
+    );
+  }
+});
--- a/packages/gateway/tests/support/core-site.ts
+++ b/packages/gateway/tests/support/core-site.ts
@@ -289,6 +289,7 @@
     });
     const get = (to: string) => ({
       genesis: call(to, ({ group }) => group.getIdentity()),
+      found: call(to, ({ group }, req: consensus.FoundingReq) => group.handleFounding(req)),
       vote: call(to, ({ group }, req: consensus.VoteReq) => group.getVoter().handleVote(req)),
       append: call(to, ({ group }, req: consensus.AppendReq) => group.getVoter().handleAppend(req)),
       snapshot: call(to, ({ group }, req: consensus.SnapshotReq) =>
--- a/packages/schemas/src/clock.ts
+++ b/packages/schemas/src/clock.ts
@@ -30,10 +30,12 @@
         clearTimeout(timer);
         reject(signal?.reason as Error);
       };
-      const timer = setTimeout(() => {
+      const wake = () => {
         signal?.removeEventListener('abort', onAbort);
         resolve();
-      }, boundTimerMs(ms));
+      };
+      // After a long task, timers run before what has arrived meanwhile, and a host would act on silence that there was not.
+      const timer = setTimeout(() => setImmediate(wake), boundTimerMs(ms));
       signal?.addEventListener('abort', onAbort, { once: true });
     });
   }
--- a/packages/schemas/src/daemon-config.ts
+++ b/packages/schemas/src/daemon-config.ts
@@ -24,6 +24,8 @@
   peerConnections: z.int().min(16).default(768),
   /** Requests of one connection that are not answered. */
   requestsPerConnection: z.int().min(1).default(32),
+  /** Memory of the heads of requests that are not answered, in bytes; beyond it, large ones are given up. */
+  headBytes: z.int().min(65_536).default(16_777_216),
   /** Time for which a caller may neither finish a request nor take its answer, in milliseconds. */
   stallMs: z.int().min(1_000).default(60_000),
   /** Bytes held for calls, beyond which new ones are refused; unfinished bodies have three quarters of it. */
@@ -35,6 +37,8 @@
   bodyTimeoutMs: z.int().min(100).default(10_000),
   queueMs: z.int().min(100).default(60_000),
   callerGraceMs: z.int().min(0).default(15_000),
+  /** Maximum duration of a planned stop, in milliseconds. */
+  stopMs: z.int().min(4_000).max(86_400_000).default(3_600_000),
   upstreamSilenceMs: z.int().min(50).default(5_000),
   upstreamConnectMs: z.int().min(50).default(1_000),
 });
