--- a/packages/requests/src/answer-body.ts
+++ b/packages/requests/src/answer-body.ts
@@ -1,3 +1,5 @@
+import * as paths from '@bramleyridge/paths';
+
 import type * as upstreamClients from './upstream-client.js';
 import * as upstreamErrors from './upstream-error.js';
 
@@ -7,9 +9,6 @@
 /** The content type of streams of events. */
 const EVENTS_TYPE = 'text/event-stream';
 
-/** The transfer codings of a body whose end is marked: the last of them is the chunked one. */
-const CHUNKED_LAST = /(?:^|,)\s*chunked\s*$/i;
-
 /** The body of a response as far as it was read, and whether that is all of it. */
 export interface AnswerBody {
   readonly bytes: Buffer;
@@ -47,10 +46,16 @@
   }
 }
 
-/** Yields a response body as it arrives; throws if a stream of events ends inside an event. */
+/** What a response body is expected to hold. */
+export type AnswerContent = 'bytes' | 'events' | 'more-events';
+
+/**
+ * Yields a response body as it arrives; throws if a stream of events ends inside an event, or before the first one. One
+ * that goes on after what may have been the last event (`more-events`) may have none, if HTTP marks its end.
+ */
 export async function* relayAnswer(
   answer: upstreamClients.UpstreamAnswer,
-  isStream: boolean,
+  content: AnswerContent,
   peer: string,
 ): AsyncGenerator<Buffer> {
   let last = Buffer.alloc(0);
@@ -66,7 +71,10 @@
   } catch (err) {
     throw upstreamErrors.createUpstreamError(err, 'relay-answer', peer);
   }
-  checkEventsEnd(answer, last, isStream, peer);
+  const mayBeEmpty = content === 'more-events' && hasMarkedEnd(answer);
+  if (last.length > 0 || !mayBeEmpty) {
+    checkEventsEnd(answer, last, content !== 'bytes', peer);
+  }
 }
 
 /**
@@ -81,7 +89,7 @@
   peer: string,
 ): void {
   const type = String(answer.headers['content-type'] ?? '');
-  const isBody = bytes.length > 0 && hasNoLength(answer);
+  const isBody = bytes.length > 0 && !hasMarkedEnd(answer);
   const isEvents = isStream || (isBody && type.startsWith(EVENTS_TYPE));
   if (isEvents && !bytes.subarray(-2).equals(Buffer.from([LINE_FEED, LINE_FEED]))) {
     throw new upstreamErrors.UpstreamError('lost', 'read-events', peer);
@@ -93,7 +101,7 @@
   const part = await readNext(answer);
   // The HTTP library treats a reset as the end of a response without a length, so a truncated one would look complete.
   // The reset may belong to another connection to the same upstream; a complete response is then discarded.
-  if (part === undefined && hasNoLength(answer)) {
+  if (part === undefined && !hasMarkedEnd(answer)) {
     // A reset is reported one turn of the event loop after the end.
     await new Promise((resolve) => {
       setImmediate(resolve);
@@ -105,10 +113,12 @@
   return part;
 }
 
-/** Returns whether the end of a body is that of its connection, as it also is with other codings than the chunked one. */
-function hasNoLength({ headers }: upstreamClients.UpstreamAnswer): boolean {
-  const isChunked = CHUNKED_LAST.test(String(headers['transfer-encoding'] ?? ''));
-  return headers['content-length'] === undefined && !isChunked;
+/**
+ * Returns whether HTTP marks the end of a body, by a length or chunks. Otherwise it ends with its connection, as it also
+ * does with other codings than the chunked one.
+ */
+export function hasMarkedEnd({ headers }: upstreamClients.AnswerHead): boolean {
+  return paths.isEndMarked(headers);
 }
 
 function readNext({ body }: upstreamClients.UpstreamAnswer): Promise<Buffer | undefined> {
--- a/packages/requests/src/drain.ts
+++ b/packages/requests/src/drain.ts
@@ -1,5 +1,8 @@
 import * as schemas from '@bramleyridge/schemas';
 
+/** Shortest wait, in milliseconds; a timer may fire a little early. */
+const MIN_WAIT_MS = 1;
+
 /** Counts the running requests of this daemon, so that a planned stop can wait for all of them. */
 export class Drain {
   private readonly changed = new schemas.ChangeSignal();
@@ -38,8 +41,8 @@
   }
 
   /**
-   * Resolves when no request has run for `quietMs`. The wait has no time limit: a spot log may take an hour, and
-   * ending it early would break the guarantee that a planned stop interrupts no request.
+   * Resolves when no request has run for `quietMs`. The wait has no time limit; whoever ends it early answers what still
+   * runs.
    */
   public async waitIdle(quietMs: number): Promise<void> {
     let idleSince = this.clock.now();
@@ -47,7 +50,8 @@
       if (this.active > 0) {
         idleSince = this.clock.now();
       }
-      await this.changed.wait(this.clock, quietMs);
+      const idleMs = this.clock.now() - idleSince;
+      await this.changed.wait(this.clock, Math.max(MIN_WAIT_MS, quietMs - idleMs));
       if (this.active > 0) {
         idleSince = this.clock.now();
       }
--- a/packages/requests/src/engine-client.ts
+++ b/packages/requests/src/engine-client.ts
@@ -6,6 +6,7 @@
 import type * as undici from 'undici';
 
 import * as boundedBodies from './bounded-body.js';
+import * as timeLimits from './time-limit.js';
 import * as upstreamErrors from './upstream-error.js';
 import * as upstreamTargets from './upstream-target.js';
 import type * as upstreamGates from './upstream-gate.js';
@@ -148,6 +149,11 @@
     throw new upstreamErrors.UpstreamError(kind, 'resume', upstream.upstreamId);
   }
 
+  /** Records that a stream of an engine has stopped without an end, which may be due to the path. */
+  public recordStopped(upstream: schemas.Upstream): void {
+    this.links.recordStopped(upstreamTargets.createTarget(upstream).address);
+  }
+
   /** Returns the name of the process of an engine that answered last; undefined if it is not known. */
   public getProcess(upstreamId: string): string | undefined {
     return this.processes.get(upstreamId);
@@ -159,25 +165,25 @@
     generation: string,
     place?: paths.PlaceRule,
   ): Promise<CancelAnswer> {
-    const res = await this.request('cancel', upstream, {
-      path: `/v1/generations/${generation}`,
-      method: 'DELETE',
-      signal: AbortSignal.timeout(this.options.answerMs),
-      isFresh: true,
-      place,
+    return timeLimits.withTimeLimit(this.options.answerMs, async (signal) => {
+      const res = await this.request('cancel', upstream, {
+        path: `/v1/generations/${generation}`,
+        method: 'DELETE',
+        signal,
+        isFresh: true,
+        place,
+      });
+      const answer = (await this.readJson('cancel', upstream, res)) as CancelAnswer;
+      return { ...answer, process: readProcess(res.headers) };
     });
-    const answer = (await this.readJson('cancel', upstream, res)) as CancelAnswer;
-    return { ...answer, process: readProcess(res.headers) };
   }
 
   /** Reads a JSON document, such as the load report. */
   public async getJson(upstream: schemas.Upstream, path: string): Promise<unknown> {
-    const res = await this.request('report', upstream, {
-      path,
-      method: 'GET',
-      signal: AbortSignal.timeout(this.options.answerMs),
+    return timeLimits.withTimeLimit(this.options.answerMs, async (signal) => {
+      const res = await this.request('report', upstream, { path, method: 'GET', signal });
+      return this.readJson('report', upstream, res);
     });
-    return this.readJson('report', upstream, res);
   }
 
   /** Sends an order and returns the status of the response. */
@@ -186,15 +192,17 @@
     order: schemas.Order,
     deadlineMs: number,
   ): Promise<number> {
-    const res = await this.request('order', upstream, {
-      path: '/orders',
-      method: 'POST',
-      body: JSON.stringify(order),
-      headers: { 'content-type': 'application/json' },
-      signal: AbortSignal.timeout(deadlineMs),
+    return timeLimits.withTimeLimit(deadlineMs, async (signal) => {
+      const res = await this.request('order', upstream, {
+        path: '/orders',
+        method: 'POST',
+        body: JSON.stringify(order),
+        headers: { 'content-type': 'application/json' },
+        signal,
+      });
+      await this.dump(res);
+      return res.statusCode;
     });
-    await this.dump(res);
-    return res.statusCode;
   }
 
   /** Closes all connections. */
--- a/packages/requests/src/event-buffer.ts
+++ b/packages/requests/src/event-buffer.ts
@@ -6,6 +6,12 @@
 /** The largest event, and the most bytes that may come between two events, in bytes. */
 export const MAX_EVENT_BYTES = 1024 * 1024;
 
+/**
+ * The most parts in which an event may arrive, with what comes between two events. Each costs processor time however small
+ * it is, so that an event in chunks of one byte would take as much as thousands of usual ones.
+ */
+export const MAX_EVENT_PARTS = 65_536;
+
 /**
  * Holds the part of an event that has arrived. Parts are copied into one buffer that grows by doubling: they may be of
  * one byte each, and joining them one by one would take time by the square of their number.
--- a/packages/requests/src/generation-event-splitter.ts
+++ b/packages/requests/src/generation-event-splitter.ts
@@ -1,6 +1,6 @@
 import * as eventBuffers from './event-buffer.js';
 
-const { EVENT_END, MAX_EVENT_BYTES } = eventBuffers;
+const { EVENT_END, MAX_EVENT_BYTES, MAX_EVENT_PARTS } = eventBuffers;
 const DONE = Buffer.from('data: [DONE]');
 const ERROR = Buffer.from('data: {"error"');
 const LINE_FEED = 0x0a;
@@ -28,6 +28,8 @@
   private readonly pending = new eventBuffers.EventBuffer();
   /** Bytes of comments and repeats since the last event. */
   private skippedBytes = 0;
+  /** Number of parts that have arrived since the last event. */
+  private parts = 0;
   private readonly prefix: Buffer;
 
   public constructor(
@@ -46,10 +48,12 @@
   public restart(): void {
     this.pending.keep(Buffer.alloc(0));
     this.skippedBytes = 0;
+    this.parts = 0;
   }
 
-  /** Adds bytes and returns the completed events; stops at the end of the stream, at an error and at a gap. */
+  /** Adds a part and returns the completed events; stops at the end of the stream, at an error and at a gap. */
   public push(chunk: Buffer): SplitEvents {
+    this.parts += 1;
     const all = this.pending.append(chunk) ?? Buffer.alloc(0);
     const bytes: Buffer[] = [];
     const first = this.nextOffset;
@@ -71,6 +75,7 @@
       } else {
         this.nextOffset += 1;
         this.skippedBytes = 0;
+        this.parts = 0;
       }
       at = end + EVENT_END.length;
     }
@@ -78,7 +83,8 @@
     if (at > 0) {
       this.pending.keep(all.subarray(at));
     }
-    const isCorrupt = this.skippedBytes + this.pending.getSize() > MAX_EVENT_BYTES;
+    const isTooLarge = this.skippedBytes + this.pending.getSize() > MAX_EVENT_BYTES;
+    const isCorrupt = isTooLarge || this.parts > MAX_EVENT_PARTS;
     return {
       bytes,
       count: this.nextOffset - first,
--- a/packages/requests/src/http-io.ts
+++ b/packages/requests/src/http-io.ts
@@ -179,7 +179,7 @@
 /**
  * Sends a refusal. If the request body has not been read to its end, also closes the connection, unless the rest of
  * the body may be read and discarded (`mayReadRest`). Closing a connection with unread bytes resets it, and the
- * caller may not receive the refusal.
+ * caller may not receive the refusal. While the refusal waits for the answers to earlier requests, the body is discarded.
  */
 export function sendRefusal(
   req: http.IncomingMessage,
@@ -195,10 +195,21 @@
   if (location !== undefined) {
     headers.location = location;
   }
+  const isQueued = res.socket === null;
+  if (isQueued) {
+    req.resume();
+  }
   if (!req.complete && !mayReadRest) {
-    // The rest of the body must neither be parsed as the next request nor be received.
-    headers.connection = 'close';
-    res.once('finish', () => req.socket.destroySoon());
+    // The rest of the body must neither be parsed as the next request nor be received. The body of a refusal that waits may
+    // end before its turn, and requests that follow are answered.
+    if (!isQueued) {
+      headers.connection = 'close';
+    }
+    res.once('finish', () => {
+      if (!isQueued || !req.complete) {
+        req.socket.destroySoon();
+      }
+    });
   }
   sendJson(res, status, refusal.toJson(), headers);
 }
--- a/packages/requests/src/relay-generation.ts
+++ b/packages/requests/src/relay-generation.ts
@@ -6,6 +6,7 @@
 import * as chunkReaders from './chunk-reader.js';
 import type * as engineClients from './engine-client.js';
 import * as generationEventSplitters from './generation-event-splitter.js';
+import * as silenceTimers from './silence-timer.js';
 import * as upstreamErrors from './upstream-error.js';
 
 /** A connection error after this many consecutive failures without a new event ends the generation as incomplete. */
@@ -109,15 +110,13 @@
   // so a longer silence than the limit means that this connection is dead.
   // Bytes that never complete an event are silence, too. A caller that reads slowly is none.
   let isDelivering = false;
-  const watchdog = setTimeout(() => {
-    if (isDelivering) {
-      watchdog.refresh();
-    } else {
-      body.destroy(
-        new upstreamErrors.UpstreamError('lost', 'silence', options.upstream.upstreamId),
-      );
+  const watchdog = new silenceTimers.SilenceTimer(options.silenceMs, () => {
+    if (!isDelivering) {
+      const { engines, upstream } = options;
+      engines.recordStopped(upstream);
+      body.destroy(new upstreamErrors.UpstreamError('lost', 'silence', upstream.upstreamId));
     }
-  }, options.silenceMs);
+  });
   const chunks = new chunkReaders.ChunkReader(body);
   try {
     for (;;) {
@@ -135,7 +134,7 @@
       }
       isDelivering = false;
       if (events.isAlive) {
-        watchdog.refresh();
+        watchdog.recordHeard();
       }
       if (events.isDone) {
         return { outcome: 'complete', next: splitter.getNextOffset() };
@@ -148,7 +147,7 @@
       }
     }
   } finally {
-    clearTimeout(watchdog);
+    watchdog.end();
     body.destroy();
   }
 }
--- a/packages/requests/src/sse-event-splitter.ts
+++ b/packages/requests/src/sse-event-splitter.ts
@@ -1,6 +1,6 @@
 import * as eventBuffers from './event-buffer.js';
 
-const { EVENT_END, MAX_EVENT_BYTES } = eventBuffers;
+const { EVENT_END, MAX_EVENT_BYTES, MAX_EVENT_PARTS } = eventBuffers;
 
 /** The line with the identifier of an event. */
 const ID_LINE = /^id: ?(.*)$/m;
@@ -28,25 +28,33 @@
   private lastId: string | undefined;
   /** Bytes of comments and repeats since the last event. */
   private skippedBytes = 0;
+  /** Number of parts that have arrived since the last event. */
+  private parts = 0;
 
   /** Returns the identifier of the last event that was returned by `push`. */
   public getLastId(): string | undefined {
     return this.lastId;
   }
 
-  /** Returns whether more bytes have come without an event than a sound stream has. */
+  /** Returns whether more bytes have come without an event than a sound stream has, or in more parts. */
   public isCorrupt(): boolean {
-    return this.skippedBytes + this.pending.getSize() > MAX_EVENT_BYTES;
+    const isTooLarge = this.skippedBytes + this.pending.getSize() > MAX_EVENT_BYTES;
+    return isTooLarge || this.parts > MAX_EVENT_PARTS;
   }
 
   /** Discards a partial event, because a new connection starts with the complete one. */
   public restart(): void {
     this.pending.keep(Buffer.alloc(0));
     this.skippedBytes = 0;
+    this.parts = 0;
   }
 
-  /** Adds bytes and returns the events that are now complete, without those that were returned before. */
-  public push(chunk: Buffer): Buffer {
+  /**
+   * Adds bytes, which may have arrived in several parts, and returns the events that are now complete, without those that
+   * were returned before.
+   */
+  public push(chunk: Buffer, parts = 1): Buffer {
+    this.parts += parts;
     const all = this.pending.append(chunk);
     if (all === undefined) {
       return Buffer.alloc(0);
@@ -79,6 +87,7 @@
       return !isRepeat;
     }
     this.skippedBytes = 0;
+    this.parts = 0;
     this.lastId = id ?? this.lastId;
     return true;
   }
--- a/packages/requests/src/upstream-client.ts
+++ b/packages/requests/src/upstream-client.ts
@@ -42,6 +42,10 @@
   readonly body: stream.Readable;
   /** Returns whether a connection to the upstream's address was reset since the call was sent. */
   readonly wasReset: () => boolean;
+  /** Records that its body has stopped without an end, which may be due to the path. */
+  readonly recordStopped: () => void;
+  /** Returns the number of parts in which its body has arrived; `undefined` if it is not known. */
+  readonly countParts?: (() => number) | undefined;
 }
 
 /**
@@ -102,6 +106,7 @@
       this.checkHead(target, answer, classify);
       if (singleUseClient !== undefined) {
         answer.body.once('close', () => destroyClient(singleUseClient));
+        return { ...answer, countParts: () => singleUseClient.countParts() };
       }
       return answer;
     } catch (err) {
@@ -110,6 +115,11 @@
     }
   }
 
+  /** Returns whether this host has no room for another connection to an upstream. */
+  public isFull(): boolean {
+    return this.links.isFull();
+  }
+
   /** Closes all connections. */
   public async close(): Promise<void> {
     await this.links.close();
@@ -139,7 +149,9 @@
       tracked.begin();
       res.body.once('close', tracked.end);
       const wasReset = () => links.resets.count(target.address) !== resetsBefore;
-      return { status: res.statusCode, headers: res.headers, body: res.body, wasReset };
+      const recordStopped = () => links.recordStopped(target.address);
+      const { body, headers, statusCode: status } = res;
+      return { status, headers, body, wasReset, recordStopped };
     } catch (err) {
       tracked.end();
       throw err;
--- a/packages/requests/src/upstream-error.ts
+++ b/packages/requests/src/upstream-error.ts
@@ -4,7 +4,7 @@
 /**
  * What is certain about a failed call: `unreachable` and `refused` calls did not run, `lost` ones may have run, and
  * after `gone` the process or the generation that was addressed no longer exists. A `withheld` call was not sent, since
- * the upstream takes no more calls now or the call can't be written as an HTTP request.
+ * the upstream takes no more calls now, this host no more connections, or the call can't be written as an HTTP request.
  */
 export type FailureKind = 'unreachable' | 'refused' | 'lost' | 'gone' | 'withheld';
 
@@ -45,6 +45,16 @@
     });
   }
 
+  /**
+   * Returns whether the upstream answered a call that failed before its answer began; `undefined` if the failure shows
+   * nothing about it, since nothing was sent or only this host has lost its path.
+   */
+  public hasAnswer(): boolean | undefined {
+    const isUnanswered = this.kind === 'unreachable' || this.kind === 'lost';
+    const isPathFailure = this.cause() instanceof paths.PathBlockedError;
+    return this.kind === 'refused' || (isUnanswered && !isPathFailure ? false : undefined);
+  }
+
   /**
    * Returns whether the address refused the connection: the upstream's process has ended, and with it all its runs.
    */
@@ -62,7 +72,7 @@
 }
 
 function getFailureKind(err: unknown): FailureKind {
-  if (isUnsendable(err)) {
+  if (isUnsendable(err) || err instanceof paths.ConnectionLimitError || isUnsentByPath(err)) {
     return 'withheld';
   }
   return isConnectFailure(err) ? 'unreachable' : 'lost';
@@ -72,6 +82,11 @@
   return getCode(err) === UNSENDABLE_CODE;
 }
 
+/** Returns whether a call was given up before it was sent, since its path was found to be blocked. */
+function isUnsentByPath(err: unknown): boolean {
+  return err instanceof paths.PathBlockedError && paths.isConnectFailure(err);
+}
+
 /**
  * Returns whether the connection was never established. A host may also become unreachable during a call, with the
  * same error codes but from another system call than `connect`.
--- a/packages/requests/tests/generation-event-splitter.test.ts
+++ b/packages/requests/tests/generation-event-splitter.test.ts
@@ -78,3 +78,16 @@
     });
   },
 );
+
+// Guards against an event in chunks of one byte, each of which costs processor time.
+void tap.default.test('a generation with an event in too many parts is corrupt', async (t) => {
+  const MOST = 65_536;
+  const splitter = new requests.GenerationEventSplitter('g', 0);
+  const part = Buffer.from('x');
+  t.notOk(splitter.push(Buffer.from(createEvent(0))).hasGap);
+  const early = Array.from({ length: MOST }, () => splitter.push(part).hasGap);
+  t.notOk(early.includes(true), 'as many as allowed');
+  t.ok(splitter.push(part).hasGap, 'one more');
+  splitter.restart();
+  t.notOk(splitter.push(part).hasGap, 'a new connection begins anew');
+});
--- a/packages/requests/tests/relay-generation.test.ts
+++ b/packages/requests/tests/relay-generation.test.ts
@@ -1,3 +1,6 @@
+import * as http from 'node:http';
+import type * as net from 'node:net';
+
 import * as fakes from '@bramleyridge/fakes';
 import * as requests from '@bramleyridge/requests';
 import * as schemas from '@bramleyridge/schemas';
@@ -183,3 +186,51 @@
     t.equal(fixture.engine.streams, 2, 'the first stream and one resumed stream');
   },
 );
+
+/** Keeps this process busy. */
+function block(ms: number): void {
+  const end = performance.now() + ms;
+  while (performance.now() < end);
+}
+
+// Guards against a connection that is replaced since this process was busy while its events arrived.
+void tap.default.test('events that arrived while the process was busy count', async (t) => {
+  const fixture = await setUp(t);
+  const silenceMs = 300;
+  const server = http.createServer((_req, res) => {
+    res.write('id: g5:0\ndata: {"choices":[{"text":"a"}]}\n\n');
+    const sendBusily = () => {
+      res.write('id: g5:1\ndata: {"choices":[{"text":"b","finish_reason":"stop"}]}\n\n');
+      process.nextTick(() => block(silenceMs));
+      setTimeout(() => res.end('data: [DONE]\n\n'), 1.5 * silenceMs);
+    };
+    // The next timers are due after it, and before the next read.
+    setTimeout(() => setImmediate(sendBusily), silenceMs / 2);
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  t.teardown(() => server.close());
+  const { port } = server.address() as net.AddressInfo;
+  const body = await new Promise<http.IncomingMessage>((resolve, reject) => {
+    http.get({ host: '127.0.0.1', port, agent: false }, resolve).on('error', reject);
+  });
+  const events = requests.relayGeneration(
+    {
+      ...fixture,
+      generation: 'g5',
+      from: 0,
+      silenceMs,
+      clock: new schemas.SystemClock(),
+      log: new schemas.SilentLog(),
+      onProgress: () => {},
+      onLost: () => t.fail('the connection counts as lost'),
+    },
+    body,
+  );
+  let step = await events.next();
+  while (!step.done) {
+    step = await events.next();
+  }
+  t.same([step.value.outcome, step.value.next], ['complete', 2]);
+});
--- a/packages/requests/tests/sse-event-splitter.test.ts
+++ b/packages/requests/tests/sse-event-splitter.test.ts
@@ -44,3 +44,18 @@
   t.equal(count('id: 1\ndata: a\n\n'), 1);
   t.equal(count('id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda'), 2);
 });
+
+// Guards against an event in chunks of one byte, each of which costs processor time.
+void tap.default.test('an event in too many parts is corrupt', async (t) => {
+  const MOST = 65_536;
+  const event = 'id: 1\ndata: a\n\n';
+  const splitter = new requests.SseEventSplitter();
+  splitter.push(Buffer.from(`${event}id: 2\n`), MOST + 1);
+  t.notOk(splitter.isCorrupt(), 'those that completed an event don’t count');
+  splitter.push(Buffer.from('data'), MOST);
+  t.notOk(splitter.isCorrupt(), 'as many as allowed');
+  splitter.push(Buffer.from('x'));
+  t.ok(splitter.isCorrupt(), 'one more');
+  splitter.restart();
+  t.notOk(splitter.isCorrupt(), 'a new connection begins anew');
+});
--- a/packages/requests/tests/upstream-client.test.ts
+++ b/packages/requests/tests/upstream-client.test.ts
@@ -224,7 +224,7 @@
     const answer = await createClient(t).open(target, createCall(false), createClassifier('r1'));
     const read = (async () => {
       let all = '';
-      for await (const part of requests.relayAnswer(answer, true, 'u1')) {
+      for await (const part of requests.relayAnswer(answer, 'events', 'u1')) {
         all += part.toString();
       }
       return all;
