--- a/packages/members/src/zone-view.ts
+++ b/packages/members/src/zone-view.ts
@@ -44,6 +44,11 @@
       this.upstreams =
         this.upstreams.length > 0 ? this.upstreams : this.receivedDirectory.upstreams;
     }
+    if (!isRelay && this.relaying && this.hasList) {
+      this.refresh();
+      // Until the next relay answers; hosts that still ask this one would lose their upstreams with it.
+      this.receivedDirectory = this.ownDirectory;
+    }
     this.relaying = isRelay;
     this.refresh();
   }
--- a/packages/paths/src/framing-meter.ts
+++ b/packages/paths/src/framing-meter.ts
@@ -28,6 +28,12 @@
 export class FramingMeter {
   private socket: net.Socket | undefined;
   private bytesAtPart = 0;
+  private parts = 0;
+
+  /** Number of parts of answers that the connection has brought. */
+  public get partCount(): number {
+    return this.parts;
+  }
 
   /** Returns a connector that notes its connection. */
   public meterConnector(
@@ -54,6 +60,11 @@
     });
   }
 
+  /** Closes the connection. An error would also fail the calls that wait for it, which go on over a new one. */
+  public close(): void {
+    this.socket?.destroy();
+  }
+
   /** Returns a handler that notes the parts of an answer before it passes them on. */
   public meterAnswer(
     handler: undici.Dispatcher.DispatchHandler,
@@ -67,6 +78,7 @@
         return onHeaders?.call(handler, status, ...rest) ?? true;
       },
       onData: (part: Buffer) => {
+        this.parts += 1;
         this.notePart();
         return onData?.call(handler, part) ?? true;
       },
--- a/packages/paths/src/index.ts
+++ b/packages/paths/src/index.ts
@@ -1,8 +1,12 @@
 /** How a host reaches upstreams: its own connections, and those through other hosts. */
+export * from './answer-end.js';
+export * from './answer-head.js';
 export * from './bounded-client.js';
+export * from './connection-limit.js';
 export * from './create-connector.js';
 export * from './connect-failure.js';
 export * from './create-own-links.js';
+export * from './leaving-tunnel.js';
 export * from './metered-dialer.js';
 export * from './open-tunnels.js';
 export * from './path-connector.js';
@@ -12,6 +16,7 @@
 export * from './relay-pool.js';
 export * from './reset-monitor.js';
 export * from './silence-watch.js';
+export * from './tracked-calls.js';
 export * from './tunnel-service.js';
 export * from './upstream-dialer.js';
 export * from './upstream-links.js';
--- a/packages/paths/src/open-tunnels.ts
+++ b/packages/paths/src/open-tunnels.ts
@@ -3,8 +3,9 @@
 import * as peers from '@bramleyridge/peers';
 import * as schemas from '@bramleyridge/schemas';
 
+import type * as connectionLimits from './connection-limit.js';
 import * as firstSuccess from './first-success.js';
-import type * as relayCandidates from './relay-candidate.js';
+import * as relayCandidates from './relay-candidate.js';
 import type * as relayPools from './relay-pool.js';
 
 /** Time after which the next relay is tried beside one that has not answered, in milliseconds. */
@@ -47,32 +48,52 @@
   }
 }
 
+type TunnelTarget = Pick<peers.TunnelRequest, 'address' | 'isCheck'>;
+
 /** Opens connections to upstreams through other hosts. */
 export class TunnelOpener {
   public constructor(
     private readonly pool: relayPools.RelayPool,
     private readonly openThrough: OpenThrough,
+    private readonly limit: connectionLimits.ConnectionLimit,
     private readonly clock: schemas.Clock,
     private readonly record: (result: string) => void,
   ) {}
 
-  /** Lists functions that open a connection each through another relay; each records whether its relay could help. */
+  /**
+   * Lists functions that open a connection each through another relay, for checks, which the limit does not hold up; each
+   * records whether its relay could help.
+   */
   public listAttempts(
     address: string,
     place: relayCandidates.PlaceRule,
   ): { readonly relay: string; readonly open: () => Promise<stream.Duplex> }[] {
     return this.pool.rank(place).map((relay) => ({
       relay: relay.address,
-      open: () => this.openAt(relay, address, () => {}),
+      open: () => this.openAt(relay, { address, isCheck: true }, () => {}),
     }));
   }
 
   /** Opens a connection through the first of several relays that reaches the upstream. */
-  public async open(address: string, place: relayCandidates.PlaceRule): Promise<stream.Duplex> {
+  public open(address: string, place: relayCandidates.PlaceRule): Promise<stream.Duplex> {
+    return this.openFirst({ address, isCheck: false }, place, (open) => this.limit.open(open));
+  }
+
+  /** Does the same for a check, which the limit does not hold up: a host without room may be cut off as well. */
+  public openForCheck(address: string): Promise<stream.Duplex> {
+    return this.openFirst({ address, isCheck: true }, relayCandidates.ANY_PLACE, (open) => open());
+  }
+
+  private async openFirst(
+    target: TunnelTarget,
+    place: relayCandidates.PlaceRule,
+    limit: (open: () => Promise<stream.Duplex>) => Promise<stream.Duplex>,
+  ): Promise<stream.Duplex> {
     const results: string[] = [];
-    const attempts = this.pool
-      .rank(place)
-      .map((relay) => () => this.openAt(relay, address, (result) => results.push(result)));
+    const attempts = this.pool.rank(place).map((relay) => () => {
+      const note = (result: string) => results.push(result);
+      return limit(() => this.openAt(relay, target, note));
+    });
     try {
       return await firstSuccess.getFirstSuccess(attempts, STAGGER_MS, this.clock, (socket) =>
         socket.destroy(),
@@ -84,13 +105,13 @@
 
   private async openAt(
     relay: relayCandidates.RelayCandidate,
-    address: string,
+    target: TunnelTarget,
     note: (result: string) => void,
   ): Promise<stream.Duplex> {
     try {
-      const req = { address, connectMs: RELAY_CONNECT_MS };
+      const req = { ...target, connectMs: RELAY_CONNECT_MS };
       const socket = await this.openThrough(relay, req, ANSWER_TIMEOUT_MS);
-      const close = this.pool.recordOpened(relay.address);
+      const close = this.pool.recordOpened(relay.address, target);
       // An error without a listener would end the process.
       socket.on('error', () => {});
       socket.once('close', close);
--- a/packages/paths/src/path-connector.ts
+++ b/packages/paths/src/path-connector.ts
@@ -2,6 +2,7 @@
 
 import type * as schemas from '@bramleyridge/schemas';
 
+import * as connectionLimits from './connection-limit.js';
 import * as firstSuccess from './first-success.js';
 import type * as openTunnels from './open-tunnels.js';
 import type * as pathStates from './path-state.js';
@@ -20,6 +21,7 @@
   readonly tunnels: openTunnels.TunnelOpener;
   readonly state: pathStates.PathState;
   readonly connectMs: number;
+  readonly limit: connectionLimits.ConnectionLimit;
   readonly clock: schemas.Clock;
   /** Called with each connection of this host's own. */
   readonly onDirect: (address: string, socket: stream.Duplex) => void;
@@ -31,20 +33,27 @@
 
   /**
    * Opens a connection; rejects with the error of this host's own connect if no path works. Nothing is sent before, so
-   * a failure proves that the call has not run.
+   * a failure proves that the call has not run. Throws a `ConnectionLimitError` if there is no room for it.
    */
   public async connect(address: string, place: relayCandidates.PlaceRule): Promise<stream.Duplex> {
-    const { clock, state, tunnels } = this.options;
+    const { clock, limit, state, tunnels } = this.options;
     if (state.choose(address) === 'relayed') {
       // This host's own connection might be accepted and then be silent.
-      return tunnels.open(address, place).catch(() => this.dial(address));
+      return tunnels.open(address, place).catch(() => limit.open(() => this.dial(address)));
+    }
+    if (limit.isFull()) {
+      throw new connectionLimits.ConnectionLimitError();
     }
     let own: Promise<stream.Duplex> | undefined;
     const dial = () => {
-      own = this.dial(address);
+      own = limit.open(() => this.dial(address));
       return own;
     };
     const tunnel = async () => {
+      // Without room for a second connection, it has to wait until the first has failed.
+      if (!limit.hasSpare() && (await isOpened(own))) {
+        throw new connectionLimits.ConnectionLimitError();
+      }
       const socket = await tunnels.open(address, place);
       if (own !== undefined) {
         this.compare(address, own);
@@ -63,13 +72,27 @@
   /** Opens a connection of this host's own. */
   public async dial(address: string): Promise<stream.Duplex> {
     const { connectMs, dialer, onDirect } = this.options;
-    const socket = await dialer.dial(address, connectMs);
+    const socket = await dialer.dial(address, connectMs).catch((err: unknown) => {
+      throw connectionLimits.toLimitError(err);
+    });
     onDirect(address, socket);
     return socket;
   }
 
   /** Records a path as blocked if this host's own connect fails where another host's has succeeded. */
   private compare(address: string, own: Promise<stream.Duplex>): void {
-    own.catch(() => this.options.state.recordBlocked(address, 'connect'));
+    own.catch((err: unknown) => {
+      if (!(err instanceof connectionLimits.ConnectionLimitError)) {
+        this.options.state.recordBlocked(address, 'connect');
+      }
+    });
   }
 }
+
+/** Returns whether a connection of this host's own was opened. */
+function isOpened(own: Promise<stream.Duplex> | undefined): Promise<boolean> {
+  return Promise.resolve(own).then(
+    () => true,
+    () => false,
+  );
+}
--- a/packages/paths/src/path-state.ts
+++ b/packages/paths/src/path-state.ts
@@ -48,9 +48,9 @@
     return [...this.blockedSince.keys()];
   }
 
-  /** Records that bytes of an upstream have arrived on a connection of this host. */
-  public recordReached(): void {
-    this.reachedAt = this.clock.now();
+  /** Records that bytes of an upstream had arrived on a connection of this host at a time, now by default. */
+  public recordReached(at = this.clock.now()): void {
+    this.reachedAt = Math.max(this.reachedAt, at);
   }
 
   /** Records that another host has reached an upstream that this host could not reach. */
--- a/packages/paths/src/relay-pool.ts
+++ b/packages/paths/src/relay-pool.ts
@@ -10,9 +10,16 @@
 const MAX_HOSTS = 3;
 const MAX_RESERVES = 2;
 
+/** A tunnel that a relay has opened to an upstream. */
+export interface OpenedTunnel {
+  readonly address: string;
+  /** Whether it is for a check, and not for calls. */
+  readonly isCheck?: boolean | undefined;
+}
+
 interface RelayState {
-  /** Number of tunnels that this host has open through it. */
-  open: number;
+  /** Upstreams to which this host has tunnels open through it, each once for each tunnel. */
+  readonly upstreams: string[];
   failures: number;
   restsUntil: number;
 }
@@ -58,17 +65,35 @@
       .map(({ candidate }) => candidate);
   }
 
-  /** Records that a relay has opened a tunnel; the returned function records its end. */
-  public recordOpened(address: string): () => void {
+  /**
+   * Records that a relay has opened a tunnel to an upstream; the returned function records its end. One for a check does
+   * not show that the relay has room for calls.
+   */
+  public recordOpened(
+    address: string,
+    { address: upstream, isCheck = false }: OpenedTunnel,
+  ): () => void {
     const state = this.getState(address);
-    state.open += 1;
-    state.failures = 0;
-    state.restsUntil = -Infinity;
+    state.upstreams.push(upstream);
+    if (!isCheck) {
+      state.failures = 0;
+      state.restsUntil = -Infinity;
+    }
     return () => {
-      state.open -= 1;
+      state.upstreams.splice(state.upstreams.indexOf(upstream), 1);
     };
   }
 
+  /**
+   * Records that an answer has stopped that came through another host. The relay may have lost its own path: it is passed
+   * over for a while, since what goes on can't be sent again over another one.
+   */
+  public recordStopped(upstream: string): void {
+    [...this.states]
+      .filter(([, { upstreams }]) => upstreams.includes(upstream))
+      .forEach(([address]) => this.recordFailure(address));
+  }
+
   /** Records that a relay could not help. */
   public recordFailure(address: string): void {
     const state = this.getState(address);
@@ -79,7 +104,7 @@
 
   /** Counts the open tunnels. */
   public countOpen(): number {
-    return [...this.states.values()].reduce((sum, { open }) => sum + open, 0);
+    return [...this.states.values()].reduce((sum, { upstreams }) => sum + upstreams.length, 0);
   }
 
   private rankKind(
@@ -91,10 +116,10 @@
     return candidates
       .filter((item) => place.allows(item.availabilityZone))
       .map((candidate) => {
-        const { open = 0, restsUntil = -Infinity } = this.states.get(candidate.address) ?? {};
+        const { upstreams = [], restsUntil = -Infinity } = this.states.get(candidate.address) ?? {};
         const restMs = Math.max(0, restsUntil - now);
         const isOtherZone = Number(candidate.availabilityZone !== availabilityZone);
-        return { candidate, restMs, rank: [restMs, open, isOtherZone, random()] };
+        return { candidate, restMs, rank: [restMs, upstreams.length, isOtherZone, random()] };
       })
       .sort((left, right) => compare(left.rank, right.rank));
   }
@@ -102,7 +127,7 @@
   private getState(address: string): RelayState {
     let state = this.states.get(address);
     if (state === undefined) {
-      state = { open: 0, failures: 0, restsUntil: -Infinity };
+      state = { upstreams: [], failures: 0, restsUntil: -Infinity };
       this.states.set(address, state);
     }
     return state;
--- a/packages/paths/src/tunnel-service.ts
+++ b/packages/paths/src/tunnel-service.ts
@@ -3,8 +3,13 @@
 import type * as peers from '@bramleyridge/peers';
 import * as schemas from '@bramleyridge/schemas';
 
+import * as connectionLimits from './connection-limit.js';
 import type * as upstreamLinks from './upstream-links.js';
 
+/** Number of connections for checks of other hosts that a host without room relays, and their longest time in milliseconds. */
+const MAX_CHECKS = 16;
+const CHECK_MS = 1_000;
+
 /** Options of `TunnelService`. */
 export interface TunnelServiceOptions {
   readonly links: upstreamLinks.UpstreamLinks;
@@ -22,22 +27,29 @@
  */
 export class TunnelService {
   private readonly ended = new schemas.ChangeSignal();
+  private readonly stopping = new AbortController();
   private opened = 0;
-  private isStopping = false;
+  /** Number of connections for checks that were opened without room for them. */
+  private checks = 0;
 
   public constructor(private readonly options: TunnelServiceOptions) {}
 
+  /** Aborted when this host stops as planned. */
+  public get leaving(): AbortSignal {
+    return this.stopping.signal;
+  }
+
   /** Counts the connections relayed now. */
   public countOpen(): number {
     return this.opened;
   }
 
   /**
-   * Opens no more connections, and waits until those that are open have ended, for `timeoutMs` at most: a host that stops
-   * as planned must not cut the calls of others.
+   * Opens no more connections, asks for the end of those that are open, and waits for it for `timeoutMs` at most: a host
+   * that stops as planned must not cut the calls of others.
    */
   public async drain(clock: schemas.Clock, timeoutMs: number): Promise<void> {
-    this.isStopping = true;
+    this.stopping.abort();
     const end = clock.now() + timeoutMs;
     while (this.opened > 0 && clock.now() < end) {
       await this.ended.wait(clock, end - clock.now());
@@ -55,9 +67,11 @@
 
   private async connect({
     address,
+    isCheck = false,
   }: peers.TunnelRequest): Promise<stream.Duplex | Exclude<peers.TunnelResult, 'connected'>> {
     const { isListed, links, maxTunnels } = this.options;
-    if (this.isStopping || this.opened >= maxTunnels) {
+    const isFull = this.opened >= maxTunnels || links.isFull();
+    if (this.leaving.aborted || (isFull && !(isCheck && this.checks < MAX_CHECKS))) {
       return 'busy';
     }
     if (!isListed(address)) {
@@ -66,19 +80,47 @@
     if (links.state.choose(address) === 'relayed') {
       return 'cut';
     }
-    this.opened += 1;
     try {
-      const socket = await links.dial(address);
-      socket.once('close', () => this.end());
-      return socket;
+      return await (isFull ? this.openForCheck(address) : this.openForCall(address));
     } catch (err) {
-      this.end();
+      if (err instanceof connectionLimits.ConnectionLimitError) {
+        return 'busy';
+      }
       // This host may be cut off as well and not know it, since it has had no calls of its own.
       links.checkPath(address);
       return (err as NodeJS.ErrnoException).code === 'ECONNREFUSED' ? 'refused' : 'unreachable';
     }
   }
 
+  private async openForCall(address: string): Promise<stream.Duplex> {
+    this.opened += 1;
+    try {
+      const socket = await this.options.links.dial(address);
+      return socket.once('close', () => this.end());
+    } catch (err) {
+      this.end();
+      throw err;
+    }
+  }
+
+  private async openForCheck(address: string): Promise<stream.Duplex> {
+    this.checks += 1;
+    const end = () => {
+      this.checks -= 1;
+    };
+    try {
+      const socket = await this.options.links.dialForCheck(address);
+      const timer = setTimeout(() => socket.destroy(), CHECK_MS);
+      return socket.once('close', () => {
+        clearTimeout(timer);
+        end();
+      });
+    } catch (err) {
+      end();
+      throw err;
+    }
+  }
+
   private end(): void {
     this.opened -= 1;
     this.ended.notify();
--- a/packages/paths/src/upstream-dialer.ts
+++ b/packages/paths/src/upstream-dialer.ts
@@ -24,7 +24,13 @@
         keepAlive: true,
         keepAliveInitialDelay: KEEP_ALIVE_DELAY_MS,
       });
-      const timer = setTimeout(() => socket.destroy(createTimeoutError(address)), timeoutMs);
+      const destroy = () => {
+        if (socket.connecting) {
+          socket.destroy(createTimeoutError(address));
+        }
+      };
+      // After a long task of this host, timers run before a connection that was made meanwhile is noticed.
+      const timer = setTimeout(() => setImmediate(destroy), timeoutMs);
       socket.once('connect', () => {
         clearTimeout(timer);
         resolve(socket);
--- a/packages/paths/src/upstream-links.ts
+++ b/packages/paths/src/upstream-links.ts
@@ -4,15 +4,17 @@
 import type * as undici from 'undici';
 
 import * as boundedClients from './bounded-client.js';
+import * as connectionLimits from './connection-limit.js';
 import * as createConnectors from './create-connector.js';
 import * as openTunnels from './open-tunnels.js';
 import * as pathConnectors from './path-connector.js';
-import * as pathErrors from './path-error.js';
 import * as pathStates from './path-state.js';
 import * as relayCandidates from './relay-candidate.js';
 import * as relayPools from './relay-pool.js';
 import * as resetMonitors from './reset-monitor.js';
+import * as silenceChecks from './silence-checks.js';
 import * as silenceWatches from './silence-watch.js';
+import * as trackedCalls from './tracked-calls.js';
 import * as upstreamDialers from './upstream-dialer.js';
 import * as upstreamProbes from './upstream-probe.js';
 
@@ -40,9 +42,18 @@
 /** The same where this host reaches no other upstream either, and may be cut off, in milliseconds. */
 const OTHERS_TIMEOUT_IF_CUT_MS = 100;
 
+/**
+ * Time for which a call that can't be sent twice waits for the check of the path while an upstream is silent, in milliseconds;
+ * above the margin of a probe.
+ */
+const SILENCE_CHECK_MS = 250;
+
 /** Interval at which blocked paths are probed, in milliseconds. */
 const REOPEN_INTERVAL_MS = 500;
 
+/** Number of blocked paths that are probed at once; a host has some hundred descriptors for such purposes. */
+const MAX_PROBES = 32;
+
 /** Options of `UpstreamLinks`. */
 export interface UpstreamLinksOptions {
   readonly availabilityZone: string;
@@ -52,6 +63,8 @@
   readonly connectMs: number;
   /** Maximum number of pooled connections to one upstream; unlimited by default. */
   readonly connections?: number | undefined;
+  /** Returns the maximum number of connections to all upstreams, for calls and for other hosts; unlimited by default. */
+  readonly findMaxConnections?: (() => number) | undefined;
   /** Returns the request that probes an upstream; `undefined` if the upstream is not listed. */
   readonly findProbe: (address: string) => upstreamProbes.ProbeRequest | undefined;
   /** Takes a permit for a probe, which an upstream counts like a call; returns whether there is one. */
@@ -71,15 +84,6 @@
   readonly relayed: undici.Agent;
 }
 
-/** A call that is sent to an upstream. */
-export interface TrackedCall {
-  /** Aborted when the connection of the call turns out to be blocked; never for a call over another host. */
-  readonly signal: AbortSignal;
-  /** Records that its answer has begun; how it goes on may depend on its reader. */
-  readonly begin: () => void;
-  readonly end: () => void;
-}
-
 /**
  * The connections of a host to upstreams. A host that has lost its own paths while other hosts have theirs connects
  * through those: only the bytes of a connection take the other way. Choice, permits, deadlines and retries stay where
@@ -91,36 +95,51 @@
   private readonly pool: relayPools.RelayPool;
   private readonly tunnels: openTunnels.TunnelOpener;
   private readonly connector: pathConnectors.PathConnector;
+  private readonly limit: connectionLimits.ConnectionLimit;
   private readonly watch: silenceWatches.SilenceWatch;
+  private readonly silenceChecks: silenceChecks.SilenceChecks;
+  private readonly pooled: boundedClients.ConnectedClients = new Set();
   private readonly agents = new Map<string, AgentPair>();
-  private readonly openCalls = new Map<string, Set<AbortController>>();
+  private readonly calls: trackedCalls.TrackedCalls;
   private readonly checkedAt = new Map<string, number>();
+  /** The check of an upstream that is silent, which runs before a call is sent. */
+  private silenceCheck: Promise<void> | undefined;
+  /** Connects to some upstreams that are under way, by their addresses. */
+  private controls: ReadonlyMap<string, Promise<void>> | undefined;
   private isReopening = false;
   private isClosed = false;
 
   public constructor(private readonly options: UpstreamLinksOptions) {
     const { clock, log } = options;
+    this.limit = new connectionLimits.ConnectionLimit(options.findMaxConnections, () =>
+      this.findIdle(),
+    );
     this.state = new pathStates.PathState(clock, log, () => this.handleBlocked());
     this.pool = new relayPools.RelayPool({ ...options, source: options.relays });
     this.tunnels = new openTunnels.TunnelOpener(
       this.pool,
       options.openThrough ?? openTunnels.createOpenThrough(),
+      this.limit,
       clock,
       (result) => options.recordTunnel?.(result),
     );
+    this.silenceChecks = new silenceChecks.SilenceChecks(
+      // Another upstream may have been heard while the check waited.
+      (address, since) => this.checkSilence(address, Math.max(since, this.watch.getHeardAt())),
+      log,
+    );
     this.watch = new silenceWatches.SilenceWatch(
       clock,
-      (address, since) => {
-        const task = { log, step: 'check-silence', peer: address };
-        schemas.runInBackground(() => this.checkSilence(address, since), task);
-      },
-      () => this.state.recordReached(),
+      (address, since, isFirst) => this.silenceChecks.add(address, { isFirst, since }),
+      (at) => this.state.recordReached(at),
     );
+    this.calls = new trackedCalls.TrackedCalls(this.watch);
     this.connector = new pathConnectors.PathConnector({
       dialer: options.dialer ?? new upstreamDialers.TcpDialer(),
       tunnels: this.tunnels,
       state: this.state,
       connectMs: options.connectMs,
+      limit: this.limit,
       clock,
       onDirect: (_address, socket) => this.watch.watch(socket),
     });
@@ -132,10 +151,16 @@
     return this.state.choose(address) === 'direct' ? direct : relayed;
   }
 
-  /** Creates a client for one new connection to an upstream. */
-  public createClient(origin: string, place = relayCandidates.ANY_PLACE): undici.Client {
+  /**
+   * Creates a client for one new connection to an upstream. What is sent on it can't be sent again over another path, so
+   * that an upstream which is silent is checked before.
+   */
+  public createClient(
+    origin: string,
+    place = relayCandidates.ANY_PLACE,
+  ): boundedClients.BoundedClient {
     return new boundedClients.BoundedClient(origin, {
-      connect: this.createConnector(place),
+      connect: this.createConnector(place, () => this.checkSilentUpstream()),
       bodyTimeout: 0,
       headersTimeout: 0,
     });
@@ -145,26 +170,19 @@
    * Tracks a call to an upstream. `patienceMs` is how long its upstream may be silent before the path is checked;
    * without it, no check is made.
    */
-  public track(address: string, patienceMs: number): TrackedCall {
-    const abort = new AbortController();
+  public track(address: string, patienceMs: number): trackedCalls.TrackedCall {
+    return this.state.choose(address) === 'relayed'
+      ? { signal: new AbortController().signal, begin: () => {}, end: () => {} }
+      : this.calls.track(address, patienceMs);
+  }
+
+  /** Records that an answer of an upstream has stopped without an end, which may be due to the path. */
+  public recordStopped(address: string): void {
     if (this.state.choose(address) === 'relayed') {
-      return { signal: abort.signal, begin: () => {}, end: () => {} };
+      this.pool.recordStopped(address);
+    } else {
+      this.watch.recordStopped(address);
     }
-    const unwatch = this.watch.begin(address, patienceMs);
-    const open = this.openCalls.get(address) ?? new Set();
-    this.openCalls.set(address, open);
-    open.add(abort);
-    return {
-      signal: abort.signal,
-      begin: unwatch,
-      end: () => {
-        unwatch();
-        open.delete(abort);
-        if (open.size === 0 && this.openCalls.get(address) === open) {
-          this.openCalls.delete(address);
-        }
-      },
-    };
   }
 
   /**
@@ -193,22 +211,41 @@
    */
   private async reachesAnother(address: string): Promise<boolean> {
     const others = (this.options.listAddresses?.() ?? []).filter((other) => other !== address);
-    const start = Math.floor(this.options.random() * others.length);
-    const controls = [...others, ...others].slice(start, start + CONTROLS);
     if (others.length === 0) {
       return true;
     }
-    const connects = controls.map(async (other) => discard(await this.connector.dial(other)));
-    return Promise.any(connects).then(
+    this.controls ??= this.connectControls();
+    const connects = [...this.controls].filter(([other]) => other !== address);
+    return Promise.any(connects.map(([, connected]) => connected)).then(
       () => true,
       () => false,
     );
   }
 
+  /** Connects to some upstreams; checks that begin meanwhile share the results, since many upstreams may end at once. */
+  private connectControls(): Map<string, Promise<void>> {
+    const addresses = this.options.listAddresses?.() ?? [];
+    const start = Math.floor(this.options.random() * addresses.length);
+    // One of them may be the upstream that is checked.
+    const chosen = new Set([...addresses, ...addresses].slice(start, start + CONTROLS + 1));
+    const controls = new Map(
+      [...chosen].map((address) => [address, this.connector.dial(address).then(discard)]),
+    );
+    const { log } = this.options;
+    schemas.runInBackground(
+      async () => {
+        await Promise.allSettled(controls.values());
+        this.controls = undefined;
+      },
+      { log, step: 'connect-controls' },
+    );
+    return controls;
+  }
+
   /** Returns whether another host reaches an upstream; `undefined` if none could tell. */
   private async isReachedByOthers(address: string): Promise<boolean | undefined> {
     try {
-      discard(await this.tunnels.open(address, relayCandidates.ANY_PLACE));
+      discard(await this.tunnels.openForCheck(address));
       this.state.recordBlocked(address, 'connect');
       return true;
     } catch (err) {
@@ -218,9 +255,24 @@
 
   /** Opens a connection of this host's own. */
   public dial(address: string): Promise<stream.Duplex> {
+    return this.limit.open(() => this.connector.dial(address));
+  }
+
+  /** Opens one for a check of another host, which the limit does not hold up. */
+  public dialForCheck(address: string): Promise<stream.Duplex> {
     return this.connector.dial(address);
   }
 
+  /** Returns the number of connections for calls and for other hosts. */
+  public countConnections(): number {
+    return this.limit.countOpen();
+  }
+
+  /** Returns whether there is no room for another connection. */
+  public isFull(): boolean {
+    return this.limit.isFull();
+  }
+
   /** Checks whether another host reaches an upstream that this one has just failed to reach. */
   public checkPath(address: string): void {
     const now = this.options.clock.now();
@@ -242,6 +294,7 @@
   public async close(): Promise<void> {
     this.isClosed = true;
     this.watch.stop();
+    this.silenceChecks.stop();
     const agents = [...this.agents.values()].flatMap(({ direct, relayed }) => [direct, relayed]);
     await Promise.all(agents.map((agent) => agent.destroy()));
   }
@@ -256,7 +309,7 @@
   }
 
   private createAgent(place: relayCandidates.PlaceRule): undici.Agent {
-    return boundedClients.createBoundedAgent({
+    const options = {
       connect: this.createConnector(place),
       connections: this.options.connections ?? null,
       pipelining: 1,
@@ -265,17 +318,52 @@
       // The sender of a call sets its time limits.
       bodyTimeout: 0,
       headersTimeout: 0,
-    });
+    };
+    return boundedClients.createBoundedAgent(options, this.pooled);
+  }
+
+  /** Returns a pooled connection that no call uses; `undefined` if there is none. */
+  private findIdle(): stream.Duplex | undefined {
+    for (const client of this.pooled) {
+      const idle = client.findIdle();
+      if (idle !== undefined) {
+        return idle;
+      }
+    }
+    return undefined;
   }
 
-  private createConnector(place: relayCandidates.PlaceRule): undici.buildConnector.connector {
+  private createConnector(
+    place: relayCandidates.PlaceRule,
+    prepare: () => Promise<void> = () => Promise.resolve(),
+  ): undici.buildConnector.connector {
     return createConnectors.createConnector(async (address) => {
+      await prepare();
       const socket = await this.connector.connect(address, place);
       this.resets.monitor(socket, address);
       return socket;
     });
   }
 
+  /** Waits for a while for the check of an upstream that is silent, if there is one and it was not checked lately. */
+  private async checkSilentUpstream(): Promise<void> {
+    const silent = this.state.isCutOff() ? undefined : this.watch.takeSilent();
+    if (silent !== undefined) {
+      const { address, since } = silent;
+      const end = () => {
+        this.silenceCheck = undefined;
+      };
+      this.silenceCheck = this.checkSilence(address, since).finally(end);
+      const task = { log: this.options.log, step: 'check-silence', peer: address };
+      const { silenceCheck } = this;
+      schemas.runInBackground(() => silenceCheck, task);
+    }
+    if (this.silenceCheck !== undefined) {
+      const late = this.options.clock.sleep(SILENCE_CHECK_MS);
+      await Promise.race([this.silenceCheck.catch(() => {}), late]);
+    }
+  }
+
   /** Asks a silent upstream over both paths; if only this host's own is silent, it is blocked. */
   private async checkSilence(address: string, since: number): Promise<void> {
     const { clock, findProbe } = this.options;
@@ -328,21 +416,13 @@
 
   /** Aborts the calls on blocked paths, and looks for the time at which the paths are open again. */
   private handleBlocked(): void {
-    this.abortBlockedCalls();
+    this.calls.abortBlocked((address) => this.state.choose(address) === 'relayed');
     if (!this.isReopening && !this.isClosed) {
       const { log } = this.options;
       schemas.runInBackground(() => this.reopen(), { log, step: 'reopen-paths' });
     }
   }
 
-  private abortBlockedCalls(): void {
-    [...this.openCalls]
-      .filter(([address]) => this.state.choose(address) === 'relayed')
-      .forEach(([address, calls]) => {
-        calls.forEach((call) => call.abort(new pathErrors.PathBlockedError(address)));
-      });
-  }
-
   private async reopen(): Promise<void> {
     const { clock, log } = this.options;
     this.isReopening = true;
@@ -364,7 +444,12 @@
     const first = blocked[Math.floor(random() * blocked.length)];
     if (first !== undefined && (await this.probe(first))) {
       const others = blocked.filter((address) => address !== first);
-      await Promise.all(others.map((address) => this.probe(address)));
+      const probeNext = async (): Promise<void> => {
+        for (let next = others.pop(); next !== undefined; next = others.pop()) {
+          await this.probe(next);
+        }
+      };
+      await Promise.all(Array.from({ length: MAX_PROBES }, probeNext));
     }
   }
 
--- a/packages/paths/src/upstream-probe.ts
+++ b/packages/paths/src/upstream-probe.ts
@@ -9,7 +9,17 @@
   readonly path: string;
 }
 
-/** Returns whether an upstream answers a request on a new connection within `timeoutMs`, whatever it answers. */
+/** Names of errors about bytes that were received. */
+const RECEIVED_ERRORS = new Set([
+  'WrongHeadError',
+  'HTTPParserError',
+  'ResponseContentLengthMismatchError',
+]);
+
+/**
+ * Returns whether an upstream answers a request on a new connection within `timeoutMs`, whatever it answers. An answer that
+ * HTTP does not allow shows as well that the connection leads to the upstream.
+ */
 export async function isAnswered(
   address: string,
   { method, path }: ProbeRequest,
@@ -25,8 +35,8 @@
     res.body.on('error', () => {});
     res.body.destroy();
     return true;
-  } catch {
-    return false;
+  } catch (err) {
+    return err instanceof Error && RECEIVED_ERRORS.has(err.name);
   } finally {
     client.destroy().catch(() => {});
   }
--- a/packages/paths/tests/relay-pool.test.ts
+++ b/packages/paths/tests/relay-pool.test.ts
@@ -32,7 +32,7 @@
   const used = new Map<string, number>();
   for (let i = 0; i < 9; i += 1) {
     const [first] = list(pool);
-    pool.recordOpened(first!);
+    pool.recordOpened(first!, { address: 'u1' });
     used.set(first!, (used.get(first!) ?? 0) + 1);
   }
   t.same([...used.values()], [3, 3, 3]);
@@ -49,6 +49,18 @@
   t.equal(list(pool)[0], 'h2', 'twice as long after the second failure');
 });
 
+// Guards against streams that go on through a relay whose own path is silent.
+void tap.default.test('a relay through which an answer has stopped is passed over', async (t) => {
+  const { pool } = createPool();
+  const close = pool.recordOpened('h1', { address: 'u1' });
+  pool.recordOpened('h2', { address: 'u2' });
+  pool.recordStopped('u1');
+  t.same(list(pool), ['h3', 'h2', 'c1', 'h1']);
+  close();
+  pool.recordStopped('u1');
+  t.equal(pool.countOpen(), 1);
+});
+
 // Guards against a relay that reads the bytes of a team in a place where they must not be processed.
 void tap.default.test('only relays in permitted places are used', async (t) => {
   const place = { key: 'b', allows: (zone: string | undefined) => zone === 'b' };
--- a/packages/peers/src/byte-queue.ts
+++ b/packages/peers/src/byte-queue.ts
@@ -30,6 +30,11 @@
     return this.blocks.peek(LENGTH_BYTES)?.readUInt32BE(0);
   }
 
+  /** Removes all bytes. */
+  public clear(): void {
+    this.blocks.clear();
+  }
+
   /** Removes bytes from the front; all of them by default. */
   public take(count = this.length): Buffer {
     return this.blocks.take(count);
--- a/packages/peers/src/frame.ts
+++ b/packages/peers/src/frame.ts
@@ -22,7 +22,14 @@
   | readonly [kind: 'parts']
   | readonly [kind: 'result', id: number, output: unknown]
   | readonly [kind: 'failure', id: number, message: string, code: string]
-  | readonly [kind: 'tunnel', address: string, connectMs: number]
+  /** Asks for a tunnel; hosts of the previous version ignore the last element. */
+  | readonly [
+      kind: 'tunnel',
+      address: string,
+      connectMs: number,
+      takesLeaving: boolean,
+      isCheck?: boolean,
+    ]
   | readonly [kind: 'tunnelled', result: string]
   | readonly [kind: 'ping']
   | readonly [kind: 'pong'];
@@ -66,6 +73,11 @@
     return this.pending.take();
   }
 
+  /** Drops the unfinished frame. */
+  public clear(): void {
+    this.pending.clear();
+  }
+
   /** Whether a frame has begun to arrive. */
   public isInFrame(): boolean {
     return this.pending.length > 0;
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -11,6 +11,7 @@
 export * from './peer-mesh.js';
 export * from './peer-server.js';
 export * from './relay-tunnel.js';
+export * from './request-end.js';
 export * from './tunnel-client.js';
 export * from './tunnel-messages.js';
 export * from './tunnel-socket.js';
--- a/packages/peers/src/peer-client.ts
+++ b/packages/peers/src/peer-client.ts
@@ -105,16 +105,23 @@
   ): Promise<never> {
     return new Promise<never>((_, reject) => {
       let timer: NodeJS.Timeout;
+      // After a long task, timers run before what has arrived meanwhile is read, which may be the answer.
+      const checkIn = (ms: number) => {
+        timer = setTimeout(() => setImmediate(check), ms).unref();
+      };
       const check = () => {
+        if (over.aborted) {
+          return;
+        }
         const leftMs = this.getProgressAt(id) + PROGRESS_TIMEOUT_MS - performance.now();
         if (leftMs > 0) {
-          timer = setTimeout(check, leftMs).unref();
+          checkIn(leftMs);
           return;
         }
         this.closeIfSilentSince(startedAt);
         reject(this.createError('deadline', path, [deadlineMs]));
       };
-      timer = setTimeout(check, deadlineMs).unref();
+      checkIn(deadlineMs);
       over.addEventListener('abort', () => clearTimeout(timer), { once: true });
     });
   }
@@ -204,9 +211,8 @@
         resolve(socket);
       });
       socket.setNoDelay(true);
-      socket.setTimeout(this.options.connectMs, () => {
-        socket.destroy(this.createError('deadline', 'connect', [this.options.connectMs]));
-      });
+      socket.setTimeout(this.options.connectMs);
+      socket.on('timeout', () => this.closeIfNothingCame(socket));
       socket.once('error', (err) => reject(this.createError('linkClosed', 'connect', [], err)));
     });
   }
@@ -219,7 +225,7 @@
     this.send(['parts']);
     // A middlebox that lost its state for the connection drops packets without a reset, which shows only in the absence
     // of traffic. With pings, that absence means a broken connection; the next call opens a new one.
-    socket.setTimeout(SILENCE_TIMEOUT_MS, () => socket.destroy());
+    socket.setTimeout(SILENCE_TIMEOUT_MS);
     const pingTimer = setInterval(() => this.pingOrClose(socket), PING_INTERVAL_MS);
     pingTimer.unref();
     socket.on('data', (bytes: Buffer) => {
@@ -255,6 +261,23 @@
     }
   }
 
+  /**
+   * Closes a connection whose time limit has passed, unless something has arrived by then, which begins the limit anew:
+   * after a long task, timers run before it is read.
+   */
+  private closeIfNothingCame(socket: net.Socket): void {
+    const { bytesRead, connecting } = socket;
+    setImmediate(() => {
+      if (socket.bytesRead > bytesRead || socket.connecting !== connecting) {
+        return;
+      }
+      const { connectMs } = this.options;
+      socket.destroy(
+        this.socket === socket ? undefined : this.createError('deadline', 'connect', [connectMs]),
+      );
+    });
+  }
+
   /** Pings a connection in use and closes an idle one, since pings on many idle connections cost bandwidth. */
   private pingOrClose(socket: net.Socket): void {
     if (this.pendingCalls.size === 0 && performance.now() - this.lastCallAt > IDLE_TIMEOUT_MS) {
--- a/packages/peers/src/peer-connections.ts
+++ b/packages/peers/src/peer-connections.ts
@@ -48,6 +48,8 @@
   hasFrame: boolean;
   heldBytes: number;
   calls: number;
+  /** Drops its unfinished frames and calls; a closed connection would keep them until its socket reports its end. */
+  drop: () => void;
 }
 
 /** Limits what the peers of a server hold. Connections are known by the remote address of their sockets. */
@@ -72,7 +74,7 @@
       return;
     }
     const key = getKey(socket);
-    const connection = { key, socket, hasFrame: false, heldBytes: 0, calls: 0 };
+    const connection = { key, socket, hasFrame: false, heldBytes: 0, calls: 0, drop: () => {} };
     this.connections.set(key, connection);
     socket.once('close', () => this.remove(connection));
   }
@@ -141,6 +143,7 @@
     this.record(reason, socket);
     this.remove(connection);
     socket.destroy();
+    connection.drop();
   }
 
   private remove(connection: PeerConnection): void {
--- a/packages/peers/src/peer-server.ts
+++ b/packages/peers/src/peer-server.ts
@@ -33,6 +33,8 @@
   readonly isCut?: () => boolean;
   /** Opens tunnels for peers; without it, none are opened. */
   readonly openTunnel?: OpenTunnel | undefined;
+  /** Aborted when this host stops as planned: peers are to use their tunnels for no other call. */
+  readonly leaving?: AbortSignal | undefined;
   /** What peers may hold; {@link peerConnections.DEFAULT_PEER_LIMITS} by default. */
   readonly limits?: peerConnections.PeerLimits | undefined;
   /** Called when a connection is closed because of the limits. */
@@ -56,6 +58,8 @@
   public readonly counts = new linkCounts.LinkCounts();
   private readonly server: net.Server;
   private readonly sockets = new Set<net.Socket>();
+  /** For each tunnel, the function that announces to its peer that this host is leaving. */
+  private readonly announcements = new Set<() => void>();
   private readonly limits: peerConnections.PeerLimits;
   private readonly connections: peerConnections.PeerConnections;
 
@@ -67,6 +71,9 @@
     this.limits = limits;
     this.connections = new peerConnections.PeerConnections({ limits, log, onClosed });
     this.server = this.createServer();
+    options.leaving?.addEventListener('abort', () => {
+      this.announcements.forEach((announce) => announce());
+    });
     this.server.prependListener('connection', (socket) => this.connections.open(socket));
     // An accept that fails, such as for want of descriptors, concerns one connection; without a handler it would end the process.
     this.server.on('error', (err) => {
@@ -117,7 +124,11 @@
     const reader = new frames.FrameReader(this.limits.frameBytes);
     const writer = new frames.FrameWriter();
     const connection: Connection = { socket, held, writer, calls: new Map(), partial: new Map() };
-    const { calls } = connection;
+    const { calls, partial } = connection;
+    held.drop = () => {
+      reader.clear();
+      partial.clear();
+    };
     this.sockets.add(socket);
     socket.setNoDelay(true);
     socket.on('error', (err) => {
@@ -133,6 +144,11 @@
         for (const frame of reader.push(bytes)) {
           held.hasFrame = true;
           this.handleFrame(connection, frame);
+          if (frame[0] === 'tunnel') {
+            // Nothing that has arrived with it is a frame any more.
+            reader.takeRest();
+            break;
+          }
         }
         this.connections.setHeldBytes(held, reader.getHeldBytes() + countPartialBytes(connection));
         this.pauseUntilDrain(socket);
@@ -168,7 +184,8 @@
     } else if (frame[0] === 'call') {
       this.startCall(connection, frame);
     } else if (frame[0] === 'tunnel') {
-      const req = { address: frame[1], connectMs: frame[2] };
+      const [, address, connectMs, takesLeaving, isCheck] = frame;
+      const req = { address, connectMs, takesLeaving, isCheck };
       this.runInBackground(() => this.handleTunnel(connection, req), connection, 'open-tunnel');
     }
   }
@@ -216,8 +233,20 @@
     if (typeof far === 'string') {
       socket.end();
     } else {
-      relayTunnels.relayTunnel(socket, far);
+      const announce = relayTunnels.relayTunnel(socket, far);
+      if (req.takesLeaving === true) {
+        this.addAnnouncement(socket, announce);
+      }
+    }
+  }
+
+  private addAnnouncement(socket: net.Socket, announce: () => void): void {
+    if (this.options.leaving?.aborted === true) {
+      announce();
+      return;
     }
+    this.announcements.add(announce);
+    socket.once('close', () => this.announcements.delete(announce));
   }
 
   /** Opens a connection for a tunnel; what this host can't open for an error of its own counts as busy. */
--- a/packages/peers/src/relay-tunnel.ts
+++ b/packages/peers/src/relay-tunnel.ts
@@ -1,36 +1,59 @@
 import type * as net from 'node:net';
 import type * as stream from 'node:stream';
 
+import * as relayedRequests from './relayed-request.js';
+import * as requestEnds from './request-end.js';
 import * as tunnelMessages from './tunnel-messages.js';
 
 /**
  * Relays bytes between a peer and an upstream until one of them closes its connection. The normal end of the upstream's
- * bytes is marked; an upstream that breaks off leaves them without an end.
+ * bytes is marked; an upstream that breaks off leaves them without an end, and so does one that ends before the request
+ * was sent, as its answer may end there for that reason. Returns the function that announces to the peer that this host is
+ * leaving.
  */
-export function relayTunnel(near: net.Socket, far: stream.Duplex): void {
+export function relayTunnel(near: net.Socket, far: stream.Duplex): () => void {
+  const request = new relayedRequests.RelayedRequest();
   const close = () => {
     far.destroy();
     near.destroy();
   };
+  const markEnd = () => {
+    if (request.wasUnsent()) {
+      close();
+      return;
+    }
+    // A reset that arrives together with data is reported as a plain end; an empty write fails after a reset.
+    far.write('', (err) => {
+      if (err) {
+        close();
+      } else {
+        near.end(tunnelMessages.END_CHUNK);
+        far.end();
+      }
+    });
+  };
+  // Bytes that follow the upstream's end show that the request wasn't sent; its connection must still take them.
+  far.allowHalfOpen = true;
   far.on('data', (bytes: Buffer) => {
+    request.noteAnswer();
     if (!writeChunk(near, bytes)) {
       pauseUntilDrain(far, near);
     }
   });
   near.on('data', (bytes: Buffer) => {
+    request.addBytes(bytes.length);
     if (!far.write(bytes)) {
       pauseUntilDrain(near, far);
     }
   });
   far.once('end', () => {
-    // A reset that arrives together with data is reported as a plain end; an empty write fails after a reset.
-    far.write('', (err) => {
-      if (err) {
-        close();
-      } else {
-        near.end(tunnelMessages.END_CHUNK);
-      }
-    });
+    request.noteAnswerEnd(far.writableLength);
+    if (request.isLarge() || request.wasUnsent()) {
+      // In a delayed process the timer is due before bytes of the request that have arrived are read.
+      setTimeout(() => setImmediate(markEnd), requestEnds.RESET_MS).unref();
+    } else {
+      markEnd();
+    }
   });
   far.once('error', close);
   near.once('error', close);
@@ -41,6 +64,11 @@
       near.destroy();
     }
   });
+  return () => {
+    if (near.writable) {
+      near.write(tunnelMessages.LEAVING_CHUNK);
+    }
+  };
 }
 
 function writeChunk(near: net.Socket, bytes: Buffer): boolean {
--- a/packages/peers/src/tunnel-client.ts
+++ b/packages/peers/src/tunnel-client.ts
@@ -21,10 +21,13 @@
   const peer = `${options.host}:${options.port}`;
   return new Promise((resolve, reject) => {
     const socket = connectToPeers.connectToPeer(options, () => {
-      socket.write(new frames.FrameWriter().encode(['tunnel', req.address, req.connectMs]));
+      const { address, connectMs, isCheck = false } = req;
+      socket.write(new frames.FrameWriter().encode(['tunnel', address, connectMs, true, isCheck]));
     });
     const reader = new frames.FrameReader();
+    let isSettled = false;
     const settle = () => {
+      isSettled = true;
       clearTimeout(timer);
       socket.removeAllListeners('data');
       socket.off('error', onLost);
@@ -37,7 +40,14 @@
       reject(new tunnelMessages.TunnelError(peer, result, cause));
     };
     const onLost = (cause?: unknown) => fail('lost', cause);
-    const timer = setTimeout(onLost, options.timeoutMs);
+    // After a long task, timers run before what has arrived meanwhile is read, which may be the answer.
+    const timer = setTimeout(() => {
+      setImmediate(() => {
+        if (!isSettled) {
+          onLost();
+        }
+      });
+    }, options.timeoutMs);
     socket.setNoDelay(true);
     socket.once('error', onLost);
     socket.once('close', onLost);
--- a/packages/peers/src/tunnel-messages.ts
+++ b/packages/peers/src/tunnel-messages.ts
@@ -4,6 +4,12 @@
 /** Maximum size of one chunk, in bytes; a longer one means that the stream is corrupt. */
 export const MAX_CHUNK_BYTES = 1024 * 1024;
 
+/** The length that announces, once, that the peer is leaving; no bytes follow it. */
+export const LEAVING_LENGTH = 0x80000000;
+
+/** Announces that the peer is leaving: it relays what is under way, and the connection is to be used for no other call. */
+export const LEAVING_CHUNK = createLeavingChunk();
+
 /** The head of an empty chunk, which marks that the far end has closed its connection normally. */
 export const END_CHUNK = Buffer.alloc(CHUNK_HEAD_BYTES);
 
@@ -13,6 +19,10 @@
   readonly address: string;
   /** Time limit for the peer's connect, in milliseconds. */
   readonly connectMs: number;
+  /** Whether the host knows the announcement that the peer is leaving; hosts of the previous version don't. */
+  readonly takesLeaving?: boolean | undefined;
+  /** Whether it is to check the upstream only, for a moment; the peer keeps room for checks. */
+  readonly isCheck?: boolean | undefined;
 }
 
 /**
@@ -45,3 +55,9 @@
     super(`the peer ${peer} has opened no tunnel: ${result}`, { cause });
   }
 }
+
+function createLeavingChunk(): Buffer {
+  const head = Buffer.alloc(CHUNK_HEAD_BYTES);
+  head.writeUInt32BE(LEAVING_LENGTH);
+  return head;
+}
--- a/packages/peers/src/tunnel-socket.ts
+++ b/packages/peers/src/tunnel-socket.ts
@@ -11,8 +11,11 @@
 export class TunnelSocket extends stream.Duplex {
   /** Number of bytes that the upstream has sent. */
   public bytesRead = 0;
+  /** Number of bytes that were handed to the connection to the peer. */
+  public bytesWritten = 0;
   private readonly pending = new byteQueues.ByteQueue();
   private hasEnded = false;
+  private isLeaving = false;
 
   /** Takes over a connection to the peer; `rest` holds the bytes that arrived after the peer's answer. */
   public constructor(
@@ -28,6 +31,15 @@
     this.receive(rest);
   }
 
+  /** Calls a listener when the peer announces that it is leaving, or at once if it has. */
+  public onLeaving(listener: () => void): void {
+    if (this.isLeaving) {
+      listener();
+    } else {
+      this.once('leaving', listener);
+    }
+  }
+
   /** Lets the process end while the connection is open. */
   public unref(): this {
     this.socket.unref();
@@ -49,6 +61,7 @@
     encoding: BufferEncoding,
     callback: (err?: Error | null) => void,
   ): void {
+    this.bytesWritten += chunk.length;
     this.socket.write(chunk, encoding, callback);
   }
 
@@ -69,6 +82,11 @@
       if (length === undefined) {
         return;
       }
+      if (length === tunnelMessages.LEAVING_LENGTH && !this.isLeaving) {
+        this.pending.take(tunnelMessages.CHUNK_HEAD_BYTES);
+        this.noteLeaving();
+        continue;
+      }
       if (length > tunnelMessages.MAX_CHUNK_BYTES) {
         this.destroy(createBrokenError());
         return;
@@ -81,6 +99,11 @@
     }
   }
 
+  private noteLeaving(): void {
+    this.isLeaving = true;
+    this.emit('leaving');
+  }
+
   private deliver(chunk: Buffer): void {
     this.bytesRead += chunk.length;
     if (chunk.length === 0) {
--- a/packages/peers/tests/large-calls.test.ts
+++ b/packages/peers/tests/large-calls.test.ts
@@ -59,6 +59,28 @@
   return connect(t, link.port);
 }
 
+// Guards against tests that fail since their link is slower than stated in a busy process.
+void tap.default.test('a slow link has its bandwidth in a busy process', async (t) => {
+  const clock = new schemas.SystemClock();
+  const sink = net.createServer((socket) => socket.on('error', () => {}).resume());
+  await new Promise<void>((resolve) => {
+    sink.listen(0, '127.0.0.1', resolve);
+  });
+  t.teardown(() => sink.close());
+  const target = { host: '127.0.0.1', port: (sink.address() as net.AddressInfo).port };
+  const link = await fakes.SlowLink.open({ target, bytesPerS: SLOW_BYTES_PER_S });
+  t.teardown(() => link.close());
+  const socket = net.connect(link.port, '127.0.0.1').on('error', () => {});
+  socket.write(Buffer.alloc(40_000));
+  while (link.passedBytes === 0) {
+    await clock.sleep(1);
+  }
+  const end = performance.now() + 200;
+  while (performance.now() < end);
+  await clock.sleep(10);
+  t.equal(link.passedBytes, 40_000);
+});
+
 void tap.default.test('a large call over a slow link outlasts its deadline', async (t) => {
   // Guards against a call whose bytes take longer than its deadline and that fails again at each repetition.
   const client = await connectSlowly(t);
--- a/packages/peers/tests/link.test.ts
+++ b/packages/peers/tests/link.test.ts
@@ -18,6 +18,12 @@
 const router = t0.router({
   echo: t0.procedure.input((value: unknown) => value).mutation(({ input }) => input),
   never: t0.procedure.mutation(() => new Promise(() => {})),
+  late: t0.procedure.mutation(() => new schemas.SystemClock().sleep(400)),
+  block: t0.procedure.mutation(() => {
+    // Runs after the answer is written and before the client can read it.
+    setImmediate(() => block(200));
+    return 'answered';
+  }),
   fail: t0.procedure.mutation(() => {
     throw new schemas.StepError({ id: 'notLeader', step: 'test' });
   }),
@@ -31,6 +37,12 @@
   return name;
 }
 
+/** Keeps this process busy. */
+function block(ms: number): void {
+  const end = performance.now() + ms;
+  while (performance.now() < end);
+}
+
 function createKey(): string {
   return crypto.randomBytes(32).toString('base64');
 }
@@ -71,6 +83,31 @@
   );
 });
 
+// Guards against a sound peer that counts as lost, with all calls to it, because this process was busy at a deadline.
+void tap.default.test('an answer that arrived while the process was busy counts', async (t) => {
+  const keyring = new peers.Keyring(writeKeys(t, { active: 'k1', keys: { k1: createKey() } }));
+  const client = connect(t, keyring, await listen(t, keyring));
+  await client.call('echo', 1, 2_000);
+  const late = client.call('late', null, 2_000);
+  t.equal(await client.call('block', null, 100), 'answered');
+  await t.resolves(late, 'and the other call on the connection is answered, too');
+});
+
+// Guards against a sound peer that counts as lost since this process was busy while it connected to it.
+void tap.default.test('a connect that was done while the process was busy counts', async (t) => {
+  const keyring = new peers.Keyring(writeKeys(t, { active: 'k1', keys: { k1: createKey() } }));
+  const options = { peer: 'p', host: '127.0.0.1', port: await listen(t, keyring) };
+  const client = new peers.PeerClient({ ...options, keyring, connectMs: 100 });
+  t.teardown(() => client.close());
+  const answer = new Promise((resolve, reject) => {
+    setImmediate(() => {
+      client.call('echo', 1, 2_000).then(resolve, reject);
+      process.nextTick(() => block(200));
+    });
+  });
+  t.equal(await answer, 1);
+});
+
 void tap.default.test(
   'key rotation keeps connections open, and a wrong key is rejected',
   async (t) => {
--- a/packages/peers/tests/tunnel.test.ts
+++ b/packages/peers/tests/tunnel.test.ts
@@ -12,8 +12,12 @@
   teardown(handler: () => unknown): void;
 }
 
-async function listen(t: Teardown, onSocket: (socket: net.Socket) => void): Promise<number> {
-  const server = net.createServer(onSocket);
+async function listen(
+  t: Teardown,
+  onSocket: (socket: net.Socket) => void,
+  allowHalfOpen = false,
+): Promise<number> {
+  const server = net.createServer({ allowHalfOpen }, onSocket);
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
   });
@@ -62,6 +66,13 @@
   return Buffer.concat([length, body]);
 }
 
+/** Waits for the next bytes. */
+function waitForData(source: stream.Duplex): Promise<void> {
+  return new Promise((resolve) => {
+    source.once('data', () => resolve());
+  });
+}
+
 /** Reads until the stream ends or breaks. */
 async function readAll(source: stream.Duplex): Promise<{ text: string; isBroken: boolean }> {
   const parts: Buffer[] = [];
@@ -75,6 +86,22 @@
   }
 }
 
+// Guards against connections to upstreams by the thousand for one connection of a peer.
+void tap.default.test('a connection asks for one tunnel', async (t) => {
+  let asked = 0;
+  const { port } = await startPeer(t, async () => {
+    asked += 1;
+    return Promise.resolve('refused');
+  });
+  const socket = await connect(port);
+  const ask = encode(['tunnel', '127.0.0.1:1', 100, true]);
+  socket.write(Buffer.concat(Array.from({ length: 500 }, () => ask)));
+  await new Promise((resolve) => {
+    socket.resume().once('close', resolve);
+  });
+  t.equal(asked, 1);
+});
+
 void tap.default.test('a tunnel carries bytes both ways and the normal end', async (t) => {
   const upstream = await listen(t, (socket) => {
     socket.once('data', (bytes: Buffer) => socket.end(`got ${bytes.toString()}`));
@@ -130,6 +157,80 @@
   t.ok(isBroken);
 });
 
+// Guards against an answer without a length that looks complete because its upstream closed before it had the request.
+void tap.default.test(
+  'a tunnel breaks if the request was not sent by the end of the answer',
+  async (t) => {
+    const large = Buffer.alloc(200_000, 'x');
+    const cases: Readonly<Record<string, (socket: net.Socket) => void>> = {
+      'reset after its end': (socket) => {
+        socket.end('first part', () => setTimeout(() => socket.destroy(), 60));
+      },
+      'more bytes of the request after its end': (socket) => {
+        socket.resume();
+        socket.end('first part');
+      },
+      'bytes that nobody reads': (socket) => {
+        socket.end('first part');
+      },
+    };
+    for (const [name, answer] of Object.entries(cases)) {
+      const upstream = await listen(
+        t,
+        (socket) => {
+          socket.on('error', () => {});
+          socket.once('data', () => {
+            socket.pause();
+            answer(socket);
+          });
+        },
+        true,
+      );
+      const { port } = await startPeer(t, () => connect(upstream));
+      const tunnel = await open(port);
+      const isSlow = name.startsWith('more bytes');
+      tunnel.write(name.startsWith('bytes') ? Buffer.alloc(40_000_000) : large);
+      const late = setTimeout(() => isSlow && tunnel.write(large), 60);
+      t.same(await readAll(tunnel), { text: 'first part', isBroken: true }, name);
+      clearTimeout(late);
+    }
+  },
+);
+
+// Guards against ends of answers that are held back though their small requests can't be unread.
+void tap.default.test(
+  'the end of an answer to a small request passes a tunnel at once',
+  async (t) => {
+    const requests = 40;
+    const upstream = await listen(t, (socket) => {
+      let received = 0;
+      socket.on('error', () => {});
+      socket.on('data', (bytes: Buffer) => {
+        received += bytes.length;
+        if (received < requests * 1_000) {
+          socket.write('answer');
+        } else {
+          socket.end();
+        }
+      });
+    });
+    const { port } = await startPeer(t, () => connect(upstream));
+    const times: number[] = [];
+    for (let run = 0; run < 5; run += 1) {
+      const tunnel = await open(port);
+      for (let sent = 1; sent < requests; sent += 1) {
+        tunnel.write(Buffer.alloc(1_000));
+        await waitForData(tunnel);
+      }
+      const startedAt = performance.now();
+      tunnel.write(Buffer.alloc(1_000));
+      t.notOk((await readAll(tunnel)).isBroken);
+      times.push(performance.now() - startedAt);
+    }
+    t.ok(Math.min(...times) < peers.RESET_MS, 'the last of many requests on one connection');
+  },
+);
+
 void tap.default.test('a closed tunnel closes the connection to the upstream', async (t) => {
   let close = () => {};
   const closed = new Promise<void>((resolve) => {
@@ -159,6 +260,24 @@
   await t.rejects(open(port), { name: 'TunnelError', result: 'lost' });
 });
 
+// Guards against a relay that is passed over, and a call that fails, since this process was busy when it answered.
+void tap.default.test('an answer that arrived while the process was busy counts', async (t) => {
+  const port = await listen(t, (socket) => {
+    socket.on('error', () => {});
+    socket.once('data', () => {
+      setImmediate(() => {
+        socket.write(encode(['tunnelled', 'connected']));
+        const end = performance.now() + 600;
+        while (performance.now() < end);
+      });
+    });
+  });
+  const tunnel = await open(port);
+  t.notOk(tunnel.destroyed);
+  tunnel.on('error', () => {});
+  tunnel.destroy();
+});
+
 // Guards against a host that ends by an error without a listener, when what follows a peer's answer is no chunk.
 void tap.default.test('a tunnel whose first bytes are no chunk breaks', async (t) => {
   const endless = Buffer.alloc(8, 0xff);
