Send one call at a time to an upstream that answers none

Cause: an upstream that closes each connection has no call, and counts as the emptiest. Change: one rule for all choices, at hosts, the leader and daemons.

--- a/packages/routing/src/engine-ledger.ts
+++ b/packages/routing/src/engine-ledger.ts
@@ -12,6 +12,14 @@
 import * as prefillBacklogs from './prefill-backlog.js';
 import * as runRegistries from './run-registry.js';
 
+/** What the end of a generation shows about its engine. */
+export interface RunEnd {
+  /** The host that sent it. */
+  readonly hostId: string;
+  /** Whether an answer began; `undefined` if that shows nothing about the engine. */
+  readonly hasAnswered: boolean | undefined;
+}
+
 /**
  * Tracks one pool of engines in one place: every generation with its size, and every backup. Hosts
  * that use fallback placement each see a seventh of the load and reports that are half a second
@@ -88,7 +96,7 @@
       paceStart,
     });
     if (spec.isUnderWay !== true) {
-      state?.recordSend(now);
+      state?.recordSend(now, spec.callId);
     }
     if (state !== undefined && spec.fixedEngineId === undefined) {
       state.backlog.add(spec.callId, spec.promptTokens, now);
@@ -227,11 +235,12 @@
   }
 
   /** Removes a generation. A failure counts against its engine for a while. */
-  public release(callId: string, hasFailed: boolean, now: number): void {
+  public release(callId: string, hasFailed: boolean, now: number, shown?: RunEnd): void {
     const run = this.runs.find(callId);
     const state = run && this.engines.get(run.engineId);
     this.runs.remove(callId);
     state?.backlog.remove(callId, now);
+    state?.trials.recordEnd({ callId, hostId: shown?.hostId ?? '' }, shown?.hasAnswered, now);
     if (hasFailed) {
       state?.recordFailure(now);
     }
--- a/packages/routing/src/engine-state.ts
+++ b/packages/routing/src/engine-state.ts
@@ -1,3 +1,5 @@
+import * as scheduling from '@bramleyridge/scheduling';
+
 import type * as engineOccupancies from './engine-occupancy.js';
 import * as enginePaces from './engine-pace.js';
 import type * as placedRuns from './placed-run.js';
@@ -37,6 +39,8 @@
   public readonly backlog: prefillBacklogs.PrefillBacklog;
   /** The speed of the engine. */
   public readonly pace: enginePaces.EnginePace;
+  /** How many generations it is sent after some that got no answer. */
+  public readonly trials: scheduling.HostTrials;
   private readonly sends: recentSends.RecentSends;
   private failures: number;
   private failedAt: number;
@@ -52,6 +56,7 @@
     this.backlog = former?.backlog ?? new prefillBacklogs.PrefillBacklog(rates.prefillRate);
     this.pace = former?.pace ?? new enginePaces.EnginePace(rates.usualEventTime);
     this.sends = former?.sends ?? new recentSends.RecentSends();
+    this.trials = former?.trials ?? new scheduling.HostTrials();
     if (former === undefined) {
       occupancy.setFactor(1);
     }
@@ -60,8 +65,9 @@
   }
 
   /** Records that a generation is sent to the engine. */
-  public recordSend(now: number): void {
+  public recordSend(now: number, callId = ''): void {
     this.sends.record(now);
+    this.trials.recordSend({ callId, hostId: '' }, now);
   }
 
   /**
@@ -69,6 +75,9 @@
    * it, so a limit always applies.
    */
   public canAcceptSend(now: number): boolean {
+    if (!this.trials.isOpen(now)) {
+      return false;
+    }
     const { coldUntil = -Infinity, sendsPerS } = this.engine;
     if (sendsPerS === undefined) {
       return true;
@@ -82,6 +91,7 @@
    */
   public recordFirstEvent(callId: string, now: number, isStating: boolean): void {
     const { backlog, pace } = this;
+    this.trials.recordEnd({ callId, hostId: '' }, true, now);
     const factor = pace.getFactor() ?? 1;
     const prefill = backlog.recordFirstEvent(callId, now, (since) =>
       isStating ? pace.getMeanSlowdown(since, now) * factor : 1,
--- a/packages/routing/src/pool-ledger.ts
+++ b/packages/routing/src/pool-ledger.ts
@@ -1,3 +1,4 @@
+import * as scheduling from '@bramleyridge/scheduling';
 import type * as schemas from '@bramleyridge/schemas';
 
 import * as lengthModels from './length-model.js';
@@ -24,6 +25,8 @@
   readonly capacityTokens: number;
   /** Source of the length distributions; an oracle may replace the learned ones. */
   readonly lengths?: lengthModels.LengthSource;
+  /** Returns the number of daemons that use the pool; by default, several do. */
+  readonly countDaemons?: () => number;
   /** Called with the cost granted to a team (positive), or granted and not used (negative). */
   readonly charge: (team: string, cost: number) => void;
 }
@@ -59,8 +62,14 @@
     removedIds.forEach((id) => this.removeUpstream(id));
     upstreams.forEach(({ upstreamId, isLeaving }) => {
       const existing = this.upstreams.get(upstreamId);
+      const { capacityTokens, countDaemons } = this.options;
       const upstream =
-        existing ?? new upstreamLedgers.UpstreamLedger(upstreamId, this.options.capacityTokens);
+        existing ??
+        new upstreamLedgers.UpstreamLedger(
+          upstreamId,
+          capacityTokens,
+          new scheduling.HostTrials(countDaemons),
+        );
       upstream.isLeaving = isLeaving;
       this.upstreams.set(upstreamId, upstream);
     });
@@ -75,6 +84,12 @@
     }
   }
 
+  /** Records that a generation of a daemon got no answer at an upstream. */
+  public recordUnanswered(upstreamId: string, daemonId: string): void {
+    const call = { callId: '', hostId: daemonId };
+    this.upstreams.get(upstreamId)?.trials.recordEnd(call, false, this.options.clock.now());
+  }
+
   /** Applies a load report of an upstream. */
   public applyReport(upstreamId: string, report: schemas.LoadReport): void {
     this.upstreams.get(upstreamId)?.applyReport(report, this.options.clock.now());
@@ -94,6 +109,7 @@
   ): void {
     const now = this.options.clock.now();
     upstream.add(this.createGeneration(facts));
+    upstream.trials.recordSend({ callId: facts.generation, hostId: facts.daemonId }, now);
     this.runningByTeam.set(facts.team, this.countRunning(facts.team) + 1);
     this.costs.set(facts.generation, cost);
     this.reportedAt.set(facts.daemonId, this.reportedAt.get(facts.daemonId) ?? now);
@@ -142,6 +158,12 @@
       return false;
     }
     live.end(tokens, isNatural, now);
+    const hasAnswered = isNatural || tokens > 0 ? true : undefined;
+    upstream?.trials.recordEnd(
+      { callId: generation, hostId: live.facts.daemonId },
+      hasAnswered,
+      now,
+    );
     const { team, promptTokens } = live.facts;
     this.runningByTeam.set(team, this.countRunning(team) - 1);
     this.options.charge(team, promptTokens + tokens - (this.costs.get(generation) ?? 0));
--- a/packages/routing/src/pool-owner.ts
+++ b/packages/routing/src/pool-owner.ts
@@ -31,6 +31,8 @@
   /** Memory per engine that the pool's intents may fill, in tokens. */
   readonly capacityTokens: number;
   readonly getShare: (team: string) => types.TeamShare;
+  /** Returns the number of daemons that use the pool; by default, several do. */
+  readonly countDaemons?: () => number;
   /** Source of the length distributions; an oracle may replace the learned ones. */
   readonly lengths?: lengthModels.LengthSource;
   readonly createSelector?: (
@@ -76,6 +78,11 @@
     this.ledger.markLeaving(upstreamId);
   }
 
+  /** Records that a generation of a daemon got no answer at an upstream. */
+  public recordUnanswered(upstreamId: string, daemonId: string): void {
+    this.ledger.recordUnanswered(upstreamId, daemonId);
+  }
+
   /** Applies a load report of an upstream. */
   public applyReport(upstreamId: string, report: schemas.LoadReport): void {
     this.ledger.applyReport(upstreamId, report);
@@ -246,9 +253,11 @@
   }
 
   private listCandidates(req: types.GrantRequest): upstreamLedgers.UpstreamLedger[] {
+    const now = this.options.clock.now();
     const usable = this.ledger
       .listUpstreams()
-      .filter((upstream) => !upstream.isLeaving && !req.excluded.includes(upstream.upstreamId));
+      .filter((upstream) => !upstream.isLeaving && !req.excluded.includes(upstream.upstreamId))
+      .filter(({ trials }) => trials.mayReceive(req.daemonId, now));
     // Interactive work precedes batch work, but a flood of it must leave capacity for batch work,
     // which would otherwise never start.
     const isBounded = req.workClass === 'interactive' && this.isBatchAged;
--- a/packages/routing/src/upstream-ledger.ts
+++ b/packages/routing/src/upstream-ledger.ts
@@ -1,3 +1,4 @@
+import * as scheduling from '@bramleyridge/scheduling';
 import type * as schemas from '@bramleyridge/schemas';
 
 import type * as liveGenerations from './live-generation.js';
@@ -32,6 +33,8 @@
   public constructor(
     public readonly upstreamId: string,
     private readonly capacityTokens: number,
+    /** How many generations it is sent after some that got no answer. */
+    public readonly trials = new scheduling.HostTrials(),
   ) {}
 
   /** Returns the memory that may be filled, in tokens. */
--- a/packages/routing/src/upstream-load.ts
+++ b/packages/routing/src/upstream-load.ts
@@ -19,6 +19,8 @@
   /** Engine memory that these calls are expected to use, in tokens. */
   public tokens = 0;
   public readonly serviceTime = new scheduling.ServiceTime();
+  /** How many calls this host may send there after one that got no answer. */
+  public readonly trial = new scheduling.SendTrial();
   private othersCalls = 0;
   private reportedAt = -Infinity;
   private failures = 0;
--- a/packages/routing/tests/pool-owner.test.ts
+++ b/packages/routing/tests/pool-owner.test.ts
@@ -240,3 +240,50 @@
     t.equal(waiting.decision?.upstreamId, 'e1');
   },
 );
+
+/** Asks for 200 generations of two daemons in turn; `closedTo` get no answer from `e1`. Returns the grants there. */
+async function askInTurn(closedTo: readonly string[], countDaemons: () => number) {
+  const { clock, owner } = createOwner({
+    countDaemons,
+    getShare: () => ({ weight: 1, maxConcurrent: 1_000, maxQueued: 1_000 }),
+  });
+  owner.setUpstreams([
+    { upstreamId: 'e1', isLeaving: false },
+    { upstreamId: 'e2', isLeaving: false },
+  ]);
+  const counts = { unanswered: 0, answered: 0 };
+  for (let i = 0; i < 200; i += 1) {
+    const generation = `g${i}`;
+    const daemonId = `d${i % 2}`;
+    const facts = createRequest(generation, { daemonId, promptTokens: 10, excluded: ['e2'] });
+    owner.request(facts, ({ upstreamId }) => {
+      if (upstreamId === undefined) {
+        return;
+      }
+      const isAnswered = !closedTo.includes(daemonId);
+      counts[isAnswered ? 'answered' : 'unanswered'] += 1;
+      void clock.sleep(isAnswered ? 50 : 2).then(() => {
+        if (!isAnswered) {
+          owner.recordUnanswered('e1', daemonId);
+        }
+        owner.finish(generation, isAnswered ? 5 : 0, isAnswered);
+      });
+    });
+    await clock.advance(10);
+    owner.tick();
+  }
+  return counts;
+}
+
+// Guards against an engine that closes each connection at once and gets all generations while others are full.
+void tap.default.test('an engine that answers none gets one generation at a time', async (t) => {
+  for (const [closedTo, daemons] of [
+    [['d0', 'd1'], 2],
+    [['d0', 'd1'], 1],
+  ] as const) {
+    const { unanswered } = await askInTurn(closedTo, () => daemons);
+    t.ok(unanswered >= 4 && unanswered <= 16, `${unanswered} of 200, ${daemons} daemons`);
+  }
+  const { answered: all } = await askInTurn([], () => 2);
+  t.equal(all, 200, 'a sound one gets all');
+});
--- a/packages/scheduling/src/call-spec.ts
+++ b/packages/scheduling/src/call-spec.ts
@@ -74,6 +74,8 @@
   /** Time from the send to the end of the answer, in milliseconds; NaN if it is not known. */
   readonly tookMs: number;
   readonly load?: statedLoads.StatedLoad | undefined;
+  /** Whether an answer began; `undefined` if that shows nothing about the upstream, as where the caller left. */
+  readonly hasAnswered?: boolean | undefined;
 }
 
 /** Returns how long a call may wait for a slot, in milliseconds. */
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -8,6 +8,8 @@
 export * from './priority-order.js';
 export * from './retry-times.js';
 export * from './return-schedule.js';
+export * from './host-trials.js';
+export * from './send-trial.js';
 export * from './service-round.js';
 export * from './service-time.js';
 export * from './share-lane.js';
--- a/packages/scheduling/src/service-capacity.ts
+++ b/packages/scheduling/src/service-capacity.ts
@@ -88,7 +88,8 @@
     now: number,
   ): upstreamSlots.UpstreamSlots | undefined {
     const { getLimitShare, random } = this.options;
-    return upstreamChoices.chooseUpstream(this.listAllowed(spec), {
+    const candidates = this.listAllowed(spec).filter((item) => item.mayReceive(spec.hostId, now));
+    return upstreamChoices.chooseUpstream(candidates, {
       availabilityZone: spec.availabilityZone,
       typicalMs: this.getTypicalMs(now),
       countsOthers: this.countsOthers(now),
@@ -104,7 +105,7 @@
     this.startedAt ??= now;
     const inFlight = this.running.count(upstreamId) + 1;
     this.running.add({ spec, upstreamId, inFlight, expiresAt: spec.expiresAt });
-    this.upstreams.get(upstreamId)?.recordSend(now);
+    this.upstreams.get(upstreamId)?.recordSend(spec, now);
   }
 
   /** Frees the slot of a call and records how it ended; returns whether it held one. */
@@ -117,7 +118,7 @@
     if (end.result === 'answered') {
       this.spread.record(end.tookMs / this.getTypicalMs(now));
     }
-    this.upstreams.get(call.upstreamId)?.recordEnd(end, call.inFlight, now);
+    this.upstreams.get(call.upstreamId)?.recordEnd(call, end, now);
     this.typicalMs = undefined;
     return true;
   }
@@ -127,7 +128,9 @@
     now: number,
   ): number {
     const typicalMs = this.getTypicalMs(now);
-    return upstreams
+    // What answers no calls does no work; it counts only where nothing else is known.
+    const proven = upstreams.filter((item) => !item.isOnTrial(now));
+    return (proven.length > 0 ? proven : upstreams)
       .filter((item) => item.getOpenAt(now) <= now)
       .reduce((sum, item) => sum + item.getCallsPerMs(typicalMs, now), 0);
   }
--- a/packages/scheduling/src/upstream-choice.ts
+++ b/packages/scheduling/src/upstream-choice.ts
@@ -56,7 +56,7 @@
   }
   const bestMs = getExpectedMs(best, context);
   const isWaitShorter = candidates
-    .filter((item) => !free.includes(item) && item.getOpenAt(now) <= now)
+    .filter((item) => !free.includes(item) && !item.isOnTrial(now) && item.getOpenAt(now) <= now)
     .some((item) => {
       const waitMs = (ahead + 1) / item.getCallsPerMs(typicalMs, now);
       return waitMs + getExpectedMs(item, context) < bestMs;
--- a/packages/scheduling/src/upstream-slots.ts
+++ b/packages/scheduling/src/upstream-slots.ts
@@ -1,6 +1,8 @@
 import type * as callSpecs from './call-spec.js';
 import * as concurrencyLimits from './concurrency-limit.js';
 import * as decayingCounts from './decaying-count.js';
+import * as hostTrials from './host-trials.js';
+import type * as runningCalls from './running-calls.js';
 import * as serviceTimes from './service-time.js';
 import type * as statedLoads from './stated-load.js';
 
@@ -30,6 +32,7 @@
 /** The slots of one upstream process: how many calls it may have, and what their answers showed about it. */
 export class UpstreamSlots {
   public readonly serviceTime = new serviceTimes.ServiceTime();
+  private readonly trials: hostTrials.HostTrials;
   private readonly limit: concurrencyLimits.ConcurrencyLimit;
   private stated = { others: 0, at: -Infinity };
   private readonly ends = new decayingCounts.DecayingCount();
@@ -43,6 +46,7 @@
     private readonly options: UpstreamSlotsOptions,
   ) {
     this.limit = new concurrencyLimits.ConcurrencyLimit({ declaredSlots: facts.slots });
+    this.trials = new hostTrials.HostTrials(options.getLimitShare && (() => 1));
   }
 
   /** Number of calls that hold slots. */
@@ -58,7 +62,17 @@
   /** Returns whether a slot is free. */
   public hasRoom(now: number, countsOthers: boolean): boolean {
     const inFlight = this.running + (countsOthers ? this.getOthers(now) : 0);
-    return inFlight < this.getLimit() && this.getOpenAt(now) <= now;
+    return inFlight < this.getLimit() && this.getOpenAt(now) <= now && this.trials.isOpen(now);
+  }
+
+  /** Returns whether its last call got no answer, and no host has had one since. */
+  public isOnTrial(now: number): boolean {
+    return this.trials.isOn(now);
+  }
+
+  /** Returns whether a call of a host may be sent, as far as it depends on calls that got no answer. */
+  public mayReceive(hostId: string, now: number): boolean {
+    return this.trials.mayReceive(hostId, now);
   }
 
   /** Returns the time from which it takes calls: the end of a pause, or the next call to a cold upstream. */
@@ -69,9 +83,10 @@
       coldCallsPerS !== undefined &&
       this.isCold(now) &&
       this.coldSends.filter((at) => now - at < COLD_WINDOW_MS).length >= coldCallsPerS;
+    const pausedUntil = Math.max(this.pausedUntil, this.trials.getPauseEnd());
     return isColdFull && oldest !== undefined
-      ? Math.max(this.pausedUntil, oldest + COLD_WINDOW_MS)
-      : this.pausedUntil;
+      ? Math.max(pausedUntil, oldest + COLD_WINDOW_MS)
+      : pausedUntil;
   }
 
   /** Returns the number of calls per millisecond that it can answer. */
@@ -95,16 +110,23 @@
   }
 
   /** Records that a call is sent. */
-  public recordSend(now: number): void {
+  public recordSend(call: hostTrials.TriedCall, now: number): void {
+    this.trials.recordSend(call, now);
     if (this.facts.coldCallsPerS !== undefined && this.isCold(now)) {
       this.coldSends = this.coldSends.filter((at) => now - at < COLD_WINDOW_MS);
       this.coldSends.push(now);
     }
   }
 
-  /** Records how a call ended; `inFlight` calls were there when it was sent. */
-  public recordEnd(end: callSpecs.CallEnd, inFlight: number, now: number): void {
+  /** Records how a call ended. */
+  public recordEnd(
+    { inFlight, spec }: runningCalls.RunningCall,
+    end: callSpecs.CallEnd,
+    now: number,
+  ): void {
     const { load, result, tookMs } = end;
+    const isAnswer = result === 'answered' || result === 'not-run' ? true : undefined;
+    this.trials.recordEnd(spec, end.hasAnswered ?? isAnswer, now);
     if (result === 'answered') {
       this.limit.recordAnswer(tookMs, inFlight, now);
       this.serviceTime.recordAnswer(tookMs, load, now);
--- a/packages/scheduling/tests/support/call-simulation.ts
+++ b/packages/scheduling/tests/support/call-simulation.ts
@@ -34,10 +34,11 @@
 export interface CallOutcome {
   readonly load: Load;
   readonly arrivedAt: number;
-  readonly result: 'served' | 'refused' | 'shed' | 'expired';
+  readonly result: 'served' | 'refused' | 'shed' | 'expired' | 'unanswered';
   /** Time until the answer or the refusal, in milliseconds. */
   readonly tookMs: number;
   readonly upstreamId: string | undefined;
+  readonly hostId: string;
   readonly retryAfterMs?: number;
 }
 
@@ -48,6 +49,8 @@
   readonly getWeight?: (team: string) => number;
   /** Number of hosts that schedule alone; by default, a leader schedules for all. */
   readonly loneHosts?: number;
+  /** Number of hosts that share a leader; 1 by default. */
+  readonly hosts?: number;
   /** Whether refusals use `CallReturnTimes`. */
   readonly hasReturnTimes?: boolean;
   /** Whether refused callers return once, at the time that they are told. */
@@ -125,7 +128,7 @@
     this.sequence += 1;
     const spec = {
       callId: `c${this.sequence}`,
-      hostId: 'h',
+      hostId: `h${this.sequence % (this.options.hosts ?? 1)}`,
       incarnation: 'i',
       team: load.team,
       priority: load.priority ?? 0,
@@ -147,7 +150,8 @@
   ): void {
     const record = (result: CallOutcome['result'], upstreamId?: string, retryAfterMs?: number) => {
       const tookMs = this.events.now() - arrivedAt;
-      this.outcomes.push({ load, arrivedAt, result, tookMs, upstreamId, retryAfterMs });
+      const { hostId } = settled.spec;
+      this.outcomes.push({ load, arrivedAt, result, tookMs, upstreamId, hostId, retryAfterMs });
     };
     if (settled.kind === 'refused') {
       record('refused', undefined, settled.retryAfterMs);
@@ -159,12 +163,21 @@
     const model = this.models.find(({ options }) => options.upstreamId === upstreamId)!;
     this.events.schedule(2 * HOP_MS, () => {
       const sentAt = this.events.now() - HOP_MS;
-      const release = (result: scheduling.CallEnd['result'], load_ = model.getLoad()) =>
+      const release = (
+        result: scheduling.CallEnd['result'],
+        load_ = model.getLoad(),
+        hasAnswered = true,
+      ) =>
         this.events.schedule(2 * HOP_MS, () => {
           const tookMs = this.events.now() - HOP_MS - sentAt;
-          const end = { result, tookMs, load: load_ };
+          const end = { result, tookMs, load: load_, hasAnswered };
           this.settleAll(scheduler.complete(spec.callId, end, this.events.now()));
         });
+      if (model.isClosing(spec.hostId)) {
+        release('failed', undefined, false);
+        record('unanswered', upstreamId);
+        return;
+      }
       const isTaken = model.receive((hasFailed) => {
         release(hasFailed ? 'failed' : 'answered');
         const isExpired = this.events.now() + HOP_MS > spec.expiresAt;
--- a/packages/scheduling/tests/support/upstream-model.ts
+++ b/packages/scheduling/tests/support/upstream-model.ts
@@ -20,6 +20,8 @@
   /** Share of the calls that fail, and share of those that take a whole second. */
   readonly failureShare?: number;
   readonly hangShare?: number;
+  /** Whether the connections of a host are closed at once at a time. */
+  readonly isClosing?: (now: number, hostId: string) => boolean;
 }
 
 /** Time that a call takes that hangs, in milliseconds. */
@@ -46,6 +48,11 @@
     private readonly getNow: () => number,
   ) {}
 
+  /** Returns whether a call of a host gets no answer now. */
+  public isClosing(hostId: string): boolean {
+    return this.options.isClosing?.(this.getNow(), hostId) === true;
+  }
+
   /** Takes a call and calls `finish` when it is answered; returns false if it sheds the call. */
   public receive(finish: (hasFailed: boolean) => void): boolean {
     const { concurrency, queueLimit } = this.options;
