--- a/packages/gateway/src/call-scheduling-service.ts
+++ b/packages/gateway/src/call-scheduling-service.ts
@@ -91,13 +91,13 @@
   }
 
   /** Frees the slot of a call, or withdraws its request. */
-  public release({ callId, load, result, service, tookMs }: slotMessages.SlotRelease): void {
+  public release({ callId, service, ...end }: slotMessages.SlotRelease): void {
     const pool = this.pools.get(service);
     if (pool === undefined) {
       return;
     }
     const now = this.options.clock.now();
-    const settled = pool.scheduler.complete(callId, { result, tookMs, load }, now);
+    const settled = pool.scheduler.complete(callId, end, now);
     // A call that still waited is settled itself; its host has withdrawn it.
     const withdrawn = settled.filter(({ spec }) => spec.callId === callId);
     this.answer(pool, withdrawn);
--- a/packages/gateway/src/entry-host.ts
+++ b/packages/gateway/src/entry-host.ts
@@ -21,6 +21,7 @@
 import * as hostSettings from './host-settings.js';
 import type * as upstreamListReaders from './upstream-list-reader.js';
 import * as relayServers from './relay-server.js';
+import * as plannedStops from './planned-stop.js';
 import * as placementClients from './placement-client.js';
 import type * as ports from './ports.js';
 import * as suspectRelayClients from './suspect-relay-client.js';
@@ -54,6 +55,12 @@
 /** Share of the time for a planned stop in which the connections that this host relays for others may end. */
 const RELAY_STOP_SHARE = 0.75;
 
+/** Share of the time for a planned stop after which calls that still run are answered; the rest is for their answers. */
+const ANSWER_STOP_SHARE = 0.95;
+
+/** Share of the time for a planned stop in which new calls are accepted, at most. */
+const ACCEPT_STOP_SHARE = 0.5;
+
 /** Share of the time for a planned stop in which callers must finish what they send or take their answers. */
 const STALL_STOP_SHARE = 0.5;
 
@@ -66,9 +73,6 @@
  */
 const BALANCER_LAG_MS = 3_000;
 
-/** `Retry-After` of calls refused during a stop, in seconds: the caller can go to another host at once. */
-const STOPPING_RETRY_AFTER_S = 0.1;
-
 /** Time for which connections that are not idle may stay open after the last call, in milliseconds. */
 const CLOSE_GRACE_MS = 200;
 
@@ -115,6 +119,7 @@
   private readonly picker: upstreamPickers.UpstreamPicker;
   private readonly flow: routedFlows.RoutedFlow;
   private readonly drain: requests.Drain;
+  private readonly plannedStop: plannedStops.PlannedStop;
   private readonly callerListener: httpListeners.HttpListener;
   private readonly readinessListener: httpListeners.HttpListener;
   /** Time until which calls are accepted, on this host's clock. */
@@ -141,12 +146,14 @@
       (zone) => options.settings.get().regions?.[zone],
     );
     this.drain = new requests.Drain(clock);
+    this.plannedStop = new plannedStops.PlannedStop(clock);
     this.held = new requests.HeldBytes(() =>
       hostSettings.getHeldBytesLimit(options.settings.get()),
     );
     this.poller = this.createPoller();
     this.documents = this.createDocumentFetcher();
     const placement = new placementClients.PlacementClient({
+      hostId: settings.hostId,
       mesh: this.mesh,
       findLeader: () => this.poller.findLeader(),
       clock,
@@ -235,6 +242,7 @@
       wire,
       admission: new callAdmissions.CallAdmission(this.store, wire, clock, random),
       held: this.held,
+      stop: this.plannedStop,
       directory: this.directory,
       picker: this.picker,
       client: this.client,
@@ -263,7 +271,8 @@
     this.callerListener = new httpListeners.HttpListener((req, res) => this.serve(req, res), {
       name: 'callers',
       log,
-      limits: hostSettings.getCallerLimits(settings),
+      limits: hostSettings.getCallerLimits(options.settings.get()),
+      findRoom: () => this.findCallerRoom(),
       gate: options.gate,
       onClosed: (reason) => options.metrics.count('connectionsClosed', { reason }),
     });
@@ -322,9 +331,12 @@
     const { log } = this.options;
     log.info({ event: 'stopping', role: 'entry', active: this.drain.getActive() });
     this.drain.begin();
-    this.acceptsUntil = this.options.clock.now() + BALANCER_LAG_MS;
     const settings = this.options.settings.get();
     const { stopMs } = settings.bounds;
+    const now = this.options.clock.now();
+    this.acceptsUntil = now + Math.min(BALANCER_LAG_MS, stopMs * ACCEPT_STOP_SHARE);
+    const endsAt = now + stopMs * ANSWER_STOP_SHARE;
+    this.plannedStop.begin({ acceptsUntil: this.acceptsUntil, endsAt });
     const limits = hostSettings.getCallerLimits(settings);
     const stallMs = Math.min(limits.stallMs, stopMs * STALL_STOP_SHARE);
     this.callerListener.setLimits({ ...limits, stallMs });
@@ -375,7 +387,7 @@
     // starts late in the stop would be cut off when the process ends; refused as not run, it can go to another host at
     // once.
     if (this.options.clock.now() > this.acceptsUntil) {
-      this.refuse(req, res, createStoppingRefusal());
+      this.refuse(req, res, plannedStops.createStoppingRefusal());
       return;
     }
     const done = this.drain.enter();
@@ -406,9 +418,12 @@
   private refuse(req: http.IncomingMessage, res: http.ServerResponse, err: unknown): void {
     const refusal = requests.toRefusal(err);
     if (res.headersSent) {
-      res.destroy();
+      requests.breakOff(res);
       return;
     }
+    if (this.drain.isDraining()) {
+      res.setHeader('connection', 'close');
+    }
     const mayReadRest = refusal.options.step !== requests.READ_BODY_STEP;
     requests.sendRefusal(req, res, refusal, mayReadRest);
   }
@@ -419,6 +434,12 @@
     requests.sendJson(res, isPath ? status : 404, { version: this.store.getVersion() });
   }
 
+  /** Returns how many connections of callers there is room for; those to upstreams take descriptors from them. */
+  private findCallerRoom(): number {
+    const max = hostSettings.getCallConnections(this.options.settings.get());
+    return Math.max(1, max - this.links.countConnections());
+  }
+
   private createLinks(): paths.UpstreamLinks {
     const { clock, log, metrics, random, settings } = this.options;
     const ownDialer = this.options.dialer ?? new paths.TcpDialer();
@@ -435,6 +456,8 @@
       dialer,
       connectMs: CONNECT_TIMEOUT_MS,
       connections: MAX_CONNECTIONS,
+      findMaxConnections: () =>
+        hostSettings.getCallConnections(settings.get()) - this.callerListener.countDescriptors(),
       findProbe: (address) => this.findProbe(address),
       admitProbe: (address) => this.admitProbe(address),
       listAddresses: () => this.directory.listAddresses(),
@@ -599,6 +622,7 @@
     const limits = this.store.findTable()?.config.limits;
     if (limits !== undefined) {
       this.callerListener.setTimeouts(limits.headerTimeoutMs, limits.idleTimeoutMs);
+      this.callerListener.setHeaderBytes(limits.headerBytes);
     }
   }
 
@@ -625,13 +649,3 @@
     }
   }
 }
-
-function createStoppingRefusal(): schemas.Refusal {
-  return new schemas.Refusal({
-    id: 'draining',
-    step: 'admit',
-    status: 503,
-    outcome: 'not-run',
-    retryAfterS: STOPPING_RETRY_AFTER_S,
-  });
-}
--- a/packages/gateway/src/entry-update-service.ts
+++ b/packages/gateway/src/entry-update-service.ts
@@ -135,7 +135,7 @@
       listPeriodMs: isLeading ? upstreamList.getPeriodMs() : undefined,
       isCurrent: group.isCurrent(),
       leader: group.voter?.leader,
-      cores: coreRegistry.listAll(),
+      cores: coreRegistry.listHeard(),
       entryHosts: this.hasCompleteCount() ? entryRegistry.count() : undefined,
       suspects: this.findSuspectUpdates(req),
       rateLimits: this.findRateLimitUpdates(req),
--- a/packages/gateway/src/fallback-picker.ts
+++ b/packages/gateway/src/fallback-picker.ts
@@ -51,7 +51,9 @@
     const candidates = open.filter(({ known }) => this.mayReceiveCall(call.service, known, now));
     const isEngine = generationCalls.isGeneration(call);
     const choose = isEngine ? routing.chooseByMemory : routing.chooseByExpectedTime;
-    const chosen = choose(candidates, now, this.options.random);
+    // The last upstreams are tried even if none of them answers: a refusal would be no better.
+    const proven = candidates.filter(({ load }) => load.trial.mayReceive(now));
+    const chosen = choose(proven.length > 0 ? proven : candidates, now, this.options.random);
     if (chosen === undefined) {
       this.logNoUpstream(call, this.getNoUpstreamReason(call, untried.length, open.length));
       throw this.refuse('noUpstream', call.service.name, RETRY_AFTER_S);
@@ -115,6 +117,22 @@
     );
   }
 
+  /**
+   * Lists the upstreams that get no further call of this host for a moment, since its last one got no answer; none if there
+   * are no others.
+   */
+  public listUnanswering(
+    call: callAdmissions.AdmittedCall,
+    passedOver: readonly string[],
+  ): string[] {
+    const now = this.options.clock.now();
+    const usable = this.listLive(call).filter(({ upstreamId }) => !passedOver.includes(upstreamId));
+    const unanswering = usable.filter(({ load }) => !load.trial.mayReceive(now));
+    return unanswering.length === usable.length
+      ? []
+      : unanswering.map(({ upstreamId }) => upstreamId);
+  }
+
   /** Logs that a call is refused for lack of an upstream. */
   public logNoUpstream({ facts, service }: callAdmissions.AdmittedCall, reason: string): void {
     this.options.log.info({
--- a/packages/gateway/src/generation-calls.ts
+++ b/packages/gateway/src/generation-calls.ts
@@ -5,9 +5,15 @@
 /** Average answer length as a share of the maximum, used where the caller gives no estimate. */
 const MEAN_ANSWER_SHARE = 0.5;
 
-/** Returns whether a call's generation is to have a continuous KV-cache backup; short answers are not worth one. */
+/**
+ * Returns whether a call's generation is to have a continuous KV-cache backup. None for short
+ * answers, which cost less to run again, and only a stream of events can go on elsewhere after its caller's last event.
+ */
 export function wantsBackup(call: callAdmissions.AdmittedCall): boolean {
   const { engine } = call.service;
+  if (!call.route.isStream) {
+    return false;
+  }
   const hasBackupSupport = isGeneration(call) && engine?.canBackUp === true && engine.canMove;
   return hasBackupSupport && getExpectedAnswerTokens(call) > routing.SHORT_ANSWER_TOKENS;
 }
--- a/packages/gateway/src/held-slot.ts
+++ b/packages/gateway/src/held-slot.ts
@@ -8,6 +8,8 @@
   /** Time from the send to the end of the answer, in milliseconds. */
   readonly tookMs: number;
   readonly load?: scheduling.StatedLoad | undefined;
+  /** Whether an answer began; `undefined` if that shows nothing about the upstream. */
+  readonly hasAnswered?: boolean | undefined;
 }
 
 /** A slot that a call of this host holds; it is returned exactly once. */
--- a/packages/gateway/src/http-listener.ts
+++ b/packages/gateway/src/http-listener.ts
@@ -9,13 +9,18 @@
 /** Interval at which connections are checked for header timeouts, in milliseconds. */
 const TIMEOUT_CHECK_INTERVAL_MS = 500;
 
-/** Maximum size of the headers that the parser accepts, in bytes; the configured limit is below it. */
+/** Size of the headers that the parser accepts, in bytes: until a limit is configured, and the maximum. */
+const DEFAULT_HEADER_BYTES = 16_384;
 const MAX_HEADER_BYTES = 65_536;
 
+/** Size of the request line, which the parser counts with the headers, in bytes. */
+const REQUEST_LINE_BYTES = 8_192;
+
 /** Limits of a listener whose callers are probes and other programs of the operators. */
 const DEFAULT_LIMITS: requests.ConnectionLimits = {
   connections: 32,
   requestsPerConnection: 16,
+  headBytes: 1_024 * 1_024,
   stallMs: 10_000,
 };
 
@@ -26,12 +31,14 @@
   readonly log: schemas.Log;
   /** What its callers may hold; the limits for probes by default. */
   readonly limits?: requests.ConnectionLimits | undefined;
+  /** Returns how many connections there is room for now; as many as the limits allow by default. */
+  readonly findRoom?: (() => number) | undefined;
   readonly gate?: connectionGates.ConnectionGate | undefined;
   /** Called when a connection is closed because of the limits. */
   readonly onClosed?: ((reason: requests.CloseReason) => void) | undefined;
 }
 
-/** Answers one request; must not throw. */
+/** Answers one request; must not throw. A body that it doesn't begin to read at once is discarded. */
 export type RequestHandler = (req: http.IncomingMessage, res: http.ServerResponse) => void;
 
 /** HTTP server that listens on an address from the settings. */
@@ -43,11 +50,12 @@
   private readonly unread = new WeakSet<net.Socket>();
 
   public constructor(handle: RequestHandler, options: HttpListenerOptions) {
-    const { limits = DEFAULT_LIMITS, log, name, onClosed } = options;
+    const { findRoom, limits = DEFAULT_LIMITS, log, name, onClosed } = options;
     this.gate = options.gate;
     this.server = http.createServer(
       {
-        maxHeaderSize: MAX_HEADER_BYTES,
+        IncomingMessage: requests.CallerRequest,
+        maxHeaderSize: DEFAULT_HEADER_BYTES + REQUEST_LINE_BYTES,
         requestTimeout: 0,
         connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
       },
@@ -62,6 +70,7 @@
           this.gate?.recordFirstRequest();
         }
         handle(req, res);
+        this.connections.discardUnread(req, res);
       },
     );
     // An accept that fails, such as for want of descriptors, concerns one connection; without a handler it would end the process.
@@ -71,6 +80,7 @@
     this.connections = new requests.CallerConnections(this.server, {
       listener: name,
       limits,
+      findRoom,
       log,
       onClosed,
     });
@@ -98,6 +108,21 @@
     return this.connections.count();
   }
 
+  /** Returns the number of descriptors that connections use. */
+  public countDescriptors(): number {
+    return this.connections.countDescriptors();
+  }
+
+  /**
+   * Sets the size of the headers that a connection may send, in bytes; what the parser holds of unfinished ones is bounded
+   * by it. Connections that are open keep theirs.
+   */
+  public setHeaderBytes(headerBytes: number): void {
+    const maxHeaderSize = Math.min(MAX_HEADER_BYTES, headerBytes + REQUEST_LINE_BYTES);
+    // The server reads this option for each connection; its type lacks it.
+    Object.assign(this.server, { maxHeaderSize });
+  }
+
   /** Sets the timeouts for receiving a request's headers and for idle connections. */
   public setTimeouts(headerTimeoutMs: number, idleTimeoutMs: number): void {
     this.server.headersTimeout = headerTimeoutMs;
@@ -110,7 +135,10 @@
     await new Promise<void>((resolve) => {
       this.server.close(() => resolve());
       this.server.closeIdleConnections();
-      setTimeout(() => this.server.closeAllConnections(), graceMs).unref();
+      setTimeout(() => {
+        this.connections.breakOffUnmarked();
+        this.server.closeAllConnections();
+      }, graceMs).unref();
     });
   }
 
--- a/packages/gateway/src/migration-manager.ts
+++ b/packages/gateway/src/migration-manager.ts
@@ -29,9 +29,14 @@
   readonly log: schemas.Log;
 }
 
+/** Whether an order has stopped a run; `unknown` if nothing received says so. */
+export type RunStop = 'stopped' | 'not-stopped' | 'unknown';
+
 /** A run that can continue on another engine when its own engine leaves. */
 export interface MigratableRun {
   readonly engine: upstreamDirectories.KnownUpstream;
+  /** When it was sent to its engine, on this host's clock in milliseconds. */
+  readonly sentAt: number;
   readonly backup: runBackups.RunBackup;
   isOpen: boolean;
   /** Whether it ended with a failure; its backup is needed then. */
@@ -39,10 +44,10 @@
   /** Whether the retry that it needs to continue elsewhere has already been taken from the budget. */
   hasRetryGranted: boolean;
   /**
-   * Settles when the run is stopped and the rest of its KV cache is copied; undefined before the stop is ordered. The
-   * stream may end before this settles.
+   * Settles with whether the run was stopped, when the rest of its KV cache is copied; undefined before the stop is
+   * ordered. The stream may end before this settles.
    */
-  finalBackup: Promise<void> | undefined;
+  finalBackup: Promise<RunStop> | undefined;
 }
 
 /**
@@ -57,7 +62,7 @@
   public async run(job: routedJobs.RoutedJob, run: MigratableRun): Promise<void> {
     const { clock, picker } = this.options;
     const fullEngineIds: string[] = [];
-    while (run.isOpen && run.finalBackup === undefined) {
+    while (run.isOpen && !(await this.isStopped(job, run))) {
       const { target, isAnswered } = await picker.awaitMigrationTarget(
         job.call,
         run.engine.upstreamId,
@@ -76,6 +81,18 @@
     await this.dropUnusedBackup(job, run);
   }
 
+  /** Returns whether a run was stopped, or may have been. If its engine has ignored the order, it is moved again. */
+  private async isStopped(job: routedJobs.RoutedJob, run: MigratableRun): Promise<boolean> {
+    const stop = await run.finalBackup;
+    if (stop === 'not-stopped') {
+      this.options.picker.reportEvent(job.call, 'turn-over');
+      await this.options.clock.sleep(RETRY_PAUSE_MS);
+      run.finalBackup = undefined;
+      return false;
+    }
+    return stop !== undefined;
+  }
+
   /** Copies the KV cache, then stops the run. An engine without capacity is excluded from further attempts. */
   private async migrate(
     job: routedJobs.RoutedJob,
@@ -90,10 +107,13 @@
     }
     // Continuing elsewhere counts as a retry. Without one the run is not stopped, since it may still finish on its
     // engine.
-    const mayContinue =
-      result === 'made' && (await findBudget(job.call.service.name).takeGranted());
-    if (mayContinue) {
-      run.hasRetryGranted = true;
+    if (result === 'made' && !run.hasRetryGranted) {
+      run.hasRetryGranted = await findBudget(job.call.service.name).takeGranted();
+    }
+    if (!run.isOpen) {
+      return;
+    }
+    if (result === 'made' && run.hasRetryGranted) {
       run.finalBackup = this.stopAndCopyRest(job, run, target);
       return;
     }
@@ -171,28 +191,54 @@
     job: routedJobs.RoutedJob,
     run: MigratableRun,
     target: upstreamDirectories.KnownUpstream,
-  ): Promise<void> {
+  ): Promise<RunStop> {
     const { clock, engines, log, picker } = this.options;
     const order = createOrder(job, run, target, true);
     const { requestId: request, sourceAddress } = order;
     const details = { request, upstream: run.engine.upstreamId, copyAt: target.upstreamId };
     const askedAt = clock.now();
+    // The stream may wait for the result, but not after its caller has left or its time is over. The timer is held here: one
+    // that only a combined signal refers to may be collected before it is due.
+    const limit = new AbortController();
+    const abort = () => limit.abort(new Error('the order was not answered in time'));
+    const timer = setTimeout(abort, COPY_TIMEOUT_MS);
+    job.abort.signal.addEventListener('abort', abort);
     try {
-      const result = await engines.copyKvCache(order, AbortSignal.timeout(COPY_TIMEOUT_MS));
+      const result = await engines.copyKvCache(order, limit.signal);
       // If the target engine has no capacity, the stopped run stays on its own engine and can be resumed there until
       // that engine exits.
       const backupEngine = result.kind === 'made' ? target : run.engine;
-      const handle = result.kind === 'no-run' ? undefined : result.handle;
+      const handle = findHandle(result);
       if (handle !== undefined) {
         const reference = { kind: 'ordered', sourceAddress, handle } as const;
         run.backup.replace({ at: backupEngine, reference }, askedAt);
       }
       log.info({ decision: 'hand-over', ...details, result: result.kind });
+      return this.getStop(run, result);
     } catch (err) {
       picker.reportEvent(job.call, 'turn-over');
       log.info({ decision: 'hand-over-failed', ...details, err: schemas.toError(err).message });
+      return 'unknown';
+    } finally {
+      clearTimeout(timer);
+      job.abort.signal.removeEventListener('abort', abort);
     }
   }
+
+  private getStop({ engine, sentAt }: MigratableRun, result: ports.KvCacheCopyResult): RunStop {
+    if (findHandle(result) !== undefined) {
+      return 'stopped';
+    }
+    // A process that has taken the engine's place does not have the run either.
+    const isSameProcess = !this.options.directory.hasEndedSince(engine, sentAt);
+    const isRefused = result.kind === 'busy' || (result.kind === 'no-run' && isSameProcess);
+    return isRefused ? 'not-stopped' : 'unknown';
+  }
+}
+
+/** Returns the handle of the copy; an engine names one only for a copy that it made or a run that it stopped. */
+function findHandle(result: ports.KvCacheCopyResult): string | undefined {
+  return result.kind === 'made' || result.kind === 'no-room' ? result.handle : undefined;
 }
 
 function createOrder(
--- a/packages/gateway/src/placement-client.ts
+++ b/packages/gateway/src/placement-client.ts
@@ -19,6 +19,7 @@
 
 /** Dependencies of the placement client. */
 export interface PlacementClientOptions {
+  readonly hostId: string;
   readonly mesh: coreMeshes.CoreMesh;
   readonly findLeader: () => string | undefined;
   readonly clock: schemas.Clock;
@@ -104,16 +105,14 @@
   }
 
   /** Unregisters a generation that has ended, and reports that to the leader. */
-  public unregisterRun(callId: string, hasFailed: boolean): void {
-    const { findLeader, mesh } = this.options;
+  public unregisterRun(callId: string, hasFailed: boolean, hasAnswered?: boolean): void {
+    const { findLeader, hostId, mesh } = this.options;
     const known = this.running.get(callId);
     const leader = findLeader();
     this.running.delete(callId);
     if (known !== undefined && leader !== undefined) {
-      this.send(
-        mesh.get(leader).release.mutate({ service: known.service, callId, hasFailed }),
-        'release',
-      );
+      const req = { service: known.service, callId, hasFailed, hostId, hasAnswered };
+      this.send(mesh.get(leader).release.mutate(req), 'release');
     }
   }
 
--- a/packages/gateway/src/placement-service.ts
+++ b/packages/gateway/src/placement-service.ts
@@ -200,7 +200,8 @@
     if (pool !== undefined) {
       const now = this.options.clock.now();
       pool.returnTimes.recordFreed(pool.ledger.getTokens(req.callId, now), now);
-      pool.ledger.release(req.callId, req.hasFailed, now);
+      const { callId, hasAnswered, hasFailed, hostId = '' } = req;
+      pool.ledger.release(callId, hasFailed, now, { hostId, hasAnswered });
       pool.migrations.withdraw(req.callId)?.settle(undefined);
       pool.dispatch(this.options.clock.now());
     }
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -74,6 +74,8 @@
   | { readonly kind: 'made'; readonly handle: string }
   /** The target engine has no capacity or is unreachable; the source keeps a stopped generation under a handle. */
   | { readonly kind: 'no-room'; readonly handle?: string | undefined }
+  /** The source engine carries out another copy of the generation and has ignored the order. */
+  | { readonly kind: 'busy' }
   /** The source engine does not run the generation, or has not started it: its prompt waits for the prefill. */
   | { readonly kind: 'no-run' };
 
--- a/packages/gateway/src/relay-server.ts
+++ b/packages/gateway/src/relay-server.ts
@@ -62,6 +62,7 @@
       keyring: undefined,
       log,
       openTunnel: (req) => tunnels.open(req),
+      leaving: tunnels.leaving,
       limits: { ...LIMITS, connections: maxConnections },
       onClosed,
     });
--- a/packages/gateway/src/routed-answer.ts
+++ b/packages/gateway/src/routed-answer.ts
@@ -3,6 +3,7 @@
 import * as requests from '@bramleyridge/requests';
 
 import type * as streamPaceMeters from './stream-pace-meter.js';
+import * as unknownEndErrors from './unknown-end-error.js';
 
 /** Answer of an upstream: buffered, or streamed while its body arrives. */
 export type RoutedAnswer = BufferedAnswer | StreamedAnswer;
@@ -27,8 +28,12 @@
   readonly recordEvents: (count: number) => void;
   /** Releases the load accounted for the run; called when the body has ended, with whether the upstream broke off. */
   readonly release: (hasFailed: boolean) => void;
+  /** Rejects if the body has ended because this host has stopped the run, or may have. */
+  readonly confirmEnd: () => Promise<void>;
   /** Returns whether there is a KV-cache copy from which the generation could be resumed. */
   readonly canResume: () => boolean;
+  /** Records that the stream is ended since its engine has been silent; the engine may go on with the run. */
+  readonly recordSilence: () => void;
   /** Resumes after an event where the upstream broke off; `undefined` if that is not possible. */
   readonly resume: (lastEventId: string | undefined) => Promise<StreamedAnswer | undefined>;
 }
@@ -70,15 +75,14 @@
     await (isStream ? relayEvents(res, routed, noteEvents) : relayBytes(res, routed));
     res.end();
   } catch (err) {
-    // A truncated answer must not look complete, so the connection is closed without the final chunk.
-    res.destroy();
+    requests.breakOff(res);
     throw err;
   }
 }
 
 async function relayBytes(res: http.ServerResponse, streamed: StreamedAnswer): Promise<void> {
   await write(res, streamed.bytes);
-  await relayBody(streamed, false, async (bytes) => {
+  await relayBody(streamed, 'bytes', async (bytes) => {
     await write(res, bytes);
     return true;
   });
@@ -92,12 +96,16 @@
 ): Promise<void> {
   const splitter = new requests.SseEventSplitter();
   let streamed = first;
+  let content: requests.AnswerContent = 'events';
   for (;;) {
-    const { paceMeter, recordEvents, upstreamId } = streamed;
+    const { answer, paceMeter, recordEvents, upstreamId } = streamed;
+    let parts = 0;
     try {
-      await relayBody(streamed, true, async (bytes) => {
+      await relayBody(streamed, content, async (bytes) => {
         const formerId = splitter.getLastId();
-        const events = splitter.push(bytes);
+        const partsBefore = parts;
+        parts = answer.countParts?.() ?? parts + 1;
+        const events = splitter.push(bytes, parts - partsBefore);
         if (events.length > 0) {
           noteEvents();
         }
@@ -119,6 +127,9 @@
       });
       return;
     } catch (err) {
+      // Only a run that may have been over can go on without events.
+      const isMaybeOver = err instanceof unknownEndErrors.UnknownEndError;
+      content = isMaybeOver && splitter.getLastId() !== undefined ? 'more-events' : 'events';
       const resumed = res.destroyed ? undefined : await streamed.resume(splitter.getLastId());
       if (resumed === undefined) {
         throw err;
@@ -132,43 +143,46 @@
 /** Relays a body; `send` returns whether its bytes have completed an event. */
 async function relayBody(
   streamed: StreamedAnswer,
-  isStream: boolean,
+  content: requests.AnswerContent,
   send: (bytes: Buffer) => Promise<boolean>,
 ): Promise<void> {
-  const { answer, release, upstreamId } = streamed;
+  const { answer, confirmEnd, release, upstreamId } = streamed;
   let hasFailed = true;
   let isSending = false;
-  let timer: NodeJS.Timeout | undefined;
+  let timer: requests.SilenceTimer | undefined;
   const checkSilence = () => {
     // A caller that reads slowly is no silence of the upstream.
     if (!isSending) {
+      answer.recordStopped();
       endSilentStream(streamed);
     }
-    timer?.refresh();
   };
   try {
-    for await (const part of requests.relayAnswer(answer, isStream, upstreamId)) {
+    for await (const part of requests.relayAnswer(answer, content, upstreamId)) {
       isSending = true;
       const isAlive = await send(part);
       isSending = false;
       // Bytes that never complete an event are silence, too.
-      if (isStream && timer === undefined) {
-        timer = setTimeout(checkSilence, SILENCE_TIMEOUT_MS);
+      if (content !== 'bytes' && timer === undefined) {
+        timer = new requests.SilenceTimer(SILENCE_TIMEOUT_MS, checkSilence);
       } else if (isAlive) {
-        timer?.refresh();
+        timer?.recordHeard();
       }
     }
+    timer?.end();
+    await confirmEnd();
     hasFailed = false;
   } finally {
-    clearTimeout(timer);
+    timer?.end();
     answer.body.destroy();
     release(hasFailed);
   }
 }
 
 /** Ends a silent stream if it can be resumed elsewhere; otherwise its engine may still send more events. */
-function endSilentStream({ answer, canResume }: StreamedAnswer): void {
+function endSilentStream({ answer, canResume, recordSilence }: StreamedAnswer): void {
   if (canResume()) {
+    recordSilence();
     answer.body.destroy(new Error('no events within the silence timeout'));
   }
 }
--- a/packages/gateway/src/routed-attempts.ts
+++ b/packages/gateway/src/routed-attempts.ts
@@ -6,16 +6,20 @@
 import type * as callAdmissions from './call-admission.js';
 import * as migrationManagers from './migration-manager.js';
 import type * as crashGuards from './crash-guard.js';
+import * as callPatience from './call-patience.js';
 import * as generationCalls from './generation-calls.js';
 import type * as pickedUpstreams from './picked-upstream.js';
 import type * as ports from './ports.js';
 import * as streamPaceMeters from './stream-pace-meter.js';
 import * as engineRestarts from './abort-on-engine-restart.js';
 import type * as routedAnswers from './routed-answer.js';
-import type * as routedJobs from './routed-job.js';
+import * as routedJobs from './routed-job.js';
 import * as runBackups from './run-backup.js';
+import * as runEndReports from './run-end-report.js';
 import type * as slotMessages from './slot-messages.js';
+import * as silentRunStops from './silent-run-stop.js';
 import * as slotResults from './slot-result.js';
+import * as unknownEndErrors from './unknown-end-error.js';
 import type * as upstreamDirectories from './upstream-directory.js';
 import * as upstreamPickers from './upstream-picker.js';
 
@@ -34,13 +38,6 @@
  */
 const RESUME_WAIT_MS = 1_500;
 
-/**
- * Time for which no upstream may be heard while a call waits, before its path is checked, in milliseconds; calls to
- * plain services have twice their latency target if that is more. Prompts may wait for seconds at engines.
- */
-const CALL_PATIENCE_MS = 300;
-const STREAM_PATIENCE_MS = 1_500;
-
 /** Lowest status that is not a success. */
 const FIRST_NON_SUCCESS_STATUS = 300;
 
@@ -66,13 +63,19 @@
   readonly run: migrationManagers.MigratableRun;
   /** Releases the run's accounted load and its slot; only the first call has an effect. */
   readonly release: (hasFailed: boolean, result: slotMessages.SlotResult) => void;
+  /** Takes back that the call was sent, for one that was withheld. */
+  readonly takeBack: () => void;
   /** Load that the upstream stated with its answer. */
   load: ports.AnswerFacts['load'];
+  /** Whether its answer began; `undefined` while it has not, or if its end shows nothing about the upstream. */
+  hasAnswered: boolean | undefined;
   readonly sentAt: number;
   /** Time at which its answer began. */
   answerStartedAt: number | undefined;
   /** Number of its events that have arrived. */
   events: number;
+  /** Whether its stream was ended since its engine had been silent. */
+  isSilent: boolean;
 }
 
 /** Where a run goes on, and the copy from which it does; without one it runs again. */
@@ -103,8 +106,13 @@
       return await this.receive(job, attempt, await this.send(job, attempt, permit, undefined));
     } catch (err) {
       const result = slotResults.getFailureResult(err, job.abort.signal);
-      attempt.release(result !== 'unused' || job.abort.signal.aborted, result);
+      const isWithheld = result === 'unused' && !job.abort.signal.aborted;
+      attempt.hasAnswered = slotResults.getFailureAnswered(attempt, err, job.abort.signal);
+      attempt.release(!isWithheld, result);
       this.recordEnd(job, attempt, err);
+      if (isWithheld) {
+        attempt.takeBack();
+      }
       throw err;
     }
   }
@@ -168,26 +176,32 @@
 
   private begin(job: routedJobs.RoutedJob, picked: pickedUpstreams.PickedUpstream): Attempt {
     const { clock, picker } = this.options;
-    const { call, tried } = job;
-    tried.add(picked.upstreamId);
-    job.upstreamId = picked.upstreamId;
+    const { call } = job;
+    const takeBack = routedJobs.recordSend(job, picked.upstreamId);
     const leave = picked.known.load.trackCall(generationCalls.getExpectedTokens(call));
     const run = this.createRun(call, picked);
     const sentAt = clock.now();
+    const { trial } = picked.known.load;
+    trial.recordSend(run, sentAt);
     const attempt: Attempt = {
       picked,
       run,
       load: undefined,
+      hasAnswered: undefined,
       sentAt,
       answerStartedAt: undefined,
       events: 0,
+      isSilent: false,
+      takeBack,
       release: (hasFailed, result) => {
         if (run.isOpen) {
           run.isOpen = false;
           run.hasFailed = hasFailed;
           leave();
+          const { hasAnswered, load } = attempt;
+          trial.recordEnd(run, hasAnswered, clock.now());
           const tookMs = clock.now() - sentAt;
-          picker.release(call, picked, { hasFailed, result, tookMs, load: attempt.load });
+          picker.release(call, picked, { hasFailed, result, tookMs, load, hasAnswered });
         }
       },
     };
@@ -205,6 +219,7 @@
     const copyTtlMs = service.engine?.copyTtlMs;
     return {
       engine: known,
+      sentAt: this.options.clock.now(),
       backup: new runBackups.RunBackup({ ...this.options, copyTtlMs }, kept),
       isOpen: true,
       hasFailed: false,
@@ -248,7 +263,7 @@
         isRepeatable,
         permit,
         place: directory.createPlaceRule(call.regions),
-        patienceMs: getPatienceMs(call),
+        patienceMs: callPatience.getPatienceMs(call),
         signal: abort.signal,
       },
       wire.createHeadClassifier(call.facts),
@@ -264,6 +279,7 @@
     const { known, upstreamId } = attempt.picked;
     job.held.beginAnswer(answer.body);
     const { load } = wire.readAnswer(answer);
+    recordBegun(attempt);
     if (load !== undefined) {
       known.load.applyReport(load, clock.now());
     }
@@ -325,7 +341,11 @@
       release: (hasFailed) => {
         // The leader knows the run until it is released.
         paceMeter?.end();
-        this.endStreamed(job, attempt, hasFailed);
+        this.endStreamed(job, attempt, answer, hasFailed);
+      },
+      confirmEnd: () => confirmEnd(attempt, answer),
+      recordSilence: () => {
+        attempt.isSilent = true;
       },
       canResume: () => attempt.run.backup.findConfirmed() !== undefined,
       resume: (lastEventId) => this.resume(job, attempt, lastEventId),
@@ -359,6 +379,7 @@
   ): Promise<Streamed | undefined> {
     const { log, metrics } = this.options;
     await previous.run.finalBackup;
+    await this.stopSilentRun(job, previous);
     const choice = await this.chooseNext(job, previous);
     const permit = choice && (await this.admitResume(job, choice.picked));
     if (choice === undefined || permit === undefined) {
@@ -396,10 +417,12 @@
         answer.body.destroy();
         throw new requests.UpstreamError('lost', 'resume', upstreamId);
       }
+      recordBegun(attempt);
       job.held.beginAnswer(answer.body);
       metrics.count('resumes', { result: 'resumed', after });
       return this.createStreamed(job, attempt, answer, Buffer.alloc(0));
     } catch (err) {
+      attempt.hasAnswered = slotResults.getFailureAnswered(attempt, err, job.abort.signal);
       attempt.release(true, slotResults.getFailureResult(err, job.abort.signal));
       this.recordEnd(job, attempt, err);
       metrics.count('resumes', { result: 'failed', after });
@@ -408,6 +431,14 @@
     }
   }
 
+  /** Stops a run before it goes on from its copy, where its engine may still work on it. */
+  private async stopSilentRun({ call }: routedJobs.RoutedJob, previous: Attempt): Promise<void> {
+    const copy = this.findUsableBackup(previous);
+    if (previous.isSilent && copy !== undefined) {
+      await silentRunStops.stopSilentRun(this.options, call.facts.requestId, previous.run, copy);
+    }
+  }
+
   /** Reports to the crash guard how a failed attempt ended. */
   private recordEnd(job: routedJobs.RoutedJob, attempt: Attempt, err: unknown): void {
     const { kind } = requests.createUpstreamError(err, 'attempt', attempt.picked.upstreamId);
@@ -420,9 +451,27 @@
    * Ends a run whose answer was streamed. A run stopped for a migration or because its caller has disconnected shows
    * nothing about the call.
    */
-  private endStreamed(job: routedJobs.RoutedJob, attempt: Attempt, hasFailed: boolean): void {
-    const isStoppedHere = attempt.run.finalBackup !== undefined || job.abort.signal.aborted;
+  private endStreamed(
+    job: routedJobs.RoutedJob,
+    attempt: Attempt,
+    answer: requests.UpstreamAnswer,
+    hasFailed: boolean,
+  ): void {
+    const isStopOrdered = attempt.run.finalBackup !== undefined;
+    const isStoppedHere = isStopOrdered || job.abort.signal.aborted;
+    const { requestId } = job.call.facts;
+    const { upstreamId } = attempt.picked;
+    const { events } = attempt;
+    runEndReports.reportRunEnd(this.options, {
+      requestId,
+      upstreamId,
+      answer,
+      events,
+      hasFailed,
+      isStopOrdered,
+    });
     const failed = isStoppedHere ? 'over' : 'lost';
+    attempt.hasAnswered = hasFailed ? undefined : true;
     attempt.release(hasFailed, slotResults.getStreamResult(hasFailed, isStoppedHere));
     this.options.guard.recordOutcome(job, createGuardedRun(attempt), hasFailed ? failed : 'served');
   }
@@ -554,8 +603,29 @@
   }
 }
 
-function getPatienceMs({ route }: callAdmissions.AdmittedCall): number {
-  return route.isStream ? STREAM_PATIENCE_MS : Math.max(CALL_PATIENCE_MS, 2 * route.targetMs);
+function recordBegun(attempt: Attempt): void {
+  attempt.hasAnswered = true;
+  attempt.picked.known.load.trial.recordAnswer();
+}
+
+/**
+ * Throws if the end of an answer may be that of a run which this host has stopped: without a mark in the answer, only what
+ * came of the order tells the two apart.
+ */
+async function confirmEnd(
+  { picked, run }: Attempt,
+  answer: requests.UpstreamAnswer,
+): Promise<void> {
+  if (run.finalBackup === undefined || requests.hasMarkedEnd(answer)) {
+    return;
+  }
+  const stop = await run.finalBackup;
+  if (stop === 'stopped') {
+    throw new requests.UpstreamError('lost', 'stop-run', picked.upstreamId);
+  }
+  if (stop === 'unknown') {
+    throw new unknownEndErrors.UnknownEndError(picked.upstreamId);
+  }
 }
 
 /** Returns whether any event of a run has arrived, for metrics. */
--- a/packages/gateway/src/routed-flow.ts
+++ b/packages/gateway/src/routed-flow.ts
@@ -7,7 +7,9 @@
 import type * as pickedUpstreams from './picked-upstream.js';
 import * as routedAnswers from './routed-answer.js';
 import * as routedAttempts from './routed-attempts.js';
+import type * as plannedStops from './planned-stop.js';
 import type * as routedJobs from './routed-job.js';
+import * as stoppableJobs from './stoppable-job.js';
 import * as streamTimes from './stream-times.js';
 import * as teamCallCounters from './team-call-counter.js';
 import * as upstreamPickers from './upstream-picker.js';
@@ -27,6 +29,8 @@
   /** Whether capacity is shared among teams, so that answers are counted by team. */
   readonly isSharing: () => boolean;
   readonly held: requests.HeldBytes;
+  /** Ends calls when the host stops as planned. */
+  readonly stop: plannedStops.PlannedStop;
 }
 
 /** Details of a call's outcome, for the log. */
@@ -84,15 +88,20 @@
       () => abort.abort(createTimeoutRefusal(job.upstreamId !== undefined)),
       Math.max(0, call.endsAt - clock.now()),
     );
+    const { admission, stop } = this.options;
+    const isRepeatable = () => admission.isRepeatable(call);
+    const stoppable = new stoppableJobs.StoppableJob(job, { stop, res, isRepeatable });
+    const leaveStop = stop.add(stoppable);
     const onClose = () => abort.abort(new CallerGone('the caller has disconnected'));
     res.once('close', onClose);
     if (res.destroyed) {
       onClose();
     }
     try {
-      await this.serve(job, res);
+      await this.serve(job, stoppable, res);
     } finally {
       clearTimeout(timer);
+      leaveStop();
       res.off('close', onClose);
     }
   }
@@ -130,10 +139,14 @@
     }
   }
 
-  private async serve(job: routedJobs.RoutedJob, res: http.ServerResponse): Promise<void> {
+  private async serve(
+    job: routedJobs.RoutedJob,
+    stoppable: stoppableJobs.StoppableJob,
+    res: http.ServerResponse,
+  ): Promise<void> {
     const { isStream } = job.call.route;
     try {
-      const answer = await this.requestAnswer(job);
+      const answer = await this.requestAnswer(job, stoppable);
       const status = answer.kind === 'whole' ? answer.head.status : answer.answer.status;
       job.held.passAnswer();
       await routedAnswers.deliverAnswer(res, answer, isStream, () => this.noteEvents(job));
@@ -146,7 +159,7 @@
       }
       if (res.headersSent) {
         this.recordOutcome(job, 'incomplete', { err: schemas.toError(err).message });
-        res.destroy();
+        requests.breakOff(res);
         return;
       }
       const refusal = requests.toRefusal(err);
@@ -163,18 +176,25 @@
     this.options.guard.recordProgress(job);
   }
 
-  private requestAnswer(job: routedJobs.RoutedJob): Promise<routedAnswers.RoutedAnswer> {
-    const { admission, findBudget } = this.options;
+  private requestAnswer(
+    job: routedJobs.RoutedJob,
+    stoppable: stoppableJobs.StoppableJob,
+  ): Promise<routedAnswers.RoutedAnswer> {
+    const { findBudget } = this.options;
     const { call } = job;
     return requests.runAttempts(
       {
-        isRepeatable: () => admission.isRepeatable(call),
+        isRepeatable: () => stoppable.isRepeatable(),
         maxRuns: call.route.maxRuns,
         budget: findBudget(call.service.name),
         signal: job.abort.signal,
       },
       {
-        choose: () => this.choose(job),
+        choose: () =>
+          stoppable.choose(
+            (signal) => this.choose(job, signal),
+            (picked) => this.attempts.discard(job, picked),
+          ),
         attempt: (picked) => this.attempts.attempt(job, picked),
         discard: (picked) => this.attempts.discard(job, picked),
         isFailure: (answer) =>
@@ -185,13 +205,19 @@
   }
 
   /** Picks an upstream. A suspect is not sent where another suspect runs, as long as there are other upstreams. */
-  private async choose(job: routedJobs.RoutedJob): Promise<pickedUpstreams.PickedUpstream> {
-    const { guard, picker } = this.options;
-    const { abort, call } = job;
+  private async choose(
+    job: routedJobs.RoutedJob,
+    signal: AbortSignal,
+  ): Promise<pickedUpstreams.PickedUpstream> {
+    const { client, guard, picker } = this.options;
+    const { call } = job;
+    if (client.isFull()) {
+      throw requests.createHostFull();
+    }
     await guard.admit(job);
     const excluded = new Set(job.tried);
     for (let moves = 0; ; moves += 1) {
-      const picked = await picker.pick(call, excluded, abort.signal);
+      const picked = await picker.pick(call, excluded, signal);
       const mayShare = () => moves >= MAX_SUSPECT_MOVES || !this.hasOther(call, picked, excluded);
       const permit = await guard.permit(job, picked.known, mayShare).catch((err: unknown) => {
         picker.release(call, picked, upstreamPickers.UNSENT);
--- a/packages/gateway/src/routed-job.ts
+++ b/packages/gateway/src/routed-job.ts
@@ -22,3 +22,17 @@
   /** Times at which the stream's events were sent to the caller. */
   readonly times: streamTimes.StreamTimes;
 }
+
+/** Records that a call is sent to an upstream; the returned function takes it back, since nothing was sent. */
+export function recordSend(job: RoutedJob, upstreamId: string): () => void {
+  const { tried, upstreamId: formerId } = job;
+  const isFirst = !tried.has(upstreamId);
+  tried.add(upstreamId);
+  job.upstreamId = upstreamId;
+  return () => {
+    job.upstreamId = formerId;
+    if (isFirst) {
+      tried.delete(upstreamId);
+    }
+  };
+}
--- a/packages/gateway/src/slot-messages.ts
+++ b/packages/gateway/src/slot-messages.ts
@@ -52,6 +52,8 @@
   tookMs: z.number().min(0).max(MAX_TOOK_MS).catch(NaN),
   /** Load that the upstream stated with the answer; invalid figures are dropped. */
   load: scheduling.statedLoad.optional().catch(undefined),
+  /** Whether an answer began; not set if that shows nothing about the upstream, and by hosts of the previous version. */
+  hasAnswered: z.boolean().optional().catch(undefined),
 });
 
 /** The calls of a host that hold slots, for a leader that does not know them. */
--- a/packages/gateway/src/slot-result.ts
+++ b/packages/gateway/src/slot-result.ts
@@ -1,5 +1,6 @@
 import * as requests from '@bramleyridge/requests';
 
+import type * as heldSlots from './held-slot.js';
 import type * as slotMessages from './slot-messages.js';
 
 /**
@@ -15,6 +16,20 @@
   return kind === 'refused' ? 'not-run' : notAnswered;
 }
 
+/**
+ * Returns what a failed send shows about whether its upstream answers: nothing if it failed in the middle of an answer, if
+ * the caller left or nothing was sent, or if only this host has lost its path.
+ */
+export function getFailureAnswered(
+  { hasAnswered }: Pick<heldSlots.SlotEnd, 'hasAnswered'>,
+  err: unknown,
+  signal: AbortSignal,
+): boolean | undefined {
+  return hasAnswered === true || signal.aborted
+    ? undefined
+    : requests.createUpstreamError(err, 'attempt', '').hasAnswer();
+}
+
 /**
  * Returns how a whole answer used its slot. One that rejects the call, as with 404, is often sent without any work and
  * doesn't show how long calls take.
--- a/packages/gateway/src/suspect-relay-client.ts
+++ b/packages/gateway/src/suspect-relay-client.ts
@@ -34,6 +34,10 @@
 /** Exchanges suspects with other hosts through the core hosts that can be reached while the leader cannot. */
 export class SuspectRelayClient {
   private readonly reported = new WeakSet<routing.SuspectRun>();
+  /** Those that a core host has forwarded to the leader. */
+  private readonly forwarded = new WeakSet<routing.SuspectRun>();
+  /** Ends when the report under way does. */
+  private sending: Promise<unknown> = Promise.resolve();
   private cursor = { epoch: 0, revision: -1 };
   private failures = 0;
   private isStopped = false;
@@ -66,25 +70,17 @@
     this.isStopped = true;
   }
 
-  /** Reports runs to every core host, each run once; returns whether one of them could forward them to the leader. */
-  public async report(runs: readonly routing.SuspectRun[]): Promise<boolean> {
-    const { hostId, listCores } = this.options;
-    const unreported = runs.filter((run) => !this.reported.has(run));
-    if (unreported.length === 0) {
-      return false;
-    }
-    const context = { deadlineMs: REQUEST_TIMEOUT_MS };
-    const answers = await Promise.all(
-      listCores().map((coreId) =>
-        this.request(coreId, (api) =>
-          api.relaySuspects.mutate({ hostId, runs: unreported }, { context }),
-        ),
-      ),
-    );
-    if (answers.some((answer) => answer !== undefined)) {
-      unreported.forEach((run) => this.reported.add(run));
-    }
-    return answers.some((answer) => answer?.isTaken === true);
+  /**
+   * Reports runs to every core host, each run once; returns whether they were forwarded to the leader. One report after the
+   * other: a run that is reported again may end the next run of its call there.
+   */
+  public report(runs: readonly routing.SuspectRun[]): Promise<boolean> {
+    const sent = this.sending.then(async () => {
+      await this.sendReport(runs.filter((run) => !this.reported.has(run)));
+      return runs.length > 0 && runs.every((run) => this.forwarded.has(run));
+    });
+    this.sending = sent.catch(() => {});
+    return sent;
   }
 
   /**
@@ -104,6 +100,25 @@
     return undefined;
   }
 
+  private async sendReport(runs: routing.SuspectRun[]): Promise<void> {
+    const { hostId, listCores } = this.options;
+    if (runs.length === 0) {
+      return;
+    }
+    const context = { deadlineMs: REQUEST_TIMEOUT_MS };
+    const answers = await Promise.all(
+      listCores().map((coreId) =>
+        this.request(coreId, (api) => api.relaySuspects.mutate({ hostId, runs }, { context })),
+      ),
+    );
+    if (answers.some((answer) => answer !== undefined)) {
+      runs.forEach((run) => this.reported.add(run));
+    }
+    if (answers.some((answer) => answer?.isTaken === true)) {
+      runs.forEach((run) => this.forwarded.add(run));
+    }
+  }
+
   private async poll(onChanges: (changes: routing.SuspectChanges) => void): Promise<void> {
     const { clock, hostId, listCores } = this.options;
     const cores = schemas.rankByKey(hostId, listCores());
--- a/packages/gateway/src/upstream-picker.ts
+++ b/packages/gateway/src/upstream-picker.ts
@@ -62,8 +62,8 @@
   reportPace(callId: string, engineId: string, pace: routing.StreamPace): void;
   /** Registers a generation that runs here, whether the leader or this host placed it. */
   registerRun(service: string, spec: routing.PlacementSpec, engineId: string): void;
-  /** Unregisters a generation that has ended. */
-  unregisterRun(callId: string, hasFailed: boolean): void;
+  /** Unregisters a generation that has ended; `hasAnswered` is `undefined` if its end shows nothing about its engine. */
+  unregisterRun(callId: string, hasFailed: boolean, hasAnswered?: boolean): void;
 }
 
 /** Dependencies of the upstream picker. */
@@ -125,7 +125,8 @@
     const now = this.options.clock.now();
     const patienceMs = Math.min(call.route.targetMs * MAX_WAIT_SHARE, call.endsAt - now);
     const dueInMs = call.arrivedAt + call.route.targetMs - now;
-    const excluded = [...tried, ...this.listDisallowed(call), ...closed.map(getUpstreamId)];
+    const passedOver = [...tried, ...this.listDisallowed(call), ...closed.map(getUpstreamId)];
+    const excluded = [...passedOver, ...this.fallback.listUnanswering(call, passedOver)];
     const spec = this.createSpec(call, excluded);
     const rank = generationCalls.getPriority(call);
     const wait = { patienceMs, dueInMs, rank, team: call.team?.name };
@@ -239,7 +240,7 @@
   ): void {
     slot?.release(end);
     if (generationCalls.isGeneration(call)) {
-      this.options.placer.unregisterRun(call.facts.requestId, hasFailed);
+      this.options.placer.unregisterRun(call.facts.requestId, hasFailed, end.hasAnswered);
     }
   }
 
--- a/packages/gateway/tests/answer-headers.test.ts
+++ b/packages/gateway/tests/answer-headers.test.ts
@@ -8,6 +8,7 @@
 // Guards against an answer that is replaced by a failure, or changed, because of a header outside ASCII.
 void tap.default.test('headers of answers reach the caller unchanged', async (t) => {
   const site = new sites.SmallSite(t);
+  site.answersProbes = true;
   await site.start(3);
   await site.addUpstream('app-1', 'app', (req, res) => {
     const value = VALUES[Number(req.url?.at(-1))]!;
--- a/packages/gateway/tests/crash-guard.test.ts
+++ b/packages/gateway/tests/crash-guard.test.ts
@@ -13,6 +13,7 @@
 
 async function createSite(t: tap.Test, upstreams: readonly (readonly [string, string])[]) {
   const site = new sites.SmallSite(t);
+  site.answersProbes = true;
   await site.start(3);
   const servers = new Map<string, (req: http.IncomingMessage, res: http.ServerResponse) => void>();
   const addresses = new Map<string, string>();
--- a/packages/gateway/tests/cut-off-streams.test.ts
+++ b/packages/gateway/tests/cut-off-streams.test.ts
@@ -106,6 +106,55 @@
   t.same(repeated, [], 'no generation ran twice');
 });
 
+/** Gives drafts 8 s, so that a stream which falls silent has time to go on. */
+async function allowSilence(site: smallSites.SmallSite): Promise<void> {
+  const { routes } = smallSites.createConfig(0);
+  const version = await site.declare({
+    routes: routes.map((route) => ({ ...route, timeoutMs: 8_000 })),
+  });
+  await site.until('in force', () => site.entry.store.getVersion() === version);
+}
+
+async function awaitEvents(): Promise<void> {
+  await new Promise((resolve) => {
+    setTimeout(resolve, EVENTS_BEFORE_CUT * EVENT_MS);
+  });
+}
+
+// Guards against streams that go on over the same lost path, since a stream that stops is no call that waits.
+void tap.default.test('a stream outlasts connections that are accepted and silent', async (t) => {
+  const { engines, site } = await startSite(t);
+  await allowSilence(site);
+  const running = draft(site, 'running');
+  await awaitEvents();
+  site.dialers.get('entry')!.cut('silent');
+  t.equal((await running).body, WHOLE);
+  t.equal(engines.firstRuns.get('running'), 1);
+});
+
+// Guards against streams that go on through the same relay, whose own path is silent.
+void tap.default.test('a stream outlasts the silence of the path of its relay', async (t) => {
+  const { engines, site } = await startSite(t);
+  await allowSilence(site);
+  site.dialers.get('entry')!.cut('reset');
+  const running = draft(site, 'running');
+  await site.until('relayed', () => site.others[0]!.host.countRelayed() > 0);
+  await awaitEvents();
+  site.dialers.get('entry-2')!.cut('silent');
+  t.equal((await running).body, WHOLE);
+  t.equal(engines.firstRuns.get('running'), 1);
+});
+
+// Guards against streams that are lost one after the other: alone, none shows that the path to all upstreams is lost.
+void tap.default.test('a stream outlasts a path that was silent to the one before', async (t) => {
+  const { engines, site } = await startSite(t);
+  site.dialers.get('entry')!.cut('silent');
+  const silent = await draft(site, 'silent');
+  t.equal(silent.status, 504, 'one that may run once and was sent ends at its deadline');
+  t.equal((await draft(site, 'late')).body, WHOLE, 'the next one');
+  t.equal(engines.firstRuns.get('late'), 1);
+});
+
 // Guards against streams that end with the host that relays their connections.
 void tap.default.test('a stream outlasts the loss of its relay', async (t) => {
   const { site } = await startSite(t);
--- a/packages/gateway/tests/document-fetcher.test.ts
+++ b/packages/gateway/tests/document-fetcher.test.ts
@@ -89,7 +89,7 @@
           },
         },
       } as never,
-      coreRegistry: { listAll: listCores } as never,
+      coreRegistry: { listHeard: listCores } as never,
       entryRegistry: new entryHostRegistries.EntryHostRegistry(clock),
       upstreamList: {
         getList: () => undefined,
--- a/packages/gateway/tests/endless-answers.test.ts
+++ b/packages/gateway/tests/endless-answers.test.ts
@@ -1,9 +1,10 @@
-import * as http from 'node:http';
+import type * as http from 'node:http';
 
 import * as fakes from '@bramleyridge/fakes';
 import * as schemas from '@bramleyridge/schemas';
 import * as tap from 'tap';
 
+import * as endlessCalls from './support/endless-calls.js';
 import * as smallSites from './support/small-site.js';
 
 /** Time limit of a call, in milliseconds. */
@@ -29,91 +30,12 @@
   'events without an identifier',
 ]);
 
-interface Seen {
-  readonly status: number;
-  readonly outcome: string;
-  readonly isWhole: boolean;
-  readonly tookMs: number;
-}
-
-/** Makes a call whose answer is read and not kept; calls with different bodies are not taken for one bad call. */
-function call(
-  site: smallSites.SmallSite,
-  path: string,
-  body: string,
-  patienceMs: number,
-): Promise<Seen> {
-  const startedAt = performance.now();
-  const headers = { host: 'site.example', 'call-id': 'c1', key: 'k1', tokens: '50' };
-  return new Promise((resolve) => {
-    let seen = { status: 0, outcome: '' };
-    const end = (isWhole: boolean) =>
-      resolve({ ...seen, isWhole, tookMs: performance.now() - startedAt });
-    const req = http.request({
-      host: '127.0.0.1',
-      port: site.entryPort,
-      path,
-      method: 'POST',
-      headers: { ...headers, patience: String(patienceMs) },
-      agent: false,
-    });
-    req.on('response', (res) => {
-      seen = {
-        status: res.statusCode ?? 0,
-        outcome: String(res.headers[schemas.OUTCOME_HEADER] ?? ''),
-      };
-      res.on('error', () => {});
-      res.on('close', () => end(res.complete));
-      res.resume();
-    });
-    req.on('error', () => end(false));
-    req.end(body);
-  });
-}
-
 async function startSite(t: tap.Test): Promise<smallSites.SmallSite> {
   const site = new smallSites.SmallSite(t);
   await site.start(3);
   return site;
 }
 
-/** Lists endless upstreams, each of a service and a route of its own; returns them by the paths of their calls. */
-async function addEndless(
-  site: smallSites.SmallSite,
-  t: tap.Test,
-  kinds: Readonly<Record<string, fakes.EndlessBytes>>,
-  routeName: string,
-) {
-  const config = smallSites.createConfig(1);
-  const route = config.routes.find(({ name }) => name === routeName)!;
-  const service = config.services.find(({ name }) => name === route.targets[0]!.service)!;
-  const listed = { availabilityZone: 'a', isLeaving: false, slots: 4, coldMs: 0 };
-  const added = await Promise.all(
-    Object.entries(kinds).map(async ([kind, bytes], i) => {
-      const endless = new fakes.EndlessUpstream(bytes);
-      const address = await endless.listen();
-      t.teardown(() => endless.close());
-      const name = `${routeName}-${i}`;
-      site.list.upstreams.push({ upstreamId: name, service: name, address, ...listed });
-      return { kind, name, path: `/${name}/`, endless };
-    }),
-  );
-  await site.declare({
-    routes: added.map(({ name, path }) => ({
-      ...route,
-      name,
-      pathPrefix: path,
-      targets: [{ service: name, weight: 1 }],
-    })),
-    services: added.map(({ name }) => ({ ...service, name })),
-  });
-  await site.until('listed', () =>
-    added.every(({ name }) => site.entry.directory.listLive(name).length > 0),
-  );
-  await site.until('ready', async () => (await site.call('/unrouted')).status === 404);
-  return added;
-}
-
 const { ENDLESS_BODIES, ENDLESS_EVENTS, ENDLESS_HEADS } = fakes;
 
 /** The kinds of bytes for each route. */
@@ -132,11 +54,16 @@
   // Guards against calls that wait for their deadline, fill the memory or get a false outcome for bytes without end.
   void tap.default.test(`endless bytes of an upstream: ${route}`, async (t) => {
     const site = await startSite(t);
-    for (const { endless, kind, path } of await addEndless(site, t, kinds, route)) {
+    for (const { endless, kind, path } of await endlessCalls.addEndless(site, t, kinds, route)) {
       await t.test(kind, async (tt) => {
         const rssBefore = process.memoryUsage().rss;
         const isLong = ANY_LENGTH.has(kind);
-        const seen = await call(site, path, kind, isLong ? SHORT_PATIENCE_MS : PATIENCE_MS);
+        const seen = await endlessCalls.call(
+          site.entryPort,
+          path,
+          kind,
+          isLong ? SHORT_PATIENCE_MS : PATIENCE_MS,
+        );
         tt.ok(seen.tookMs < AT_ONCE_MS, `it took ${Math.round(seen.tookMs)} ms`);
         tt.ok(endless.calls > 0, 'it was sent');
         if (seen.isWhole) {
@@ -173,6 +100,64 @@
 
 const WHOLE = Array.from({ length: 20 }, (_, i) => createEvent(i + 1)).join('');
 
+/** The most calls that are made until the leader has placed one. */
+const MAX_CALLS = 5;
+
+/** Returns the engine that holds the copy of a call's run; `undefined` if there is none. */
+function findCopy(site: smallSites.SmallSite, request: string): unknown {
+  const isChoice = (line: Record<string, unknown>) =>
+    line.decision === 'route' && line.request === request;
+  return site.lines.find(isChoice)?.copyAt;
+}
+
+function countLosses(site: smallSites.SmallSite): number {
+  return site.lines.filter(({ event }) => event === 'pool-owner-lost' || event === 'core-lost')
+    .length;
+}
+
+/** Waits until calls are served, and are placed by the leader. */
+async function untilPlaced(site: smallSites.SmallSite, name: string): Promise<void> {
+  let calls = 0;
+  await site.until('placed by the leader', async () => {
+    calls += 1;
+    const headers = { tokens: '400', 'call-id': `first-${name}-${calls}` };
+    const { status } = await site.call('/drafts/first', headers, 'write');
+    return status === 200 && findCopy(site, headers['call-id']) !== undefined;
+  });
+}
+
+/**
+ * Makes a call that the leader places. A run that is placed while no leader answers has no copy from which it could go on,
+ * and ends with its upstream.
+ */
+async function callWithCopy(
+  tt: tap.Test,
+  site: smallSites.SmallSite,
+  name: string,
+): Promise<{ body: string; tookMs: number }> {
+  const losses = countLosses(site);
+  for (let i = 1; i <= MAX_CALLS; i += 1) {
+    await untilPlaced(site, `${name}-${i}`);
+    const startedAt = performance.now();
+    const headers = { tokens: '400', patience: '10000', 'call-id': `${name}-${i}` };
+    const answer = await site
+      .call('/drafts/x', headers, `write ${name}-${i}`)
+      .catch(schemas.toError);
+    if (findCopy(site, headers['call-id']) === undefined) {
+      tt.ok(
+        countLosses(site) > losses,
+        'a call is placed without a copy only if no leader answers',
+      );
+      continue;
+    }
+    if (answer instanceof Error) {
+      throw answer;
+    }
+    return { body: answer.body, tookMs: performance.now() - startedAt };
+  }
+  throw new Error(`no leader answered for ${MAX_CALLS} calls`);
+}
+
 // Guards against a stream that is held up by bytes of an event that never ends, though it could go on elsewhere.
 void tap.default.test(
   'a stream goes on elsewhere after bytes that complete no event',
@@ -208,19 +193,9 @@
               .some(({ upstreamId }) => upstreamId === `${name}${suffix}`),
           ),
         );
-        await site.until('served', async () => {
-          const headers = { tokens: '20', 'call-id': 'first' };
-          return (await site.call('/drafts/first', headers, 'write')).status === 200;
-        });
-        const startedAt = performance.now();
-        const seen = await site.call(
-          '/drafts/x',
-          { tokens: '400', patience: '10000' },
-          `write ${name}`,
-        );
+        const seen = await callWithCopy(tt, site, name);
         tt.equal(seen.body.replace(/^: .*\n\n/gm, ''), WHOLE);
-        const tookMs = performance.now() - startedAt;
-        tt.ok(tookMs < 3_500, `it took ${Math.round(tookMs)} ms`);
+        tt.ok(seen.tookMs < 3_500, `it took ${Math.round(seen.tookMs)} ms`);
       });
     }
   },
--- a/packages/gateway/tests/entry-update-service.test.ts
+++ b/packages/gateway/tests/entry-update-service.test.ts
@@ -16,7 +16,7 @@
   };
   return new entryUpdateServices.EntryUpdateService({
     group: group as never,
-    coreRegistry: { listAll: () => ['c1'] } as never,
+    coreRegistry: { listHeard: () => ['c1'] } as never,
     entryRegistry: new entryHostRegistries.EntryHostRegistry(clock),
     upstreamList: {
       getList: () => undefined,
--- a/packages/gateway/tests/evacuations.test.ts
+++ b/packages/gateway/tests/evacuations.test.ts
@@ -35,6 +35,7 @@
 
 async function createSite(t: tap.Test) {
   const site = new sites.SmallSite(t);
+  site.answersProbes = true;
   await site.start(3);
   const upstreams = new Upstreams(site);
   for (const zone of ['a', 'b']) {
--- a/packages/gateway/tests/routed-calls.test.ts
+++ b/packages/gateway/tests/routed-calls.test.ts
@@ -68,6 +68,7 @@
 
 async function createSite(t: Teardown): Promise<sites.SmallSite> {
   const site = new sites.SmallSite(t);
+  site.answersProbes = true;
   await site.start(3);
   return site;
 }
--- a/packages/gateway/tests/single-runs.test.ts
+++ b/packages/gateway/tests/single-runs.test.ts
@@ -1,5 +1,6 @@
 import type * as http from 'node:http';
 
+import type * as gateway from '@bramleyridge/gateway';
 import type * as requests from '@bramleyridge/requests';
 import * as tap from 'tap';
 
@@ -404,3 +405,41 @@
   t.equal(body, continuedRuns.createEvent(1) + continuedRuns.createEvent(2));
   t.equal(former.wasOpen, false, 'its former connection is closed');
 });
+
+// Guards against two engines that work on one run: not every engine drops a run when its connection closes.
+void tap.default.test('a run that is silent is stopped before it goes on elsewhere', async (t) => {
+  const cases = [
+    { answer: 'stops', resumesFrom: /copy-1/ },
+    { answer: 'has no such run', resumesFrom: /^127/ },
+    { answer: 'does not answer', resumesFrom: /^127/ },
+  ];
+  const { site, runs } = await createEngines(t);
+  for (const { answer, resumesFrom } of cases) {
+    const orders: gateway.KvCacheCopyOrder[] = [];
+    const resumes: unknown[] = [];
+    let ordersBefore = 0;
+    site.engines.copyKvCache = async (order, signal) => {
+      orders.push(order);
+      if (answer === 'stops') {
+        return { kind: 'made', handle: 'copy-1' };
+      }
+      if (answer === 'has no such run') {
+        return { kind: 'no-run' };
+      }
+      return new Promise((_resolve, reject) => {
+        signal?.addEventListener('abort', () => reject(new Error('not answered')));
+      });
+    };
+    runs.onResume = (req) => {
+      ordersBefore = orders.length;
+      resumes.push(req.headers['resume-from']);
+    };
+    runs.plan(answer, { first: 'event', second: 'checks', endMs: 60_000 });
+    const { body } = await draft(site, answer);
+    t.equal(body, continuedRuns.createEvent(1) + continuedRuns.createEvent(2), answer);
+    t.same([orders.length, ordersBefore], [1, 1], 'the order goes first');
+    t.equal(orders[0]!.isLast, true);
+    t.equal(orders[0]!.targetAddress, runs.findCopyAddress(answer));
+    t.match(String(resumes), resumesFrom);
+  }
+});
--- a/packages/gateway/tests/slow-readers.test.ts
+++ b/packages/gateway/tests/slow-readers.test.ts
@@ -89,6 +89,7 @@
 
 async function startSite(t: tap.Test, isShared: boolean, isStream = false) {
   const site = new sites.SmallSite(t);
+  site.answersProbes = true;
   site.capacitySharing = isShared ? { teamWeights: {}, heldBytes: LIMIT_BYTES } : undefined;
   const upstream = new FastUpstream();
   for (let i = 1; i <= READERS; i += 1) {
--- a/packages/gateway/tests/stream-pace.test.ts
+++ b/packages/gateway/tests/stream-pace.test.ts
@@ -68,7 +68,7 @@
   const meter = new streamPaceMeters.StreamPaceMeter(new schemas.SystemClock(), (pace) =>
     reports.push(pace),
   );
-  const answer = { status: 200, headers: {}, body, wasReset: () => false };
+  const answer = { status: 200, headers: {}, body, wasReset: () => false, recordStopped: () => {} };
   const delivered = new Promise<void>((resolve) => {
     const server = http.createServer((_req, res) => {
       void routedAnswers
@@ -82,7 +82,9 @@
             paceMeter: meter,
             release: () => {},
             recordEvents: () => {},
+            confirmEnd: () => Promise.resolve(),
             canResume: () => false,
+            recordSilence: () => {},
             resume: async () => Promise.resolve(undefined),
           },
           true,
@@ -135,6 +137,7 @@
   serve: http.RequestListener,
 ): Promise<sites.SmallSite> {
   const site = new sites.SmallSite(t);
+  site.answersProbes = true;
   await site.start(3);
   await site.addUpstream('e-1', 'engines', serve);
   await site.addUpstream('e-2', 'engines', serve);
--- a/packages/gateway/tests/support/busy-listener-main.ts
+++ b/packages/gateway/tests/support/busy-listener-main.ts
@@ -24,7 +24,7 @@
   {
     name: 'callers',
     log: new schemas.SilentLog(),
-    limits: { connections: 4_096, requestsPerConnection: 16, stallMs: 60_000 },
+    limits: { connections: 4_096, requestsPerConnection: 16, headBytes: 1e7, stallMs: 60_000 },
     gate,
   },
 );
--- a/packages/gateway/tests/support/continued-runs.ts
+++ b/packages/gateway/tests/support/continued-runs.ts
@@ -23,6 +23,8 @@
  * one begins another run.
  */
 export class ContinuedRuns {
+  /** Called with each request that goes on with a run. */
+  public onResume: (req: http.IncomingMessage) => void = () => {};
   private readonly plans = new Map<string, RunPlan>();
   private readonly sends = new Map<string, number>();
   private readonly runs = new Map<string, number>();
@@ -73,6 +75,9 @@
     }
     const sends = this.countSends(callId) + 1;
     this.sends.set(callId, sends);
+    if (req.headers['resume-from'] !== undefined) {
+      this.onResume(req);
+    }
     const hasCopy = req.headers['resume-from'] !== undefined && this.copies.get(callId) === address;
     if (sends > 1 && plan.second === 'checks' && !hasCopy) {
       res.writeHead(503, { 'not-run': '1', 'call-id': callId });
--- a/packages/gateway/tests/support/crashing-upstreams.ts
+++ b/packages/gateway/tests/support/crashing-upstreams.ts
@@ -156,6 +156,7 @@
   options: CrashOptions = DEFAULT_OPTIONS,
 ) {
   const site = new sites.SmallSite(t);
+  site.answersProbes = true;
   await site.start(3);
   for (let i = 1; i < entryHosts; i += 1) {
     await site.addEntry();
--- a/packages/gateway/tests/support/small-site.ts
+++ b/packages/gateway/tests/support/small-site.ts
@@ -10,6 +10,7 @@
 import * as schemas from '@bramleyridge/schemas';
 import * as telemetry from '@bramleyridge/telemetry';
 
+import * as answerProbes from './answer-probe.js';
 import * as testWires from './test-wire.js';
 
 /** Time after which `until` fails, in milliseconds. */
@@ -19,8 +20,6 @@
   teardown(handler: () => unknown): void;
 }
 
-type Answer = (req: http.IncomingMessage, res: http.ServerResponse) => void;
-
 interface CoreSlot {
   readonly settings: gateway.HostSettings;
   host: gateway.CoreHost | undefined;
@@ -44,6 +43,10 @@
   public entryPort = 0;
   /** How hosts that start from now on share scarce capacity; absent by default. */
   public capacitySharing: gateway.CapacitySharing | undefined;
+  /** Whether the site answers probes in place of the upstreams that are added; they answer them themselves by default. */
+  public answersProbes = false;
+  /** Number of descriptors of each host; not limited by default. */
+  public fileDescriptors: number | undefined;
   /** Entry hosts other than the first. */
   public readonly others: { readonly host: gateway.EntryHost; readonly port: number }[] = [];
   private readonly clock = new schemas.SystemClock();
@@ -58,8 +61,8 @@
 
   public constructor(
     private readonly t: Teardown,
-    /** Whether entry hosts may be cut off from upstreams. */
-    private readonly canCut = false,
+    /** Which entry hosts may be cut off from upstreams; the connections of the others have no relay of the test. */
+    private readonly canCut: boolean | 'first' = false,
   ) {}
 
   /** Starts an entry host and `coreCount` core hosts, the first three of which are the founders of the log. */
@@ -197,7 +200,7 @@
   public async addUpstream(
     upstreamId: string,
     service: string,
-    answer: Answer,
+    answer: answerProbes.Answer,
     availabilityZone = 'a',
   ): Promise<string> {
     const address = await this.listen(0, answer);
@@ -221,7 +224,7 @@
   }
 
   /** Starts a stopped upstream again at its address. */
-  public async reopenUpstream(address: string, answer: Answer): Promise<void> {
+  public async reopenUpstream(address: string, answer: answerProbes.Answer): Promise<void> {
     await this.listen(Number(address.split(':')[1]), answer);
   }
 
@@ -260,8 +263,10 @@
     });
   }
 
-  private async listen(port: number, answer: Answer): Promise<string> {
-    const server = http.createServer(answer);
+  private async listen(port: number, answer: answerProbes.Answer): Promise<string> {
+    const server = http.createServer(
+      this.answersProbes ? answerProbes.answerProbes(answer) : answer,
+    );
     await new Promise<void>((resolve) => {
       server.listen(port, '127.0.0.1', resolve);
     });
@@ -280,7 +285,8 @@
     hostId: string,
     metrics: telemetry.TextMetrics,
   ): Promise<gateway.EntryHost> {
-    const dialer = this.canCut ? new fakes.CutDialer() : undefined;
+    const isCuttable = this.canCut === 'first' ? hostId === 'entry' : this.canCut;
+    const dialer = isCuttable ? new fakes.CutDialer() : undefined;
     if (dialer !== undefined) {
       await dialer.start();
       this.dialers.set(hostId, dialer);
@@ -322,6 +328,7 @@
       listAddress: '127.0.0.1:1',
       listCallsPerS: 40,
       capacitySharing: this.capacitySharing,
+      fileDescriptors: this.fileDescriptors,
       bounds: {
         reachMs: 3_000,
         acknowledgeMs: 4_000,
@@ -406,10 +413,10 @@
       },
     ],
     services: [
-      { name: 'app', healthPath: '/health', connectionLimit: 100 },
+      { name: 'app', healthPath: answerProbes.HEALTH_PATH, connectionLimit: 100 },
       {
         name: 'engines',
-        healthPath: '/health',
+        healthPath: answerProbes.HEALTH_PATH,
         connectionLimit: 100,
         engine: {
           slots: 4,
--- a/packages/gateway/tests/support/test-wire.ts
+++ b/packages/gateway/tests/support/test-wire.ts
@@ -97,7 +97,10 @@
   /** Additional effect of an accepted order on the engine, such as stopping the run. */
   public onCopy: (order: gateway.KvCacheCopyOrder) => void = () => {};
 
-  public async copyKvCache(order: gateway.KvCacheCopyOrder): Promise<gateway.KvCacheCopyResult> {
+  public async copyKvCache(
+    order: gateway.KvCacheCopyOrder,
+    _signal?: AbortSignal,
+  ): Promise<gateway.KvCacheCopyResult> {
     const refusal = this.refusals.shift();
     if (refusal !== undefined) {
       this.refused.push(order.targetAddress);
--- a/packages/gateway/tests/unsendable-teams.test.ts
+++ b/packages/gateway/tests/unsendable-teams.test.ts
@@ -17,6 +17,7 @@
 // Guards against calls of a team that an old log names, which fail as possibly run and cost their upstreams.
 void tap.default.test('only calls of a team that no header can name are refused', async (t) => {
   const site = new sites.SmallSite(t);
+  site.answersProbes = true;
   await site.start(3);
   await site.addUpstream('app-1', 'app', reply);
   const version = await site.declare({
--- a/packages/gateway/tests/upstream-picker.test.ts
+++ b/packages/gateway/tests/upstream-picker.test.ts
@@ -314,3 +314,64 @@
     await t.rejects(picker.pick(createCall(), new Set()), { name: 'noUpstream' });
   },
 );
+
+// Guards against an upstream that answers no call and is preferred, since its calls end at once.
+for (const kind of ['plain calls', 'generations']) {
+  void tap.default.test(
+    `a host without a leader spares one that answers none: ${kind}`,
+    async (t) => {
+      const clock = new schemas.VirtualClock();
+      const directory = new upstreamDirectories.UpstreamDirectory(clock, new schemas.SilentLog());
+      const [service, create] =
+        kind === 'generations' ? ['engines', createCall] : ['app', () => createPlainCall(40)];
+      const upstreams = ['u-1', 'u-2'].map((id) =>
+        listedUpstreams.createListedUpstream(id, { service }),
+      );
+      directory.applyList({ stamp: 's1', upstreams }, 0);
+      const picker = createPicker(clock, new FixedPlacer(undefined), directory);
+      const pick = async (tried: string[] = []) =>
+        (await picker.pick(create(), new Set(tried))).upstreamId;
+      const [closing, busy] = ['u-1', 'u-2'].map((id) => directory.find(id)!.load);
+      Array.from({ length: 40 }, () => busy!.trackCall(4_000));
+      t.equal(await pick(), 'u-1', 'the emptiest one while nothing is known');
+      closing!.trial.recordEnd('c1', false, clock.now());
+      t.equal(await pick(), 'u-2', 'not at once after a call without an answer');
+      t.equal(await pick(['u-2']), 'u-1', 'unless there is no other');
+      await clock.advance(100);
+      t.equal(await pick(), 'u-1', 'one more call after a while');
+      closing!.trial.recordSend('c2', clock.now());
+      t.equal(await pick(), 'u-2', 'but only one at a time');
+      busy!.trial.recordEnd('c3', false, clock.now());
+      t.equal(await pick(), 'u-1', 'the emptiest one if none answers');
+      closing!.trial.recordAnswer();
+      closing!.trial.recordSend('c4', clock.now());
+      t.equal(await pick(), 'u-1', 'and as usual once an answer has begun');
+    },
+  );
+}
+
+// Guards against a host whose generations are placed again on an engine that it can't reach while others have room.
+void tap.default.test('a host asks for no engine that has just given it no answer', async (t) => {
+  const clock = new schemas.VirtualClock();
+  const directory = createDirectory(clock, ['e-1', 'e-2']);
+  const placer = new FixedPlacer('e-2');
+  const excluded: (readonly string[])[] = [];
+  const { place } = placer;
+  placer.place = async (service, spec) => {
+    excluded.push(spec.excluded);
+    return place.call(placer, service, spec);
+  };
+  const picker = createPicker(clock, placer, directory);
+  const [first, second] = ['e-1', 'e-2'].map((id) => directory.find(id)!.load.trial);
+  await picker.pick(createCall(), new Set());
+  first!.recordEnd('c1', false, clock.now());
+  await picker.pick(createCall(), new Set());
+  second!.recordEnd('c2', false, clock.now());
+  await picker.pick(createCall(), new Set());
+  await clock.advance(100);
+  first!.recordSend('c3', clock.now());
+  await picker.pick(createCall(), new Set());
+  first!.recordAnswer();
+  await picker.pick(createCall(), new Set());
+  t.same(excluded, [[], ['e-1'], [], ['e-1'], []], 'unless there is no other');
+});
