Stop, choose and read at the daemon as at the entry host

The same causes at the other face: planned stops, leaving engines that got new work, wrong heads, endless answers, uploads answered early, closing upstreams.

--- a/packages/daemon/src/caller-api.ts
+++ b/packages/daemon/src/caller-api.ts
@@ -8,9 +8,16 @@
 import * as completionHandlers from './completion-handler.js';
 import * as generationRelays from './generation-relay.js';
 import type * as handlerContexts from './handler-context.js';
+import * as plannedStops from './planned-stop.js';
 import * as resumeHandlers from './resume-handler.js';
 import * as serviceCallHandlers from './service-call-handler.js';
 
+/** Share of the time for a stop that a generation must have, whose duration is not known before. */
+const GENERATION_STOP_SHARE = 0.5;
+
+/** Time that a resumed generation must have: it runs already, and can be resumed again. */
+const RESUME_MS = 0;
+
 type Handler = (req: requests.ApiRequest, res: http.ServerResponse) => Promise<void>;
 
 /** The HTTP API for callers and for the balancer's health checks. */
@@ -28,40 +35,64 @@
 
   /** Registers the routes. */
   public addTo(app: polka.Polka): void {
-    const { completions, resumes } = this;
+    const { completions, context, resumes } = this;
+    const { queueMs, stopMs } = context.cfg.limits;
     ['/v1/completions', '/v1/chat/completions'].forEach((path) => {
       app.post(
         path,
-        this.serve((req, res) => completions.handle(req, res, path)),
+        this.serve(
+          (req, res) => completions.handle(req, res, path),
+          stopMs * GENERATION_STOP_SHARE,
+        ),
       );
     });
     app.get(
       '/v1/generations/:id/events',
-      this.serve((req, res) => resumes.handle(req, res, req.params.id ?? '')),
+      this.serve((req, res) => resumes.handle(req, res, req.params.id ?? ''), RESUME_MS),
     );
     app.get(
       '/v1/models',
-      this.serve(async (req, res) => this.listModels(req, res)),
+      this.serve(async (req, res) => this.listModels(req, res), queueMs),
     );
     app.all(
       '/services/:name/*',
-      this.serve((req, res) => this.callService(req, res)),
+      this.serve((req, res) => this.callService(req, res), queueMs),
     );
     app.get('/healthz', (_req, res) => requests.sendJson(res, 200, { ok: true }));
     app.get('/readyz', (_req, res) => this.showReady(res));
   }
 
-  /** Counts the request as active while it runs, and converts a thrown error into one refusal. */
-  private serve(handle: Handler): polka.Middleware {
+  /**
+   * Counts the request as active while it runs, and converts a thrown error into one refusal. Its answer may take `answerMs`
+   * once it is passed on.
+   */
+  private serve(handle: Handler, answerMs: number): polka.Middleware {
     return (request, res) => {
       const req = request as unknown as requests.ApiRequest;
-      const leave = this.context.drain.enter();
+      const { drain, stop } = this.context;
       // An 'error' event without a listener, as after a client reset, would terminate the process.
       res.on('error', () => {});
-      if (this.context.drain.isDraining()) {
+      if (drain.isDraining()) {
         res.setHeader('connection', 'close');
       }
-      schemas.runInBackground(() => this.run(req, res, handle, leave), {
+      // Not counted as active: callers that go on calling must not keep a stop from ending.
+      if (!stop.isAccepting()) {
+        const isRunning = answerMs === RESUME_MS;
+        this.refuse(
+          req,
+          res,
+          plannedStops.createStoppingRefusal(isRunning ? 'unknown' : 'not-run'),
+        );
+        return;
+      }
+      const leave = drain.enter();
+      const remove = stop.add({
+        res,
+        answerMs,
+        mayHaveRun: answerMs === RESUME_MS || req.headers['idempotency-key'] !== undefined,
+        refuse: (refusal) => this.refuse(req, res, refusal),
+      });
+      schemas.runInBackground(() => this.run(req, res, handle, { leave, remove }), {
         log: this.context.log,
         step: 'serve-caller',
       });
@@ -72,13 +103,17 @@
     req: requests.ApiRequest,
     res: http.ServerResponse,
     handle: Handler,
-    leave: () => void,
+    { leave, remove }: { readonly leave: () => void; readonly remove: () => void },
   ): Promise<void> {
     try {
       await handle(req, res);
     } catch (err) {
-      this.refuse(req, res, err);
+      if (!this.context.stop.hasEnded(res)) {
+        this.refuse(req, res, err);
+      }
     } finally {
+      // Not before: an answer by the stop may be over while the handler goes on.
+      remove();
       if (res.writableFinished || res.destroyed) {
         leave();
       } else {
@@ -99,7 +134,7 @@
       err: refusal.message,
     });
     if (res.headersSent) {
-      res.destroy();
+      requests.breakOff(res);
       return;
     }
     try {
--- a/packages/daemon/src/completion-dispatcher.ts
+++ b/packages/daemon/src/completion-dispatcher.ts
@@ -5,6 +5,7 @@
 import * as requests from '@bramleyridge/requests';
 import * as schemas from '@bramleyridge/schemas';
 
+import * as checks from './check-stays.js';
 import * as completionBodies from './completion-body.js';
 import * as completionJobs from './completion-job.js';
 import type * as generationRelays from './generation-relay.js';
@@ -54,7 +55,8 @@
         }
         return await this.startAttempt(job, attempt);
       } catch (err) {
-        poolClient.release(attempt.call, false);
+        const isFailure = err instanceof requests.UpstreamError;
+        poolClient.release(attempt.call, false, isFailure ? err.hasAnswer() : undefined);
         this.settleFailure(job, attempt, err, res);
       }
     }
@@ -65,7 +67,7 @@
     const lifecycle = requests.createRequestLifecycle();
     const call = this.createCall();
     const grant = await this.requestCapacity(job, call, res);
-    await this.permit(job, call, grant);
+    await this.permit(job, call, grant, res);
     lifecycle.move('grant');
     const id: requests.GenerationId = {
       availabilityZone: cfg.availabilityZone,
@@ -81,10 +83,16 @@
   }
 
   /** Checks again after the wait for capacity whether the request may be sent. */
-  private async permit(job: Job, call: string, grant: poolClients.CapacityGrant): Promise<void> {
-    const { guard, poolClient } = this.context;
+  private async permit(
+    job: Job,
+    call: string,
+    grant: poolClients.CapacityGrant,
+    res: http.ServerResponse,
+  ): Promise<void> {
+    const { guard, poolClient, stop } = this.context;
     try {
       await guard.permit(job.subject, grant.upstream.upstreamId);
+      stop.send(res);
     } catch (err) {
       poolClient.release(call, false);
       throw err;
@@ -123,7 +131,7 @@
     err: unknown,
     res: http.ServerResponse,
   ): void {
-    const { budget, calls } = this.context;
+    const { budget, calls, stop } = this.context;
     if (err instanceof schemas.StepError && !(err instanceof requests.UpstreamError)) {
       calls.set(generation, { state: 'not-run' });
       throw err;
@@ -152,6 +160,9 @@
       lifecycle.move('refuse');
       throw createRefusal('upstreamRefused', 'not-run', failure);
     }
+    if (job.endedEngines === 0) {
+      stop.recordNotRun(res);
+    }
     lifecycle.move('retry');
   }
 
@@ -207,7 +218,7 @@
         patienceMs: cfg.limits.queueMs,
         excluded: job.excluded,
       },
-      () => res.destroyed,
+      () => res.destroyed || res.writableEnded,
     );
     metrics.time('queued', grant.queuedMs, { class: estimate.workClass });
     decisions.record({
@@ -246,8 +257,9 @@
     grant: poolClients.CapacityGrant,
     generation: string,
   ): Promise<stream.Readable> {
-    const { engines } = this.context;
+    const { engines, view } = this.context;
     const { upstream } = grant;
+    checks.checkStays(view, upstream);
     const place = teamPlaces.createTeamPlace(job.team);
     const body = completionBodies.createEngineBody(job.body, grant.version, job.estimate);
     const sentTo = engines.getProcess(upstream.upstreamId);
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -20,6 +20,7 @@
 import * as operatorApis from './operator-api.js';
 import * as peerMeshes from './peer-mesh.js';
 import * as peerRouters from './peer-router.js';
+import * as plannedStops from './planned-stop.js';
 import * as platformPollers from './platform-poller.js';
 import * as poolClients from './pool-client.js';
 import * as poolManagers from './pool-manager.js';
@@ -31,6 +32,9 @@
 /** Time for which the balancer may still send requests after readiness fails, in milliseconds. */
 const BALANCER_LAG_MS = 1_000;
 
+/** Time in which connections of callers may end after a planned stop, in milliseconds. */
+const CLOSE_MS = 1_000;
+
 /** Requests that upstreams answer without effects, to probe the paths to them. */
 const ENGINE_PROBE = { method: 'GET', path: '/load' } as const;
 const SERVICE_PROBE = { method: 'HEAD', path: '/' } as const;
@@ -41,9 +45,6 @@
 /** Time within which a client must send its headers, in milliseconds. */
 const HEADERS_TIMEOUT_MS = 10_000;
 
-/** Time in a planned stop in which the connections that a daemon relays for others may end, in milliseconds. */
-const RELAY_STOP_MS = 15_000;
-
 /** Maximum number of connections to upstreams that a daemon relays for others. */
 const MAX_TUNNELS = 256;
 
@@ -161,6 +162,7 @@
         log,
         isCut: () => this.isCut,
         openTunnel: (req) => this.tunnels.open(req),
+        leaving: this.tunnels.leaving,
         limits: { ...peers.DEFAULT_PEER_LIMITS, connections: cfg.limits.peerConnections },
         onClosed: (reason) => metrics.count('peerConnectionsClosed', { reason }),
       },
@@ -192,7 +194,12 @@
     return { callerPort, peerPort };
   }
 
-  /** Stops as planned: waits without a time limit until all active requests are finished. */
+  /** Counts the connections to upstreams that this daemon relays for others now. */
+  public countRelayed(): number {
+    return this.tunnels.countOpen();
+  }
+
+  /** Stops as planned: waits until all active requests are finished, for `limits.stopMs` at most. */
   public stop(): Promise<void> {
     this.stopping ??= this.stopGracefully();
     return this.stopping;
@@ -214,20 +221,24 @@
   }
 
   private async stopGracefully(): Promise<void> {
-    const { drain } = this.context;
+    const { drain, stop } = this.context;
     this.options.log.info({ decision: 'drain', reason: 'planned stop', active: drain.getActive() });
     drain.begin();
+    stop.begin();
     // The next heartbeat announces the stop, so that pools move to other owners while requests
     // finish here.
     this.view.refresh();
-    const relayed = this.tunnels.drain(this.clock, RELAY_STOP_MS);
-    await drain.waitIdle(BALANCER_LAG_MS);
-    await relayed;
+    await stop.wait((timeoutMs) =>
+      Promise.all([drain.waitIdle(BALANCER_LAG_MS), this.tunnels.drain(this.clock, timeoutMs)]),
+    );
     this.shutDown();
     await new Promise<void>((resolve) => {
       this.server.close(() => resolve());
       this.server.closeIdleConnections();
-      setTimeout(() => this.server.closeAllConnections(), BALANCER_LAG_MS).unref();
+      setTimeout(() => {
+        this.connections.breakOffUnmarked();
+        this.server.closeAllConnections();
+      }, CLOSE_MS).unref();
     });
     this.options.log.info({ decision: 'stopped', reason: 'planned stop' });
   }
@@ -328,6 +339,7 @@
       ids: new requests.GenerationIdCodec(() => this.keyring.listKeys()),
       budget: new requests.RetryBudget(clock),
       drain: new requests.Drain(clock),
+      stop: new plannedStops.PlannedStop(clock, cfg.limits.stopMs),
       held: this.createHeldBytes(own.metrics),
     };
   }
@@ -454,6 +466,7 @@
 
   private createHttpServer(): http.Server {
     const server = http.createServer({
+      IncomingMessage: requests.CallerRequest,
       maxHeaderSize: MAX_HEADER_BYTES,
       headersTimeout: HEADERS_TIMEOUT_MS,
       requestTimeout: 0,
@@ -483,6 +496,7 @@
       res.on('error', () => {});
       if (this.connections.admit(req, res)) {
         handle(req, res);
+        this.connections.discardUnread(req, res);
       }
     });
     return server;
--- a/packages/daemon/src/generation-relay.ts
+++ b/packages/daemon/src/generation-relay.ts
@@ -70,6 +70,7 @@
     adoptions.register(task.generation, isConnected);
     const sentAt = clock.now();
     let answerStartedAt: number | undefined;
+    let progress = task.from;
     const getAnswerMs = () =>
       answerStartedAt === undefined ? undefined : clock.now() - answerStartedAt;
     const relay = requests.relayGeneration(
@@ -84,6 +85,7 @@
         log,
         onProgress: (next) => {
           answerStartedAt ??= clock.now();
+          progress = next;
           poolClient.recordProgress(task.call, next);
           this.recordProgress(task, getAnswerMs());
         },
@@ -92,7 +94,7 @@
       task.body,
     );
     try {
-      const end = await this.pump(relay, write, isConnected);
+      const end = await this.pump(relay, write, isConnected, () => progress);
       if (end !== undefined) {
         close(end);
         poolClient.release(task.call, end.outcome === 'complete');
@@ -131,6 +133,7 @@
     relay: AsyncGenerator<Buffer, requests.RelayEnd>,
     write: (bytes: Buffer) => Promise<void>,
     isConnected: () => boolean,
+    getProgress: () => number,
   ): Promise<requests.RelayEnd | undefined> {
     for (;;) {
       const step = await relay.next();
@@ -141,6 +144,11 @@
       if (!isConnected()) {
         return undefined;
       }
+      // The generation goes on, and the caller can resume it at another daemon.
+      if (this.context.stop.isOver()) {
+        await relay.return({ outcome: 'incomplete', next: 0 });
+        return { outcome: 'incomplete', next: getProgress() };
+      }
     }
   }
 
--- a/packages/daemon/src/handler-context.ts
+++ b/packages/daemon/src/handler-context.ts
@@ -7,6 +7,7 @@
 import type * as decisionLogs from './decision-log.js';
 import type * as daemonMetrics from './metrics.js';
 import type * as peerMeshes from './peer-mesh.js';
+import type * as plannedStops from './planned-stop.js';
 import type * as runGuards from './run-guard.js';
 import type * as poolClients from './pool-client.js';
 import type * as teamAccess from './team-access.js';
@@ -36,6 +37,7 @@
   readonly ids: requests.GenerationIdCodec;
   readonly budget: requests.RetryBudget;
   readonly drain: requests.Drain;
+  readonly stop: plannedStops.PlannedStop;
   /** Bytes held for calls. */
   readonly held: requests.HeldBytes;
   readonly random: () => number;
--- a/packages/daemon/src/operator-api.ts
+++ b/packages/daemon/src/operator-api.ts
@@ -120,7 +120,7 @@
       await handle(req, res, this.authenticate(req));
     } catch (err) {
       if (res.headersSent) {
-        res.destroy();
+        requests.breakOff(res);
         return;
       }
       requests.sendRefusal(req, res, requests.toRefusal(err));
--- a/packages/daemon/src/peer-router.ts
+++ b/packages/daemon/src/peer-router.ts
@@ -42,6 +42,8 @@
   registered: z.array(z.unknown()),
   /** Upstreams that this daemon found to be leaving or dead. */
   leaving: z.array(z.string()),
+  /** Upstreams at which generations of this daemon got no answer; not sent by daemons of the previous version. */
+  unanswered: z.array(z.string()).optional(),
 });
 
 /** A daemon's report on its generations to the owner of a pool. */
--- a/packages/daemon/src/platform-poller.ts
+++ b/packages/daemon/src/platform-poller.ts
@@ -1,3 +1,4 @@
+import * as paths from '@bramleyridge/paths';
 import * as requests from '@bramleyridge/requests';
 import type * as schemasTypes from '@bramleyridge/schemas';
 import * as schemas from '@bramleyridge/schemas';
@@ -15,6 +16,7 @@
 /** Polls the platform's list of upstreams while `isActive` returns true. */
 export class PlatformPoller {
   private isStopped = false;
+  private readonly agent = paths.createBoundedAgent({ connections: 1 });
   private readonly faults: schemas.EntryFaultLog;
 
   public constructor(
@@ -59,6 +61,7 @@
     const query = availabilityZone === undefined ? '' : `?availabilityZone=${availabilityZone}`;
     try {
       const res = await undici.request(`${url}/v1/hosts${query}`, {
+        dispatcher: this.agent,
         signal: AbortSignal.timeout(RESPONSE_TIMEOUT_MS),
       });
       const body = await requests.readBoundedJson(res.body, MAX_LIST_BYTES);
--- a/packages/daemon/src/pool-client.ts
+++ b/packages/daemon/src/pool-client.ts
@@ -6,6 +6,7 @@
 import * as peerRouters from './peer-router.js';
 import type * as poolManagers from './pool-manager.js';
 import * as runRounds from './run-rounds.js';
+import * as serviceLoads from './service-loads.js';
 
 /** Interval between two full progress reports to owners, in milliseconds. */
 const PROGRESS_INTERVAL_MS = 2_000;
@@ -36,6 +37,7 @@
 interface ActiveGeneration {
   readonly model: string;
   readonly registration: routing.RunningGeneration;
+  readonly endCall: (hasAnswered: boolean | undefined) => void;
   tokens: number;
   owner: string | undefined;
 }
@@ -62,10 +64,15 @@
   private readonly active = new Map<string, ActiveGeneration>();
   private readonly finished = new Map<string, number[]>();
   private readonly leaving = new Map<string, Set<string>>();
+  /** Upstreams at which generations got no answer, by model. */
+  private readonly unanswered = new Map<string, string[]>();
+  private readonly loads: serviceLoads.ServiceLoads;
   private readonly updates = new schemas.ChangeSignal();
   private isStopped = false;
 
-  public constructor(private readonly options: PoolClientOptions) {}
+  public constructor(private readonly options: PoolClientOptions) {
+    this.loads = new serviceLoads.ServiceLoads(options.clock, options.random);
+  }
 
   /** Reports ends at once, and the progress of all generations periodically, until stopped. */
   public async run(): Promise<void> {
@@ -131,12 +138,21 @@
     }
   }
 
-  /** Returns the capacity of a generation that ended. */
-  public release(generation: string, isNatural: boolean): void {
+  /**
+   * Returns the capacity of a generation that ended; `hasAnswered` is `undefined` if its end shows nothing about the
+   * upstream.
+   */
+  public release(generation: string, isNatural: boolean, hasAnswered?: boolean): void {
     const active = this.active.get(generation);
     if (active === undefined) {
       return;
     }
+    active.endCall(active.tokens > 0 || isNatural || hasAnswered);
+    if (hasAnswered === false) {
+      const { upstreamId } = active.registration;
+      const unanswered = this.unanswered.get(active.model) ?? [];
+      this.unanswered.set(active.model, [...unanswered, upstreamId]);
+    }
     this.active.delete(generation);
     const list = this.finished.get(active.model) ?? [];
     list.push(getCallNumber(generation), active.tokens, isNatural ? 1 : 0);
@@ -222,7 +238,8 @@
         outstanding: this.countActiveOn(item.upstreamId),
         estimatedShare: this.countActiveOn(item.upstreamId) / MAX_FALLBACK_GENERATIONS,
       }));
-    const chosen = routing.chooseFallbackUpstream(candidates, random);
+    const proven = candidates.filter(({ upstreamId }) => this.loads.mayReceive(upstreamId));
+    const chosen = routing.chooseFallbackUpstream(proven.length > 0 ? proven : candidates, random);
     const upstream = chosen === undefined ? undefined : this.findUpstream(chosen.upstreamId);
     if (upstream === undefined) {
       throw createNoCapacity(req.team, 2);
@@ -244,7 +261,8 @@
     owner: string | undefined,
   ): void {
     const registration: routing.RunningGeneration = { ...req, upstreamId, tokens: 0 };
-    this.active.set(req.generation, { model, registration, tokens: 0, owner });
+    const endCall = this.loads.track(upstreamId);
+    this.active.set(req.generation, { model, registration, endCall, tokens: 0, owner });
   }
 
   private countActiveOn(upstreamId: string): number {
@@ -274,8 +292,10 @@
     const unregistered = own.filter((item) => item.owner !== owner.daemonId);
     const finished = this.finished.get(model) ?? [];
     const leaving = [...(this.leaving.get(model) ?? [])];
+    const unanswered = this.unanswered.get(model);
     this.finished.delete(model);
     this.leaving.delete(model);
+    this.unanswered.delete(model);
     const report: peerRouters.PoolReport = {
       model,
       daemonId: cfg.daemonId,
@@ -287,6 +307,7 @@
       finished,
       registered: unregistered.map((item) => ({ ...item.registration, tokens: item.tokens })),
       leaving,
+      unanswered,
     };
     try {
       if (owner.daemonId === cfg.daemonId) {
--- a/packages/daemon/src/pool-manager.ts
+++ b/packages/daemon/src/pool-manager.ts
@@ -40,6 +40,8 @@
   readonly refusedAt: Map<string, number>;
   firstPoll: Promise<void>;
   polls: number;
+  /** Whether the loads of all engines have been read once. */
+  hasPolled: boolean;
 }
 
 /** Dependencies of the pool manager. */
@@ -99,6 +101,7 @@
     pending.lastRequestedAt = clock.now();
     if (existing === undefined) {
       pool.pendingGrants.set(req.generation, pending);
+      this.applyDirectory(model, pool);
       pool.owner.request(req, (decision) => {
         pending.decision = decision;
         pending.changed.notify();
@@ -122,6 +125,8 @@
       refusedAt.set(id, this.options.clock.now());
       owner.markLeaving(id);
     });
+    // Before the ends, which may have another one sent there.
+    report.unanswered?.forEach((id) => owner.recordUnanswered(id, daemonId));
     for (const [number = 0, count = 0, isNatural = 0] of splitGroups(finished, 3)) {
       owner.finish(`${prefix}${number.toString(36)}`, count, isNatural === 1);
     }
@@ -147,6 +152,7 @@
       refusedAt: new Map(),
       firstPoll: Promise.resolve(),
       polls: 0,
+      hasPolled: false,
     };
     this.pools.set(model, pool);
     pool.firstPoll = this.pollLoads(model, pool).catch((err: unknown) => {
@@ -159,6 +165,7 @@
   private tick(model: string, pool: Pool): void {
     try {
       this.withdrawAbandoned(pool);
+      this.applyDirectory(model, pool);
       pool.owner.tick();
     } catch (err) {
       this.logFailure(model, 'tick', err);
@@ -170,13 +177,15 @@
   }
 
   private createOwner(model: string): routing.PoolOwner {
-    const { clock, store } = this.options;
+    const { clock, store, view } = this.options;
     const intents = this.listIntents(model);
     const risks = intents.map((intent) => intent.overflowRisk);
     return new routing.PoolOwner({
       clock,
       overflowRisk: Math.min(...risks, 0.5),
       capacityTokens: intents.reduce((sum, intent) => sum + intent.room, 0) || Infinity,
+      countDaemons: () =>
+        view.getDirectory().members.filter(({ state }) => state === 'live').length,
       getShare: (name) => {
         const team = store.get().declaration.teams.find((item) => item.name === name);
         return team ?? { weight: 1, maxConcurrent: 1, maxQueued: 0 };
@@ -197,16 +206,26 @@
    * yet.
    */
   private async pollLoads(model: string, pool: Pool): Promise<void> {
-    const { view } = this.options;
     pool.polls += 1;
-    const engines = view.getDirectory().upstreams.filter((item) => item.kind === 'engine');
     const isDiscovery = pool.polls % DISCOVERY_INTERVAL_ROUNDS === 1;
-    const due = engines.filter(
+    const due = this.listEngines().filter(
       (item) => isDiscovery || (pool.servedVersions.get(item.upstreamId)?.length ?? 0) > 0,
     );
     await Promise.all(due.map((upstream) => this.readLoad(model, pool, upstream)));
+    pool.hasPolled = true;
+    this.applyDirectory(model, pool);
+  }
+
+  /**
+   * Sets which engines serve the pool and which of them leave, as the directory states it now. A poll takes as long as the
+   * slowest engine, and what was listed when it began may no longer hold.
+   */
+  private applyDirectory(model: string, pool: Pool): void {
+    if (!pool.hasPolled) {
+      return;
+    }
     const versions = this.listIntents(model).map((intent) => intent.version);
-    const usable = selectServingEngines(engines, pool.servedVersions, versions);
+    const usable = selectServingEngines(this.listEngines(), pool.servedVersions, versions);
     pool.owner.setUpstreams(
       usable.map(({ upstreamId, state }) => ({
         upstreamId,
@@ -215,6 +234,10 @@
     );
   }
 
+  private listEngines(): schemas.Upstream[] {
+    return this.options.view.getDirectory().upstreams.filter((item) => item.kind === 'engine');
+  }
+
   /**
    * A refusal may be the first sign that an upstream is leaving. Unless it refuses again, the
    * upstream gets work again after the backoff.
--- a/packages/daemon/src/service-call-handler.ts
+++ b/packages/daemon/src/service-call-handler.ts
@@ -3,7 +3,10 @@
 import * as requests from '@bramleyridge/requests';
 import * as schemas from '@bramleyridge/schemas';
 
+import * as checks from './check-stays.js';
 import type * as handlerContexts from './handler-context.js';
+import * as recentFailures from './recent-failures.js';
+import * as serviceLoads from './service-loads.js';
 import * as teamPlaces from './team-place.js';
 
 /** Methods that HTTP defines as idempotent. */
@@ -26,10 +29,14 @@
 /** Handles calls to services that are not engines. */
 export class ServiceCallHandler {
   private callCounter = 0;
-  private readonly outstanding = new Map<string, number>();
-  private readonly refusedAt = new Map<string, number>();
+  private readonly loads: serviceLoads.ServiceLoads;
+  private readonly failures: recentFailures.RecentFailures;
 
-  public constructor(private readonly context: handlerContexts.HandlerContext) {}
+  public constructor(private readonly context: handlerContexts.HandlerContext) {
+    const { cfg, clock, random } = context;
+    this.loads = new serviceLoads.ServiceLoads(clock, random);
+    this.failures = new recentFailures.RecentFailures(clock, cfg.limits.upstreamSilenceMs);
+  }
 
   /** Handles one request. */
   public async handle(
@@ -45,7 +52,7 @@
     const body = await requests.readHeldBody(req, res, cfg.limits, held);
     budget.recordRequest();
     const job = createJob(req, team, service, path, body);
-    const answer = (await this.joinClaimedCall(job)) ?? (await this.run(job));
+    const answer = (await this.joinClaimedCall(job)) ?? (await this.run(job, res));
     res.writeHead(answer.status, {
       ...answer.headers,
       [schemas.OUTCOME_HEADER]: 'complete',
@@ -54,13 +61,13 @@
     res.end(answer.body);
   }
 
-  private async run(job: Job): Promise<requests.StoredResponse> {
+  private async run(job: Job, res: http.ServerResponse): Promise<requests.StoredResponse> {
     const { budget } = this.context;
     const isRepeatable = () => this.isRepeatable(job);
     return requests.runAttempts(
       { isRepeatable, maxRuns: Infinity, budget },
       {
-        choose: () => this.choosePermitted(job),
+        choose: () => this.choosePermitted(job, res),
         attempt: (upstream) => this.attempt(job, upstream),
         isFailure: () => false,
         recordFailure: (upstream) => job.excluded.add(upstream.upstreamId),
@@ -79,23 +86,25 @@
     job: Job,
     upstream: schemas.Upstream,
   ): Promise<requests.StoredResponse | undefined> {
-    const { calls, clock, services } = this.context;
+    const { calls, clock, services, view } = this.context;
     const call = this.createCall();
     if (job.key !== undefined && !(await this.claim(job, call, upstream))) {
       return this.joinClaimedCall(job);
     }
     this.recordDecision(job, call, upstream, 'chosen');
-    const release = this.trackCall(upstream.upstreamId);
+    const release = this.loads.track(upstream.upstreamId);
     const sentAt = clock.now();
     try {
+      checks.checkStays(view, upstream);
       const answer = await services.send(upstream, job.call);
       calls.set(call, { state: 'done', answer });
+      release(true);
       this.context.guard.recordServed(job.subject);
       return answer;
     } catch (err) {
-      throw this.settleFailure(job, call, upstream, { err, sentAt });
-    } finally {
-      release();
+      const failure = this.settleFailure(job, call, upstream, { err, sentAt });
+      release(failure.hasAnswer());
+      throw failure;
     }
   }
 
@@ -125,8 +134,8 @@
       this.context.guard.recordLost(job.subject, upstream, { sentAt });
     }
     this.context.calls.set(call, { state: didNotRun ? 'not-run' : 'lost' });
-    if (didNotRun && failure.kind !== 'withheld') {
-      this.refusedAt.set(upstream.upstreamId, this.context.clock.now());
+    if (didNotRun) {
+      this.failures.record(upstream.upstreamId, failure.kind);
     }
     job.attempt += didNotRun ? 1 : 0;
     return failure;
@@ -157,26 +166,22 @@
     return undefined;
   }
 
-  private async choosePermitted(job: Job): Promise<schemas.Upstream> {
+  private async choosePermitted(job: Job, res: http.ServerResponse): Promise<schemas.Upstream> {
     const upstream = this.choose(job);
     await this.context.guard.permit(job.subject, upstream.upstreamId);
+    this.context.stop.send(res);
     return upstream;
   }
 
-  /** Chooses the one of two random upstreams that has fewer outstanding calls of this daemon. */
   private choose(job: Job): schemas.Upstream {
-    const { cfg, clock, gate, random, view } = this.context;
+    const { cfg, gate, view } = this.context;
     const listed = view
       .getDirectory()
       .upstreams.filter((item) => item.service === job.service && item.state === 'live')
       .filter((item) => !gate.isLeaving(item));
-    const candidates = listed
-      .filter((item) => !job.excluded.has(item.upstreamId) && gate.isOpen(item))
-      .filter(
-        (item) =>
-          clock.now() - (this.refusedAt.get(item.upstreamId) ?? -Infinity) >
-          cfg.limits.upstreamSilenceMs,
-      );
+    const candidates = this.failures.select(
+      listed.filter((item) => !job.excluded.has(item.upstreamId) && gate.isOpen(item)),
+    );
     if (listed.length > 0 && listed.every((item) => !gate.isOpen(item))) {
       const { reason, retryAfterS } = gate.describeWait(listed);
       throw new schemas.Refusal({
@@ -188,9 +193,8 @@
         retryAfterS,
       });
     }
-    const first = candidates[Math.floor(random() * candidates.length)];
-    const second = candidates[Math.floor(random() * candidates.length)];
-    if (first === undefined || second === undefined) {
+    const chosen = this.loads.choose(candidates);
+    if (chosen === undefined) {
       throw new schemas.Refusal({
         id: 'noUpstream',
         step: 'choose',
@@ -200,15 +204,7 @@
         retryAfterS: 1,
       });
     }
-    const getOutstanding = (item: schemas.Upstream) => this.outstanding.get(item.upstreamId) ?? 0;
-    return getOutstanding(second) < getOutstanding(first) ? second : first;
-  }
-
-  private trackCall(upstreamId: string): () => void {
-    this.outstanding.set(upstreamId, (this.outstanding.get(upstreamId) ?? 0) + 1);
-    return () => {
-      this.outstanding.set(upstreamId, (this.outstanding.get(upstreamId) ?? 1) - 1);
-    };
+    return chosen;
   }
 
   private findDeclared(name: string): schemas.Service | undefined {
@@ -242,7 +238,7 @@
       availabilityZone: this.context.cfg.availabilityZone,
       upstream: upstream.upstreamId,
       reason,
-      outstanding: this.outstanding.get(upstream.upstreamId) ?? 0,
+      outstanding: this.loads.count(upstream.upstreamId),
       isRepeatable: job.call.isRepeatable,
     });
   }
--- a/packages/daemon/tests/cut-off-daemons.test.ts
+++ b/packages/daemon/tests/cut-off-daemons.test.ts
@@ -85,3 +85,31 @@
     'no confirm ran twice',
   );
 });
+
+/** Time within which a generation goes on whose connection has become silent, in milliseconds; the limit on silence is 1.5 s. */
+const GOES_ON_MS = 2_600;
+
+// Guards against a generation that waits for twice the limit on silence, since it is resumed over the same lost path first.
+void tap.default.test('a generation alone outlasts a connection that is silent', async (t) => {
+  const deployment = new deployments.SmallDeployment(['a', 'b', 'c'], 2);
+  await deployment.start(t);
+  // It has no part in the reports of its zone's engines.
+  const index = deployment.running.findIndex(({ cfg }) => cfg.daemonId === 'a-2');
+  const times: number[] = [];
+  const { offsets, outcome } = await callers.stream(deployment.getUrl(index), sales, 400, {
+    onEvent: (count) => {
+      times.push(performance.now());
+      if (count === 20) {
+        deployment.dialers.get('a-2')!.cut('silent');
+      }
+    },
+  });
+  t.equal(outcome, 'complete');
+  t.same(
+    offsets,
+    offsets.map((_, i) => i),
+    'each token once, in order',
+  );
+  const longest = Math.max(...times.slice(1).map((time, i) => time - times[i]!));
+  t.ok(longest < GOES_ON_MS, `${Math.round(longest)} ms without a token`);
+});
--- a/packages/daemon/tests/platform-poller.test.ts
+++ b/packages/daemon/tests/platform-poller.test.ts
@@ -29,10 +29,14 @@
     server.closeAllConnections();
     server.close();
   });
+  return createPoller((server.address() as net.AddressInfo).port);
+}
+
+function createPoller(port: number) {
   const lists: string[][] = [];
   const lines: LogLine[] = [];
   const poller = new platformPollers.PlatformPoller({
-    url: `http://127.0.0.1:${(server.address() as net.AddressInfo).port}`,
+    url: `http://127.0.0.1:${port}`,
     availabilityZone: 'a',
     clock: new schemas.VirtualClock(),
     log: Object.assign(new schemas.SilentLog(), { warn: (line: LogLine) => lines.push(line) }),
@@ -113,6 +117,26 @@
   t.equal(lines.filter(({ step }) => step === 'platform-list').length, bodies.length - 1);
 });
 
+// Guards against a list that is taken from an answer with a wrong status, head or trailer, and one that is missed after it.
+void tap.default.test('an answer with a wrong head keeps the former list', async (t) => {
+  const body = JSON.stringify({ upstreams: [createEntry('one')] });
+  let answer: fakes.UnusualAnswer = {};
+  const platform = new fakes.ShortAnswerUpstream(() => ({
+    bytes: fakes.frameUnusualAnswer(answer, {}, [body]),
+  }));
+  const { lines, lists, poller } = createPoller(Number((await platform.listen()).split(':')[1]));
+  t.teardown(() => platform.close());
+  for (const [name, wrong] of Object.entries(fakes.WRONG_ANSWERS)) {
+    answer = wrong;
+    await poller.poll();
+    t.same(lists.splice(0), [], name);
+    t.equal(lines.splice(0).length, 1, `${name}: logged`);
+    answer = {};
+    await poller.poll();
+    t.same(lists.splice(0), [['one']], `after ${name}`);
+  }
+});
+
 void tap.default.test('a daemon that becomes the relay polls the list at once', async (t) => {
   // The zone has just started and no daemon has read the list. Without the signal, every daemon of
   // the zone would have no upstreams and not be ready until the next poll a second later. The
--- a/packages/daemon/tests/support/small-deployment.ts
+++ b/packages/daemon/tests/support/small-deployment.ts
@@ -46,6 +46,16 @@
   isUp: boolean;
 }
 
+/** Options of `SmallDeployment`. */
+export interface SmallDeploymentOptions {
+  /** Limit of the body of a call, in bytes. */
+  readonly bodyBytes?: number;
+  /** Limits that differ from those of these tests. */
+  readonly limits?: Partial<schemas.DaemonConfig['limits']>;
+  /** Daemons that may be cut off from upstreams; all by default. The others' connections have no relay of the test. */
+  readonly cuttable?: readonly string[];
+}
+
 /**
  * A deployment of daemons in this process on real sockets, with fake engines, services and
  * platform.
@@ -65,6 +75,7 @@
     private readonly zones: readonly string[],
     private readonly daemonsPerZone: number,
     private readonly enginesPerZone = 1,
+    private readonly options: SmallDeploymentOptions = {},
   ) {}
 
   /** Starts everything and applies the declaration of `createFiles`. */
@@ -89,11 +100,17 @@
         operators: [{ operator: 'night', sha256: schemas.getSha256(TOKENS.operator) }],
         platformUrl,
         timings: TIMINGS,
-        limits: LIMITS,
+        limits: {
+          ...LIMITS,
+          bodyBytes: this.options.bodyBytes ?? LIMITS.bodyBytes,
+          ...this.options.limits,
+        },
       });
-      const dialer = new fakes.CutDialer();
-      await dialer.start();
-      this.dialers.set(cfg.daemonId, dialer);
+      if (this.options.cuttable?.includes(cfg.daemonId) ?? true) {
+        const dialer = new fakes.CutDialer();
+        await dialer.start();
+        this.dialers.set(cfg.daemonId, dialer);
+      }
       this.running.push({ cfg, daemon: this.create(cfg), isUp: true });
     }
     await Promise.all(this.running.map((item) => item.daemon.start()));
