Attack the programs with bursts of heads, and read orders' answers strictly

Stand-ins for answers that are early, wrong or endless, and ports that are reserved only if free; misbehaving-bursts attacks entry, core hosts and daemons as processes (ended each time before).

--- a/packages/bench/tests/misbehaving-callers.test.ts
+++ b/packages/bench/tests/misbehaving-callers.test.ts
@@ -77,15 +77,17 @@
 
 type Connect = (address: string) => fakes.MisbehavingCaller;
 
-interface Addresses {
+interface Target {
   readonly caller: string;
   readonly peer: string;
+  /** Suspends or resumes the daemon. */
+  readonly suspend: (isSuspended: boolean) => void;
 }
 
 /** Runs an attack on one daemon and checks that it lives within its limits and that ordinary calls are served. */
 async function check(
   t: tap.Test,
-  send: (addresses: Addresses, connect: Connect) => Promise<void>,
+  send: (target: Target, connect: Connect) => Promise<void>,
 ): Promise<void> {
   const deployment = await start(t);
   const { child, entry } = deployment.daemons[0]!;
@@ -97,7 +99,12 @@
     callers.forEach((caller) => caller.leave());
   });
   t.equal(await book(deployment, 'before'), 1, 'an ordinary call is served before');
-  await send({ caller: `${host}:${callerPort}`, peer: `${host}:${peerPort}` }, (address) => {
+  const target = {
+    caller: `${host}:${callerPort}`,
+    peer: `${host}:${peerPort}`,
+    suspend: (isSuspended: boolean) => child.suspend(isSuspended),
+  };
+  await send(target, (address) => {
     const caller = new fakes.MisbehavingCaller(address);
     callers.push(caller);
     return caller;
@@ -219,6 +226,26 @@
   );
 });
 
+// Guards against heads that arrive while the daemon stands still and are read in one round of its event loop, where their
+// memory is free only at its end.
+for (const { end, name } of [
+  { name: 'ended', end: 'content-length: 1\r\n\r\n' },
+  { name: 'unended', end: '' },
+]) {
+  void tap.default.test(`heads of many headers that arrive at once, ${name}`, (t) => {
+    const headers = Array.from({ length: 1_900 }, (_, i) => `${i.toString(36)}:\r\n`).join('');
+    const head = Buffer.from(`${CONFIRM_HEAD}${headers}${end}`);
+    return check(t, async ({ caller, suspend }, connect) => {
+      const callers = connect(caller);
+      await callers.open(1_000, () => Buffer.alloc(0));
+      suspend(true);
+      callers.write(() => head);
+      await deployments.pause(1_000);
+      suspend(false);
+    });
+  });
+}
+
 // Guards against bodies that nobody reads since their refusals wait behind the answer to a call that runs.
 void tap.default.test('bodies of refused calls behind a generation', (t) =>
   check(t, ({ caller }, connect) => {
--- a/packages/fakes/src/endless-upstream.ts
+++ b/packages/fakes/src/endless-upstream.ts
@@ -146,3 +146,9 @@
   first: () => 'HTTP/1.1 500 Failure\r\n\r\n',
   repeated: 'x',
 };
+
+/** A whole answer, and then bytes that nobody asked for. */
+export const ENDLESS_AFTER_ANSWER: EndlessBytes = {
+  first: (call) => `${OK}${echo(call)}content-length: 4\r\n\r\ndone`,
+  repeated: `${OK}content-length: 4\r\n\r\nmore`,
+};
--- a/packages/fakes/src/index.ts
+++ b/packages/fakes/src/index.ts
@@ -1,5 +1,7 @@
 /** Test doubles of the external systems, for tests, the bench and the quickstart. */
 export * from './cut-dialer.js';
+export * from './early-answer-play.js';
+export * from './early-answer-upstream.js';
 export * from './endless-upstream.js';
 export * from './engine-model.js';
 export * from './fake-engine.js';
@@ -18,3 +20,4 @@
 export * from './slow-link.js';
 export * from './strict-caller.js';
 export * from './token-text.js';
+export * from './wrong-answers.js';
--- a/packages/fakes/src/misbehaving-caller.ts
+++ b/packages/fakes/src/misbehaving-caller.ts
@@ -37,6 +37,15 @@
     );
   }
 
+  /** Sends bytes on every connection that is open, without waiting for them to be taken. */
+  public write(createBytes: (index: number) => Buffer): void {
+    this.sockets.forEach((socket, index) => {
+      if (!socket.destroyed) {
+        socket.write(createBytes(index));
+      }
+    });
+  }
+
   /** Resets every connection. */
   public leave(): void {
     this.sockets.splice(0).forEach((socket) => socket.resetAndDestroy());
--- a/packages/fakes/src/reserved-ports.ts
+++ b/packages/fakes/src/reserved-ports.ts
@@ -19,7 +19,7 @@
 
   /** Reserves `count` ports chosen by the operating system. */
   public static async take(count: number): Promise<ReservedPorts> {
-    return new ReservedPorts(await Promise.all(Array.from({ length: count }, listen)));
+    return new ReservedPorts(await Promise.all(Array.from({ length: count }, reserve)));
   }
 
   /** Returns the port numbers. */
@@ -33,12 +33,28 @@
   }
 }
 
-function listen(): Promise<net.Server> {
+/** Reserves a port on which nothing listens, such as a process that an ended test left behind. */
+async function reserve(): Promise<net.Server> {
+  const server = await listen(0, RESERVATION_HOST);
+  const { port } = server.address() as net.AddressInfo;
+  const trial = await listen(port, RESERVED_PORT_HOST).catch(() => undefined);
+  if (trial === undefined) {
+    const next = await reserve();
+    server.close();
+    return next;
+  }
+  await new Promise((resolve) => {
+    trial.close(resolve);
+  });
+  return server;
+}
+
+function listen(port: number, host: string): Promise<net.Server> {
   return new Promise((resolve, reject) => {
     const server = net.createServer();
     server.once('error', reject);
     // Lets a program exit that does not release its ports.
     server.unref();
-    server.listen(0, RESERVATION_HOST, () => resolve(server));
+    server.listen(port, host, () => resolve(server));
   });
 }
--- a/packages/fakes/src/short-answer-upstream.ts
+++ b/packages/fakes/src/short-answer-upstream.ts
@@ -58,7 +58,7 @@
       if (headLength < HEAD_END.length) {
         return;
       }
-      const call = parseHead(received.slice(0, headLength), number + 1);
+      const call = parseCallHead(received.slice(0, headLength), number + 1);
       if (received.length < headLength + Number(call.headers['content-length'] ?? 0)) {
         return;
       }
@@ -69,7 +69,8 @@
   }
 }
 
-function parseHead(head: string, number: number): ReceivedCall {
+/** Parses the head of a call, up to its empty line. */
+export function parseCallHead(head: string, number: number): ReceivedCall {
   const [first = '', ...lines] = head.slice(0, -HEAD_END.length).split('\r\n');
   const [method = '', path = ''] = first.split(' ');
   const headers = Object.fromEntries(
--- a/packages/fakes/src/slow-link.ts
+++ b/packages/fakes/src/slow-link.ts
@@ -28,10 +28,11 @@
   private readonly queues: readonly [Pending[], Pending[]] = [[], []];
   private readonly server: net.Server;
   private readonly timer: NodeJS.Timeout;
+  private passedAt = performance.now();
 
   private constructor(private readonly options: SlowLinkOptions) {
     this.server = net.createServer((near) => this.connect(near));
-    this.timer = setInterval(() => this.queues.forEach((queue) => this.passOn(queue)), TICK_MS);
+    this.timer = setInterval(() => this.tick(), TICK_MS);
   }
 
   /** Opens a link on a port chosen by the operating system. */
@@ -84,9 +85,17 @@
     });
   }
 
-  /** Passes on the bytes of one tick, in the order in which they came. */
-  private passOn(queue: Pending[]): void {
-    let leftBytes = Math.ceil((this.options.bytesPerS * TICK_MS) / 1_000);
+  /** Passes on the bytes of the time since the last tick: ticks come late in a busy process. */
+  private tick(): void {
+    const now = performance.now();
+    const bytes = Math.ceil((this.options.bytesPerS * (now - this.passedAt)) / 1_000);
+    this.passedAt = now;
+    this.queues.forEach((queue) => this.passOn(queue, bytes));
+  }
+
+  /** Passes on bytes in the order in which they came. */
+  private passOn(queue: Pending[], maxBytes: number): void {
+    let leftBytes = maxBytes;
     while (leftBytes > 0 && queue[0] !== undefined) {
       const [first] = queue;
       const part = first.bytes.subarray(0, leftBytes);
--- a/packages/telemetry/src/metric-catalog.ts
+++ b/packages/telemetry/src/metric-catalog.ts
@@ -83,6 +83,12 @@
     help: 'Streams that broke off, by whether they went on elsewhere and whether an event had arrived before',
     labels: ['result', 'after'],
   },
+  runEnds: {
+    kind: 'counter',
+    name: 'run_ends_total',
+    help: 'Streamed runs that ended, by what showed their end and whether this host had ordered that they stop',
+    labels: ['end', 'stop'],
+  },
   callMs: {
     kind: 'histogram',
     name: 'call_duration_ms',
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -15,6 +15,7 @@
   'daemon/dist/tests/hostile-data',
   'daemon/dist/tests/short-completions',
   'daemon/dist/tests/short-heads',
+  'daemon/dist/tests/wrong-heads',
   'gateway/dist/tests/brittle-upstreams',
   'gateway/dist/tests/capacity-sharing',
   'gateway/dist/tests/connection-crowd',
@@ -24,12 +25,14 @@
   'gateway/dist/tests/cut-off-hosts',
   'gateway/dist/tests/leaderless-suspects',
   'gateway/dist/tests/short-heads',
+  'gateway/dist/tests/wrong-heads',
   'platform/dist/tests/hostile-data',
   'platform/dist/tests/short-heads',
 ];
 // Files whose tests measure the memory of processes under attack. Each runs alone, after all others.
 const LONE_FILES = [
   'bench/dist/tests/misbehaving-callers',
+  'platform/dist/tests/misbehaving-bursts',
   'platform/dist/tests/misbehaving-callers',
   'platform/dist/tests/misbehaving-connections',
   'platform/dist/tests/misbehaving-peers',
