Reset the first start of whichever engine is chosen

Cause: the test needs the daemon to choose one of two idle engines, which nothing promises: it prefers the faster as measured. No product code is changed.

--- a/packages/daemon/tests/restarted-engine.test.ts
+++ b/packages/daemon/tests/restarted-engine.test.ts
@@ -114,26 +114,24 @@
     return engines.every(({ record }) => record.size > 0);
   });
   const begun = countBegun(engines);
-  const [first] = engines;
-  let reads = 0;
-  const faults = new Proxy(first!.faults, {
-    get: (target, name, receiver): unknown => {
-      reads += name === 'resetAfterRead' ? 1 : 0;
-      return name === 'resetAfterRead' || Reflect.get(target, name, receiver);
-    },
+  const starts: fakes.FakeEngine[] = [];
+  engines.forEach((engine) => {
+    const faults = new Proxy(engine.faults, {
+      get: (target, name, receiver): unknown => {
+        if (name !== 'resetAfterRead') {
+          return Reflect.get(target, name, receiver);
+        }
+        starts.push(engine);
+        return engine === starts[0];
+      },
+    });
+    Object.assign(engine, { faults });
   });
-  Object.assign(first!, { faults });
-  const outcomes: (string | undefined)[] = [];
-  for (let i = 0; reads === 0 && i < 40; i += 1) {
-    const { outcome } = await callers.stream(url, sales, 20, { headers: ONCE });
-    outcomes.push(outcome);
-  }
-  t.ok(reads > 0, 'a start was reset');
-  t.ok(
-    outcomes.every((outcome) => outcome === 'complete'),
-    'each call is complete',
-  );
-  t.equal(begun.length, outcomes.length, 'each call ran once');
+  const { outcome } = await callers.stream(url, sales, 20, { headers: ONCE });
+  t.ok(starts.length > 1, 'a start was reset');
+  t.equal(new Set(starts).size, 2, 'the other engine got one');
+  t.equal(outcome, 'complete');
+  t.equal(begun.length, 1, 'it ran once');
 });
 
 // Guards against a claim of no run that rests on an answer of a process to which the start was not certainly sent.
