Take the platform's list with status 200 only

Cause: the daemon's reader of the list did not look at the status. A 500 with a list in its body counted as the list, and an empty one took all upstreams from the zone. Change: another status than 200 is logged, with the status, and the former list stays in use, as the platform's reader does.

Conclusion: an error page is no list any more.

--- a/packages/daemon/src/platform-poller.ts
+++ b/packages/daemon/src/platform-poller.ts
@@ -64,6 +64,15 @@
         dispatcher: this.agent,
         signal: AbortSignal.timeout(RESPONSE_TIMEOUT_MS),
       });
+      if (res.statusCode !== 200) {
+        await res.body.dump();
+        throw new schemas.StepError({
+          id: 'listRefused',
+          step: 'platform-list',
+          peer: url,
+          args: [res.statusCode],
+        });
+      }
       const body = await requests.readBoundedJson(res.body, MAX_LIST_BYTES);
       const list = schemas.parse(schemas.platformList, body, 'platform-list');
       const read = schemas.parseEntries(schemas.upstream, list.upstreams);
--- a/packages/daemon/tests/platform-poller.test.ts
+++ b/packages/daemon/tests/platform-poller.test.ts
@@ -14,6 +14,7 @@
 interface LogLine {
   readonly event?: string;
   readonly step?: string;
+  readonly err?: string;
   readonly count?: number;
   readonly faults?: readonly string[];
 }
@@ -137,6 +138,31 @@
   }
 });
 
+// Guards against an error page that counts as the list: with an empty list in it, the zone would refuse every call.
+void tap.default.test('an answer that refuses the list keeps the former list', async (t) => {
+  let statusLine = 'HTTP/1.1 200 OK';
+  let upstreams: readonly object[] = [createEntry('one')];
+  const platform = new fakes.ShortAnswerUpstream(() => ({
+    bytes: fakes.frameUnusualAnswer({ statusLine }, {}, [JSON.stringify({ upstreams })]),
+  }));
+  const { lines, lists, poller } = createPoller(Number((await platform.listen()).split(':')[1]));
+  t.teardown(() => platform.close());
+  for (const status of [201, 203, 206, 302, 400, 401, 404, 429, 500, 502, 503, 504, 599]) {
+    for (const refused of [[], [createEntry('two')], [createEntry('x'.repeat(1_000_000))]]) {
+      statusLine = `HTTP/1.1 ${status} Unknown`;
+      upstreams = refused;
+      await poller.poll();
+      t.same(lists.splice(0), [], `status ${status}, ${refused.length} upstreams`);
+      t.match(lines.splice(0), [{ step: 'platform-list', err: new RegExp(`${status}$`) }]);
+      statusLine = 'HTTP/1.1 200 OK';
+      upstreams = [createEntry('one')];
+      await poller.poll();
+      t.same(lists.splice(0), [['one']], `after status ${status}`);
+      t.same(lines.splice(0), []);
+    }
+  }
+});
+
 void tap.default.test('a daemon that becomes the relay polls the list at once', async (t) => {
   // The zone has just started and no daemon has read the list. Without the signal, every daemon of
   // the zone would have no upstreams and not be ready until the next poll a second later. The
