--- a/packages/gateway/tests/limited-fleet.test.ts
+++ b/packages/gateway/tests/limited-fleet.test.ts
@@ -104,36 +104,51 @@
   },
 ];
 
+type Plan = Omit<(typeof PLANS)[number], 'name'>;
+
+async function check(t: tap.Test, plan: Plan, seed: number): Promise<void> {
+  const simulation = new simulations.LimitedFleetSimulation(seed, plan);
+  await simulation.simulate();
+  const { refused, restRetryAfterS, retryAfterS, served, slowestRefusalMs } = simulation.calls;
+  const excess = simulation.getMostExcess();
+  const share = simulation.getUsedShare();
+  const counts = `${served} served, ${refused} refused`;
+  t.ok(excess <= 0, `seed ${seed}: ${excess.toFixed(1)} calls over the tolerance; ${counts}`);
+  const ofAll = simulation.getMostExcessOfAll();
+  t.ok(ofAll <= 0, `seed ${seed}: ${ofAll.toFixed(1)} with those of hosts that were not told`);
+  t.ok(share >= MIN_USED_SHARE, `seed ${seed}: ${share.toFixed(2)} of the limits used`);
+  t.ok(slowestRefusalMs <= MAX_REFUSAL_MS, `seed ${seed}: refused in ${slowestRefusalMs} ms`);
+  t.equal(simulation.countBrokenRests(), 0, `seed ${seed}: rests are kept`);
+  t.equal(simulation.countLateNewCalls(), 0, `seed ${seed}: nothing new to those that leave`);
+  t.ok(
+    restRetryAfterS.every((wait) => wait > 0 && wait <= 4),
+    `seed ${seed}: not much longer than a rest`,
+  );
+  t.ok(
+    retryAfterS.every((wait) => wait > 0 && wait <= 5),
+    `seed ${seed}: with a time to return`,
+  );
+}
+
 // Guards against hosts that together send more than a limit allows or leave most of it unused, that break rests, and that
 // send new calls to upstreams which leave, in drawn schedules.
 PLANS.forEach(({ name, ...plan }) => {
   void tap.default.test(`what upstreams state is kept: ${name}`, async (t) => {
     for (let seed = FIRST_SEED; seed < FIRST_SEED + RUNS; seed += 1) {
-      const simulation = new simulations.LimitedFleetSimulation(seed, plan);
-      await simulation.simulate();
-      const { refused, restRetryAfterS, retryAfterS, served, slowestRefusalMs } = simulation.calls;
-      const excess = simulation.getMostExcess();
-      const share = simulation.getUsedShare();
-      const counts = `${served} served, ${refused} refused`;
-      t.ok(excess <= 0, `seed ${seed}: ${excess.toFixed(1)} calls over the tolerance; ${counts}`);
-      const ofAll = simulation.getMostExcessOfAll();
-      t.ok(ofAll <= 0, `seed ${seed}: ${ofAll.toFixed(1)} with those of hosts that were not told`);
-      t.ok(share >= MIN_USED_SHARE, `seed ${seed}: ${share.toFixed(2)} of the limits used`);
-      t.ok(slowestRefusalMs <= MAX_REFUSAL_MS, `seed ${seed}: refused in ${slowestRefusalMs} ms`);
-      t.equal(simulation.countBrokenRests(), 0, `seed ${seed}: rests are kept`);
-      t.equal(simulation.countLateNewCalls(), 0, `seed ${seed}: nothing new to those that leave`);
-      t.ok(
-        restRetryAfterS.every((wait) => wait > 0 && wait <= 4),
-        `seed ${seed}: not much longer than a rest`,
-      );
-      t.ok(
-        retryAfterS.every((wait) => wait > 0 && wait <= 5),
-        `seed ${seed}: with a time to return`,
-      );
+      await check(t, plan, seed);
     }
   });
 });
 
+// Guards against a caller who waits for longer than one request to a leader before the refusal; from a long run.
+void tap.default.test('a call without room is refused in time: seed 325', (t) =>
+  check(
+    t,
+    PLANS.find(({ name }) => name === 'upstreams that rest and leave')!,
+    325,
+  ),
+);
+
 // Guards against callers who are refused, or wait for a leader, while an upstream without a limit has room.
 void tap.default.test('load that limits exclude goes where there is room', async (t) => {
   for (let seed = FIRST_SEED; seed < FIRST_SEED + RUNS; seed += 1) {
