Hold the time limit of a call to a service while it runs

What callers see: at a daemon, a repeatable call to a service whose answer's body stalls or drips never ends once 2,000 calls were made. Cause: only a combined signal refers to that of AbortSignal.timeout once the client's functions are optimized, and it is collected with its timer; the same cause as of requests/tests/time-limit, at another place. Why it works: withTimeLimit holds the timer until the body is read.

--- a/packages/requests/src/service-client.ts
+++ b/packages/requests/src/service-client.ts
@@ -6,6 +6,7 @@
 import * as engineClients from './engine-client.js';
 import * as endToEndHeaders from './end-to-end-headers.js';
 import * as upstreamClients from './upstream-client.js';
+import * as timeLimits from './time-limit.js';
 import * as upstreamErrors from './upstream-error.js';
 import * as upstreamTargets from './upstream-target.js';
 import type * as upstreamGates from './upstream-gate.js';
@@ -48,14 +49,19 @@
     const { upstreamId } = upstream;
     const target = upstreamTargets.createTarget(upstream);
     const permit = await this.options.gate.admit(target);
-    const signal = AbortSignal.timeout(this.options.answerMs);
     const headers = pickServiceHeaders(call.headers);
-    const answer = await this.client.open(
-      target,
-      { ...call, headers, permit, signal },
-      classifyHead,
+    const { answer, read } = await timeLimits.withTimeLimit(
+      this.options.answerMs,
+      async (signal) => {
+        const sent = { ...call, headers, permit, signal };
+        const opened = await this.client.open(target, sent, classifyHead);
+        const { answerBytes } = this.options;
+        return {
+          answer: opened,
+          read: await answerBodies.readAnswer(opened, answerBytes, upstreamId),
+        };
+      },
     );
-    const read = await answerBodies.readAnswer(answer, this.options.answerBytes, upstreamId);
     if (!read.isWhole) {
       answer.body.destroy();
       throw new upstreamErrors.UpstreamError('lost', 'answer-too-large', upstreamId);
