Refuse answers in transfer codings that this system can't read

What callers see: a complete 200 whose body isn't the runner's, in most cases with the sizes of chunks in it, where the runner sent a coding such as gzip, xchunked or chunked twice. Cause: the coding is taken off the head, but the parser leaves it on the body. Such an answer counts as one that is no HTTP now. No TE is sent, so no upstream may use another coding than chunked (RFC 9112, sections 6.1 and 7.4).

--- a/packages/paths/src/answer-head.ts
+++ b/packages/paths/src/answer-head.ts
@@ -21,6 +21,9 @@
 const LENGTH_NAME = 'content-length';
 const CODING_NAME = 'transfer-encoding';
 
+/** The codings of a body that this system reads: parts in chunks, or none, up to the end of the connection. */
+const READ_CODINGS = new Set(['chunked', 'identity']);
+
 /** By byte, whether names may hold it, and whether values may. */
 const NAME_BYTES = Array.from(
   { length: 256 },
@@ -92,8 +95,13 @@
   });
 }
 
-/** Throws if two headers state differently where a body ends. */
+/** Throws if two headers state differently where a body ends, or if a coding would stay on the body. */
 function checkFraming(headers: RawHeaders): void {
+  const codings = listValues(headers, CODING_NAME);
+  const isRead = READ_CODINGS.has(codings.join(',').trim().toLowerCase());
+  if (codings.length > 0 && !isRead) {
+    throw new WrongHeadError('an answer in a transfer coding that is not known');
+  }
   const lengths = listValues(headers, LENGTH_NAME);
   const [length] = lengths;
   if (length === undefined) {
@@ -102,7 +110,7 @@
   if (lengths.length > 1 || !DIGITS_ONLY.test(length.trim())) {
     throw new WrongHeadError('an answer without one length');
   }
-  if (listValues(headers, CODING_NAME).length > 0) {
+  if (codings.length > 0) {
     throw new WrongHeadError('an answer with a length and a transfer coding');
   }
 }
--- a/packages/paths/tests/answer-head.test.ts
+++ b/packages/paths/tests/answer-head.test.ts
@@ -92,7 +92,8 @@
 void tap.default.test('headers that state where a body ends', async (t) => {
   const cases: { headers: string[]; expected: boolean }[] = [
     { headers: ['Content-Length', ' 5 '], expected: true },
-    { headers: ['Transfer-Encoding', 'gzip', 'Transfer-Encoding', 'chunked'], expected: true },
+    { headers: ['Transfer-Encoding', 'Chunked'], expected: true },
+    { headers: ['Transfer-Encoding', 'gzip', 'Transfer-Encoding', 'chunked'], expected: false },
     { headers: ['content-length', '5', 'content-length', '5'], expected: false },
     { headers: ['content-length', '5', 'Content-Length', '6'], expected: false },
     { headers: ['content-length', '5, 5'], expected: false },
