Wait for the relay's close where an upload may be unread

Cause: the host that relays knows only the bytes that have reached it, which in a network are a first flight of some 14.6 KB; it marked the end at once, and the host that knows the size of its request believed the mark. Change: the relay marks the end of a small request at once, as before, and closes the tunnel in order only once no reset can follow, otherwise with a reset; a host whose request is large waits for that close.

--- a/packages/paths/src/end-guard.ts
+++ b/packages/paths/src/end-guard.ts
@@ -148,8 +148,10 @@
       socket.destroy(new UnreadRequestError());
     } else if (socket instanceof net.Socket) {
       setTimeout(() => checkReset(socket, pass), peers.RESET_MS);
+    } else if (socket instanceof peers.TunnelSocket) {
+      // Only this host knows the size of the request; bytes of it may still be on their way to the other one.
+      socket.onClosed(pass);
     } else {
-      // The host at the other end of a tunnel has waited for a reset.
       pass();
     }
   }
--- a/packages/peers/src/relay-tunnel.ts
+++ b/packages/peers/src/relay-tunnel.ts
@@ -13,11 +13,18 @@
  */
 export function relayTunnel(near: net.Socket, far: stream.Duplex): () => void {
   const request = new relayedRequests.RelayedRequest();
+  let isMarked = false;
   const close = () => {
     far.destroy();
-    near.destroy();
+    // After the mark, an orderly close would confirm it.
+    if (isMarked) {
+      near.resetAndDestroy();
+    } else {
+      near.destroy();
+    }
   };
-  const markEnd = () => {
+  /** Marks the end, and closes the tunnel in order if no reset of the upstream can follow. */
+  const markEnd = (isLast: boolean) => {
     if (request.wasUnsent()) {
       close();
       return;
@@ -26,8 +33,14 @@
     far.write('', (err) => {
       if (err) {
         close();
-      } else {
-        near.end(tunnelMessages.END_CHUNK);
+        return;
+      }
+      if (!isMarked) {
+        isMarked = true;
+        near.write(tunnelMessages.END_CHUNK);
+      }
+      if (isLast) {
+        near.end();
         far.end();
       }
     });
@@ -48,12 +61,11 @@
   });
   far.once('end', () => {
     request.noteAnswerEnd(far.writableLength);
-    if (request.isLarge() || request.wasUnsent()) {
-      // In a delayed process the timer is due before bytes of the request that have arrived are read.
-      setTimeout(() => setImmediate(markEnd), requestEnds.RESET_MS).unref();
-    } else {
-      markEnd();
+    if (!request.isLarge() && !request.wasUnsent()) {
+      markEnd(false);
     }
+    // In a delayed process the timer is due before bytes of the request that have arrived are read.
+    setTimeout(() => setImmediate(() => markEnd(true)), requestEnds.RESET_MS).unref();
   });
   far.once('error', close);
   near.once('error', close);
--- a/packages/peers/src/tunnel-socket.ts
+++ b/packages/peers/src/tunnel-socket.ts
@@ -40,6 +40,15 @@
     }
   }
 
+  /** Calls a listener once the peer has closed the tunnel in order after the end, so that no reset of the upstream can follow. */
+  public onClosed(listener: () => void): void {
+    if (this.socket.closed) {
+      listener();
+    } else {
+      this.once('closed', listener);
+    }
+  }
+
   /** Lets the process end while the connection is open. */
   public unref(): this {
     this.socket.unref();
@@ -115,7 +124,9 @@
   }
 
   private handleClose(): void {
-    if (!this.hasEnded) {
+    if (this.hasEnded) {
+      this.emit('closed');
+    } else {
       this.destroy(createBrokenError());
     }
   }
