Take no end at the time limit of a call for the end of its work

Cause: an end that this system causes passes for the end of the work: the limit that is sent is rounded down, the host's own timer fires up to a millisecond or more later, and nothing asked whether an end came at the limit. Change: an end that nothing marks within 5 ms of the limit counts as lost.

--- a/packages/gateway/src/routed-attempts.ts
+++ b/packages/gateway/src/routed-attempts.ts
@@ -38,6 +38,12 @@
  */
 const RESUME_WAIT_MS = 1_500;
 
+/**
+ * Time before its limit from which on the end of an answer may be that of a run which its upstream has stopped there, in
+ * milliseconds: the limit that is sent is rounded down, and timers may be early.
+ */
+const LIMIT_MARGIN_MS = 5;
+
 /** Lowest status that is not a success. */
 const FIRST_NON_SUCCESS_STATUS = 300;
 
@@ -301,6 +307,7 @@
     if (!read.isWhole) {
       return this.createStreamed(job, attempt, answer, read.bytes);
     }
+    this.checkLimit(job, attempt, answer);
     const isServed = answer.status < FIRST_NON_SUCCESS_STATUS;
     attempt.release(false, slotResults.getAnswerResult(isServed, isFailure));
     if (isServed && !generationCalls.isGeneration(job.call)) {
@@ -343,7 +350,10 @@
         paceMeter?.end();
         this.endStreamed(job, attempt, answer, hasFailed);
       },
-      confirmEnd: () => confirmEnd(attempt, answer),
+      confirmEnd: async () => {
+        this.checkLimit(job, attempt, answer);
+        await confirmEnd(attempt, answer);
+      },
       recordSilence: () => {
         attempt.isSilent = true;
       },
@@ -352,6 +362,18 @@
     };
   }
 
+  /** Throws if an answer whose end is not marked has ended at the time limit that was sent with the call. */
+  private checkLimit(
+    { call }: routedJobs.RoutedJob,
+    { picked }: Attempt,
+    answer: requests.UpstreamAnswer,
+  ): void {
+    const isOver = this.options.clock.now() >= call.endsAt - LIMIT_MARGIN_MS;
+    if (isOver && !requests.hasMarkedEnd(answer)) {
+      throw new requests.UpstreamError('lost', 'time-limit', picked.upstreamId);
+    }
+  }
+
   /** Creates the meter of a generation placed by the leader on an engine that states its slowdown. */
   private createPaceMeter(
     { call }: routedJobs.RoutedJob,
