Close connections of misbehaving callers whose end is being sent

Cause: `MisbehavingCaller.leave` reset each socket. A daemon that has as many connections as it may closes an idle one for each new one. When its end and the answer to the resend of the test are read in one round of the event loop, as by a process that stood still, `leave` is called while the socket sends its own end. Node.js 20 then reports EINVAL for the reset and neither resets nor closes the socket, and its cleanup at the exit waits for the socket forever (`beforeExit` and `exit` have been emitted, all checks are printed).

One with bytes that are not sent yet is still reset, since its end has not begun. No check, bound or limit of a test changes.

--- a/packages/fakes/src/misbehaving-caller.ts
+++ b/packages/fakes/src/misbehaving-caller.ts
@@ -1,5 +1,7 @@
 import * as net from 'node:net';
 
+import * as resetConnections from './reset-connection.js';
+
 /** Time without progress after which a write counts as blocked by its receiver, in milliseconds. */
 const BLOCKED_MS = 1_000;
 
@@ -46,9 +48,16 @@
     });
   }
 
-  /** Resets every connection. */
+  /** Resets every connection; those whose end is being sent are closed. */
   public leave(): void {
-    this.sockets.splice(0).forEach((socket) => socket.resetAndDestroy());
+    this.sockets.splice(0).forEach((socket) => {
+      // The end comes after the bytes that are not sent yet.
+      if (socket.writableLength > 0) {
+        socket.resetAndDestroy();
+      } else {
+        resetConnections.resetConnection(socket);
+      }
+    });
   }
 
   private async send(bytes: Buffer): Promise<void> {
