Let connections through the cutting dialer not wait for each other

Cause: `CutDialer` relays all connections of a host through one listener, of which Node.js 20 accepts one connection in each round of the event loop.

Change: the relay has 16 listeners, used in turn.

--- a/packages/fakes/src/cut-dialer.ts
+++ b/packages/fakes/src/cut-dialer.ts
@@ -9,6 +9,18 @@
  */
 export type CutKind = 'hang' | 'silent' | 'reset' | 'refused';
 
+/**
+ * Number of listeners of the local relay. Node.js accepts one connection of a listener in each round of its event loop, and
+ * where rounds are long, dials would wait for each other.
+ */
+const LISTENERS = 16;
+
+interface RelayServer {
+  readonly server: net.Server;
+  /** Accepted connections that are not joined yet, by their remote ports. */
+  readonly accepted: Map<number, net.Socket>;
+}
+
 interface Pair {
   readonly near: net.Socket;
   /** The connection to the upstream; `undefined` for one that was accepted during a cut. */
@@ -22,19 +34,19 @@
   private kind: CutKind | undefined;
   private readonly sockets = new Set<net.Socket>();
   private readonly pairs = new Set<Pair>();
-  private readonly server = net.createServer({ pauseOnConnect: true }, (socket) => {
-    this.accepted.set(socket.remotePort!, socket);
-    this.server.emit(`accepted-${socket.remotePort}`);
-  });
-
-  /** Accepted connections that are not joined yet, by their remote ports. */
-  private readonly accepted = new Map<number, net.Socket>();
+  private readonly servers = Array.from({ length: LISTENERS }, createServer);
+  private dials = 0;
 
   /** Starts the local relay through which the connections run. */
   public async start(): Promise<void> {
-    await new Promise<void>((resolve) => {
-      this.server.listen(0, '127.0.0.1', resolve);
-    });
+    await Promise.all(
+      this.servers.map(
+        ({ server }) =>
+          new Promise<void>((resolve) => {
+            server.listen(0, '127.0.0.1', resolve);
+          }),
+      ),
+    );
   }
 
   /** Cuts the host off from all upstreams. */
@@ -64,11 +76,13 @@
   /** Closes every connection. */
   public stop(): void {
     this.resetAll();
-    this.accepted.forEach((socket) => socket.destroy());
     this.sockets.forEach((socket) => socket.destroy());
     this.kind = 'refused';
-    this.server.close();
-    this.server.unref();
+    this.servers.forEach(({ accepted, server }) => {
+      accepted.forEach((socket) => socket.destroy());
+      server.close();
+      server.unref();
+    });
   }
 
   /** Opens a connection to an IP address and port; rejects after `timeoutMs`. */
@@ -89,9 +103,11 @@
   }
 
   private async join(far: net.Socket | undefined): Promise<net.Socket> {
-    const { port } = this.server.address() as net.AddressInfo;
+    const relay = this.servers[this.dials % LISTENERS]!;
+    this.dials += 1;
+    const { port } = relay.server.address() as net.AddressInfo;
     const own = await connect(port, '127.0.0.1');
-    const near = await this.takeAccepted(own.localPort!);
+    const near = await takeAccepted(relay, own.localPort!);
     near.unref();
     [own, near, far].forEach((socket) => socket && this.sockets.add(socket));
     const pair = { near, far };
@@ -104,17 +120,6 @@
     return own;
   }
 
-  private async takeAccepted(remotePort: number): Promise<net.Socket> {
-    if (!this.accepted.has(remotePort)) {
-      await new Promise((resolve) => {
-        this.server.once(`accepted-${remotePort}`, resolve);
-      });
-    }
-    const socket = this.accepted.get(remotePort)!;
-    this.accepted.delete(remotePort);
-    return socket;
-  }
-
   private forward(pair: Pair, from: net.Socket, to: net.Socket | undefined): void {
     const isSilent = () => this.kind === 'hang' || this.kind === 'silent';
     from.on('error', () => {});
@@ -156,6 +161,29 @@
   }
 }
 
+function createServer(): RelayServer {
+  const accepted = new Map<number, net.Socket>();
+  const server = net.createServer({ pauseOnConnect: true }, (socket) => {
+    accepted.set(socket.remotePort!, socket);
+    server.emit(`accepted-${socket.remotePort}`);
+  });
+  return { server, accepted };
+}
+
+async function takeAccepted(
+  { accepted, server }: RelayServer,
+  remotePort: number,
+): Promise<net.Socket> {
+  if (!accepted.has(remotePort)) {
+    await new Promise((resolve) => {
+      server.once(`accepted-${remotePort}`, resolve);
+    });
+  }
+  const socket = accepted.get(remotePort)!;
+  accepted.delete(remotePort);
+  return socket;
+}
+
 function connect(port: number, host: string): Promise<net.Socket> {
   return new Promise((resolve, reject) => {
     const socket = net.connect(port, host);
