Count the connections of probes that are open, not those whose end was reported

Trace, twelve copies at once (average 26): never more than 32 are open, as many as are probed at once, but 33 to 63 have not reported their close yet, as Node.js does so at the end of a round of the event loop, in which the next probes are begun. The test counted those reports. It counts connections that are being made or not destroyed now, at each dial, with the same bound.

--- a/packages/paths/tests/upstream-links.test.ts
+++ b/packages/paths/tests/upstream-links.test.ts
@@ -146,15 +146,16 @@
   });
   t.teardown(() => server.close());
   const { port } = server.address() as net.AddressInfo;
-  let open = 0;
+  let dialing = 0;
   let peak = 0;
+  const sockets: stream.Duplex[] = [];
   const dial = async (): Promise<stream.Duplex> => {
-    open += 1;
-    peak = Math.max(peak, open);
+    dialing += 1;
+    peak = Math.max(peak, dialing + sockets.filter(({ destroyed }) => !destroyed).length);
     const socket = await new paths.TcpDialer().dial(`127.0.0.1:${port}`, 1_000);
-    return socket.once('close', () => {
-      open -= 1;
-    });
+    dialing -= 1;
+    sockets.push(socket);
+    return socket;
   };
   const clock = new schemas.SystemClock();
   const links = new paths.UpstreamLinks({
